--- /dev/null
+++ b/t/run-tests.sh
@@ -0,0 +1,30 @@
+#!/bin/sh
+# Runs every numbered test and sums up.  TESTS="t/t0100-*.sh" narrows the
+# run.  Prints each script's failures and one closing line.
+
+cd "$(dirname "$0")/.." || exit 1
+mkdir -p t/output
+passed=0
+failed=0
+red=0
+for script in ${TESTS:-t/t[0-9]*.sh}; do
+	name=$(basename "$script" .sh)
+	timeout 300 sh "$script" >"t/output/$name.tap" 2>&1
+	status=$?
+	ok=$(grep -c '^ok ' "t/output/$name.tap")
+	bad=$(grep -c '^not ok ' "t/output/$name.tap")
+	if test $bad = 0 && { test $status != 0 || test "$ok" = 0; }; then
+		bad=1
+		echo "not ok - $name ended with status $status" \
+			>>"t/output/$name.tap"
+	fi
+	red=$((red + $(grep -c '# KNOWN-RED' "t/output/$name.tap")))
+	passed=$((passed + ok))
+	failed=$((failed + bad))
+	echo "$name: $ok ok, $bad not ok"
+	grep -h '# KNOWN-RED' "t/output/$name.tap"
+	test $bad = 0 || grep -A40 '^not ok' "t/output/$name.tap"
+done
+test $red = 0 || echo "known red: $red (see KNOWN-RED.txt)"
+echo "$passed passed, $failed failed"
+test $failed = 0
--- /dev/null
+++ b/t/test-lib.sh
@@ -0,0 +1,89 @@
+# Sourced by every numbered test.  A test script sets $test_description,
+# sources this file, runs test_expect_success for each case and ends with
+# test_done.  Each script gets a trash folder of its own and a loopback
+# network of its own, $TEST_NET (the first three bytes of an address).
+
+TEST_DIR=$(cd "$(dirname "$0")" && pwd)
+TOP=$(cd "$TEST_DIR/.." && pwd)
+FLAVOR=${FLAVOR:-release}
+BIN=$TOP/build/$FLAVOR
+PATH=$BIN:$BIN/t:$PATH
+export TOP BIN PATH
+TEST_NAME=$(basename "$0" .sh)
+TRASH=$TOP/t/trash/$FLAVOR/$TEST_NAME
+test_number=$(expr "$TEST_NAME" : '[tp]0*\([0-9]*\)')
+case "$TEST_NAME" in p*) test_number=$((test_number + 20000)) ;; esac
+TEST_NET=127.$((10 + test_number / 250 % 240)).$((1 + test_number % 250))
+test_count=0
+test_failed=0
+test_pids=
+
+rm -rf "$TRASH"
+mkdir -p "$TRASH"
+cd "$TRASH" || exit 1
+
+# start NAME COMMAND...: runs COMMAND in the background with its output in
+# NAME.out and NAME.err, remembers its process id in $NAME.pid.
+start () {
+	start_name=$1
+	shift
+	"$@" >"$start_name.out" 2>"$start_name.err" &
+	echo $! >"$start_name.pid"
+	test_pids="$test_pids $!"
+}
+
+# stop_all: ends every process that start began, politely at first.
+stop_all () {
+	test -n "$test_pids" || return 0
+	kill -CONT $test_pids 2>/dev/null
+	kill -TERM $test_pids 2>/dev/null
+	stop_tries=0
+	while test $stop_tries -lt 50 && kill -0 $test_pids 2>/dev/null; do
+		sleep 0.1
+		stop_tries=$((stop_tries + 1))
+	done
+	kill -KILL $test_pids 2>/dev/null
+	wait $test_pids 2>/dev/null
+	test_pids=
+}
+
+# wait_until SECONDS COMMAND...: polls COMMAND until it succeeds.
+wait_until () {
+	wait_tries=$(($1 * 10))
+	shift
+	while ! "$@" >/dev/null 2>&1; do
+		wait_tries=$((wait_tries - 1))
+		test $wait_tries -gt 0 || return 1
+		sleep 0.1
+	done
+}
+
+test_cmp () {
+	diff -u "$1" "$2"
+}
+
+# test_expect_success DESCRIPTION SCRIPT: one case, reported as TAP.
+test_expect_success () {
+	test_count=$((test_count + 1))
+	if (eval "set -e
+$2") >"case-$test_count.log" 2>&1; then
+		echo "ok $test_count - $1"
+	elif test -f "$TOP/KNOWN-RED.txt" &&
+	     grep -qF "$TEST_NAME.$test_count " "$TOP/KNOWN-RED.txt"; then
+		echo "ok $test_count - $1 # KNOWN-RED"
+	else
+		test_failed=$((test_failed + 1))
+		echo "not ok $test_count - $1"
+		sed 's/^/# /' "case-$test_count.log" | tail -40
+	fi
+}
+
+test_done () {
+	stop_all
+	echo "1..$test_count"
+	test $test_failed = 0 || exit 1
+	exit 0
+}
+
+trap 'stop_all' EXIT
+trap 'exit 1' INT TERM
