base, net: add the frame that daemons share

Cause: three subsystems need one way to listen, call, log, count and keep tables. Change: handle tables with ranked locks, errors with step and peer, JSON logs, metrics with log-linear histograms, schema-checked settings, HTTP server and client as event loops, ONC RPC with an authenticated envelope and a replay window, the node loop that notices its own pauses, the operators' port. Conclusion: components plug into struct node; their headers are fixed.

--- /dev/null
+++ b/base/clock.c
@@ -0,0 +1,12 @@
+#include "base/clock.h"
+
+#include <time.h>
+
+/* Returns microseconds since some fixed point before the machine's boot. */
+apr_time_t clock_now(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_MONOTONIC, &t);
+	return (apr_time_t)t.tv_sec * APR_USEC_PER_SEC + t.tv_nsec / 1000;
+}
--- /dev/null
+++ b/config/document.h
@@ -0,0 +1,108 @@
+#ifndef CONFIG_DOCUMENT_H
+#define CONFIG_DOCUMENT_H
+
+#include <jansson.h>
+#include <stdint.h>
+
+#include "base/digest.h"
+#include "base/schema.h"
+
+/*
+ * The configuration document: what all accounts declared, at one revision.
+ * A document is immutable once parsed and shared by reference count, so a
+ * reader keeps one consistent state for as long as it needs.
+ */
+
+#define DOCUMENT_SIZE_MAX (1024 * 1024) /* bytes, the platform's cap */
+#define DOCUMENT_NAME_SIZE 64
+
+/* A model that an account wants on a set of upstreams. */
+struct model_spec {
+	char name[DOCUMENT_NAME_SIZE];
+	int account;		       /* index into accounts */
+	char version[DIGEST_HEX_SIZE]; /* hex digest of the manifest */
+	char base[DOCUMENT_NAME_SIZE]; /* adapters: the model they extend */
+	char **upstreams;	       /* names or patterns with '*' */
+	int upstream_count;
+	char **data_centers; /* none: all */
+	int data_center_count;
+	int priority;	      /* 0 first to 9 */
+	double time_weight;   /* 0: fewest origin bytes, 1: least time */
+	double origin_copies; /* draws from the origin allowed in all */
+	int first_loaders;    /* upstreams that load before the rest */
+	double min_serving;   /* share of upstreams that go on serving */
+};
+
+/* An operation of a plain service. */
+struct operation_spec {
+	char name[DOCUMENT_NAME_SIZE];
+	int repeatable;
+	int deadline_ms;    /* when the caller states none */
+	int key_lifetime_s; /* for how long a key stays bound */
+};
+
+struct service_spec {
+	char name[DOCUMENT_NAME_SIZE];
+	int account;
+	char **upstreams;
+	int upstream_count;
+	struct operation_spec *operations;
+	int operation_count;
+};
+
+struct limit_spec {
+	double requests_per_second; /* over all entries; 0: no limit */
+	double tokens_per_second;
+	int concurrent;
+	double cut_off_share; /* part of it that a cut-off entry may use */
+};
+
+struct account_spec {
+	char name[DOCUMENT_NAME_SIZE];
+	struct digest *keys; /* SHA-256 of bearer keys */
+	int key_count;
+	double share;	  /* weight in the fleet's budget */
+	int priority_min; /* best priority that its calls may ask for */
+	struct limit_spec limit;
+};
+
+struct fleet_spec {
+	struct limit_spec budget;
+	char **fencing; /* upstreams whose engines check fencing numbers */
+	int fencing_count;
+	int affinity_lock_s; /* session affinity, see docs/design */
+	int affinity_idle_s;
+};
+
+struct document {
+	uint64_t revision;
+	struct digest digest; /* of text */
+	char *text;	      /* as published */
+	size_t size;
+	struct fleet_spec fleet;
+	struct account_spec *accounts;
+	int account_count;
+	struct model_spec *models;
+	int model_count;
+	struct service_spec *services;
+	int service_count;
+	int refs;
+};
+
+struct document *document_parse(const char *text, size_t size,
+				struct fault_list *faults);
+struct document *document_hold(struct document *d);
+void document_release(struct document *d);
+
+const struct model_spec *document_model(const struct document *d,
+					const char *name);
+const struct service_spec *document_service(const struct document *d,
+					    const char *name);
+const struct operation_spec *service_operation(const struct service_spec *s,
+					       const char *name);
+int document_account_by_key(const struct document *d, const struct digest *key);
+int spec_covers(char *const *patterns, int count, const char *upstream);
+int model_wants(const struct model_spec *m, const char *upstream,
+		const char *data_center);
+
+#endif
--- /dev/null
+++ b/limpet-agent.c
@@ -0,0 +1,23 @@
+#include "net/daemon.h"
+
+#include "calls/gate.h"
+#include "config/config.h"
+#include "member/member.h"
+#include "weights/weights.h"
+
+/* Starts what an agent is made of. */
+static int agent_start(struct node *n, struct error *err)
+{
+	if (config_start(n, err))
+		return -1;
+	if (member_start(n, err))
+		return -1;
+	if (weights_start(n, err))
+		return -1;
+	return gate_start(n, err);
+}
+
+int main(int argc, const char **argv)
+{
+	return daemon_main(argc, argv, "limpet-agent", ROLE_AGENT, agent_start);
+}
--- /dev/null
+++ b/limpet-entry.c
@@ -0,0 +1,20 @@
+#include "net/daemon.h"
+
+#include "calls/calls.h"
+#include "config/config.h"
+#include "member/member.h"
+
+/* Starts what an entry instance is made of. */
+static int entry_start(struct node *n, struct error *err)
+{
+	if (config_start(n, err))
+		return -1;
+	if (member_start(n, err))
+		return -1;
+	return calls_start(n, err);
+}
+
+int main(int argc, const char **argv)
+{
+	return daemon_main(argc, argv, "limpet-entry", ROLE_ENTRY, entry_start);
+}
--- /dev/null
+++ b/member/instance.h
@@ -0,0 +1,31 @@
+#ifndef MEMBER_INSTANCE_H
+#define MEMBER_INSTANCE_H
+
+#include <apr_time.h>
+#include <stdint.h>
+
+#include "base/settings.h"
+
+/* Rows of the board's instance table: who is there, as seen from here. */
+
+enum instance_state {
+	INSTANCE_LIVE = 1,
+	INSTANCE_LEAVING, /* takes no new work */
+	INSTANCE_SUSPECT, /* silent; a fresh connection is being tried */
+	INSTANCE_DEAD	  /* a fresh connection failed too */
+};
+
+struct instance {
+	char id[SETTINGS_NAME_SIZE];
+	enum role role;
+	char data_center[SETTINGS_NAME_SIZE];
+	char address[SETTINGS_ADDRESS_SIZE];
+	char upstream[SETTINGS_NAME_SIZE]; /* of an agent */
+	uint64_t boot;			   /* 0: not heard from yet */
+	enum instance_state state;
+	int listed;	       /* in the platform's list */
+	apr_time_t heard;      /* last direct word, 0 for never */
+	apr_time_t left_since; /* when it was first seen leaving */
+};
+
+#endif
--- /dev/null
+++ b/net/httpd.c
@@ -0,0 +1,554 @@
+#include "net/httpd.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "net/cut.h"
+
+#define CONNECTION_LIMIT 16384
+#define CONNECTION_IDLE_SECONDS 120
+#define CONNECTION_MEMORY (24 * 1024) /* bytes for headers, a connection */
+#define STREAM_BLOCK (32 * 1024)
+#define REPLY_HEADERS_MAX 24
+
+enum call_state {
+	CALL_READING,
+	CALL_HANDLED, /* the handler runs or will answer later */
+	CALL_ANSWERED /* a response is there to be queued */
+};
+
+struct httpd {
+	struct MHD_Daemon *daemon;
+	const struct http_route *routes;
+	int active; /* calls not yet answered whole */
+};
+
+struct http_call {
+	struct httpd *server;
+	struct MHD_Connection *connection;
+	const struct http_route *route;
+	char *method;
+	char *path;
+	char peer[INET_ADDRSTRLEN];
+	char *body;
+	size_t body_size;
+	size_t body_capacity;
+	int too_large;
+
+	pthread_mutex_t mutex; /* guards all below */
+	int refs;	       /* one for the server, one for the handler */
+	enum call_state state;
+	int suspended;
+	int gone; /* the caller closed or the response failed */
+	int status;
+	struct MHD_Response *response;
+	struct {
+		char *name;
+		char *value;
+	} headers[REPLY_HEADERS_MAX];
+	int header_count;
+
+	int streaming;
+	int ended;
+	int whole;
+	char *out; /* stream bytes not yet sent */
+	size_t out_start;
+	size_t out_size;
+	size_t out_capacity;
+	void (*drained)(void *arg);
+	void *drained_arg;
+};
+
+static void call_unref(struct http_call *c)
+{
+	int left, i;
+
+	pthread_mutex_lock(&c->mutex);
+	left = --c->refs;
+	pthread_mutex_unlock(&c->mutex);
+	if (left)
+		return;
+	for (i = 0; i < c->header_count; i++) {
+		free(c->headers[i].name);
+		free(c->headers[i].value);
+	}
+	pthread_mutex_destroy(&c->mutex);
+	free(c->method);
+	free(c->path);
+	free(c->body);
+	free(c->out);
+	free(c);
+}
+
+static const struct http_route *route_find(const struct httpd *h,
+					   const char *method, const char *path)
+{
+	const struct http_route *r;
+
+	for (r = h->routes; r->path; r++) {
+		size_t n = strlen(r->path);
+
+		if (r->method && strcmp(r->method, method))
+			continue;
+		if (r->path[n - 1] == '/' ? !strncmp(r->path, path, n)
+					  : !strcmp(r->path, path))
+			return r;
+	}
+	return NULL;
+}
+
+static struct http_call *call_new(struct httpd *h, struct MHD_Connection *con,
+				  const char *method, const char *path)
+{
+	const union MHD_ConnectionInfo *info;
+	struct http_call *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	pthread_mutex_init(&c->mutex, NULL);
+	c->refs = 1;
+	c->server = h;
+	c->connection = con;
+	c->method = strdup(method);
+	c->path = strdup(path);
+	c->route = route_find(h, method, path);
+	info = MHD_get_connection_info(con, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	if (info && info->client_addr->sa_family == AF_INET)
+		inet_ntop(AF_INET,
+			  &((struct sockaddr_in *)info->client_addr)->sin_addr,
+			  c->peer, sizeof(c->peer));
+	__atomic_fetch_add(&h->active, 1, __ATOMIC_RELAXED);
+	return c;
+}
+
+static enum MHD_Result status_queue(struct MHD_Connection *con, int status)
+{
+	struct MHD_Response *r;
+	enum MHD_Result ret;
+	char text[64];
+	int n;
+
+	n = snprintf(text, sizeof(text), "{\"status\":%d}\n", status);
+	r = MHD_create_response_from_buffer((size_t)n, text,
+					    MHD_RESPMEM_MUST_COPY);
+	MHD_add_response_header(r, "Content-Type", "application/json");
+	ret = MHD_queue_response(con, (unsigned)status, r);
+	MHD_destroy_response(r);
+	return ret;
+}
+
+static void body_append(struct http_call *c, const char *data, size_t n)
+{
+	size_t want = c->body_size + n + 1;
+	char *p;
+
+	if (c->too_large || !c->route ||
+	    c->body_size + n > c->route->body_limit) {
+		c->too_large = 1;
+		return;
+	}
+	if (want > c->body_capacity) {
+		size_t to = c->body_capacity ? c->body_capacity * 2 : 1024;
+
+		if (to < want)
+			to = want;
+		p = realloc(c->body, to);
+		if (!p) {
+			c->too_large = 1;
+			return;
+		}
+		c->body = p;
+		c->body_capacity = to;
+	}
+	memcpy(c->body + c->body_size, data, n);
+	c->body_size += n;
+	c->body[c->body_size] = '\0';
+}
+
+/* Queues the response that is there, or suspends until there is one. */
+static enum MHD_Result call_queue(struct http_call *c)
+{
+	enum MHD_Result ret = MHD_YES;
+	int i;
+
+	pthread_mutex_lock(&c->mutex);
+	if (c->state != CALL_ANSWERED) {
+		c->suspended = 1;
+		MHD_suspend_connection(c->connection);
+	} else {
+		for (i = 0; i < c->header_count; i++)
+			MHD_add_response_header(c->response, c->headers[i].name,
+						c->headers[i].value);
+		ret = MHD_queue_response(c->connection, (unsigned)c->status,
+					 c->response);
+		MHD_destroy_response(c->response);
+		c->response = NULL;
+	}
+	pthread_mutex_unlock(&c->mutex);
+	return ret;
+}
+
+static enum MHD_Result request_receive(void *cls, struct MHD_Connection *con,
+				       const char *url, const char *method,
+				       const char *version,
+				       const char *upload_data,
+				       size_t *upload_data_size, void **con_cls)
+{
+	struct httpd *h = cls;
+	struct http_call *c = *con_cls;
+
+	if (!c) {
+		c = call_new(h, con, method, url);
+		*con_cls = c;
+		if (!c || cut_blocks(c->peer))
+			return MHD_NO;
+		return MHD_YES;
+	}
+	if (*upload_data_size) {
+		body_append(c, upload_data, *upload_data_size);
+		*upload_data_size = 0;
+		return MHD_YES;
+	}
+	if (c->state != CALL_READING)
+		return call_queue(c);
+	if (!c->route)
+		return status_queue(con, MHD_HTTP_NOT_FOUND);
+	if (c->too_large)
+		return status_queue(con, MHD_HTTP_CONTENT_TOO_LARGE);
+	c->state = CALL_HANDLED;
+	c->refs++;
+	c->route->handle(c, c->route->arg);
+	return call_queue(c);
+}
+
+static void request_complete(void *cls, struct MHD_Connection *con,
+			     void **con_cls,
+			     enum MHD_RequestTerminationCode code)
+{
+	struct http_call *c = *con_cls;
+	void (*drained)(void *arg) = NULL;
+	void *arg = NULL;
+
+	if (!c)
+		return;
+	*con_cls = NULL;
+	pthread_mutex_lock(&c->mutex);
+	c->connection = NULL;
+	c->suspended = 0;
+	if (!c->ended) {
+		c->gone = 1;
+		drained = c->drained;
+		arg = c->drained_arg;
+	}
+	if (c->response) {
+		MHD_destroy_response(c->response);
+		c->response = NULL;
+	}
+	/* Called under the lock, so that the handler's end waits for it. */
+	if (drained && c->refs > 1)
+		drained(arg);
+	pthread_mutex_unlock(&c->mutex);
+	__atomic_fetch_sub(&c->server->active, 1, __ATOMIC_RELAXED);
+	call_unref(c);
+}
+
+/* Answers a request whose head or body libmicrohttpd found malformed. */
+static void library_log(void *cls, const char *fmt, va_list ap)
+{
+	(void)cls;
+	(void)fmt;
+	(void)ap;
+}
+
+/*
+ * Starts a server on address:port with a number of event threads.  routes
+ * ends with a NULL path and is kept by reference.
+ */
+struct httpd *httpd_start(const char *address, int port,
+			  const struct http_route *routes, int threads,
+			  struct error *err)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	struct httpd *h = calloc(1, sizeof(*h));
+	unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD |
+			 MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
+
+	if (!h)
+		abort();
+	sa.sin_port = htons((uint16_t)port);
+	h->routes = routes;
+	if (inet_pton(AF_INET, address, &sa.sin_addr) != 1) {
+		free(h);
+		error_set(err, ERROR_INVALID, "http-listen", address,
+			  "not an IP number");
+		return NULL;
+	}
+	h->daemon = MHD_start_daemon(
+		flags, (uint16_t)port, NULL, NULL, request_receive, h,
+		MHD_OPTION_EXTERNAL_LOGGER, library_log, NULL,
+		MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&sa,
+		MHD_OPTION_NOTIFY_COMPLETED, request_complete, h,
+		MHD_OPTION_CONNECTION_LIMIT, CONNECTION_LIMIT,
+		MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_IDLE_SECONDS,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1,
+		threads > 1 ? MHD_OPTION_THREAD_POOL_SIZE : MHD_OPTION_END,
+		(unsigned)threads, MHD_OPTION_END);
+	if (!h->daemon) {
+		free(h);
+		error_set(err, ERROR_INTERNAL, "http-listen", address,
+			  "cannot listen on port %d: %m (is it in use?)", port);
+		return NULL;
+	}
+	return h;
+}
+
+/* Takes no further connections; those that are open are served on. */
+void httpd_stop_accepting(struct httpd *h)
+{
+	MHD_socket fd = MHD_quiesce_daemon(h->daemon);
+
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+}
+
+/* Returns the number of requests not yet answered whole. */
+int httpd_active(struct httpd *h)
+{
+	return __atomic_load_n(&h->active, __ATOMIC_RELAXED);
+}
+
+/* Closes all connections and frees the server. */
+void httpd_stop(struct httpd *h)
+{
+	if (!h)
+		return;
+	MHD_stop_daemon(h->daemon);
+	free(h);
+}
+
+/* Returns the request's method. */
+const char *http_call_method(struct http_call *c)
+{
+	return c->method;
+}
+
+/* Returns the request's path without its query. */
+const char *http_call_path(struct http_call *c)
+{
+	return c->path;
+}
+
+/* Returns a query argument or NULL; valid until the answer. */
+const char *http_call_query(struct http_call *c, const char *name)
+{
+	return MHD_lookup_connection_value(c->connection, MHD_GET_ARGUMENT_KIND,
+					   name);
+}
+
+/* Returns a request header or NULL.  Only within the handler. */
+const char *http_call_header(struct http_call *c, const char *name)
+{
+	return MHD_lookup_connection_value(c->connection, MHD_HEADER_KIND,
+					   name);
+}
+
+/* Returns the IP number of the other end. */
+const char *http_call_peer(struct http_call *c)
+{
+	return c->peer;
+}
+
+/* Returns the body, NUL-ended, and its size. */
+const void *http_call_body(struct http_call *c, size_t *size)
+{
+	*size = c->body_size;
+	return c->body ? c->body : "";
+}
+
+/* Adds a header to the answer to come. */
+void http_call_set(struct http_call *c, const char *name, const char *value)
+{
+	pthread_mutex_lock(&c->mutex);
+	if (c->header_count < REPLY_HEADERS_MAX) {
+		c->headers[c->header_count].name = strdup(name);
+		c->headers[c->header_count].value = strdup(value);
+		c->header_count++;
+	}
+	pthread_mutex_unlock(&c->mutex);
+}
+
+static void resume_locked(struct http_call *c)
+{
+	if (!c->suspended || !c->connection)
+		return;
+	c->suspended = 0;
+	MHD_resume_connection(c->connection);
+}
+
+static void answer_with(struct http_call *c, int status, const char *type,
+			struct MHD_Response *r)
+{
+	if (type)
+		MHD_add_response_header(r, "Content-Type", type);
+	pthread_mutex_lock(&c->mutex);
+	if (c->gone) {
+		MHD_destroy_response(r);
+	} else {
+		c->response = r;
+		c->status = status;
+		c->state = CALL_ANSWERED;
+		resume_locked(c);
+	}
+	pthread_mutex_unlock(&c->mutex);
+}
+
+/* Answers with a body, which is copied. */
+void http_call_reply(struct http_call *c, int status, const char *type,
+		     const void *body, size_t size)
+{
+	struct MHD_Response *r = MHD_create_response_from_buffer(
+		size, (void *)body, MHD_RESPMEM_MUST_COPY);
+
+	pthread_mutex_lock(&c->mutex);
+	c->ended = 1;
+	pthread_mutex_unlock(&c->mutex);
+	answer_with(c, status, type, r);
+	call_unref(c);
+}
+
+/* Answers with JSON; takes over the reference to body. */
+void http_call_reply_json(struct http_call *c, int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	http_call_reply(c, status, "application/json", text ? text : "{}",
+			text ? strlen(text) : 2);
+	free(text);
+	json_decref(body);
+}
+
+static ssize_t stream_read(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct http_call *c = cls;
+	size_t left, n;
+	ssize_t ret;
+
+	pthread_mutex_lock(&c->mutex);
+	left = c->out_size - c->out_start;
+	if (cut_blocks(c->peer)) {
+		ret = MHD_CONTENT_READER_END_WITH_ERROR;
+	} else if (left) {
+		n = left < max ? left : max;
+		memcpy(buf, c->out + c->out_start, n);
+		c->out_start += n;
+		if (n == left) {
+			c->out_start = c->out_size = 0;
+			if (c->drained && !c->ended)
+				c->drained(c->drained_arg);
+		}
+		ret = (ssize_t)n;
+	} else if (c->ended) {
+		ret = c->whole ? MHD_CONTENT_READER_END_OF_STREAM
+			       : MHD_CONTENT_READER_END_WITH_ERROR;
+	} else {
+		c->suspended = 1;
+		MHD_suspend_connection(c->connection);
+		ret = 0;
+	}
+	pthread_mutex_unlock(&c->mutex);
+	return ret;
+}
+
+/*
+ * Begins a streamed answer.  With a size of -1 its end is marked by the
+ * chunked coding, so a stream ended as not whole shows as cut off.
+ */
+void http_call_stream_begin(struct http_call *c, int status, const char *type,
+			    long long size)
+{
+	struct MHD_Response *r = MHD_create_response_from_callback(
+		size < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)size, STREAM_BLOCK,
+		stream_read, c, NULL);
+
+	c->streaming = 1;
+	answer_with(c, status, type, r);
+}
+
+/*
+ * Adds bytes to the stream.  Returns -1 when the caller is gone; the stream
+ * must still be ended.
+ */
+int http_call_stream_write(struct http_call *c, const void *data, size_t size)
+{
+	int ret = 0;
+
+	pthread_mutex_lock(&c->mutex);
+	if (c->gone) {
+		ret = -1;
+		goto out;
+	}
+	if (c->out_size + size > c->out_capacity) {
+		size_t to = c->out_capacity ? c->out_capacity * 2 : 1024;
+		char *p;
+
+		while (to < c->out_size + size)
+			to *= 2;
+		p = realloc(c->out, to);
+		if (!p) {
+			ret = -1;
+			goto out;
+		}
+		c->out = p;
+		c->out_capacity = to;
+	}
+	memcpy(c->out + c->out_size, data, size);
+	c->out_size += size;
+	resume_locked(c);
+out:
+	pthread_mutex_unlock(&c->mutex);
+	return ret;
+}
+
+/* Returns the bytes written to the stream and not yet sent. */
+size_t http_call_stream_pending(struct http_call *c)
+{
+	size_t n;
+
+	pthread_mutex_lock(&c->mutex);
+	n = c->out_size - c->out_start;
+	pthread_mutex_unlock(&c->mutex);
+	return n;
+}
+
+/* Ends the stream; whole = 0 makes the caller see that it was cut off. */
+void http_call_stream_end(struct http_call *c, int whole)
+{
+	pthread_mutex_lock(&c->mutex);
+	c->ended = 1;
+	c->whole = whole;
+	c->drained = NULL;
+	resume_locked(c);
+	pthread_mutex_unlock(&c->mutex);
+	call_unref(c);
+}
+
+/*
+ * Has drained called, on a server thread, whenever all written bytes are
+ * sent, and when the caller is gone.  It must not call back into the call.
+ */
+void http_call_on_drain(struct http_call *c, void (*drained)(void *arg),
+			void *arg)
+{
+	pthread_mutex_lock(&c->mutex);
+	c->drained = drained;
+	c->drained_arg = arg;
+	pthread_mutex_unlock(&c->mutex);
+}
--- /dev/null
+++ b/net/httpd.h
@@ -0,0 +1,56 @@
+#ifndef NET_HTTPD_H
+#define NET_HTTPD_H
+
+#include <jansson.h>
+#include <stddef.h>
+
+#include "base/error.h"
+
+/*
+ * HTTP server on libmicrohttpd.  A handler gets the whole request body and
+ * may answer at once or later, from any thread; a request that waits holds
+ * no thread.  Every request is answered exactly once, by http_call_reply*
+ * or by a stream that is begun and ended.  After the answer the handler
+ * must not touch the call any more.
+ */
+
+struct httpd;
+struct http_call;
+
+struct http_route {
+	const char *method; /* "GET", or NULL for any */
+	const char *path;   /* whole path, or a prefix when it ends in '/' */
+	size_t body_limit;  /* bytes; larger requests get 413 */
+	void (*handle)(struct http_call *c, void *arg);
+	void *arg;
+};
+
+struct httpd *httpd_start(const char *address, int port,
+			  const struct http_route *routes, int threads,
+			  struct error *err);
+void httpd_stop_accepting(struct httpd *h);
+int httpd_active(struct httpd *h);
+void httpd_stop(struct httpd *h);
+
+const char *http_call_method(struct http_call *c);
+const char *http_call_path(struct http_call *c);
+const char *http_call_query(struct http_call *c, const char *name);
+const char *http_call_header(struct http_call *c, const char *name);
+const char *http_call_peer(struct http_call *c);
+const void *http_call_body(struct http_call *c, size_t *size);
+
+void http_call_set(struct http_call *c, const char *name, const char *value);
+void http_call_reply(struct http_call *c, int status, const char *type,
+		     const void *body, size_t size);
+void http_call_reply_json(struct http_call *c, int status, json_t *body);
+
+/* size -1: not known in advance (chunked). */
+void http_call_stream_begin(struct http_call *c, int status, const char *type,
+			    long long size);
+int http_call_stream_write(struct http_call *c, const void *data, size_t size);
+size_t http_call_stream_pending(struct http_call *c);
+void http_call_stream_end(struct http_call *c, int whole);
+void http_call_on_drain(struct http_call *c, void (*drained)(void *arg),
+			void *arg);
+
+#endif
--- /dev/null
+++ b/net/node.h
@@ -0,0 +1,113 @@
+#ifndef NET_NODE_H
+#define NET_NODE_H
+
+#include <apr_time.h>
+#include <jansson.h>
+
+#include "base/board.h"
+#include "base/pool.h"
+#include "base/random.h"
+#include "base/settings.h"
+#include "net/fetch.h"
+#include "net/httpd.h"
+#include "net/rpc.h"
+
+/*
+ * The frame of a daemon.  Components add what they serve and what they do
+ * periodically; node_run starts the ports and steps the controllers on one
+ * thread until the process is told to stop.
+ *
+ * Order: node_init, the components' *_start, node_run, node_destroy.
+ */
+
+#define NODE_CONTROLLERS_MAX 32
+#define NODE_ROUTES_MAX 48
+#define NODE_SECTIONS_MAX 32
+
+/* A gap between two turns of the loop that counts as having been paused. */
+#define NODE_PAUSE_US (500 * 1000)
+
+struct controller {
+	const char *name;
+	apr_interval_time_t period;
+	/* Reads tables, decides at now, writes tables, hands out jobs. */
+	void (*step)(void *arg, apr_time_t now);
+	void *arg;
+	apr_time_t due;
+};
+
+struct status_section {
+	const char *name;
+	json_t *(*make)(void *arg); /* returns a new reference */
+	void *arg;
+};
+
+struct ready_check {
+	const char *name;
+	int (*ready)(void *arg); /* 1 when this part can serve */
+	void *arg;
+};
+
+struct drain_check {
+	const char *name;
+	int (*busy)(void *arg); /* how much is still under way */
+	void *arg;
+};
+
+struct node {
+	const char *program;
+	enum role role;
+	struct settings settings;
+	struct rpc_identity self;
+	struct board board;
+	struct random random; /* for the controller thread only */
+	struct worker_pool *pool;
+	struct fetcher *fetcher;
+	struct rpc_client *rpc;
+	struct httpd *http;
+	struct httpd *operators;
+
+	struct http_route routes[NODE_ROUTES_MAX];
+	int route_count;
+	struct http_route operator_routes[NODE_ROUTES_MAX];
+	int operator_route_count;
+	struct controller controllers[NODE_CONTROLLERS_MAX];
+	int controller_count;
+	struct status_section sections[NODE_SECTIONS_MAX];
+	int section_count;
+	struct ready_check ready_checks[NODE_SECTIONS_MAX];
+	int ready_count;
+	struct drain_check drain_checks[NODE_SECTIONS_MAX];
+	int drain_count;
+
+	int draining;	      /* atomic; set by a signal or an operator */
+	apr_time_t pause_end; /* when the last pause was noticed, 0: never */
+	apr_interval_time_t pause_length;
+	apr_time_t started;
+};
+
+int node_init(struct node *n, const char *program, enum role role,
+	      const struct settings *s, struct error *err);
+int node_run(struct node *n, struct error *err);
+void node_destroy(struct node *n);
+
+void node_add_route(struct node *n, const char *method, const char *path,
+		    size_t body_limit,
+		    void (*handle)(struct http_call *c, void *arg), void *arg);
+void node_add_operator_route(struct node *n, const char *method,
+			     const char *path, size_t body_limit,
+			     void (*handle)(struct http_call *c, void *arg),
+			     void *arg);
+void node_add_controller(struct node *n, const char *name,
+			 apr_interval_time_t period,
+			 void (*step)(void *arg, apr_time_t now), void *arg);
+void node_add_status(struct node *n, const char *name,
+		     json_t *(*make)(void *arg), void *arg);
+void node_add_ready(struct node *n, const char *name, int (*ready)(void *arg),
+		    void *arg);
+void node_add_drain(struct node *n, const char *name, int (*busy)(void *arg),
+		    void *arg);
+int node_draining(const struct node *n);
+void node_drain(struct node *n);
+
+#endif
--- /dev/null
+++ b/net/rpc-client.c
@@ -0,0 +1,340 @@
+#include "net/rpc.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <apr_strings.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/metric.h"
+#include "net/cut.h"
+#include "net/envelope.h"
+
+#define IDLE_PER_PEER 2
+#define PEERS_MAX 4096 /* boots remembered and connections kept */
+
+/* What is known of one address:port. */
+struct peer {
+	uint64_t boot; /* 0: not known yet */
+	CLIENT *idle[IDLE_PER_PEER];
+	int idle_count;
+};
+
+struct rpc_client {
+	struct rpc_identity self;
+	char local_address[64];
+	pthread_mutex_t mutex;
+	apr_pool_t *pool;
+	apr_hash_t *peers;
+	uint64_t sequence;
+};
+
+/* Makes a client that connects from local_address, which may be NULL. */
+struct rpc_client *rpc_client_new(const char *local_address,
+				  const struct rpc_identity *self)
+{
+	struct rpc_client *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		abort();
+	c->self = *self;
+	snprintf(c->local_address, sizeof(c->local_address), "%s",
+		 local_address ? local_address : "");
+	pthread_mutex_init(&c->mutex, NULL);
+	apr_pool_create(&c->pool, NULL);
+	c->peers = apr_hash_make(c->pool);
+	return c;
+}
+
+static void peer_close(struct peer *p)
+{
+	int i;
+
+	for (i = 0; i < p->idle_count; i++)
+		clnt_destroy(p->idle[i]);
+	p->idle_count = 0;
+}
+
+/* Closes idle connections and frees the client; no call may be running. */
+void rpc_client_free(struct rpc_client *c)
+{
+	apr_hash_index_t *i;
+	void *value;
+
+	if (!c)
+		return;
+	for (i = apr_hash_first(c->pool, c->peers); i; i = apr_hash_next(i)) {
+		apr_hash_this(i, NULL, NULL, &value);
+		peer_close(value);
+	}
+	apr_pool_destroy(c->pool);
+	pthread_mutex_destroy(&c->mutex);
+	free(c);
+}
+
+/* The caller holds the mutex. */
+static struct peer *peer_get(struct rpc_client *c, const char *address,
+			     int port)
+{
+	struct peer *p;
+	char key[96];
+
+	snprintf(key, sizeof(key), "%s:%d", address, port);
+	p = apr_hash_get(c->peers, key, APR_HASH_KEY_STRING);
+	if (p || apr_hash_count(c->peers) >= PEERS_MAX)
+		return p;
+	p = apr_pcalloc(c->pool, sizeof(*p));
+	apr_hash_set(c->peers, apr_pstrdup(c->pool, key), APR_HASH_KEY_STRING,
+		     p);
+	return p;
+}
+
+static int connect_wait(int fd, const struct sockaddr_in *sa, int timeout_ms)
+{
+	struct pollfd p = { .fd = fd, .events = POLLOUT };
+	socklen_t size = sizeof(int);
+	int failure = 0;
+
+	if (!connect(fd, (const struct sockaddr *)sa, sizeof(*sa)))
+		return 0;
+	if (errno != EINPROGRESS || poll(&p, 1, timeout_ms) != 1)
+		return -1;
+	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &failure, &size) || failure)
+		return -1;
+	return 0;
+}
+
+static int socket_open(const struct rpc_client *c, const struct sockaddr_in *sa,
+		       int timeout_ms)
+{
+	struct sockaddr_in from = { .sin_family = AF_INET };
+	int fd, on = 1;
+
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	if (*c->local_address &&
+	    inet_pton(AF_INET, c->local_address, &from.sin_addr) == 1) {
+		setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on,
+			   sizeof(on));
+		if (bind(fd, (struct sockaddr *)&from, sizeof(from)))
+			goto fail;
+	}
+	if (connect_wait(fd, sa, timeout_ms))
+		goto fail;
+	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK);
+	return fd;
+fail:
+	close(fd);
+	return -1;
+}
+
+static CLIENT *connection_open(const struct rpc_client *c, const char *address,
+			       int port, int timeout_ms)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	struct netbuf to = { sizeof(sa), sizeof(sa), &sa };
+	CLIENT *conn;
+	int fd;
+
+	sa.sin_port = htons((uint16_t)port);
+	if (inet_pton(AF_INET, address, &sa.sin_addr) != 1)
+		return NULL;
+	fd = socket_open(c, &sa, timeout_ms);
+	if (fd < 0)
+		return NULL;
+	conn = clnt_vc_create(fd, &to, LIMPET_PROGRAM, LIMPET_VERSION, 0, 0);
+	if (!conn) {
+		close(fd);
+		return NULL;
+	}
+	clnt_control(conn, CLSET_FD_CLOSE, NULL);
+	return conn;
+}
+
+/* Takes an idle connection, or opens one. */
+static CLIENT *connection_take(struct rpc_client *c, const char *address,
+			       int port, int timeout_ms)
+{
+	CLIENT *conn = NULL;
+	struct peer *p;
+
+	pthread_mutex_lock(&c->mutex);
+	p = peer_get(c, address, port);
+	if (p && p->idle_count)
+		conn = p->idle[--p->idle_count];
+	pthread_mutex_unlock(&c->mutex);
+	if (conn)
+		return conn;
+	return connection_open(c, address, port, timeout_ms);
+}
+
+static void connection_give(struct rpc_client *c, const char *address, int port,
+			    CLIENT *conn)
+{
+	struct peer *p;
+
+	pthread_mutex_lock(&c->mutex);
+	p = peer_get(c, address, port);
+	if (p && p->idle_count < IDLE_PER_PEER) {
+		p->idle[p->idle_count++] = conn;
+		conn = NULL;
+	}
+	pthread_mutex_unlock(&c->mutex);
+	if (conn)
+		clnt_destroy(conn);
+}
+
+static void boot_set(struct rpc_client *c, const char *address, int port,
+		     uint64_t boot)
+{
+	struct peer *p;
+
+	pthread_mutex_lock(&c->mutex);
+	p = peer_get(c, address, port);
+	if (p)
+		p->boot = boot;
+	pthread_mutex_unlock(&c->mutex);
+}
+
+/* Fills in what changes from try to try and signs the envelope. */
+static int request_seal(struct rpc_client *c, const char *address, int port,
+			struct envelope_request *req, struct digest *mac)
+{
+	struct peer *p;
+
+	pthread_mutex_lock(&c->mutex);
+	p = peer_get(c, address, port);
+	req->target_boot = p ? p->boot : 0;
+	req->sequence = ++c->sequence;
+	pthread_mutex_unlock(&c->mutex);
+	return envelope_request_sign(req, c->self.keys.current, mac);
+}
+
+static int status_to_error(enum envelope_status status, const char *step,
+			   const char *address, struct error *err)
+{
+	switch (status) {
+	case ENVELOPE_OK:
+		return 0;
+	case ENVELOPE_BOOT:
+		return error_set(err, ERROR_STALE, step, address,
+				 "the peer was started anew");
+	case ENVELOPE_REPLAY:
+		return error_set(err, ERROR_STALE, step, address,
+				 "the peer took the message for a replay");
+	default:
+		return error_set(err, ERROR_REFUSED, step, address,
+				 "refused with status %d", status);
+	}
+}
+
+/*
+ * One exchange on one connection.  A connection is given back only after a
+ * whole, matching reply; in every other case it is closed.
+ */
+static int exchange_once(struct rpc_client *c, const char *address, int port,
+			 struct envelope_request *req,
+			 struct envelope_reply *rep, int timeout_ms,
+			 const char *step, struct error *err)
+{
+	struct timeval tv = { timeout_ms / 1000, timeout_ms % 1000 * 1000 };
+	enum clnt_stat stat;
+	struct digest mac;
+	CLIENT *conn;
+
+	conn = connection_take(c, address, port, timeout_ms);
+	if (!conn)
+		return error_set(err, ERROR_UNREACHABLE, step, address,
+				 "no connection to port %d", port);
+	if (request_seal(c, address, port, req, &mac)) {
+		clnt_destroy(conn);
+		return error_set(err, ERROR_INTERNAL, step, address,
+				 "the request does not encode");
+	}
+	stat = clnt_call(conn, EXCHANGE, (xdrproc_t)xdr_envelope_request,
+			 (char *)req, (xdrproc_t)xdr_envelope_reply,
+			 (char *)rep, tv);
+	if (stat != RPC_SUCCESS) {
+		clnt_destroy(conn);
+		return error_set(err,
+				 stat == RPC_TIMEDOUT	 ? ERROR_TIMEOUT
+				 : stat == RPC_AUTHERROR ? ERROR_AUTH
+							 : ERROR_UNREACHABLE,
+				 step, address, "%s", clnt_sperrno(stat));
+	}
+	if (rep->sequence != req->sequence ||
+	    envelope_reply_verify(rep, &c->self.keys)) {
+		clnt_destroy(conn);
+		return error_set(err, ERROR_AUTH, step, address,
+				 "the reply does not verify");
+	}
+	connection_give(c, address, port, conn);
+	return 0;
+}
+
+/*
+ * Sends one message and waits for its reply, at most about timeout_ms for
+ * each of the (at most three) tries that a restarted or unknown peer takes.
+ * reply is zeroed here; the caller frees it with xdr_free(kind->reply_xdr).
+ */
+int rpc_exchange(struct rpc_client *c, const char *address, int port,
+		 const struct rpc_kind *kind, const void *request, void *reply,
+		 int timeout_ms, struct error *err)
+{
+	struct envelope_request req = { .sender = c->self.instance,
+					.sender_boot = c->self.boot,
+					.kind = kind->id };
+	struct envelope_reply rep;
+	int ret = -1, tries;
+
+	memset(reply, 0, kind->reply_size);
+	if (cut_blocks(address))
+		return error_set(err, ERROR_UNREACHABLE, kind->name, address,
+				 "cut off");
+	if (xdr_to_memory(kind->request_xdr, request, &req.body.body_val,
+			  &req.body.body_len))
+		return error_set(err, ERROR_INTERNAL, kind->name, address,
+				 "the request does not encode");
+	for (tries = 0; tries < 3; tries++) {
+		memset(&rep, 0, sizeof(rep));
+		ret = exchange_once(c, address, port, &req, &rep, timeout_ms,
+				    kind->name, err);
+		metric_count("rpc_sent_bytes", NULL, req.body.body_len + 160);
+		if (ret) {
+			xdr_free((xdrproc_t)xdr_envelope_reply, &rep);
+			/* An idle connection may have died; try a new one. */
+			if (err && err->code == ERROR_UNREACHABLE && !tries)
+				continue;
+			break;
+		}
+		ret = status_to_error(rep.status, kind->name, address, err);
+		if (!ret &&
+		    xdr_from_memory(kind->reply_xdr, reply, rep.body.body_val,
+				    rep.body.body_len))
+			ret = error_set(err, ERROR_CORRUPT, kind->name, address,
+					"the reply does not decode");
+		metric_count("rpc_received_bytes", NULL,
+			     rep.body.body_len + 160);
+		if (rep.status == ENVELOPE_BOOT)
+			boot_set(c, address, port, rep.boot);
+		xdr_free((xdrproc_t)xdr_envelope_reply, &rep);
+		if (!ret || !err || err->code != ERROR_STALE)
+			break;
+	}
+	free(req.body.body_val);
+	if (!ret && err)
+		error_clear(err);
+	return ret;
+}
