--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,6 @@
 	member/*_proto_xdr.c weights/*_proto_xdr.c calls/*_proto_xdr.c)
 LIB_SRC := $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c))
 LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o)
-DAEMONS = limpet-entry limpet-agent limpetctl
 BUILTIN_SRC := $(wildcard builtin/*.c)
 BUILTIN_OBJ := $(BUILTIN_SRC:%.c=$(B)/%.o)
 STANDIN_COMMON := $(wildcard t/standin/lib-*.c)
@@ -33,7 +32,13 @@
 STANDINS := $(STANDIN_SRC:t/standin/%.c=$(B)/t/%)
 HELPER_SRC := $(filter-out t/helper/fuzz-%.c,$(wildcard t/helper/*.c))
 HELPERS := $(HELPER_SRC:t/helper/%.c=$(B)/t/%)
-DAEMON_BIN := $(foreach d,$(DAEMONS),$(if $(wildcard $(d).c),$(B)/$(d)))
+ENTRY_NEEDS = config/config.c member/member.c calls/calls.c
+AGENT_NEEDS = config/config.c member/member.c weights/weights.c calls/gate.c
+CTL_NEEDS = builtin/check.c builtin/collect.c builtin/manifest.c
+have_all = $(if $(filter-out $(wildcard $(1)),$(1)),,$(2))
+DAEMON_BIN := $(call have_all,$(ENTRY_NEEDS),$(B)/limpet-entry) \
+	$(call have_all,$(AGENT_NEEDS),$(B)/limpet-agent) \
+	$(call have_all,$(CTL_NEEDS),$(B)/limpetctl)
 STYLE_SRC := $(filter-out $(GENERATED),$(LIB_SRC)) $(BUILTIN_SRC) \
 	$(wildcard limpet*.c) $(wildcard t/standin/*.c) $(wildcard t/helper/*.c)
 STYLE_HDR := $(filter-out %_proto.h,$(foreach d,$(LIB_DIRS) builtin t/standin \
--- /dev/null
+++ b/builtin/remote.h
@@ -0,0 +1,42 @@
+#ifndef BUILTIN_REMOTE_H
+#define BUILTIN_REMOTE_H
+
+#include <jansson.h>
+#include <popt.h>
+
+#include "net/fetch.h"
+
+/*
+ * What the commands that ask running instances share: their options, the
+ * list of instances asked, and one JSON request to each.
+ */
+
+#define REMOTE_TARGETS_MAX 4096
+
+struct remote_target {
+	char id[64]; /* the address when no list named it */
+	char address[64];
+	char role[16];
+};
+
+struct remote {
+	char *platform_url; /* of the instance list */
+	char *role;	    /* only instances of this role */
+	int operator_port;
+	int as_json;
+	int timeout_ms;
+	struct fetcher *fetcher;
+	struct remote_target *targets;
+	int target_count;
+	const char **words; /* arguments before the addresses */
+	int word_count;
+};
+
+int remote_open(struct remote *r, int argc, const char **argv, int word_count,
+		const char *usage, const struct poptOption *extra);
+void remote_close(struct remote *r);
+json_t *remote_ask(struct remote *r, const struct remote_target *t,
+		   const char *method, const char *path);
+void remote_print_json(const json_t *v);
+
+#endif
