--- a/t/test-lib.sh
+++ b/t/test-lib.sh
@@ -14,6 +14,7 @@
 test_number=$(expr "$TEST_NAME" : '[tp]0*\([0-9]*\)')
 case "$TEST_NAME" in p*) test_number=$((test_number + 20000)) ;; esac
 TEST_NET=127.$((10 + test_number / 250 % 240)).$((1 + test_number % 250))
+SQ="'"
 test_count=0
 test_failed=0
 test_pids=
