--- /dev/null
+++ b/t/standin/lib-bucket.h
@@ -0,0 +1,35 @@
+/*
+ * Token bucket that shapes the bytes of many streams to one common rate.
+ * Streams that wait are granted bytes in turn.
+ */
+#ifndef STANDIN_LIB_BUCKET_H
+#define STANDIN_LIB_BUCKET_H
+
+#include <stdint.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <pthread.h>
+
+struct bucket_waiter {
+	struct bucket_waiter *next;
+	bool queued;
+	size_t granted;
+	void (*wake)(struct bucket_waiter *waiter);
+};
+
+struct bucket {
+	pthread_mutex_t lock;
+	int64_t rate; /* bytes a second, 0 for no limit */
+	double level;
+	int64_t filled_us;
+	struct bucket_waiter *first;
+	struct bucket_waiter **last;
+};
+
+void bucket_init(struct bucket *bucket, int64_t rate, int64_t now_us);
+size_t bucket_take(struct bucket *bucket, struct bucket_waiter *waiter,
+		   size_t want);
+void bucket_tick(struct bucket *bucket, int64_t now_us);
+void bucket_forget(struct bucket *bucket, struct bucket_waiter *waiter);
+
+#endif
--- /dev/null
+++ b/t/standin/lib-web.h
@@ -0,0 +1,86 @@
+/*
+ * HTTP server of the stand-ins: one libmicrohttpd thread pool that serves
+ * any number of listening addresses.  A request may be held (its connection
+ * is suspended, no thread waits) and released later; an address can be made
+ * silent or drop all its connections, as a fault.
+ */
+#ifndef STANDIN_LIB_WEB_H
+#define STANDIN_LIB_WEB_H
+
+#include <stddef.h>
+#include <stdint.h>
+#include <stdbool.h>
+#include <sys/types.h>
+#include <microhttpd.h>
+#include <jansson.h>
+
+#define WEB_ADDRESS_MAX 16
+
+/* What a stream's read function returns when there are no bytes. */
+#define WEB_STREAM_WAIT ((ssize_t)0)
+#define WEB_STREAM_END ((ssize_t)MHD_CONTENT_READER_END_OF_STREAM)
+#define WEB_STREAM_FAIL ((ssize_t)MHD_CONTENT_READER_END_WITH_ERROR)
+
+struct web_server;
+struct web_conn;
+
+enum web_verdict {
+	WEB_DONE,  /* a reply is queued */
+	WEB_HOLD,  /* call the handler again after web_release() */
+	WEB_CLOSE, /* close the connection without a reply */
+};
+
+struct web_request {
+	struct web_conn *conn;
+	struct MHD_Connection *mhd;
+	char method[8];
+	char *path;
+	char *body;
+	size_t body_len;
+	size_t body_alloc;
+	void *call; /* belongs to the handler */
+};
+
+struct web_ops {
+	enum web_verdict (*handle)(struct web_request *req, void *arg);
+	void (*end)(struct web_request *req, void *arg);
+};
+
+struct web_stream_ops {
+	ssize_t (*read)(void *stream, char *buf, size_t max);
+	void (*close)(void *stream);
+};
+
+struct web_server *web_start(const struct web_ops *ops, void *arg,
+			     unsigned threads);
+int web_listen(struct web_server *server, const char *address, unsigned port);
+void web_unlisten(struct web_server *server, const char *address);
+void web_silence(struct web_server *server, const char *address);
+void web_drop(struct web_server *server, const char *address);
+void web_release(struct web_request *req);
+
+const char *web_local(const struct web_request *req);
+const char *web_peer(const struct web_request *req);
+const char *web_header(const struct web_request *req, const char *name);
+const char *web_query(const struct web_request *req, const char *name);
+long web_query_long(const struct web_request *req, const char *name,
+		    long missing);
+
+enum web_verdict web_send(struct web_request *req, unsigned status,
+			  struct MHD_Response *res);
+enum web_verdict web_reply(struct web_request *req, unsigned status,
+			   const char *body, size_t len);
+enum web_verdict web_reply_json(struct web_request *req, unsigned status,
+				json_t *obj);
+enum web_verdict web_reply_error(struct web_request *req, unsigned status,
+				 const char *error);
+struct MHD_Response *web_stream(struct web_request *req, uint64_t size,
+				const struct web_stream_ops *ops, void *arg);
+
+void web_block_signals(void);
+int web_ticker(long period_us, void (*tick)(void *arg, int64_t now_ms),
+	       void *arg);
+int64_t web_now_ms(void);
+int web_wait_for_signal(void);
+
+#endif
--- /dev/null
+++ b/t/standin/standin-plain.c
@@ -0,0 +1,255 @@
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "t/standin/lib-addresses.h"
+#include "t/standin/lib-options.h"
+#include "t/standin/lib-web.h"
+
+#define DEFAULT_PORT 7200
+#define SERVER_THREADS 4
+#define TICK_US 1000
+#define CRASH_MS 1000
+#define CRASH_MARK "@crash"
+
+enum fault_mode {
+	FAULT_OK,
+	FAULT_BLACKHOLE,
+	FAULT_500,
+	FAULT_CRASH,
+	FAULT_HANG,
+	FAULT_COUNT
+};
+
+static const char *const fault_names[FAULT_COUNT] = { "ok", "blackhole", "500",
+						      "crash", "hang" };
+
+/* A call that is being run. */
+struct call {
+	struct call *next;
+	struct call *prev;
+	struct web_request *req;
+	json_t *answer;
+	int64_t due_ms;
+	bool hung;
+	bool crashes;
+};
+
+static struct {
+	pthread_mutex_t lock;
+	enum fault_mode fault;
+	int64_t crash_ms;
+	json_t *runs;			/* by idempotency key */
+	json_t *requests;		/* by request identity */
+	struct call calls;		/* head of a ring */
+	int64_t back_ms[ADDRESSES_MAX]; /* when to listen again */
+	struct web_server *server;
+} service = { .lock = PTHREAD_MUTEX_INITIALIZER, .crash_ms = CRASH_MS };
+
+static struct address_list addresses;
+static int port = DEFAULT_PORT;
+static int delay_ms;
+
+/* Drops the connections of an address and refuses new ones for a while. */
+static void service_crash(const char *address, int64_t now_ms)
+{
+	int i = addresses_find(&addresses, address);
+
+	if (i < 0)
+		return;
+	service.back_ms[i] = now_ms + service.crash_ms;
+	web_unlisten(service.server, address);
+	web_drop(service.server, address);
+}
+
+/* Listens again on the addresses whose time has come. */
+static void service_return(int64_t now_ms)
+{
+	int i;
+
+	for (i = 0; i < addresses.count; i++) {
+		if (!service.back_ms[i] || service.back_ms[i] > now_ms)
+			continue;
+		service.back_ms[i] = 0;
+		web_listen(service.server, addresses.names[i], (unsigned)port);
+	}
+}
+
+/* Releases the calls that are done. */
+static void on_tick(void *arg, int64_t now_ms)
+{
+	struct call *call;
+
+	pthread_mutex_lock(&service.lock);
+	for (call = service.calls.next; call != &service.calls;
+	     call = call->next)
+		if (!call->hung && call->due_ms <= now_ms)
+			web_release(call->req);
+	service_return(now_ms);
+	pthread_mutex_unlock(&service.lock);
+}
+
+/* Adds one to a count and returns the new count. */
+static json_int_t count_up(json_t *counts, const char *name)
+{
+	json_int_t n = 1 + json_integer_value(json_object_get(counts, name));
+
+	json_object_set_new(counts, name, json_integer(n));
+	return n;
+}
+
+/* Runs a call: counts it and prepares its answer.  The lock is held. */
+static struct call *call_open(struct web_request *req, int64_t now_ms)
+{
+	const char *id = web_header(req, "X-Request-Id");
+	const char *key = web_header(req, "X-Idempotency-Key");
+	struct call *call = calloc(1, sizeof(*call));
+	json_t *echo;
+
+	if (!call)
+		return NULL;
+	if (!key)
+		key = id;
+	echo = json_loadb(req->body ? req->body : "", req->body_len,
+			  JSON_DECODE_ANY, NULL);
+	call->answer = json_pack("{s:s?,s:s,s:s?,s:o?}", "id", id, "operation",
+				 req->path + 1, "key", key, "echo", echo);
+	if (id)
+		count_up(service.requests, id);
+	if (key)
+		json_object_set_new(call->answer, "run",
+				    json_integer(count_up(service.runs, key)));
+	call->req = req;
+	call->due_ms = now_ms + delay_ms;
+	call->hung = service.fault == FAULT_HANG;
+	call->crashes = service.fault == FAULT_CRASH ||
+			(req->body && strstr(req->body, CRASH_MARK));
+	if (service.fault == FAULT_CRASH)
+		service.fault = FAULT_OK;
+	call->next = &service.calls;
+	call->prev = service.calls.prev;
+	call->prev->next = call;
+	call->next->prev = call;
+	req->call = call;
+	return call;
+}
+
+static void call_close(struct web_request *req, void *arg)
+{
+	struct call *call = req->call;
+
+	if (!call)
+		return;
+	pthread_mutex_lock(&service.lock);
+	call->next->prev = call->prev;
+	call->prev->next = call->next;
+	pthread_mutex_unlock(&service.lock);
+	json_decref(call->answer);
+	free(call);
+}
+
+/* Serves a caller's call; entered again when the call is released. */
+static enum web_verdict handle_call(struct web_request *req)
+{
+	int64_t now_ms = web_now_ms();
+	enum web_verdict verdict = WEB_HOLD;
+	struct call *call;
+
+	pthread_mutex_lock(&service.lock);
+	call = req->call;
+	if (!call && service.fault == FAULT_500)
+		verdict = web_reply_error(req, 500, "fault");
+	else if (!call && !(call = call_open(req, now_ms)))
+		verdict = WEB_CLOSE;
+	else if (call->hung || call->due_ms > now_ms)
+		verdict = WEB_HOLD;
+	else if (call->crashes) {
+		service_crash(web_local(req), now_ms);
+		verdict = WEB_CLOSE;
+	} else {
+		verdict = web_reply_json(req, MHD_HTTP_OK,
+					 json_incref(call->answer));
+	}
+	pthread_mutex_unlock(&service.lock);
+	return verdict;
+}
+
+static enum web_verdict get_runs(struct web_request *req)
+{
+	json_t *obj;
+
+	pthread_mutex_lock(&service.lock);
+	obj = json_pack("{s:o,s:o}", "runs", json_copy(service.runs),
+			"requests", json_copy(service.requests));
+	pthread_mutex_unlock(&service.lock);
+	return web_reply_json(req, MHD_HTTP_OK, obj);
+}
+
+static enum web_verdict post_fault(struct web_request *req)
+{
+	json_t *obj =
+		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	const char *name = json_string_value(json_object_get(obj, "mode"));
+	json_t *ms = json_object_get(obj, "ms");
+	int i;
+
+	for (i = 0; name && i < FAULT_COUNT; i++)
+		if (!strcmp(name, fault_names[i]))
+			break;
+	if (!name || i == FAULT_COUNT) {
+		json_decref(obj);
+		return web_reply_error(req, MHD_HTTP_BAD_REQUEST, "bad fault");
+	}
+	pthread_mutex_lock(&service.lock);
+	service.fault = i;
+	service.crash_ms = ms ? json_integer_value(ms) : CRASH_MS;
+	pthread_mutex_unlock(&service.lock);
+	json_decref(obj);
+	if (i == FAULT_BLACKHOLE)
+		web_silence(service.server, NULL);
+	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
+}
+
+static enum web_verdict handle(struct web_request *req, void *arg)
+{
+	if (!strcmp(req->path, "/standin/runs"))
+		return get_runs(req);
+	if (!strcmp(req->path, "/standin/fault"))
+		return post_fault(req);
+	if (strcmp(req->method, "POST") != 0)
+		return web_reply_error(req, MHD_HTTP_NOT_FOUND, "no such path");
+	return handle_call(req);
+}
+
+static const struct web_ops ops = { handle, call_close };
+
+static void option_seen(int value, const char *text)
+{
+	if (addresses_add(&addresses, text))
+		options_fail("not an address", text);
+}
+
+int main(int argc, const char **argv)
+{
+	const struct poptOption options[] = {
+		{ "address", 'a', POPT_ARG_STRING, NULL, 'a',
+		  "address or range to listen on, may be repeated", "ADDRESS" },
+		{ "port", 'p', POPT_ARG_INT, &port, 0, "TCP port", "PORT" },
+		{ "delay-ms", 'd', POPT_ARG_INT, &delay_ms, 0,
+		  "time that each run takes", "MS" },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
+
+	options_read(argc, argv, options, option_seen);
+	web_block_signals();
+	service.runs = json_object();
+	service.requests = json_object();
+	service.calls.next = &service.calls;
+	service.calls.prev = &service.calls;
+	service.server = web_start(&ops, NULL, SERVER_THREADS);
+	if (!service.server || web_ticker(TICK_US, on_tick, NULL))
+		return 1;
+	if (addresses_listen(&addresses, service.server, port))
+		return 1;
+	return web_wait_for_signal();
+}
--- /dev/null
+++ b/t/standin/standin-platform.c
@@ -0,0 +1,386 @@
+#include <errno.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "t/standin/lib-addresses.h"
+#include "t/standin/lib-options.h"
+#include "t/standin/lib-web.h"
+
+#define DEFAULT_PORT 7001
+#define SERVER_THREADS 4
+#define TICK_US 5000
+#define WAIT_MAX_S 300
+#define MS_PER_S 1000
+#define LIST_HISTORY 64
+
+enum fault_mode {
+	FAULT_OK,
+	FAULT_DOWN,
+	FAULT_HOLD,
+	FAULT_HALF,
+	FAULT_STALE,
+	FAULT_FLAP,
+	FAULT_COUNT
+};
+
+static const char *const fault_names[FAULT_COUNT] = { "ok",   "down",  "hold",
+						      "half", "stale", "flap" };
+
+struct document {
+	char *text;
+	size_t len;
+	long revision;
+};
+
+struct list_version {
+	json_t *instances;
+	long version;
+	int64_t at_ms;
+};
+
+/* A call that waits for something newer than it knows. */
+struct watch {
+	struct watch *next;
+	struct web_request *req;
+	int64_t until_ms;
+	bool on_list;
+};
+
+static struct {
+	pthread_mutex_t lock;
+	struct document newest;
+	struct document previous;
+	struct list_version lists[LIST_HISTORY];
+	long list_version;
+	enum fault_mode config_fault;
+	enum fault_mode list_fault;
+	int64_t list_lag_ms;
+	unsigned flap;
+	long calls;
+	long config_calls;
+	long list_calls;
+	struct watch *watches;
+} platform = { .lock = PTHREAD_MUTEX_INITIALIZER };
+
+static struct address_list addresses;
+
+/* The document that a reader sees under the present fault. */
+static const struct document *config_visible(void)
+{
+	bool old = platform.config_fault == FAULT_STALE ||
+		   (platform.config_fault == FAULT_FLAP && platform.flap % 2);
+
+	if (old && platform.previous.text)
+		return &platform.previous;
+	return &platform.newest;
+}
+
+/* The list that a reader sees, some time after it was put there. */
+static const struct list_version *list_visible(int64_t now_ms)
+{
+	long v = platform.list_version;
+	const struct list_version *list;
+
+	for (; v > 0 && v > platform.list_version - LIST_HISTORY; v--) {
+		list = &platform.lists[v % LIST_HISTORY];
+		if (list->at_ms + platform.list_lag_ms <= now_ms)
+			return list;
+	}
+	return NULL;
+}
+
+/* Whether a watch has to go on waiting. */
+static bool watch_waits(const struct watch *watch, int64_t now_ms)
+{
+	enum fault_mode fault =
+		watch->on_list ? platform.list_fault : platform.config_fault;
+	long after = web_query_long(watch->req, "after", -1);
+	const struct list_version *list;
+
+	if (fault == FAULT_HOLD)
+		return true;
+	if (fault == FAULT_DOWN || now_ms >= watch->until_ms)
+		return false;
+	if (!watch->on_list)
+		return config_visible()->revision <= after;
+	list = list_visible(now_ms);
+	return (list ? list->version : 0) <= after;
+}
+
+/* Releases the watches that can be answered now. */
+static void on_tick(void *arg, int64_t now_ms)
+{
+	struct watch *watch;
+
+	pthread_mutex_lock(&platform.lock);
+	for (watch = platform.watches; watch; watch = watch->next)
+		if (!watch_waits(watch, now_ms))
+			web_release(watch->req);
+	pthread_mutex_unlock(&platform.lock);
+}
+
+/* Opens the watch of a call that is seen for the first time and counts it. */
+static struct watch *watch_open(struct web_request *req, bool on_list,
+				int64_t now_ms)
+{
+	struct watch *watch = calloc(1, sizeof(*watch));
+	long wait = web_query_long(req, "wait", 0);
+
+	if (!watch)
+		return NULL;
+	if (!web_query(req, "after") || wait < 0)
+		wait = 0;
+	if (wait > WAIT_MAX_S)
+		wait = WAIT_MAX_S;
+	watch->req = req;
+	watch->on_list = on_list;
+	watch->until_ms = now_ms + wait * MS_PER_S;
+	watch->next = platform.watches;
+	platform.watches = watch;
+	req->call = watch;
+	platform.calls++;
+	if (on_list)
+		platform.list_calls++;
+	else
+		platform.config_calls++;
+	if (!on_list)
+		platform.flap++;
+	return watch;
+}
+
+static void watch_close(struct web_request *req, void *arg)
+{
+	struct watch **link;
+	struct watch *watch = req->call;
+
+	if (!watch)
+		return;
+	pthread_mutex_lock(&platform.lock);
+	for (link = &platform.watches; *link; link = &(*link)->next) {
+		if (*link == watch) {
+			*link = watch->next;
+			break;
+		}
+	}
+	pthread_mutex_unlock(&platform.lock);
+	free(watch);
+}
+
+/* Answers with the configuration document that is visible now. */
+static enum web_verdict config_reply(struct web_request *req)
+{
+	const struct document *doc = config_visible();
+	struct MHD_Response *res;
+	char revision[24];
+	size_t len = doc->len;
+
+	if (!doc->text)
+		return web_reply_error(req, MHD_HTTP_NOT_FOUND, "empty");
+	if (doc->revision <= web_query_long(req, "after", -1))
+		return web_reply(req, MHD_HTTP_NOT_MODIFIED, "", 0);
+	if (platform.config_fault == FAULT_HALF)
+		len /= 2;
+	res = MHD_create_response_from_buffer(len, doc->text,
+					      MHD_RESPMEM_MUST_COPY);
+	if (!res)
+		return WEB_CLOSE;
+	snprintf(revision, sizeof(revision), "%ld", doc->revision);
+	MHD_add_response_header(res, "X-Revision", revision);
+	MHD_add_response_header(res, "Content-Type", "application/json");
+	return web_send(req, MHD_HTTP_OK, res);
+}
+
+/* Answers with the instance list that is visible now. */
+static enum web_verdict list_reply(struct web_request *req, int64_t now_ms)
+{
+	const struct list_version *list = list_visible(now_ms);
+	long version = list ? list->version : 0;
+
+	if (version <= web_query_long(req, "after", -1))
+		return web_reply(req, MHD_HTTP_NOT_MODIFIED, "", 0);
+	return web_reply_json(
+		req, MHD_HTTP_OK,
+		json_pack("{s:I,s:o}", "version", (json_int_t)version,
+			  "instances",
+			  list ? json_incref(list->instances) : json_array()));
+}
+
+/* Serves a reader's call to the configuration or the instance list. */
+static enum web_verdict handle_read(struct web_request *req, bool on_list)
+{
+	int64_t now_ms = web_now_ms();
+	enum web_verdict verdict;
+	enum fault_mode fault;
+
+	pthread_mutex_lock(&platform.lock);
+	if (!req->call && !watch_open(req, on_list, now_ms))
+		verdict = WEB_CLOSE;
+	else if (watch_waits(req->call, now_ms))
+		verdict = WEB_HOLD;
+	else {
+		fault = on_list ? platform.list_fault : platform.config_fault;
+		if (fault == FAULT_DOWN)
+			verdict = WEB_CLOSE;
+		else if (on_list)
+			verdict = list_reply(req, now_ms);
+		else
+			verdict = config_reply(req);
+	}
+	pthread_mutex_unlock(&platform.lock);
+	return verdict;
+}
+
+/* PUT /standin/config: the body becomes the newest document. */
+static enum web_verdict put_config(struct web_request *req)
+{
+	struct document doc = { .len = req->body_len };
+	json_t *obj =
+		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *revision = json_object_get(obj, "revision");
+
+	if (!json_is_integer(revision)) {
+		json_decref(obj);
+		return web_reply_error(req, MHD_HTTP_BAD_REQUEST,
+				       "no revision");
+	}
+	doc.revision = (long)json_integer_value(revision);
+	json_decref(obj);
+	doc.text = req->body;
+	req->body = NULL;
+	pthread_mutex_lock(&platform.lock);
+	free(platform.previous.text);
+	platform.previous = platform.newest;
+	platform.newest = doc;
+	pthread_mutex_unlock(&platform.lock);
+	on_tick(NULL, web_now_ms());
+	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
+}
+
+/* PUT /standin/instances: the body becomes the next version of the list. */
+static enum web_verdict put_instances(struct web_request *req)
+{
+	json_t *array =
+		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	struct list_version *list;
+
+	if (!json_is_array(array)) {
+		json_decref(array);
+		return web_reply_error(req, MHD_HTTP_BAD_REQUEST,
+				       "not an array");
+	}
+	pthread_mutex_lock(&platform.lock);
+	platform.list_version++;
+	list = &platform.lists[platform.list_version % LIST_HISTORY];
+	json_decref(list->instances);
+	list->instances = array;
+	list->version = platform.list_version;
+	list->at_ms = web_now_ms();
+	pthread_mutex_unlock(&platform.lock);
+	on_tick(NULL, web_now_ms());
+	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
+}
+
+/* Reads the fault named by a member; -1 when there is no such fault. */
+static int read_fault(json_t *obj, const char *member, enum fault_mode *mode)
+{
+	const char *name = json_string_value(json_object_get(obj, member));
+	int i;
+
+	if (!name)
+		return 0;
+	for (i = 0; i < FAULT_COUNT; i++) {
+		if (!strcmp(name, fault_names[i])) {
+			*mode = i;
+			return 0;
+		}
+	}
+	return -1;
+}
+
+static enum web_verdict post_fault(struct web_request *req)
+{
+	json_t *obj =
+		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *lag = json_object_get(obj, "list_lag_ms");
+	int ret;
+
+	pthread_mutex_lock(&platform.lock);
+	ret = !obj || read_fault(obj, "config", &platform.config_fault) ||
+	      read_fault(obj, "list", &platform.list_fault);
+	if (lag)
+		platform.list_lag_ms = json_integer_value(lag);
+	pthread_mutex_unlock(&platform.lock);
+	json_decref(obj);
+	if (ret)
+		return web_reply_error(req, MHD_HTTP_BAD_REQUEST, "bad fault");
+	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
+}
+
+static enum web_verdict get_counts(struct web_request *req)
+{
+	json_t *obj;
+
+	pthread_mutex_lock(&platform.lock);
+	obj = json_pack("{s:I,s:I,s:I}", "calls", (json_int_t)platform.calls,
+			"config", (json_int_t)platform.config_calls,
+			"instances", (json_int_t)platform.list_calls);
+	pthread_mutex_unlock(&platform.lock);
+	return web_reply_json(req, MHD_HTTP_OK, obj);
+}
+
+static const struct {
+	const char *method;
+	const char *path;
+	enum web_verdict (*handle)(struct web_request *req);
+} routes[] = {
+	{ "PUT", "/standin/config", put_config },
+	{ "PUT", "/standin/instances", put_instances },
+	{ "POST", "/standin/fault", post_fault },
+	{ "GET", "/standin/counts", get_counts },
+};
+
+static enum web_verdict handle(struct web_request *req, void *arg)
+{
+	size_t i;
+
+	if (!strcmp(req->method, "GET") && !strcmp(req->path, "/config"))
+		return handle_read(req, false);
+	if (!strcmp(req->method, "GET") && !strcmp(req->path, "/instances"))
+		return handle_read(req, true);
+	for (i = 0; i < sizeof(routes) / sizeof(routes[0]); i++)
+		if (!strcmp(req->method, routes[i].method) &&
+		    !strcmp(req->path, routes[i].path))
+			return routes[i].handle(req);
+	return web_reply_error(req, MHD_HTTP_NOT_FOUND, "no such path");
+}
+
+static const struct web_ops ops = { handle, watch_close };
+
+static void option_seen(int value, const char *text)
+{
+	if (addresses_add(&addresses, text))
+		options_fail("not an address", text);
+}
+
+int main(int argc, const char **argv)
+{
+	int port = DEFAULT_PORT;
+	const struct poptOption options[] = {
+		{ "address", 'a', POPT_ARG_STRING, NULL, 'a',
+		  "address or range to listen on, may be repeated", "ADDRESS" },
+		{ "port", 'p', POPT_ARG_INT, &port, 0, "TCP port", "PORT" },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
+	struct web_server *server;
+
+	options_read(argc, argv, options, option_seen);
+	web_block_signals();
+	server = web_start(&ops, NULL, SERVER_THREADS);
+	if (!server || web_ticker(TICK_US, on_tick, NULL))
+		return 1;
+	if (addresses_listen(&addresses, server, port))
+		return 1;
+	return web_wait_for_signal();
+}
