t/standin: add the model engine

Equal chunks are kept once by what their bytes are, so a corrupt chunk under a right digest stays corrupt for the engine that was given it.

--- /dev/null
+++ b/t/standin/lib-blob.h
@@ -0,0 +1,29 @@
+/*
+ * Chunks kept once in memory for all engines of a process, by what their
+ * bytes are and not by the name they were given.
+ */
+#ifndef STANDIN_LIB_BLOB_H
+#define STANDIN_LIB_BLOB_H
+
+#include <stddef.h>
+#include <xxhash.h>
+
+#define DIGEST_HEX_LEN 64
+
+struct blob {
+	struct blob *next;
+	XXH128_hash_t hash;
+	int refs;
+	char *data;
+	size_t len;
+};
+
+struct blob *blob_get(char *data, size_t len);
+struct blob *blob_ref(struct blob *blob);
+void blob_put(void *blob);
+
+/* SHA-256 in lower-case hex, with a terminating NUL. */
+void digest_hex(const char *data, size_t len, char *out);
+int blob_list_digest(struct blob **list, size_t n, char *out);
+
+#endif
--- /dev/null
+++ b/t/standin/lib-engine.c
@@ -0,0 +1,102 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <openssl/rand.h>
+
+#include "t/standin/lib-engine.h"
+
+#define REFUSE_MS 1000
+
+struct engine_settings engine_settings;
+struct engine_counts engine_counts;
+
+/* Gives the engine a new boot identity. */
+static void engine_boot(struct engine *engine)
+{
+	unsigned char raw[ENGINE_BOOT_LEN / 2];
+	int i;
+
+	RAND_bytes(raw, sizeof(raw));
+	for (i = 0; i < ENGINE_BOOT_LEN / 2; i++)
+		snprintf(engine->boot + (ptrdiff_t)2 * i, 3, "%02x", raw[i]);
+}
+
+/* Creates an engine without models; its address is not listened on yet. */
+struct engine *engine_create(struct web_server *server, const char *address)
+{
+	struct engine *engine = calloc(1, sizeof(*engine));
+
+	if (!engine)
+		return NULL;
+	if (apr_pool_create(&engine->pool, NULL)) {
+		free(engine);
+		return NULL;
+	}
+	snprintf(engine->address, sizeof(engine->address), "%s", address);
+	engine->server = server;
+	pthread_mutex_init(&engine->lock, NULL);
+	engine->staged = apr_hash_make(engine->pool);
+	engine->models = apr_hash_make(engine->pool);
+	engine->blocks = apr_hash_make(engine->pool);
+	engine->sessions = apr_hash_make(engine->pool);
+	batch_init(engine);
+	cache_init(engine);
+	engine_boot(engine);
+	return engine;
+}
+
+/*
+ * Drops every connection, forgets models and staging and refuses connections
+ * until the engine starts again.
+ */
+void engine_crash(struct engine *engine, int64_t now_ms)
+{
+	if (engine->back_ms)
+		return;
+	engine_count(crashes, 1);
+	engine->back_ms = now_ms + REFUSE_MS;
+	web_unlisten(engine->server, engine->address);
+	batch_clear(engine);
+	models_clear(engine);
+	staging_clear(engine);
+	cache_clear(engine);
+	engine->event_count = 0;
+	engine->fence = 0;
+	free(engine->role);
+	engine->role = NULL;
+	web_drop(engine->server, engine->address);
+}
+
+/* Starts a crashed engine again when its time has come. */
+static void engine_return(struct engine *engine, int64_t now_ms)
+{
+	if (!engine->back_ms || engine->back_ms > now_ms)
+		return;
+	engine_boot(engine);
+	if (!web_listen(engine->server, engine->address,
+			(unsigned)engine_settings.port))
+		engine->back_ms = 0;
+}
+
+/* Does what is due: the next tokens, load samples, the end of a crash. */
+void engine_tick(struct engine *engine, int64_t now_ms)
+{
+	pthread_mutex_lock(&engine->lock);
+	engine_return(engine, now_ms);
+	batch_step(engine, now_ms);
+	batch_sample(engine, now_ms);
+	pthread_mutex_unlock(&engine->lock);
+}
+
+/* Sets a fault; silence strikes the connections that are open now. */
+void engine_set_fault(struct engine *engine, enum engine_fault fault, int ms)
+{
+	pthread_mutex_lock(&engine->lock);
+	if (fault == ENGINE_BLACKHOLE) {
+		web_silence(engine->server, engine->address);
+	} else {
+		engine->fault = fault;
+		engine->fault_ms = ms;
+	}
+	pthread_mutex_unlock(&engine->lock);
+}
