--- a/t/helper/test-base.c
+++ b/t/helper/test-base.c
@@ -194,8 +194,8 @@
 {
 	struct error e = ERROR_INIT;
 
-	ck_assert_int_eq(error_set(&e, ERROR_TIMEOUT, "fetch", "a1", "%d ms", 5),
-			 -1);
+	ck_assert_int_eq(
+		error_set(&e, ERROR_TIMEOUT, "fetch", "a1", "%d ms", 5), -1);
 	ck_assert_str_eq(e.step, "fetch");
 	ck_assert_str_eq(e.peer, "a1");
 	ck_assert_str_eq(e.text, "5 ms");
