net: take no lock around libmicrohttpd's responses

Cause: ThreadSanitizer showed the call's mutex and the response's mutex taken in both orders. Change: the response is queued after the call's mutex is released.

--- a/net/httpd.c
+++ b/net/httpd.c
@@ -55,7 +55,6 @@
 	} headers[REPLY_HEADERS_MAX];
 	int header_count;
 
-	int streaming;
 	int ended;
 	int whole;
 	char *out; /* stream bytes not yet sent */
@@ -172,29 +171,46 @@
 	c->body[c->body_size] = '\0';
 }
 
-/* Queues the response that is there, or suspends until there is one. */
+/*
+ * Queues the response that is there, or suspends until there is one.  The
+ * library locks a response while it reads a stream, so it is called here
+ * without the call's mutex; once answered, only this thread uses these
+ * fields.
+ */
 static enum MHD_Result call_queue(struct http_call *c)
 {
-	enum MHD_Result ret = MHD_YES;
+	struct MHD_Response *r;
+	enum MHD_Result ret;
 	int i;
 
 	pthread_mutex_lock(&c->mutex);
 	if (c->state != CALL_ANSWERED) {
 		c->suspended = 1;
 		MHD_suspend_connection(c->connection);
-	} else {
-		for (i = 0; i < c->header_count; i++)
-			MHD_add_response_header(c->response, c->headers[i].name,
-						c->headers[i].value);
-		ret = MHD_queue_response(c->connection, (unsigned)c->status,
-					 c->response);
-		MHD_destroy_response(c->response);
-		c->response = NULL;
+		pthread_mutex_unlock(&c->mutex);
+		return MHD_YES;
 	}
+	r = c->response;
+	c->response = NULL;
 	pthread_mutex_unlock(&c->mutex);
+	for (i = 0; i < c->header_count; i++)
+		MHD_add_response_header(r, c->headers[i].name,
+					c->headers[i].value);
+	ret = MHD_queue_response(c->connection, (unsigned)c->status, r);
+	MHD_destroy_response(r);
 	return ret;
 }
 
+static int call_is_handled(struct http_call *c)
+{
+	int handled;
+
+	pthread_mutex_lock(&c->mutex);
+	handled = c->state != CALL_READING;
+	pthread_mutex_unlock(&c->mutex);
+	return handled;
+}
+
 static enum MHD_Result request_receive(void *cls, struct MHD_Connection *con,
 				       const char *url, const char *method,
 				       const char *version,
@@ -216,7 +232,7 @@
 		*upload_data_size = 0;
 		return MHD_YES;
 	}
-	if (c->state != CALL_READING)
+	if (call_is_handled(c))
 		return call_queue(c);
 	if (!c->route)
 		return status_queue(con, MHD_HTTP_NOT_FOUND);
@@ -478,7 +494,6 @@
 		size < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)size, STREAM_BLOCK,
 		stream_read, c, NULL);
 
-	c->streaming = 1;
 	answer_with(c, status, type, r);
 }
 
--- a/t/helper/test-net.c
+++ b/t/helper/test-net.c
@@ -85,11 +85,16 @@
 static void never(struct http_call *c, void *arg)
 {
 	/* Answered at the end of the test, from slot arg. */
-	*(struct http_call **)arg = c;
+	__atomic_store_n((struct http_call **)arg, c, __ATOMIC_RELEASE);
 }
 
 static struct http_call *kept;
 
+static struct http_call *kept_take(void)
+{
+	return __atomic_load_n(&kept, __ATOMIC_ACQUIRE);
+}
+
 static const struct http_route routes[] = { { "POST", "/echo", BIG_SIZE, echo,
 					      NULL },
 					    { "GET", "/later", 0, later, NULL },
@@ -194,7 +199,8 @@
 	ck_assert_int_eq(fetch_wait(fetcher, &f, NULL, NULL), -1);
 	ck_assert_int_eq(f.error.code, ERROR_TIMEOUT);
 	ck_assert_int_eq(f.never_sent, 0);
-	http_call_reply(kept, 200, NULL, "", 0); /* too late: discarded */
+	http_call_reply(kept_take(), 200, NULL, "",
+			0); /* too late: discarded */
 }
 END_TEST
 
@@ -248,7 +254,7 @@
 		pthread_cond_wait(&h.cond, &h.mutex);
 	pthread_mutex_unlock(&h.mutex);
 	ck_assert_int_ne(h.fetch.error.code, ERROR_NONE);
-	http_call_reply(kept, 200, NULL, "", 0);
+	http_call_reply(kept_take(), 200, NULL, "", 0);
 }
 END_TEST
 
