config: parse and check the document

Account files are checked field by field against tables and across accounts (names, keys, budget, adapters); a document is taken whole or refused with every fault listed.

--- /dev/null
+++ b/config/cross-check.c
@@ -0,0 +1,186 @@
+#include "config/cross-check.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/digest.h"
+
+#define PATH_SIZE 512
+
+/* What is known so far: each a JSON object from name to owner's path. */
+struct seen {
+	json_t *accounts;
+	json_t *models;
+	json_t *services;
+	json_t *keys;
+};
+
+static void seen_once(json_t *seen, const char *name, const char *what,
+		      const char *owner, const char *path,
+		      struct fault_list *faults)
+{
+	const char *other = schema_string(seen, name, NULL);
+
+	if (!other) {
+		json_object_set_new(seen, name, json_string(owner));
+		return;
+	}
+	fault_add(faults, path,
+		  "%s \"%s\" is declared by \"%s\" already; choose another "
+		  "name or remove one",
+		  what, name, other);
+}
+
+static void limit_check(const json_t *limits, const json_t *budget,
+			const char *name, const char *prefix,
+			struct fault_list *faults)
+{
+	double most = schema_real(budget, name, 0);
+	double wanted = schema_real(limits, name, 0);
+	char path[PATH_SIZE];
+
+	if (most <= 0 || wanted <= most)
+		return;
+	snprintf(path, sizeof(path), "%s.limits.%s", prefix, name);
+	fault_add(faults, path, "%g is above the fleet's budget of %g", wanted,
+		  most);
+}
+
+static void limits_check(const json_t *account, const json_t *fleet,
+			 const char *path, struct fault_list *faults)
+{
+	const json_t *limits = json_object_get(account, "limits");
+	const json_t *budget = json_object_get(fleet, "budget");
+
+	limit_check(limits, budget, "requests_per_second", path, faults);
+	limit_check(limits, budget, "tokens_per_second", path, faults);
+	limit_check(limits, budget, "concurrent", path, faults);
+}
+
+static void keys_check(const json_t *account, const char *owner,
+		       const char *prefix, struct seen *s,
+		       struct fault_list *faults)
+{
+	const json_t *keys = json_object_get(account, "keys");
+	struct digest ignored;
+	char path[PATH_SIZE];
+	const char *key;
+	size_t i;
+
+	for (i = 0; i < json_array_size(keys); i++) {
+		key = json_string_value(json_array_get(keys, i));
+		snprintf(path, sizeof(path), "%s.keys[%zu]", prefix, i);
+		if (!key || digest_parse(key, &ignored)) {
+			fault_add(faults, path,
+				  "expected the SHA-256 of a key (64 "
+				  "lower-case hex digits); never put the key "
+				  "itself here");
+			continue;
+		}
+		seen_once(s->keys, key, "key", owner, path, faults);
+	}
+}
+
+static int declares_model(const json_t *models, const char *name)
+{
+	const char *other;
+	size_t i;
+
+	for (i = 0; i < json_array_size(models); i++) {
+		other = schema_string(json_array_get(models, i), "name", "");
+		if (!strcmp(other, name))
+			return 1;
+	}
+	return 0;
+}
+
+static void models_check(const json_t *account, const char *owner,
+			 const char *prefix, struct seen *s,
+			 struct fault_list *faults)
+{
+	const json_t *models = json_object_get(account, "models");
+	char path[PATH_SIZE];
+	const char *name, *base;
+	size_t i;
+
+	for (i = 0; i < json_array_size(models); i++) {
+		const json_t *m = json_array_get(models, i);
+
+		name = schema_string(m, "name", "");
+		base = schema_string(m, "base", NULL);
+		snprintf(path, sizeof(path), "%s.models[%zu].name", prefix, i);
+		seen_once(s->models, name, "model", owner, path, faults);
+		if (!base)
+			continue;
+		snprintf(path, sizeof(path), "%s.models[%zu].base", prefix, i);
+		if (!strcmp(base, name) || !declares_model(models, base))
+			fault_add(faults, path,
+				  "\"%s\" is no other model of this account",
+				  base);
+	}
+}
+
+static void operations_check(const json_t *service, const char *prefix,
+			     struct fault_list *faults)
+{
+	const json_t *list = json_object_get(service, "operations");
+	json_t *seen = json_object();
+	char path[PATH_SIZE + 64];
+	size_t i;
+
+	for (i = 0; i < json_array_size(list); i++) {
+		snprintf(path, sizeof(path), "%s.operations[%zu].name", prefix,
+			 i);
+		seen_once(seen,
+			  schema_string(json_array_get(list, i), "name", ""),
+			  "operation", "this service", path, faults);
+	}
+	json_decref(seen);
+}
+
+static void services_check(const json_t *account, const char *owner,
+			   const char *prefix, struct seen *s,
+			   struct fault_list *faults)
+{
+	const json_t *services = json_object_get(account, "services");
+	char path[PATH_SIZE];
+	size_t i;
+
+	for (i = 0; i < json_array_size(services); i++) {
+		const json_t *o = json_array_get(services, i);
+
+		snprintf(path, sizeof(path), "%s.services[%zu].name", prefix,
+			 i);
+		seen_once(s->services, schema_string(o, "name", ""), "service",
+			  owner, path, faults);
+		snprintf(path, sizeof(path), "%s.services[%zu]", prefix, i);
+		operations_check(o, path, faults);
+	}
+}
+
+/* Adds every fault of all accounts together to faults. */
+void cross_check(const json_t *fleet, const struct account_source *accounts,
+		 size_t count, struct fault_list *faults)
+{
+	struct seen s = { json_object(), json_object(), json_object(),
+			  json_object() };
+	char path[PATH_SIZE];
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		const json_t *a = accounts[i].account;
+		const char *prefix = accounts[i].path;
+		const char *owner = schema_string(a, "account", "");
+
+		snprintf(path, sizeof(path), "%s.account", prefix);
+		seen_once(s.accounts, owner, "account", owner, path, faults);
+		limits_check(a, fleet, prefix, faults);
+		keys_check(a, owner, prefix, &s, faults);
+		models_check(a, owner, prefix, &s, faults);
+		services_check(a, owner, prefix, &s, faults);
+	}
+	json_decref(s.accounts);
+	json_decref(s.models);
+	json_decref(s.services);
+	json_decref(s.keys);
+}
--- /dev/null
+++ b/config/document-bind.c
@@ -0,0 +1,250 @@
+#include "config/document-bind.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CUT_OFF_SHARE 0.1
+#define MODEL_PRIORITY 5
+#define TIME_WEIGHT 0.5
+#define MIN_SERVING 0.5
+#define DEADLINE_MS 30000
+#define KEY_LIFETIME_S 3600
+#define AFFINITY_LOCK_S 30
+#define AFFINITY_IDLE_S 600
+
+static void *array_new(size_t count, size_t size)
+{
+	void *p;
+
+	if (!count)
+		return NULL;
+	p = calloc(count, size);
+	if (!p)
+		abort();
+	return p;
+}
+
+static void copy(char *to, const char *from)
+{
+	snprintf(to, DOCUMENT_NAME_SIZE, "%s", from);
+}
+
+static char **strings_bind(const json_t *list, int *count)
+{
+	size_t i, n = json_array_size(list);
+	char **out = array_new(n, sizeof(*out));
+
+	for (i = 0; i < n; i++) {
+		out[i] = strdup(json_string_value(json_array_get(list, i)));
+		if (!out[i])
+			abort();
+	}
+	*count = (int)n;
+	return out;
+}
+
+static void strings_free(char **list, int count)
+{
+	int i;
+
+	for (i = 0; i < count; i++)
+		free(list[i]);
+	free(list);
+}
+
+static void limit_bind(struct limit_spec *l, const json_t *o)
+{
+	l->requests_per_second = schema_real(o, "requests_per_second", 0);
+	l->tokens_per_second = schema_real(o, "tokens_per_second", 0);
+	l->concurrent = (int)schema_integer(o, "concurrent", 0);
+	l->cut_off_share = schema_real(o, "cut_off_share", CUT_OFF_SHARE);
+}
+
+static void model_bind(struct model_spec *m, const json_t *o, int account)
+{
+	m->account = account;
+	copy(m->name, schema_string(o, "name", ""));
+	snprintf(m->version, sizeof(m->version), "%s",
+		 schema_string(o, "manifest", ""));
+	copy(m->base, schema_string(o, "base", ""));
+	m->upstreams = strings_bind(json_object_get(o, "upstreams"),
+				    &m->upstream_count);
+	m->data_centers = strings_bind(json_object_get(o, "data_centers"),
+				       &m->data_center_count);
+	m->priority = (int)schema_integer(o, "priority", MODEL_PRIORITY);
+	m->time_weight = schema_real(o, "time_weight", TIME_WEIGHT);
+	m->origin_copies = schema_real(o, "origin_copies", 1);
+	m->first_loaders = (int)schema_integer(o, "first_loaders", 1);
+	m->min_serving = schema_real(o, "min_serving", MIN_SERVING);
+}
+
+static void operation_bind(struct operation_spec *p, const json_t *o)
+{
+	copy(p->name, schema_string(o, "name", ""));
+	p->repeatable = schema_boolean(o, "repeatable", 0);
+	p->deadline_ms = (int)schema_integer(o, "deadline_ms", DEADLINE_MS);
+	p->key_lifetime_s =
+		(int)schema_integer(o, "key_lifetime_s", KEY_LIFETIME_S);
+}
+
+static void service_bind(struct service_spec *s, const json_t *o, int account)
+{
+	const json_t *list = json_object_get(o, "operations");
+	size_t i, n = json_array_size(list);
+
+	s->account = account;
+	copy(s->name, schema_string(o, "name", ""));
+	s->upstreams = strings_bind(json_object_get(o, "upstreams"),
+				    &s->upstream_count);
+	s->operations = array_new(n, sizeof(*s->operations));
+	s->operation_count = (int)n;
+	for (i = 0; i < n; i++)
+		operation_bind(&s->operations[i], json_array_get(list, i));
+}
+
+static void account_bind(struct account_spec *a, const json_t *o)
+{
+	const json_t *keys = json_object_get(o, "keys");
+	size_t i, n = json_array_size(keys);
+
+	copy(a->name, schema_string(o, "account", ""));
+	a->share = schema_real(o, "share", 1);
+	a->priority_min = (int)schema_integer(o, "priority_min", 0);
+	limit_bind(&a->limit, json_object_get(o, "limits"));
+	a->keys = array_new(n, sizeof(*a->keys));
+	a->key_count = (int)n;
+	for (i = 0; i < n; i++)
+		digest_parse(json_string_value(json_array_get(keys, i)),
+			     &a->keys[i]);
+}
+
+static void fleet_bind(struct fleet_spec *f, const json_t *o)
+{
+	const json_t *affinity = json_object_get(o, "affinity");
+
+	limit_bind(&f->budget, json_object_get(o, "budget"));
+	f->fencing =
+		strings_bind(json_object_get(o, "fencing"), &f->fencing_count);
+	f->affinity_lock_s =
+		(int)schema_integer(affinity, "lock_s", AFFINITY_LOCK_S);
+	f->affinity_idle_s =
+		(int)schema_integer(affinity, "idle_s", AFFINITY_IDLE_S);
+}
+
+static void counts_take(struct document *d, const json_t *accounts)
+{
+	size_t i;
+
+	for (i = 0; i < json_array_size(accounts); i++) {
+		const json_t *a = json_array_get(accounts, i);
+
+		d->model_count +=
+			(int)json_array_size(json_object_get(a, "models"));
+		d->service_count +=
+			(int)json_array_size(json_object_get(a, "services"));
+		d->key_owner_count +=
+			(int)json_array_size(json_object_get(a, "keys"));
+	}
+	d->account_count = (int)json_array_size(accounts);
+}
+
+static void accounts_bind(struct document *d, const json_t *accounts)
+{
+	struct model_spec *m = d->models;
+	struct service_spec *s = d->services;
+	struct key_owner *k = d->key_owners;
+	const json_t *list;
+	size_t j;
+	int i;
+
+	for (i = 0; i < d->account_count; i++) {
+		const json_t *a = json_array_get(accounts, (size_t)i);
+
+		account_bind(&d->accounts[i], a);
+		list = json_object_get(a, "models");
+		for (j = 0; j < json_array_size(list); j++)
+			model_bind(m++, json_array_get(list, j), i);
+		list = json_object_get(a, "services");
+		for (j = 0; j < json_array_size(list); j++)
+			service_bind(s++, json_array_get(list, j), i);
+		for (j = 0; j < (size_t)d->accounts[i].key_count; j++, k++) {
+			k->key = d->accounts[i].keys[j];
+			k->account = i;
+		}
+	}
+}
+
+static int model_compare(const void *a, const void *b)
+{
+	const struct model_spec *x = a, *y = b;
+
+	return strcmp(x->name, y->name);
+}
+
+static int service_compare(const void *a, const void *b)
+{
+	const struct service_spec *x = a, *y = b;
+
+	return strcmp(x->name, y->name);
+}
+
+static int key_compare(const void *a, const void *b)
+{
+	const struct key_owner *x = a, *y = b;
+
+	return memcmp(&x->key, &y->key, sizeof(x->key));
+}
+
+static void sort(void *array, int count, size_t size,
+		 int (*compare)(const void *a, const void *b))
+{
+	if (count)
+		qsort(array, (size_t)count, size, compare);
+}
+
+/* See document-bind.h. */
+void document_bind(struct document *d, const json_t *root)
+{
+	const json_t *accounts = json_object_get(root, "accounts");
+
+	d->revision = (uint64_t)schema_integer(root, "revision", 0);
+	fleet_bind(&d->fleet, json_object_get(root, "fleet"));
+	counts_take(d, accounts);
+	d->accounts = array_new((size_t)d->account_count, sizeof(*d->accounts));
+	d->models = array_new((size_t)d->model_count, sizeof(*d->models));
+	d->services = array_new((size_t)d->service_count, sizeof(*d->services));
+	d->key_owners =
+		array_new((size_t)d->key_owner_count, sizeof(*d->key_owners));
+	accounts_bind(d, accounts);
+	sort(d->models, d->model_count, sizeof(*d->models), model_compare);
+	sort(d->services, d->service_count, sizeof(*d->services),
+	     service_compare);
+	sort(d->key_owners, d->key_owner_count, sizeof(*d->key_owners),
+	     key_compare);
+}
+
+/* Frees what document_bind filled in. */
+void document_free_specs(struct document *d)
+{
+	int i;
+
+	for (i = 0; i < d->model_count; i++) {
+		strings_free(d->models[i].upstreams,
+			     d->models[i].upstream_count);
+		strings_free(d->models[i].data_centers,
+			     d->models[i].data_center_count);
+	}
+	for (i = 0; i < d->service_count; i++) {
+		strings_free(d->services[i].upstreams,
+			     d->services[i].upstream_count);
+		free(d->services[i].operations);
+	}
+	for (i = 0; i < d->account_count; i++)
+		free(d->accounts[i].keys);
+	strings_free(d->fleet.fencing, d->fleet.fencing_count);
+	free(d->models);
+	free(d->services);
+	free(d->accounts);
+	free(d->key_owners);
+}
--- /dev/null
+++ b/config/document.c
@@ -0,0 +1,215 @@
+#include "config/document.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/cross-check.h"
+#include "config/document-bind.h"
+#include "config/schema-tables.h"
+
+#define PATH_SIZE 32
+
+/* Checks what reaches across accounts, naming each by its place. */
+static void accounts_cross_check(const json_t *root, struct fault_list *faults)
+{
+	const json_t *accounts = json_object_get(root, "accounts");
+	size_t i, n = json_array_size(accounts);
+	struct account_source *sources = calloc(n + 1, sizeof(*sources));
+	char(*paths)[PATH_SIZE] = calloc(n + 1, sizeof(*paths));
+
+	if (!sources || !paths)
+		abort();
+	for (i = 0; i < n; i++) {
+		snprintf(paths[i], PATH_SIZE, "accounts[%zu]", i);
+		sources[i].account = json_array_get(accounts, i);
+		sources[i].path = paths[i];
+	}
+	cross_check(json_object_get(root, "fleet"), sources, n, faults);
+	free(sources);
+	free(paths);
+}
+
+static json_t *root_parse(const char *text, size_t size,
+			  struct fault_list *faults)
+{
+	json_error_t at;
+	json_t *root;
+
+	if (size > DOCUMENT_SIZE_MAX) {
+		fault_add(faults, "",
+			  "%zu bytes are above the platform's cap of %d", size,
+			  DOCUMENT_SIZE_MAX);
+		return NULL;
+	}
+	root = json_loadb(text, size, JSON_REJECT_DUPLICATES, &at);
+	if (!root)
+		fault_add(faults, "", "line %d, column %d: %s", at.line,
+			  at.column, at.text);
+	return root;
+}
+
+static struct document *document_new(const char *text, size_t size,
+				     const json_t *root)
+{
+	struct document *d = calloc(1, sizeof(*d));
+
+	if (!d)
+		abort();
+	d->refs = 1;
+	d->size = size;
+	d->text = malloc(size + 1);
+	if (!d->text)
+		abort();
+	memcpy(d->text, text, size);
+	d->text[size] = '\0';
+	digest_of(text, size, &d->digest);
+	document_bind(d, root);
+	return d;
+}
+
+/*
+ * Parses and checks a document.  Returns a new reference, or NULL with
+ * every fault listed: a document is taken whole or not at all.
+ */
+struct document *document_parse(const char *text, size_t size,
+				struct fault_list *faults)
+{
+	struct document *d = NULL;
+	json_t *root = root_parse(text, size, faults);
+
+	if (!root)
+		return NULL;
+	if (!schema_check(document_fields, root, "", faults)) {
+		size_t before = faults->count;
+
+		accounts_cross_check(root, faults);
+		if (faults->count == before)
+			d = document_new(text, size, root);
+	}
+	json_decref(root);
+	return d;
+}
+
+/* Takes another reference. */
+struct document *document_hold(struct document *d)
+{
+	__atomic_add_fetch(&d->refs, 1, __ATOMIC_RELAXED);
+	return d;
+}
+
+/* Lets a reference go; the last one frees the document. */
+void document_release(struct document *d)
+{
+	if (!d || __atomic_sub_fetch(&d->refs, 1, __ATOMIC_ACQ_REL))
+		return;
+	document_free_specs(d);
+	free(d->text);
+	free(d);
+}
+
+/* Compares a wanted name with the name that a row begins with. */
+static int name_compare(const void *name, const void *row)
+{
+	return strcmp(name, row);
+}
+
+/* Returns the model of this name, or NULL. */
+const struct model_spec *document_model(const struct document *d,
+					const char *name)
+{
+	if (!d->model_count)
+		return NULL;
+	return bsearch(name, d->models, (size_t)d->model_count,
+		       sizeof(*d->models), name_compare);
+}
+
+/* Returns the service of this name, or NULL. */
+const struct service_spec *document_service(const struct document *d,
+					    const char *name)
+{
+	if (!d->service_count)
+		return NULL;
+	return bsearch(name, d->services, (size_t)d->service_count,
+		       sizeof(*d->services), name_compare);
+}
+
+/* Returns the operation of this name, or NULL. */
+const struct operation_spec *service_operation(const struct service_spec *s,
+					       const char *name)
+{
+	int i;
+
+	for (i = 0; i < s->operation_count; i++) {
+		if (!strcmp(s->operations[i].name, name))
+			return &s->operations[i];
+	}
+	return NULL;
+}
+
+static int key_compare(const void *key, const void *row)
+{
+	return memcmp(key, row, sizeof(struct digest));
+}
+
+/* Returns the index of the account that holds a key, or -1. */
+int document_account_by_key(const struct document *d, const struct digest *key)
+{
+	const struct key_owner *k = NULL;
+
+	if (d->key_owner_count)
+		k = bsearch(key, d->key_owners, (size_t)d->key_owner_count,
+			    sizeof(*d->key_owners), key_compare);
+	return k ? k->account : -1;
+}
+
+/* Matches s with a pattern in which '*' stands for any characters. */
+static int pattern_matches(const char *pattern, const char *s)
+{
+	const char *star = NULL, *retry = NULL;
+
+	while (*s) {
+		if (*pattern == '*') {
+			star = pattern++;
+			retry = s;
+		} else if (*pattern == *s) {
+			pattern++;
+			s++;
+		} else if (star) {
+			pattern = star + 1;
+			s = ++retry;
+		} else {
+			return 0;
+		}
+	}
+	while (*pattern == '*')
+		pattern++;
+	return !*pattern;
+}
+
+/* Returns 1 when one of the patterns matches the upstream's name. */
+int spec_covers(char *const *patterns, int count, const char *upstream)
+{
+	int i;
+
+	for (i = 0; i < count; i++) {
+		if (pattern_matches(patterns[i], upstream))
+			return 1;
+	}
+	return 0;
+}
+
+/* Returns 1 when the model belongs on this upstream. */
+int model_wants(const struct model_spec *m, const char *upstream,
+		const char *data_center)
+{
+	int i;
+
+	if (!spec_covers(m->upstreams, m->upstream_count, upstream))
+		return 0;
+	for (i = 0; i < m->data_center_count; i++) {
+		if (!strcmp(m->data_centers[i], data_center))
+			return 1;
+	}
+	return !m->data_center_count;
+}
--- a/config/document.h
+++ b/config/document.h
@@ -66,6 +66,12 @@
 	struct limit_spec limit;
 };
 
+/* Which account a bearer key belongs to. */
+struct key_owner {
+	struct digest key;
+	int account;
+};
+
 struct fleet_spec {
 	struct limit_spec budget;
 	char **fencing; /* upstreams whose engines check fencing numbers */
@@ -74,6 +80,7 @@
 	int affinity_idle_s;
 };
 
+/* Models and services are ordered by name. */
 struct document {
 	uint64_t revision;
 	struct digest digest; /* of text */
@@ -86,7 +93,9 @@
 	int model_count;
 	struct service_spec *services;
 	int service_count;
-	int refs;
+	struct key_owner *key_owners; /* ordered by key */
+	int key_owner_count;
+	int refs; /* atomic */
 };
 
 struct document *document_parse(const char *text, size_t size,
