calls: add the interfaces of limits, breakers and crash quarantine

Callers need one place that decides whether a call may run. Limits are not yet divided over entries and suspicion is not yet spread.

--- /dev/null
+++ b/calls/breaker.c
@@ -0,0 +1,77 @@
+#include "calls/breaker.h"
+
+/*
+ * Says whether an attempt may go to the upstream now.  Half open and
+ * doubted breakers let one attempt out as the probe, on a new connection;
+ * a doubted one lets the others pass as well, for the upstream itself has
+ * given no sign of failure.
+ */
+enum breaker_leave breaker_allow(struct breaker *b, apr_time_t now)
+{
+	switch (b->state) {
+	case BREAKER_CLOSED:
+		return BREAKER_YES;
+	case BREAKER_DOUBTED:
+		return BREAKER_YES_FRESH;
+	case BREAKER_OPEN:
+		if (now < b->probe_at)
+			return BREAKER_NO;
+		break;
+	case BREAKER_HALF_OPEN:
+		if (now - b->probe_since < BREAKER_PROBE_MAX_US)
+			return BREAKER_NO;
+		break;
+	}
+	b->state = BREAKER_HALF_OPEN;
+	b->probe_since = now;
+	return BREAKER_YES_FRESH;
+}
+
+/* Returns 1 while the upstream should not be chosen.  Changes nothing. */
+int breaker_open(const struct breaker *b, apr_time_t now)
+{
+	if (b->state == BREAKER_OPEN)
+		return now < b->probe_at;
+	return b->state == BREAKER_HALF_OPEN &&
+	       now - b->probe_since < BREAKER_PROBE_MAX_US;
+}
+
+static void breaker_trip(struct breaker *b, apr_time_t now)
+{
+	if (!b->open_for)
+		b->open_for = BREAKER_OPEN_MIN_US;
+	b->state = BREAKER_OPEN;
+	b->probe_at = now + b->open_for;
+	b->failures = 0;
+	b->open_for *= 2;
+	if (b->open_for > BREAKER_OPEN_MAX_US)
+		b->open_for = BREAKER_OPEN_MAX_US;
+}
+
+/* Takes the outcome of an attempt into account. */
+void breaker_note(struct breaker *b, enum breaker_event event, apr_time_t now)
+{
+	switch (event) {
+	case BREAKER_ANSWERED:
+		/* Answers to calls from before it opened prove nothing. */
+		if (b->state == BREAKER_OPEN)
+			return;
+		*b = (struct breaker){ .state = BREAKER_CLOSED };
+		return;
+	case BREAKER_FAILED:
+		if (b->state == BREAKER_OPEN)
+			return;
+		if (b->state == BREAKER_HALF_OPEN ||
+		    ++b->failures >= BREAKER_FAILURES)
+			breaker_trip(b, now);
+		return;
+	case BREAKER_SILENT:
+		if (b->state == BREAKER_CLOSED)
+			b->state = BREAKER_DOUBTED;
+		return;
+	case BREAKER_SILENT_FRESH:
+		if (b->state != BREAKER_OPEN)
+			breaker_trip(b, now);
+		return;
+	}
+}
--- /dev/null
+++ b/calls/crash.h
@@ -0,0 +1,49 @@
+#ifndef CALLS_CRASH_H
+#define CALLS_CRASH_H
+
+#include <apr_time.h>
+#include <stddef.h>
+
+#include "base/digest.h"
+#include "net/node.h"
+
+/*
+ * Requests that crash the upstream that runs them.  Entries and gates keep
+ * a list of fingerprints that were in flight when an upstream died, and
+ * spread it in their data center.
+ *
+ * Rules that keep the damage to two upstreams in a data center:
+ * - each fingerprint may run only at its pair, two upstreams that every
+ *   entry derives alike from the fingerprint (crash_pair);
+ * - one death seen: it runs only at the other upstream of the pair, and no
+ *   other suspect runs there at the same time (crash_enter);
+ * - two deaths seen: refused, not run, for a while.
+ */
+
+struct crash_list;
+
+enum crash_verdict {
+	CRASH_CLEAR = 0,
+	CRASH_SUSPECT,	  /* runs only where crash_enter lets it */
+	CRASH_QUARANTINED /* refused: not run */
+};
+
+int crash_start(struct node *n, struct crash_list **out, struct error *err);
+
+void crash_fingerprint(const char *account, const char *path, const void *body,
+		       size_t size, struct digest *out);
+void crash_pair(const struct digest *fp, const char *const *upstreams,
+		int count, int pair[2]);
+
+enum crash_verdict crash_verdict(struct crash_list *c, const struct digest *fp,
+				 apr_time_t now, int *retry_after_s);
+int crash_quarantined(struct crash_list *c, const struct digest *fp,
+		      apr_time_t now, int *retry_after_s);
+int crash_enter(struct crash_list *c, const struct digest *fp,
+		const char *upstream, apr_time_t now, int *retry_after_s);
+void crash_leave(struct crash_list *c, const struct digest *fp,
+		 const char *upstream, int finished, apr_time_t now);
+void crash_seen(struct crash_list *c, const char *upstream, uint64_t boot,
+		const struct digest *fps, int count, apr_time_t now);
+
+#endif
--- /dev/null
+++ b/calls/limits.h
@@ -0,0 +1,57 @@
+#ifndef CALLS_LIMITS_H
+#define CALLS_LIMITS_H
+
+#include <apr_time.h>
+
+#include "net/node.h"
+
+/*
+ * Admission of calls at an entry: one budget for each account over all
+ * entries, a fair queue in front of the upstreams, and early refusals.
+ *
+ * The caller embeds a struct admission in its call, fills the first part
+ * and asks.  decided is called exactly once, perhaps before limits_request
+ * returns, on whichever thread brought the decision about, and never while
+ * a lock of this module is held.  A granted call must be released.
+ */
+
+struct limits;
+
+enum admit_outcome {
+	ADMIT_GRANTED = 1,
+	ADMIT_LIMIT,	/* the account used up its budget: 429 */
+	ADMIT_OVERLOAD, /* the upstreams can't take it in time: 503 */
+	ADMIT_UNKNOWN	/* the configuration has no such account: 403 */
+};
+
+struct admission {
+	char account[64];
+	int priority;	     /* 0 first to 9 */
+	int tokens;	     /* estimated cost; 0 for plain calls */
+	apr_time_t deadline; /* monotonic; 0 for none */
+	int plain;	     /* for a plain service, not a model engine */
+	char target[64];     /* name of the model or service */
+	void (*decided)(struct admission *a, enum admit_outcome outcome,
+			int retry_after_ms, const char *reason);
+	void *arg;
+
+	/* private to this module */
+	int state;
+	int outcome;
+	int retry_after_ms;
+	const char *reason;
+	struct handle account_row;
+	apr_time_t asked;
+	double start_tag;
+	double finish_tag;
+	struct admission *prev;
+	struct admission *next;
+};
+
+int limits_start(struct node *n, struct limits **out, struct error *err);
+void limits_request(struct limits *l, struct admission *a, apr_time_t now);
+void limits_release(struct limits *l, struct admission *a, int tokens_used,
+		    apr_time_t now);
+int limits_withdraw(struct limits *l, struct admission *a, apr_time_t now);
+
+#endif
