--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,9 @@
 STANDIN_COMMON := $(wildcard t/standin/lib-*.c)
 STANDIN_SRC := $(filter-out $(STANDIN_COMMON),$(wildcard t/standin/*.c))
 STANDINS := $(STANDIN_SRC:t/standin/%.c=$(B)/t/%)
-HELPER_SRC := $(filter-out t/helper/fuzz-%.c,$(wildcard t/helper/*.c))
+HELPER_COMMON := $(wildcard t/helper/lib-*.c)
+HELPER_SRC := $(filter-out t/helper/fuzz-%.c $(HELPER_COMMON),\
+	$(wildcard t/helper/*.c))
 HELPERS := $(HELPER_SRC:t/helper/%.c=$(B)/t/%)
 DAEMON_BIN := $(foreach d,$(DAEMONS),$(if $(wildcard $(d).c),$(B)/$(d)))
 STYLE_SRC := $(filter-out $(GENERATED),$(LIB_SRC)) $(BUILTIN_SRC) \
@@ -64,7 +66,8 @@
 		$(B)/liblimpet.a
 	$(Q)$(CC) $(LIMPET_CFLAGS) -o $@ $^ $(LIMPET_LIBS)
 
-$(HELPERS): $(B)/t/%: $(B)/t/helper/%.o $(B)/liblimpet.a
+$(HELPERS): $(B)/t/%: $(B)/t/helper/%.o $(HELPER_COMMON:%.c=$(B)/%.o) \
+		$(B)/liblimpet.a
 	@mkdir -p $(dir $@)
 	$(Q)$(CC) $(LIMPET_CFLAGS) -o $@ $^ $(LIMPET_LIBS) -lcheck -lsubunit -lrt
 
--- /dev/null
+++ b/t/helper/lib-answer.c
@@ -0,0 +1,320 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/digest.h"
+#include "t/helper/lib-answer.h"
+
+#define TEXT_MAX (8 * 1024 * 1024)
+#define EVENT_START "data: "
+#define EVENT_END "\n\n"
+#define INDEX_ROOM 16
+#define HTTP_OK 200
+
+const char *const answer_outcome_names[OUTCOME_COUNT] = { "answer", "not-run",
+							  "unknown", "error" };
+
+void answer_init(struct answer *ans)
+{
+	memset(ans, 0, sizeof(*ans));
+	ans->last = -1;
+}
+
+void answer_release(struct answer *ans)
+{
+	free(ans->text);
+	free(ans->tokens);
+	answer_init(ans);
+}
+
+static void answer_problem(struct answer *ans, const char *problem)
+{
+	if (!*ans->problem)
+		snprintf(ans->problem, sizeof(ans->problem), "%s", problem);
+}
+
+static void copy_string(char *out, size_t size, const char *text)
+{
+	if (text)
+		snprintf(out, size, "%s", text);
+}
+
+/* Takes a header of the answer; the status is known. */
+void answer_header(struct answer *ans, const struct answer_expectation *want,
+		   const char *name, const char *value)
+{
+	if (!strcasecmp(name, "X-Limpet-Outcome"))
+		copy_string(ans->said, sizeof(ans->said), value);
+	else if (!strcasecmp(name, "X-Model-Version"))
+		copy_string(ans->version, sizeof(ans->version), value);
+	else if (!strcasecmp(name, "X-Request-Id"))
+		ans->header_id_differs = strcmp(value, want->id) != 0;
+}
+
+/* Appends a token of the model. */
+static int token_add(struct answer *ans, const char *token)
+{
+	char *tokens;
+	int room;
+
+	if (!token || strlen(token) != ANSWER_TOKEN_LEN)
+		return -1;
+	if (ans->token_count == ans->token_room) {
+		room = 2 * ans->token_room + 16;
+		tokens = realloc(ans->tokens, (size_t)room * ANSWER_TOKEN_LEN);
+		if (!tokens)
+			return -1;
+		ans->tokens = tokens;
+		ans->token_room = room;
+	}
+	memcpy(ans->tokens + (ptrdiff_t)ans->token_count * ANSWER_TOKEN_LEN,
+	       token, ANSWER_TOKEN_LEN);
+	ans->token_count++;
+	return 0;
+}
+
+/* Takes the version and the content from the end of a model's answer. */
+static void read_version(struct answer *ans, json_t *obj)
+{
+	const char *version =
+		json_string_value(json_object_get(obj, "version"));
+
+	if (version && *ans->version && strcmp(version, ans->version) != 0) {
+		ans->mixed = true;
+		answer_problem(ans, "two versions");
+	}
+	copy_string(ans->version, sizeof(ans->version), version);
+	copy_string(ans->content, sizeof(ans->content),
+		    json_string_value(json_object_get(obj, "content")));
+}
+
+static bool id_differs(const struct answer_expectation *want, json_t *obj)
+{
+	const char *id = json_string_value(json_object_get(obj, "id"));
+
+	return !id || strcmp(id, want->id) != 0;
+}
+
+/* Takes one event of a stream. */
+static void read_event(struct answer *ans,
+		       const struct answer_expectation *want, json_t *obj)
+{
+	json_t *index = json_object_get(obj, "index");
+
+	if (id_differs(want, obj))
+		ans->event_id_differs = true;
+	if (index) {
+		if (json_integer_value(index) != ans->token_count ||
+		    ans->last >= 0 ||
+		    token_add(ans,
+			      json_string_value(json_object_get(obj, "token"))))
+			ans->gap = true;
+	} else if (json_is_true(json_object_get(obj, "done"))) {
+		ans->last =
+			(int)json_integer_value(json_object_get(obj, "tokens"));
+		read_version(ans, obj);
+	}
+}
+
+/* Takes the whole events out of the text that came so far. */
+static void read_events(struct answer *ans,
+			const struct answer_expectation *want, int64_t now_us)
+{
+	char *at = ans->text;
+	char *end;
+	json_t *obj;
+
+	while ((end = strstr(at, EVENT_END))) {
+		if (!strncmp(at, EVENT_START, strlen(EVENT_START))) {
+			at += strlen(EVENT_START);
+			obj = json_loadb(at, (size_t)(end - at), 0, NULL);
+			if (obj)
+				read_event(ans, want, obj);
+			else
+				ans->gap = true;
+			json_decref(obj);
+			if (!ans->first_us)
+				ans->first_us = now_us;
+		}
+		at = end + strlen(EVENT_END);
+	}
+	ans->text_len -= (size_t)(at - ans->text);
+	memmove(ans->text, at, ans->text_len + 1);
+}
+
+/* Takes a piece of the body.  Returns -1 when there is too much of it. */
+int answer_data(struct answer *ans, const struct answer_expectation *want,
+		const char *data, size_t len, int64_t now_us)
+{
+	size_t room = 2 * (ans->text_len + len) + 1;
+	char *text;
+
+	if (ans->text_len + len > TEXT_MAX)
+		return -1;
+	if (ans->text_len + len + 1 > ans->text_room) {
+		text = realloc(ans->text, room);
+		if (!text)
+			return -1;
+		ans->text = text;
+		ans->text_room = room;
+	}
+	memcpy(ans->text + ans->text_len, data, len);
+	ans->text_len += len;
+	ans->text[ans->text_len] = '\0';
+	if (want->stream && ans->status == HTTP_OK)
+		read_events(ans, want, now_us);
+	else if (!ans->first_us)
+		ans->first_us = now_us;
+	return 0;
+}
+
+/* Whether token i comes from a content and the prompt. */
+static bool token_matches(const struct answer *ans, const char *content,
+			  const char *prompt, int i)
+{
+	size_t size = ANSWER_CONTENT_LEN + strlen(prompt) + INDEX_ROOM;
+	char hex[DIGEST_HEX_SIZE];
+	struct digest digest;
+	char *text = malloc(size);
+	int len;
+
+	if (!text)
+		abort();
+	len = snprintf(text, size, "%s|%s|%d", content, prompt, i);
+	digest_of(text, (size_t)len, &digest);
+	digest_hex(&digest, hex);
+	free(text);
+	return !memcmp(hex, ans->tokens + (ptrdiff_t)i * ANSWER_TOKEN_LEN,
+		       ANSWER_TOKEN_LEN);
+}
+
+/* Checks that every token that came is made by one known version. */
+static void check_tokens(struct answer *ans,
+			 const struct answer_expectation *want)
+{
+	const char *known = json_string_value(
+		json_object_get(want->contents, ans->version));
+	const char *content = *ans->content ? ans->content : known;
+	int i;
+
+	if (known && content != known && strcmp(known, content) != 0) {
+		ans->mixed = true;
+		answer_problem(ans, "content is not the version's");
+	}
+	if (json_object_size(want->contents) && *ans->version && !known) {
+		ans->mixed = true;
+		answer_problem(ans, "version is not known");
+	}
+	for (i = 0; content && i < ans->token_count; i++) {
+		if (token_matches(ans, content, want->prompt, i))
+			continue;
+		ans->mixed = true;
+		answer_problem(ans, "token is not the content's");
+		return;
+	}
+}
+
+/* Reads a model's answer that isn't streamed. */
+static void read_object(struct answer *ans,
+			const struct answer_expectation *want)
+{
+	json_t *obj =
+		json_loadb(ans->text ? ans->text : "", ans->text_len, 0, NULL);
+	json_t *tokens = json_object_get(obj, "tokens");
+	size_t i;
+
+	if (!obj) {
+		answer_problem(ans, "not JSON");
+		return;
+	}
+	ans->event_id_differs = id_differs(want, obj);
+	for (i = 0; i < json_array_size(tokens); i++)
+		if (token_add(ans,
+			      json_string_value(json_array_get(tokens, i))))
+			ans->gap = true;
+	if (json_is_true(json_object_get(obj, "done")))
+		ans->last = ans->token_count;
+	read_version(ans, obj);
+	json_decref(obj);
+}
+
+static void check_model(struct answer *ans,
+			const struct answer_expectation *want)
+{
+	if (!want->stream)
+		read_object(ans, want);
+	if (ans->last < 0)
+		answer_problem(ans, "no end");
+	if (ans->gap)
+		answer_problem(ans, "token missing or out of order");
+	if (ans->token_count != want->tokens || ans->last != want->tokens)
+		answer_problem(ans, "wrong number of tokens");
+	if (!*ans->content || !*ans->version)
+		answer_problem(ans, "no version");
+	check_tokens(ans, want);
+}
+
+static void check_plain(struct answer *ans,
+			const struct answer_expectation *want)
+{
+	json_t *obj =
+		json_loadb(ans->text ? ans->text : "", ans->text_len, 0, NULL);
+	const char *key = json_string_value(json_object_get(obj, "key"));
+
+	ans->event_id_differs = id_differs(want, obj);
+	ans->run = json_integer_value(json_object_get(obj, "run"));
+	if (!obj)
+		answer_problem(ans, "not JSON");
+	else if (!json_equal(json_object_get(obj, "echo"), want->echo))
+		answer_problem(ans, "echo differs");
+	else if (want->key && (!key || strcmp(key, want->key) != 0))
+		answer_problem(ans, "key differs");
+	json_decref(obj);
+}
+
+/* The outcome that an answer without a result states. */
+static enum answer_outcome read_outcome(struct answer *ans)
+{
+	json_t *obj;
+
+	if (!*ans->said && ans->text) {
+		obj = json_loadb(ans->text, ans->text_len, 0, NULL);
+		copy_string(ans->said, sizeof(ans->said),
+			    json_string_value(json_object_get(obj, "outcome")));
+		json_decref(obj);
+	}
+	if (!strcmp(ans->said, "not-run"))
+		return OUTCOME_NOT_RUN;
+	return !strcmp(ans->said, "unknown") ? OUTCOME_UNKNOWN : OUTCOME_ERROR;
+}
+
+/*
+ * Judges an attempt that is over.  clean tells whether the answer ended as
+ * HTTP wants it, sent whether a byte of the request left.
+ */
+void answer_finish(struct answer *ans, const struct answer_expectation *want,
+		   bool clean, bool sent)
+{
+	if (!clean) {
+		ans->outcome = sent ? OUTCOME_UNKNOWN : OUTCOME_ERROR;
+		if (want->prompt && want->stream && ans->status == HTTP_OK)
+			check_tokens(ans, want);
+		ans->crossed = ans->event_id_differs || ans->header_id_differs;
+		return;
+	}
+	if (ans->status != HTTP_OK) {
+		ans->outcome = read_outcome(ans);
+		ans->crossed = ans->header_id_differs;
+		return;
+	}
+	ans->outcome = OUTCOME_ANSWER;
+	if (want->prompt)
+		check_model(ans, want);
+	else
+		check_plain(ans, want);
+	ans->crossed = ans->event_id_differs || ans->header_id_differs;
+	if (ans->crossed)
+		answer_problem(ans, "identity of another request");
+	ans->whole = !*ans->problem;
+}
--- /dev/null
+++ b/t/helper/lib-answer.h
@@ -0,0 +1,73 @@
+/*
+ * What came back for one attempt of a call, and whether it is the whole
+ * answer to that call.
+ */
+#ifndef HELPER_LIB_ANSWER_H
+#define HELPER_LIB_ANSWER_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define ANSWER_TOKEN_LEN 8
+#define ANSWER_VERSION_MAX 128
+#define ANSWER_CONTENT_LEN 64
+#define ANSWER_ID_MAX 64
+
+enum answer_outcome {
+	OUTCOME_ANSWER,
+	OUTCOME_NOT_RUN,
+	OUTCOME_UNKNOWN,
+	OUTCOME_ERROR,
+	OUTCOME_COUNT
+};
+
+extern const char *const answer_outcome_names[OUTCOME_COUNT];
+
+/* What a whole answer to a call has to look like. */
+struct answer_expectation {
+	const char *id;
+	const char *prompt;	/* of a model call, else NULL */
+	json_t *echo;		/* body of a plain call, else NULL */
+	const char *key;	/* of a plain call, may be NULL */
+	const json_t *contents; /* version to SHA-256, may be empty */
+	int tokens;
+	bool stream;
+};
+
+struct answer {
+	int status;
+	enum answer_outcome outcome;
+	bool whole;
+	bool crossed;  /* it carries the identity of another request */
+	bool mixed;    /* it doesn't come from one known version */
+	char said[16]; /* outcome that the answer states */
+	char version[ANSWER_VERSION_MAX + 1];
+	char content[ANSWER_CONTENT_LEN + 1];
+	char ticket[512];
+	char problem[96]; /* why it isn't whole */
+	char *text;	  /* body, or the part of a stream not read yet */
+	size_t text_len;
+	size_t text_room;
+	char *tokens; /* ANSWER_TOKEN_LEN characters each */
+	int token_count;
+	int token_room;
+	int last; /* tokens stated by the last event, -1 before it */
+	json_int_t run;
+	int64_t first_us;
+	bool header_id_differs;
+	bool event_id_differs;
+	bool gap;
+};
+
+void answer_init(struct answer *ans);
+void answer_release(struct answer *ans);
+void answer_header(struct answer *ans, const struct answer_expectation *want,
+		   const char *name, const char *value);
+int answer_data(struct answer *ans, const struct answer_expectation *want,
+		const char *data, size_t len, int64_t now_us);
+void answer_finish(struct answer *ans, const struct answer_expectation *want,
+		   bool clean, bool sent);
+
+#endif
--- /dev/null
+++ b/t/helper/lib-attempt.h
@@ -0,0 +1,50 @@
+/*
+ * One call of a load and its attempts: a ticket first where one is wanted,
+ * then the call itself, repeated through another entry as long as its outcome
+ * asks for it.
+ */
+#ifndef HELPER_LIB_ATTEMPT_H
+#define HELPER_LIB_ATTEMPT_H
+
+#include <apr_time.h>
+#include <jansson.h>
+
+#include "net/fetch.h"
+#include "t/helper/lib-answer.h"
+#include "t/helper/lib-plan.h"
+
+#define ATTEMPT_URL_MAX 256
+#define ATTEMPT_HEADER_MAX 640
+#define ATTEMPT_HEADERS 12
+
+struct load_call {
+	struct load_call *next; /* while it waits for its next attempt */
+	struct fetch fetch;
+	struct fetcher *fetcher;
+	struct plan plan;
+	struct answer answer;
+	struct answer_expectation want;
+	const struct plan_settings *set;
+	void (*over)(struct load_call *call);
+	void *load;
+	int entry;
+	int attempts;
+	int timeout_ms;
+	bool fresh; /* always on a new connection */
+	bool in_ticket;
+	bool is_double;
+	json_t *earlier; /* outcomes of former attempts */
+	apr_time_t begin_us;
+	apr_time_t sent_us;
+	apr_time_t end_us;
+	apr_time_t begin_unix_us;
+	apr_time_t again_us;
+	char url[ATTEMPT_URL_MAX];
+	char headers[ATTEMPT_HEADERS][ATTEMPT_HEADER_MAX];
+};
+
+void attempt_start(struct load_call *call);
+void attempt_note_earlier(struct load_call *call);
+json_t *attempt_line(const struct load_call *call);
+
+#endif
--- /dev/null
+++ b/t/helper/lib-plan.h
@@ -0,0 +1,62 @@
+/*
+ * The calls that a load consists of, drawn from a seed.
+ */
+#ifndef HELPER_LIB_PLAN_H
+#define HELPER_LIB_PLAN_H
+
+#include <jansson.h>
+#include <stdbool.h>
+
+#include "base/random.h"
+
+#define PLAN_ENTRIES_MAX 64
+#define PLAN_ACCOUNTS_MAX 64
+#define PLAN_ID_LEN 48
+
+struct plan_settings {
+	const char *entries[PLAN_ENTRIES_MAX]; /* "address:port" */
+	int entry_count;
+	const char *accounts[PLAN_ACCOUNTS_MAX]; /* "name=token" */
+	int account_count;
+	const char *model;
+	const char *service;
+	const char *operation;
+	double plain_share;
+	double stream_share;
+	double ticket_share; /* of plain calls */
+	double key_share;    /* of plain calls */
+	double double_share; /* of plain calls, sent through two entries */
+	double crash_share;
+	int tokens;
+	int prompts;	  /* distinct beginnings of prompts */
+	int prompt_bytes; /* length of such a beginning */
+	int sessions;	  /* 0 for none */
+	int priority;	  /* -1 for none */
+	int deadline_ms;  /* 0 for none */
+	const char *name; /* first part of every identity */
+	int direct;
+	json_t *contents; /* version to SHA-256 of its content */
+};
+
+struct plan {
+	bool is_plain;
+	bool stream;
+	bool twice;
+	bool wants_ticket;
+	char id[PLAN_ID_LEN];
+	char key[PLAN_ID_LEN]; /* empty without a key */
+	char session[PLAN_ID_LEN];
+	char ticket[512];
+	int account;
+	char *prompt;
+	char *body;
+	json_t *echo;
+};
+
+void plan_draw(struct plan *plan, const struct plan_settings *set,
+	       struct random *random, long number);
+void plan_release(struct plan *plan);
+void plan_account(const struct plan_settings *set, const struct plan *plan,
+		  char *name, size_t size, const char **token);
+
+#endif
--- a/t/standin/lib-blob.c
+++ b/t/standin/lib-blob.c
@@ -94,7 +94,7 @@
 	out[2 * n] = '\0';
 }
 
-void digest_hex(const char *data, size_t len, char *out)
+void blob_sha256_hex(const char *data, size_t len, char *out)
 {
 	unsigned char raw[SHA256_DIGEST_LENGTH];
 
@@ -158,7 +158,7 @@
 		blobs.digests = json_object();
 	known = json_string_value(json_object_get(blobs.digests, name));
 	if (known) {
-		memcpy(out, known, DIGEST_HEX_LEN + 1);
+		memcpy(out, known, BLOB_HEX_LEN + 1);
 	} else {
 		ret = list_hash(list, n, out);
 		if (!ret)
--- a/t/standin/lib-blob.h
+++ b/t/standin/lib-blob.h
@@ -8,7 +8,7 @@
 #include <stddef.h>
 #include <xxhash.h>
 
-#define DIGEST_HEX_LEN 64
+#define BLOB_HEX_LEN 64
 
 struct blob {
 	struct blob *next;
@@ -23,7 +23,7 @@
 void blob_put(void *blob);
 
 /* SHA-256 in lower-case hex, with a terminating NUL. */
-void digest_hex(const char *data, size_t len, char *out);
+void blob_sha256_hex(const char *data, size_t len, char *out);
 int blob_list_digest(struct blob **list, size_t n, char *out);
 
 #endif
--- a/t/standin/lib-engine-calls.c
+++ b/t/standin/lib-engine-calls.c
@@ -15,15 +15,15 @@
 /* Writes token i of a call: it depends on the weights and the prompt. */
 static void token_make(const struct engine_call *call, int i, char *out)
 {
-	char hex[DIGEST_HEX_LEN + 1];
-	size_t size = DIGEST_HEX_LEN + strlen(call->prompt) + INDEX_ROOM;
+	char hex[BLOB_HEX_LEN + 1];
+	size_t size = BLOB_HEX_LEN + strlen(call->prompt) + INDEX_ROOM;
 	char *text = malloc(size);
 	int len;
 
 	if (!text)
 		abort();
 	len = snprintf(text, size, "%s|%s|%d", call->content, call->prompt, i);
-	digest_hex(text, (size_t)len, hex);
+	blob_sha256_hex(text, (size_t)len, hex);
 	free(text);
 	memcpy(out, hex, TOKEN_LEN);
 	out[TOKEN_LEN] = '\0';
--- a/t/standin/lib-engine-staging.c
+++ b/t/standin/lib-engine-staging.c
@@ -152,7 +152,7 @@
 	if (!strcmp(req->path, "/staging"))
 		return staging_list(engine, req);
 	if (strncmp(req->path, CHUNK_PATH, strlen(CHUNK_PATH)) != 0 ||
-	    strlen(digest) != DIGEST_HEX_LEN)
+	    strlen(digest) != BLOB_HEX_LEN)
 		return web_reply_error(req, MHD_HTTP_NOT_FOUND, "no such path");
 	if (!strcmp(req->method, "PUT"))
 		return chunk_put(engine, req, digest);
--- a/t/standin/lib-engine.h
+++ b/t/standin/lib-engine.h
@@ -49,14 +49,14 @@
 extern struct engine_settings engine_settings;
 
 struct staged_chunk {
-	char digest[DIGEST_HEX_LEN + 1];
+	char digest[BLOB_HEX_LEN + 1];
 	struct blob *blob;
 };
 
 struct engine_model {
 	char *name;
 	char version[ENGINE_VERSION_MAX + 1];
-	char content[DIGEST_HEX_LEN + 1];
+	char content[BLOB_HEX_LEN + 1];
 	json_int_t fence;
 	int64_t ready_ms;
 };
@@ -80,7 +80,7 @@
 	char *prompt;
 	char *session;
 	char version[ENGINE_VERSION_MAX + 1];
-	char content[DIGEST_HEX_LEN + 1];
+	char content[BLOB_HEX_LEN + 1];
 	int priority;
 	bool stream;
 	int first; /* index of the first token to send */
@@ -108,7 +108,7 @@
 
 struct kv_session {
 	char *name;
-	char content[DIGEST_HEX_LEN + 1];
+	char content[BLOB_HEX_LEN + 1];
 	int blocks;
 	uint64_t hashes[];
 };
