--- /dev/null
+++ b/calls/hop.c
@@ -0,0 +1,137 @@
+#include "calls/hop.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/digest.h"
+
+#define HOP_TEXT_MAX 2048
+
+/* Returns 1 for an identity of visible ASCII that fits into a header. */
+int request_id_valid(const char *id)
+{
+	size_t i, n = strlen(id);
+
+	if (!n || n >= HOP_REQUEST_MAX)
+		return 0;
+	for (i = 0; i < n; i++)
+		if (id[i] <= ' ' || id[i] > '~' || id[i] == '"' ||
+		    id[i] == '\\')
+			return 0;
+	return 1;
+}
+
+/* Writes the authentication code over all that the agent acts upon. */
+static void hop_sign(const struct hop *h, const char *path, const void *body,
+		     size_t size, const char *key, struct digest *mac)
+{
+	char text[HOP_TEXT_MAX], hex[DIGEST_HEX_SIZE];
+	struct digest d;
+	int n;
+
+	digest_of(body, size, &d);
+	digest_hex(&d, hex);
+	n = snprintf(text, sizeof(text),
+		     "%s\n%s\n%s\n%s\n%ld\n%s\n%s\n%d\n%d\n%s\n%s", path,
+		     h->request, h->account, h->agent, h->left_ms, h->ticket,
+		     h->key, h->repeatable, h->lifetime_s, h->version, hex);
+	digest_hmac(key, text, (size_t)n, mac);
+}
+
+__attribute__((format(printf, 3, 4))) static void
+line_add(struct hop_headers *out, struct fetch *f, const char *fmt, ...)
+{
+	char *line = out->lines[out->count];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(line, HOP_HEADER_MAX, fmt, ap);
+	va_end(ap);
+	f->headers[out->count++] = line;
+	f->headers[out->count] = NULL;
+}
+
+/* Sets the headers of a fetch that hands a call over. */
+void hop_write(const struct hop *h, const char *path, const void *body,
+	       size_t size, const char *key, struct hop_headers *out,
+	       struct fetch *f)
+{
+	char hex[DIGEST_HEX_SIZE];
+	struct digest mac;
+
+	hop_sign(h, path, body, size, key, &mac);
+	digest_hex(&mac, hex);
+	out->count = 0;
+	line_add(out, f, "Content-Type: application/json");
+	line_add(out, f, "X-Limpet-Request: %s", h->request);
+	line_add(out, f, "X-Limpet-Account: %s", h->account);
+	line_add(out, f, "X-Limpet-Left-Ms: %ld", h->left_ms);
+	line_add(out, f, "X-Limpet-Repeatable: %d %d", h->repeatable,
+		 h->lifetime_s);
+	line_add(out, f, "X-Limpet-Auth: %s", hex);
+	if (*h->ticket)
+		line_add(out, f, "X-Limpet-Ticket: %s", h->ticket);
+	if (*h->key)
+		line_add(out, f, "X-Limpet-Key: %s", h->key);
+	if (*h->version)
+		line_add(out, f, "X-Limpet-Version: %s", h->version);
+}
+
+static int header_copy(struct http_call *c, const char *name, int required,
+		       char *to, size_t size)
+{
+	const char *value = http_call_header(c, name);
+
+	if (!value)
+		return required ? -1 : 0;
+	return snprintf(to, size, "%s", value) < (int)size ? 0 : -1;
+}
+
+/*
+ * Reads and verifies the headers of a hand-over; h->agent must be set to
+ * the instance that reads.  Only within the handler.
+ */
+int hop_read(struct http_call *c, const struct rpc_keys *keys, struct hop *h,
+	     struct error *err)
+{
+	char hex[DIGEST_HEX_SIZE] = "", left[24] = "", flags[32] = "";
+	struct digest given, want;
+	const void *body;
+	size_t size;
+	int ok;
+
+	if (header_copy(c, "X-Limpet-Request", 1, h->request,
+			sizeof(h->request)) ||
+	    header_copy(c, "X-Limpet-Account", 1, h->account,
+			sizeof(h->account)) ||
+	    header_copy(c, "X-Limpet-Left-Ms", 1, left, sizeof(left)) ||
+	    header_copy(c, "X-Limpet-Repeatable", 1, flags, sizeof(flags)) ||
+	    header_copy(c, "X-Limpet-Auth", 1, hex, sizeof(hex)) ||
+	    header_copy(c, "X-Limpet-Ticket", 0, h->ticket,
+			sizeof(h->ticket)) ||
+	    header_copy(c, "X-Limpet-Key", 0, h->key, sizeof(h->key)) ||
+	    header_copy(c, "X-Limpet-Version", 0, h->version,
+			sizeof(h->version)) ||
+	    digest_parse(hex, &given) || !request_id_valid(h->request))
+		return error_set(err, ERROR_INVALID, "hop-read",
+				 http_call_peer(c),
+				 "headers missing or malformed");
+	h->left_ms = strtol(left, NULL, 10);
+	if (sscanf(flags, "%d %d", &h->repeatable, &h->lifetime_s) != 2)
+		return error_set(err, ERROR_INVALID, "hop-read",
+				 http_call_peer(c), "flags malformed");
+	body = http_call_body(c, &size);
+	hop_sign(h, http_call_path(c), body, size, keys->current, &want);
+	ok = bytes_equal_constant_time(&want, &given, sizeof(want));
+	if (!ok && *keys->previous) {
+		hop_sign(h, http_call_path(c), body, size, keys->previous,
+			 &want);
+		ok = bytes_equal_constant_time(&want, &given, sizeof(want));
+	}
+	if (!ok)
+		return error_set(err, ERROR_AUTH, "hop-read", http_call_peer(c),
+				 "authentication code is wrong");
+	return 0;
+}
--- /dev/null
+++ b/calls/hop.h
@@ -0,0 +1,45 @@
+#ifndef CALLS_HOP_H
+#define CALLS_HOP_H
+
+#include "net/fetch.h"
+#include "net/httpd.h"
+#include "net/rpc.h"
+
+/*
+ * The hand-over of a call from an entry to an agent: headers that tell the
+ * agent whose call it is, signed together with the path and the body.
+ */
+
+#define HOP_REQUEST_MAX 129 /* with the closing NUL */
+#define HOP_ACCOUNT_MAX 64
+#define HOP_TICKET_MAX 512
+#define HOP_KEY_MAX 256
+#define HOP_HEADER_MAX 640
+
+struct hop {
+	char request[HOP_REQUEST_MAX]; /* identity, echoed by each hop */
+	char account[HOP_ACCOUNT_MAX];
+	char agent[64]; /* the instance it is meant for */
+	long left_ms;
+	char ticket[HOP_TICKET_MAX]; /* empty for none */
+	char key[HOP_KEY_MAX];	     /* the caller's, empty for none */
+	int repeatable;
+	int lifetime_s;	  /* of keys, for calls that aren't repeatable */
+	char version[65]; /* of the model, empty for a plain service */
+};
+
+/* Headers of one hand-over, kept until it is over. */
+struct hop_headers {
+	char lines[10][HOP_HEADER_MAX];
+	int count;
+};
+
+void hop_write(const struct hop *h, const char *path, const void *body,
+	       size_t size, const char *key, struct hop_headers *out,
+	       struct fetch *f);
+int hop_read(struct http_call *c, const struct rpc_keys *keys, struct hop *h,
+	     struct error *err);
+
+int request_id_valid(const char *id);
+
+#endif
--- /dev/null
+++ b/calls/sse.h
@@ -0,0 +1,42 @@
+#ifndef CALLS_SSE_H
+#define CALLS_SSE_H
+
+#include <stddef.h>
+
+/*
+ * Reads the event stream of a model engine: splits it into events and
+ * checks that each belongs to the request, in order, and that the end says
+ * so.  Used on both hops.
+ */
+
+#define SSE_EVENT_MAX (64 * 1024)
+
+enum sse_fault {
+	SSE_OK = 0,
+	SSE_MALFORMED, /* not an event of an engine, or too long */
+	SSE_CROSSED,   /* of another request */
+	SSE_GAP	       /* a token is missing or came twice */
+};
+
+struct sse {
+	const char *id;	  /* of the request, kept by reference */
+	int next;	  /* index of the token expected next */
+	int done;	  /* the end was seen */
+	char version[65]; /* as the end says */
+	enum sse_fault fault;
+	char *part; /* of an event not yet complete */
+	size_t size;
+	size_t capacity;
+	/* Takes one whole event with its empty line.  -1 ends the stream. */
+	int (*event)(void *arg, const char *text, size_t size);
+	void *arg;
+};
+
+void sse_init(struct sse *s, const char *id, int first,
+	      int (*event)(void *arg, const char *text, size_t size),
+	      void *arg);
+void sse_destroy(struct sse *s);
+int sse_feed(struct sse *s, const char *data, size_t size);
+void sse_restart(struct sse *s);
+
+#endif
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -41,6 +41,7 @@
 	pthread_mutex_t mutex; /* guards requests and stopping */
 	struct request *requests;
 	struct request **requests_tail;
+	struct request *serving; /* taken from the queue, event thread only */
 	int stopping;
 	int woken;	  /* a wake-up is under way */
 	apr_time_t timer; /* when libcurl wants to be called, -1 for never */
@@ -181,6 +182,20 @@
 		curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, f->method);
 }
 
+/* Asked by libcurl once it is connected, before it sends the request. */
+static int send_allowed(void *userp, char *remote, char *local, int remote_port,
+			int local_port)
+{
+	struct fetch *f = userp;
+	long connects = 0;
+
+	curl_easy_getinfo(f->easy, CURLINFO_NUM_CONNECTS, &connects);
+	__atomic_store_n(&f->reused, !connects, __ATOMIC_RELAXED);
+	if (f->send_by && clock_now() > f->send_by)
+		return CURL_PREREQFUNC_ABORT;
+	return CURL_PREREQFUNC_OK;
+}
+
 static CURL *easy_new(const struct fetcher *r, struct fetch *f)
 {
 	CURL *e = curl_easy_init();
@@ -224,6 +239,8 @@
 	 */
 	if (f->once)
 		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, send_allowed);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, f);
 	if (*r->local_address)
 		curl_easy_setopt(e, CURLOPT_INTERFACE, r->local_address);
 	method_set(e, f);
@@ -256,6 +273,37 @@
 		  curl_easy_strerror(code));
 }
 
+static void requests_drop(struct request **link, const struct fetch *f)
+{
+	struct request *q;
+
+	while ((q = *link)) {
+		if (q->fetch == f) {
+			*link = q->next;
+			free(q);
+		} else {
+			link = &q->next;
+		}
+	}
+}
+
+/*
+ * Has no request name f any more, as done may free it.  A cancel or resume
+ * that comes later finds f->over set and does nothing.
+ */
+static void requests_forget(struct fetcher *r, struct fetch *f)
+{
+	pthread_mutex_lock(&r->mutex);
+	f->over = 1;
+	if (f->queued) {
+		requests_drop(&r->requests, f);
+		for (r->requests_tail = &r->requests; *r->requests_tail;)
+			r->requests_tail = &(*r->requests_tail)->next;
+		requests_drop(&r->serving, f);
+	}
+	pthread_mutex_unlock(&r->mutex);
+}
+
 /* Ends a fetch: frees libcurl's part, unlinks it and calls done. */
 static void fetch_end(struct fetcher *r, struct fetch *f, CURLcode code)
 {
@@ -279,6 +327,7 @@
 	f->status = (int)status;
 	f->never_sent = !sent;
 	error_from_curl(f, code);
+	requests_forget(r, f);
 	/* done may take f->text over by clearing it, or free f itself. */
 	f->ops->done(f);
 }
@@ -286,7 +335,7 @@
 static void fetch_begin(struct fetcher *r, struct fetch *f)
 {
 	f->easy = NULL;
-	if (f->cancelled || cut_blocks_url(f->url)) {
+	if (cut_blocks_url(f->url)) {
 		fetch_end(r, f, CURLE_COULDNT_CONNECT);
 		return;
 	}
@@ -323,18 +372,21 @@
 /* Serves what other threads asked for.  Returns 0 when it is time to stop. */
 static int requests_serve(struct fetcher *r)
 {
-	struct request *q, *next;
+	struct request *q;
 	int stopping;
 
 	pthread_mutex_lock(&r->mutex);
-	q = r->requests;
+	r->serving = r->requests;
 	r->requests = NULL;
 	r->requests_tail = &r->requests;
 	r->woken = 0;
 	stopping = r->stopping;
 	pthread_mutex_unlock(&r->mutex);
-	for (; q; q = next) {
-		next = q->next;
+	while ((q = r->serving)) {
+		r->serving = q->next;
+		pthread_mutex_lock(&r->mutex);
+		q->fetch->queued--;
+		pthread_mutex_unlock(&r->mutex);
 		request_serve(r, q);
 		free(q);
 	}
@@ -419,8 +471,12 @@
 		}
 		finished_collect(r);
 	}
-	while (r->running)
-		fetch_end(r, r->running, CURLE_ABORTED_BY_CALLBACK);
+	/* A done may submit another transfer; it is ended as well. */
+	do {
+		while (r->running)
+			fetch_end(r, r->running, CURLE_ABORTED_BY_CALLBACK);
+		requests_serve(r);
+	} while (r->running);
 	return NULL;
 }
 
@@ -478,6 +534,14 @@
 	q->kind = kind;
 	q->fetch = f;
 	pthread_mutex_lock(&r->mutex);
+	if (kind == REQUEST_SUBMIT)
+		f->over = f->queued = 0;
+	if (f->over) {
+		pthread_mutex_unlock(&r->mutex);
+		free(q);
+		return;
+	}
+	f->queued++;
 	*r->requests_tail = q;
 	r->requests_tail = &q->next;
 	wake = !r->woken;
@@ -511,8 +575,8 @@
 	f->status = 0;
 	f->never_sent = 1;
 	f->link = NULL;
-	f->cancelled = 0;
 	f->refused = 0;
+	f->reused = 0;
 	f->text = NULL;
 	f->text_size = 0;
 	f->text_capacity = 0;
@@ -521,8 +585,8 @@
 }
 
 /*
- * Ends a transfer early; its done is still called.  The fetch must not have
- * been freed: call it only while holding what keeps done from freeing it.
+ * Ends a transfer early; its done is still called.  No effect on one that
+ * is over.  The caller must hold what keeps the fetch from being freed.
  */
 void fetch_cancel(struct fetch *f)
 {
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -1,6 +1,7 @@
 #ifndef NET_FETCH_H
 #define NET_FETCH_H
 
+#include <apr_time.h>
 #include <stddef.h>
 
 #include "base/error.h"
@@ -44,20 +45,23 @@
 	long connect_timeout_ms; /* 0: FETCH_CONNECT_MS */
 	long idle_seconds;	 /* give up after so long without a byte */
 	long long max_rate;	 /* bytes a second received, 0 for no limit */
+	apr_time_t send_by;	 /* not sent later than that (0: no limit) */
 	int once; /* never sent twice: new connection, no library retry */
 
 	/* filled in by the library */
 	int status;	/* of HTTP, 0 when no answer began */
 	int never_sent; /* no byte of the request left this process */
+	int reused;	/* atomic: went over a connection used before */
 	struct error error;
 	void *easy;
 	void *header_list;
 	struct fetcher *fetcher;
 	struct fetch *next;
 	struct fetch **link; /* what points here while it runs */
-	int cancelled;
-	int refused; /* data() ended the transfer */
-	char *text;  /* the body when ops->data is NULL; done must free it */
+	int queued;	     /* requests that name it; guarded by the fetcher */
+	int over;	     /* done was or is being called; likewise */
+	int refused;	     /* data() ended the transfer */
+	char *text; /* the body when ops->data is NULL; done must free it */
 	size_t text_size;
 	size_t text_capacity;
 };
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "net/cut.h"
+#include "net/hangup.h"
 
 #define CONNECTION_LIMIT 16384
 #define CONNECTION_IDLE_SECONDS 120
@@ -27,6 +28,7 @@
 struct httpd {
 	struct MHD_Daemon *daemon;
 	const struct http_route *routes;
+	struct hangup_watch *hangups;
 	int active; /* calls not yet answered whole */
 };
 
@@ -42,11 +44,14 @@
 	size_t body_capacity;
 	int too_large;
 
+	int refs; /* atomic; one for the server, one for the handler */
+
 	pthread_mutex_t mutex; /* guards all below */
-	int refs;	       /* one for the server, one for the handler */
 	enum call_state state;
 	int suspended;
-	int gone; /* the caller closed or the response failed */
+	int fd;
+	uint64_t hangup; /* id of the watch, 0 before the first wait */
+	int gone;	 /* the caller closed or the response failed */
 	int status;
 	struct MHD_Response *response;
 	struct {
@@ -64,16 +69,15 @@
 	size_t out_capacity;
 	void (*drained)(void *arg);
 	void *drained_arg;
+	void (*on_gone)(void *arg);
+	void *gone_arg;
 };
 
 static void call_unref(struct http_call *c)
 {
-	int left, i;
+	int i;
 
-	pthread_mutex_lock(&c->mutex);
-	left = --c->refs;
-	pthread_mutex_unlock(&c->mutex);
-	if (left)
+	if (__atomic_sub_fetch(&c->refs, 1, __ATOMIC_ACQ_REL))
 		return;
 	for (i = 0; i < c->header_count; i++) {
 		free(c->headers[i].name);
@@ -87,6 +91,11 @@
 	free(c);
 }
 
+static void call_ref(struct http_call *c)
+{
+	__atomic_fetch_add(&c->refs, 1, __ATOMIC_RELAXED);
+}
+
 static const struct http_route *route_find(const struct httpd *h,
 					   const char *method, const char *path)
 {
@@ -132,13 +141,20 @@
 {
 	struct MHD_Response *r;
 	enum MHD_Result ret;
-	char text[64];
+	char text[192];
 	int n;
 
-	n = snprintf(text, sizeof(text), "{\"status\":%d}\n", status);
+	n = snprintf(text, sizeof(text),
+		     "{\"type\":\"about:blank\",\"status\":%d,"
+		     "\"outcome\":\"not-run\",\"reason\":\"%s\","
+		     "\"step\":\"request\",\"scope\":\"attempt\","
+		     "\"again\":\"no\"}",
+		     status,
+		     status == MHD_HTTP_NOT_FOUND ? "no-such-path"
+						  : "body-too-large");
 	r = MHD_create_response_from_buffer((size_t)n, text,
 					    MHD_RESPMEM_MUST_COPY);
-	MHD_add_response_header(r, "Content-Type", "application/json");
+	MHD_add_response_header(r, "Content-Type", "application/problem+json");
 	ret = MHD_queue_response(con, (unsigned)status, r);
 	MHD_destroy_response(r);
 	return ret;
@@ -172,6 +188,21 @@
 	c->body[c->body_size] = '\0';
 }
 
+/* Suspends the connection, and watches for its end meanwhile.  Locked. */
+static void suspend_locked(struct http_call *c)
+{
+	const union MHD_ConnectionInfo *info;
+
+	if (!c->hangup) {
+		info = MHD_get_connection_info(
+			c->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+		c->fd = info->connect_fd;
+		c->hangup = hangup_add(c->server->hangups, c->fd, c);
+	}
+	c->suspended = 1;
+	MHD_suspend_connection(c->connection);
+}
+
 /* Queues the response that is there, or suspends until there is one. */
 static enum MHD_Result call_queue(struct http_call *c)
 {
@@ -179,9 +210,10 @@
 	int i;
 
 	pthread_mutex_lock(&c->mutex);
-	if (c->state != CALL_ANSWERED) {
-		c->suspended = 1;
-		MHD_suspend_connection(c->connection);
+	if (c->gone) {
+		ret = MHD_NO;
+	} else if (c->state != CALL_ANSWERED) {
+		suspend_locked(c);
 	} else {
 		for (i = 0; i < c->header_count; i++)
 			MHD_add_response_header(c->response, c->headers[i].name,
@@ -203,6 +235,7 @@
 {
 	struct httpd *h = cls;
 	struct http_call *c = *con_cls;
+	enum call_state state;
 
 	if (!c) {
 		c = call_new(h, con, method, url);
@@ -216,44 +249,82 @@
 		*upload_data_size = 0;
 		return MHD_YES;
 	}
-	if (c->state != CALL_READING)
+	pthread_mutex_lock(&c->mutex);
+	state = c->state;
+	pthread_mutex_unlock(&c->mutex);
+	if (state != CALL_READING)
 		return call_queue(c);
 	if (!c->route)
 		return status_queue(con, MHD_HTTP_NOT_FOUND);
 	if (c->too_large)
 		return status_queue(con, MHD_HTTP_CONTENT_TOO_LARGE);
 	c->state = CALL_HANDLED;
-	c->refs++;
+	call_ref(c);
 	c->route->handle(c, c->route->arg);
 	return call_queue(c);
 }
 
+static void resume_locked(struct http_call *c)
+{
+	if (!c->suspended || !c->connection)
+		return;
+	c->suspended = 0;
+	MHD_resume_connection(c->connection);
+}
+
+/*
+ * Notes that the caller is gone and tells the handler.  Called under the
+ * lock, so that the handler's end of the call waits for it.
+ */
+static void gone_locked(struct http_call *c)
+{
+	if (c->ended || c->gone)
+		return;
+	c->gone = 1;
+	if (c->drained)
+		c->drained(c->drained_arg);
+	if (c->on_gone)
+		c->on_gone(c->gone_arg);
+}
+
+static void hangup_hold(void *arg)
+{
+	call_ref(arg);
+}
+
+/* The caller closed its connection while the call waited. */
+static void hangup_noted(void *arg)
+{
+	struct http_call *c = arg;
+
+	pthread_mutex_lock(&c->mutex);
+	gone_locked(c);
+	resume_locked(c);
+	pthread_mutex_unlock(&c->mutex);
+	call_unref(c);
+}
+
+static const struct hangup_ops hangup_ops = { hangup_hold, hangup_noted };
+
 static void request_complete(void *cls, struct MHD_Connection *con,
 			     void **con_cls,
 			     enum MHD_RequestTerminationCode code)
 {
 	struct http_call *c = *con_cls;
-	void (*drained)(void *arg) = NULL;
-	void *arg = NULL;
 
 	if (!c)
 		return;
 	*con_cls = NULL;
 	pthread_mutex_lock(&c->mutex);
+	if (c->hangup)
+		hangup_remove(c->server->hangups, c->hangup, c->fd);
 	c->connection = NULL;
 	c->suspended = 0;
-	if (!c->ended) {
-		c->gone = 1;
-		drained = c->drained;
-		arg = c->drained_arg;
-	}
+	gone_locked(c);
 	if (c->response) {
 		MHD_destroy_response(c->response);
 		c->response = NULL;
 	}
-	/* Called under the lock, so that the handler's end waits for it. */
-	if (drained && c->refs > 1)
-		drained(arg);
 	pthread_mutex_unlock(&c->mutex);
 	__atomic_fetch_sub(&c->server->active, 1, __ATOMIC_RELAXED);
 	call_unref(c);
@@ -290,6 +361,7 @@
 			  "not an IP number");
 		return NULL;
 	}
+	h->hangups = hangup_start(&hangup_ops);
 	h->daemon = MHD_start_daemon(
 		flags, (uint16_t)port, NULL, NULL, request_receive, h,
 		MHD_OPTION_EXTERNAL_LOGGER, library_log, NULL,
@@ -302,6 +374,7 @@
 		threads > 1 ? MHD_OPTION_THREAD_POOL_SIZE : MHD_OPTION_END,
 		(unsigned)threads, MHD_OPTION_END);
 	if (!h->daemon) {
+		hangup_stop(h->hangups);
 		free(h);
 		error_set(err, ERROR_INTERNAL, "http-listen", address,
 			  "cannot listen on port %d: %m (is it in use?)", port);
@@ -331,6 +404,7 @@
 	if (!h)
 		return;
 	MHD_stop_daemon(h->daemon);
+	hangup_stop(h->hangups);
 	free(h);
 }
 
@@ -385,14 +459,6 @@
 	pthread_mutex_unlock(&c->mutex);
 }
 
-static void resume_locked(struct http_call *c)
-{
-	if (!c->suspended || !c->connection)
-		return;
-	c->suspended = 0;
-	MHD_resume_connection(c->connection);
-}
-
 static void answer_with(struct http_call *c, int status, const char *type,
 			struct MHD_Response *r)
 {
@@ -443,7 +509,7 @@
 
 	pthread_mutex_lock(&c->mutex);
 	left = c->out_size - c->out_start;
-	if (cut_blocks(c->peer)) {
+	if (c->gone || cut_blocks(c->peer)) {
 		ret = MHD_CONTENT_READER_END_WITH_ERROR;
 	} else if (left) {
 		n = left < max ? left : max;
@@ -459,8 +525,7 @@
 		ret = c->whole ? MHD_CONTENT_READER_END_OF_STREAM
 			       : MHD_CONTENT_READER_END_WITH_ERROR;
 	} else {
-		c->suspended = 1;
-		MHD_suspend_connection(c->connection);
+		suspend_locked(c);
 		ret = 0;
 	}
 	pthread_mutex_unlock(&c->mutex);
@@ -535,6 +600,7 @@
 	c->ended = 1;
 	c->whole = whole;
 	c->drained = NULL;
+	c->on_gone = NULL;
 	resume_locked(c);
 	pthread_mutex_unlock(&c->mutex);
 	call_unref(c);
@@ -552,3 +618,17 @@
 	c->drained_arg = arg;
 	pthread_mutex_unlock(&c->mutex);
 }
+
+/*
+ * Has gone called once, on a server thread, when the caller goes before the
+ * answer is complete.  It must not call back into the call.
+ */
+void http_call_on_gone(struct http_call *c, void (*gone)(void *arg), void *arg)
+{
+	pthread_mutex_lock(&c->mutex);
+	c->on_gone = gone;
+	c->gone_arg = arg;
+	if (c->gone && gone)
+		gone(arg);
+	pthread_mutex_unlock(&c->mutex);
+}
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -52,5 +52,6 @@
 void http_call_stream_end(struct http_call *c, int whole);
 void http_call_on_drain(struct http_call *c, void (*drained)(void *arg),
 			void *arg);
+void http_call_on_gone(struct http_call *c, void (*gone)(void *arg), void *arg);
 
 #endif
