--- a/t/demo.sh
+++ b/t/demo.sh
@@ -95,7 +95,8 @@
 
 calls_during () {
 	caller --entry "$ENTRY1:7100" --entry "$ENTRY2:7100" \
-		--key adubo-key --model quotes --stream --calls 400 --rate 50 \
+		--account adubo=adubo-key --model quotes --stream-share 1 \
+		--plain-share 0 --calls 400 --rate 50 \
 		--content "$digest1=$content1" --content "$digest2=$content2" \
 		--history calls.jsonl >calls.json
 }
@@ -119,8 +120,9 @@
 	limpetctl drain "$drain_address" || return 1
 	sleep 2
 	curl -s "http://$drain_address:7200/standin/counts" >before.json
-	caller --entry "$ENTRY1:7100" --entry "$ENTRY2:7100" --key adubo-key \
-		--model quotes --stream --calls 50 --rate 50 \
+	caller --entry "$ENTRY1:7100" --entry "$ENTRY2:7100" \
+		--account adubo=adubo-key --model quotes --stream-share 1 \
+		--plain-share 0 --calls 50 --rate 50 \
 		--content "$digest2=$content2" --history drain.jsonl >drain.json &&
 	curl -s "http://$drain_address:7200/standin/counts" >after.json &&
 	jq -e '.answers == 50 and .violations == 0' drain.json &&
