config, member: spread the platform's values and know the fleet

Few processes of a data centre watch the platform; the rest hear of new versions from bounded neighbours and pull the text. Membership merges the platform's list with direct word, grades detection and has entries ask a subset of the agents for their reports.

--- /dev/null
+++ b/config/component.h
@@ -0,0 +1,67 @@
+#ifndef CONFIG_COMPONENT_H
+#define CONFIG_COMPONENT_H
+
+#include <pthread.h>
+
+#include "base/pool.h"
+#include "config/spread.h"
+#include "config/value.h"
+#include "net/node.h"
+
+/* The state of the configuration component; for config/ only. */
+
+#define CHANGES_KEPT 64
+#define FAULTS_KEPT 20
+#define SOURCE_SIZE 80
+
+/* A version that came into force. */
+struct value_change {
+	uint64_t version;
+	apr_time_t at; /* wall clock, for operators */
+};
+
+/* The text of a value, shared with replies under way. */
+struct value_text {
+	char *data;
+	size_t size;
+};
+
+struct value_state {
+	const struct value_ops *ops;
+	void *arg;
+	struct value_text text;
+	char source[SOURCE_SIZE];
+	struct value_change changes[CHANGES_KEPT];
+	unsigned change_count; /* ever */
+	unsigned invalid;      /* texts refused */
+	unsigned old;	       /* older texts passed over */
+};
+
+struct config {
+	struct node *node;
+	struct worker_pool *pool;
+	/*
+	 * Guards what follows.  Rank RANK_CONFIG: no table of the board is
+	 * locked before it, and none while it is held.
+	 */
+	pthread_mutex_t mutex;
+	struct spread spread;
+	struct random random;
+	struct value_state values[SPREAD_VALUES];
+	struct fault_list faults; /* of the document refused last */
+	uint64_t refused_revision;
+	int ready; /* latched */
+	int stopping;
+	apr_time_t members_due;
+};
+
+extern const struct rpc_kind config_kinds[];
+
+void config_react(struct config *c);
+void config_actions_run(struct config *c, const struct spread_actions *list);
+int config_take(struct config *c, int value, const char *text, size_t size,
+		const char *source);
+json_t *config_status(void *arg);
+void config_members_update(struct config *c, apr_time_t now);
+
+#endif
--- /dev/null
+++ b/config/config.c
@@ -0,0 +1,270 @@
+#include "config/config.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metric.h"
+#include "config/component.h"
+#include "config/document.h"
+#include "member/instance.h"
+
+#define CONFIG_THREADS 3
+#define CONFIG_QUEUE_LIMIT 512
+#define CONTROLLER_US (50 * 1000)
+#define MEMBERS_US (500 * 1000)
+#define STATUS_CHANGES 16
+
+static struct config config;
+
+/* Decides what is to be done now and hands it out; any thread. */
+void config_react(struct config *c)
+{
+	struct spread_actions actions;
+
+	pthread_mutex_lock(&c->mutex);
+	actions.count = 0;
+	if (!c->stopping)
+		spread_decide(&c->spread, clock_now(), &c->random, &actions);
+	pthread_mutex_unlock(&c->mutex);
+	config_actions_run(c, &actions);
+}
+
+static void change_note(struct value_state *v, uint64_t version,
+			const char *source)
+{
+	struct value_change *ch = &v->changes[v->change_count++ % CHANGES_KEPT];
+
+	ch->version = version;
+	ch->at = apr_time_now();
+	snprintf(v->source, sizeof(v->source), "%s", source);
+}
+
+/* The caller holds the mutex.  Returns 1 when it was above all before. */
+static int text_keep(struct config *c, int value, uint64_t version,
+		     const char *text, size_t size, const char *source)
+{
+	struct value_state *v = &c->values[value];
+	struct digest digest;
+	char *copy;
+
+	if (version <= c->spread.values[value].version)
+		return 0;
+	copy = malloc(size + 1);
+	if (!copy)
+		abort();
+	memcpy(copy, text, size);
+	copy[size] = '\0';
+	free(v->text.data);
+	v->text.data = copy;
+	v->text.size = size;
+	change_note(v, version, source);
+	digest_of(text, size, &digest);
+	spread_taken(&c->spread, value, version, &digest, size, clock_now());
+	return 1;
+}
+
+/*
+ * Checks a text and puts it in force when it is valid and above what is
+ * held.  Returns 1 when it came into force.
+ */
+int config_take(struct config *c, int value, const char *text, size_t size,
+		const char *source)
+{
+	struct value_state *v = &c->values[value];
+	enum value_verdict verdict;
+	struct digest digest;
+	uint64_t version = 0;
+	int taken = 0;
+
+	if (!v->ops)
+		return 0;
+	verdict = v->ops->take(v->arg, text, size, &version);
+	pthread_mutex_lock(&c->mutex);
+	if (verdict == VALUE_TAKEN) {
+		taken = text_keep(c, value, version, text, size, source);
+	} else if (verdict == VALUE_INVALID) {
+		v->invalid++;
+		digest_of(text, size, &digest);
+		if (version)
+			spread_refused(&c->spread, value, version, &digest);
+	} else {
+		v->old++;
+	}
+	pthread_mutex_unlock(&c->mutex);
+	if (verdict == VALUE_INVALID)
+		log_warning("config-take", source,
+			    "refused an invalid %s, revision %llu",
+			    v->ops->name, (unsigned long long)version);
+	if (taken)
+		log_notice("config-take", source, "%s revision %llu in force",
+			   v->ops->name, (unsigned long long)version);
+	return taken;
+}
+
+static void faults_keep(struct config *c, struct fault_list *faults,
+			uint64_t revision)
+{
+	pthread_mutex_lock(&c->mutex);
+	fault_list_clear(&c->faults);
+	c->faults = *faults;
+	c->refused_revision = revision;
+	pthread_mutex_unlock(&c->mutex);
+}
+
+/* The revision of a document that was refused, if it tells one. */
+static uint64_t revision_of(const char *text, size_t size)
+{
+	json_t *root = json_loadb(text, size, 0, NULL);
+	long long n = schema_integer(root, "revision", 0);
+
+	json_decref(root);
+	return n > 0 ? (uint64_t)n : 0;
+}
+
+static enum value_verdict document_take(void *arg, const char *text,
+					size_t size, uint64_t *version)
+{
+	struct config *c = arg;
+	struct fault_list faults = { 0 };
+	struct document *d = document_parse(text, size, &faults);
+
+	if (!d) {
+		*version = revision_of(text, size);
+		faults_keep(c, &faults, *version);
+		return VALUE_INVALID;
+	}
+	fault_list_clear(&faults);
+	*version = d->revision;
+	if (board_document_set(&c->node->board, d)) {
+		document_release(d);
+		return VALUE_OLD;
+	}
+	metric_set(metric_gauge("config_revision", NULL), (int64_t)*version);
+	return VALUE_TAKEN;
+}
+
+static const struct value_ops document_ops = { "document", "/config",
+					       document_take };
+
+/* See value.h. */
+void config_value_set(int value, const struct value_ops *ops, void *arg)
+{
+	config.values[value].ops = ops;
+	config.values[value].arg = arg;
+}
+
+/* See value.h. */
+void config_overlay(struct overlay *out)
+{
+	pthread_mutex_lock(&config.mutex);
+	*out = config.spread.overlay;
+	pthread_mutex_unlock(&config.mutex);
+}
+
+static void member_fill(struct overlay_member *m, const char *id,
+			const char *data_center, const char *address)
+{
+	snprintf(m->id, sizeof(m->id), "%s", id);
+	snprintf(m->data_center, sizeof(m->data_center), "%s", data_center);
+	snprintf(m->address, sizeof(m->address), "%s", address);
+	overlay_member_score(m);
+}
+
+/* Copies the live instances other than self behind the first element. */
+static int members_collect(struct table *t, const char *self,
+			   struct overlay_member **out)
+{
+	struct handle at = HANDLE_NONE;
+	struct overlay_member *m;
+	struct instance *row;
+	int n = 1;
+
+	table_lock(t);
+	m = calloc(t->count + 1, sizeof(*m));
+	if (!m)
+		abort();
+	while ((row = table_next(t, &at))) {
+		if (row->state == INSTANCE_LIVE && strcmp(row->id, self))
+			member_fill(&m[n++], row->id, row->data_center,
+				    row->address);
+	}
+	table_unlock(t);
+	*out = m;
+	return n;
+}
+
+/* Works the neighbours out anew from the instance table. */
+void config_members_update(struct config *c, apr_time_t now)
+{
+	const struct settings *s = &c->node->settings;
+	struct overlay_member *m, self;
+	int n = members_collect(&c->node->board.instances, s->instance, &m);
+
+	member_fill(&m[0], s->instance, s->data_center, s->address);
+	self = m[0];
+	pthread_mutex_lock(&c->mutex);
+	spread_members(&c->spread, m, n, &self, &c->random);
+	c->members_due = now + MEMBERS_US;
+	pthread_mutex_unlock(&c->mutex);
+}
+
+static void config_step(void *arg, apr_time_t now)
+{
+	struct config *c = arg;
+
+	if (now >= c->members_due)
+		config_members_update(c, now);
+	config_react(c);
+}
+
+static int config_ready(void *arg)
+{
+	struct config *c = arg;
+	int ready;
+
+	pthread_mutex_lock(&c->mutex);
+	if (!c->ready)
+		c->ready = spread_ready(&c->spread, clock_now());
+	ready = c->ready;
+	pthread_mutex_unlock(&c->mutex);
+	return ready;
+}
+
+static void config_stop(void *arg)
+{
+	struct config *c = arg;
+
+	pthread_mutex_lock(&c->mutex);
+	c->stopping = 1;
+	pthread_mutex_unlock(&c->mutex);
+	worker_pool_stop(c->pool);
+	c->pool = NULL;
+}
+
+/* See config.h. */
+int config_start(struct node *n, struct error *err)
+{
+	struct config *c = &config;
+	apr_time_t now = clock_now();
+	int i;
+
+	c->node = n;
+	pthread_mutex_init(&c->mutex, NULL);
+	random_seed(&c->random, random_next(&n->random));
+	spread_init(&c->spread, n->settings.address, now);
+	for (i = 0; i < n->settings.seed_count; i++)
+		spread_seed(&c->spread, n->settings.seeds[i]);
+	config_value_set(SPREAD_DOCUMENT, &document_ops, c);
+	c->pool = worker_pool_start(CONFIG_THREADS, CONFIG_QUEUE_LIMIT);
+	if (!c->pool || rpc_server_add(config_kinds, c))
+		return error_set(err, ERROR_INTERNAL, "config-start", NULL,
+				 "no threads or no room for messages");
+	node_add_controller(n, "config", CONTROLLER_US, config_step, c);
+	node_add_status(n, "config", config_status, c);
+	node_add_ready(n, "configuration", config_ready, c);
+	node_add_stop(n, config_stop, c);
+	return 0;
+}
--- /dev/null
+++ b/config/status.c
@@ -0,0 +1,86 @@
+#include <jansson.h>
+
+#include "base/clock.h"
+#include "config/component.h"
+#include "config/document.h"
+
+static json_t *changes_json(const struct value_state *v)
+{
+	unsigned first = v->change_count > CHANGES_KEPT
+				 ? v->change_count - CHANGES_KEPT
+				 : 0;
+	json_t *list = json_array();
+	unsigned i;
+
+	for (i = first; i < v->change_count; i++) {
+		const struct value_change *ch = &v->changes[i % CHANGES_KEPT];
+
+		json_array_append_new(
+			list, json_pack("{s:I,s:I}", "revision",
+					(json_int_t)ch->version, "at_ms",
+					(json_int_t)(ch->at / 1000)));
+	}
+	return list;
+}
+
+static json_t *faults_json(const struct fault_list *l)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < l->count && i < FAULTS_KEPT; i++)
+		json_array_append_new(list, json_string(l->lines[i]));
+	return list;
+}
+
+static void value_json(json_t *o, const struct config *c, int value)
+{
+	const struct spread_value *s = &c->spread.values[value];
+	const struct value_state *v = &c->values[value];
+	char hex[DIGEST_HEX_SIZE];
+
+	digest_hex(&s->digest, hex);
+	json_object_set_new(o, "revision",
+			    json_integer((json_int_t)s->version));
+	json_object_set_new(o, "digest", json_string(s->version ? hex : ""));
+	json_object_set_new(o, "source", json_string(v->source));
+	json_object_set_new(o, "bytes", json_integer((json_int_t)v->text.size));
+	json_object_set_new(o, "older_seen", json_integer(v->old));
+	json_object_set_new(o, "invalid_seen", json_integer(v->invalid));
+	json_object_set_new(
+		o, "platform_age_ms",
+		json_integer(s->platform_heard
+				     ? (clock_now() - s->platform_heard) / 1000
+				     : -1));
+	json_object_set_new(o, "changes", changes_json(v));
+}
+
+/* The status section "config". */
+json_t *config_status(void *arg)
+{
+	struct config *c = arg;
+	json_t *o = json_object(), *list = json_object();
+
+	pthread_mutex_lock(&c->mutex);
+	value_json(o, c, SPREAD_DOCUMENT);
+	value_json(list, c, SPREAD_INSTANCES);
+	json_object_set_new(o, "instance_list", list);
+	if (c->faults.count) {
+		json_object_set_new(
+			o, "refused_revision",
+			json_integer((json_int_t)c->refused_revision));
+		json_object_set_new(o, "faults", faults_json(&c->faults));
+	}
+	json_object_set_new(o, "watch_rank",
+			    json_integer(c->spread.overlay.watch_rank));
+	json_object_set_new(
+		o, "watches",
+		json_boolean(c->spread.overlay.watch_rank < OVERLAY_WATCHERS));
+	json_object_set_new(o, "members", json_integer(c->spread.member_count));
+	json_object_set_new(o, "start_peers",
+			    json_integer(c->spread.start_count));
+	json_object_set_new(o, "start_replies",
+			    json_integer(c->spread.start_replies));
+	pthread_mutex_unlock(&c->mutex);
+	return o;
+}
--- /dev/null
+++ b/member/detect.c
@@ -0,0 +1,242 @@
+#include "member/detect.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* More than the exchange may take, by so much, means this process slept. */
+#define OVERRUN_US (300 * 1000)
+
+/* Direct word this fresh outweighs what others say. */
+#define HEARSAY_US (1500 * 1000)
+
+/* Difference of two estimates of when one boot began. */
+#define BOOT_BEGAN_SLACK_US (200 * 1000)
+
+/* Returns the name of a state for logs and JSON. */
+const char *instance_state_name(enum instance_state s)
+{
+	switch (s) {
+	case INSTANCE_LIVE:
+		return "live";
+	case INSTANCE_LEAVING:
+		return "leaving";
+	case INSTANCE_SUSPECT:
+		return "suspect";
+	case INSTANCE_DEAD:
+		return "dead";
+	}
+	return "unknown";
+}
+
+/*
+ * Returns 1 for a failed exchange that says nothing of the peer, as this
+ * process was paused before its end.
+ */
+int evidence_is_void(const struct evidence *e, apr_time_t pause_end)
+{
+	if (e->kind == EVIDENCE_ANSWER || e->kind == EVIDENCE_OTHER_INSTANCE)
+		return 0;
+	if (e->began <= pause_end)
+		return 1;
+	return e->ended - e->began > e->allowed + OVERRUN_US;
+}
+
+static void state_set(struct instance *row, enum instance_state state,
+		      apr_time_t now)
+{
+	if (state == INSTANCE_LEAVING && !row->left_since)
+		row->left_since = now;
+	if (state == INSTANCE_DEAD && row->state != INSTANCE_DEAD)
+		row->dead_since = now;
+	if (state == INSTANCE_LIVE) {
+		row->left_since = 0;
+		row->dead_since = 0;
+	}
+	row->state = state;
+}
+
+/* A boot is leaving for good: leaving wins over live. */
+static int is_leaving(const struct instance *row)
+{
+	return row->left_since &&
+	       (!row->leaving_boot || row->leaving_boot == row->boot);
+}
+
+/* Takes over another boot of the same instance. */
+static void boot_set(struct instance *row, uint64_t boot, uint32_t age_ms,
+		     uint32_t incarnation, apr_time_t now)
+{
+	int leaving = row->left_since && !row->leaving_boot && !row->boot;
+
+	row->boot_previous = row->boot;
+	row->boot = boot;
+	row->boot_began = now - (apr_time_t)age_ms * 1000;
+	row->incarnation = incarnation;
+	row->suspect_since = 0;
+	if (leaving)
+		row->leaving_boot = boot; /* the list meant this one */
+	else if (!is_leaving(row))
+		state_set(row, INSTANCE_LIVE, now);
+}
+
+static void answer_take(struct instance *row, const struct evidence *e,
+			apr_time_t now)
+{
+	if (row->boot != e->boot)
+		boot_set(row, e->boot, e->boot_age_ms, e->incarnation, now);
+	if (e->incarnation > row->incarnation)
+		row->incarnation = e->incarnation;
+	row->heard = e->ended;
+	row->suspect_since = 0;
+	if (e->leaving)
+		row->leaving_boot = row->boot;
+	if (e->leaving || is_leaving(row))
+		state_set(row, INSTANCE_LEAVING, now);
+	else
+		state_set(row, INSTANCE_LIVE, now);
+}
+
+/* Silent, but reachable by a fresh connection or not tried yet. */
+static void silence_take(struct instance *row, const struct evidence *e,
+			 apr_time_t pause_end, apr_time_t now)
+{
+	apr_time_t since;
+
+	if (!row->suspect_since)
+		row->suspect_since = e->began;
+	if (row->state == INSTANCE_LIVE)
+		state_set(row, INSTANCE_SUSPECT, now);
+	since = row->suspect_since > pause_end ? row->suspect_since : pause_end;
+	if (e->kind == EVIDENCE_FRESH_SILENT && now - since >= SILENT_DEATH_US)
+		state_set(row, INSTANCE_DEAD, now);
+}
+
+/*
+ * Takes in the outcome of one exchange.  pause_end is when this process
+ * was last found to have been paused, 0 for never.  Returns 1 when the
+ * state or the boot changed.
+ */
+int instance_evidence(struct instance *row, const struct evidence *e,
+		      apr_time_t pause_end, apr_time_t now)
+{
+	enum instance_state before = row->state;
+	uint64_t boot = row->boot;
+
+	if (evidence_is_void(e, pause_end))
+		return 0;
+	switch (e->kind) {
+	case EVIDENCE_ANSWER:
+		answer_take(row, e, now);
+		break;
+	case EVIDENCE_SILENT:
+	case EVIDENCE_FRESH_SILENT:
+		if (row->heard < e->began) /* not heard of since */
+			silence_take(row, e, pause_end, now);
+		break;
+	case EVIDENCE_FRESH_REFUSED:
+		if (row->heard < e->began)
+			state_set(row, INSTANCE_DEAD, now);
+		break;
+	case EVIDENCE_OTHER_INSTANCE:
+		state_set(row, INSTANCE_DEAD, now);
+		break;
+	}
+	return row->state != before || row->boot != boot;
+}
+
+static void same_boot_fact(struct instance *row, const struct fact *f,
+			   apr_time_t now)
+{
+	int newer = f->incarnation > row->incarnation;
+
+	if (newer)
+		row->incarnation = f->incarnation;
+	switch (f->state) {
+	case INSTANCE_LEAVING:
+		row->leaving_boot = row->boot;
+		if (row->state != INSTANCE_DEAD || newer)
+			state_set(row, INSTANCE_LEAVING, now);
+		break;
+	case INSTANCE_DEAD:
+		if (f->incarnation >= row->incarnation &&
+		    (!row->heard || now - row->heard > HEARSAY_US))
+			state_set(row, INSTANCE_DEAD, now);
+		break;
+	case INSTANCE_LIVE:
+		if (!newer)
+			break;
+		row->suspect_since = 0;
+		state_set(row,
+			  is_leaving(row) ? INSTANCE_LEAVING : INSTANCE_LIVE,
+			  now);
+		break;
+	case INSTANCE_SUSPECT:
+		break;
+	}
+}
+
+/*
+ * Takes in what another process says.  Of two boots the one that began
+ * later counts, so that late word of an old boot changes nothing.  Returns
+ * 1 when the state or the boot changed, which is then worth passing on.
+ */
+int instance_fact(struct instance *row, const struct fact *f, apr_time_t now)
+{
+	enum instance_state before = row->state;
+	apr_time_t began = now - (apr_time_t)f->boot_age_ms * 1000;
+	uint64_t boot = row->boot;
+
+	if (!f->boot || f->boot == row->boot_previous)
+		return 0;
+	if (f->boot != row->boot) {
+		if (row->boot && began < row->boot_began + BOOT_BEGAN_SLACK_US)
+			return 0;
+		boot_set(row, f->boot, f->boot_age_ms, f->incarnation, now);
+	}
+	same_boot_fact(row, f, now);
+	return row->state != before || row->boot != boot;
+}
+
+static void copy(char *to, size_t size, const char *from)
+{
+	snprintf(to, size, "%s", from);
+}
+
+/* Makes a row of an instance that only others have told of so far. */
+void instance_from_fact(struct instance *row, const struct fact *f,
+			apr_time_t now)
+{
+	memset(row, 0, sizeof(*row));
+	copy(row->id, sizeof(row->id), f->id);
+	copy(row->data_center, sizeof(row->data_center), f->data_center);
+	copy(row->address, sizeof(row->address), f->address);
+	copy(row->upstream, sizeof(row->upstream), f->upstream);
+	row->role = f->role;
+	row->unlisted_since = now;
+	row->boot = f->boot;
+	row->boot_began = now - (apr_time_t)f->boot_age_ms * 1000;
+	row->incarnation = f->incarnation;
+	if (f->state == INSTANCE_LEAVING)
+		row->leaving_boot = f->boot;
+	state_set(row, f->state, now);
+}
+
+/* Fills in what to say of a row. */
+void fact_from_instance(struct fact *f, const struct instance *row,
+			apr_time_t now)
+{
+	apr_time_t age = (now - row->boot_began) / 1000;
+
+	memset(f, 0, sizeof(*f));
+	copy(f->id, sizeof(f->id), row->id);
+	copy(f->data_center, sizeof(f->data_center), row->data_center);
+	copy(f->address, sizeof(f->address), row->address);
+	copy(f->upstream, sizeof(f->upstream), row->upstream);
+	f->role = row->role;
+	f->boot = row->boot;
+	f->boot_age_ms = age < 0	    ? 0
+			 : age > UINT32_MAX ? UINT32_MAX
+					    : (uint32_t)age;
+	f->incarnation = row->incarnation;
+	f->state = row->state;
+}
--- /dev/null
+++ b/member/facts.c
@@ -0,0 +1,95 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "member/component.h"
+#include "member/merge.h"
+
+static void copy(char *to, size_t size, const char *from)
+{
+	snprintf(to, size, "%s", from);
+}
+
+/* Returns -1 for a fact that can't be right. */
+static int fact_from_wire(struct fact *f, const member_fact *w)
+{
+	memset(f, 0, sizeof(*f));
+	if (!*w->id || !*w->address || !*w->data_center || !w->boot ||
+	    (w->role != ROLE_ENTRY && w->role != ROLE_AGENT) ||
+	    w->state < INSTANCE_LIVE || w->state > INSTANCE_DEAD)
+		return -1;
+	copy(f->id, sizeof(f->id), w->id);
+	copy(f->data_center, sizeof(f->data_center), w->data_center);
+	copy(f->address, sizeof(f->address), w->address);
+	copy(f->upstream, sizeof(f->upstream), w->upstream);
+	f->role = w->role;
+	f->boot = w->boot;
+	f->boot_age_ms = w->boot_age_ms;
+	f->incarnation = w->incarnation;
+	f->state = w->state;
+	return 0;
+}
+
+/*
+ * Others take this process for dead, or for leaving when it isn't: raises
+ * the incarnation, which makes its own word count for more.
+ */
+static void self_defend(struct member *m, const struct fact *f)
+{
+	if (f->boot != m->node->self.boot || f->state != INSTANCE_DEAD)
+		return;
+	pthread_mutex_lock(&m->mutex);
+	if (f->incarnation >= m->incarnation)
+		__atomic_store_n(&m->incarnation, f->incarnation + 1,
+				 __ATOMIC_RELAXED);
+	pthread_mutex_unlock(&m->mutex);
+	log_notice("member", NULL, "was reported dead; objects");
+	member_pass_on(m, f->id);
+}
+
+/* Returns 1 when the fact was news. */
+static int fact_apply(struct table *t, const struct fact *f, apr_time_t now)
+{
+	struct instance *row, added;
+	int changed;
+
+	table_lock(t);
+	row = instance_find(t, f->id);
+	if (row) {
+		changed = instance_fact(row, f, now);
+	} else {
+		instance_from_fact(&added, f, now);
+		changed = !handle_is_none(table_add(t, &added));
+	}
+	table_unlock(t);
+	return changed;
+}
+
+static void fact_take(struct member *m, const member_fact *w)
+{
+	struct fact f;
+
+	if (fact_from_wire(&f, w))
+		return;
+	if (!strcmp(f.id, m->node->settings.instance)) {
+		self_defend(m, &f);
+		return;
+	}
+	if (!fact_apply(&m->node->board.instances, &f, clock_now()))
+		return;
+	__atomic_add_fetch(&m->generation, 1, __ATOMIC_RELAXED);
+	member_pass_on(m, f.id);
+	log_info("member", f.id, "is %s, as others say",
+		 instance_state_name(f.state));
+}
+
+/* Takes in the facts of a greeting or of its answer. */
+void member_facts_take(struct member *m, const member_hello *h)
+{
+	u_int i;
+
+	fact_take(m, &h->self);
+	for (i = 0; i < h->facts.facts_len; i++)
+		fact_take(m, &h->facts.facts_val[i]);
+}
--- /dev/null
+++ b/member/hello.c
@@ -0,0 +1,243 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/metric.h"
+#include "member/component.h"
+#include "member/merge.h"
+
+/* A greeting to one peer, which proves that it is there. */
+struct hello_job {
+	struct job job;
+	struct member *member;
+	char address[SETTINGS_ADDRESS_SIZE];
+	char id[SETTINGS_NAME_SIZE]; /* who should answer, "" for anybody */
+	int fact_count;
+	struct fact facts[MEMBER_FACTS_MAX];
+};
+
+/* Fills in what this process says of itself. */
+void member_self_fact(struct member *m, struct fact *f)
+{
+	const struct settings *s = &m->node->settings;
+	apr_time_t age = (clock_now() - m->node->started) / 1000;
+
+	memset(f, 0, sizeof(*f));
+	snprintf(f->id, sizeof(f->id), "%s", s->instance);
+	snprintf(f->data_center, sizeof(f->data_center), "%s", s->data_center);
+	snprintf(f->address, sizeof(f->address), "%s", s->address);
+	snprintf(f->upstream, sizeof(f->upstream), "%s", s->upstream_name);
+	f->role = m->node->role;
+	f->boot = m->node->self.boot;
+	f->boot_age_ms = age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
+	f->state = node_draining(m->node) ? INSTANCE_LEAVING : INSTANCE_LIVE;
+	f->incarnation = __atomic_load_n(&m->incarnation, __ATOMIC_RELAXED);
+}
+
+/* Points the XDR form at the strings of f. */
+void fact_to_wire(const struct fact *f, member_fact *w)
+{
+	w->id = (char *)f->id;
+	w->role = f->role;
+	w->data_center = (char *)f->data_center;
+	w->address = (char *)f->address;
+	w->upstream = (char *)f->upstream;
+	w->boot = f->boot;
+	w->boot_age_ms = f->boot_age_ms;
+	w->incarnation = f->incarnation;
+	w->state = f->state;
+}
+
+static int hello_exchange(struct hello_job *j, member_hello *rep,
+			  struct error *err)
+{
+	struct node *n = j->member->node;
+	member_fact wire[MEMBER_FACTS_MAX];
+	member_hello req;
+	struct fact self;
+	int i;
+
+	memset(&req, 0, sizeof(req));
+	member_self_fact(j->member, &self);
+	fact_to_wire(&self, &req.self);
+	for (i = 0; i < j->fact_count; i++)
+		fact_to_wire(&j->facts[i], &wire[i]);
+	req.facts.facts_val = wire;
+	req.facts.facts_len = (u_int)j->fact_count;
+	return rpc_exchange(n->rpc, j->address, n->settings.rpc_port,
+			    &member_kinds[KIND_HELLO], &req, rep, HELLO_MS,
+			    err);
+}
+
+static void evidence_begin(struct evidence *e, const char *id)
+{
+	memset(e, 0, sizeof(*e));
+	snprintf(e->id, sizeof(e->id), "%s", id);
+	e->began = clock_now();
+	e->allowed = HELLO_MS * 1000 * 2;
+}
+
+static void evidence_answer(struct evidence *e, const member_fact *self)
+{
+	e->kind = EVIDENCE_ANSWER;
+	e->boot = self->boot;
+	e->boot_age_ms = self->boot_age_ms;
+	e->incarnation = self->incarnation;
+	e->leaving = self->state == INSTANCE_LEAVING;
+}
+
+/* Judges an answer: it may come from another instance than was expected. */
+static void answer_post(struct hello_job *j, struct evidence *e,
+			const member_hello *rep)
+{
+	struct member *m = j->member;
+
+	e->ended = clock_now();
+	if (*j->id && strcmp(j->id, rep->self.id)) {
+		e->kind = EVIDENCE_OTHER_INSTANCE;
+		member_post(m, e);
+	}
+	member_facts_take(m, rep);
+	snprintf(e->id, sizeof(e->id), "%s", rep->self.id);
+	evidence_answer(e, &rep->self);
+	member_post(m, e);
+}
+
+static int is_refusal(const struct error *err)
+{
+	return err->code == ERROR_UNREACHABLE;
+}
+
+/*
+ * Tries once on a connection that may be an old one, and once more on a
+ * fresh one: only that can tell a dead peer from a dead connection.
+ */
+static void hello_run(struct job *job)
+{
+	struct hello_job *j = (struct hello_job *)job;
+	struct member *m = j->member;
+	struct node *n = m->node;
+	struct error err = ERROR_INIT;
+	struct evidence e;
+	member_hello rep;
+	int failed;
+
+	evidence_begin(&e, j->id);
+	failed = hello_exchange(j, &rep, &err);
+	if (failed) {
+		e.kind = EVIDENCE_SILENT;
+		e.ended = clock_now();
+		member_post(m, &e);
+		rpc_client_reset(n->rpc, j->address, n->settings.rpc_port);
+		evidence_begin(&e, j->id);
+		failed = hello_exchange(j, &rep, &err);
+		if (!failed)
+			metric_count("member_silent_connections", NULL, 1);
+	}
+	if (failed) {
+		e.kind = is_refusal(&err) ? EVIDENCE_FRESH_REFUSED
+					  : EVIDENCE_FRESH_SILENT;
+		e.ended = clock_now();
+		member_post(m, &e);
+	} else {
+		answer_post(j, &e, &rep);
+		xdr_free((xdrproc_t)xdr_member_hello, &rep);
+	}
+	free(j);
+}
+
+static void facts_collect(struct hello_job *j, const struct outbox *o)
+{
+	struct table *t = &j->member->node->board.instances;
+	apr_time_t now = clock_now();
+	struct instance *row;
+	int i;
+
+	table_lock(t);
+	for (i = 0; i < o->count && j->fact_count < MEMBER_FACTS_MAX; i++) {
+		row = instance_find(t, o->ids[i]);
+		if (row && row->boot)
+			fact_from_instance(&j->facts[j->fact_count++], row,
+					   now);
+	}
+	table_unlock(t);
+}
+
+/*
+ * Greets the peer at address, in passing on what changed.  id is who should
+ * be there; its silence is then evidence against it.
+ */
+void hello_send(struct member *m, const char *address, const char *id,
+		int with_outbox, const struct outbox *facts)
+{
+	struct hello_job *j = calloc(1, sizeof(*j));
+
+	if (!j)
+		abort();
+	j->job.run = hello_run;
+	j->member = m;
+	snprintf(j->address, sizeof(j->address), "%s", address);
+	snprintf(j->id, sizeof(j->id), "%s", id);
+	if (with_outbox)
+		facts_collect(j, facts);
+	if (member_submit(m, &j->job))
+		free(j);
+}
+
+/* A fact as XDR frees it: every string from malloc. */
+static void fact_to_reply(const struct fact *f, member_fact *w)
+{
+	fact_to_wire(f, w);
+	w->id = strdup(f->id);
+	w->data_center = strdup(f->data_center);
+	w->address = strdup(f->address);
+	w->upstream = strdup(f->upstream);
+}
+
+/* Tells a peer that is taken for dead so that it can object. */
+static void reply_correct(struct member *m, const char *id, member_hello *rep)
+{
+	struct table *t = &m->node->board.instances;
+	struct instance *row;
+	struct fact f;
+	int said = 0;
+
+	table_lock(t);
+	row = instance_find(t, id);
+	if (row && row->state == INSTANCE_DEAD) {
+		fact_from_instance(&f, row, clock_now());
+		said = 1;
+	}
+	table_unlock(t);
+	if (!said)
+		return;
+	rep->facts.facts_val = calloc(1, sizeof(member_fact));
+	if (!rep->facts.facts_val)
+		return;
+	rep->facts.facts_len = 1;
+	fact_to_reply(&f, rep->facts.facts_val);
+}
+
+/* Answers a greeting; the sender's own word of itself is direct word. */
+int hello_serve(void *arg, const struct rpc_peer *from, const void *request,
+		void *reply)
+{
+	struct member *m = arg;
+	const member_hello *req = request;
+	member_hello *rep = reply;
+	struct evidence e;
+	struct fact self;
+
+	if (strcmp(from->instance, req->self.id))
+		return -1;
+	member_self_fact(m, &self);
+	fact_to_reply(&self, &rep->self);
+	reply_correct(m, req->self.id, rep);
+	member_facts_take(m, req);
+	evidence_begin(&e, req->self.id);
+	e.ended = e.began;
+	evidence_answer(&e, &req->self);
+	member_post(m, &e);
+	return 0;
+}
--- a/member/instance.h
+++ b/member/instance.h
@@ -26,6 +26,15 @@
 	int listed;	       /* in the platform's list */
 	apr_time_t heard;      /* last direct word, 0 for never */
 	apr_time_t left_since; /* when it was first seen leaving */
+
+	/* membership's own */
+	apr_time_t boot_began;	  /* when that boot began, by local time */
+	uint64_t boot_previous;	  /* word of it is out of date */
+	uint32_t incarnation;	  /* highest seen of this boot */
+	uint64_t leaving_boot;	  /* the boot that is leaving, 0: any */
+	apr_time_t suspect_since; /* first silent, 0 when not silent */
+	apr_time_t dead_since;
+	apr_time_t unlisted_since;
 };
 
 #endif
--- /dev/null
+++ b/member/member_proto.x
@@ -0,0 +1,49 @@
+/* What processes tell each other of themselves and of their neighbours. */
+
+const MEMBER_NAME_MAX = 63;
+const MEMBER_FACTS_MAX = 32;
+const MEMBER_MODELS_MAX = 16;
+const MEMBER_VERSION_MAX = 64;
+
+struct member_fact {
+	string id<MEMBER_NAME_MAX>;
+	unsigned int role;
+	string data_center<MEMBER_NAME_MAX>;
+	string address<MEMBER_NAME_MAX>;
+	string upstream<MEMBER_NAME_MAX>;
+	unsigned hyper boot;
+	unsigned int boot_age_ms;	/* since that boot began */
+	unsigned int incarnation;	/* raised to answer a false report */
+	unsigned int state;
+};
+
+struct member_hello {
+	member_fact self;
+	member_fact facts<MEMBER_FACTS_MAX>;
+};
+
+struct member_report_request {
+	unsigned hyper models_hash;	/* of the models known of the agent */
+};
+
+struct member_model {
+	string name<MEMBER_NAME_MAX>;
+	string manifest<MEMBER_VERSION_MAX>;
+};
+
+struct member_report {
+	string id<MEMBER_NAME_MAX>;
+	string upstream<MEMBER_NAME_MAX>;
+	unsigned hyper boot;
+	unsigned int kind;
+	int draining;
+	int reachable;
+	int running;
+	int waiting;
+	int slots;
+	int token_us;
+	int measured_ms;
+	unsigned hyper models_hash;
+	int models_follow;		/* 0: as under the hash asked with */
+	member_model models<MEMBER_MODELS_MAX>;
+};
--- /dev/null
+++ b/member/report.c
@@ -0,0 +1,100 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/digest.h"
+#include "member/component.h"
+
+/* Remembers who asked, to tell them at once when this agent leaves. */
+static void asker_note(struct member *m, const char *address, apr_time_t now)
+{
+	struct asker *at = &m->askers[0];
+	int i;
+
+	pthread_mutex_lock(&m->mutex);
+	for (i = 0; i < ASKERS_MAX; i++) {
+		struct asker *a = &m->askers[i];
+
+		if (!strcmp(a->address, address)) {
+			at = a;
+			break;
+		}
+		if (a->at < at->at)
+			at = a;
+	}
+	snprintf(at->address, sizeof(at->address), "%s", address);
+	at->at = now;
+	pthread_mutex_unlock(&m->mutex);
+}
+
+static void models_fill(member_report *r, const struct upstream_report *u)
+{
+	int i;
+
+	r->models_follow = 1;
+	r->models.models_val = calloc(REPORT_MODELS_MAX, sizeof(member_model));
+	if (!r->models.models_val)
+		abort();
+	r->models.models_len = (u_int)u->model_count;
+	for (i = 0; i < u->model_count; i++) {
+		r->models.models_val[i].name = strdup(u->models[i].name);
+		r->models.models_val[i].manifest = strdup(u->models[i].version);
+	}
+}
+
+static uint64_t models_hash(const struct upstream_report *u)
+{
+	uint64_t h = 1; /* 0 means that nothing is known */
+	int i;
+
+	for (i = 0; i < u->model_count; i++) {
+		h = place_hash_string(u->models[i].name, h);
+		h = place_hash_string(u->models[i].version, h);
+	}
+	return h ? h : 1;
+}
+
+static int measured_ms(const struct upstream_report *u, apr_time_t now)
+{
+	if (!u->heard || now < u->heard)
+		return u->measured_ms;
+	return u->measured_ms + (int)((now - u->heard) / 1000);
+}
+
+/* Answers an entry from the agent's own row. */
+int report_serve(void *arg, const struct rpc_peer *from, const void *request,
+		 void *reply)
+{
+	struct member *m = arg;
+	const member_report_request *req = request;
+	member_report *r = reply;
+	struct table *t = &m->node->board.upstreams;
+	apr_time_t now = clock_now();
+	struct upstream_report *row, u;
+
+	if (m->node->role != ROLE_AGENT)
+		return -1;
+	table_lock(t);
+	row = table_get(t, m->own_report);
+	if (row)
+		u = *row;
+	table_unlock(t);
+	if (!row)
+		return -1;
+	r->id = strdup(u.instance);
+	r->upstream = strdup(u.upstream);
+	r->boot = u.boot;
+	r->kind = u.kind;
+	r->draining = u.draining || node_draining(m->node);
+	r->reachable = u.reachable;
+	r->running = u.running;
+	r->waiting = u.waiting;
+	r->slots = u.slots;
+	r->token_us = u.token_us;
+	r->measured_ms = measured_ms(&u, now);
+	r->models_hash = models_hash(&u);
+	if (r->models_hash != req->models_hash)
+		models_fill(r, &u);
+	asker_note(m, from->address, now);
+	return 0;
+}
--- /dev/null
+++ b/member/status.c
@@ -0,0 +1,76 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "member/component.h"
+
+static json_t *age_json(apr_time_t at, apr_time_t now)
+{
+	return json_integer(at ? (now - at) / 1000 : -1);
+}
+
+static json_t *instance_json(const struct instance *row, apr_time_t now)
+{
+	char boot[20];
+
+	snprintf(boot, sizeof(boot), "%016llx", (unsigned long long)row->boot);
+	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:s,s:b,s:o}", "id", row->id,
+			 "role", row->role == ROLE_AGENT ? "agent" : "entry",
+			 "data_center", row->data_center, "address",
+			 row->address, "state", instance_state_name(row->state),
+			 "boot", boot, "listed", row->listed, "heard_ms",
+			 age_json(row->heard, now));
+}
+
+static json_t *instances_json(struct table *t, apr_time_t now)
+{
+	struct handle at = HANDLE_NONE;
+	json_t *list = json_array();
+	struct instance *row;
+
+	table_lock(t);
+	while ((row = table_next(t, &at)))
+		json_array_append_new(list, instance_json(row, now));
+	table_unlock(t);
+	return list;
+}
+
+static json_t *report_json(const struct upstream_report *u, apr_time_t now)
+{
+	return json_pack("{s:s,s:s,s:s,s:b,s:b,s:i,s:i,s:i,s:i,s:o}",
+			 "instance", u->instance, "upstream", u->upstream,
+			 "data_center", u->data_center, "draining", u->draining,
+			 "reachable", u->reachable, "running", u->running,
+			 "waiting", u->waiting, "slots", u->slots, "models",
+			 u->model_count, "heard_ms", age_json(u->heard, now));
+}
+
+static json_t *reports_json(struct table *t, apr_time_t now)
+{
+	struct handle at = HANDLE_NONE;
+	json_t *list = json_array();
+	struct upstream_report *row;
+
+	table_lock(t);
+	while ((row = table_next(t, &at)))
+		json_array_append_new(list, report_json(row, now));
+	table_unlock(t);
+	return list;
+}
+
+/* The status section "members". */
+json_t *member_status(void *arg)
+{
+	struct member *m = arg;
+	struct board *b = &m->node->board;
+	apr_time_t now = clock_now();
+
+	return json_pack("{s:I,s:i,s:i,s:i,s:i,s:I,s:o,s:o}", "list_version",
+			 (json_int_t)m->list_version, "agents_near",
+			 m->subset_agents, "entries_near", m->subset_entries,
+			 "subset", m->target_count, "subset_near",
+			 m->subset_near, "report_period_ms",
+			 (json_int_t)(m->report_period / 1000), "instances",
+			 instances_json(&b->instances, now), "upstreams",
+			 reports_json(&b->upstreams, now));
+}
--- a/net/node.c
+++ b/net/node.c
@@ -71,7 +71,11 @@
 /* Stops the ports and threads and frees what node_init made. */
 void node_destroy(struct node *n)
 {
+	int i;
+
 	rpc_server_stop();
+	for (i = 0; i < n->stop_hook_count; i++)
+		n->stop_hooks[i].stop(n->stop_hooks[i].arg);
 	httpd_stop(n->operators);
 	worker_pool_stop(n->pool);
 	fetcher_stop(n->fetcher);
@@ -162,6 +166,14 @@
 		(struct drain_check){ name, busy, arg };
 }
 
+/* Adds what node_destroy calls once no message is served any more. */
+void node_add_stop(struct node *n, void (*stop)(void *arg), void *arg)
+{
+	if (n->stop_hook_count == NODE_SECTIONS_MAX)
+		abort();
+	n->stop_hooks[n->stop_hook_count++] = (struct stop_hook){ stop, arg };
+}
+
 /* Returns 1 once the node takes no new work. */
 int node_draining(const struct node *n)
 {
--- a/net/node.h
+++ b/net/node.h
@@ -54,6 +54,12 @@
 	void *arg;
 };
 
+/* Ends a component's own threads, before what they use is freed. */
+struct stop_hook {
+	void (*stop)(void *arg);
+	void *arg;
+};
+
 struct node {
 	const char *program;
 	enum role role;
@@ -79,6 +85,8 @@
 	int ready_count;
 	struct drain_check drain_checks[NODE_SECTIONS_MAX];
 	int drain_count;
+	struct stop_hook stop_hooks[NODE_SECTIONS_MAX];
+	int stop_hook_count;
 
 	int draining;	      /* atomic; set by a signal or an operator */
 	apr_time_t pause_end; /* when the last pause was noticed, 0: never */
@@ -107,6 +115,7 @@
 		    void *arg);
 void node_add_drain(struct node *n, const char *name, int (*busy)(void *arg),
 		    void *arg);
+void node_add_stop(struct node *n, void (*stop)(void *arg), void *arg);
 int node_draining(const struct node *n);
 void node_drain(struct node *n);
 
--- a/net/rpc-client.c
+++ b/net/rpc-client.c
@@ -99,6 +99,21 @@
 	return p;
 }
 
+/*
+ * Closes the idle connections to a peer, so that the next exchange with it
+ * opens a fresh one.
+ */
+void rpc_client_reset(struct rpc_client *c, const char *address, int port)
+{
+	struct peer *p;
+
+	pthread_mutex_lock(&c->mutex);
+	p = peer_get(c, address, port);
+	if (p)
+		peer_close(p);
+	pthread_mutex_unlock(&c->mutex);
+}
+
 static int connect_wait(int fd, const struct sockaddr_in *sa, int timeout_ms)
 {
 	struct pollfd p = { .fd = fd, .events = POLLOUT };
--- a/net/rpc.h
+++ b/net/rpc.h
@@ -70,6 +70,7 @@
 struct rpc_client *rpc_client_new(const char *local_address,
 				  const struct rpc_identity *self);
 void rpc_client_free(struct rpc_client *c);
+void rpc_client_reset(struct rpc_client *c, const char *address, int port);
 int rpc_exchange(struct rpc_client *c, const char *address, int port,
 		 const struct rpc_kind *kind, const void *request, void *reply,
 		 int timeout_ms, struct error *err);
