--- a/member/detect.c
+++ b/member/detect.c
@@ -144,6 +144,20 @@
 	return row->state != before || row->boot != boot;
 }
 
+/*
+ * Others say it is dead.  One heard from just now is only suspect: this
+ * process tries it itself.
+ */
+static void death_take(struct instance *row, apr_time_t now)
+{
+	if (!row->heard || now - row->heard > HEARSAY_US) {
+		state_set(row, INSTANCE_DEAD, now);
+	} else if (row->state == INSTANCE_LIVE) {
+		row->suspect_since = now;
+		state_set(row, INSTANCE_SUSPECT, now);
+	}
+}
+
 static void same_boot_fact(struct instance *row, const struct fact *f,
 			   apr_time_t now)
 {
@@ -158,9 +172,8 @@
 			state_set(row, INSTANCE_LEAVING, now);
 		break;
 	case INSTANCE_DEAD:
-		if (f->incarnation >= row->incarnation &&
-		    (!row->heard || now - row->heard > HEARSAY_US))
-			state_set(row, INSTANCE_DEAD, now);
+		if (f->incarnation >= row->incarnation)
+			death_take(row, now);
 		break;
 	case INSTANCE_LIVE:
 		if (!newer)
--- a/member/facts.c
+++ b/member/facts.c
@@ -48,7 +48,7 @@
 	member_pass_on(m, f->id);
 }
 
-/* Returns 1 when the fact was news. */
+/* Returns the state that the fact brought about, 0 when it was no news. */
 static int fact_apply(struct table *t, const struct fact *f, apr_time_t now)
 {
 	struct instance *row, added;
@@ -57,10 +57,11 @@
 	table_lock(t);
 	row = instance_find(t, f->id);
 	if (row) {
-		changed = instance_fact(row, f, now);
+		changed = instance_fact(row, f, now) ? (int)row->state : 0;
 	} else {
 		instance_from_fact(&added, f, now);
-		changed = !handle_is_none(table_add(t, &added));
+		changed =
+			handle_is_none(table_add(t, &added)) ? 0 : added.state;
 	}
 	table_unlock(t);
 	return changed;
@@ -69,6 +70,7 @@
 static void fact_take(struct member *m, const member_fact *w)
 {
 	struct fact f;
+	int state;
 
 	if (fact_from_wire(&f, w))
 		return;
@@ -76,12 +78,14 @@
 		self_defend(m, &f);
 		return;
 	}
-	if (!fact_apply(&m->node->board.instances, &f, clock_now()))
+	state = fact_apply(&m->node->board.instances, &f, clock_now());
+	if (!state)
 		return;
 	__atomic_add_fetch(&m->generation, 1, __ATOMIC_RELAXED);
-	member_pass_on(m, f.id);
+	if (state != INSTANCE_SUSPECT) /* still to be tried from here */
+		member_pass_on(m, f.id);
 	log_info("member", f.id, "is %s, as others say",
-		 instance_state_name(f.state));
+		 instance_state_name((enum instance_state)state));
 }
 
 /* Takes in the facts of a greeting or of its answer. */
