--- a/net/fetch.c
+++ b/net/fetch.c
@@ -535,7 +535,7 @@
 	q->fetch = f;
 	pthread_mutex_lock(&r->mutex);
 	if (kind == REQUEST_SUBMIT)
-		f->over = f->queued = 0;
+		f->over = 0;
 	if (f->over) {
 		pthread_mutex_unlock(&r->mutex);
 		free(q);
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -639,7 +639,7 @@
 	pthread_mutex_lock(&c->mutex);
 	c->on_gone = gone;
 	c->gone_arg = arg;
-	if (c->gone && gone)
+	if (c->gone && !c->ended && gone)
 		gone(arg);
 	pthread_mutex_unlock(&c->mutex);
 }
