calls: add the entry's relay, routing, tickets and the agent's gate

An entry checks whose call it is, chooses an upstream and hands the call to its agent, signed and with the time left. The agent's gate runs calls that may not be repeated at most once: each is bound by a ticket to one boot of one agent, whose table joins, replays or marks.

t0510 runs all of it with real processes.

--- /dev/null
+++ b/calls/explain.h
@@ -0,0 +1,44 @@
+#ifndef CALLS_EXPLAIN_H
+#define CALLS_EXPLAIN_H
+
+#include <apr_time.h>
+#include <jansson.h>
+#include <pthread.h>
+
+/*
+ * The most recent calls of an entry: where each went and why, for
+ * operators.  A ring of fixed size.
+ */
+
+#define EXPLAIN_CALLS 4096
+#define EXPLAIN_STEPS 8
+#define EXPLAIN_STEP_SIZE 96
+
+struct explain_call {
+	char id[129];
+	char account[64];
+	char target[96];
+	char outcome[12];
+	char reason[48];
+	apr_time_t began;
+	apr_interval_time_t took;
+	int step_count; /* also those that did not fit */
+	struct {
+		int at_ms; /* after the beginning */
+		char text[EXPLAIN_STEP_SIZE];
+	} steps[EXPLAIN_STEPS];
+};
+
+struct explain_ring {
+	pthread_mutex_t mutex; /* innermost */
+	struct explain_call *calls;
+	unsigned next;
+};
+
+void explain_init(struct explain_ring *r);
+void explain_step(struct explain_call *c, apr_time_t now, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+void explain_keep(struct explain_ring *r, const struct explain_call *c);
+json_t *explain_find(struct explain_ring *r, const char *id);
+
+#endif
--- /dev/null
+++ b/calls/relay-watch.c
@@ -0,0 +1,118 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "calls/entry-internal.h"
+
+/*
+ * Finds attempts whose connection went silent.  The agent is asked on a new
+ * connection whether it holds the request: if it does not, or is further
+ * than what arrived, the connection is at fault and not the upstream.
+ */
+
+#define SILENT_US (1000 * 1000)
+#define PROBE_TIMEOUT_MS 800
+#define PROBE_FAILURES_MAX 2
+
+struct probe {
+	struct entry *e;
+	struct handle relay;
+	struct fetch fetch;
+	char url[SETTINGS_URL_SIZE + HOP_REQUEST_MAX];
+	apr_time_t began;
+	int attempt;
+};
+
+static void relay_cancel(struct relay *r, enum relay_end why)
+{
+	enum relay_end none = RELAY_NONE;
+
+	if (__atomic_compare_exchange_n(&r->why, &none, why, 0,
+					__ATOMIC_ACQ_REL, __ATOMIC_RELAXED))
+		fetch_cancel(&r->fetch);
+}
+
+/* Judges the attempt by what the agent said.  The relays are locked. */
+static void probe_judge(const struct probe *p, struct relay *r)
+{
+	const struct fetch *f = &p->fetch;
+	json_t *o = f->text ? json_loadb(f->text, f->text_size, 0, NULL) : NULL;
+	int running = 0, events = 0;
+
+	if (f->error.code || json_unpack(o, "{s:b,s:i}", "running", &running,
+					 "events", &events)) {
+		if (++r->probe_failures >= PROBE_FAILURES_MAX)
+			relay_cancel(r, RELAY_DEAD);
+	} else if (!running || events > r->sse.next) {
+		relay_cancel(r, RELAY_SILENT);
+	} else {
+		r->probe_failures = 0;
+	}
+	json_decref(o);
+}
+
+static void probe_done(struct fetch *f)
+{
+	struct probe *p = f->arg;
+	struct relay **slot, *r;
+
+	table_lock(&p->e->relays);
+	slot = table_get(&p->e->relays, p->relay);
+	if (slot) {
+		r = *slot;
+		/* Nothing arrived since, and it is still the same attempt. */
+		if (r->attempts == p->attempt &&
+		    __atomic_load_n(&r->last_byte, __ATOMIC_RELAXED) < p->began)
+			probe_judge(p, r);
+		__atomic_store_n(&r->probing, 0, __ATOMIC_RELEASE);
+	}
+	table_unlock(&p->e->relays);
+	free(f->text);
+	free(p);
+}
+
+static struct probe *probe_new(struct entry *e, struct handle h,
+			       struct relay *r, apr_time_t now)
+{
+	static const struct fetch_ops ops = { NULL, NULL, probe_done };
+	struct probe *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		abort();
+	p->e = e;
+	p->relay = h;
+	p->began = now;
+	p->attempt = r->attempts;
+	snprintf(p->url, sizeof(p->url), "http://%s:%d/calls/%s",
+		 r->agent_address, e->n->settings.http_port, r->id);
+	p->fetch.ops = &ops;
+	p->fetch.arg = p;
+	p->fetch.url = p->url;
+	p->fetch.timeout_ms = PROBE_TIMEOUT_MS;
+	p->fetch.once = 1;
+	return p;
+}
+
+/* Starts probes for attempts that are silent. */
+void relays_check(struct entry *e, apr_time_t now)
+{
+	struct handle cursor = HANDLE_NONE;
+	struct relay **slot, *r;
+	apr_time_t last;
+
+	table_lock(&e->relays);
+	while ((slot = table_next(&e->relays, &cursor))) {
+		r = *slot;
+		last = __atomic_load_n(&r->last_byte, __ATOMIC_ACQUIRE);
+		if (!last || now - last < SILENT_US ||
+		    now - r->probed < SILENT_US / 2 ||
+		    __atomic_load_n(&r->paused, __ATOMIC_RELAXED) ||
+		    __atomic_exchange_n(&r->probing, 1, __ATOMIC_ACQ_REL))
+			continue;
+		r->probed = now;
+		fetch_submit(e->n->fetcher,
+			     &probe_new(e, cursor, r, now)->fetch);
+	}
+	table_unlock(&e->relays);
+}
--- /dev/null
+++ b/calls/route.h
@@ -0,0 +1,110 @@
+#ifndef CALLS_ROUTE_H
+#define CALLS_ROUTE_H
+
+#include <apr_time.h>
+#include <stdint.h>
+
+#include "base/random.h"
+#include "calls/breaker.h"
+#include "config/document.h"
+#include "member/report.h"
+
+/*
+ * Choice of the upstream for a call.  Rows hold what the agents reported,
+ * late, and what this entry did since; route_choose is pure.
+ */
+
+#define ROUTE_UPSTREAMS_MAX 1024
+#define ROUTE_SERVES_MAX 16
+#define ROUTE_EXCLUDED_MAX 4
+
+/*
+ * Own calls begun and ended, by slices of time, so that what a report can't
+ * know yet is added to it.
+ */
+#define ROUTE_SLICES 64
+#define ROUTE_SLICE_US (50 * 1000)
+
+struct route_slice {
+	int64_t number; /* time / ROUTE_SLICE_US */
+	int begun;
+	int ended;
+};
+
+struct route_upstream {
+	char instance[SETTINGS_NAME_SIZE];
+	char upstream[SETTINGS_NAME_SIZE];
+	char address[SETTINGS_ADDRESS_SIZE];
+	char data_center[SETTINGS_NAME_SIZE];
+	uint64_t id_hash;
+	uint64_t boot;
+	int present; /* still reported */
+	int draining;
+	int reachable;
+	int local; /* in this entry's data center */
+	struct {
+		uint64_t class; /* route_class of a model or service */
+		char version[DIGEST_HEX_SIZE];
+	} serves[ROUTE_SERVES_MAX];
+	int serve_count;
+	int running; /* as reported */
+	int waiting;
+	int slots;
+	int token_us;
+	apr_time_t measured_at;
+	int in_flight; /* own calls */
+	struct route_slice slices[ROUTE_SLICES];
+	double affinity_trust; /* 0 to 1: how often the cache had the prefix */
+	struct breaker breaker;
+};
+
+struct route_table {
+	struct route_upstream *rows;
+	int count;
+};
+
+struct route_query {
+	uint64_t class;
+	const char *version; /* wanted; NULL for a plain service */
+	int version_strict;  /* no other version will do */
+	double min_serving;  /* share that must have it to be the only one */
+	uint64_t affinity;   /* of session or prefix, 0 for none */
+	const char *excluded[ROUTE_EXCLUDED_MAX]; /* instances */
+	int excluded_count;
+	const char *const *allowed; /* upstream names; NULL: any */
+	int allowed_count;
+};
+
+struct route_choice {
+	int index; /* of the row, -1 for none */
+	char version[DIGEST_HEX_SIZE];
+	int fresh; /* only over a new connection */
+	int eligible;
+	int affine; /* the affinity's own upstream was taken */
+	double wait_us;
+	const char *reason; /* why none */
+};
+
+#define ROUTE_AFFINITY_BONUS_US (50 * 1000)
+#define ROUTE_BOUNDED_LOAD 1.25 /* of the mean, for affinity */
+#define ROUTE_CALL_TOKENS 32	/* of a typical call */
+#define ROUTE_PLAIN_SLOTS 16	/* assumed of a plain service */
+#define ROUTE_PLAIN_US 2000	/* likewise, for one call */
+#define ROUTE_TRUST_STEP 0.1
+
+uint64_t route_class(enum upstream_kind kind, const char *name);
+
+void route_table_init(struct route_table *t);
+void route_table_destroy(struct route_table *t);
+struct route_upstream *route_find(struct route_table *t, const char *instance);
+void route_sync(struct route_table *t, const struct upstream_report *reports,
+		int count, const struct document *d, const char *data_center);
+
+double route_wait(const struct route_upstream *u, apr_time_t now);
+void route_choose(struct route_table *t, const struct route_query *q,
+		  apr_time_t now, struct random *r, struct route_choice *out);
+void route_begun(struct route_upstream *u, apr_time_t now);
+void route_ended(struct route_upstream *u, apr_time_t now);
+void route_cache_note(struct route_upstream *u, int hit);
+
+#endif
--- /dev/null
+++ b/t/calls-lib.sh
@@ -0,0 +1,68 @@
+# Sourced after t/test-lib.sh and t/fleet-lib.sh by the tests of calls: a
+# platform, entries, and agents before model engines or plain services.
+
+CALLS_NET=$(fleet_net 1)
+KEY_ADUBO=adubo-bearer-key
+ENTRY1=$CALLS_NET.101
+ENTRY2=$CALLS_NET.102
+
+# calls_config REVISION MANIFEST [KEY_LIFETIME_S]: publishes a document with a
+# model "quotes" and a service "billing".
+calls_config () {
+	cat >document.json <<-EOF
+	{"revision":$1,"fleet":{"fencing":["m-*"]},"accounts":[
+	 {"account":"adubo","keys":["$(key_digest $KEY_ADUBO)"],
+	  "models":[{"name":"quotes","manifest":"$2","upstreams":["m-*"],
+	   "min_serving":0.5}],
+	  "services":[{"name":"billing","upstreams":["p-*"],"operations":[
+	   {"name":"charge","repeatable":false,"deadline_ms":${CALLS_DEADLINE:-5000},
+	    "key_lifetime_s":${3:-600}},
+	   {"name":"look","repeatable":true,"deadline_ms":${CALLS_DEADLINE:-5000}}]}]}]}
+	EOF
+	fleet_publish_config document.json
+}
+
+# call ADDRESS PATH [CURL-ARGUMENT...]: one call of account adubo; headers in
+# headers.txt, body on standard output.
+call () {
+	call_address=$1
+	call_path=$2
+	shift 2
+	curl -s -m 20 -D headers.txt -H "Authorization: Bearer $KEY_ADUBO" \
+		-H 'Content-Type: application/json' "$@" \
+		"http://$call_address:7100$call_path"
+}
+
+status_of () {
+	sed -n '1s/^HTTP[^ ]* \([0-9]*\).*/\1/p' headers.txt
+}
+
+header_of () {
+	sed -n "s/^$1: *//Ip" headers.txt | tr -d '\r'
+}
+
+# runs_of ADDRESS KEY: how often a plain service ran a key.
+runs_of () {
+	curl -s "http://$1:7200/standin/runs" |
+		jq --arg k "$2" '.runs[$k] // 0'
+}
+
+fault_at () {
+	curl -s -f -o /dev/null -X POST -d "$2" "http://$1:7200/standin/fault"
+}
+
+# pid_of NAME: process that start began.
+pid_of () {
+	cat "$1.pid"
+}
+
+# routes_count ENTRY CLASS-COUNT: upstreams that the entry could route to.
+routes_count () {
+	curl -s -m 2 "http://$1:7102/status" |
+		jq '[.calls.upstreams[] | select(.reachable and .serves > 0
+		and (.draining | not))] | length'
+}
+
+routes_are () {
+	test "$(routes_count "$1")" = "$2"
+}
