calls: divide limits over entries by demand they told each other

Each entry held the whole budget of an account. Entries now exchange their demand, an account's budget goes over them in proportion, the fleet's over accounts by weighted max-min shares, and a fair queue stands before each pool. A demand that rises counts only once the others acknowledged it.

--- /dev/null
+++ b/calls/limit-core.h
@@ -0,0 +1,122 @@
+#ifndef CALLS_LIMIT_CORE_H
+#define CALLS_LIMIT_CORE_H
+
+#include "calls/limit-peers.h"
+#include "calls/limit-share.h"
+#include "calls/limits.h"
+#include "calls/queue.h"
+#include "config/document.h"
+
+/*
+ * The decisions of limits.h: tables, an event and the present time go in,
+ * decided admissions come out as a list.  The table of accounts is locked
+ * by the caller, and its lock guards everything here.
+ */
+
+#define LIMIT_ACCOUNTS_MAX 1024
+#define LIMIT_POOLS_MAX 64
+#define LIMIT_QUEUE_MAX 4096		/* calls waiting for one pool */
+#define LIMIT_TICK_US (100 * 1000)	/* slices and late calls */
+#define LIMIT_LATE_US (500 * 1000)	/* a tick so late means a pause */
+#define LIMIT_WAIT_MAX_US (2000 * 1000) /* in the queue, without deadline */
+/* Of its slice that a bucket holds: for accounts below and above budget. */
+#define LIMIT_BURST_US APR_USEC_PER_SEC
+#define LIMIT_BURST_MIN 4.0
+#define LIMIT_BURST_OVER_US (250 * 1000)
+#define LIMIT_BURST_OVER_MIN 2.0
+#define LIMIT_RETRY_MIN_MS 100
+#define LIMIT_RETRY_MAX_MS 10000
+
+/* Calls in upstreams against their slots: keeps them busy, without a queue. */
+#define LIMIT_GAIN_FIRST 1.1
+#define LIMIT_GAIN_MIN 0.5
+#define LIMIT_GAIN_MAX 2.0
+#define LIMIT_GAIN_STEP 0.01   /* each tick */
+#define LIMIT_WAITING_HIGH 0.2 /* waiting in upstreams, of their slots */
+#define LIMIT_WAITING_LOW 0.05
+
+struct limit_account {
+	char name[DOCUMENT_NAME_SIZE];
+	int listed; /* in the document in force */
+	double share;
+	struct limit_spec limit;
+	int key; /* index of its demand in limit_peers */
+	struct demand_window requests;
+	struct demand_window tokens;
+	struct bucket request_bucket;
+	struct bucket token_bucket;
+	int slots;   /* that may run here, below 0 for any number */
+	int running; /* here */
+	int waiting;
+	struct demand_mean demand[LIMIT_VALUES];
+	double budget[LIMIT_VALUES]; /* of the account, to divide */
+	struct metric *granted_calls;
+	struct metric *refused_calls;
+	struct metric *wait_us;
+};
+
+struct limit_pool {
+	char name[DOCUMENT_NAME_SIZE];
+	int plain;
+	int key;
+	int slots; /* of the upstreams, 0: not known */
+	int busy;  /* in the upstreams, as they reported */
+	int queued;
+	double gain;
+	int window; /* calls that may run from here, below 0 for any number */
+	int running;
+	struct demand_mean demand;
+	double hold_us; /* mean time that a call runs */
+	struct demand_window asked;
+	struct demand_window ended;
+	struct fair_queue queue;
+};
+
+/* What upstreams that serve one pool reported, added up. */
+struct pool_report {
+	char name[DOCUMENT_NAME_SIZE];
+	int plain;
+	int slots;
+	int running;
+	int waiting;
+};
+
+struct limit_core {
+	struct table accounts; /* struct limit_account, rank RANK_ACCOUNT */
+	struct limit_peers peers;
+	struct limit_view view;
+	struct limit_spec fleet;
+	uint64_t revision;
+	struct limit_pool pools[LIMIT_POOLS_MAX];
+	int pool_count;
+	struct handle account_rows[LIMIT_KEYS_MAX]; /* by key */
+	uint32_t codes[LIMIT_KEYS_MAX];		    /* own demand */
+	apr_time_t ticked;
+	apr_time_t published;
+};
+
+/* Decided admissions, linked by next. */
+struct limit_decisions {
+	struct admission *first;
+	struct admission **tail;
+};
+
+void limit_core_init(struct limit_core *c, const char *id, uint64_t boot);
+void limit_core_destroy(struct limit_core *c);
+void limit_core_configure(struct limit_core *c, const struct document *d,
+			  apr_time_t now);
+void limit_core_report(struct limit_core *c, const struct pool_report *reports,
+		       int count);
+void limit_core_tick(struct limit_core *c, apr_time_t now,
+		     struct limit_decisions *out);
+void limit_core_arrive(struct limit_core *c, struct admission *a,
+		       apr_time_t now, struct limit_decisions *out);
+void limit_core_end(struct limit_core *c, struct admission *a, int tokens_used,
+		    apr_time_t now, struct limit_decisions *out);
+int limit_core_withdraw(struct limit_core *c, struct admission *a,
+			apr_time_t now, struct limit_decisions *out);
+
+/* Of limit-core.c for limit-slices.c. */
+void limit_core_slices(struct limit_core *c, apr_time_t now);
+
+#endif
--- /dev/null
+++ b/calls/limit-peers.c
@@ -0,0 +1,342 @@
+#include "calls/limit-peers.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/digest.h"
+#include "calls/limit-share.h"
+
+/* Codes: 12 steps to the doubling, from 1/8 upwards; 0 stands for none. */
+#define CODE_STEPS 12
+#define CODE_FIRST 0.125
+#define CODE_MAX 255
+#define CODE_BITS 8
+#define CODE_NOISE 2   /* steps */
+#define TOKENS_UNIT 16 /* tokens are counted in units of so many */
+
+/* Returns the code nearest to a value. */
+uint8_t limit_encode(double value)
+{
+	double code;
+
+	if (value < CODE_FIRST / 2)
+		return 0;
+	code = 1 + round(CODE_STEPS * log2(value / CODE_FIRST));
+	if (code < 1)
+		return 1;
+	return code > CODE_MAX ? CODE_MAX : (uint8_t)code;
+}
+
+static uint8_t code_of(uint32_t codes, enum limit_value which)
+{
+	return codes >> (CODE_BITS * which) & CODE_MAX;
+}
+
+/* Returns the value that a code stands for. */
+double limit_decode(uint32_t codes, enum limit_value which)
+{
+	int code = code_of(codes, which);
+	double value;
+
+	if (!code)
+		return 0;
+	value = CODE_FIRST * exp2((double)(code - 1) / CODE_STEPS);
+	return which == LIMIT_TOKENS ? value * TOKENS_UNIT : value;
+}
+
+/* Packs three demands. */
+uint32_t limit_codes(double requests, double tokens, double concurrent)
+{
+	return (uint32_t)limit_encode(requests) |
+	       (uint32_t)limit_encode(tokens / TOKENS_UNIT) << CODE_BITS |
+	       (uint32_t)limit_encode(concurrent) << (2 * CODE_BITS);
+}
+
+static uint32_t codes_min(uint32_t a, uint32_t b)
+{
+	uint32_t mask, min = 0;
+	int i;
+
+	for (i = 0; i < LIMIT_VALUES; i++) {
+		mask = (uint32_t)CODE_MAX << (CODE_BITS * i);
+		min |= (a & mask) < (b & mask) ? a & mask : b & mask;
+	}
+	return min;
+}
+
+void limit_peers_init(struct limit_peers *p, const char *id, uint64_t boot)
+{
+	memset(p, 0, sizeof(*p));
+	snprintf(p->id, sizeof(p->id), "%s", id);
+	p->boot = boot;
+	p->number = 1;
+}
+
+/* Returns the place of a key's hash in the hash table, or a free one. */
+static uint32_t key_place(const struct limit_peers *p, uint32_t hash)
+{
+	uint32_t at = hash % (2 * LIMIT_KEYS_MAX);
+
+	while (p->slots[at] && p->keys[p->slots[at] - 1] != hash)
+		at = (at + 1) % (2 * LIMIT_KEYS_MAX);
+	return at;
+}
+
+static uint32_t key_hash(const char *kind, const char *name)
+{
+	return (uint32_t)place_hash_string(name, place_hash_string(kind, 0));
+}
+
+/* Returns the index of a key's hash, added if new; -1 when full. */
+int limit_peers_key_of_hash(struct limit_peers *p, uint32_t hash)
+{
+	uint32_t at = key_place(p, hash);
+
+	if (p->slots[at])
+		return p->slots[at] - 1;
+	if (p->key_count == LIMIT_KEYS_MAX)
+		return -1;
+	p->keys[p->key_count] = hash;
+	p->slots[at] = (uint16_t)++p->key_count;
+	return p->key_count - 1;
+}
+
+/* Returns the index of an account's or pool's demand, -1 when full. */
+int limit_peers_key(struct limit_peers *p, const char *kind, const char *name)
+{
+	return limit_peers_key_of_hash(p, key_hash(kind, name));
+}
+
+/* The same without adding it; -1 when it was never added. */
+int limit_peers_key_find(const struct limit_peers *p, const char *kind,
+			 const char *name)
+{
+	return (int)p->slots[key_place(p, key_hash(kind, name))] - 1;
+}
+
+/* Returns the time between two exchanges of one pair. */
+apr_interval_time_t limit_peers_period(const struct limit_peers *p)
+{
+	apr_interval_time_t period = p->peer_count * LIMIT_PERIOD_EACH_US;
+
+	if (period < LIMIT_PERIOD_MIN_US)
+		return LIMIT_PERIOD_MIN_US;
+	return period < LIMIT_PERIOD_MAX_US ? period : LIMIT_PERIOD_MAX_US;
+}
+
+static apr_interval_time_t lease_length(const struct limit_peers *p)
+{
+	apr_interval_time_t lease = 2 * limit_peers_period(p) + 100 * 1000;
+
+	return lease > LIMIT_LEASE_MIN_US ? lease : LIMIT_LEASE_MIN_US;
+}
+
+/* Counts towards the majority. */
+static int peer_leased(const struct limit_peers *p, const struct limit_peer *q,
+		       apr_time_t now)
+{
+	return q->contact && now - q->contact < lease_length(p);
+}
+
+/* Its demand counts: it may still use its slices. */
+static int peer_present(const struct limit_peers *p, const struct limit_peer *q,
+			apr_time_t now)
+{
+	return q->contact &&
+	       now - q->contact < lease_length(p) + LIMIT_MARGIN_US;
+}
+
+/* Returns the peer of that id, or NULL. */
+struct limit_peer *limit_peers_find(struct limit_peers *p, const char *id)
+{
+	int i;
+
+	for (i = 0; i < p->peer_count; i++)
+		if (!strcmp(p->peers[i].id, id))
+			return &p->peers[i];
+	return NULL;
+}
+
+static struct limit_peer *peer_add(struct limit_peers *p, const char *id,
+				   const char *address)
+{
+	struct limit_peer *q;
+
+	if (p->peer_count == LIMIT_PEERS_MAX)
+		return NULL;
+	q = &p->peers[p->peer_count++];
+	memset(q, 0, sizeof(*q));
+	snprintf(q->id, sizeof(q->id), "%s", id);
+	snprintf(q->address, sizeof(q->address), "%s", address);
+	return q;
+}
+
+static int address_listed(const struct limit_address *list, int count,
+			  const char *id)
+{
+	int i;
+
+	for (i = 0; i < count; i++)
+		if (!strcmp(list[i].id, id))
+			return 1;
+	return 0;
+}
+
+/* Takes over who the other entries are; this one is not in the list. */
+void limit_peers_sync(struct limit_peers *p, const struct limit_address *list,
+		      int count, apr_time_t now)
+{
+	struct limit_peer *q;
+	int i;
+
+	for (i = p->peer_count - 1; i >= 0; i--) {
+		if (address_listed(list, count, p->peers[i].id))
+			continue;
+		p->peers[i] = p->peers[--p->peer_count];
+	}
+	for (i = 0; i < count; i++) {
+		q = limit_peers_find(p, list[i].id);
+		if (!q)
+			q = peer_add(p, list[i].id, list[i].address);
+		if (q && strcmp(q->address, list[i].address))
+			snprintf(q->address, sizeof(q->address), "%s",
+				 list[i].address);
+		if (q && !q->due)
+			q->due = now;
+	}
+}
+
+/* Returns the oldest version that an entry in contact may hold of ours. */
+static uint32_t oldest_acked(const struct limit_peers *p, apr_time_t now)
+{
+	const struct limit_peer *q;
+	uint32_t oldest = p->number;
+	int i;
+
+	for (i = 0; i < p->peer_count; i++) {
+		q = &p->peers[i];
+		if (peer_present(p, q, now) && q->acked && q->acked < oldest)
+			oldest = q->acked;
+	}
+	return oldest;
+}
+
+/* Brings low up to date: the least of all versions that others may hold. */
+static void low_update(struct limit_peers *p, apr_time_t now)
+{
+	uint32_t at = oldest_acked(p, now);
+	int i;
+
+	if (p->number - at >= LIMIT_RING)
+		return; /* no new versions were made since: low holds */
+	memcpy(p->low, p->ring[at % LIMIT_RING], sizeof(p->low));
+	while (at++ < p->number)
+		for (i = 0; i < p->key_count; i++)
+			p->low[i] = codes_min(p->low[i],
+					      p->ring[at % LIMIT_RING][i]);
+}
+
+/*
+ * Takes the present demand as a new version if it differs; codes has one
+ * element for each key.  Not while some entry in contact holds none of the
+ * versions kept.
+ */
+void limit_peers_publish(struct limit_peers *p, const uint32_t *codes)
+{
+	size_t size = p->key_count * sizeof(codes[0]);
+
+	if (!memcmp(codes, p->ring[p->number % LIMIT_RING], size) ||
+	    p->number + 1 - oldest_acked(p, p->viewed) >= LIMIT_RING)
+		return;
+	p->number++;
+	memcpy(p->ring[p->number % LIMIT_RING], codes, size);
+}
+
+/*
+ * Works out the group in contact.  After a time without a majority the
+ * others have divided this entry's slices; it stays at the cut-off share
+ * until it heard all of them, or until those not heard must have lapsed.
+ */
+void limit_peers_view(struct limit_peers *p, apr_time_t now,
+		      struct limit_view *v)
+{
+	const char *first = p->id;
+	int i, leased, settled;
+
+	*v = (struct limit_view){ p->peer_count + 1, 1, 1, 1, 0 };
+	for (i = 0; i < p->peer_count; i++) {
+		leased = peer_leased(p, &p->peers[i], now);
+		v->leased += leased;
+		v->present += peer_present(p, &p->peers[i], now);
+		if (strcmp(p->peers[i].id, first) < 0) {
+			first = p->peers[i].id;
+			v->has_first = leased;
+		}
+	}
+	if (limit_view_part(v, 1e-9) < 1)
+		p->joined_at = 0;
+	else if (!p->joined_at)
+		p->joined_at = now;
+	settled = v->leased == v->known ||
+		  (p->joined_at &&
+		   now - p->joined_at > lease_length(p) + LIMIT_MARGIN_US);
+	v->alone =
+		v->known > 1 && (v->leased == 1 || (p->joined_at && !settled));
+	p->viewed = now;
+	low_update(p, now);
+}
+
+/* Returns the part of a budget with that cut-off share to divide here. */
+double limit_view_part(const struct limit_view *v, double cut_off)
+{
+	if (v->alone)
+		return share_group(1, v->known + 1, 0,
+				   cut_off > 0 ? cut_off : 1.0 / v->known);
+	return share_group(v->leased, v->known, v->has_first, cut_off);
+}
+
+/* Returns the demand here that counts for this entry's slice. */
+double limit_peers_own(const struct limit_peers *p, int key,
+		       enum limit_value which)
+{
+	return limit_decode(p->low[key], which);
+}
+
+/* Returns the demand at the other entries, as far as they may use it. */
+double limit_peers_others(const struct limit_peers *p, int key,
+			  enum limit_value which, apr_time_t now)
+{
+	const struct limit_peer *q;
+	double sum = 0;
+
+	for (q = p->peers; q < p->peers + p->peer_count; q++)
+		if (q->codes[key] && peer_present(p, q, now))
+			sum += limit_decode(q->codes[key], which);
+	return sum;
+}
+
+/*
+ * Returns how many whole units of a budget this entry may use.  Adds the
+ * slices up in the order of the entries' ids and rounds the sums, so that
+ * the units of all entries add up to the budget.
+ */
+int limit_peers_slots(const struct limit_peers *p, int key, double budget,
+		      int entries, apr_time_t now)
+{
+	double own = limit_peers_own(p, key, LIMIT_CONCURRENT);
+	double others = limit_peers_others(p, key, LIMIT_CONCURRENT, now);
+	double before = 0, theirs;
+	const struct limit_peer *q;
+
+	for (q = p->peers; q < p->peers + p->peer_count; q++) {
+		if (strcmp(q->id, p->id) > 0 || !peer_present(p, q, now))
+			continue;
+		theirs = limit_decode(q->codes[key], LIMIT_CONCURRENT);
+		before += share_slice(budget, theirs, own + others - theirs,
+				      entries);
+	}
+	own = share_slice(budget, own, others, entries);
+	return (int)(floor(before + own + 0.001) - floor(before + 0.001));
+}
--- /dev/null
+++ b/calls/limit-share.h
@@ -0,0 +1,62 @@
+#ifndef CALLS_LIMIT_SHARE_H
+#define CALLS_LIMIT_SHARE_H
+
+#include <apr_time.h>
+
+/* How a budget is divided: over accounts, over entries, in a partition. */
+
+/* A budget without a limit. */
+#define SHARE_UNLIMITED (-1.0)
+
+struct share_claim {
+	double weight;
+	double demand;
+};
+
+double share_level(const struct share_claim *claims, int count, double total);
+double share_slice(double budget, double own, double others, int entries);
+double share_group(int present, int known, int has_first, double cut_off);
+double share_bound(int known, double cut_off);
+
+/*
+ * Demand over the last second, kept in steps so that it moves on without a
+ * clock of its own.
+ */
+#define DEMAND_STEPS 10
+#define DEMAND_STEP_US (100 * 1000)
+
+struct demand_window {
+	double steps[DEMAND_STEPS];
+	apr_time_t turn; /* time / DEMAND_STEP_US of the newest step */
+};
+
+void demand_add(struct demand_window *w, double amount, apr_time_t now);
+double demand_rate(struct demand_window *w, apr_time_t now);
+
+/*
+ * A demand smoothed over as many events as tell it from chance: slow while
+ * it is small, at once when it changes by more than chance explains.
+ */
+struct demand_mean {
+	double value;
+	double claimed; /* as told to the others */
+};
+
+int demand_smooth(struct demand_mean *m, double now_value, double events,
+		  int jump);
+void demand_claim(struct demand_mean *m, double budget, int entries);
+
+/* A token bucket whose rate changes; its level may go below zero. */
+struct bucket {
+	double level;
+	double rate; /* a second, or SHARE_UNLIMITED */
+	double depth;
+	apr_time_t filled;
+};
+
+void bucket_set(struct bucket *b, double rate, double depth, apr_time_t now);
+int bucket_has(struct bucket *b, double amount, apr_time_t now);
+void bucket_take(struct bucket *b, double amount);
+apr_interval_time_t bucket_wait(const struct bucket *b, double amount);
+
+#endif
--- a/calls/limits.c
+++ b/calls/limits.c
@@ -3,238 +3,350 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "config/document.h"
-
-#define LIMITS_STEP_US (10 * 1000)
-#define LIMITS_BURST_US (APR_USEC_PER_SEC / 4)
-#define LIMITS_ACCOUNTS_MAX 1024
-
-struct limit_account {
-	char name[64];
-	struct limit_spec limit;
-	double requests; /* left in the bucket */
-	double tokens;
-	apr_time_t filled;
-	int running;
-	struct admission *first; /* waits for concurrency */
-	struct admission **tail;
-};
+#include "base/clock.h"
+#include "base/log.h"
+#include "calls/limit-core.h"
+#include "member/instance.h"
+#include "member/report.h"
+
+#define LIMITS_STEP_US (20 * 1000)
+#define LIMITS_JOBS_MAX 16 /* exchanges begun in one step */
+#define LIMITS_REPORTS_MAX 64
+#define LIMITS_REPORT_AGE_US (5 * APR_USEC_PER_SEC)
 
 struct limits {
 	struct node *node;
-	pthread_mutex_t mutex; /* taken after no table, before none */
-	uint64_t revision;
-	int account_count;
-	struct limit_account accounts[LIMITS_ACCOUNTS_MAX];
+	struct limit_core core; /* under the lock of core.accounts */
+	struct limit_address entries[LIMIT_PEERS_MAX];
+	struct pool_report reports[LIMITS_REPORTS_MAX];
 };
 
-static struct limit_account *account_find(struct limits *l, const char *name)
+struct exchange {
+	struct job job;
+	struct limits *limits;
+	char id[64];
+	char address[64];
+	struct limits_message message;
+};
+
+/* Calls back what was decided, with no lock held. */
+static void carry_out(struct limit_decisions *d)
 {
-	int i;
+	struct admission *a, *next;
 
-	for (i = 0; i < l->account_count; i++)
-		if (!strcmp(l->accounts[i].name, name))
-			return &l->accounts[i];
-	return NULL;
+	for (a = d->first; a; a = next) {
+		next = a->next;
+		a->decided(a, a->outcome, a->retry_after_ms, a->reason);
+	}
 }
 
-static double bucket_depth(double rate)
+/* Brings a document that came into force to the core.  Not locked. */
+static void document_update(struct limits *l, apr_time_t now)
 {
-	double depth = rate * LIMITS_BURST_US / APR_USEC_PER_SEC;
+	struct document *d = board_document(&l->node->board);
 
-	return depth < 1 ? 1 : depth;
+	if (!d)
+		return;
+	table_lock(&l->core.accounts);
+	limit_core_configure(&l->core, d, now);
+	table_unlock(&l->core.accounts);
+	document_release(d);
 }
 
-static void bucket_fill(double *level, double rate, apr_interval_time_t gap)
+/* Asks to run a call.  The caller holds no lock. */
+void limits_request(struct limits *l, struct admission *a, apr_time_t now)
 {
-	*level += rate * (double)gap / APR_USEC_PER_SEC;
-	if (*level > bucket_depth(rate))
-		*level = bucket_depth(rate);
+	struct limit_decisions out = { NULL, NULL };
+
+	document_update(l, now);
+	table_lock(&l->core.accounts);
+	limit_core_arrive(&l->core, a, now, &out);
+	table_unlock(&l->core.accounts);
+	carry_out(&out);
 }
 
-static void account_fill(struct limit_account *c, apr_time_t now)
+/* Ends a granted call; tokens_used replaces the estimate. */
+void limits_release(struct limits *l, struct admission *a, int tokens_used,
+		    apr_time_t now)
 {
-	bucket_fill(&c->requests, c->limit.requests_per_second,
-		    now - c->filled);
-	bucket_fill(&c->tokens, c->limit.tokens_per_second, now - c->filled);
-	c->filled = now;
+	struct limit_decisions out = { NULL, NULL };
+
+	table_lock(&l->core.accounts);
+	limit_core_end(&l->core, a, tokens_used, now, &out);
+	table_unlock(&l->core.accounts);
+	carry_out(&out);
 }
 
-/* Returns milliseconds until the account has budget, 0 if it has now. */
-static int account_wait_ms(const struct limit_account *c)
+/*
+ * Takes back a request whose caller went.  Returns 1 if decided will not be
+ * called any more, 0 if the decision was made: decided was or will be
+ * called, and a granted call has to be released.
+ */
+int limits_withdraw(struct limits *l, struct admission *a, apr_time_t now)
 {
-	double s = 0;
+	struct limit_decisions out = { NULL, NULL };
+	int withdrawn;
 
-	if (c->limit.requests_per_second > 0 && c->requests < 1)
-		s = (1 - c->requests) / c->limit.requests_per_second;
-	if (c->limit.tokens_per_second > 0 && c->tokens < 0 &&
-	    -c->tokens / c->limit.tokens_per_second > s)
-		s = -c->tokens / c->limit.tokens_per_second;
-	return s > 0 ? (int)(s * 1000) + 1 : 0;
+	table_lock(&l->core.accounts);
+	withdrawn = limit_core_withdraw(&l->core, a, now, &out);
+	table_unlock(&l->core.accounts);
+	carry_out(&out);
+	return withdrawn;
 }
 
-/* Returns 1 when a could run now. */
-static int account_room(const struct limit_account *c)
+static const struct rpc_kind limits_kinds[];
+
+static void exchange_run(struct job *j)
 {
-	return c->limit.concurrent <= 0 || c->running < c->limit.concurrent;
+	struct exchange *x = (struct exchange *)j;
+	struct limits *l = x->limits;
+	apr_time_t sent = clock_now();
+	struct limits_message reply;
+	struct error err = ERROR_INIT;
+	int failed;
+
+	failed = rpc_exchange(l->node->rpc, x->address,
+			      l->node->settings.rpc_port, limits_kinds,
+			      &x->message, &reply, LIMIT_EXCHANGE_TIMEOUT_MS,
+			      &err);
+	table_lock(&l->core.accounts);
+	if (failed)
+		limit_peers_failed(&l->core.peers, x->id, clock_now());
+	else
+		limit_peers_reply(&l->core.peers, x->id, &reply, sent,
+				  clock_now());
+	table_unlock(&l->core.accounts);
+	if (!failed)
+		xdr_free((xdrproc_t)xdr_limits_message, &reply);
+	xdr_free((xdrproc_t)xdr_limits_message, &x->message);
+	free(x);
 }
 
-/* Reads the limits of a document that came into force. */
-static void limits_configure(struct limits *l, apr_time_t now)
+static int limits_serve(void *arg, const struct rpc_peer *from,
+			const void *request, void *reply)
 {
-	struct document *d = board_document(&l->node->board);
-	struct limit_account *c;
+	struct limits *l = arg;
+	int ret;
+
+	table_lock(&l->core.accounts);
+	ret = limit_peers_serve(&l->core.peers, from->instance, from->boot,
+				request, reply, clock_now());
+	table_unlock(&l->core.accounts);
+	return ret;
+}
+
+static const struct rpc_kind limits_kinds[] = {
+	{ RPC_KIND_LIMITS, "limits", (xdrproc_t)xdr_limits_message,
+	  sizeof(struct limits_message), (xdrproc_t)xdr_limits_message,
+	  sizeof(struct limits_message), limits_serve },
+	{ 0 },
+};
+
+/* Lists the other entries that may be serving.  A leaving one is not. */
+static int entries_list(struct limits *l)
+{
+	struct table *t = &l->node->board.instances;
+	struct handle h = HANDLE_NONE;
+	struct instance *i;
+	int count = 0;
+
+	table_lock(t);
+	while ((i = table_next(t, &h)) && count < LIMIT_PEERS_MAX) {
+		if (i->role != ROLE_ENTRY || i->state == INSTANCE_LEAVING ||
+		    (!i->listed && i->state != INSTANCE_LIVE) ||
+		    !strcmp(i->id, l->node->settings.instance))
+			continue;
+		memcpy(l->entries[count].id, i->id, sizeof(i->id));
+		memcpy(l->entries[count].address, i->address,
+		       sizeof(i->address));
+		count++;
+	}
+	table_unlock(t);
+	return count;
+}
+
+static int report_add(struct limits *l, int count, const char *name, int plain,
+		      const struct upstream_report *u)
+{
+	struct pool_report *r;
 	int i;
 
-	if (!d)
-		return;
-	pthread_mutex_lock(&l->mutex);
-	for (i = 0; i < d->account_count && l->revision != d->revision; i++) {
-		c = account_find(l, d->accounts[i].name);
-		if (!c && l->account_count == LIMITS_ACCOUNTS_MAX)
+	for (i = 0; i < count; i++)
+		if (l->reports[i].plain == plain &&
+		    !strcmp(l->reports[i].name, name))
 			break;
-		if (!c) {
-			c = &l->accounts[l->account_count++];
-			strcpy(c->name, d->accounts[i].name);
-			c->filled = now - LIMITS_BURST_US;
-			c->tail = &c->first;
-		}
-		c->limit = d->accounts[i].limit;
+	if (i == LIMITS_REPORTS_MAX)
+		return count;
+	r = &l->reports[i];
+	if (i == count) {
+		memset(r, 0, sizeof(*r));
+		snprintf(r->name, sizeof(r->name), "%s", name);
+		r->plain = plain;
+		count++;
 	}
-	l->revision = d->revision;
-	pthread_mutex_unlock(&l->mutex);
-	document_release(d);
+	r->slots += u->slots;
+	r->running += u->running;
+	r->waiting += u->waiting;
+	return count;
 }
 
-static void decide(struct admission *a, enum admit_outcome outcome, int ms,
-		   const char *reason)
+static int report_services(struct limits *l, int count,
+			   const struct upstream_report *u,
+			   const struct document *d)
 {
-	a->decided(a, outcome, ms, reason);
+	const struct service_spec *s;
+	int i;
+
+	for (i = 0; i < d->service_count; i++) {
+		s = &d->services[i];
+		if (spec_covers(s->upstreams, s->upstream_count, u->upstream))
+			count = report_add(l, count, s->name, 1, u);
+	}
+	return count;
 }
 
-/* Asks to run a call; see the header for when decided is called. */
-void limits_request(struct limits *l, struct admission *a, apr_time_t now)
+/* Adds up what the upstreams of each model and service reported. */
+static int reports_list(struct limits *l, const struct document *d,
+			apr_time_t now)
 {
-	struct limit_account *c;
-	int wait_ms, granted = 0;
+	struct table *t = &l->node->board.upstreams;
+	struct handle h = HANDLE_NONE;
+	struct upstream_report *u;
+	int i, count = 0;
 
-	limits_configure(l, now);
-	pthread_mutex_lock(&l->mutex);
-	c = account_find(l, a->account);
-	if (!c) {
-		pthread_mutex_unlock(&l->mutex);
-		decide(a, ADMIT_UNKNOWN, 0, "no such account");
-		return;
-	}
-	account_fill(c, now);
-	wait_ms = account_wait_ms(c);
-	if (!wait_ms) {
-		c->requests -= 1;
-		c->tokens -= a->tokens;
-		a->next = NULL;
-		granted = !c->first && account_room(c);
-		if (granted) {
-			c->running++;
-		} else {
-			*c->tail = a;
-			c->tail = &a->next;
-		}
-	}
-	pthread_mutex_unlock(&l->mutex);
-	if (wait_ms)
-		decide(a, ADMIT_LIMIT, wait_ms, "rate limit of the account");
-	else if (granted)
-		decide(a, ADMIT_GRANTED, 0, "within limits");
-}
-
-/* Takes from the queue what may run or is too late.  Locked. */
-static struct admission *account_take(struct limit_account *c, apr_time_t now,
-				      int *granted)
-{
-	struct admission *a = c->first;
-
-	if (!a)
-		return NULL;
-	*granted = !a->deadline || now < a->deadline;
-	if (*granted && !account_room(c))
-		return NULL;
-	c->first = a->next;
-	if (!c->first)
-		c->tail = &c->first;
-	c->running += *granted;
-	return a;
-}
-
-static void account_pump(struct limits *l, struct limit_account *c,
-			 apr_time_t now)
-{
-	struct admission *a;
-	int granted;
-
-	for (;;) {
-		pthread_mutex_lock(&l->mutex);
-		a = account_take(c, now, &granted);
-		pthread_mutex_unlock(&l->mutex);
-		if (!a)
-			return;
-		if (granted)
-			decide(a, ADMIT_GRANTED, 0, "after waiting");
-		else
-			decide(a, ADMIT_OVERLOAD, 1000, "deadline passed");
+	table_lock(t);
+	while ((u = table_next(t, &h))) {
+		if (u->draining || !u->reachable ||
+		    now - u->heard > LIMITS_REPORT_AGE_US)
+			continue;
+		for (i = 0; i < u->model_count; i++)
+			count = report_add(l, count, u->models[i].name, 0, u);
+		if (u->kind == UPSTREAM_PLAIN)
+			count = report_services(l, count, u, d);
 	}
+	table_unlock(t);
+	return count;
 }
 
-/* Ends a granted call. */
-void limits_release(struct limits *l, struct admission *a, int tokens_used,
-		    apr_time_t now)
+/* Writes the messages to send now.  Locked. */
+static struct exchange *exchanges_make(struct limits *l, apr_time_t now)
 {
-	struct limit_account *c;
+	struct exchange *x, *first = NULL;
+	struct limit_peer *q;
+	int due[LIMITS_JOBS_MAX], i, count;
 
-	pthread_mutex_lock(&l->mutex);
-	c = account_find(l, a->account);
-	c->running--;
-	c->tokens -= tokens_used - a->tokens;
-	pthread_mutex_unlock(&l->mutex);
-	account_pump(l, c, now);
+	count = limit_peers_due(&l->core.peers, now, due, LIMITS_JOBS_MAX);
+	for (i = 0; i < count; i++) {
+		q = &l->core.peers.peers[due[i]];
+		x = calloc(1, sizeof(*x));
+		if (!x)
+			abort();
+		x->job.run = exchange_run;
+		x->limits = l;
+		memcpy(x->id, q->id, sizeof(x->id));
+		memcpy(x->address, q->address, sizeof(x->address));
+		limit_peers_fill(&l->core.peers, q, &x->message);
+		x->job.next = (struct job *)first;
+		first = x;
+	}
+	return first;
 }
 
-/*
- * Takes back a request that still waits.  Returns 1 if decided will not be
- * called any more, 0 if the decision was made.
- */
-int limits_withdraw(struct limits *l, struct admission *a, apr_time_t now)
+static void exchanges_submit(struct limits *l, struct exchange *x,
+			     apr_time_t now)
 {
-	struct limit_account *c;
-	struct admission **p;
-	int found = 0;
+	struct exchange *next;
 
-	(void)now;
-	pthread_mutex_lock(&l->mutex);
-	c = account_find(l, a->account);
-	for (p = c ? &c->first : NULL; p && *p; p = &(*p)->next) {
-		if (*p != a)
+	for (; x; x = next) {
+		next = (struct exchange *)x->job.next;
+		if (!worker_pool_submit(l->node->pool, &x->job))
 			continue;
-		*p = a->next;
-		if (!*p)
-			c->tail = p;
-		found = 1;
-		break;
+		table_lock(&l->core.accounts);
+		limit_peers_failed(&l->core.peers, x->id, now);
+		table_unlock(&l->core.accounts);
+		xdr_free((xdrproc_t)xdr_limits_message, &x->message);
+		free(x);
 	}
-	pthread_mutex_unlock(&l->mutex);
-	return found;
+}
+
+static void limits_tick(struct limits *l, apr_time_t now,
+			struct limit_decisions *out)
+{
+	struct document *d = board_document(&l->node->board);
+	int entries, reports;
+
+	if (!d)
+		return;
+	entries = entries_list(l);
+	reports = reports_list(l, d, now);
+	table_lock(&l->core.accounts);
+	limit_core_configure(&l->core, d, now);
+	limit_peers_sync(&l->core.peers, l->entries, entries, now);
+	limit_core_report(&l->core, l->reports, reports);
+	limit_core_tick(&l->core, now, out);
+	table_unlock(&l->core.accounts);
+	document_release(d);
 }
 
 static void limits_step(void *arg, apr_time_t now)
 {
+	struct limit_decisions out = { NULL, NULL };
+	struct limits *l = arg;
+	struct exchange *first;
+	int due;
+
+	table_lock(&l->core.accounts);
+	due = now - l->core.ticked >= LIMIT_TICK_US;
+	table_unlock(&l->core.accounts);
+	if (due)
+		limits_tick(l, now, &out);
+	table_lock(&l->core.accounts);
+	first = exchanges_make(l, now);
+	table_unlock(&l->core.accounts);
+	exchanges_submit(l, first, now);
+	carry_out(&out);
+}
+
+static json_t *account_status(const struct limit_account *a)
+{
+	return json_pack("{s:f,s:f,s:i,s:i,s:i}", "requests_per_second",
+			 a->request_bucket.rate, "tokens_per_second",
+			 a->token_bucket.rate, "slots", a->slots, "running",
+			 a->running, "waiting", a->waiting);
+}
+
+static json_t *pool_status(const struct limit_pool *p)
+{
+	return json_pack("{s:s,s:b,s:i,s:i,s:i,s:i,s:f}", "name", p->name,
+			 "plain", p->plain, "slots", p->slots, "window",
+			 p->window, "running", p->running, "waiting",
+			 p->queue.count, "gain", p->gain);
+}
+
+/* The limits section of /status: what this entry may use now. */
+static json_t *limits_status(void *arg)
+{
+	json_t *accounts = json_object(), *pools = json_array();
+	struct handle h = HANDLE_NONE;
 	struct limits *l = arg;
+	struct limit_view v;
+	struct limit_account *a;
 	int i;
 
-	limits_configure(l, now);
-	for (i = 0; i < l->account_count; i++)
-		account_pump(l, &l->accounts[i], now);
+	table_lock(&l->core.accounts);
+	v = l->core.view;
+	while ((a = table_next(&l->core.accounts, &h)))
+		json_object_set_new(accounts, a->name, account_status(a));
+	for (i = 0; i < l->core.pool_count; i++)
+		json_array_append_new(pools, pool_status(&l->core.pools[i]));
+	table_unlock(&l->core.accounts);
+	return json_pack("{s:i,s:i,s:b,s:o,s:o}", "entries", v.known,
+			 "in_contact", v.leased, "cut_off",
+			 v.alone || limit_view_part(&v, 1e-9) < 1, "accounts",
+			 accounts, "pools", pools);
 }
 
-/* Adds this component to a node that is not running yet. */
+/* Adds this component to an entry that is not running yet. */
 int limits_start(struct node *n, struct limits **out, struct error *err)
 {
 	struct limits *l = calloc(1, sizeof(*l));
@@ -243,8 +355,12 @@
 		return error_set(err, ERROR_INTERNAL, "limits-start", NULL,
 				 "no memory");
 	l->node = n;
-	pthread_mutex_init(&l->mutex, NULL);
+	limit_core_init(&l->core, n->settings.instance, n->self.boot);
+	if (rpc_server_add(limits_kinds, l))
+		return error_set(err, ERROR_FULL, "limits-start", NULL,
+				 "too many message kinds");
 	node_add_controller(n, "limits", LIMITS_STEP_US, limits_step, l);
+	node_add_status(n, "limits", limits_status, l);
 	*out = l;
 	return 0;
 }
--- a/calls/limits.h
+++ b/calls/limits.h
@@ -24,6 +24,8 @@
 	ADMIT_UNKNOWN	/* the configuration has no such account: 403 */
 };
 
+enum admit_state { ADMIT_WAITING = 1, ADMIT_RUNNING, ADMIT_ENDED };
+
 struct admission {
 	char account[64];
 	int priority;	     /* 0 first to 9 */
@@ -36,14 +38,14 @@
 	void *arg;
 
 	/* private to this module */
-	int state;
-	int outcome;
+	enum admit_state state;
+	enum admit_outcome outcome;
 	int retry_after_ms;
 	const char *reason;
 	struct handle account_row;
+	int pool;
 	apr_time_t asked;
-	double start_tag;
-	double finish_tag;
+	apr_time_t granted;
 	struct admission *prev;
 	struct admission *next;
 };
--- /dev/null
+++ b/t/helper/lib-limit-sim.c
@@ -0,0 +1,529 @@
+#include "t/helper/lib-limit-sim.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SIM_STEP_US (20 * 1000)
+#define SIM_ENVELOPE_BYTES 160
+#define SIM_REPORT_EVERY_US APR_USEC_PER_SEC
+
+static int event_before(const struct sim_event *a, const struct sim_event *b)
+{
+	return a->at != b->at ? a->at < b->at : a->order < b->order;
+}
+
+static void event_swap(struct sim_event *a, struct sim_event *b)
+{
+	struct sim_event t = *a;
+
+	*a = *b;
+	*b = t;
+}
+
+static void event_add(struct sim *s, struct sim_event e)
+{
+	int i;
+
+	if (s->heap_count == s->heap_size) {
+		s->heap_size = s->heap_size ? s->heap_size * 2 : 1024;
+		s->heap = realloc(s->heap, s->heap_size * sizeof(*s->heap));
+		if (!s->heap)
+			abort();
+	}
+	e.order = s->order++;
+	i = s->heap_count++;
+	s->heap[i] = e;
+	for (; i && event_before(&s->heap[i], &s->heap[(i - 1) / 2]);
+	     i = (i - 1) / 2)
+		event_swap(&s->heap[i], &s->heap[(i - 1) / 2]);
+}
+
+static struct sim_event event_take(struct sim *s)
+{
+	struct sim_event first = s->heap[0];
+	int i = 0, child;
+
+	s->heap[0] = s->heap[--s->heap_count];
+	for (;;) {
+		child = 2 * i + 1;
+		if (child >= s->heap_count)
+			break;
+		if (child + 1 < s->heap_count &&
+		    event_before(&s->heap[child + 1], &s->heap[child]))
+			child++;
+		if (!event_before(&s->heap[child], &s->heap[i]))
+			break;
+		event_swap(&s->heap[i], &s->heap[child]);
+		i = child;
+	}
+	return first;
+}
+
+void sim_init(struct sim *s, int entries, uint64_t seed)
+{
+	int i;
+
+	memset(s, 0, sizeof(*s));
+	random_seed(&s->random, seed);
+	s->now = 1000 * APR_USEC_PER_SEC;
+	s->delay = 5000;
+	s->list_lag = 10 * APR_USEC_PER_SEC;
+	s->entry_count = entries;
+	s->entries = calloc(SIM_ENTRIES_MAX, sizeof(*s->entries));
+	s->document.accounts =
+		calloc(SIM_ACCOUNTS_MAX, sizeof(*s->document.accounts));
+	s->document.revision = 1;
+	s->waiting_tail = &s->waiting;
+	s->reported = s->now;
+	for (i = 0; i < entries; i++)
+		sim_entry_start(s, i);
+}
+
+void sim_destroy(struct sim *s)
+{
+	struct sim_event e;
+	int i;
+
+	while (s->heap_count) {
+		e = event_take(s);
+		xdr_free((xdrproc_t)xdr_limits_message, &e.message);
+		if (e.kind == SIM_DONE)
+			free(e.call);
+	}
+	for (i = 0; i < s->entry_count; i++)
+		limit_core_destroy(&s->entries[i].core);
+	free(s->heap);
+	free(s->entries);
+	free(s->document.accounts);
+}
+
+int sim_account(struct sim *s, const char *name)
+{
+	int i;
+
+	for (i = 0; i < s->document.account_count; i++)
+		if (!strcmp(s->accounts[i].name, name))
+			return i;
+	if (i == SIM_ACCOUNTS_MAX)
+		abort();
+	s->document.account_count++;
+	snprintf(s->accounts[i].name, sizeof(s->accounts[i].name), "%s", name);
+	snprintf(s->document.accounts[i].name, DOCUMENT_NAME_SIZE, "%s", name);
+	return i;
+}
+
+/* Starts an entry, or starts it anew with another boot identity. */
+void sim_entry_start(struct sim *s, int entry)
+{
+	struct sim_entry *e = &s->entries[entry];
+	uint64_t boot = e->boot + 1 + (uint64_t)entry * 1000;
+
+	if (e->boot)
+		limit_core_destroy(&e->core);
+	if (entry >= s->entry_count)
+		s->entry_count = entry + 1;
+	memset(e, 0, sizeof(*e));
+	snprintf(e->id, sizeof(e->id), "entry-%02d", entry + 1);
+	e->boot = boot;
+	e->alive = e->listed = 1;
+	limit_core_init(&e->core, e->id, e->boot);
+	event_add(s, (struct sim_event){ .at = s->now + 1 + entry * 1700,
+					 .kind = SIM_STEP,
+					 .entry = entry,
+					 .boot = boot });
+}
+
+/* Ends an entry at once; the platform's list goes on naming it a while. */
+void sim_entry_die(struct sim *s, int entry)
+{
+	s->entries[entry].alive = 0;
+	s->entries[entry].unlist_at = s->now + s->list_lag;
+}
+
+static void pool_start(struct sim *s, struct sim_call *call)
+{
+	s->busy++;
+	event_add(s, (struct sim_event){ .at = s->now + call->hold,
+					 .kind = SIM_DONE,
+					 .entry = call->entry,
+					 .boot = s->entries[call->entry].boot,
+					 .call = call });
+}
+
+static struct sim *sim_of_call; /* decided has no other way to find it */
+
+static void call_decided(struct admission *a, enum admit_outcome outcome,
+			 int retry_after_ms, const char *reason)
+{
+	struct sim_call *call = (struct sim_call *)a;
+	struct sim *s = sim_of_call;
+	struct sim_account *account = &s->accounts[call->account];
+
+	(void)retry_after_ms;
+	(void)reason;
+	if (outcome == ADMIT_GRANTED) {
+		account->admitted++;
+		if (!s->slots || s->busy < s->slots) {
+			pool_start(s, call);
+			return;
+		}
+		s->pool_waiting++;
+		call->next = NULL;
+		*s->waiting_tail = call;
+		s->waiting_tail = &call->next;
+		return;
+	}
+	if (outcome == ADMIT_LIMIT)
+		account->limited++;
+	else
+		account->overloaded++;
+	free(call);
+}
+
+static void carry_out(struct sim *s, struct limit_decisions *d)
+{
+	struct admission *a, *next;
+
+	sim_of_call = s;
+	for (a = d->first; a; a = next) {
+		next = a->next;
+		a->decided(a, a->outcome, a->retry_after_ms, a->reason);
+	}
+}
+
+static void call_arrive(struct sim *s, struct sim_call *call)
+{
+	struct limit_decisions out = { NULL, NULL };
+
+	limit_core_arrive(&s->entries[call->entry].core, &call->a, s->now,
+			  &out);
+	carry_out(s, &out);
+}
+
+static struct sim_call *call_make(struct sim *s, const struct sim_offer *o,
+				  int entry)
+{
+	struct sim_call *call = calloc(1, sizeof(*call));
+
+	snprintf(call->a.account, sizeof(call->a.account), "%s",
+		 s->accounts[o->account].name);
+	snprintf(call->a.target, sizeof(call->a.target), "model");
+	call->a.priority = 5;
+	call->a.tokens = o->tokens;
+	call->a.decided = call_decided;
+	if (o->deadline_ms)
+		call->a.deadline = s->now + o->deadline_ms * 1000LL;
+	call->entry = entry;
+	call->account = o->account;
+	call->arrived = s->now;
+	call->hold = (apr_interval_time_t)(o->hold_ms * 1000.0 *
+					   (0.5 + random_unit(&s->random)));
+	return call;
+}
+
+static void arrival_next(struct sim *s, int offer)
+{
+	double gap = -log(1 - random_unit(&s->random)) / s->offers[offer].rate;
+
+	event_add(s, (struct sim_event){
+			     .at = s->now + 1 +
+				   (apr_time_t)(gap * APR_USEC_PER_SEC),
+			     .kind = SIM_ARRIVE,
+			     .entry = offer });
+}
+
+/* The balancer picks one of the offer's entries that are up. */
+static int balancer_pick(struct sim *s, const struct sim_offer *o)
+{
+	int i, up[SIM_ENTRIES_MAX], count = 0;
+
+	for (i = o->first - 1; i < o->last && i < s->entry_count; i++)
+		if (s->entries[i].alive)
+			up[count++] = i;
+	return count ? up[random_below(&s->random, count)] : -1;
+}
+
+static void on_arrive(struct sim *s, int offer)
+{
+	struct sim_offer *o = &s->offers[offer];
+	struct sim_entry *e;
+	struct sim_call *call;
+	int entry;
+
+	if (!o->on)
+		return;
+	arrival_next(s, offer);
+	s->accounts[o->account].offered++;
+	naive_arrive(s, o->account);
+	entry = balancer_pick(s, o);
+	if (entry < 0)
+		return;
+	call = call_make(s, o, entry);
+	e = &s->entries[entry];
+	if (!e->paused) {
+		call_arrive(s, call);
+		return;
+	}
+	call->next = e->held;
+	e->held = call;
+}
+
+void sim_offer_start(struct sim *s, int offer)
+{
+	s->offers[offer].on = 1;
+	arrival_next(s, offer);
+}
+
+static void message_bytes(struct sim *s, int a, int b,
+			  const struct limits_message *m)
+{
+	int size = SIM_ENVELOPE_BYTES +
+		   (int)xdr_sizeof((xdrproc_t)xdr_limits_message, (void *)m);
+
+	s->entries[a].bytes += size;
+	s->entries[b].bytes += size;
+	s->entries[a].bytes_second += size;
+	s->entries[b].bytes_second += size;
+}
+
+static apr_interval_time_t delay_draw(struct sim *s)
+{
+	if (!s->jitter)
+		return s->delay;
+	return s->delay + random_below(&s->random, (uint32_t)s->jitter);
+}
+
+static void ask(struct sim *s, int from, struct limit_peer *q)
+{
+	struct sim_event e = { .kind = SIM_ASK, .from = from, .sent = s->now };
+	int to = atoi(q->id + strlen("entry-")) - 1;
+
+	e.entry = to;
+	e.at = s->now + delay_draw(s);
+	e.boot = s->entries[from].boot;
+	limit_peers_fill(&s->entries[from].core.peers, q, &e.message);
+	message_bytes(s, from, to, &e.message);
+	event_add(s, e);
+	/* The answer, if one came, is noted before this. */
+	e.kind = SIM_LOST;
+	e.at = s->now + LIMIT_EXCHANGE_TIMEOUT_MS * 1000;
+	memset(&e.message, 0, sizeof(e.message));
+	event_add(s, e);
+}
+
+static int reaches(const struct sim *s, int a, int b)
+{
+	return s->entries[a].side == s->entries[b].side;
+}
+
+static void on_ask(struct sim *s, struct sim_event *e)
+{
+	struct sim_entry *to = &s->entries[e->entry];
+	struct sim_event answer = *e;
+
+	if (!to->alive || to->paused || !reaches(s, e->from, e->entry))
+		return;
+	memset(&answer.message, 0, sizeof(answer.message));
+	if (limit_peers_serve(&to->core.peers, s->entries[e->from].id, e->boot,
+			      &e->message, &answer.message, s->now))
+		return;
+	message_bytes(s, e->from, e->entry, &answer.message);
+	answer.kind = SIM_ANSWER;
+	answer.at = s->now + delay_draw(s);
+	event_add(s, answer);
+}
+
+static void on_answer(struct sim *s, struct sim_event *e, int lost)
+{
+	struct sim_entry *from = &s->entries[e->from];
+	struct limit_peer *q;
+
+	if (!from->alive || from->boot != e->boot)
+		return;
+	q = limit_peers_find(&from->core.peers, s->entries[e->entry].id);
+	if (!q || !q->asking || q->asked != e->sent)
+		return;
+	if (lost)
+		limit_peers_failed(&from->core.peers, q->id, s->now);
+	else if (!from->paused && reaches(s, e->from, e->entry))
+		limit_peers_reply(&from->core.peers, q->id, &e->message,
+				  e->sent, s->now);
+}
+
+static void entry_sync(struct sim *s, int entry)
+{
+	struct limit_address list[SIM_ENTRIES_MAX];
+	int i, count = 0;
+
+	for (i = 0; i < s->entry_count; i++) {
+		if (i == entry || !s->entries[i].listed)
+			continue;
+		snprintf(list[count].id, sizeof(list[count].id), "%s",
+			 s->entries[i].id);
+		snprintf(list[count].address, sizeof(list[count].address),
+			 "127.0.0.%d", i + 1);
+		count++;
+	}
+	limit_peers_sync(&s->entries[entry].core.peers, list, count, s->now);
+}
+
+/* Notes the most that all entries together could use of a limit. */
+static void slices_check(struct sim *s)
+{
+	struct limit_account *a;
+	struct handle h;
+	double sum, limit;
+	int i, k;
+
+	for (k = 0; k < s->document.account_count; k++) {
+		limit = s->document.accounts[k].limit.requests_per_second;
+		if (limit <= 0)
+			continue;
+		sum = 0;
+		for (i = 0; i < s->entry_count; i++) {
+			if (!s->entries[i].alive || s->entries[i].paused)
+				continue;
+			h = HANDLE_NONE;
+			while ((a = table_next(&s->entries[i].core.accounts,
+					       &h)))
+				if (!strcmp(a->name, s->accounts[k].name))
+					sum += a->request_bucket.rate;
+		}
+		if (sum / limit > s->slices_peak)
+			s->slices_peak = sum / limit;
+	}
+}
+
+static void entry_tick(struct sim *s, int entry)
+{
+	struct pool_report r = { "model", 0, s->slots, s->told_busy,
+				 s->told_waiting };
+	struct limit_decisions out = { NULL, NULL };
+	struct limit_core *c = &s->entries[entry].core;
+
+	limit_core_configure(c, &s->document, s->now);
+	entry_sync(s, entry);
+	limit_core_report(c, &r, 1);
+	limit_core_tick(c, s->now, &out);
+	carry_out(s, &out);
+	slices_check(s);
+}
+
+static void on_step(struct sim *s, struct sim_event *e)
+{
+	struct sim_entry *entry = &s->entries[e->entry];
+	int due[8], i, count;
+
+	if (!entry->alive || entry->boot != e->boot)
+		return;
+	e->at = s->now + SIM_STEP_US;
+	event_add(s, *e);
+	if (entry->paused)
+		return;
+	if (entry->steps++ % 5 == 0)
+		entry_tick(s, e->entry);
+	if (entry->steps % 50 == 0) {
+		if (entry->bytes_second > entry->bytes_peak)
+			entry->bytes_peak = (int)entry->bytes_second;
+		entry->bytes_second = 0;
+	}
+	count = limit_peers_due(&entry->core.peers, s->now, due, 8);
+	for (i = 0; i < count; i++)
+		ask(s, e->entry, &entry->core.peers.peers[due[i]]);
+}
+
+static void on_done(struct sim *s, struct sim_event *e)
+{
+	struct limit_decisions out = { NULL, NULL };
+	struct sim_entry *entry = &s->entries[e->entry];
+	struct sim_call *call = e->call, *next = s->waiting;
+	struct sim_account *a = &s->accounts[call->account];
+	long ms = (long)((s->now - call->arrived) / 1000);
+
+	s->busy--;
+	if (next) {
+		s->waiting = next->next;
+		if (!s->waiting)
+			s->waiting_tail = &s->waiting;
+		s->pool_waiting--;
+		pool_start(s, next);
+	}
+	a->latency[ms < SIM_LATENCY_MAX ? ms : SIM_LATENCY_MAX - 1]++;
+	if (!call->a.deadline || s->now <= call->a.deadline)
+		a->finished++;
+	if (entry->alive && entry->boot == e->boot) {
+		limit_core_end(&entry->core, &call->a, call->a.tokens, s->now,
+			       &out);
+		carry_out(s, &out);
+	}
+	free(call);
+}
+
+/* Lets an entry go on, with what came while it was paused, before a tick. */
+void sim_entry_wake(struct sim *s, int entry)
+{
+	struct sim_entry *e = &s->entries[entry];
+	struct sim_call *call;
+
+	e->paused = 0;
+	while ((call = e->held)) {
+		e->held = call->next;
+		call_arrive(s, call);
+	}
+	slices_check(s);
+}
+
+static void periodic(struct sim *s)
+{
+	int i;
+
+	while (s->naive_at <= s->now) {
+		s->naive_at = s->now / 100000 * 100000 + 100000;
+		naive_step(s);
+	}
+	if (s->now - s->told_at >= SIM_REPORT_EVERY_US / 4) {
+		s->told_at = s->now;
+		s->told_busy = s->busy;
+		s->told_waiting = s->pool_waiting;
+	}
+	for (i = 0; i < s->entry_count; i++)
+		if (s->entries[i].unlist_at && !s->entries[i].alive &&
+		    s->now > s->entries[i].unlist_at)
+			s->entries[i].listed = 0;
+}
+
+/* Runs until a time of the script. */
+void sim_run(struct sim *s, apr_time_t until)
+{
+	struct sim_event e;
+
+	while (s->heap_count && s->heap[0].at <= until) {
+		e = event_take(s);
+		s->now = e.at;
+		periodic(s);
+		switch (e.kind) {
+		case SIM_ARRIVE:
+			on_arrive(s, e.entry);
+			break;
+		case SIM_STEP:
+			on_step(s, &e);
+			break;
+		case SIM_ASK:
+			on_ask(s, &e);
+			break;
+		case SIM_ANSWER:
+			on_answer(s, &e, 0);
+			break;
+		case SIM_LOST:
+			on_answer(s, &e, 1);
+			break;
+		case SIM_DONE:
+			on_done(s, &e);
+			break;
+		}
+		xdr_free((xdrproc_t)xdr_limits_message, &e.message);
+	}
+	s->now = until;
+}
