--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 HELPER_SRC := $(filter-out t/helper/fuzz-%.c $(HELPER_COMMON),\
 	$(wildcard t/helper/*.c))
 HELPERS := $(HELPER_SRC:t/helper/%.c=$(B)/t/%)
-ENTRY_NEEDS = config/config.c member/member.c calls/calls.c
+ENTRY_NEEDS = config/config.c member/member.c calls/entry.c
 AGENT_NEEDS = config/config.c member/member.c weights/weights.c calls/gate.c
 CTL_NEEDS = builtin/check.c builtin/collect.c builtin/manifest.c
 have_all = $(if $(filter-out $(wildcard $(1)),$(1)),,$(2))
