net: let two processes not share a port

Cause: libmicrohttpd's address reuse sets SO_REUSEPORT, so a second process took the operators' port unnoticed. Change: the option is gone.

--- a/net/httpd.c
+++ b/net/httpd.c
@@ -382,14 +382,13 @@
 		MHD_OPTION_CONNECTION_LIMIT, CONNECTION_LIMIT,
 		MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_IDLE_SECONDS,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1,
 		threads > 1 ? MHD_OPTION_THREAD_POOL_SIZE : MHD_OPTION_END,
 		(unsigned)threads, MHD_OPTION_END);
 	if (!h->daemon) {
 		hangup_stop(h->hangups);
 		free(h);
 		error_set(err, ERROR_INTERNAL, "http-listen", address,
-			  "cannot listen on port %d: %m (is it in use?)", port);
+			  "cannot listen on port %d: %m", port);
 		return NULL;
 	}
 	return h;
--- a/net/rpc-server.c
+++ b/net/rpc-server.c
@@ -204,7 +204,7 @@
 	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) ||
 	    listen(fd, LISTEN_BACKLOG)) {
 		error_set(err, ERROR_INTERNAL, "rpc-listen", address,
-			  "cannot listen on port %d: %m (is it in use?)", port);
+			  "cannot listen on port %d: %m", port);
 		close(fd);
 		return -1;
 	}
