--- /dev/null
+++ b/config/collect.h
@@ -0,0 +1,42 @@
+#ifndef CONFIG_COLLECT_H
+#define CONFIG_COLLECT_H
+
+#include <jansson.h>
+
+#include "base/schema.h"
+
+/*
+ * Reads account files and the fleet file, checks them together and makes
+ * the one document of them, the same bytes for the same input.
+ */
+
+#define COLLECT_FILE_MAX (1024 * 1024) /* bytes */
+
+enum source_kind {
+	SOURCE_ACCOUNT = 1, /* has "account" */
+	SOURCE_FLEET,	    /* has "fleet" */
+	SOURCE_DOCUMENT	    /* has "revision" */
+};
+
+/* One file that was read. */
+struct source_file {
+	char *name;
+	enum source_kind kind;
+	json_t *root;
+};
+
+struct collection {
+	struct source_file *files; /* in the order of their names */
+	size_t count;
+	size_t capacity;
+	struct fault_list faults; /* "FILE: PATH: what and how to mend it" */
+};
+
+void collection_add_file(struct collection *c, const char *name);
+int collection_add_tree(struct collection *c, const char *directory,
+			const char *pattern);
+void collection_check(struct collection *c);
+char *collection_document(struct collection *c, long long revision);
+void collection_clear(struct collection *c);
+
+#endif
--- a/config/cross-check.c
+++ b/config/cross-check.c
@@ -41,7 +41,7 @@
 
 	if (most <= 0 || wanted <= most)
 		return;
-	snprintf(path, sizeof(path), "%s.limits.%s", prefix, name);
+	snprintf(path, sizeof(path), "%slimits.%s", prefix, name);
 	fault_add(faults, path, "%g is above the fleet's budget of %g", wanted,
 		  most);
 }
@@ -69,7 +69,7 @@
 
 	for (i = 0; i < json_array_size(keys); i++) {
 		key = json_string_value(json_array_get(keys, i));
-		snprintf(path, sizeof(path), "%s.keys[%zu]", prefix, i);
+		snprintf(path, sizeof(path), "%skeys[%zu]", prefix, i);
 		if (!key || digest_parse(key, &ignored)) {
 			fault_add(faults, path,
 				  "expected the SHA-256 of a key (64 "
@@ -108,11 +108,11 @@
 
 		name = schema_string(m, "name", "");
 		base = schema_string(m, "base", NULL);
-		snprintf(path, sizeof(path), "%s.models[%zu].name", prefix, i);
+		snprintf(path, sizeof(path), "%smodels[%zu].name", prefix, i);
 		seen_once(s->models, name, "model", owner, path, faults);
 		if (!base)
 			continue;
-		snprintf(path, sizeof(path), "%s.models[%zu].base", prefix, i);
+		snprintf(path, sizeof(path), "%smodels[%zu].base", prefix, i);
 		if (!strcmp(base, name) || !declares_model(models, base))
 			fault_add(faults, path,
 				  "\"%s\" is no other model of this account",
@@ -149,11 +149,10 @@
 	for (i = 0; i < json_array_size(services); i++) {
 		const json_t *o = json_array_get(services, i);
 
-		snprintf(path, sizeof(path), "%s.services[%zu].name", prefix,
-			 i);
+		snprintf(path, sizeof(path), "%sservices[%zu].name", prefix, i);
 		seen_once(s->services, schema_string(o, "name", ""), "service",
 			  owner, path, faults);
-		snprintf(path, sizeof(path), "%s.services[%zu]", prefix, i);
+		snprintf(path, sizeof(path), "%sservices[%zu]", prefix, i);
 		operations_check(o, path, faults);
 	}
 }
@@ -169,10 +168,10 @@
 
 	for (i = 0; i < count; i++) {
 		const json_t *a = accounts[i].account;
-		const char *prefix = accounts[i].path;
+		const char *prefix = accounts[i].prefix;
 		const char *owner = schema_string(a, "account", "");
 
-		snprintf(path, sizeof(path), "%s.account", prefix);
+		snprintf(path, sizeof(path), "%saccount", prefix);
 		seen_once(s.accounts, owner, "account", owner, path, faults);
 		limits_check(a, fleet, prefix, faults);
 		keys_check(a, owner, prefix, &s, faults);
--- a/config/cross-check.h
+++ b/config/cross-check.h
@@ -11,10 +11,10 @@
  * same account.  The fields have passed the schema before.
  */
 
-/* One account file, and what to call it in a fault. */
+/* One account file, and what its paths in faults begin with. */
 struct account_source {
 	const json_t *account;
-	const char *path;
+	const char *prefix; /* with its separator, such as "adubo.json: " */
 };
 
 void cross_check(const json_t *fleet, const struct account_source *accounts,
--- /dev/null
+++ b/config/diff.c
@@ -0,0 +1,347 @@
+#include "config/diff.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LINE_SIZE 1024
+#define LIST_SIZE 256
+#define DIGEST_SHOWN 12 /* characters of a digest */
+
+static void line(struct diff_lines *l, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+static void line(struct diff_lines *l, const char *fmt, ...)
+{
+	char text[LINE_SIZE];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	if (l->count == l->capacity) {
+		l->capacity = l->capacity ? l->capacity * 2 : 32;
+		l->lines = realloc(l->lines, l->capacity * sizeof(char *));
+		if (!l->lines)
+			abort();
+	}
+	l->lines[l->count] = strdup(text);
+	if (!l->lines[l->count++])
+		abort();
+}
+
+/* Frees the lines. */
+void diff_lines_clear(struct diff_lines *l)
+{
+	size_t i;
+
+	for (i = 0; i < l->count; i++)
+		free(l->lines[i]);
+	free(l->lines);
+	memset(l, 0, sizeof(*l));
+}
+
+/* What a changed field belongs to, and whom the change touches. */
+struct subject {
+	struct diff_lines *out;
+	const char *name;
+	const char *touches;
+};
+
+static void number(const struct subject *s, const char *field, double from,
+		   double to)
+{
+	if (from != to)
+		line(s->out, "%s: %s %g -> %g; touches %s", s->name, field,
+		     from, to, s->touches);
+}
+
+static void list_text(char *const *list, int count, char out[LIST_SIZE])
+{
+	size_t at = 0;
+	int i;
+
+	out[0] = '\0';
+	for (i = 0; i < count && at < LIST_SIZE - 1; i++)
+		at += (size_t)snprintf(out + at, LIST_SIZE - at, "%s%s",
+				       i ? " " : "", list[i]);
+	if (!count)
+		snprintf(out, LIST_SIZE, "none");
+}
+
+static int lists_equal(char *const *a, int na, char *const *b, int nb)
+{
+	int i;
+
+	if (na != nb)
+		return 0;
+	for (i = 0; i < na; i++) {
+		if (strcmp(a[i], b[i]))
+			return 0;
+	}
+	return 1;
+}
+
+static void list(const struct subject *s, const char *field, char *const *a,
+		 int na, char *const *b, int nb)
+{
+	char from[LIST_SIZE], to[LIST_SIZE];
+
+	if (lists_equal(a, na, b, nb))
+		return;
+	list_text(a, na, from);
+	list_text(b, nb, to);
+	line(s->out, "%s: %s %s -> %s; touches %s", s->name, field, from, to,
+	     s->touches);
+}
+
+static void limits(const struct subject *s, const struct limit_spec *a,
+		   const struct limit_spec *b)
+{
+	number(s, "requests_per_second", a->requests_per_second,
+	       b->requests_per_second);
+	number(s, "tokens_per_second", a->tokens_per_second,
+	       b->tokens_per_second);
+	number(s, "concurrent", a->concurrent, b->concurrent);
+	number(s, "cut_off_share", a->cut_off_share, b->cut_off_share);
+}
+
+static const char *account_name(const struct document *d, int account)
+{
+	return d->accounts[account].name;
+}
+
+static const struct account_spec *account_find(const struct document *d,
+					       const char *name)
+{
+	int i;
+
+	for (i = 0; i < d->account_count; i++) {
+		if (!strcmp(d->accounts[i].name, name))
+			return &d->accounts[i];
+	}
+	return NULL;
+}
+
+static int keys_equal(const struct account_spec *a,
+		      const struct account_spec *b)
+{
+	return a->key_count == b->key_count &&
+	       (!a->key_count ||
+		!memcmp(a->keys, b->keys,
+			(size_t)a->key_count * sizeof(*a->keys)));
+}
+
+static void account_diff(const struct account_spec *a,
+			 const struct account_spec *b, struct diff_lines *out)
+{
+	char name[LIST_SIZE], touches[LIST_SIZE];
+	struct subject s = { out, name, touches };
+
+	snprintf(name, sizeof(name), "account \"%s\"", b->name);
+	snprintf(touches, sizeof(touches), "the calls of \"%s\" at every entry",
+		 b->name);
+	if (!keys_equal(a, b))
+		line(out,
+		     "%s: keys change (%d -> %d); touches callers that use "
+		     "the keys removed",
+		     name, a->key_count, b->key_count);
+	number(&s, "share", a->share, b->share);
+	number(&s, "priority_min", a->priority_min, b->priority_min);
+	limits(&s, &a->limit, &b->limit);
+}
+
+static void accounts_diff(const struct document *a, const struct document *b,
+			  struct diff_lines *out)
+{
+	const struct account_spec *other;
+	int i;
+
+	for (i = 0; i < a->account_count; i++) {
+		if (!account_find(b, a->accounts[i].name))
+			line(out,
+			     "account \"%s\" goes; touches all its callers: "
+			     "their calls are refused",
+			     a->accounts[i].name);
+	}
+	for (i = 0; i < b->account_count; i++) {
+		other = account_find(a, b->accounts[i].name);
+		if (other)
+			account_diff(other, &b->accounts[i], out);
+		else
+			line(out, "account \"%s\" is new, with %d keys",
+			     b->accounts[i].name, b->accounts[i].key_count);
+	}
+}
+
+static void model_diff(const struct document *da, const struct model_spec *a,
+		       const struct document *db, const struct model_spec *b,
+		       struct diff_lines *out)
+{
+	char name[LIST_SIZE], touches[LIST_SIZE], on[LIST_SIZE];
+	struct subject s = { out, name, touches };
+
+	list_text(b->upstreams, b->upstream_count, on);
+	snprintf(name, sizeof(name), "model \"%s\" of \"%s\"", b->name,
+		 account_name(db, b->account));
+	snprintf(touches, sizeof(touches), "upstreams %.200s", on);
+	if (strcmp(account_name(da, a->account), account_name(db, b->account)))
+		line(out, "%s: was of \"%s\"; touches its callers", name,
+		     account_name(da, a->account));
+	if (strcmp(a->version, b->version))
+		line(out,
+		     "%s: version %.*s -> %.*s; touches %s, which load the "
+		     "new weights",
+		     name, DIGEST_SHOWN, a->version, DIGEST_SHOWN, b->version,
+		     touches);
+	if (strcmp(a->base, b->base))
+		line(out, "%s: base \"%s\" -> \"%s\"; touches %s", name,
+		     a->base, b->base, touches);
+	list(&s, "upstreams", a->upstreams, a->upstream_count, b->upstreams,
+	     b->upstream_count);
+	list(&s, "data_centers", a->data_centers, a->data_center_count,
+	     b->data_centers, b->data_center_count);
+	number(&s, "priority", a->priority, b->priority);
+	number(&s, "time_weight", a->time_weight, b->time_weight);
+	number(&s, "origin_copies", a->origin_copies, b->origin_copies);
+	number(&s, "first_loaders", a->first_loaders, b->first_loaders);
+	number(&s, "min_serving", a->min_serving, b->min_serving);
+}
+
+static void models_diff(const struct document *a, const struct document *b,
+			struct diff_lines *out)
+{
+	const struct model_spec *other;
+	char on[LIST_SIZE];
+	int i;
+
+	for (i = 0; i < a->model_count; i++) {
+		const struct model_spec *m = &a->models[i];
+
+		list_text(m->upstreams, m->upstream_count, on);
+		if (!document_model(b, m->name))
+			line(out,
+			     "model \"%s\" of \"%s\" goes; touches upstreams "
+			     "%s, which unload it",
+			     m->name, account_name(a, m->account), on);
+	}
+	for (i = 0; i < b->model_count; i++) {
+		const struct model_spec *m = &b->models[i];
+
+		other = document_model(a, m->name);
+		list_text(m->upstreams, m->upstream_count, on);
+		if (other)
+			model_diff(a, other, b, m, out);
+		else
+			line(out,
+			     "model \"%s\" of \"%s\" is new, version %.*s; "
+			     "touches upstreams %s, which load it",
+			     m->name, account_name(b, m->account), DIGEST_SHOWN,
+			     m->version, on);
+	}
+}
+
+static void operations_diff(const struct service_spec *a,
+			    const struct service_spec *b, const char *service,
+			    struct diff_lines *out)
+{
+	const struct operation_spec *p, *q;
+	char name[LIST_SIZE];
+	struct subject s = { out, name, "its callers" };
+	int i;
+
+	for (i = 0; i < a->operation_count; i++) {
+		p = &a->operations[i];
+		if (!service_operation(b, p->name))
+			line(out,
+			     "operation \"%s\" of %s goes; touches its "
+			     "callers: their calls are refused",
+			     p->name, service);
+	}
+	for (i = 0; i < b->operation_count; i++) {
+		q = &b->operations[i];
+		p = service_operation(a, q->name);
+		snprintf(name, sizeof(name), "operation \"%s\" of %.160s",
+			 q->name, service);
+		if (!p) {
+			line(out, "%s is new%s", name,
+			     q->repeatable ? "" : ", not repeatable");
+			continue;
+		}
+		if (p->repeatable != q->repeatable)
+			line(out, "%s: %s; touches its callers", name,
+			     q->repeatable ? "may be repeated from now on"
+					   : "may not be repeated any more");
+		number(&s, "deadline_ms", p->deadline_ms, q->deadline_ms);
+		number(&s, "key_lifetime_s", p->key_lifetime_s,
+		       q->key_lifetime_s);
+	}
+}
+
+static void service_diff(const struct document *da,
+			 const struct service_spec *a,
+			 const struct document *db,
+			 const struct service_spec *b, struct diff_lines *out)
+{
+	char name[LIST_SIZE];
+	struct subject s = { out, name, "where its calls go" };
+
+	snprintf(name, sizeof(name), "service \"%s\" of \"%s\"", b->name,
+		 account_name(db, b->account));
+	if (strcmp(account_name(da, a->account), account_name(db, b->account)))
+		line(out, "%s: was of \"%s\"; touches its callers", name,
+		     account_name(da, a->account));
+	list(&s, "upstreams", a->upstreams, a->upstream_count, b->upstreams,
+	     b->upstream_count);
+	operations_diff(a, b, name, out);
+}
+
+static void services_diff(const struct document *a, const struct document *b,
+			  struct diff_lines *out)
+{
+	const struct service_spec *other;
+	int i;
+
+	for (i = 0; i < a->service_count; i++) {
+		const struct service_spec *s = &a->services[i];
+
+		if (!document_service(b, s->name))
+			line(out,
+			     "service \"%s\" of \"%s\" goes; touches its "
+			     "callers: their calls are refused",
+			     s->name, account_name(a, s->account));
+	}
+	for (i = 0; i < b->service_count; i++) {
+		const struct service_spec *s = &b->services[i];
+
+		other = document_service(a, s->name);
+		if (other)
+			service_diff(a, other, b, s, out);
+		else
+			line(out,
+			     "service \"%s\" of \"%s\" is new, with %d "
+			     "operations",
+			     s->name, account_name(b, s->account),
+			     s->operation_count);
+	}
+}
+
+/* Adds one line for each change; none when nothing that counts changed. */
+void document_diff(const struct document *from, const struct document *to,
+		   struct diff_lines *out)
+{
+	struct subject fleet = { out, "fleet", "all accounts" };
+	struct subject orders = { out, "fleet", "orders to these engines" };
+
+	limits(&fleet, &from->fleet.budget, &to->fleet.budget);
+	list(&orders, "fencing", from->fleet.fencing, from->fleet.fencing_count,
+	     to->fleet.fencing, to->fleet.fencing_count);
+	number(&fleet, "affinity.lock_s", from->fleet.affinity_lock_s,
+	       to->fleet.affinity_lock_s);
+	number(&fleet, "affinity.idle_s", from->fleet.affinity_idle_s,
+	       to->fleet.affinity_idle_s);
+	accounts_diff(from, to, out);
+	models_diff(from, to, out);
+	services_diff(from, to, out);
+}
--- a/config/document.c
+++ b/config/document.c
@@ -21,9 +21,9 @@
 	if (!sources || !paths)
 		abort();
 	for (i = 0; i < n; i++) {
-		snprintf(paths[i], PATH_SIZE, "accounts[%zu]", i);
+		snprintf(paths[i], PATH_SIZE, "accounts[%zu].", i);
 		sources[i].account = json_array_get(accounts, i);
-		sources[i].path = paths[i];
+		sources[i].prefix = paths[i];
 	}
 	cross_check(json_object_get(root, "fleet"), sources, n, faults);
 	free(sources);
