--- a/config/collect.c
+++ b/config/collect.c
@@ -81,10 +81,7 @@
 	f = file_add(c, name);
 	f->root = root;
 	file_check(f, &faults);
-	if (faults.count) {
-		json_decref(f->root);
-		f->root = NULL;
-	}
+	f->faulty = faults.count > 0;
 	faults_move(c, name, &faults);
 }
 
@@ -172,7 +169,7 @@
 	for (i = 0; i < c->count; i++) {
 		const struct source_file *f = &c->files[i];
 
-		if (f->kind != SOURCE_FLEET || !f->root)
+		if (f->kind != SOURCE_FLEET)
 			continue;
 		if (first)
 			fault_add(&c->faults, f->name,
@@ -195,7 +192,7 @@
 		struct source_file *f = &c->files[i];
 		char *text;
 
-		if (f->kind != SOURCE_DOCUMENT || !f->root)
+		if (f->kind != SOURCE_DOCUMENT || f->faulty)
 			continue;
 		text = json_dumps(f->root, JSON_COMPACT);
 		if (text)
@@ -220,7 +217,7 @@
 		const struct source_file *f = &c->files[i];
 		size_t size = strlen(f->name) + 3;
 
-		if (f->kind != SOURCE_ACCOUNT || !f->root)
+		if (f->kind != SOURCE_ACCOUNT)
 			continue;
 		prefixes[n] = malloc(size);
 		if (!prefixes[n])
@@ -256,7 +253,7 @@
 	if (!list)
 		abort();
 	for (i = 0; i < c->count; i++) {
-		if (c->files[i].kind == SOURCE_ACCOUNT && c->files[i].root)
+		if (c->files[i].kind == SOURCE_ACCOUNT)
 			list[n++] = c->files[i].root;
 	}
 	qsort(list, n, sizeof(json_t *), account_compare);
--- a/config/collect.h
+++ b/config/collect.h
@@ -23,6 +23,7 @@
 	char *name;
 	enum source_kind kind;
 	json_t *root;
+	int faulty; /* its fields have faults */
 };
 
 struct collection {
--- /dev/null
+++ b/t/helper/test-config.c
@@ -0,0 +1,466 @@
+#include <apr_general.h>
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/diff.h"
+#include "config/document.h"
+#include "config/overlay.h"
+#include "config/spread.h"
+
+#define HEX_A "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+#define HEX_B "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
+#define SECOND APR_USEC_PER_SEC
+
+static struct document *parse(const char *text)
+{
+	struct fault_list faults = { 0 };
+	struct document *d = document_parse(text, strlen(text), &faults);
+
+	ck_assert_int_eq(d != NULL, faults.count == 0);
+	fault_list_clear(&faults);
+	return d;
+}
+
+/* Expects a refusal in which some fault contains each of the words. */
+static void refused(const char *text, const char *a, const char *b)
+{
+	struct fault_list faults = { 0 };
+	size_t i, found = 0;
+
+	ck_assert_ptr_null(document_parse(text, strlen(text), &faults));
+	for (i = 0; i < faults.count; i++)
+		found += strstr(faults.lines[i], a) &&
+			 strstr(faults.lines[i], b);
+	ck_assert_msg(found, "no fault with \"%s\" and \"%s\"", a, b);
+	fault_list_clear(&faults);
+}
+
+static const char whole[] =
+	"{\"revision\":9,\"fleet\":{\"budget\":{\"concurrent\":50},"
+	"\"fencing\":[\"m-*\"]},\"accounts\":["
+	"{\"account\":\"adubo\",\"keys\":[\"" HEX_A "\"],\"models\":["
+	"{\"name\":\"quotes\",\"manifest\":\"" HEX_A
+	"\",\"upstreams\":[\"m-*\"],"
+	"\"data_centers\":[\"ne\"]},"
+	"{\"name\":\"ada\",\"base\":\"quotes\",\"manifest\":\"" HEX_B "\","
+	"\"upstreams\":[\"m-1\"]}]},"
+	"{\"account\":\"sigyeru\",\"keys\":[\"" HEX_B "\"],\"services\":["
+	"{\"name\":\"register\",\"upstreams\":[\"p-*-x\"],\"operations\":["
+	"{\"name\":\"check\",\"repeatable\":true},{\"name\":\"reserve\"}]}]}]}";
+
+START_TEST(document_is_bound_with_defaults)
+{
+	struct document *d = parse(whole);
+	const struct model_spec *m = document_model(d, "quotes");
+	const struct service_spec *s = document_service(d, "register");
+	struct digest key;
+
+	ck_assert_uint_eq(d->revision, 9);
+	ck_assert(model_wants(m, "m-7", "ne"));
+	ck_assert(!model_wants(m, "m-7", "se"));
+	ck_assert(!model_wants(m, "p-7", "ne"));
+	ck_assert(model_wants(document_model(d, "ada"), "m-1", "se"));
+	ck_assert(spec_covers(s->upstreams, s->upstream_count, "p-1-x"));
+	ck_assert(!spec_covers(s->upstreams, s->upstream_count, "p-1-y"));
+	ck_assert(service_operation(s, "check")->repeatable);
+	ck_assert(!service_operation(s, "reserve")->repeatable);
+	ck_assert_ptr_null(service_operation(s, "other"));
+	ck_assert_ptr_null(document_model(d, "quote"));
+	digest_parse(HEX_B, &key);
+	ck_assert_str_eq(d->accounts[document_account_by_key(d, &key)].name,
+			 "sigyeru");
+	key.bytes[0] ^= 1;
+	ck_assert_int_eq(document_account_by_key(d, &key), -1);
+	document_release(d);
+}
+END_TEST
+
+#define DOCUMENT(accounts)                                                     \
+	"{\"revision\":1,\"fleet\":{\"budget\":{\"concurrent\":5}},"           \
+	"\"accounts\":[" accounts "]}"
+#define MODEL(name, more)                                                      \
+	"{\"name\":\"" name "\",\"manifest\":\"" HEX_A                         \
+	"\",\"upstreams\":[\"*\"]" more "}"
+
+START_TEST(document_is_refused_whole)
+{
+	char *big = malloc(DOCUMENT_SIZE_MAX + 2);
+
+	refused("{\"revision\":1,\"accounts\":[", "line 1", "");
+	refused("{\"accounts\":[]}", "revision", "required");
+	refused("{\"revision\":0,\"accounts\":[]}", "revision", "range");
+	refused("{\"revision\":1,\"revision\":2,\"accounts\":[]}", "duplicate",
+		"");
+	refused(DOCUMENT("{\"account\":\"a\",\"sharee\":1}"),
+		"accounts[0].sharee", "\"share\"");
+	refused(DOCUMENT("{\"account\":\"a\"},{\"account\":\"a\"}"),
+		"accounts[1].account", "already");
+	refused(DOCUMENT("{\"account\":\"a\",\"models\":[" MODEL(
+			"m", "") "]},"
+				 "{\"account\":\"b\",\"models\":[" MODEL(
+					 "m", "") "]}"),
+		"accounts[1].models[0].name", "\"a\"");
+	refused(DOCUMENT("{\"account\":\"a\",\"models\":[" MODEL(
+			"m", "") "]},"
+				 "{\"account\":\"b\",\"models\":[" MODEL(
+					 "n", ",\"base\":\"m\"") "]}"),
+		"accounts[1].models[0].base", "account");
+	refused(DOCUMENT("{\"account\":\"a\",\"limits\":{\"concurrent\":6}}"),
+		"accounts[0].limits.concurrent", "budget");
+	refused(DOCUMENT("{\"account\":\"a\",\"keys\":[\"secret\"]}"),
+		"accounts[0].keys[0]", "SHA-256");
+	refused(DOCUMENT("{\"account\":\"a\",\"keys\":[\"" HEX_A "\"]},"
+			 "{\"account\":\"b\",\"keys\":[\"" HEX_A "\"]}"),
+		"accounts[1].keys[0]", "already");
+	memset(big, ' ', DOCUMENT_SIZE_MAX + 1);
+	big[DOCUMENT_SIZE_MAX + 1] = '\0';
+	refused(big, "cap", "");
+	free(big);
+}
+END_TEST
+
+static int said(const struct diff_lines *l, const char *a, const char *b)
+{
+	size_t i;
+
+	for (i = 0; i < l->count; i++) {
+		if (strstr(l->lines[i], a) && strstr(l->lines[i], b))
+			return 1;
+	}
+	return 0;
+}
+
+START_TEST(diff_names_what_changes_and_whom_it_touches)
+{
+	struct document *a = parse(whole), *same, *b;
+	struct diff_lines l = { 0 };
+
+	same = parse(whole);
+	document_diff(a, same, &l);
+	ck_assert_uint_eq(l.count, 0);
+	b = parse("{\"revision\":10,\"fleet\":{\"budget\":{\"concurrent\":60},"
+		  "\"fencing\":[\"m-*\"]},\"accounts\":["
+		  "{\"account\":\"adubo\",\"keys\":[\"" HEX_A
+		  "\"],\"share\":2,\"models\":["
+		  "{\"name\":\"quotes\",\"manifest\":\"" HEX_B
+		  "\",\"upstreams\":[\"m-*\"],\"data_centers\":[\"ne\"]}]},"
+		  "{\"account\":\"sigyeru\",\"keys\":[\"" HEX_B
+		  "\"],\"services\":[{\"name\":\"register\","
+		  "\"upstreams\":[\"p-*-x\"],\"operations\":["
+		  "{\"name\":\"check\"},{\"name\":\"reserve\"}]}]}]}");
+	document_diff(a, b, &l);
+	ck_assert(said(&l, "concurrent 50 -> 60", "all accounts"));
+	ck_assert(said(&l, "share 1 -> 2", "adubo"));
+	ck_assert(said(&l, "\"quotes\"", "upstreams m-*"));
+	ck_assert(said(&l, "\"ada\"", "goes"));
+	ck_assert(said(&l, "\"check\"", "may not be repeated"));
+	ck_assert_uint_eq(l.count, 5);
+	diff_lines_clear(&l);
+	document_release(a);
+	document_release(same);
+	document_release(b);
+}
+END_TEST
+
+/* A fleet of three data centres in random order. */
+static int fleet_make(struct overlay_member *m, int count, struct random *r)
+{
+	int i;
+
+	memset(m, 0, (size_t)count * sizeof(*m));
+	for (i = 0; i < count; i++) {
+		snprintf(m[i].id, sizeof(m[i].id), "i%u",
+			 (unsigned)random_next(r) % 100000 * 1000 + i);
+		snprintf(m[i].data_center, sizeof(m[i].data_center), "dc%u",
+			 random_below(r, 3));
+		snprintf(m[i].address, sizeof(m[i].address), "127.0.%d.%d",
+			 i / 200, i % 200 + 1);
+		overlay_member_score(&m[i]);
+	}
+	return count;
+}
+
+/* The naive version: sorts nothing, asks who scores lower. */
+static int naive_rank(const struct overlay_member *m, int count,
+		      const struct overlay_member *self)
+{
+	int i, rank = 0;
+
+	for (i = 0; i < count; i++) {
+		if (!strcmp(m[i].data_center, self->data_center) &&
+		    place_hash_string(m[i].id, 0x77617463) <
+			    place_hash_string(self->id, 0x77617463))
+			rank++;
+	}
+	return rank;
+}
+
+START_TEST(watchers_agree_with_the_naive_choice)
+{
+	struct overlay_member m[120], copy[120], self;
+	struct overlay o;
+	struct random r;
+	int n, i, turn;
+
+	random_seed(&r, 11);
+	for (turn = 0; turn < 30; turn++) {
+		n = fleet_make(m, 1 + (int)random_below(&r, 120), &r);
+		for (i = 0; i < n; i++) {
+			memcpy(copy, m, sizeof(copy));
+			self = m[i];
+			overlay_build(&o, copy, n, &self);
+			ck_assert_int_eq(o.watch_rank, naive_rank(m, n, &self));
+			ck_assert_int_le(o.neighbor_count, OVERLAY_DEGREE);
+			ck_assert(o.watch_rank < OVERLAY_WATCHERS ||
+				  !o.remote_count);
+		}
+	}
+}
+END_TEST
+
+static int index_of(const struct overlay_member *m, int n, const char *address)
+{
+	int i;
+
+	for (i = 0; i < n; i++) {
+		if (!strcmp(m[i].address, address))
+			return i;
+	}
+	return -1;
+}
+
+START_TEST(overlay_reaches_everybody_in_few_steps)
+{
+	struct overlay_member m[600], copy[600], self;
+	int near[600][OVERLAY_DEGREE], count[600], distance[600];
+	struct overlay o;
+	struct random r;
+	int n, i, j, steps, reached = 1, in[600] = { 0 };
+
+	random_seed(&r, 5);
+	n = fleet_make(m, 600, &r);
+	for (i = 0; i < n; i++) {
+		memcpy(m[i].data_center, "one", 4);
+		distance[i] = -1;
+	}
+	for (i = 0; i < n; i++) {
+		memcpy(copy, m, sizeof(copy));
+		self = m[i];
+		overlay_build(&o, copy, n, &self);
+		count[i] = o.neighbor_count;
+		for (j = 0; j < count[i]; j++) {
+			near[i][j] = index_of(m, n, o.neighbors[j]);
+			in[near[i][j]]++;
+		}
+	}
+	distance[0] = 0;
+	for (steps = 0; reached < n && steps < 50; steps++) {
+		for (i = 0; i < n; i++) {
+			for (j = 0; distance[i] == steps && j < count[i]; j++) {
+				if (distance[near[i][j]] >= 0)
+					continue;
+				distance[near[i][j]] = steps + 1;
+				reached++;
+			}
+		}
+	}
+	ck_assert_int_eq(reached, n);
+	ck_assert_int_le(steps, 16); /* 4 (b - 1), b = 5 */
+	for (i = 0; i < n; i++)
+		ck_assert_int_eq(in[i], OVERLAY_DEGREE);
+}
+END_TEST
+
+/* One process under test, alone with two peers. */
+struct rig {
+	struct spread s;
+	struct random r;
+	struct spread_actions out;
+};
+
+static void rig_init(struct rig *g)
+{
+	struct overlay_member *m = calloc(3, sizeof(*m));
+	struct overlay_member self;
+	int i;
+
+	random_seed(&g->r, 3);
+	spread_init(&g->s, "127.0.0.1", SECOND);
+	for (i = 0; i < 3; i++) {
+		snprintf(m[i].id, sizeof(m[i].id), "p%d", i);
+		snprintf(m[i].data_center, sizeof(m[i].data_center), "dc");
+		snprintf(m[i].address, sizeof(m[i].address), "127.0.0.%d",
+			 i + 1);
+		overlay_member_score(&m[i]);
+	}
+	self = m[0];
+	spread_members(&g->s, m, 3, &self, &g->r);
+}
+
+static const struct spread_action *find(struct rig *g,
+					enum spread_action_kind kind, int want)
+{
+	int i;
+
+	for (i = 0; i < g->out.count; i++) {
+		const struct spread_action *a = &g->out.list[i];
+
+		if (a->kind == kind &&
+		    (kind == SPREAD_WATCH ? a->value : a->want) == want)
+			return a;
+	}
+	return NULL;
+}
+
+static void say(struct spread_version v[SPREAD_VALUES], uint64_t version,
+		unsigned char mark)
+{
+	memset(v, 0, SPREAD_VALUES * sizeof(*v));
+	v[0].version = version;
+	v[0].digest.bytes[0] = mark;
+	v[0].platform_age_ms = v[1].platform_age_ms = UINT32_MAX;
+}
+
+START_TEST(older_versions_and_refused_ones_are_not_pulled)
+{
+	struct spread_version v[SPREAD_VALUES];
+	struct spread_action pull;
+	struct rig g;
+
+	rig_init(&g);
+	say(v, 5, 5);
+	spread_taken(&g.s, 0, 5, &v[0].digest, 100, SECOND);
+	say(v, 4, 4);
+	spread_heard(&g.s, "127.0.0.2", v, SPREAD_VALUES, SECOND);
+	spread_decide(&g.s, SECOND, &g.r, &g.out);
+	ck_assert_ptr_null(find(&g, SPREAD_EXCHANGE, 0));
+	say(v, 6, 6);
+	spread_heard(&g.s, "127.0.0.2", v, SPREAD_VALUES, SECOND);
+	spread_decide(&g.s, 2 * SECOND, &g.r, &g.out);
+	ck_assert_ptr_nonnull(find(&g, SPREAD_EXCHANGE, 0));
+	pull = *find(&g, SPREAD_EXCHANGE, 0);
+	ck_assert_str_eq(pull.address, "127.0.0.2");
+	spread_refused(&g.s, 0, 6, &v[0].digest);
+	spread_exchange_done(&g.s, &pull, 1, 2 * SECOND);
+	spread_heard(&g.s, "127.0.0.3", v, SPREAD_VALUES, 2 * SECOND);
+	spread_decide(&g.s, 9 * SECOND, &g.r, &g.out);
+	ck_assert_ptr_null(find(&g, SPREAD_EXCHANGE, 0));
+	spread_taken(&g.s, 0, 3, &v[0].digest, 100, 9 * SECOND);
+	ck_assert_uint_eq(g.s.values[0].version, 5);
+	spread_destroy(&g.s);
+}
+END_TEST
+
+START_TEST(start_waits_for_every_peer_asked)
+{
+	struct spread_version v[SPREAD_VALUES];
+	struct spread_action peer[2];
+	struct rig g;
+	int i, n = 0;
+
+	rig_init(&g);
+	spread_decide(&g.s, SECOND, &g.r, &g.out);
+	ck_assert_ptr_nonnull(find(&g, SPREAD_WATCH, 0));
+	ck_assert(!find(&g, SPREAD_WATCH, 0)->hold);
+	for (i = 0; i < g.out.count; i++) {
+		if (g.out.list[i].starting)
+			peer[n++] = g.out.list[i];
+	}
+	ck_assert_int_eq(n, 2);
+	/* The platform went back to 3. */
+	say(v, 3, 3);
+	spread_taken(&g.s, 0, 3, &v[0].digest, 100, SECOND);
+	spread_platform_done(&g.s, 0, 1, 1, SECOND, SECOND, &g.r);
+	spread_platform_done(&g.s, 1, 1, 0, SECOND, SECOND, &g.r);
+	ck_assert(!spread_ready(&g.s, SECOND));
+	spread_exchange_done(&g.s, &peer[0], 0, SECOND);
+	ck_assert(!spread_ready(&g.s, SECOND));
+	/* A peer knows better: its version is awaited. */
+	say(v, 4, 4);
+	spread_exchange_done(&g.s, &peer[1], 1, SECOND);
+	spread_heard(&g.s, peer[1].address, v, SPREAD_VALUES, SECOND);
+	ck_assert(!spread_ready(&g.s, SECOND));
+	spread_taken(&g.s, 0, 4, &v[0].digest, 100, SECOND);
+	ck_assert(spread_ready(&g.s, SECOND));
+	spread_destroy(&g.s);
+}
+END_TEST
+
+START_TEST(a_failed_source_is_replaced_by_the_next)
+{
+	struct spread_version v[SPREAD_VALUES];
+	struct spread_action pull;
+	struct rig g;
+
+	rig_init(&g);
+	say(v, 7, 7);
+	spread_heard(&g.s, "127.0.0.2", v, SPREAD_VALUES, SECOND);
+	say(v, 6, 6);
+	spread_heard(&g.s, "127.0.0.3", v, SPREAD_VALUES, SECOND);
+	spread_decide(&g.s, SECOND, &g.r, &g.out);
+	pull = *find(&g, SPREAD_EXCHANGE, 0);
+	ck_assert_str_eq(pull.address, "127.0.0.2");
+	spread_exchange_done(&g.s, &pull, 0, 2 * SECOND);
+	spread_decide(&g.s, 3 * SECOND, &g.r, &g.out);
+	ck_assert_str_eq(find(&g, SPREAD_EXCHANGE, 0)->address, "127.0.0.3");
+	spread_destroy(&g.s);
+}
+END_TEST
+
+START_TEST(quiet_watchers_are_replaced_in_turn_by_few)
+{
+	int ranks = 40, rank, watching, ever[40] = { 0 }, covered = 0;
+	struct rig g;
+	apr_time_t now;
+
+	rig_init(&g);
+	g.s.overlay.own_count = ranks;
+	for (now = SECOND; now < 80 * SECOND; now += SECOND) {
+		watching = 0;
+		for (rank = 0; rank < ranks; rank++) {
+			g.s.overlay.watch_rank = rank;
+			g.s.values[0].watching = 0;
+			g.s.values[0].watch_answers = 1;
+			spread_decide(&g.s, now, &g.r, &g.out);
+			if (!find(&g, SPREAD_WATCH, 0))
+				continue;
+			watching++;
+			covered += !ever[rank]++;
+		}
+		ck_assert_int_ge(watching, OVERLAY_WATCHERS);
+		ck_assert_int_le(watching, OVERLAY_WATCHERS + 3);
+		if (now < 15 * SECOND)
+			ck_assert_int_eq(watching, OVERLAY_WATCHERS);
+	}
+	ck_assert_int_eq(covered, ranks);
+	spread_destroy(&g.s);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("config");
+	TCase *t = tcase_create("config");
+	SRunner *r;
+	int failed;
+
+	apr_initialize();
+	tcase_add_test(t, document_is_bound_with_defaults);
+	tcase_add_test(t, document_is_refused_whole);
+	tcase_add_test(t, diff_names_what_changes_and_whom_it_touches);
+	tcase_add_test(t, watchers_agree_with_the_naive_choice);
+	tcase_add_test(t, overlay_reaches_everybody_in_few_steps);
+	tcase_add_test(t, older_versions_and_refused_ones_are_not_pulled);
+	tcase_add_test(t, start_waits_for_every_peer_asked);
+	tcase_add_test(t, a_failed_source_is_replaced_by_the_next);
+	tcase_add_test(t, quiet_watchers_are_replaced_in_turn_by_few);
+	tcase_set_timeout(t, 60);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_VERBOSE);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
