--- /dev/null
+++ b/weights/activate.c
@@ -0,0 +1,133 @@
+#include "weights/activate.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define CHECK_MAX_US (5 * APR_USEC_PER_SEC) /* alone: order all the same */
+#define ORDER_BACKOFF_US (500 * 1000)
+#define ORDER_BACKOFF_SHIFT_MAX 5
+#define ORDER_SETTLE_US (300 * 1000) /* for the read-back after an order */
+#define CRASH_WINDOW_US (10 * APR_USEC_PER_SEC)
+
+#define HTTP_OK 200
+#define HTTP_CONFLICT 409
+
+/* Sets the version that the configuration names from now on. */
+void activation_want(struct activation *a, const char *version)
+{
+	if (!strcmp(a->want, version))
+		return;
+	snprintf(a->want, sizeof(a->want), "%s", version);
+	a->whole = 0;
+	a->failures = 0;
+	a->not_before = 0;
+	a->crashed_here = 0;
+	a->loaded = 0;
+	a->crashed = 0;
+}
+
+static int runs_wanted(const struct activation *a)
+{
+	return a->running_known && a->running_ready &&
+	       !strcmp(a->running, a->want);
+}
+
+/*
+ * A process that was stopped may hold an old view: it first has to hear
+ * from the platform or a peer, or to have waited long enough to be sure that
+ * it is cut off.
+ */
+static int view_unchecked(const struct activation *a, apr_time_t now)
+{
+	return a->pause_end && a->view_checked <= a->pause_end &&
+	       now - a->pause_end < CHECK_MAX_US;
+}
+
+/*
+ * Returns the state at now.  ACTIVATION_READY asks for the order to load;
+ * the caller sets ordering and reports with activation_ordered.
+ */
+enum activation_state activation_step(struct activation *a, apr_time_t now)
+{
+	if (runs_wanted(a)) {
+		snprintf(a->confirmed, sizeof(a->confirmed), "%s", a->want);
+		if (a->loader != ACTIVATE_NOT_LOADER)
+			a->loaded |= 1u << a->loader;
+		return ACTIVATION_SERVING;
+	}
+	if (!a->whole)
+		return ACTIVATION_FETCHING;
+	if (a->crashed || a->crashed_here)
+		return ACTIVATION_HALTED;
+	if (a->peer_revision > a->fence || a->running_fence > a->fence)
+		return ACTIVATION_STALE;
+	if (view_unchecked(a, now))
+		return ACTIVATION_CHECKING;
+	if (a->ordering || now < a->not_before || !a->running_known)
+		return ACTIVATION_ORDERED;
+	if (a->loader == ACTIVATE_NOT_LOADER &&
+	    (a->loaded & a->needed) != a->needed)
+		return ACTIVATION_WAITING;
+	return ACTIVATION_READY;
+}
+
+/* Takes in how an order ended: its HTTP status, 0 for no answer. */
+void activation_ordered(struct activation *a, int status, apr_time_t now)
+{
+	int shift = a->failures < ORDER_BACKOFF_SHIFT_MAX
+			    ? a->failures
+			    : ORDER_BACKOFF_SHIFT_MAX;
+
+	a->ordering = 0;
+	a->ordered_at = now;
+	a->not_before = now + ORDER_SETTLE_US;
+	/* What runs is not known until it is read back. */
+	a->running_known = 0;
+	if (status == HTTP_OK) {
+		a->failures = 0;
+		return;
+	}
+	a->failures++;
+	a->not_before = now + (ORDER_BACKOFF_US << shift);
+}
+
+/*
+ * Takes in what the engine runs of this model.  rebooted tells that it
+ * started anew since the last look.
+ */
+void activation_read_back(struct activation *a, const char *version, int ready,
+			  uint64_t fence, int rebooted, apr_time_t now)
+{
+	if (rebooted && a->failures && a->ordered_at &&
+	    now - a->ordered_at < CRASH_WINDOW_US && !runs_wanted(a)) {
+		a->crashed_here = 1;
+		if (a->loader != ACTIVATE_NOT_LOADER)
+			a->crashed |= 1u << a->loader;
+	}
+	a->running_known = 1;
+	a->running_ready = ready;
+	a->running_fence = fence;
+	a->running_at = now;
+	snprintf(a->running, sizeof(a->running), "%s", version);
+}
+
+/* Returns 1 when what runs may take calls. */
+int activation_serves(const struct activation *a)
+{
+	if (!a->running_known || !a->running_ready || !*a->running)
+		return 0;
+	if (a->running_at <= a->pause_end)
+		return 0;
+	return !*a->confirmed || !strcmp(a->running, a->confirmed) ||
+	       !strcmp(a->running, a->want);
+}
+
+/* Returns a state's name for status output. */
+const char *activation_state_name(enum activation_state s)
+{
+	static const char *const names[] = { "fetching", "ready",  "waiting",
+					     "checking", "stale",  "ordered",
+					     "halted",	 "serving" };
+
+	return names[s];
+}
--- /dev/null
+++ b/weights/activate.h
@@ -0,0 +1,66 @@
+#ifndef WEIGHTS_ACTIVATE_H
+#define WEIGHTS_ACTIVATE_H
+
+#include <apr_time.h>
+#include <stdint.h>
+
+#include "base/digest.h"
+
+/*
+ * When an engine is ordered to load a version, and whether what it runs may
+ * take calls.  Pure.
+ */
+
+#define ACTIVATE_LOADERS_MAX 32 /* bits in the masks of first loaders */
+#define ACTIVATE_NOT_LOADER (-1)
+
+struct activation {
+	char want[DIGEST_HEX_SIZE];
+	uint64_t fence; /* revision of the configuration in force */
+	int whole;	/* every chunk is verified and staged */
+
+	/* as read back from the engine */
+	int running_known;
+	char running[DIGEST_HEX_SIZE]; /* empty: the model isn't loaded */
+	int running_ready;
+	uint64_t running_fence;
+	apr_time_t running_at;
+	/* the last version seen to run as wanted */
+	char confirmed[DIGEST_HEX_SIZE];
+
+	int ordering; /* an order is under way */
+	int failures;
+	apr_time_t ordered_at;
+	apr_time_t not_before;
+	int crashed_here; /* the engine died of this version's load */
+
+	apr_time_t pause_end;	 /* of this process, 0: never */
+	apr_time_t view_checked; /* last word from the platform or a peer */
+	uint64_t peer_revision;	 /* highest that a peer named */
+
+	int loader;	  /* this instance's bit, or ACTIVATE_NOT_LOADER */
+	uint32_t needed;  /* first loaders that must run it before the rest */
+	uint32_t loaded;  /* that are known to run it */
+	uint32_t crashed; /* that it brought down */
+};
+
+enum activation_state {
+	ACTIVATION_FETCHING = 0,
+	ACTIVATION_READY,    /* the order is due now */
+	ACTIVATION_WAITING,  /* whole, waits for the first loaders */
+	ACTIVATION_CHECKING, /* whole, must re-check its view first */
+	ACTIVATION_STALE,    /* a peer knows of a newer configuration */
+	ACTIVATION_ORDERED,  /* under way, or backing off */
+	ACTIVATION_HALTED,   /* it crashed on a first loader */
+	ACTIVATION_SERVING
+};
+
+void activation_want(struct activation *a, const char *version);
+enum activation_state activation_step(struct activation *a, apr_time_t now);
+void activation_ordered(struct activation *a, int status, apr_time_t now);
+void activation_read_back(struct activation *a, const char *version, int ready,
+			  uint64_t fence, int rebooted, apr_time_t now);
+int activation_serves(const struct activation *a);
+const char *activation_state_name(enum activation_state s);
+
+#endif
--- /dev/null
+++ b/weights/blob.h
@@ -0,0 +1,42 @@
+#ifndef WEIGHTS_BLOB_H
+#define WEIGHTS_BLOB_H
+
+#include <pthread.h>
+#include <stddef.h>
+
+#include "base/digest.h"
+
+/*
+ * Chunks in this process's memory, counted by reference, and a bounded cache
+ * of those that passed through last, so that neighbours who ask for a chunk
+ * just received are served without reading it back from the engine.
+ */
+
+struct blob {
+	struct digest digest;
+	size_t size;
+	int refs; /* atomic */
+	char data[];
+};
+
+#define BLOB_CACHE_SLOTS 256
+
+struct blob_cache {
+	pthread_mutex_t mutex; /* innermost */
+	struct blob *slots[BLOB_CACHE_SLOTS];
+	int next; /* slot to be used next; the oldest is after it */
+	size_t bytes;
+	size_t limit; /* bytes */
+};
+
+struct blob *blob_new(size_t size);
+struct blob *blob_hold(struct blob *b);
+void blob_release(struct blob *b);
+
+void blob_cache_init(struct blob_cache *c, size_t limit);
+void blob_cache_destroy(struct blob_cache *c);
+void blob_cache_add(struct blob_cache *c, struct blob *b);
+struct blob *blob_cache_find(struct blob_cache *c, const struct digest *d);
+void blob_cache_drop(struct blob_cache *c, const struct digest *d);
+
+#endif
--- /dev/null
+++ b/weights/choose.c
@@ -0,0 +1,413 @@
+#include "weights/swarm.h"
+
+#include <string.h>
+
+#define HEDGE_BASE_US (2 * APR_USEC_PER_SEC)
+#define HEDGE_DRAWS 3  /* times a usual draw */
+#define HEDGE_LOOKS 64 /* chunks looked at in one step */
+#define PERMIT_RENEW_US (120 * APR_USEC_PER_SEC)
+#define PEER_FAILURES_LATE 2
+#define PEER_FAILURES_AVOID 3
+#define BACKOFF_BASE_US (250 * 1000)
+#define BACKOFF_MAX_US (8 * APR_USEC_PER_SEC)
+#define PEER_BACKOFF_US (500 * 1000)
+#define AVOID_CORRUPT_US (60 * APR_USEC_PER_SEC)
+#define ENGINE_BACKOFF_US APR_USEC_PER_SEC
+#define EXCHANGE_MIN_US (400 * 1000)
+#define EXCHANGE_SPACING_US (33 * 1000) /* a neighbour; bounds the traffic */
+#define EXCHANGE_KEEP_US (2 * APR_USEC_PER_SEC)
+#define EXCHANGE_BACKOFF_SHIFT_MAX 4
+
+/*
+ * How long a carrier may make no progress before the next one takes over.
+ * Weighing time more makes it shorter, and dearer in origin bytes.
+ */
+apr_interval_time_t swarm_hedge_delay(const struct swarm *s)
+{
+	double usual = HEDGE_BASE_US + HEDGE_DRAWS * (double)s->draw_time;
+
+	return (apr_interval_time_t)(usual * (1.5 - s->policy.time_weight));
+}
+
+static int gave_up(const struct swarm_peer *p, uint32_t chunk)
+{
+	int i;
+
+	for (i = 0; i < p->given_up_count; i++)
+		if (p->given_up[i] == chunk)
+			return 1;
+	return 0;
+}
+
+/* Returns 1 when a member can't be counted on to bring a chunk soon. */
+static int member_late(struct swarm *s, int member, uint32_t chunk,
+		       apr_time_t now)
+{
+	const struct swarm_peer *p;
+	apr_time_t since;
+
+	if (member < 0 || !s->view->members[member].live)
+		return 1;
+	p = swarm_peer_find(s, s->view->members[member].id);
+	if (!p)
+		return now - s->began > 4 * swarm_hedge_delay(s);
+	if (!p->live || p->failures >= PEER_FAILURES_LATE || gave_up(p, chunk))
+		return 1;
+	if (p->waiting_until > now)
+		return 0;
+	since = p->progress > s->began ? p->progress : s->began;
+	return now - since > swarm_hedge_delay(s);
+}
+
+/* Returns 1 when all that come before this instance in its data centre are
+ * late. */
+static int duty_passed(struct swarm *s, uint32_t chunk, apr_time_t now)
+{
+	const struct place_view *v = s->view;
+	const struct swarm_chunk *c = &s->chunks[chunk];
+	int dc = v->members[v->self].data_center;
+	int rank;
+
+	for (rank = 0; rank < c->rank; rank++)
+		if (!member_late(s, place_at_rank(v, dc, &c->digest, rank),
+				 chunk, now))
+			return 0;
+	return 1;
+}
+
+static int data_center_at(const struct place_view *v,
+			  const struct digest *chunk, int rank)
+{
+	int dc;
+
+	for (dc = 0; dc < v->data_center_count; dc++)
+		if (place_data_center_rank(v, dc, chunk) == rank)
+			return dc;
+	return -1;
+}
+
+/* Returns 1 when the holders of all lower permits are late. */
+static int permit_passed(struct swarm *s, uint32_t chunk, apr_time_t now)
+{
+	const struct place_view *v = s->view;
+	const struct swarm_chunk *c = &s->chunks[chunk];
+	int permit, dc, member;
+
+	for (permit = 0; permit < c->permit; permit++) {
+		dc = data_center_at(v, &c->digest,
+				    permit % v->data_center_count);
+		member = place_at_rank(v, dc, &c->digest,
+				       permit / v->data_center_count);
+		if (!member_late(s, member, chunk, now))
+			return 0;
+	}
+	return 1;
+}
+
+static int can_ask(const struct swarm_peer *p, uint32_t chunk, apr_time_t now)
+{
+	return p->live && bit_get(p->have, chunk) && p->busy_until <= now &&
+	       p->avoid_until <= now && p->asked < SWARM_PEER_ASKED_MAX &&
+	       p->failures < PEER_FAILURES_AVOID;
+}
+
+static uint64_t mixed(const struct swarm *s, uint32_t chunk, uint32_t salt)
+{
+	uint32_t in[2] = { chunk, salt };
+
+	return place_hash(in, sizeof(in), s->seed);
+}
+
+/* The peer to ask for a chunk: least asked of, else spread by hash. */
+static int peer_choose(const struct swarm *s, uint32_t chunk, int same,
+		       apr_time_t now)
+{
+	uint64_t best_hash = 0;
+	int i, best = SWARM_NO_PEER;
+
+	for (i = 0; i < s->peer_count; i++) {
+		const struct swarm_peer *p = &s->peers[i];
+		uint64_t h;
+
+		if (p->same_data_center != same || !can_ask(p, chunk, now))
+			continue;
+		h = mixed(s, chunk, (uint32_t)i + 1);
+		if (best == SWARM_NO_PEER || p->asked < s->peers[best].asked ||
+		    (p->asked == s->peers[best].asked && h > best_hash)) {
+			best = i;
+			best_hash = h;
+		}
+	}
+	return best;
+}
+
+static int held_near(const struct swarm *s, uint32_t chunk)
+{
+	int i;
+
+	for (i = 0; i < s->peer_count; i++)
+		if (s->peers[i].same_data_center && s->peers[i].live &&
+		    bit_get(s->peers[i].have, chunk))
+			return 1;
+	return 0;
+}
+
+static int chunk_open(const struct swarm_chunk *c, apr_time_t now)
+{
+	return c->status == CHUNK_MISSING && c->not_before <= now;
+}
+
+static void action_begin(struct swarm *s, struct swarm_action *a,
+			 enum swarm_way way, uint32_t chunk, int peer,
+			 apr_time_t now)
+{
+	a->way = way;
+	a->chunk = chunk;
+	a->peer = peer;
+	a->began = now;
+	s->chunks[chunk].status = CHUNK_ASKED;
+	if (peer != SWARM_NO_PEER)
+		s->peers[peer].asked++;
+	s->pulls += way == WAY_PULL;
+	s->carries += way == WAY_CARRY;
+	s->draws += way == WAY_DRAW;
+}
+
+/*
+ * Rarest first among the chunks that a neighbour in the same data centre
+ * can send now; the order of equally rare ones differs between instances.
+ */
+static int pull_choose(struct swarm *s, apr_time_t now, struct swarm_action *a)
+{
+	uint64_t best_hash = 0;
+	uint32_t i, best = 0;
+	int best_peer = SWARM_NO_PEER;
+
+	for (i = 0; i < s->count; i++) {
+		const struct swarm_chunk *c = &s->chunks[i];
+		uint64_t h;
+		int peer;
+
+		if (!c->holders || !chunk_open(c, now))
+			continue;
+		h = mixed(s, i, 0);
+		if (best_peer != SWARM_NO_PEER &&
+		    (c->holders > s->chunks[best].holders ||
+		     (c->holders == s->chunks[best].holders && h < best_hash)))
+			continue;
+		peer = peer_choose(s, i, 1, now);
+		if (peer == SWARM_NO_PEER)
+			continue;
+		best = i;
+		best_hash = h;
+		best_peer = peer;
+	}
+	if (best_peer == SWARM_NO_PEER)
+		return 0;
+	action_begin(s, a, WAY_PULL, best, best_peer, now);
+	return 1;
+}
+
+static int carry_choose(struct swarm *s, apr_time_t now, struct swarm_action *a)
+{
+	uint32_t n, i;
+
+	for (n = 0; n < s->count; n++) {
+		const struct swarm_chunk *c;
+		int peer;
+
+		i = (n + (uint32_t)s->seed) % s->count;
+		c = &s->chunks[i];
+		if (!c->holders || c->rank < 0 || !chunk_open(c, now))
+			continue;
+		peer = peer_choose(s, i, 0, now);
+		if (peer == SWARM_NO_PEER || held_near(s, i) ||
+		    !duty_passed(s, i, now))
+			continue;
+		action_begin(s, a, WAY_CARRY, i, peer, now);
+		return 1;
+	}
+	return 0;
+}
+
+static int draw_allowed(const struct swarm_chunk *c, apr_time_t now)
+{
+	return c->permit != PLACE_NO_PERMIT && !c->holders &&
+	       chunk_open(c, now) &&
+	       (!c->spent || now - c->spent_at > PERMIT_RENEW_US);
+}
+
+/* Own draws first, then a bounded look for those of late carriers. */
+static int draw_choose(struct swarm *s, apr_time_t now, struct swarm_action *a)
+{
+	uint32_t n, i;
+
+	for (n = 0; n < s->count; n++) {
+		i = (n + (uint32_t)s->seed) % s->count;
+		if (s->chunks[i].permit || !draw_allowed(&s->chunks[i], now))
+			continue;
+		action_begin(s, a, WAY_DRAW, i, SWARM_NO_PEER, now);
+		return 1;
+	}
+	for (n = 0; n < HEDGE_LOOKS && n < s->count; n++) {
+		i = s->hedge_cursor++ % s->count;
+		if (!s->chunks[i].permit || !draw_allowed(&s->chunks[i], now) ||
+		    !permit_passed(s, i, now))
+			continue;
+		action_begin(s, a, WAY_DRAW, i, SWARM_NO_PEER, now);
+		return 1;
+	}
+	return 0;
+}
+
+/*
+ * Decides which transfers begin now, within the credit of the links and the
+ * bounds on transfers under way.  Returns how many; swarm_result must be
+ * called once for each.
+ */
+int swarm_choose(struct swarm *s, const struct swarm_credit *credit,
+		 apr_time_t now, struct swarm_action *out, int max)
+{
+	double link = credit->link, cross = credit->cross;
+	int n = 0;
+
+	if (swarm_whole(s) || !s->view || s->view->self < 0)
+		return 0;
+	while (n < max && link > 0 && s->draws < SWARM_DRAWS_MAX &&
+	       s->origin_until <= now && draw_choose(s, now, &out[n]))
+		link -= s->chunks[out[n++].chunk].length;
+	while (n < max && link > 0 && cross > 0 &&
+	       s->carries < SWARM_CARRIES_MAX &&
+	       carry_choose(s, now, &out[n])) {
+		link -= s->chunks[out[n].chunk].length;
+		cross -= s->chunks[out[n++].chunk].length;
+	}
+	while (n < max && link > 0 && s->pulls < SWARM_PULLS_MAX &&
+	       pull_choose(s, now, &out[n]))
+		link -= s->chunks[out[n++].chunk].length;
+	return n;
+}
+
+static void origin_result(struct swarm *s, struct swarm_chunk *c,
+			  enum swarm_result result, apr_interval_time_t wait,
+			  apr_interval_time_t took, apr_time_t now)
+{
+	int shift = s->origin_failures < 5 ? s->origin_failures : 5;
+	apr_interval_time_t back = BACKOFF_BASE_US << shift;
+
+	if (result == RESULT_DONE || result == RESULT_CORRUPT ||
+	    result == RESULT_ENGINE) {
+		c->spent = 1;
+		c->spent_at = now;
+	}
+	if (result == RESULT_DONE) {
+		s->origin_failures = 0;
+		s->draw_time =
+			s->draw_time ? (3 * s->draw_time + took) / 4 : took;
+		return;
+	}
+	if (result == RESULT_ENGINE)
+		return;
+	s->origin_failures++;
+	if (back > BACKOFF_MAX_US)
+		back = BACKOFF_MAX_US;
+	/* Spread, so that the owners don't come back all at once. */
+	if (result == RESULT_WAIT)
+		back = wait;
+	s->origin_until = now + back +
+			  (apr_interval_time_t)(mixed(s, (uint32_t)now, 7) %
+						(uint64_t)(back / 2 + 1));
+}
+
+static void peer_result(struct swarm *s, struct swarm_peer *p,
+			enum swarm_result result, apr_interval_time_t wait,
+			apr_time_t now)
+{
+	p->asked--;
+	switch (result) {
+	case RESULT_DONE:
+		p->failures = 0;
+		break;
+	case RESULT_BUSY:
+		p->busy_until = now + wait;
+		break;
+	case RESULT_CORRUPT:
+		p->corrupt++;
+		p->avoid_until = now + AVOID_CORRUPT_US;
+		break;
+	case RESULT_FAILED:
+	case RESULT_WAIT:
+		p->failures++;
+		p->busy_until = now + PEER_BACKOFF_US;
+		break;
+	case RESULT_ENGINE:
+		break;
+	}
+	(void)s;
+}
+
+/* Takes in how a transfer ended; wait is what the other end asked for. */
+void swarm_result(struct swarm *s, const struct swarm_action *a,
+		  enum swarm_result result, apr_interval_time_t wait,
+		  apr_time_t now)
+{
+	struct swarm_chunk *c = &s->chunks[a->chunk];
+
+	s->pulls -= a->way == WAY_PULL;
+	s->carries -= a->way == WAY_CARRY;
+	s->draws -= a->way == WAY_DRAW;
+	if (c->status == CHUNK_ASKED)
+		c->status = CHUNK_MISSING;
+	if (result == RESULT_DONE)
+		swarm_hold(s, a->chunk, now);
+	if (result == RESULT_ENGINE)
+		c->not_before = now + ENGINE_BACKOFF_US;
+	if (a->way == WAY_DRAW)
+		origin_result(s, c, result, wait, now - a->began, now);
+	else
+		peer_result(s, &s->peers[a->peer], result, wait, now);
+}
+
+static int exchange_useful(const struct swarm *s, const struct swarm_peer *p)
+{
+	int told = p->sent_epoch == s->epoch && p->sent >= s->held;
+
+	if (swarm_whole(s) && p->whole)
+		return !told;
+	return !told || !p->whole;
+}
+
+/*
+ * Returns the neighbour to exchange messages with now, or SWARM_NO_PEER.
+ * The interval grows with the number of neighbours, so that control traffic
+ * is bounded for any number.  urgent skips the interval.
+ */
+int swarm_exchange_next(struct swarm *s, int urgent, apr_time_t now)
+{
+	apr_interval_time_t base = EXCHANGE_SPACING_US * s->peer_count;
+	apr_time_t oldest = now + 1;
+	int i, best = SWARM_NO_PEER;
+
+	if (base < EXCHANGE_MIN_US)
+		base = EXCHANGE_MIN_US;
+	for (i = 0; i < s->peer_count; i++) {
+		const struct swarm_peer *p = &s->peers[i];
+		apr_interval_time_t wait = base;
+
+		if (!p->live || p->exchanging)
+			continue;
+		if (!exchange_useful(s, p))
+			wait = EXCHANGE_KEEP_US;
+		if (p->failures)
+			wait = base << (p->failures < EXCHANGE_BACKOFF_SHIFT_MAX
+						? p->failures
+						: EXCHANGE_BACKOFF_SHIFT_MAX);
+		else if (urgent)
+			wait = 0;
+		if (now - p->exchanged >= wait && p->exchanged < oldest) {
+			oldest = p->exchanged;
+			best = i;
+		}
+	}
+	return best;
+}
--- /dev/null
+++ b/weights/engine.c
@@ -0,0 +1,223 @@
+#include "weights/engine.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metric.h"
+
+/*
+ * Talks to the engine beside this agent: what runs, what is staged, orders.
+ */
+
+#define RUNNING_PERIOD_US APR_USEC_PER_SEC
+#define RUNNING_BUSY_US (100 * 1000) /* while an order takes effect */
+#define RUNNING_TIMEOUT_MS 2000
+#define ORDER_TIMEOUT_MS 120000
+
+#define HTTP_OK 200
+#define HTTP_UNPROCESSABLE 422
+
+/* Prepares a request to the engine; done gets it as fetch's arg. */
+struct engine_call *engine_call_new(struct weights *w, const char *path,
+				    void (*done)(struct fetch *f))
+{
+	struct engine_call *x = calloc(1, sizeof(*x));
+
+	if (!x)
+		abort();
+	x->w = w;
+	x->ops.done = done;
+	x->fetch.ops = &x->ops;
+	x->fetch.arg = x;
+	x->fetch.url = x->url;
+	snprintf(x->url, sizeof(x->url), "%s%s", w->node->settings.upstream_url,
+		 path);
+	return x;
+}
+
+/* Frees a request that is over. */
+void engine_call_free(struct engine_call *x)
+{
+	free(x->fetch.text);
+	free(x->body);
+	blob_release(x->blob);
+	free(x);
+}
+
+static const json_t *running_find(const json_t *models, const char *name)
+{
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(models, i, o)
+	{
+		if (!strcmp(schema_string(o, "model", ""), name))
+			return o;
+	}
+	return NULL;
+}
+
+/* The engine started anew: its staging memory and models are gone. */
+static void engine_rebooted(struct weights *w, apr_time_t now)
+{
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+
+	while ((m = table_next(&w->models, &h))) {
+		m->listed = 0;
+		m->activation.whole = 0;
+		swarm_free(m->former);
+		m->former = NULL;
+		if (m->swarm)
+			swarm_restart(m->swarm, now);
+	}
+	metric_count("weights_engine_restarts", NULL, 1);
+	log_warning("engine", w->node->settings.upstream_url,
+		    "it started anew; what it had staged is gone");
+}
+
+static void running_take(struct weights *w, const json_t *o, apr_time_t now)
+{
+	const json_t *models = json_object_get(o, "models");
+	const char *boot = schema_string(o, "boot", "");
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+	int rebooted = *w->engine_boot && strcmp(w->engine_boot, boot);
+
+	snprintf(w->engine_boot, sizeof(w->engine_boot), "%s", boot);
+	if (rebooted)
+		engine_rebooted(w, now);
+	w->engine_seen = now;
+	while ((m = table_next(&w->models, &h))) {
+		const json_t *r = running_find(models, m->name);
+
+		if (m->activation.ordering)
+			continue;
+		activation_read_back(
+			&m->activation, schema_string(r, "version", ""),
+			!strcmp(schema_string(r, "state", ""), "ready"),
+			(uint64_t)schema_integer(r, "fence", 0), rebooted, now);
+	}
+}
+
+static void running_done(struct fetch *f)
+{
+	struct engine_call *x = f->arg;
+	struct weights *w = x->w;
+	json_t *o = NULL;
+
+	if (!f->error.code && f->status == HTTP_OK && f->text)
+		o = json_loadb(f->text, f->text_size, 0, NULL);
+	table_lock(&w->models);
+	w->engine_asked = 0;
+	if (json_is_object(o))
+		running_take(w, o, clock_now());
+	table_unlock(&w->models);
+	json_decref(o);
+	engine_call_free(x);
+}
+
+/* Reads back what runs, more often while an order takes effect.  Locked. */
+void engine_step(struct weights *w, apr_time_t now)
+{
+	struct handle h = HANDLE_NONE;
+	apr_interval_time_t period = RUNNING_PERIOD_US;
+	struct engine_call *x;
+	struct model_row *m;
+
+	while ((m = table_next(&w->models, &h))) {
+		if (m->swarm)
+			rereads_begin(w, h, m);
+		if (m->wanted && m->activation.whole &&
+		    (!m->activation.running_known ||
+		     strcmp(m->activation.running, m->want_hex) != 0) &&
+		    !m->activation.ordering)
+			period = RUNNING_BUSY_US;
+	}
+	if (w->engine_asked || now - w->engine_at < period)
+		return;
+	w->engine_at = now;
+	w->engine_asked = 1;
+	x = engine_call_new(w, "/running", running_done);
+	x->fetch.timeout_ms = RUNNING_TIMEOUT_MS;
+	fetch_submit(w->node->fetcher, &x->fetch);
+}
+
+/* The engine lacks a chunk that was thought staged: look at all anew. */
+static void staging_lost(struct model_row *m, apr_time_t now)
+{
+	swarm_restart(m->swarm, now);
+	m->listed = 0;
+	m->activation.whole = 0;
+}
+
+static void order_done(struct fetch *f)
+{
+	struct engine_call *x = f->arg;
+	struct weights *w = x->w;
+	int status = f->error.code ? 0 : f->status;
+	apr_time_t now = clock_now();
+	struct model_row *m;
+
+	if (status != HTTP_OK)
+		log_warning("engine-order", x->url, "status %d %s", status,
+			    f->error.text);
+	metric_count("weights_orders", status == HTTP_OK ? "done" : "refused",
+		     1);
+	table_lock(&w->models);
+	w->engine_at = 0;
+	m = table_get(&w->models, x->model);
+	if (m && m->swarm_id == x->swarm_id) {
+		activation_ordered(&m->activation, status, now);
+		if (status == HTTP_UNPROCESSABLE)
+			staging_lost(m, now);
+	} else if (m) {
+		m->activation.ordering = 0;
+	}
+	table_unlock(&w->models);
+	engine_call_free(x);
+}
+
+static char *order_text(const struct model_row *m)
+{
+	const struct swarm *s = m->swarm;
+	json_t *chunks = json_array();
+	char hex[DIGEST_HEX_SIZE];
+	char *text;
+	uint32_t i;
+	json_t *o;
+
+	for (i = 0; i < s->manifest->chunk_count; i++) {
+		digest_hex(&s->manifest->chunks[i], hex);
+		json_array_append_new(chunks, json_string(hex));
+	}
+	o = json_pack("{s:s,s:s,s:s,s:I,s:o}", "order", "load", "model",
+		      m->name, "version", m->want_hex, "fence",
+		      (json_int_t)m->activation.fence, "chunks", chunks);
+	text = json_dumps(o, JSON_COMPACT);
+	json_decref(o);
+	return text;
+}
+
+/* Orders the engine to load the wanted version.  Locked. */
+void engine_load(struct weights *w, struct handle h, struct model_row *m)
+{
+	struct engine_call *x = engine_call_new(w, "/orders", order_done);
+
+	x->model = h;
+	x->swarm_id = m->swarm_id;
+	x->body = order_text(m);
+	x->fetch.method = "POST";
+	x->fetch.headers[0] = "Content-Type: application/json";
+	x->fetch.body = x->body;
+	x->fetch.body_size = strlen(x->body);
+	x->fetch.timeout_ms = ORDER_TIMEOUT_MS;
+	x->fetch.once = 1;
+	m->activation.ordering = 1;
+	log_info("engine-order", m->name, "load version %.12s, fence %llu",
+		 m->want_hex, (unsigned long long)m->activation.fence);
+	fetch_submit(w->node->fetcher, &x->fetch);
+}
--- /dev/null
+++ b/weights/engine.h
@@ -0,0 +1,27 @@
+#ifndef WEIGHTS_ENGINE_H
+#define WEIGHTS_ENGINE_H
+
+#include "weights/internal.h"
+
+/* Any request to the engine whose answer is short. */
+struct engine_call {
+	struct fetch fetch;
+	struct fetch_ops ops;
+	struct weights *w;
+	struct handle model;
+	uint64_t swarm_id;
+	char url[WEIGHTS_URL_SIZE];
+	char *body;
+	struct digest digest;
+	struct blob *blob; /* being read back */
+	size_t received;
+};
+
+struct engine_call *engine_call_new(struct weights *w, const char *path,
+				    void (*done)(struct fetch *f));
+void engine_call_free(struct engine_call *x);
+
+/* staging.c */
+void rereads_begin(struct weights *w, struct handle h, struct model_row *m);
+
+#endif
--- /dev/null
+++ b/weights/exchange.c
@@ -0,0 +1,196 @@
+#include "weights/internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/metric.h"
+
+/*
+ * Messages between neighbours in the distribution of a version: each tells
+ * which chunks it got since the last one.
+ */
+
+#define EXCHANGE_TIMEOUT_MS 1000
+#define EXCHANGES_MAX 2 /* under way, of the pool's threads */
+#define EXCHANGE_ROUNDS 8
+
+static int have_serve(void *arg, const struct rpc_peer *from,
+		      const void *request, void *reply);
+
+static const struct rpc_kind have_kinds[] = {
+	{ RPC_KIND_WEIGHTS + 1, "weights-have", (xdrproc_t)xdr_weights_have,
+	  sizeof(struct weights_have), (xdrproc_t)xdr_weights_have,
+	  sizeof(struct weights_have), have_serve },
+	{ 0 }
+};
+
+struct exchange {
+	struct job job;
+	struct weights *w;
+	struct handle model;
+	uint64_t swarm_id;
+	char peer[SETTINGS_NAME_SIZE];
+	char address[SETTINGS_ADDRESS_SIZE];
+	struct weights_have request;
+};
+
+static int exchanges_running;
+
+/* Takes a message in; the lock of the models is held. */
+static void have_take(struct weights *w, struct model_row *m,
+		      struct swarm_peer *p, const struct weights_have *in,
+		      apr_time_t now)
+{
+	if (swarm_have_take(m->swarm, p, in, now))
+		m->urgent = 1;
+	m->activation.view_checked = now;
+	if (in->revision > m->activation.peer_revision)
+		m->activation.peer_revision = in->revision;
+	(void)w;
+}
+
+static int have_serve(void *arg, const struct rpc_peer *from,
+		      const void *request, void *reply)
+{
+	struct weights *w = arg;
+	const struct weights_have *in = request;
+	struct weights_have *out = reply;
+	struct swarm_peer stranger = { .id = "" };
+	struct swarm_peer *p;
+	struct model_row *m;
+	apr_time_t now = clock_now();
+	int ret = -1;
+
+	table_lock(&w->models);
+	m = model_by_digest(w, (const struct digest *)in->digest);
+	if (m && m->swarm) {
+		p = swarm_peer_find(m->swarm, from->instance);
+		if (p) {
+			have_take(w, m, p, in, now);
+		} else {
+			/* It counts us as a neighbour, we don't yet. */
+			stranger.sent_epoch = in->known_epoch;
+			stranger.sent = in->known;
+			p = &stranger;
+		}
+		swarm_have_make(m->swarm, p, out, now);
+		out->revision = w->revision;
+		ret = 0;
+	}
+	table_unlock(&w->models);
+	return ret;
+}
+
+static void exchange_end(struct exchange *x, const struct weights_have *reply,
+			 enum error_code code)
+{
+	struct weights *w = x->w;
+	apr_time_t now = clock_now();
+	struct swarm_peer *p = NULL;
+	struct model_row *m;
+
+	table_lock(&w->models);
+	m = table_get(&w->models, x->model);
+	if (m && m->swarm && m->swarm_id == x->swarm_id)
+		p = swarm_peer_find(m->swarm, x->peer);
+	if (p) {
+		p->exchanging = 0;
+		p->exchanged = now;
+		if (!code)
+			have_take(w, m, p, reply, now);
+		else if (code != ERROR_REFUSED)
+			p->failures++;
+	}
+	table_unlock(&w->models);
+	__atomic_fetch_sub(&exchanges_running, 1, __ATOMIC_RELAXED);
+	xdr_free((xdrproc_t)xdr_weights_have, (char *)&x->request);
+	free(x);
+}
+
+static void exchange_run(struct job *j)
+{
+	struct exchange *x = (struct exchange *)j;
+	struct node *n = x->w->node;
+	struct weights_have reply;
+	struct error err = ERROR_INIT;
+	int ret;
+
+	memset(&reply, 0, sizeof(reply));
+	ret = rpc_exchange(n->rpc, x->address, n->settings.rpc_port, have_kinds,
+			   &x->request, &reply, EXCHANGE_TIMEOUT_MS, &err);
+	if (ret) {
+		metric_count("weights_exchange_failures", NULL, 1);
+		memset(&reply, 0, sizeof(reply));
+	}
+	exchange_end(x, &reply,
+		     ret ? (err.code ? err.code : ERROR_INTERNAL) : ERROR_NONE);
+	xdr_free((xdrproc_t)xdr_weights_have, (char *)&reply);
+}
+
+static void exchange_begin(struct weights *w, struct handle h,
+			   struct model_row *m, struct swarm_peer *p,
+			   apr_time_t now)
+{
+	struct exchange *x = calloc(1, sizeof(*x));
+
+	if (!x)
+		abort();
+	x->job.run = exchange_run;
+	x->w = w;
+	x->model = h;
+	x->swarm_id = m->swarm_id;
+	snprintf(x->peer, sizeof(x->peer), "%s", p->id);
+	snprintf(x->address, sizeof(x->address), "%s", p->address);
+	swarm_have_make(m->swarm, p, &x->request, now);
+	x->request.revision = w->revision;
+	p->exchanging = 1;
+	p->exchanged = now;
+	__atomic_fetch_add(&exchanges_running, 1, __ATOMIC_RELAXED);
+	if (!worker_pool_submit(w->node->pool, &x->job))
+		return;
+	p->exchanging = 0;
+	__atomic_fetch_sub(&exchanges_running, 1, __ATOMIC_RELAXED);
+	xdr_free((xdrproc_t)xdr_weights_have, (char *)&x->request);
+	free(x);
+}
+
+static void model_exchange(struct weights *w, struct handle h,
+			   struct model_row *m, apr_time_t now)
+{
+	int i, peer;
+
+	if (m->urgent) {
+		/* One message to each neighbour, without the interval. */
+		for (i = 0; i < m->swarm->peer_count; i++)
+			m->swarm->peers[i].exchanged = 0;
+		m->urgent = 0;
+	}
+	for (i = 0; i < EXCHANGE_ROUNDS; i++) {
+		if (__atomic_load_n(&exchanges_running, __ATOMIC_RELAXED) >=
+		    EXCHANGES_MAX)
+			return;
+		peer = swarm_exchange_next(m->swarm, 0, now);
+		if (peer == SWARM_NO_PEER)
+			return;
+		exchange_begin(w, h, m, &m->swarm->peers[peer], now);
+	}
+}
+
+/* Sends the messages that are due.  Locked. */
+void exchange_step(struct weights *w, apr_time_t now)
+{
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+
+	while ((m = table_next(&w->models, &h)))
+		if (m->wanted && m->swarm)
+			model_exchange(w, h, m, now);
+}
+
+/* Registers the message kinds. */
+int exchange_start(struct weights *w)
+{
+	return rpc_server_add(have_kinds, w);
+}
--- /dev/null
+++ b/weights/internal.h
@@ -0,0 +1,123 @@
+#ifndef WEIGHTS_INTERNAL_H
+#define WEIGHTS_INTERNAL_H
+
+#include "config/document.h"
+#include "net/node.h"
+#include "weights/activate.h"
+#include "weights/blob.h"
+#include "weights/manifest.h"
+#include "weights/pace.h"
+#include "weights/place.h"
+#include "weights/swarm.h"
+
+/*
+ * State of the weights component.  The lock of the table of models guards
+ * all of it but the uploads and the cache, which have mutexes of their own
+ * that are taken inside it.  No I/O is done under any of them.
+ */
+
+/* As many rows as a table has from the start, so that they never move. */
+#define WEIGHTS_MODELS_MAX 16
+#define WEIGHTS_URL_SIZE 640
+#define ENGINE_BOOT_SIZE 64
+
+/* One model that the document in force puts on this upstream. */
+struct model_row {
+	char name[DOCUMENT_NAME_SIZE];
+	struct digest want; /* the version: digest of its manifest */
+	char want_hex[DIGEST_HEX_SIZE];
+	char base[DOCUMENT_NAME_SIZE];
+	int priority;
+	int first_loaders;
+	struct swarm_policy policy;
+	int wanted; /* still in the document */
+	uint64_t revision;
+
+	uint64_t swarm_id;	/* changes when the wanted version does */
+	struct swarm *swarm;	/* NULL until the manifest is there */
+	struct swarm *former;	/* of the version before, for its chunks */
+	struct place_view view; /* rows don't move: see WEIGHTS_MODELS_MAX */
+	uint64_t view_signature;
+	apr_time_t view_at;
+	int manifest_asked; /* a request for it is under way */
+	int manifest_tries;
+	apr_time_t manifest_at;	   /* next try */
+	apr_time_t manifest_began; /* first try */
+	int listed; /* the engine's staging was looked at for this version */
+	int urgent; /* news for the neighbours */
+	apr_time_t whole_at;
+	enum activation_state state; /* at the last step */
+	struct activation activation;
+};
+
+struct upload;
+
+struct weights {
+	struct node *node;
+	struct table models; /* struct model_row */
+	uint64_t next_swarm_id;
+	double link_rate; /* bytes a second that transfers may use */
+	double send_rate; /* now; lower while live calls slow */
+	struct pace receive;
+	struct pace cross;
+	struct yield yield;
+	size_t in_flight; /* bytes of buffers of transfers */
+	uint64_t revision;
+
+	char engine_boot[ENGINE_BOOT_SIZE];
+	int engine_asked;      /* /running is under way */
+	int staging_asked;     /* /staging is under way */
+	int rereads;	       /* chunks being verified in staging */
+	apr_time_t staging_at; /* last look */
+	int clean;	       /* drop what nobody wants */
+	int staging_full;      /* the engine refused a chunk for lack of room */
+	apr_time_t engine_at;  /* next look */
+	apr_time_t engine_seen;
+	apr_time_t view_at;
+	apr_time_t published_at;
+
+	struct blob_cache cache;
+	pthread_mutex_t upload_mutex; /* rank: inside the table of models */
+	struct upload *uploads;	      /* waiting */
+	int upload_count;
+	struct upload *sending; /* of the controller thread only */
+	struct pace send;
+	apr_time_t sent_at;
+};
+
+/* weights.c */
+struct model_row *model_by_digest(struct weights *w, const struct digest *d);
+int weights_holds(struct weights *w, const struct digest *d);
+
+/* view.c */
+void view_refresh(struct weights *w, apr_time_t now);
+
+/* transfer.c: chunks in */
+void transfers_begin(struct weights *w, apr_time_t now);
+
+/* manifest-fetch.c */
+void manifest_fetch_step(struct weights *w, struct handle h,
+			 struct model_row *m, apr_time_t now);
+void manifest_serve(struct http_call *c, void *arg);
+
+/* upload.c: chunks out */
+void upload_serve(struct http_call *c, void *arg);
+void upload_step(void *arg, apr_time_t now);
+int upload_busy(void *arg);
+void uploads_stop(struct weights *w);
+
+/* exchange.c: messages with neighbours */
+int exchange_start(struct weights *w);
+void exchange_step(struct weights *w, apr_time_t now);
+
+/* engine.c, staging.c: orders to the engine and its staging memory */
+void engine_step(struct weights *w, apr_time_t now);
+void engine_load(struct weights *w, struct handle h, struct model_row *m);
+void engine_delete_chunk(struct weights *w, const struct digest *d);
+void engine_list_staging(struct weights *w);
+
+/* status.c */
+json_t *weights_status(void *arg);
+void weights_publish(struct weights *w);
+
+#endif
--- /dev/null
+++ b/weights/manifest-fetch.c
@@ -0,0 +1,204 @@
+#include "weights/internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metric.h"
+
+/*
+ * Gets the manifest of a wanted version: the holders of its permits ask the
+ * origin, one after the other, all others ask peers until one has it.
+ */
+
+#define MANIFEST_RETRY_US (150 * 1000)
+#define MANIFEST_RETRY_SPREAD_US (100 * 1000)
+#define MANIFEST_RETRY_MAX_US (2 * APR_USEC_PER_SEC)
+#define MANIFEST_PERMIT_US APR_USEC_PER_SEC /* before the next holder's turn */
+#define MANIFEST_ALONE_US (10 * APR_USEC_PER_SEC)
+#define MANIFEST_TIMEOUT_MS 5000
+
+#define HTTP_OK 200
+#define HTTP_NOT_FOUND 404
+
+struct manifest_fetch {
+	struct fetch fetch;
+	struct weights *w;
+	struct handle model;
+	uint64_t swarm_id;
+	struct digest want;
+	int from_origin;
+	char url[WEIGHTS_URL_SIZE];
+};
+
+static void swarm_begin(struct weights *w, struct model_row *m,
+			struct manifest *manifest, apr_time_t now)
+{
+	uint64_t seed = place_hash_string(w->node->settings.instance,
+					  w->node->self.boot);
+
+	m->swarm = swarm_new(manifest, &m->policy, seed, now);
+	m->view_signature = 0; /* has it placed at the next step */
+	m->listed = 0;
+	log_info("manifest", m->name, "version %.12s: %llu bytes, %u chunks",
+		 m->want_hex, (unsigned long long)manifest->size,
+		 m->swarm->count);
+}
+
+static void retry_set(struct model_row *m, uint64_t hash, apr_time_t now)
+{
+	apr_interval_time_t wait =
+		MANIFEST_RETRY_US
+		<< (m->manifest_tries / 8 > 4 ? 4 : m->manifest_tries / 8);
+
+	if (wait > MANIFEST_RETRY_MAX_US)
+		wait = MANIFEST_RETRY_MAX_US;
+	m->manifest_tries++;
+	m->manifest_at = now + wait +
+			 (apr_interval_time_t)(hash % MANIFEST_RETRY_SPREAD_US);
+}
+
+static void fetch_done(struct fetch *f)
+{
+	struct manifest_fetch *x = f->arg;
+	struct weights *w = x->w;
+	struct error err = ERROR_INIT;
+	struct manifest *got = NULL;
+	apr_time_t now = clock_now();
+	struct model_row *m;
+
+	if (!f->error.code && f->status == HTTP_OK)
+		got = manifest_parse(f->text ? f->text : "", f->text_size,
+				     &x->want, &err);
+	if (err.code) {
+		snprintf(err.peer, sizeof(err.peer), "%s",
+			 x->from_origin ? "origin" : "peer");
+		log_error_value(LOG_SEV_WARNING, &err);
+		metric_count("weights_corrupt_manifests", NULL, 1);
+	}
+	table_lock(&w->models);
+	m = table_get(&w->models, x->model);
+	if (m && m->swarm_id == x->swarm_id) {
+		m->manifest_asked = 0;
+		retry_set(m, place_hash_string(x->url, (uint64_t)now), now);
+		if (got && !m->swarm) {
+			swarm_begin(w, m, got, now);
+			got = NULL;
+		}
+	}
+	table_unlock(&w->models);
+	manifest_free(got);
+	free(f->text);
+	free(x);
+}
+
+static const struct fetch_ops fetch_manifest_ops = { NULL, NULL, fetch_done };
+
+/* A carrier to ask, another one at each try; -1 when there is none. */
+static int carrier_choose(const struct model_row *m)
+{
+	const struct place_view *v = &m->view;
+	int own = v->members[v->self].data_center;
+	int found[PLACE_CARRIERS + PLACE_DATA_CENTERS_MAX];
+	int i, at, n = 0;
+
+	for (i = 0; i < PLACE_CARRIERS; i++) {
+		at = v->carriers[own][i];
+		if (at >= 0 && at != v->self && v->members[at].live)
+			found[n++] = at;
+	}
+	for (i = 0; place_is_carrier(v, v->self) && i < v->data_center_count;
+	     i++) {
+		at = place_at_rank(v, i, &m->want, 0);
+		if (i != own && at >= 0 && v->members[at].live)
+			found[n++] = at;
+	}
+	if (!n)
+		return -1;
+	return found[(v->members[v->self].hash + (uint64_t)m->manifest_tries) %
+		     (uint64_t)n];
+}
+
+/* Returns 1 when it is this instance's turn to ask the origin. */
+static int origin_due(const struct model_row *m, apr_time_t now)
+{
+	int permit = place_permit(&m->view, m->view.self, &m->want,
+				  PLACE_PERMITS_MAX);
+	apr_interval_time_t waited = now - m->manifest_began;
+
+	if (permit == PLACE_NO_PERMIT)
+		return waited > MANIFEST_ALONE_US;
+	return waited >= permit * MANIFEST_PERMIT_US;
+}
+
+/* Asks for the manifest when its time has come.  Locked. */
+void manifest_fetch_step(struct weights *w, struct handle h,
+			 struct model_row *m, apr_time_t now)
+{
+	const struct settings *s = &w->node->settings;
+	struct manifest_fetch *x;
+	int peer = -1, origin;
+
+	if (m->swarm || m->manifest_asked || m->view.self < 0 ||
+	    !m->view.count || now < m->manifest_at)
+		return;
+	if (!m->manifest_began)
+		m->manifest_began = now;
+	/* Even the origin's turn asks a peer every other time. */
+	origin = origin_due(m, now) && m->manifest_tries % 2 == 0;
+	if (!origin)
+		peer = carrier_choose(m);
+	if (!origin && peer < 0) {
+		retry_set(m, 0, now);
+		return;
+	}
+	x = calloc(1, sizeof(*x));
+	if (!x)
+		abort();
+	x->w = w;
+	x->model = h;
+	x->swarm_id = m->swarm_id;
+	x->want = m->want;
+	x->from_origin = origin;
+	if (origin)
+		snprintf(x->url, sizeof(x->url), "%s/manifests/%s",
+			 s->store_url, m->want_hex);
+	else
+		snprintf(x->url, sizeof(x->url), "http://%s:%d/manifests/%s",
+			 m->view.members[peer].address, s->http_port,
+			 m->want_hex);
+	m->manifest_asked = 1;
+	x->fetch.ops = &fetch_manifest_ops;
+	x->fetch.arg = x;
+	x->fetch.url = x->url;
+	x->fetch.timeout_ms = MANIFEST_TIMEOUT_MS;
+	fetch_submit(w->node->fetcher, &x->fetch);
+}
+
+/* Answers GET /manifests/<digest> for a version that is wanted here. */
+void manifest_serve(struct http_call *c, void *arg)
+{
+	struct weights *w = arg;
+	const char *hex = http_call_path(c) + strlen("/manifests/");
+	struct model_row *m = NULL;
+	char *text = NULL;
+	size_t size = 0;
+	struct digest d;
+
+	table_lock(&w->models);
+	if (!digest_parse(hex, &d))
+		m = model_by_digest(w, &d);
+	if (m && m->swarm) {
+		size = m->swarm->manifest->text_size;
+		text = malloc(size + 1);
+		if (!text)
+			abort();
+		memcpy(text, m->swarm->manifest->text, size + 1);
+	}
+	table_unlock(&w->models);
+	http_call_reply(c, text ? HTTP_OK : HTTP_NOT_FOUND, "application/json",
+			text ? text : "", size);
+	free(text);
+}
--- /dev/null
+++ b/weights/pace.c
@@ -0,0 +1,83 @@
+#include "weights/pace.h"
+
+#define YIELD_STEP_US (500 * 1000)
+#define YIELD_SLOWER 1.10 /* ratio of token times that halves the share */
+#define YIELD_SHARE_MIN 0.125
+#define YIELD_CLIMB 0.125	   /* of the whole share, a step */
+#define YIELD_BASELINE_WEIGHT 0.02 /* of a new sample in the baseline */
+
+/* Prepares a full bucket. */
+void pace_init(struct pace *p, double rate, double burst, apr_time_t now)
+{
+	p->rate = rate;
+	p->burst = burst;
+	p->level = burst;
+	p->filled = now;
+}
+
+/* Returns the bytes that may be sent now; not above 0 means wait. */
+double pace_level(struct pace *p, apr_time_t now)
+{
+	if (now > p->filled) {
+		p->level += p->rate * (double)(now - p->filled) / 1e6;
+		if (p->level > p->burst)
+			p->level = p->burst;
+		p->filled = now;
+	}
+	return p->level;
+}
+
+/* Changes the rate from now on. */
+void pace_rate_set(struct pace *p, double rate, apr_time_t now)
+{
+	pace_level(p, now);
+	p->rate = rate;
+}
+
+/* Charges a transfer; negative bytes give back what was not used. */
+void pace_charge(struct pace *p, double bytes, apr_time_t now)
+{
+	pace_level(p, now);
+	p->level -= bytes;
+	if (p->level > p->burst)
+		p->level = p->burst;
+}
+
+/* Prepares for the whole share. */
+void yield_init(struct yield *y)
+{
+	y->share = 1;
+	y->baseline = 0;
+	y->stepped = 0;
+}
+
+static double baseline_follow(double baseline, double sample)
+{
+	if (baseline <= 0 || sample < baseline)
+		return sample;
+	return baseline + YIELD_BASELINE_WEIGHT * (sample - baseline);
+}
+
+/*
+ * Takes in what the gate reports of live calls and returns the share of the
+ * link that transfers may use now.
+ */
+double yield_step(struct yield *y, int running, int token_us, apr_time_t now)
+{
+	if (now - y->stepped < YIELD_STEP_US)
+		return y->share;
+	y->stepped = now;
+	if (running && token_us && y->baseline > 0 &&
+	    token_us > YIELD_SLOWER * y->baseline) {
+		y->share /= 2;
+		if (y->share < YIELD_SHARE_MIN)
+			y->share = YIELD_SHARE_MIN;
+	} else {
+		y->share += YIELD_CLIMB;
+		if (y->share > 1)
+			y->share = 1;
+	}
+	if (running && token_us)
+		y->baseline = baseline_follow(y->baseline, token_us);
+	return y->share;
+}
--- /dev/null
+++ b/weights/pace.h
@@ -0,0 +1,37 @@
+#ifndef WEIGHTS_PACE_H
+#define WEIGHTS_PACE_H
+
+#include <apr_time.h>
+
+/*
+ * Pacing of transfers on a link by bytes.  A bucket fills at the rate up to
+ * a burst; a transfer may begin while it is not empty and is charged whole,
+ * so over any time the bytes stay within rate * time + burst + one transfer.
+ */
+struct pace {
+	double rate;  /* bytes a second */
+	double burst; /* bytes */
+	double level; /* bytes that may be sent at once; may be negative */
+	apr_time_t filled;
+};
+
+void pace_init(struct pace *p, double rate, double burst, apr_time_t now);
+void pace_rate_set(struct pace *p, double rate, apr_time_t now);
+double pace_level(struct pace *p, apr_time_t now);
+void pace_charge(struct pace *p, double bytes, apr_time_t now);
+
+/*
+ * How much of a link transfers may take while live calls are served: falls
+ * by half when calls slow by more than a tenth against what they were
+ * before, and climbs back step by step.
+ */
+struct yield {
+	double share;	 /* of the configured rate, in (0, 1] */
+	double baseline; /* time of a token while calls were not slowed */
+	apr_time_t stepped;
+};
+
+void yield_init(struct yield *y);
+double yield_step(struct yield *y, int running, int token_us, apr_time_t now);
+
+#endif
--- /dev/null
+++ b/weights/place.c
@@ -0,0 +1,324 @@
+#include "weights/place.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SEED_MEMBER 11
+#define SEED_DATA_CENTER 12
+#define MEMBERS_STEP 16 /* rows added at a time */
+
+/* Adds one instance that needs the version; place_view_finish follows. */
+void place_view_add(struct place_view *v, const char *id, const char *address,
+		    const char *data_center, int live)
+{
+	struct place_member *m;
+	int dc;
+
+	for (dc = 0; dc < v->data_center_count; dc++)
+		if (!strcmp(v->data_centers[dc], data_center))
+			break;
+	if (dc == PLACE_DATA_CENTERS_MAX)
+		return;
+	if (dc == v->data_center_count)
+		snprintf(v->data_centers[v->data_center_count++],
+			 SETTINGS_NAME_SIZE, "%s", data_center);
+	if (v->count % MEMBERS_STEP == 0) {
+		m = realloc(v->members,
+			    (size_t)(v->count + MEMBERS_STEP) * sizeof(*m));
+		if (!m)
+			abort();
+		v->members = m;
+	}
+	m = &v->members[v->count++];
+	memset(m, 0, sizeof(*m));
+	snprintf(m->id, sizeof(m->id), "%s", id);
+	snprintf(m->address, sizeof(m->address), "%s", address);
+	m->data_center = dc;
+	m->live = live;
+}
+
+static int member_compare(const void *a, const void *b)
+{
+	return strcmp(((const struct place_member *)a)->id,
+		      ((const struct place_member *)b)->id);
+}
+
+/* Rendezvous order: the highest hash is first. */
+static int comes_before(uint64_t ha, const char *ida, uint64_t hb,
+			const char *idb)
+{
+	return ha != hb ? ha > hb : strcmp(ida, idb) < 0;
+}
+
+/*
+ * Returns 1 when an instance takes part in the order of its data centre.
+ * The dead are passed over only by a side that still sees most of the data
+ * centre: an instance that is cut off from the others must not come to
+ * think of itself as first for every chunk.
+ */
+static void counted_mark(struct place_view *v, int dc)
+{
+	int i, all = 0, live = 0;
+
+	for (i = 0; i < v->count; i++) {
+		if (v->members[i].data_center != dc)
+			continue;
+		all++;
+		live += v->members[i].live;
+	}
+	for (i = 0; i < v->count; i++)
+		if (v->members[i].data_center == dc)
+			v->members[i].order =
+				2 * live > all && !v->members[i].live ? -1 : 0;
+}
+
+/* Ranks the members of each data centre; the first ones are carriers. */
+static void orders_set(struct place_view *v)
+{
+	int i, j;
+
+	memset(v->carriers, -1, sizeof(v->carriers));
+
+	for (i = 0; i < v->count; i++) {
+		struct place_member *m = &v->members[i];
+
+		if (m->order < 0)
+			continue;
+		m->order = 0;
+		for (j = 0; j < v->count; j++) {
+			const struct place_member *o = &v->members[j];
+
+			if (o->order >= 0 && o->data_center == m->data_center &&
+			    comes_before(o->hash, o->id, m->hash, m->id))
+				m->order++;
+		}
+		if (m->order < PLACE_CARRIERS)
+			v->carriers[m->data_center][m->order] = i;
+	}
+}
+
+/* Sorts the view and ranks its members for one version. */
+void place_view_finish(struct place_view *v, const char *self,
+		       const struct digest *version)
+{
+	uint64_t seed = place_hash(version, sizeof(*version), SEED_MEMBER);
+	int i;
+
+	qsort(v->members, (size_t)v->count, sizeof(*v->members),
+	      member_compare);
+	for (i = 0; i < v->count; i++)
+		v->members[i].hash = place_hash_string(v->members[i].id, seed);
+	for (i = 0; i < v->data_center_count; i++)
+		counted_mark(v, i);
+	orders_set(v);
+	v->self = place_find(v, self);
+}
+
+/* Frees what a view holds. */
+void place_view_clear(struct place_view *v)
+{
+	free(v->members);
+	memset(v, 0, sizeof(*v));
+	v->self = -1;
+}
+
+/* Returns the index of an instance, or -1. */
+int place_find(const struct place_view *v, const char *id)
+{
+	int low = 0, high = v->count;
+
+	while (low < high) {
+		int mid = (low + high) / 2;
+		int c = strcmp(v->members[mid].id, id);
+
+		if (!c)
+			return mid;
+		if (c < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return -1;
+}
+
+/* Returns 1 when a member is one of its data centre's carriers. */
+int place_is_carrier(const struct place_view *v, int member)
+{
+	int order = member < 0 ? -1 : v->members[member].order;
+
+	return order >= 0 && order < PLACE_CARRIERS;
+}
+
+static uint64_t chunk_hash(const struct place_member *m,
+			   const struct digest *chunk)
+{
+	return place_hash(chunk, sizeof(*chunk), m->hash);
+}
+
+/*
+ * Returns the rank of a member for a chunk in its data centre: the carriers
+ * as the chunk orders them, then the others as the version does.  -1 when
+ * it is not counted.
+ */
+int place_rank(const struct place_view *v, int member,
+	       const struct digest *chunk)
+{
+	const struct place_member *m = &v->members[member];
+	uint64_t own;
+	int i, rank = 0;
+
+	if (m->order < 0 || m->order >= PLACE_CARRIERS)
+		return m->order;
+	own = chunk_hash(m, chunk);
+	for (i = 0; i < PLACE_CARRIERS; i++) {
+		const struct place_member *o;
+		int at = v->carriers[m->data_center][i];
+
+		if (at < 0 || at == member)
+			continue;
+		o = &v->members[at];
+		if (comes_before(chunk_hash(o, chunk), o->id, own, m->id))
+			rank++;
+	}
+	return rank;
+}
+
+/* Returns the member with a rank for a chunk in a data centre, or -1. */
+int place_at_rank(const struct place_view *v, int data_center,
+		  const struct digest *chunk, int rank)
+{
+	int i, at;
+
+	for (i = 0; i < PLACE_CARRIERS; i++) {
+		at = v->carriers[data_center][i];
+		if (at >= 0 && place_rank(v, at, chunk) == rank)
+			return at;
+	}
+	for (i = 0; rank >= PLACE_CARRIERS && i < v->count; i++)
+		if (v->members[i].data_center == data_center &&
+		    v->members[i].order == rank)
+			return i;
+	return -1;
+}
+
+static uint64_t data_center_hash(const struct place_view *v, int dc,
+				 const struct digest *chunk)
+{
+	return place_hash(
+		chunk, sizeof(*chunk),
+		place_hash_string(v->data_centers[dc], SEED_DATA_CENTER));
+}
+
+/* Returns the rank of a data centre for a chunk: rank 0 draws it. */
+int place_data_center_rank(const struct place_view *v, int data_center,
+			   const struct digest *chunk)
+{
+	uint64_t own = data_center_hash(v, data_center, chunk);
+	int i, rank = 0;
+
+	for (i = 0; i < v->data_center_count; i++)
+		if (i != data_center &&
+		    comes_before(data_center_hash(v, i, chunk),
+				 v->data_centers[i], own,
+				 v->data_centers[data_center]))
+			rank++;
+	return rank;
+}
+
+/*
+ * Returns which of the chunk's permits for a draw from the origin a member
+ * holds, lowest first, or PLACE_NO_PERMIT.  There are never more than
+ * PLACE_PERMITS_MAX for a chunk in one view, dealt out to the data centres
+ * in turn, so a part of the fleet that is cut off holds one of its own when
+ * there are no more data centres than permits.
+ */
+int place_permit(const struct place_view *v, int member,
+		 const struct digest *chunk, int permits)
+{
+	int rank, permit;
+
+	if (member < 0)
+		return PLACE_NO_PERMIT;
+	if (permits > PLACE_PERMITS_MAX)
+		permits = PLACE_PERMITS_MAX;
+	rank = place_rank(v, member, chunk);
+	if (rank < 0 || rank >= permits)
+		return PLACE_NO_PERMIT;
+	permit = rank * v->data_center_count +
+		 place_data_center_rank(v, v->members[member].data_center,
+					chunk);
+	return permit < permits ? permit : PLACE_NO_PERMIT;
+}
+
+static void neighbour_add(int *out, int *n, int max, int self, int member)
+{
+	int i;
+
+	if (member == self || *n == max)
+		return;
+	for (i = 0; i < *n; i++)
+		if (out[i] == member)
+			return;
+	out[(*n)++] = member;
+}
+
+/*
+ * Members of this data centre that are live, in ring order by hash.  Returns
+ * how many, and this instance's position.
+ */
+static int ring_make(const struct place_view *v, int *ring, int *position)
+{
+	int dc = v->members[v->self].data_center;
+	int i, n = 0;
+
+	for (i = 0; i < v->count; i++) {
+		int j = n;
+
+		if (v->members[i].data_center != dc ||
+		    (!v->members[i].live && i != v->self))
+			continue;
+		while (j &&
+		       !comes_before(v->members[ring[j - 1]].hash,
+				     v->members[ring[j - 1]].id,
+				     v->members[i].hash, v->members[i].id)) {
+			ring[j] = ring[j - 1];
+			j--;
+		}
+		ring[j] = i;
+		n++;
+	}
+	for (i = 0; i < n; i++)
+		if (ring[i] == v->self)
+			*position = i;
+	return n;
+}
+
+/*
+ * Lists the neighbours of this instance: the members at distances 1, 2, 4,
+ * ... both ways round the ring of its data centre, which is connected and of
+ * small diameter, and for a carrier all other carriers.  Returns how many.
+ */
+int place_neighbours(const struct place_view *v, int *out, int max)
+{
+	int *ring;
+	int i, n = 0, size, at = 0, step;
+
+	if (v->self < 0)
+		return 0;
+	ring = calloc((size_t)v->count, sizeof(*ring));
+	if (!ring)
+		abort();
+	size = ring_make(v, ring, &at);
+	if (place_is_carrier(v, v->self))
+		for (i = 0; i < v->count; i++)
+			if (place_is_carrier(v, i) && v->members[i].live)
+				neighbour_add(out, &n, max, v->self, i);
+	for (step = 1; step <= size / 2; step *= 2) {
+		neighbour_add(out, &n, max, v->self, ring[(at + step) % size]);
+		neighbour_add(out, &n, max, v->self,
+			      ring[(at + size - step) % size]);
+	}
+	free(ring);
+	return n;
+}
--- /dev/null
+++ b/weights/staging.c
@@ -0,0 +1,207 @@
+#include "weights/engine.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/metric.h"
+
+/*
+ * The engine's staging memory: what a former agent left there is verified and
+ * used again, what nobody wants is dropped.
+ */
+
+#define STAGING_TIMEOUT_MS 10000
+#define REREAD_TIMEOUT_MS 10000
+#define REREADS_MAX 4 /* chunks under way */
+
+#define HTTP_OK 200
+
+static void forget_done(struct fetch *f)
+{
+	engine_call_free(f->arg);
+}
+
+/* Has the engine drop a staged chunk. */
+void engine_delete_chunk(struct weights *w, const struct digest *d)
+{
+	char path[sizeof("/staging/chunks/") + DIGEST_HEX_SIZE];
+	char hex[DIGEST_HEX_SIZE];
+	struct engine_call *x;
+
+	digest_hex(d, hex);
+	snprintf(path, sizeof(path), "/staging/chunks/%s", hex);
+	x = engine_call_new(w, path, forget_done);
+	x->fetch.method = "DELETE";
+	x->fetch.timeout_ms = STAGING_TIMEOUT_MS;
+	blob_cache_drop(&w->cache, d);
+	metric_count("weights_staging_dropped", NULL, 1);
+	fetch_submit(w->node->fetcher, &x->fetch);
+}
+
+static int reread_data(struct fetch *f, const void *data, size_t size)
+{
+	struct engine_call *x = f->arg;
+
+	if (f->status != HTTP_OK || x->received + size > x->blob->size)
+		return -1;
+	memcpy(x->blob->data + x->received, data, size);
+	x->received += size;
+	return 0;
+}
+
+static void reread_done(struct fetch *f)
+{
+	struct engine_call *x = f->arg;
+	struct weights *w = x->w;
+	struct model_row *m;
+	struct digest d;
+	int good, at;
+
+	digest_of(x->blob->data, x->received, &d);
+	good = !f->error.code && digest_equal(&d, &x->digest);
+	metric_count(good ? "weights_reused_chunks" : "weights_corrupt_chunks",
+		     "engine", 1);
+	table_lock(&w->models);
+	w->rereads--;
+	w->in_flight -= x->blob->size;
+	m = table_get(&w->models, x->model);
+	if (m && m->swarm && m->swarm_id == x->swarm_id) {
+		at = swarm_find(m->swarm, &x->digest);
+		m->swarm->chunks[at].status = CHUNK_MISSING;
+		if (good)
+			swarm_hold(m->swarm, (uint32_t)at, clock_now());
+	}
+	table_unlock(&w->models);
+	engine_call_free(x);
+}
+
+/* Reads a chunk that a former agent staged back and verifies it. */
+static void engine_reread(struct weights *w, struct handle h,
+			  struct model_row *m, uint32_t chunk)
+{
+	char path[sizeof("/staging/chunks/") + DIGEST_HEX_SIZE];
+	char hex[DIGEST_HEX_SIZE];
+	struct engine_call *x;
+
+	digest_hex(&m->swarm->chunks[chunk].digest, hex);
+	snprintf(path, sizeof(path), "/staging/chunks/%s", hex);
+	x = engine_call_new(w, path, reread_done);
+	x->model = h;
+	x->swarm_id = m->swarm_id;
+	x->digest = m->swarm->chunks[chunk].digest;
+	x->blob = blob_new(m->swarm->chunks[chunk].length);
+	x->ops.data = reread_data;
+	x->fetch.timeout_ms = REREAD_TIMEOUT_MS;
+	m->swarm->chunks[chunk].status = CHUNK_ASKED;
+	w->rereads++;
+	w->in_flight += x->blob->size;
+	fetch_submit(w->node->fetcher, &x->fetch);
+}
+
+/* Verifies what was found staged, a few chunks at a time.  Locked. */
+void rereads_begin(struct weights *w, struct handle h, struct model_row *m)
+{
+	struct swarm *s = m->swarm;
+
+	while (s->found && w->rereads < REREADS_MAX) {
+		while (s->found_cursor < s->count &&
+		       s->chunks[s->found_cursor].status != CHUNK_FOUND)
+			s->found_cursor++;
+		if (s->found_cursor == s->count) {
+			s->found = 0;
+			s->found_cursor = 0;
+			return;
+		}
+		engine_reread(w, h, m, s->found_cursor);
+	}
+}
+
+static int wanted_anywhere(struct weights *w, const struct digest *d)
+{
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+
+	while ((m = table_next(&w->models, &h))) {
+		if (!m->wanted)
+			continue;
+		/* Until the manifest is there, anything may be wanted. */
+		if (!m->swarm || swarm_find(m->swarm, d) >= 0)
+			return 1;
+	}
+	return 0;
+}
+
+static void found_mark(struct weights *w, const struct digest *d)
+{
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+	int at;
+
+	while ((m = table_next(&w->models, &h))) {
+		if (!m->swarm || m->listed)
+			continue;
+		at = swarm_find(m->swarm, d);
+		if (at < 0 || m->swarm->chunks[at].status != CHUNK_MISSING)
+			continue;
+		m->swarm->chunks[at].status = CHUNK_FOUND;
+		m->swarm->found = 1;
+	}
+}
+
+/* Notes what can be reused of what the engine holds; drops the rest. */
+static void staging_take(struct weights *w, const json_t *chunks, int clean)
+{
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+	struct digest d;
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(chunks, i, o)
+	{
+		if (digest_parse(json_string_value(o), &d))
+			continue;
+		if (clean && !wanted_anywhere(w, &d))
+			engine_delete_chunk(w, &d);
+		else
+			found_mark(w, &d);
+	}
+	while ((m = table_next(&w->models, &h)))
+		if (m->swarm)
+			m->listed = 1;
+}
+
+static void staging_done(struct fetch *f)
+{
+	struct engine_call *x = f->arg;
+	struct weights *w = x->w;
+	int full = __atomic_exchange_n(&w->staging_full, 0, __ATOMIC_RELAXED);
+	json_t *o = NULL;
+
+	if (!f->error.code && f->status == HTTP_OK && f->text)
+		o = json_loadb(f->text, f->text_size, 0, NULL);
+	table_lock(&w->models);
+	w->staging_asked = 0;
+	if (json_is_object(o))
+		staging_take(w, json_object_get(o, "chunks"), w->clean || full);
+	if (json_is_object(o))
+		w->clean = 0;
+	table_unlock(&w->models);
+	json_decref(o);
+	engine_call_free(x);
+}
+
+/* Asks what is staged.  Locked. */
+void engine_list_staging(struct weights *w)
+{
+	struct engine_call *x;
+
+	if (w->staging_asked)
+		return;
+	w->staging_asked = 1;
+	x = engine_call_new(w, "/staging", staging_done);
+	x->fetch.timeout_ms = STAGING_TIMEOUT_MS;
+	fetch_submit(w->node->fetcher, &x->fetch);
+}
--- /dev/null
+++ b/weights/swarm.c
@@ -0,0 +1,363 @@
+#include "weights/swarm.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Index of distinct digests while a swarm is built: sorted positions. */
+struct digest_place {
+	const struct digest *digest;
+	uint32_t at; /* in the manifest */
+};
+
+static int place_compare(const void *a, const void *b)
+{
+	const struct digest_place *x = a, *y = b;
+	int c = memcmp(x->digest, y->digest, sizeof(*x->digest));
+
+	if (c)
+		return c;
+	return x->at < y->at ? -1 : x->at > y->at;
+}
+
+static void *allocate(size_t count, size_t size)
+{
+	void *p = calloc(count ? count : 1, size);
+
+	if (!p)
+		abort();
+	return p;
+}
+
+/* Finds for each chunk of the manifest the first one with its digest. */
+static void firsts_find(const struct manifest *m, uint32_t *first)
+{
+	struct digest_place *places = allocate(m->chunk_count, sizeof(*places));
+	uint32_t i;
+
+	for (i = 0; i < m->chunk_count; i++) {
+		places[i].digest = &m->chunks[i];
+		places[i].at = i;
+	}
+	qsort(places, m->chunk_count, sizeof(*places), place_compare);
+	for (i = 0; i < m->chunk_count; i++)
+		first[places[i].at] = i && digest_equal(places[i].digest,
+							places[i - 1].digest)
+					      ? first[places[i - 1].at]
+					      : places[i].at;
+	free(places);
+}
+
+static void chunks_make(struct swarm *s)
+{
+	const struct manifest *m = s->manifest;
+	uint32_t *first = allocate(m->chunk_count, sizeof(*first));
+	uint32_t i;
+
+	firsts_find(m, first);
+	for (i = 0; i < m->chunk_count; i++) {
+		struct swarm_chunk *c;
+
+		if (first[i] != i) {
+			s->order_index[i] = s->order_index[first[i]];
+			continue;
+		}
+		s->order_index[i] = s->count;
+		c = &s->chunks[s->count++];
+		c->digest = m->chunks[i];
+		c->length = manifest_chunk_length(m, i);
+		c->rank = -1;
+		c->permit = PLACE_NO_PERMIT;
+	}
+	free(first);
+}
+
+/* Begins the distribution of a version; takes the manifest over. */
+struct swarm *swarm_new(struct manifest *m, const struct swarm_policy *policy,
+			uint64_t seed, apr_time_t now)
+{
+	struct swarm *s = allocate(1, sizeof(*s));
+
+	s->manifest = m;
+	s->policy = *policy;
+	s->seed = seed;
+	s->began = now;
+	s->epoch = 1;
+	s->chunks = allocate(m->chunk_count, sizeof(*s->chunks));
+	s->log = allocate(m->chunk_count, sizeof(*s->log));
+	s->order_index = allocate(m->chunk_count, sizeof(*s->order_index));
+	chunks_make(s);
+	return s;
+}
+
+/* Frees a distribution; NULL is allowed. */
+void swarm_free(struct swarm *s)
+{
+	int i;
+
+	if (!s)
+		return;
+	for (i = 0; i < s->peer_count; i++)
+		free(s->peers[i].have);
+	manifest_free(s->manifest);
+	free(s->chunks);
+	free(s->log);
+	free(s->order_index);
+	free(s);
+}
+
+/* Returns the peer with an id, or NULL. */
+struct swarm_peer *swarm_peer_find(struct swarm *s, const char *id)
+{
+	int i;
+
+	for (i = 0; i < s->peer_count; i++)
+		if (!strcmp(s->peers[i].id, id))
+			return &s->peers[i];
+	return NULL;
+}
+
+static void holders_change(struct swarm *s, const struct swarm_peer *p, int by)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->count; i++)
+		if (bit_get(p->have, i))
+			s->chunks[i].holders =
+				(uint16_t)(s->chunks[i].holders + by);
+}
+
+static void peer_forget(struct swarm *s, struct swarm_peer *p)
+{
+	holders_change(s, p, -1);
+	memset(p->have, 0, s->count / 8 + 1);
+	p->known = 0;
+	p->whole = 0;
+}
+
+static void peer_bind(struct swarm *s, const struct place_view *v, int member,
+		      apr_time_t now)
+{
+	const struct place_member *m = &v->members[member];
+	struct swarm_peer *p = swarm_peer_find(s, m->id);
+
+	if (!p) {
+		if (s->peer_count == SWARM_PEERS_MAX)
+			return;
+		p = &s->peers[s->peer_count++];
+		memset(p, 0, sizeof(*p));
+		snprintf(p->id, sizeof(p->id), "%s", m->id);
+		p->have = allocate(s->count / 8 + 1, 1);
+		p->progress = now;
+	}
+	snprintf(p->address, sizeof(p->address), "%s", m->address);
+	p->same_data_center = m->data_center == v->members[v->self].data_center;
+	p->live = m->live;
+}
+
+/* Frees the places of peers that are gone and have nothing under way. */
+static void peers_drop(struct swarm *s)
+{
+	struct swarm_peer *p;
+	int i;
+
+	for (i = s->peer_count - 1; i >= 0; i--) {
+		p = &s->peers[i];
+		if (p->live || p->asked || p->exchanging)
+			continue;
+		/* Indexes of peers are kept by transfers: only the last goes.
+		 */
+		if (i != s->peer_count - 1) {
+			if (p->known)
+				peer_forget(s, p);
+			continue;
+		}
+		holders_change(s, p, -1);
+		free(p->have);
+		s->peer_count--;
+	}
+}
+
+static void roles_set(struct swarm *s, const struct place_view *v)
+{
+	int self_dc = v->members[v->self].data_center;
+	uint32_t i;
+
+	s->carrier = place_is_carrier(v, v->self);
+	for (i = 0; i < s->count; i++) {
+		struct swarm_chunk *c = &s->chunks[i];
+		int rank = place_rank(v, v->self, &c->digest);
+
+		c->rank = (int8_t)(rank > 127 ? 127 : rank);
+		c->dc_rank =
+			(int8_t)place_data_center_rank(v, self_dc, &c->digest);
+		c->permit = (int8_t)place_permit(v, v->self, &c->digest,
+						 s->policy.permits);
+	}
+}
+
+/*
+ * Takes in a changed view: neighbours, and this instance's part in bringing
+ * each chunk into the data centre.
+ */
+void swarm_place(struct swarm *s, const struct place_view *v, apr_time_t now)
+{
+	int out[SWARM_PEERS_MAX];
+	int i, n;
+
+	for (i = 0; i < s->peer_count; i++)
+		s->peers[i].live = 0;
+	s->view = v;
+	if (v->self < 0)
+		return;
+	n = place_neighbours(v, out, SWARM_PEERS_MAX);
+	for (i = 0; i < n; i++)
+		peer_bind(s, v, out[i], now);
+	peers_drop(s);
+	roles_set(s, v);
+}
+
+/* Notes that a chunk is verified and staged. */
+void swarm_hold(struct swarm *s, uint32_t chunk, apr_time_t now)
+{
+	(void)now;
+	if (s->chunks[chunk].status == CHUNK_HELD)
+		return;
+	s->chunks[chunk].status = CHUNK_HELD;
+	s->log[s->held++] = chunk;
+}
+
+/* Forgets all chunks: the engine lost its staging memory. */
+void swarm_restart(struct swarm *s, apr_time_t now)
+{
+	uint32_t i;
+
+	s->epoch++;
+	s->held = 0;
+	s->began = now;
+	for (i = 0; i < s->count; i++)
+		if (s->chunks[i].status == CHUNK_HELD)
+			s->chunks[i].status = CHUNK_MISSING;
+}
+
+/* Returns 1 when every chunk is verified and staged. */
+int swarm_whole(const struct swarm *s)
+{
+	return s->held == s->count;
+}
+
+/* Returns the number of the chunk with a digest, or -1. */
+int swarm_find(const struct swarm *s, const struct digest *d)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->count; i++)
+		if (digest_equal(&s->chunks[i].digest, d))
+			return (int)i;
+	return -1;
+}
+
+/* Fills in what this instance tells a peer.  Lists come from malloc. */
+void swarm_have_make(const struct swarm *s, const struct swarm_peer *p,
+		     struct weights_have *out, apr_time_t now)
+{
+	uint32_t start = p->sent_epoch == s->epoch ? p->sent : 0;
+	uint32_t n, i;
+
+	if (start > s->held)
+		start = 0;
+	n = s->held - start;
+	if (n > WEIGHTS_ENTRIES_MAX)
+		n = WEIGHTS_ENTRIES_MAX;
+	memcpy(out->digest, s->manifest->id.bytes, DIGEST_SIZE);
+	out->epoch = s->epoch;
+	out->start = start;
+	out->total = s->held;
+	out->whole = (u_int)swarm_whole(s);
+	out->known_epoch = p->epoch;
+	out->known = p->known;
+	out->loaded = s->loaded;
+	out->crashed = s->crashed;
+	if (s->origin_until > now)
+		out->origin_wait_ms = (u_int)((s->origin_until - now) / 1000);
+	out->entries.entries_val = NULL;
+	out->entries.entries_len = 0;
+	if (n && !p->whole && !out->whole) {
+		out->entries.entries_val = allocate(n, sizeof(u_int));
+		for (i = 0; i < n; i++)
+			out->entries.entries_val[i] = s->log[start + i];
+		out->entries.entries_len = n;
+	}
+	out->given_up.given_up_val =
+		allocate(WEIGHTS_GIVEN_UP_MAX, sizeof(u_int));
+	out->given_up.given_up_len = 0;
+	for (i = 0; s->carrier && i < s->count; i++)
+		if (s->chunks[i].spent &&
+		    s->chunks[i].status == CHUNK_MISSING &&
+		    out->given_up.given_up_len < WEIGHTS_GIVEN_UP_MAX)
+			out->given_up
+				.given_up_val[out->given_up.given_up_len++] = i;
+}
+
+static void entry_take(struct swarm *s, struct swarm_peer *p, uint32_t chunk)
+{
+	if (chunk >= s->count || bit_get(p->have, chunk))
+		return;
+	bit_set(p->have, chunk);
+	s->chunks[chunk].holders++;
+}
+
+static void entries_take(struct swarm *s, struct swarm_peer *p,
+			 const struct weights_have *in, apr_time_t now)
+{
+	uint32_t i;
+
+	if (in->epoch != p->epoch) {
+		peer_forget(s, p);
+		p->epoch = in->epoch;
+	}
+	if (in->total > p->known)
+		p->progress = now;
+	if (in->whole) {
+		for (i = 0; i < s->count && !p->whole; i++)
+			entry_take(s, p, i);
+		p->known = in->total;
+		p->whole = 1;
+		return;
+	}
+	if (in->start > p->known)
+		return;
+	for (i = 0; i < in->entries.entries_len; i++)
+		entry_take(s, p, in->entries.entries_val[i]);
+	if (in->start + i > p->known)
+		p->known = in->start + i;
+}
+
+/*
+ * Takes in what a peer told.  Returns 1 when it brought news about the
+ * first loaders, which should travel on at once.
+ */
+int swarm_have_take(struct swarm *s, struct swarm_peer *p,
+		    const struct weights_have *in, apr_time_t now)
+{
+	uint32_t loaded = s->loaded | in->loaded;
+	uint32_t crashed = s->crashed | in->crashed;
+	int news = loaded != s->loaded || crashed != s->crashed;
+	u_int i;
+
+	entries_take(s, p, in, now);
+	p->sent_epoch = in->known_epoch;
+	p->sent = in->known;
+	p->revision = in->revision;
+	p->heard = now;
+	p->exchanged = now;
+	p->failures = 0;
+	p->waiting_until =
+		in->origin_wait_ms ? now + in->origin_wait_ms * 1000LL : 0;
+	p->given_up_count = (int)in->given_up.given_up_len;
+	for (i = 0; i < in->given_up.given_up_len; i++)
+		p->given_up[i] = in->given_up.given_up_val[i];
+	s->loaded = loaded;
+	s->crashed = crashed;
+	return news;
+}
--- /dev/null
+++ b/weights/transfer.c
@@ -0,0 +1,378 @@
+#include "weights/internal.h"
+
+#include <openssl/evp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metric.h"
+
+/*
+ * Carries out the swarm's actions: receives a chunk from a peer or the
+ * origin, verifies it as it arrives, puts it into the engine's staging memory
+ * and tells the swarm how it ended.  All of it on the fetcher's event thread.
+ */
+
+#define ACTIONS_MAX 16
+#define TRANSFER_BASE_MS 5000
+#define TRANSFER_SLACK 8 /* times the time at the link's rate */
+#define TRANSFER_IDLE_S 3
+#define ORIGIN_TRIES 3 /* requests for the rest of a chunk */
+#define STAGE_TIMEOUT_MS 10000
+#define BUSY_DEFAULT_US (100 * 1000)
+#define BUSY_MISSING_US (500 * 1000)
+#define IN_FLIGHT_PART 8 /* of the memory limit */
+
+#define HTTP_OK 200
+#define HTTP_CREATED 201
+#define HTTP_NO_CONTENT 204
+#define HTTP_PARTIAL 206
+#define HTTP_NOT_FOUND 404
+#define HTTP_TOO_MANY 429
+#define HTTP_UNAVAILABLE 503
+#define HTTP_FULL 507
+
+struct transfer {
+	struct fetch fetch;
+	struct weights *w;
+	struct handle model;
+	uint64_t swarm_id;
+	struct swarm_action action;
+	struct digest digest;
+	struct blob *blob;
+	size_t received;
+	uint64_t offset; /* of the chunk in the origin's file */
+	int tries;
+	apr_interval_time_t wait; /* what the other end asked for */
+	EVP_MD_CTX *sha;
+	char peer[SETTINGS_NAME_SIZE];
+	char url[WEIGHTS_URL_SIZE];
+	char range[64];
+};
+
+static const char *const way_names[WAY_COUNT] = { "peer", "cross", "origin" };
+
+static void transfer_free(struct transfer *t)
+{
+	EVP_MD_CTX_free(t->sha);
+	blob_release(t->blob);
+	free(t);
+}
+
+/* Gives back what the link was charged for bytes that never came. */
+static void credit_return(struct weights *w, const struct transfer *t,
+			  apr_time_t now)
+{
+	double unused = (double)(t->blob->size - t->received);
+
+	if (unused <= 0)
+		return;
+	pace_charge(&w->receive, -unused, now);
+	if (t->action.way == WAY_CARRY)
+		pace_charge(&w->cross, -unused, now);
+}
+
+static void transfer_end(struct transfer *t, enum swarm_result result)
+{
+	struct weights *w = t->w;
+	apr_time_t now = clock_now();
+	struct model_row *m;
+
+	metric_count("weights_received_bytes", way_names[t->action.way],
+		     t->received);
+	if (result == RESULT_CORRUPT) {
+		metric_count("weights_corrupt_chunks", way_names[t->action.way],
+			     1);
+		log_warning("chunk-verify", t->peer,
+			    "a chunk did not match its digest");
+	}
+	table_lock(&w->models);
+	w->in_flight -= t->blob->size;
+	credit_return(w, t, now);
+	m = table_get(&w->models, t->model);
+	if (m && m->swarm && m->swarm_id == t->swarm_id)
+		swarm_result(m->swarm, &t->action, result, t->wait, now);
+	table_unlock(&w->models);
+	transfer_free(t);
+}
+
+static void staged_done(struct fetch *f)
+{
+	struct transfer *t = f->arg;
+	int ok = !f->error.code &&
+		 (f->status == HTTP_CREATED || f->status == HTTP_OK ||
+		  f->status == HTTP_NO_CONTENT);
+
+	free(f->text);
+	if (ok) {
+		blob_cache_add(&t->w->cache, t->blob);
+	} else {
+		metric_count("weights_staging_refused", NULL, 1);
+		if (f->status == HTTP_FULL)
+			__atomic_store_n(&t->w->staging_full, 1,
+					 __ATOMIC_RELAXED);
+	}
+	transfer_end(t, ok ? RESULT_DONE : RESULT_ENGINE);
+}
+
+static const struct fetch_ops staged_ops = { NULL, NULL, staged_done };
+
+/* Puts a verified chunk into the engine's staging memory. */
+static void transfer_stage(struct transfer *t)
+{
+	struct fetch *f = &t->fetch;
+	char hex[DIGEST_HEX_SIZE];
+
+	digest_hex(&t->digest, hex);
+	snprintf(t->url, sizeof(t->url), "%s/staging/chunks/%s",
+		 t->w->node->settings.upstream_url, hex);
+	memset(f, 0, sizeof(*f));
+	f->ops = &staged_ops;
+	f->arg = t;
+	f->method = "PUT";
+	f->url = t->url;
+	f->body = t->blob->data;
+	f->body_size = t->blob->size;
+	f->timeout_ms = STAGE_TIMEOUT_MS;
+	f->headers[0] = "Content-Type: application/octet-stream";
+	fetch_submit(t->w->node->fetcher, f);
+}
+
+static void received_header(struct fetch *f, const char *name,
+			    const char *value)
+{
+	struct transfer *t = f->arg;
+
+	if (!strcasecmp(name, "X-Limpet-Retry-Ms"))
+		t->wait = atol(value) * 1000LL;
+	else if (!strcasecmp(name, "Retry-After"))
+		t->wait = atol(value) * APR_USEC_PER_SEC;
+}
+
+static int received_data(struct fetch *f, const void *data, size_t size)
+{
+	struct transfer *t = f->arg;
+
+	/* Bodies of refusals aren't the chunk's bytes. */
+	if (f->status != HTTP_OK && f->status != HTTP_PARTIAL)
+		return 0;
+	if (t->action.way == WAY_DRAW && f->status != HTTP_PARTIAL)
+		return -1;
+	if (t->received + size > t->blob->size)
+		return -1;
+	memcpy(t->blob->data + t->received, data, size);
+	EVP_DigestUpdate(t->sha, data, size);
+	t->received += size;
+	return 0;
+}
+
+static enum swarm_result refusal(struct transfer *t, int status)
+{
+	if (t->action.way == WAY_DRAW) {
+		if (status == HTTP_TOO_MANY || status == HTTP_UNAVAILABLE) {
+			if (!t->wait)
+				t->wait = APR_USEC_PER_SEC;
+			return RESULT_WAIT;
+		}
+		return RESULT_FAILED;
+	}
+	if (!t->wait)
+		t->wait = status == HTTP_NOT_FOUND ? BUSY_MISSING_US
+						   : BUSY_DEFAULT_US;
+	return status == HTTP_UNAVAILABLE || status == HTTP_NOT_FOUND ||
+			       status == HTTP_TOO_MANY
+		       ? RESULT_BUSY
+		       : RESULT_FAILED;
+}
+
+static int digest_matches(struct transfer *t)
+{
+	unsigned int n = DIGEST_SIZE;
+
+	if (t->received != t->blob->size)
+		return 0;
+	EVP_DigestFinal_ex(t->sha, t->blob->digest.bytes, &n);
+	return digest_equal(&t->blob->digest, &t->digest);
+}
+
+static void transfer_request(struct transfer *t);
+
+/*
+ * What was drawn of a chunk before a failure counts against the permit, so
+ * the rest is asked for, never the whole again.
+ */
+static int draw_goes_on(struct transfer *t)
+{
+	if (t->action.way != WAY_DRAW || !t->received ||
+	    t->received >= t->blob->size || t->tries >= ORIGIN_TRIES)
+		return 0;
+	transfer_request(t);
+	return 1;
+}
+
+static void received_done(struct fetch *f)
+{
+	struct transfer *t = f->arg;
+	int status = f->status;
+
+	free(f->text);
+	if (status == HTTP_OK || status == HTTP_PARTIAL) {
+		if (!f->error.code && digest_matches(t)) {
+			transfer_stage(t);
+			return;
+		}
+		if (f->refused || t->received == t->blob->size) {
+			transfer_end(t, RESULT_CORRUPT);
+			return;
+		}
+	} else if (status && !f->error.code && !t->received) {
+		transfer_end(t, refusal(t, status));
+		return;
+	}
+	if (draw_goes_on(t))
+		return;
+	/* A draw that used bytes up without success has used its permit. */
+	transfer_end(t, t->action.way == WAY_DRAW && t->received
+				? RESULT_CORRUPT
+				: RESULT_FAILED);
+}
+
+static const struct fetch_ops received_ops = { received_header, received_data,
+					       received_done };
+
+static long transfer_timeout_ms(const struct transfer *t)
+{
+	double rate = (double)t->w->node->settings.link_rate;
+
+	return TRANSFER_BASE_MS +
+	       (long)(TRANSFER_SLACK * 1000.0 * (double)t->blob->size / rate);
+}
+
+static void transfer_request(struct transfer *t)
+{
+	struct fetch *f = &t->fetch;
+	unsigned long long first = t->offset + t->received;
+	unsigned long long last = t->offset + t->blob->size - 1;
+
+	t->tries++;
+	memset(f, 0, sizeof(*f));
+	f->ops = &received_ops;
+	f->arg = t;
+	f->url = t->url;
+	f->idle_seconds = TRANSFER_IDLE_S;
+	if (t->action.way == WAY_DRAW) {
+		snprintf(t->range, sizeof(t->range), "Range: bytes=%llu-%llu",
+			 first, last);
+		f->headers[0] = t->range;
+	} else {
+		f->timeout_ms = transfer_timeout_ms(t);
+		if (t->action.way == WAY_CARRY)
+			f->headers[0] = "X-Limpet-Purpose: carry";
+	}
+	fetch_submit(t->w->node->fetcher, f);
+}
+
+static uint64_t origin_offset(const struct swarm *s, uint32_t chunk)
+{
+	uint32_t i;
+
+	for (i = 0; s->order_index[i] != chunk; i++)
+		;
+	return (uint64_t)i * s->manifest->chunk_size;
+}
+
+static void url_set(struct transfer *t, const struct model_row *m)
+{
+	const struct settings *s = &t->w->node->settings;
+	const struct swarm_peer *p;
+	char hex[DIGEST_HEX_SIZE];
+
+	if (t->action.way == WAY_DRAW) {
+		t->offset = origin_offset(m->swarm, t->action.chunk);
+		snprintf(t->peer, sizeof(t->peer), "origin");
+		snprintf(t->url, sizeof(t->url), "%s/weights/%s", s->store_url,
+			 m->swarm->manifest->source);
+		return;
+	}
+	p = &m->swarm->peers[t->action.peer];
+	digest_hex(&t->digest, hex);
+	snprintf(t->peer, sizeof(t->peer), "%s", p->id);
+	snprintf(t->url, sizeof(t->url), "http://%s:%d/chunks/%s", p->address,
+		 s->http_port, hex);
+}
+
+static void transfer_begin(struct weights *w, struct handle h,
+			   struct model_row *m, const struct swarm_action *a,
+			   apr_time_t now)
+{
+	const struct swarm_chunk *c = &m->swarm->chunks[a->chunk];
+	struct transfer *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		abort();
+	t->w = w;
+	t->model = h;
+	t->swarm_id = m->swarm_id;
+	t->action = *a;
+	t->digest = c->digest;
+	t->blob = blob_new(c->length);
+	t->sha = EVP_MD_CTX_new();
+	EVP_DigestInit_ex(t->sha, EVP_sha256(), NULL);
+	url_set(t, m);
+	w->in_flight += c->length;
+	pace_charge(&w->receive, c->length, now);
+	if (a->way == WAY_CARRY)
+		pace_charge(&w->cross, c->length, now);
+	transfer_request(t);
+}
+
+/* Lists the wanted models, the most urgent first.  Returns how many. */
+static int models_by_priority(struct weights *w, struct handle *out)
+{
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+	int n = 0, i;
+
+	while ((m = table_next(&w->models, &h))) {
+		if (!m->wanted || !m->swarm || n == WEIGHTS_MODELS_MAX)
+			continue;
+		for (i = n++; i; i--) {
+			struct model_row *o = table_get(&w->models, out[i - 1]);
+
+			if (o->priority <= m->priority)
+				break;
+			out[i] = out[i - 1];
+		}
+		out[i] = h;
+	}
+	return n;
+}
+
+static int memory_left(const struct weights *w)
+{
+	return (long long)w->in_flight <
+	       w->node->settings.memory_limit / IN_FLIGHT_PART;
+}
+
+/* Begins what the swarms choose, most urgent model first.  Locked. */
+void transfers_begin(struct weights *w, apr_time_t now)
+{
+	struct handle order[WEIGHTS_MODELS_MAX];
+	struct swarm_action actions[ACTIONS_MAX];
+	struct swarm_credit credit;
+	int i, j, n, count = models_by_priority(w, order);
+
+	for (i = 0; i < count; i++) {
+		struct model_row *m = table_get(&w->models, order[i]);
+
+		if (!m->listed || !memory_left(w))
+			continue;
+		credit.link = pace_level(&w->receive, now);
+		credit.cross = pace_level(&w->cross, now);
+		n = swarm_choose(m->swarm, &credit, now, actions, ACTIONS_MAX);
+		for (j = 0; j < n; j++)
+			transfer_begin(w, order[i], m, &actions[j], now);
+	}
+}
--- /dev/null
+++ b/weights/upload.c
@@ -0,0 +1,267 @@
+#include "weights/internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/metric.h"
+
+/*
+ * Sends chunks to peers at the pace of this machine's share of the link: one
+ * after the other, so that each arrives as early as it can, in a short queue
+ * beyond which peers are told to ask elsewhere.
+ */
+
+#define UPLOAD_QUEUE_MAX 4
+#define UPLOAD_PIECE (64 * 1024) /* bytes written at once */
+#define UPLOAD_PENDING_MAX (256 * 1024)
+#define RETRY_MIN_MS 40
+#define RETRY_SPREAD_MS 80
+#define READ_TIMEOUT_MS 5000
+#define DRAIN_WAIT_US (5 * APR_USEC_PER_SEC)
+
+#define HTTP_OK 200
+#define HTTP_NOT_FOUND 404
+#define HTTP_UNAVAILABLE 503
+
+struct upload {
+	struct fetch fetch;
+	struct weights *w;
+	struct http_call *call;
+	struct digest digest;
+	struct blob *blob; /* NULL until read */
+	int reading;	   /* from the engine */
+	int failed;
+	int carry; /* goes to another data centre */
+	size_t sent;
+	int begun;
+	struct upload *next;
+	char url[WEIGHTS_URL_SIZE];
+};
+
+static void upload_free(struct upload *u)
+{
+	blob_release(u->blob);
+	free(u);
+}
+
+static void reply_status(struct http_call *c, int status)
+{
+	http_call_reply(c, status, "text/plain", "", 0);
+}
+
+static void reply_busy(struct http_call *c)
+{
+	char text[16];
+
+	/* Spread by time, so that those turned away don't return as one. */
+	snprintf(text, sizeof(text), "%d",
+		 RETRY_MIN_MS + (int)(clock_now() % RETRY_SPREAD_MS));
+	http_call_set(c, "X-Limpet-Retry-Ms", text);
+	metric_count("weights_uploads_refused", NULL, 1);
+	reply_status(c, HTTP_UNAVAILABLE);
+}
+
+static int read_data(struct fetch *f, const void *data, size_t size)
+{
+	struct upload *u = f->arg;
+
+	if (f->status != HTTP_OK || u->sent + size > u->blob->size)
+		return -1;
+	memcpy(u->blob->data + u->sent, data, size);
+	u->sent += size;
+	return 0;
+}
+
+static void read_done(struct fetch *f)
+{
+	struct upload *u = f->arg;
+	struct weights *w = u->w;
+	int failed = f->error.code || f->status != HTTP_OK ||
+		     u->sent != u->blob->size;
+
+	free(f->text);
+	if (!failed) {
+		u->blob->digest = u->digest;
+		blob_cache_add(&w->cache, u->blob);
+	}
+	pthread_mutex_lock(&w->upload_mutex);
+	u->sent = 0;
+	u->failed = failed;
+	u->reading = 0;
+	pthread_mutex_unlock(&w->upload_mutex);
+}
+
+static const struct fetch_ops read_ops = { NULL, read_data, read_done };
+
+/* Reads a chunk back from the engine's staging memory. */
+static void upload_read(struct upload *u, size_t size)
+{
+	struct fetch *f = &u->fetch;
+	char hex[DIGEST_HEX_SIZE];
+
+	digest_hex(&u->digest, hex);
+	snprintf(u->url, sizeof(u->url), "%s/staging/chunks/%s",
+		 u->w->node->settings.upstream_url, hex);
+	u->blob = blob_new(size);
+	u->reading = 1;
+	f->ops = &read_ops;
+	f->arg = u;
+	f->url = u->url;
+	f->timeout_ms = READ_TIMEOUT_MS;
+	fetch_submit(u->w->node->fetcher, f);
+}
+
+/* Queues an upload; -1 when the queue is full. */
+static int upload_queue(struct weights *w, struct upload *u)
+{
+	struct upload **at;
+	int ret = -1;
+
+	pthread_mutex_lock(&w->upload_mutex);
+	if (w->upload_count < UPLOAD_QUEUE_MAX || u->carry) {
+		/* Chunks for other data centres go first. */
+		for (at = &w->uploads; *at && (!u->carry || (*at)->carry);
+		     at = &(*at)->next)
+			;
+		u->next = *at;
+		*at = u;
+		w->upload_count++;
+		ret = 0;
+	}
+	pthread_mutex_unlock(&w->upload_mutex);
+	return ret;
+}
+
+/* Answers GET /chunks/<digest>: bytes of a verified chunk. */
+void upload_serve(struct http_call *c, void *arg)
+{
+	struct weights *w = arg;
+	const char *purpose = http_call_header(c, "X-Limpet-Purpose");
+	const char *hex = http_call_path(c) + strlen("/chunks/");
+	struct upload *u;
+	struct digest d;
+	int length, reading;
+
+	length = digest_parse(hex, &d) ? 0 : weights_holds(w, &d);
+	if (!length) {
+		reply_status(c, HTTP_NOT_FOUND);
+		return;
+	}
+	u = calloc(1, sizeof(*u));
+	if (!u)
+		abort();
+	u->w = w;
+	u->call = c;
+	u->digest = d;
+	u->carry = purpose && !strcmp(purpose, "carry");
+	u->blob = blob_cache_find(&w->cache, &d);
+	/* Once queued, an upload with its bytes is the sender's. */
+	reading = !u->blob;
+	u->reading = reading;
+	if (upload_queue(w, u)) {
+		upload_free(u);
+		reply_busy(c);
+		return;
+	}
+	if (reading)
+		upload_read(u, (size_t)length);
+}
+
+/* Takes the next upload whose bytes are there. */
+static struct upload *upload_take(struct weights *w)
+{
+	struct upload **at, *u;
+
+	pthread_mutex_lock(&w->upload_mutex);
+	for (at = &w->uploads; *at && (*at)->reading; at = &(*at)->next)
+		;
+	u = *at;
+	if (u) {
+		*at = u->next;
+		w->upload_count--;
+	}
+	pthread_mutex_unlock(&w->upload_mutex);
+	return u;
+}
+
+static void upload_end(struct weights *w, int whole)
+{
+	struct upload *u = w->sending;
+
+	if (u->begun)
+		http_call_stream_end(u->call, whole);
+	else
+		reply_status(u->call, HTTP_NOT_FOUND);
+	w->sending = NULL;
+	upload_free(u);
+}
+
+/* Writes what the pace allows; returns 0 when nothing more can go now. */
+static int upload_write(struct weights *w, apr_time_t now)
+{
+	struct upload *u = w->sending;
+	size_t n = u->blob->size - u->sent;
+	double level = pace_level(&w->send, now);
+
+	if (level < 1)
+		return 0;
+	if (http_call_stream_pending(u->call) > UPLOAD_PENDING_MAX)
+		return 0;
+	if (n > UPLOAD_PIECE)
+		n = UPLOAD_PIECE;
+	if ((double)n > level)
+		n = (size_t)level;
+	pace_charge(&w->send, (double)n, now);
+	metric_count("weights_sent_bytes", NULL, n);
+	w->sent_at = now;
+	if (http_call_stream_write(u->call, u->blob->data + u->sent, n)) {
+		upload_end(w, 0);
+		return 1;
+	}
+	u->sent += n;
+	if (u->sent == u->blob->size)
+		upload_end(w, 1);
+	return 1;
+}
+
+/* Sends on; a controller of its own with a short period. */
+void upload_step(void *arg, apr_time_t now)
+{
+	struct weights *w = arg;
+
+	pace_rate_set(&w->send, w->send_rate, now);
+	do {
+		if (!w->sending) {
+			w->sending = upload_take(w);
+			if (!w->sending)
+				return;
+			if (w->sending->failed) {
+				upload_end(w, 0);
+				continue;
+			}
+			w->sending->begun = 1;
+			w->sent_at = now;
+			http_call_stream_begin(
+				w->sending->call, HTTP_OK,
+				"application/octet-stream",
+				(long long)w->sending->blob->size);
+		}
+		/* A receiver that stopped reading must not hold the link. */
+		if (now - w->sent_at > DRAIN_WAIT_US)
+			upload_end(w, 0);
+	} while (!w->sending || upload_write(w, now));
+}
+
+/* Returns how many uploads are under way, for a graceful stop. */
+int upload_busy(void *arg)
+{
+	struct weights *w = arg;
+	int n;
+
+	pthread_mutex_lock(&w->upload_mutex);
+	n = w->upload_count + (w->sending != NULL);
+	pthread_mutex_unlock(&w->upload_mutex);
+	return n;
+}
--- /dev/null
+++ b/weights/view.c
@@ -0,0 +1,158 @@
+#include "weights/internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "member/instance.h"
+
+/*
+ * Turns the board's instances into the view of one model: who needs it.
+ */
+
+#define VIEW_STEP_US (50 * 1000)
+#define VIEW_PERIOD_US (250 * 1000)
+
+/* A copy of what is needed of one instance. */
+struct needer {
+	char id[SETTINGS_NAME_SIZE];
+	char address[SETTINGS_ADDRESS_SIZE];
+	char data_center[SETTINGS_NAME_SIZE];
+	char upstream[SETTINGS_NAME_SIZE];
+	int live;
+};
+
+static int needer_counts(const struct instance *i)
+{
+	if (i->role != ROLE_AGENT || i->state == INSTANCE_LEAVING)
+		return 0;
+	return i->listed || i->state != INSTANCE_DEAD;
+}
+
+/* Copies the agents out of the board.  The caller frees the array. */
+static struct needer *needers_copy(struct node *n, int *count)
+{
+	struct handle h = HANDLE_NONE;
+	const struct instance *i;
+	struct needer *all;
+
+	*count = 0;
+	table_lock(&n->board.instances);
+	all = calloc(n->board.instances.count + 1, sizeof(*all));
+	if (!all)
+		abort();
+	while ((i = table_next(&n->board.instances, &h))) {
+		struct needer *x = &all[*count];
+
+		if (!needer_counts(i) || !strcmp(i->id, n->settings.instance))
+			continue;
+		memcpy(x->id, i->id, sizeof(x->id));
+		memcpy(x->address, i->address, sizeof(x->address));
+		memcpy(x->data_center, i->data_center, sizeof(x->data_center));
+		memcpy(x->upstream, i->upstream, sizeof(x->upstream));
+		x->live = i->state != INSTANCE_DEAD;
+		(*count)++;
+	}
+	table_unlock(&n->board.instances);
+	return all;
+}
+
+static uint64_t needer_hash(const struct needer *x)
+{
+	return place_hash_string(x->id, (uint64_t)x->live + 1) ^
+	       place_hash_string(x->address, 3);
+}
+
+static uint64_t signature_make(const struct model_spec *spec,
+			       const struct needer *all, int count)
+{
+	uint64_t signature = 1;
+	int i;
+
+	for (i = 0; i < count; i++)
+		if (model_wants(spec, all[i].upstream, all[i].data_center))
+			signature += needer_hash(&all[i]);
+	return signature ? signature : 1;
+}
+
+/* First loaders: the first in rendezvous order of all that need it. */
+static void loaders_set(struct model_row *m)
+{
+	const struct place_view *v = &m->view;
+	struct activation *a = &m->activation;
+	int i, j, taken = 0;
+
+	a->loader = ACTIVATE_NOT_LOADER;
+	a->needed = 0;
+	for (i = 0; i < v->count; i++) {
+		int before = 0;
+
+		for (j = 0; j < v->count; j++)
+			before += v->members[j].hash > v->members[i].hash;
+		if (before >= ACTIVATE_LOADERS_MAX)
+			continue;
+		if (before < m->first_loaders && v->members[i].live) {
+			a->needed |= 1u << before;
+			taken++;
+			if (i == v->self)
+				a->loader = before;
+		}
+	}
+	/* With all of them dead somebody has to be the first. */
+	if (!taken && v->self >= 0)
+		a->loader = 0;
+}
+
+static void view_build(struct weights *w, struct model_row *m,
+		       const struct model_spec *spec, const struct needer *all,
+		       int count, apr_time_t now)
+{
+	const struct settings *s = &w->node->settings;
+	int i;
+
+	place_view_clear(&m->view);
+	place_view_add(&m->view, s->instance, s->address, s->data_center, 1);
+	for (i = 0; i < count; i++)
+		if (model_wants(spec, all[i].upstream, all[i].data_center))
+			place_view_add(&m->view, all[i].id, all[i].address,
+				       all[i].data_center, all[i].live);
+	place_view_finish(&m->view, s->instance, &m->want);
+	loaders_set(m);
+	if (m->swarm)
+		swarm_place(m->swarm, &m->view, now);
+}
+
+/* Brings the views of all models up to date.  Takes the locks itself. */
+void view_refresh(struct weights *w, apr_time_t now)
+{
+	struct document *d = board_document(&w->node->board);
+	struct handle h = HANDLE_NONE;
+	struct needer *all;
+	struct model_row *m;
+	int count;
+
+	if (now - w->view_at < VIEW_STEP_US || !d) {
+		document_release(d);
+		return;
+	}
+	w->view_at = now;
+	all = needers_copy(w->node, &count);
+	table_lock(&w->models);
+	while ((m = table_next(&w->models, &h))) {
+		const struct model_spec *spec = document_model(d, m->name);
+		uint64_t signature;
+
+		if (!spec || !m->wanted ||
+		    (m->view_signature && now - m->view_at < VIEW_PERIOD_US))
+			continue;
+		m->view_at = now;
+		signature = signature_make(spec, all, count);
+		if (signature == m->view_signature)
+			continue;
+		m->view_signature = signature;
+		view_build(w, m, spec, all, count, now);
+	}
+	table_unlock(&w->models);
+	free(all);
+	document_release(d);
+}
--- /dev/null
+++ b/weights/weights.c
@@ -0,0 +1,333 @@
+#include "weights/weights.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "weights/internal.h"
+
+#define STEP_US (10 * 1000)
+#define PUBLISH_US (100 * 1000)
+#define STAGING_RETRY_US (500 * 1000)
+#define RECEIVE_BURST_S 0.25
+#define SEND_BURST_S 0.05
+#define CACHE_PART 8 /* of the memory limit */
+#define PATH_BODY_MAX 0
+
+static struct weights component;
+
+/* Returns the row of a version that is wanted here, or NULL.  Locked. */
+struct model_row *model_by_digest(struct weights *w, const struct digest *d)
+{
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+
+	while ((m = table_next(&w->models, &h)))
+		if (m->wanted && digest_equal(&m->want, d))
+			return m;
+	return NULL;
+}
+
+/* Returns the length of a chunk that is verified and staged, or 0. */
+int weights_holds(struct weights *w, const struct digest *d)
+{
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+	int at, length = 0;
+
+	table_lock(&w->models);
+	while (!length && (m = table_next(&w->models, &h))) {
+		at = m->swarm ? swarm_find(m->swarm, d) : -1;
+		if (at >= 0 && m->swarm->chunks[at].status == CHUNK_HELD)
+			length = (int)m->swarm->chunks[at].length;
+	}
+	table_unlock(&w->models);
+	return length;
+}
+
+static struct model_row *model_by_name(struct weights *w, const char *name)
+{
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+
+	while ((m = table_next(&w->models, &h)))
+		if (!strcmp(m->name, name))
+			return m;
+	return NULL;
+}
+
+/* Begins with another version; what of it is held already is kept. */
+static void version_set(struct weights *w, struct model_row *m,
+			const char *version)
+{
+	if (!strcmp(m->want_hex, version) || digest_parse(version, &m->want))
+		return;
+	snprintf(m->want_hex, sizeof(m->want_hex), "%s", version);
+	m->swarm_id = ++w->next_swarm_id;
+	if (m->swarm) {
+		swarm_free(m->former);
+		m->former = m->swarm;
+		m->swarm = NULL;
+	}
+	m->manifest_asked = 0;
+	m->manifest_tries = 0;
+	m->manifest_at = 0;
+	m->manifest_began = 0;
+	m->listed = 0;
+	m->urgent = 0;
+	m->whole_at = 0;
+	m->view_signature = 0;
+	activation_want(&m->activation, version);
+}
+
+static void model_update(struct weights *w, const struct model_spec *spec,
+			 uint64_t revision)
+{
+	struct model_row *m = model_by_name(w, spec->name);
+	struct model_row fresh;
+
+	if (!m) {
+		memset(&fresh, 0, sizeof(fresh));
+		snprintf(fresh.name, sizeof(fresh.name), "%s", spec->name);
+		fresh.view.self = -1;
+		fresh.activation.loader = ACTIVATE_NOT_LOADER;
+		if (handle_is_none(table_add(&w->models, &fresh))) {
+			log_error("models", spec->name,
+				  "more than %d models on one upstream",
+				  WEIGHTS_MODELS_MAX);
+			return;
+		}
+		m = model_by_name(w, spec->name);
+	}
+	m->wanted = 1;
+	m->priority = spec->priority;
+	m->first_loaders = spec->first_loaders;
+	m->policy.time_weight = spec->time_weight;
+	m->policy.permits = PLACE_PERMITS_MAX;
+	m->revision = revision;
+	m->activation.fence = revision;
+	version_set(w, m, spec->version);
+}
+
+/* Frees models that the document no longer names, once nothing runs. */
+static void models_remove(struct weights *w)
+{
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+
+	while ((m = table_next(&w->models, &h))) {
+		if (m->wanted || m->activation.ordering)
+			continue;
+		swarm_free(m->swarm);
+		swarm_free(m->former);
+		place_view_clear(&m->view);
+		table_remove(&w->models, h);
+		w->clean = 1;
+	}
+}
+
+/* Follows the document in force. */
+static void document_follow(struct weights *w)
+{
+	const struct settings *s = &w->node->settings;
+	struct document *d = board_document(&w->node->board);
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+	int i;
+
+	if (!d)
+		return;
+	table_lock(&w->models);
+	if (d->revision > w->revision) {
+		w->revision = d->revision;
+		while ((m = table_next(&w->models, &h)))
+			m->wanted = 0;
+		for (i = 0; i < d->model_count; i++)
+			if (model_wants(&d->models[i], s->upstream_name,
+					s->data_center))
+				model_update(w, &d->models[i], d->revision);
+	}
+	models_remove(w);
+	table_unlock(&w->models);
+	document_release(d);
+}
+
+/* Takes over what the version before has verified already. */
+static void former_reuse(struct model_row *m, apr_time_t now)
+{
+	struct swarm *s = m->swarm, *f = m->former;
+	uint32_t i;
+	int at;
+
+	for (i = 0; i < f->count; i++) {
+		if (f->chunks[i].status != CHUNK_HELD)
+			continue;
+		at = swarm_find(s, &f->chunks[i].digest);
+		if (at >= 0 && s->chunks[at].status == CHUNK_MISSING)
+			swarm_hold(s, (uint32_t)at, now);
+	}
+	swarm_free(f);
+	m->former = NULL;
+}
+
+static void activation_follow(struct weights *w, struct handle h,
+			      struct model_row *m, apr_time_t now)
+{
+	struct activation *a = &m->activation;
+	uint32_t loaded = a->loaded, crashed = a->crashed;
+	enum activation_state before, state;
+
+	a->pause_end = w->node->pause_end;
+	a->whole = swarm_whole(m->swarm) && m->listed;
+	if (a->whole && !m->whole_at) {
+		m->whole_at = now;
+		log_info("weights", m->name, "version %.12s is whole",
+			 m->want_hex);
+	}
+	a->loaded |= m->swarm->loaded;
+	a->crashed |= m->swarm->crashed;
+	before = m->state;
+	state = activation_step(a, now);
+	if (state == ACTIVATION_READY)
+		engine_load(w, h, m);
+	m->state = state;
+	if (state != before && state == ACTIVATION_SERVING)
+		w->clean = 1;
+	if (state != before && state == ACTIVATION_HALTED)
+		log_error("activate", m->name,
+			  "version %.12s brought a first loader down; it is "
+			  "loaded nowhere else",
+			  m->want_hex);
+	m->urgent |= a->loaded != loaded || a->crashed != crashed;
+	m->swarm->loaded = a->loaded;
+	m->swarm->crashed = a->crashed;
+}
+
+static void model_step(struct weights *w, struct handle h, struct model_row *m,
+		       apr_time_t now)
+{
+	if (!m->wanted)
+		return;
+	manifest_fetch_step(w, h, m, now);
+	if (!m->swarm)
+		return;
+	if (m->former)
+		former_reuse(m, now);
+	activation_follow(w, h, m, now);
+}
+
+static void cross_rate_set(struct weights *w, const struct model_row *m,
+			   apr_time_t now)
+{
+	const struct place_view *v = &m->view;
+	const struct settings *s = &w->node->settings;
+	int i, carriers = 0;
+
+	if (v->self < 0)
+		return;
+	for (i = 0; i < PLACE_CARRIERS; i++)
+		carriers +=
+			v->carriers[v->members[v->self].data_center][i] >= 0;
+	pace_rate_set(&w->cross,
+		      (double)s->cross_rate * s->transfer_share /
+			      (carriers ? carriers : 1),
+		      now);
+}
+
+static void weights_step(void *arg, apr_time_t now)
+{
+	struct weights *w = arg;
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+	int unlisted = 0;
+
+	document_follow(w);
+	view_refresh(w, now);
+	table_lock(&w->models);
+	while ((m = table_next(&w->models, &h))) {
+		model_step(w, h, m, now);
+		cross_rate_set(w, m, now);
+		unlisted |= m->swarm && !m->listed;
+	}
+	if ((unlisted || w->clean ||
+	     __atomic_load_n(&w->staging_full, __ATOMIC_RELAXED)) &&
+	    now - w->staging_at > STAGING_RETRY_US) {
+		w->staging_at = now;
+		engine_list_staging(w);
+	}
+	transfers_begin(w, now);
+	exchange_step(w, now);
+	if (w->models.count)
+		engine_step(w, now);
+	if (now - w->published_at >= PUBLISH_US) {
+		w->published_at = now;
+		weights_publish(w);
+	}
+	table_unlock(&w->models);
+}
+
+/* See weights.h. */
+int weights_serves(struct node *n, const char *model,
+		   char version[DIGEST_HEX_SIZE])
+{
+	struct weights *w = &component;
+	struct model_row *m;
+	int serves = 0;
+
+	if (w->node != n)
+		return 0;
+	table_lock(&w->models);
+	m = model_by_name(w, model);
+	if (m && m->wanted && activation_serves(&m->activation)) {
+		snprintf(version, DIGEST_HEX_SIZE, "%s", m->activation.running);
+		serves = 1;
+	}
+	table_unlock(&w->models);
+	return serves;
+}
+
+static void paces_init(struct weights *w, apr_time_t now)
+{
+	const struct settings *s = &w->node->settings;
+
+	w->link_rate = (double)s->link_rate * s->transfer_share;
+	w->send_rate = w->link_rate;
+	pace_init(&w->receive, w->link_rate, w->link_rate * RECEIVE_BURST_S,
+		  now);
+	pace_init(&w->send, w->link_rate, w->link_rate * SEND_BURST_S, now);
+	pace_init(&w->cross, (double)s->cross_rate,
+		  (double)s->cross_rate * RECEIVE_BURST_S, now);
+	yield_init(&w->yield);
+}
+
+/*
+ * Adds the distribution of weights to an agent of a model engine.  Plain
+ * services take no weights.
+ */
+int weights_start(struct node *n, struct error *err)
+{
+	struct weights *w = &component;
+
+	if (n->settings.upstream_kind == UPSTREAM_PLAIN)
+		return 0;
+	w->node = n;
+	table_init(&w->models, "models", RANK_MODEL, sizeof(struct model_row),
+		   WEIGHTS_MODELS_MAX);
+	pthread_mutex_init(&w->upload_mutex, NULL);
+	blob_cache_init(&w->cache,
+			(size_t)n->settings.memory_limit / CACHE_PART);
+	paces_init(w, clock_now());
+	if (exchange_start(w))
+		return error_set(err, ERROR_INTERNAL, "weights-start", NULL,
+				 "too many kinds of messages");
+	node_add_route(n, "GET", "/chunks/", PATH_BODY_MAX, upload_serve, w);
+	node_add_route(n, "GET", "/manifests/", PATH_BODY_MAX, manifest_serve,
+		       w);
+	node_add_controller(n, "weights", STEP_US, weights_step, w);
+	node_add_controller(n, "weights-send", STEP_US, upload_step, w);
+	node_add_status(n, "weights", weights_status, w);
+	node_add_drain(n, "weights-uploads", upload_busy, w);
+	return 0;
+}
--- a/weights/weights.h
+++ b/weights/weights.h
@@ -1,9 +1,18 @@
 #ifndef WEIGHTS_WEIGHTS_H
 #define WEIGHTS_WEIGHTS_H
 
+#include "base/digest.h"
 #include "net/node.h"
 
 /* Adds this component to a node that is not running yet. */
 int weights_start(struct node *n, struct error *err);
 
+/*
+ * Returns 1 and the version when this agent's upstream may take calls for a
+ * model: a whole version runs, it was read back since the last pause, and it
+ * is not one that an older order brought back.
+ */
+int weights_serves(struct node *n, const char *model,
+		   char version[DIGEST_HEX_SIZE]);
+
 #endif
