--- a/calls/limit-core.c
+++ b/calls/limit-core.c
@@ -323,61 +323,12 @@
 			flow_shed(c, p, flow, now, out);
 }
 
-static void account_demand(struct limit_account *a, int entries, apr_time_t now)
-{
-	double requests = demand_rate(&a->requests, now);
-	double here = a->running + a->waiting;
-	struct demand_mean *m = a->demand;
-	int i, jump;
-
-	jump = demand_smooth(&m[LIMIT_REQUESTS], requests, requests, 0);
-	demand_smooth(&m[LIMIT_TOKENS], demand_rate(&a->tokens, now), requests,
-		      jump);
-	demand_smooth(&m[LIMIT_CONCURRENT], here, requests, jump);
-	for (i = 0; i < LIMIT_VALUES; i++)
-		demand_claim(&m[i], a->budget[i], entries);
-}
-
-static void pool_demand(struct limit_pool *p, int entries, apr_time_t now)
-{
-	double here = p->running + p->queue.count;
-
-	demand_smooth(&p->demand, here, demand_rate(&p->asked, now), 0);
-	demand_claim(&p->demand, p->slots ? p->slots * p->gain : -1, entries);
-}
-
-/* Keeps the own demand up to date, for the others and for the slices. */
-static void demand_note(struct limit_core *c, apr_time_t now)
-{
-	int entries = c->view.present ? c->view.present : 1;
-	struct handle h = HANDLE_NONE;
-	struct limit_account *a;
-	struct limit_pool *p;
-
-	memset(c->codes, 0, sizeof(c->codes));
-	while ((a = table_next(&c->accounts, &h))) {
-		account_demand(a, entries, now);
-		c->codes[a->key] =
-			limit_codes(a->demand[LIMIT_REQUESTS].claimed,
-				    a->demand[LIMIT_TOKENS].claimed,
-				    a->demand[LIMIT_CONCURRENT].claimed);
-	}
-	for (p = c->pools; p < c->pools + c->pool_count; p++) {
-		pool_demand(p, entries, now);
-		c->codes[p->key] = limit_codes(0, 0, p->demand.claimed);
-	}
-	if (now - c->published < limit_peers_period(&c->peers) / 2)
-		return;
-	c->published = now;
-	limit_peers_publish(&c->peers, c->codes);
-}
-
 /* Divides the budgets anew and refuses what has become late. */
 void limit_core_tick(struct limit_core *c, apr_time_t now,
 		     struct limit_decisions *out)
 {
 	c->ticked = now;
-	demand_note(c, now);
+	limit_core_demand(c, now);
 	limit_core_slices(c, now);
 	pumps(c, now, out);
 	pools_shed(c, now, out);
@@ -504,3 +455,16 @@
 	pumps(c, now, out);
 	return 1;
 }
+
+/* Answers another entry's message; -1 if the sender is not known. */
+int limit_core_serve(struct limit_core *c, const char *id, uint64_t boot,
+		     const struct limits_message *m,
+		     struct limits_message *reply, apr_time_t now)
+{
+	if (limit_peers_take(&c->peers, id, boot, m, now))
+		return -1;
+	if (m->cells.cells_len)
+		limit_core_slices(c, now);
+	limit_peers_fill(&c->peers, limit_peers_find(&c->peers, id), reply);
+	return 0;
+}
--- a/calls/limit-core.h
+++ b/calls/limit-core.h
@@ -24,6 +24,11 @@
 #define LIMIT_BURST_MIN 4.0
 #define LIMIT_BURST_OVER_US (250 * 1000)
 #define LIMIT_BURST_OVER_MIN 2.0
+/* Claims brought up to date in one turn, besides those that are far off. */
+#define LIMIT_REFINE_CELLS 32 /* divided by the number of other entries */
+#define LIMIT_REFINE_MIN 2
+#define LIMIT_REFINE_MAX 8
+#define LIMIT_REFINE_GAP 0.02
 #define LIMIT_RETRY_MIN_MS 100
 #define LIMIT_RETRY_MAX_MS 10000
 
@@ -116,7 +121,10 @@
 int limit_core_withdraw(struct limit_core *c, struct admission *a,
 			apr_time_t now, struct limit_decisions *out);
 
-/* Of limit-core.c for limit-slices.c. */
+int limit_core_serve(struct limit_core *c, const char *id, uint64_t boot,
+		     const struct limits_message *m,
+		     struct limits_message *reply, apr_time_t now);
+void limit_core_demand(struct limit_core *c, apr_time_t now);
 void limit_core_slices(struct limit_core *c, apr_time_t now);
 
 #endif
--- a/calls/limit-exchange.c
+++ b/calls/limit-exchange.c
@@ -133,10 +133,13 @@
 		 (q->failures > 2 ? LIMIT_ABSENT_RETRY_US : LIMIT_RETRY_US);
 }
 
-/* Answers a message; returns -1 if the sender is not known as an entry. */
-int limit_peers_serve(struct limit_peers *p, const char *id, uint64_t boot,
-		      const struct limits_message *m,
-		      struct limits_message *reply, apr_time_t now)
+/*
+ * Takes a message in; returns -1 if the sender is not known as an entry.
+ * The slices must be divided anew before limit_peers_fill writes the answer,
+ * for that acknowledges what was taken.
+ */
+int limit_peers_take(struct limit_peers *p, const char *id, uint64_t boot,
+		     const struct limits_message *m, apr_time_t now)
 {
 	struct limit_peer *q = limit_peers_find(p, id);
 
@@ -146,6 +149,5 @@
 	q->failures = 0;
 	if (!q->asking)
 		q->due = now + ask_after(p, q);
-	limit_peers_fill(p, q, reply);
 	return 0;
 }
--- a/calls/limit-peers.h
+++ b/calls/limit-peers.h
@@ -112,8 +112,7 @@
 		       const struct limits_message *m, apr_time_t sent,
 		       apr_time_t now);
 void limit_peers_failed(struct limit_peers *p, const char *id, apr_time_t now);
-int limit_peers_serve(struct limit_peers *p, const char *id, uint64_t boot,
-		      const struct limits_message *m,
-		      struct limits_message *reply, apr_time_t now);
+int limit_peers_take(struct limit_peers *p, const char *id, uint64_t boot,
+		     const struct limits_message *m, apr_time_t now);
 
 #endif
--- a/calls/limit-share.c
+++ b/calls/limit-share.c
@@ -4,11 +4,11 @@
 #include <string.h>
 
 /* Smoothing, in steps: over about so many events, within these bounds. */
-#define SMOOTH_EVENTS 20
+#define SMOOTH_EVENTS 100
 #define SMOOTH_MIN 10
 #define SMOOTH_MAX 80
 /* Deviations of a Poisson count that chance does not explain. */
-#define CHANCE_DEVIATIONS 4
+#define CHANCE_DEVIATIONS 3
 #define CHANCE_COUNT 2
 /* A claim follows when it is off by so much of itself and of its part. */
 #define CLAIM_NOISE 0.12
@@ -113,11 +113,11 @@
 {
 	apr_time_t turn = now / DEMAND_STEP_US;
 
-	if (turn - w->turn >= DEMAND_STEPS)
+	if (turn - w->turn > DEMAND_STEPS)
 		memset(w->steps, 0, sizeof(w->steps));
 	else
 		while (w->turn < turn)
-			w->steps[++w->turn % DEMAND_STEPS] = 0;
+			w->steps[++w->turn % (DEMAND_STEPS + 1)] = 0;
 	if (turn > w->turn)
 		w->turn = turn;
 }
@@ -126,18 +126,19 @@
 void demand_add(struct demand_window *w, double amount, apr_time_t now)
 {
 	demand_advance(w, now);
-	w->steps[w->turn % DEMAND_STEPS] += amount;
+	w->steps[w->turn % (DEMAND_STEPS + 1)] += amount;
 }
 
-/* Returns what was asked for in the last second. */
+/* Returns what was asked for in the last second of whole steps. */
 double demand_rate(struct demand_window *w, apr_time_t now)
 {
 	double sum = 0;
 	int i;
 
 	demand_advance(w, now);
-	for (i = 0; i < DEMAND_STEPS; i++)
-		sum += w->steps[i];
+	for (i = 0; i <= DEMAND_STEPS; i++)
+		if (i != w->turn % (DEMAND_STEPS + 1))
+			sum += w->steps[i];
 	return sum * APR_USEC_PER_SEC / DEMAND_STEPS / DEMAND_STEP_US;
 }
 
@@ -154,14 +155,17 @@
 	if (jump || fabs(now_value - m->value) >
 			    CHANCE_DEVIATIONS * sqrt(m->value) + CHANCE_COUNT) {
 		m->value = now_value;
+		m->steps = SMOOTH_MIN;
 		return 1;
 	}
+	if (m->steps < SMOOTH_MAX)
+		m->steps++;
 	if (events > 0)
 		steps = SMOOTH_EVENTS * SMOOTH_MIN / events;
 	if (steps < SMOOTH_MIN)
 		steps = SMOOTH_MIN;
-	if (steps > SMOOTH_MAX)
-		steps = SMOOTH_MAX;
+	if (steps > m->steps)
+		steps = m->steps; /* the plain mean since the jump */
 	m->value += (now_value - m->value) / steps;
 	return 0;
 }
--- a/calls/limit-share.h
+++ b/calls/limit-share.h
@@ -19,14 +19,14 @@
 double share_bound(int known, double cut_off);
 
 /*
- * Demand over the last second, kept in steps so that it moves on without a
- * clock of its own.
+ * Demand over the last second in whole steps, besides the one that is still
+ * being filled.
  */
 #define DEMAND_STEPS 10
 #define DEMAND_STEP_US (100 * 1000)
 
 struct demand_window {
-	double steps[DEMAND_STEPS];
+	double steps[DEMAND_STEPS + 1];
 	apr_time_t turn; /* time / DEMAND_STEP_US of the newest step */
 };
 
@@ -40,6 +40,7 @@
 struct demand_mean {
 	double value;
 	double claimed; /* as told to the others */
+	int steps;	/* since the last jump */
 };
 
 int demand_smooth(struct demand_mean *m, double now_value, double events,
--- a/calls/limits.c
+++ b/calls/limits.c
@@ -129,8 +129,8 @@
 	int ret;
 
 	table_lock(&l->core.accounts);
-	ret = limit_peers_serve(&l->core.peers, from->instance, from->boot,
-				request, reply, clock_now());
+	ret = limit_core_serve(&l->core, from->instance, from->boot, request,
+			       reply, clock_now());
 	table_unlock(&l->core.accounts);
 	return ret;
 }
--- a/t/helper/lib-limit-sim.c
+++ b/t/helper/lib-limit-sim.c
@@ -326,8 +326,8 @@
 	if (!to->alive || to->paused || !reaches(s, e->from, e->entry))
 		return;
 	memset(&answer.message, 0, sizeof(answer.message));
-	if (limit_peers_serve(&to->core.peers, s->entries[e->from].id, e->boot,
-			      &e->message, &answer.message, s->now))
+	if (limit_core_serve(&to->core, s->entries[e->from].id, e->boot,
+			     &e->message, &answer.message, s->now))
 		return;
 	message_bytes(s, e->from, e->entry, &answer.message);
 	answer.kind = SIM_ANSWER;
