t: give both copies of a doubled call one ticket

Cause: the soak showed 68 keys that ran twice; each copy had asked for a ticket of its own, so the caller had made two calls. Change: the second copy waits for the first one's ticket. Conclusion: a ticket is the identity of a call; docs/api.md must say so.

--- a/t/helper/caller.c
+++ b/t/helper/caller.c
@@ -101,6 +101,10 @@
 		call->is_double = true;
 	}
 	load.started++;
+	if (second && plan.wants_ticket && !load.set.direct) {
+		call->twin = second; /* starts when the ticket is there */
+		second = NULL;
+	}
 	attempt_start(call);
 	if (second)
 		attempt_start(second);
--- a/t/helper/lib-attempt.c
+++ b/t/helper/lib-attempt.c
@@ -127,10 +127,33 @@
 	return ticket ? 0 : -1;
 }
 
+/* Starts the copy of a call with the ticket that both carry. */
+static void twin_start(struct load_call *call)
+{
+	struct load_call *twin = call->twin;
+
+	call->twin = NULL;
+	if (!twin)
+		return;
+	snprintf(twin->plan.ticket, sizeof(twin->plan.ticket), "%s",
+		 call->plan.ticket);
+	twin->plan.wants_ticket = false;
+	attempt_start(twin);
+}
+
+/* Ends a call that was never sent, as it got no ticket. */
+static void ticket_missing(struct load_call *call, int status)
+{
+	call->answer.outcome = OUTCOME_ERROR;
+	snprintf(call->answer.problem, sizeof(call->answer.problem),
+		 "no ticket, status %d", status);
+}
+
 /* Ends an attempt; a call that has got its ticket goes on with itself. */
 static void on_done(struct fetch *f)
 {
 	struct load_call *call = f->arg;
+	struct load_call *twin;
 	bool clean = f->error.code == ERROR_NONE;
 
 	call->answer.status = f->status;
@@ -139,13 +162,20 @@
 		call->in_ticket = false;
 		if (clean && !ticket_take(call)) {
 			call->plan.wants_ticket = false;
+			twin_start(call);
 			attempt_start(call);
 			return;
 		}
-		/* Without a ticket the call itself was never sent. */
-		call->answer.outcome = OUTCOME_ERROR;
-		snprintf(call->answer.problem, sizeof(call->answer.problem),
-			 "no ticket, status %d", f->status);
+		ticket_missing(call, f->status);
+		if (call->twin) {
+			twin = call->twin;
+			call->twin = NULL;
+			twin->begin_us = call->begin_us;
+			twin->begin_unix_us = call->begin_unix_us;
+			twin->end_us = call->end_us;
+			ticket_missing(twin, f->status);
+			twin->over(twin);
+		}
 	} else {
 		answer_finish(&call->answer, &call->want, clean,
 			      !f->never_sent);
--- a/t/helper/lib-attempt.h
+++ b/t/helper/lib-attempt.h
@@ -33,7 +33,8 @@
 	bool fresh; /* always on a new connection */
 	bool in_ticket;
 	bool is_double;
-	json_t *earlier; /* outcomes of former attempts */
+	struct load_call *twin; /* copy that waits for the ticket */
+	json_t *earlier;	/* outcomes of former attempts */
 	apr_time_t begin_us;
 	apr_time_t sent_us;
 	apr_time_t end_us;
--- a/t/perf/p0005-soak.sh
+++ b/t/perf/p0005-soak.sh
@@ -95,8 +95,8 @@
 stop_all
 
 python3 "$TOP/t/helper/history-check.py" \
-	--model-runs runs-model-1.json --model-runs runs-model-2.json \
-	--model-runs runs-model-3.json --plain-runs runs-plain-1.json \
+	--engine-runs runs-model-1.json --engine-runs runs-model-2.json \
+	--engine-runs runs-model-3.json --plain-runs runs-plain-1.json \
 	--plain-runs runs-plain-2.json --plain-runs runs-plain-3.json \
 	caller-quotes.jsonl caller-appraise.jsonl caller-plain.jsonl \
 	>check.out 2>&1
--- a/t/test-lib.sh
+++ b/t/test-lib.sh
@@ -4,6 +4,7 @@
 # network of its own, $TEST_NET (the first three bytes of an address).
 
 TEST_DIR=$(cd "$(dirname "$0")" && pwd)
+case "$TEST_DIR" in */perf) TEST_DIR=${TEST_DIR%/perf} ;; esac
 TOP=$(cd "$TEST_DIR/.." && pwd)
 FLAVOR=${FLAVOR:-release}
 BIN=$TOP/build/$FLAVOR
