--- a/t/helper/caller.c
+++ b/t/helper/caller.c
@@ -237,8 +237,8 @@
 	exit(2);
 }
 
-/* Adds the port to an address that comes without one. */
-static const char *entry_name(const char *text)
+/* Adds the port to an address that comes without one, in its place. */
+static char *entry_name(char *text)
 {
 	char *name;
 
@@ -246,6 +246,7 @@
 		return text;
 	if (asprintf(&name, "%s:%d", text, load.port) < 0)
 		abort();
+	free(text);
 	return name;
 }
 
@@ -261,19 +262,38 @@
 	json_object_set_new(load.set.contents, version, json_string(split + 1));
 }
 
-/* Takes an option that may be repeated; its text stays in use. */
+/* Adds an option's text to a list that keeps it. */
+static void add_text(char **list, int *count, int max, char *text)
+{
+	if (*count == max)
+		fail("too many, at", text);
+	list[(*count)++] = text;
+}
+
+/* Takes an option that may be repeated, and its text. */
 static void option_seen(int option, char *text)
 {
 	struct plan_settings *set = &load.set;
 
-	if (option == 'e' && set->entry_count < PLAN_ENTRIES_MAX)
-		set->entries[set->entry_count++] = text;
-	else if (option == 'a' && set->account_count < PLAN_ACCOUNTS_MAX)
-		set->accounts[set->account_count++] = text;
-	else if (option == 'c')
+	switch (option) {
+	case 'e':
+		add_text(set->entries, &set->entry_count, PLAN_ENTRIES_MAX,
+			 text);
+		return;
+	case 'a':
+		add_text(set->accounts, &set->account_count, PLAN_ACCOUNTS_MAX,
+			 text);
+		return;
+	case 'c':
 		add_content(text);
-	else if (option == 'h' && !(load.history.file = fopen(text, "w")))
-		fail("cannot write", text);
+		break;
+	case 'h':
+		load.history.file = fopen(text, "w");
+		if (!load.history.file)
+			fail("cannot write", text);
+		break;
+	}
+	free(text);
 }
 
 static void options_default(struct plan_settings *set)
--- a/t/helper/lib-plan.h
+++ b/t/helper/lib-plan.h
@@ -14,9 +14,9 @@
 #define PLAN_ID_LEN 48
 
 struct plan_settings {
-	const char *entries[PLAN_ENTRIES_MAX]; /* "address:port" */
+	char *entries[PLAN_ENTRIES_MAX]; /* "address:port" */
 	int entry_count;
-	const char *accounts[PLAN_ACCOUNTS_MAX]; /* "name=token" */
+	char *accounts[PLAN_ACCOUNTS_MAX]; /* "name=token" */
 	int account_count;
 	const char *model;
 	const char *service;
