--- a/t/helper/caller.c
+++ b/t/helper/caller.c
@@ -86,7 +86,6 @@
 /* Starts the next call.  The lock is held. */
 static void load_start_call(void)
 {
-	struct load_call *second = NULL;
 	struct load_call *call;
 	struct plan plan;
 	struct plan copy;
@@ -95,22 +94,29 @@
 	call = call_create(&plan);
 	if (plan.twice) {
 		copy = plan_copy(&plan);
-		second = call_create(&copy);
-		second->entry = (call->entry + 1) % load.set.entry_count;
-		second->is_double = true;
+		call->second = call_create(&copy);
+		call->second->entry = (call->entry + 1) % load.set.entry_count;
+		call->second->is_double = true;
 		call->is_double = true;
 	}
 	load.started++;
 	attempt_start(call);
-	if (second)
-		attempt_start(second);
+}
+
+static bool call_is_violation(const struct load_call *call)
+{
+	const struct answer *ans = &call->answer;
+
+	return ans->crossed || ans->mixed ||
+	       (ans->outcome == OUTCOME_ANSWER && !ans->whole);
 }
 
 static bool call_is_repeated(const struct load_call *call)
 {
 	enum answer_outcome outcome = call->answer.outcome;
 
-	if (call->attempts >= load.attempts || outcome == OUTCOME_ANSWER)
+	if (call->attempts >= load.attempts || outcome == OUTCOME_ANSWER ||
+	    !attempt_is_safe_again(call))
 		return false;
 	return outcome != OUTCOME_NOT_RUN || load.repeat_not_run;
 }
@@ -125,9 +131,6 @@
 	history->outcomes[ans->outcome]++;
 	history->attempts += call->attempts;
 	history->events += ans->token_count;
-	if (ans->crossed || ans->mixed ||
-	    (ans->outcome == OUTCOME_ANSWER && !ans->whole))
-		history->violations++;
 	if (ans->outcome == OUTCOME_ANSWER) {
 		samples_add(&history->whole,
 			    (double)(call->end_us - call->begin_us) /
@@ -152,8 +155,9 @@
 static void call_over(struct load_call *call)
 {
 	pthread_mutex_lock(&load.lock);
+	load.history.violations += call_is_violation(call);
 	if (call_is_repeated(call)) {
-		attempt_note_earlier(call);
+		attempt_prepare_again(call);
 		call->entry = (call->entry + 1) % load.set.entry_count;
 		call->again_us = clock_now() + load.repeat_ms * US_PER_MS;
 		call->next = load.again;
@@ -163,6 +167,11 @@
 	}
 	call_record(call);
 	load.open--;
+	if (call->second) {
+		/* The call never got the ticket that its double needs too. */
+		load.open--;
+		call_free(call->second);
+	}
 	if (load.rate <= 0 && load.open < load.concurrency &&
 	    load_goes_on(clock_now()))
 		load_start_call();
@@ -398,6 +407,8 @@
 		  "part of plain calls sent through two entries", "0..1" },
 		{ "crash-share", 0, POPT_ARG_DOUBLE, &set->crash_share, 0,
 		  "part of calls that crash their upstream", "0..1" },
+		{ "repeatable", 0, POPT_ARG_NONE, &set->repeatable, 0,
+		  "the operation may run more than once", NULL },
 		{ "tokens", 0, POPT_ARG_INT, &set->tokens, 0,
 		  "tokens of an answer", "N" },
 		{ "prompts", 0, POPT_ARG_INT, &set->prompts, 0,
--- a/t/helper/lib-answer.c
+++ b/t/helper/lib-answer.c
@@ -44,8 +44,10 @@
 void answer_header(struct answer *ans, const struct answer_expectation *want,
 		   const char *name, const char *value)
 {
-	if (!strcasecmp(name, "X-Limpet-Outcome"))
+	if (!strcasecmp(name, "X-Outcome"))
 		copy_string(ans->said, sizeof(ans->said), value);
+	else if (!strcasecmp(name, "X-Ticket"))
+		copy_string(ans->ticket, sizeof(ans->ticket), value);
 	else if (!strcasecmp(name, "X-Model-Version"))
 		copy_string(ans->version, sizeof(ans->version), value);
 	else if (!strcasecmp(name, "X-Request-Id"))
@@ -264,6 +266,7 @@
 
 	ans->event_id_differs = id_differs(want, obj);
 	ans->run = json_integer_value(json_object_get(obj, "run"));
+	copy_string(ans->run_key, sizeof(ans->run_key), key);
 	if (!obj)
 		answer_problem(ans, "not JSON");
 	else if (!json_equal(json_object_get(obj, "echo"), want->echo))
@@ -273,17 +276,33 @@
 	json_decref(obj);
 }
 
-/* The outcome that an answer without a result states. */
-static enum answer_outcome read_outcome(struct answer *ans)
+static void read_member(json_t *obj, const char *name, char *out, size_t size)
 {
-	json_t *obj;
+	copy_string(out, size, json_string_value(json_object_get(obj, name)));
+}
 
-	if (!*ans->said && ans->text) {
-		obj = json_loadb(ans->text, ans->text_len, 0, NULL);
-		copy_string(ans->said, sizeof(ans->said),
-			    json_string_value(json_object_get(obj, "outcome")));
-		json_decref(obj);
-	}
+/* Reads the ticket of an answer that is nothing else. */
+void answer_read_ticket(struct answer *ans)
+{
+	json_t *obj =
+		json_loadb(ans->text ? ans->text : "", ans->text_len, 0, NULL);
+
+	read_member(obj, "ticket", ans->ticket, sizeof(ans->ticket));
+	json_decref(obj);
+}
+
+/* Reads a refusal and returns the outcome that it states. */
+static enum answer_outcome read_refusal(struct answer *ans)
+{
+	json_t *obj =
+		json_loadb(ans->text ? ans->text : "", ans->text_len, 0, NULL);
+
+	read_member(obj, "outcome", ans->said, sizeof(ans->said));
+	read_member(obj, "scope", ans->scope, sizeof(ans->scope));
+	read_member(obj, "again", ans->again, sizeof(ans->again));
+	read_member(obj, "reason", ans->reason, sizeof(ans->reason));
+	read_member(obj, "ticket", ans->ticket, sizeof(ans->ticket));
+	json_decref(obj);
 	if (!strcmp(ans->said, "not-run"))
 		return OUTCOME_NOT_RUN;
 	return !strcmp(ans->said, "unknown") ? OUTCOME_UNKNOWN : OUTCOME_ERROR;
@@ -304,7 +323,7 @@
 		return;
 	}
 	if (ans->status != HTTP_OK) {
-		ans->outcome = read_outcome(ans);
+		ans->outcome = read_refusal(ans);
 		ans->crossed = ans->header_id_differs;
 		return;
 	}
--- a/t/helper/lib-answer.h
+++ b/t/helper/lib-answer.h
@@ -40,9 +40,12 @@
 	int status;
 	enum answer_outcome outcome;
 	bool whole;
-	bool crossed;  /* it carries the identity of another request */
-	bool mixed;    /* it doesn't come from one known version */
-	char said[16]; /* outcome that the answer states */
+	bool crossed;	 /* it carries the identity of another request */
+	bool mixed;	 /* it doesn't come from one known version */
+	char said[16];	 /* outcome that the answer states */
+	char scope[16];	 /* of a refusal: "attempt" or "key" */
+	char again[16];	 /* of a refusal: whether to repeat */
+	char reason[48]; /* of a refusal */
 	char version[ANSWER_VERSION_MAX + 1];
 	char content[ANSWER_CONTENT_LEN + 1];
 	char ticket[512];
@@ -55,6 +58,7 @@
 	int token_room;
 	int last; /* tokens stated by the last event, -1 before it */
 	json_int_t run;
+	char run_key[64]; /* key that a plain service ran */
 	int64_t first_us;
 	bool header_id_differs;
 	bool event_id_differs;
@@ -67,6 +71,7 @@
 		   const char *name, const char *value);
 int answer_data(struct answer *ans, const struct answer_expectation *want,
 		const char *data, size_t len, int64_t now_us);
+void answer_read_ticket(struct answer *ans);
 void answer_finish(struct answer *ans, const struct answer_expectation *want,
 		   bool clean, bool sent);
 
--- a/t/helper/lib-attempt.c
+++ b/t/helper/lib-attempt.c
@@ -8,6 +8,7 @@
 
 #define ACCOUNT_MAX 64
 #define US_PER_MS 1000.0
+#define HTTP_OK 200
 #define TICKET_BODY "{\"service\":\"%s\"}"
 
 /* Adds a header to the attempt's request. */
@@ -90,7 +91,9 @@
 	want->id = call->plan.id;
 	want->prompt = call->plan.prompt;
 	want->echo = call->plan.echo;
-	want->key = *call->plan.key ? call->plan.key : NULL;
+	/* Entries hand the service a key of their own making. */
+	if (call->set->direct && *call->plan.key)
+		want->key = call->plan.key;
 	want->contents = call->set->contents;
 	want->tokens = call->set->tokens;
 	want->stream = call->plan.stream && !call->in_ticket;
@@ -112,46 +115,55 @@
 	return answer_data(&call->answer, &call->want, data, size, clock_now());
 }
 
-/* Takes the ticket from the answer to the request for one. */
+/* Takes the ticket that came with an answer or a refusal. */
 static int ticket_take(struct load_call *call)
 {
-	const struct answer *ans = &call->answer;
-	json_t *obj =
-		json_loadb(ans->text ? ans->text : "", ans->text_len, 0, NULL);
-	const char *ticket = json_string_value(json_object_get(obj, "ticket"));
+	if (!*call->answer.ticket)
+		return -1;
+	memcpy(call->plan.ticket, call->answer.ticket,
+	       sizeof(call->plan.ticket));
+	return 0;
+}
 
-	if (ticket)
-		snprintf(call->plan.ticket, sizeof(call->plan.ticket), "%s",
-			 ticket);
-	json_decref(obj);
-	return ticket ? 0 : -1;
+/* Ends the request for a ticket.  Returns -1 when there is none. */
+static int ticket_done(struct load_call *call, bool clean)
+{
+	struct answer *ans = &call->answer;
+
+	call->in_ticket = false;
+	if (clean && ans->status == HTTP_OK) {
+		answer_read_ticket(ans);
+		if (!ticket_take(call)) {
+			call->plan.wants_ticket = false;
+			return 0;
+		}
+	}
+	/* Without a ticket the call itself was never sent. */
+	call->attempts++;
+	ans->outcome = OUTCOME_ERROR;
+	snprintf(ans->problem, sizeof(ans->problem), "no ticket, status %d",
+		 ans->status);
+	return -1;
 }
 
 /* Ends an attempt; a call that has got its ticket goes on with itself. */
 static void on_done(struct fetch *f)
 {
 	struct load_call *call = f->arg;
+	struct answer *ans = &call->answer;
 	bool clean = f->error.code == ERROR_NONE;
 
-	call->answer.status = f->status;
+	ans->status = f->status;
 	call->end_us = clock_now();
 	if (call->in_ticket) {
-		call->in_ticket = false;
-		if (clean && !ticket_take(call)) {
-			call->plan.wants_ticket = false;
+		if (!ticket_done(call, clean)) {
 			attempt_start(call);
 			return;
 		}
-		/* Without a ticket the call itself was never sent. */
-		call->answer.outcome = OUTCOME_ERROR;
-		snprintf(call->answer.problem, sizeof(call->answer.problem),
-			 "no ticket, status %d", f->status);
 	} else {
-		answer_finish(&call->answer, &call->want, clean,
-			      !f->never_sent);
-		if (!clean && !*call->answer.problem)
-			snprintf(call->answer.problem,
-				 sizeof(call->answer.problem), "%.90s",
+		answer_finish(ans, &call->want, clean, !f->never_sent);
+		if (!clean && !*ans->problem)
+			snprintf(ans->problem, sizeof(ans->problem), "%.90s",
 				 f->error.text);
 	}
 	call->over(call);
@@ -159,6 +171,18 @@
 
 static const struct fetch_ops attempt_ops = { on_header, on_data, on_done };
 
+/* Sends the double of a call, with the same ticket. */
+static void second_start(struct load_call *call)
+{
+	struct load_call *second = call->second;
+
+	call->second = NULL;
+	memcpy(second->plan.ticket, call->plan.ticket,
+	       sizeof(second->plan.ticket));
+	second->plan.wants_ticket = false;
+	attempt_start(second);
+}
+
 /* Sends a call, or the request for its ticket; over() is called at the end. */
 void attempt_start(struct load_call *call)
 {
@@ -191,21 +215,14 @@
 	f->timeout_ms = call->timeout_ms;
 	f->once = call->fresh;
 	fetch_submit(call->fetcher, f);
+	if (!call->in_ticket && call->second)
+		second_start(call);
 }
 
-/* Keeps the outcome of an attempt that is going to be repeated. */
-void attempt_note_earlier(struct load_call *call)
+static void set_text(json_t *line, const char *name, const char *text)
 {
-	const struct answer *ans = &call->answer;
-
-	if (!call->earlier)
-		call->earlier = json_array();
-	json_array_append_new(
-		call->earlier,
-		json_pack("{s:s,s:s,s:i,s:s}", "entry",
-			  call->set->entries[call->entry], "outcome",
-			  answer_outcome_names[ans->outcome], "status",
-			  ans->status, "problem", ans->problem));
+	if (*text)
+		json_object_set_new(line, name, json_string(text));
 }
 
 static void set_flag(json_t *line, const char *name, bool value)
@@ -214,6 +231,48 @@
 		json_object_set_new(line, name, json_true());
 }
 
+/*
+ * Whether a call may be sent again without the risk that it runs twice by its
+ * caller's own doing.
+ */
+bool attempt_is_safe_again(const struct load_call *call)
+{
+	const struct answer *ans = &call->answer;
+
+	if (!strcmp(ans->again, "no"))
+		return false;
+	if (!call->plan.is_plain || call->set->repeatable)
+		return true;
+	return *call->plan.key || *call->plan.ticket || *ans->ticket ||
+	       ans->outcome == OUTCOME_NOT_RUN ||
+	       (ans->outcome == OUTCOME_ERROR && !ans->status);
+}
+
+/* Keeps the outcome of an attempt and takes what the next one has to use. */
+void attempt_prepare_again(struct load_call *call)
+{
+	const struct answer *ans = &call->answer;
+	json_t *line = json_pack("{s:s,s:s,s:i}", "entry",
+				 call->set->entries[call->entry], "outcome",
+				 answer_outcome_names[ans->outcome], "status",
+				 ans->status);
+
+	set_text(line, "scope", ans->scope);
+	set_text(line, "reason", ans->reason);
+	set_text(line, "problem", ans->problem);
+	set_flag(line, "crossed", ans->crossed);
+	set_flag(line, "mixed", ans->mixed);
+	if (!call->earlier)
+		call->earlier = json_array();
+	json_array_append_new(call->earlier, line);
+	if (!ticket_take(call) || strcmp(ans->again, "ticket") != 0)
+		return;
+	/* The former ticket can't be used any more and its call did not run. */
+	if (*call->plan.ticket)
+		call->plan.wants_ticket = true;
+	*call->plan.ticket = '\0';
+}
+
 /* The line of a call's history. */
 json_t *attempt_line(const struct load_call *call)
 {
@@ -234,8 +293,7 @@
 		ans->status, "version", ans->version, "content", ans->content,
 		"tokens", ans->token_count, "whole", ans->whole, "attempts",
 		call->attempts);
-	if (*call->plan.key)
-		json_object_set_new(line, "key", json_string(call->plan.key));
+	set_text(line, "key", call->plan.key);
 	if (ans->first_us)
 		json_object_set_new(
 			line, "first_token_ms",
@@ -251,5 +309,7 @@
 	set_flag(line, "mixed", ans->mixed);
 	set_flag(line, "ticket", *call->plan.ticket != '\0');
 	set_flag(line, "double", call->is_double);
+	set_flag(line, "repeatable",
+		 !call->plan.is_plain || call->set->repeatable);
 	return line;
 }
--- a/t/helper/lib-attempt.h
+++ b/t/helper/lib-attempt.h
@@ -18,7 +18,8 @@
 #define ATTEMPT_HEADERS 12
 
 struct load_call {
-	struct load_call *next; /* while it waits for its next attempt */
+	struct load_call *next;	  /* while it waits for its next attempt */
+	struct load_call *second; /* its double, until both are sent */
 	struct fetch fetch;
 	struct fetcher *fetcher;
 	struct plan plan;
@@ -44,7 +45,8 @@
 };
 
 void attempt_start(struct load_call *call);
-void attempt_note_earlier(struct load_call *call);
+bool attempt_is_safe_again(const struct load_call *call);
+void attempt_prepare_again(struct load_call *call);
 json_t *attempt_line(const struct load_call *call);
 
 #endif
--- a/t/helper/lib-plan.c
+++ b/t/helper/lib-plan.c
@@ -54,7 +54,8 @@
 	bool keyed = random_unit(random) < set->key_share;
 
 	plan->wants_ticket = random_unit(random) < set->ticket_share;
-	plan->twice = random_unit(random) < set->double_share;
+	plan->twice = random_unit(random) < set->double_share &&
+		      (keyed || plan->wants_ticket);
 	if (keyed)
 		snprintf(plan->key, sizeof(plan->key), "k-%.*s",
 			 PLAN_ID_LEN - 3, plan->id);
--- a/t/helper/lib-plan.h
+++ b/t/helper/lib-plan.h
@@ -35,6 +35,7 @@
 	int deadline_ms;  /* 0 for none */
 	const char *name; /* first part of every identity */
 	int direct;
+	int repeatable;	  /* plain calls may run more than once */
 	json_t *contents; /* version to SHA-256 of its content */
 };
 
