--- a/t/lib-control.sh
+++ b/t/lib-control.sh
@@ -2,6 +2,18 @@
 # configuration and membership.  Their processes are control-node, which
 # carries these two components and nothing else.
 
+# Processes started inside a case belong to its subshell; their ids are
+# known by the files only.
+control_stop_all () {
+	cat ./*.pid 2>/dev/null | while read -r control_pid; do
+		kill -CONT "$control_pid" 2>/dev/null
+		kill -KILL "$control_pid" 2>/dev/null
+	done
+	stop_all
+}
+
+trap 'control_stop_all' EXIT
+
 # control_start NAME ROLE DATA_CENTER ADDRESS
 control_start () {
 	if test "$2" = agent; then
@@ -22,7 +34,7 @@
 	control_start "$@"
 }
 
-# control_stop NAME: kills it at once.
+# control_kill NAME: kills it at once.
 control_kill () {
 	kill -KILL "$(cat "$1.pid")"
 }
