--- a/t/helper/lib-weights-run.c
+++ b/t/helper/lib-weights-run.c
@@ -9,6 +9,7 @@
 #define BUSY_WAIT_US (60 * 1000)
 #define QUEUE_MAX 4
 #define ACTIONS_MAX 16
+#define NEVER INT64_MAX
 
 static struct manifest *manifest_fake(const struct run *r)
 {
@@ -186,8 +187,6 @@
 static void pull_begin(struct run *r, struct run_transfer *t, int peer)
 {
 	struct run_node *from = &r->nodes[peer];
-	apr_interval_time_t time =
-		(apr_interval_time_t)(RUN_CHUNK * 1e6 / r->link_rate);
 
 	t->peer = peer;
 	if (!awake(r, peer) || !reach(r, t->node, peer)) {
@@ -195,23 +194,73 @@
 		t->result = RESULT_FAILED;
 		return;
 	}
-	if (from->queue >= QUEUE_MAX ||
-	    from->swarm->chunks[t->action.chunk].status != CHUNK_HELD) {
+	if (from->swarm->chunks[t->action.chunk].status != CHUNK_HELD ||
+	    from->queued >=
+		    (t->action.way == WAY_CARRY ? RUN_QUEUE_MAX : QUEUE_MAX)) {
 		t->end = r->now + REFUSED_US;
 		t->result = RESULT_BUSY;
 		t->wait = BUSY_WAIT_US;
 		t->peer = -1;
 		return;
 	}
-	from->queue++;
-	if (from->send_free < r->now)
-		from->send_free = r->now;
-	from->send_free += time;
-	t->end = from->send_free;
+	t->end = NEVER;
+	from->queue[from->queued++] = t;
 	if (from->corrupt)
 		t->result = RESULT_CORRUPT;
 }
 
+static struct send_rank rank_of(const struct run *r, const struct run_node *n,
+				const struct run_transfer *t)
+{
+	struct send_rank rank = { t->action.way == WAY_CARRY,
+				  !n->swarm->chunks[t->action.chunk].sent,
+				  r->nodes[t->node].swarm->held * 1000 /
+					  (uint32_t)r->chunks };
+
+	return rank;
+}
+
+static int queue_best(const struct run *r, const struct run_node *n)
+{
+	struct send_rank a, b;
+	int i, best = 0;
+
+	for (i = 1; i < n->queued; i++) {
+		a = rank_of(r, n, n->queue[i]);
+		b = rank_of(r, n, n->queue[best]);
+		if (send_rank_before(&a, &b))
+			best = i;
+	}
+	return best;
+}
+
+/* Sends on: one chunk after the other, at the rate of the link. */
+static void node_send(struct run *r, struct run_node *n)
+{
+	int best;
+
+	while (n->send_free <= r->now && n->queued) {
+		best = queue_best(r, n);
+		n->sending = n->queue[best];
+		n->queue[best] = n->queue[--n->queued];
+		n->swarm->chunks[n->sending->action.chunk].sent = 1;
+		if (n->send_free < r->now - RUN_STEP_US)
+			n->send_free = r->now;
+		n->send_free +=
+			(apr_interval_time_t)(RUN_CHUNK * 1e6 / r->link_rate);
+		n->sending->end = n->send_free;
+	}
+}
+
+/* What waits at a sender that died or is cut off fails after a while. */
+static void queue_fail(struct run *r, struct run_node *n)
+{
+	while (n->queued) {
+		n->queue[--n->queued]->result = RESULT_FAILED;
+		n->queue[n->queued]->end = r->now + FAILED_US;
+	}
+}
+
 static void node_choose(struct run *r, int node)
 {
 	struct run_node *n = &r->nodes[node];
@@ -243,8 +292,6 @@
 	struct run_node *n = &r->nodes[t->node];
 
 	t->used = 0;
-	if (t->peer >= 0 && t->result != RESULT_FAILED)
-		r->nodes[t->peer].queue--;
 	if (t->peer >= 0 &&
 	    (r->nodes[t->peer].dead || !reach(r, t->node, t->peer)))
 		t->result = RESULT_FAILED;
@@ -307,8 +354,11 @@
 	if (place)
 		r->placed_at = r->now;
 	for (i = 0; i < r->count; i++) {
+		if (r->nodes[i].dead)
+			queue_fail(r, &r->nodes[i]);
 		if (!awake(r, i))
 			continue;
+		node_send(r, &r->nodes[i]);
 		if (place)
 			node_place(r, i);
 		node_exchange(r, i);
--- a/t/helper/lib-weights-run.h
+++ b/t/helper/lib-weights-run.h
@@ -12,10 +12,13 @@
 #define RUN_TRANSFERS_MAX 8192
 #define RUN_CHUNK 262144 /* bytes */
 #define RUN_STEP_US (20 * 1000)
+#define RUN_QUEUE_MAX 16
 #define RUN_NOTICE_US (2 * APR_USEC_PER_SEC) /* until a death is seen */
 
 enum run_origin { ORIGIN_OK, ORIGIN_429, ORIGIN_DOWN };
 
+struct run_transfer;
+
 struct run_node {
 	char id[SETTINGS_NAME_SIZE];
 	int dc;
@@ -27,7 +30,9 @@
 	struct place_view view;
 	struct pace receive, cross;
 	apr_time_t send_free;
-	int queue;
+	struct run_transfer *sending;
+	struct run_transfer *queue[RUN_QUEUE_MAX]; /* asked of it */
+	int queued;
 };
 
 struct run_transfer {
--- a/weights/choose.c
+++ b/weights/choose.c
@@ -118,12 +118,18 @@
 	return place_hash(in, sizeof(in), s->seed);
 }
 
-/* The peer to ask for a chunk: least asked of, else spread by hash. */
+/* How dear it is to ask a peer; the links of carriers are the dearest. */
+static int peer_cost(const struct swarm_peer *p)
+{
+	return 2 * p->asked + (p->same_data_center && p->carrier);
+}
+
+/* The peer to ask for a chunk: the cheapest, else spread by hash. */
 static int peer_choose(const struct swarm *s, uint32_t chunk, int same,
 		       apr_time_t now)
 {
 	uint64_t best_hash = 0;
-	int i, best = SWARM_NO_PEER;
+	int i, cost, best_cost = 0, best = SWARM_NO_PEER;
 
 	for (i = 0; i < s->peer_count; i++) {
 		const struct swarm_peer *p = &s->peers[i];
@@ -131,12 +137,14 @@
 
 		if (p->same_data_center != same || !can_ask(p, chunk, now))
 			continue;
+		cost = peer_cost(p);
 		h = mixed(s, chunk, (uint32_t)i + 1);
-		if (best == SWARM_NO_PEER || p->asked < s->peers[best].asked ||
-		    (p->asked == s->peers[best].asked && h > best_hash)) {
-			best = i;
-			best_hash = h;
-		}
+		if (best != SWARM_NO_PEER &&
+		    (cost > best_cost || (cost == best_cost && h < best_hash)))
+			continue;
+		best = i;
+		best_cost = cost;
+		best_hash = h;
 	}
 	return best;
 }
@@ -368,6 +376,16 @@
 		peer_result(s, &s->peers[a->peer], result, wait, now);
 }
 
+/* Returns 1 when a is to be served before b. */
+int send_rank_before(const struct send_rank *a, const struct send_rank *b)
+{
+	if (a->carry != b->carry)
+		return a->carry > b->carry;
+	if (a->fresh != b->fresh)
+		return a->fresh > b->fresh;
+	return a->held < b->held;
+}
+
 static int exchange_useful(const struct swarm *s, const struct swarm_peer *p)
 {
 	int told = p->sent_epoch == s->epoch && p->sent >= s->held;
--- a/weights/internal.h
+++ b/weights/internal.h
@@ -87,7 +87,7 @@
 
 /* weights.c */
 struct model_row *model_by_digest(struct weights *w, const struct digest *d);
-int weights_holds(struct weights *w, const struct digest *d);
+int weights_holds(struct weights *w, const struct digest *d, int *fresh);
 
 /* view.c */
 void view_refresh(struct weights *w, apr_time_t now);
--- a/weights/swarm.c
+++ b/weights/swarm.c
@@ -152,6 +152,7 @@
 	}
 	snprintf(p->address, sizeof(p->address), "%s", m->address);
 	p->same_data_center = m->data_center == v->members[v->self].data_center;
+	p->carrier = place_is_carrier(v, member);
 	p->live = m->live;
 }
 
--- a/weights/swarm.h
+++ b/weights/swarm.h
@@ -21,7 +21,7 @@
  */
 
 #define SWARM_PEERS_MAX 48
-#define SWARM_PULLS_MAX 4      /* transfers asked for within the data centre */
+#define SWARM_PULLS_MAX 6      /* transfers asked for within the data centre */
 #define SWARM_CARRIES_MAX 2    /* across data centres */
 #define SWARM_DRAWS_MAX 1      /* from the origin */
 #define SWARM_PEER_ASKED_MAX 2 /* transfers asked of one peer */
@@ -43,6 +43,7 @@
 	int8_t permit;	/* for a draw from the origin */
 	int8_t dc_rank; /* of this data centre */
 	uint8_t spent;	/* the permit was used */
+	uint8_t sent;	/* to a peer, at least once */
 	apr_time_t spent_at;
 	apr_time_t not_before; /* after a failure */
 };
@@ -51,6 +52,7 @@
 	char id[SETTINGS_NAME_SIZE];
 	char address[SETTINGS_ADDRESS_SIZE];
 	int same_data_center;
+	int carrier; /* of its data centre */
 	int live;
 	int whole;
 	unsigned char *have; /* one bit a chunk */
@@ -113,6 +115,16 @@
 	apr_time_t began;
 };
 
+/*
+ * What decides whom a sender serves first: other data centres, then chunks
+ * that it has sent to nobody, then the receiver that holds the least.
+ */
+struct send_rank {
+	int carry;
+	int fresh;
+	uint32_t held; /* of 1000 chunks, by the receiver */
+};
+
 /* What may be received now, in bytes; not above 0: nothing. */
 struct swarm_credit {
 	double link;
@@ -145,6 +157,7 @@
 		  enum swarm_result result, apr_interval_time_t wait,
 		  apr_time_t now);
 
+int send_rank_before(const struct send_rank *a, const struct send_rank *b);
 void swarm_have_make(const struct swarm *s, const struct swarm_peer *p,
 		     struct weights_have *out, apr_time_t now);
 int swarm_have_take(struct swarm *s, struct swarm_peer *p,
--- a/weights/transfer.c
+++ b/weights/transfer.c
@@ -50,6 +50,7 @@
 	char peer[SETTINGS_NAME_SIZE];
 	char url[WEIGHTS_URL_SIZE];
 	char range[64];
+	char held[32];
 };
 
 static const char *const way_names[WAY_COUNT] = { "peer", "cross", "origin" };
@@ -268,8 +269,9 @@
 		f->headers[0] = t->range;
 	} else {
 		f->timeout_ms = transfer_timeout_ms(t);
+		f->headers[0] = t->held;
 		if (t->action.way == WAY_CARRY)
-			f->headers[0] = "X-Limpet-Purpose: carry";
+			f->headers[1] = "X-Limpet-Purpose: carry";
 	}
 	fetch_submit(t->w->node->fetcher, f);
 }
@@ -297,6 +299,8 @@
 		return;
 	}
 	p = &m->swarm->peers[t->action.peer];
+	snprintf(t->held, sizeof(t->held), "X-Limpet-Held: %u",
+		 m->swarm->held * 1000 / m->swarm->count);
 	digest_hex(&t->digest, hex);
 	snprintf(t->peer, sizeof(t->peer), "%s", p->id);
 	snprintf(t->url, sizeof(t->url), "http://%s:%d/chunks/%s", p->address,
--- a/weights/upload.c
+++ b/weights/upload.c
@@ -14,6 +14,7 @@
  */
 
 #define UPLOAD_QUEUE_MAX 4
+#define UPLOAD_CARRIES_MAX 16	 /* with those for other data centres */
 #define UPLOAD_PIECE (64 * 1024) /* bytes written at once */
 #define UPLOAD_PENDING_MAX (256 * 1024)
 #define RETRY_MIN_MS 40
@@ -33,7 +34,7 @@
 	struct blob *blob; /* NULL until read */
 	int reading;	   /* from the engine */
 	int failed;
-	int carry; /* goes to another data centre */
+	struct send_rank rank;
 	size_t sent;
 	int begun;
 	struct upload *next;
@@ -116,17 +117,13 @@
 /* Queues an upload; -1 when the queue is full. */
 static int upload_queue(struct weights *w, struct upload *u)
 {
-	struct upload **at;
+	int limit = u->rank.carry ? UPLOAD_CARRIES_MAX : UPLOAD_QUEUE_MAX;
 	int ret = -1;
 
 	pthread_mutex_lock(&w->upload_mutex);
-	if (w->upload_count < UPLOAD_QUEUE_MAX || u->carry) {
-		/* Chunks for other data centres go first. */
-		for (at = &w->uploads; *at && (!u->carry || (*at)->carry);
-		     at = &(*at)->next)
-			;
-		u->next = *at;
-		*at = u;
+	if (w->upload_count < limit) {
+		u->next = w->uploads;
+		w->uploads = u;
 		w->upload_count++;
 		ret = 0;
 	}
@@ -139,12 +136,13 @@
 {
 	struct weights *w = arg;
 	const char *purpose = http_call_header(c, "X-Limpet-Purpose");
+	const char *held = http_call_header(c, "X-Limpet-Held");
 	const char *hex = http_call_path(c) + strlen("/chunks/");
 	struct upload *u;
 	struct digest d;
-	int length, reading;
+	int length, reading, fresh = 0;
 
-	length = digest_parse(hex, &d) ? 0 : weights_holds(w, &d);
+	length = digest_parse(hex, &d) ? 0 : weights_holds(w, &d, &fresh);
 	if (!length) {
 		reply_status(c, HTTP_NOT_FOUND);
 		return;
@@ -155,7 +153,9 @@
 	u->w = w;
 	u->call = c;
 	u->digest = d;
-	u->carry = purpose && !strcmp(purpose, "carry");
+	u->rank.carry = purpose && !strcmp(purpose, "carry");
+	u->rank.fresh = fresh;
+	u->rank.held = held ? (uint32_t)strtoul(held, NULL, 10) : 0;
 	u->blob = blob_cache_find(&w->cache, &d);
 	/* Once queued, an upload with its bytes is the sender's. */
 	reading = !u->blob;
@@ -169,17 +169,20 @@
 		upload_read(u, (size_t)length);
 }
 
-/* Takes the next upload whose bytes are there. */
+/* Takes the first in rank of the uploads whose bytes are there. */
 static struct upload *upload_take(struct weights *w)
 {
-	struct upload **at, *u;
+	struct upload **at, **best = NULL;
+	struct upload *u = NULL;
 
 	pthread_mutex_lock(&w->upload_mutex);
-	for (at = &w->uploads; *at && (*at)->reading; at = &(*at)->next)
-		;
-	u = *at;
-	if (u) {
-		*at = u->next;
+	for (at = &w->uploads; *at; at = &(*at)->next)
+		if (!(*at)->reading &&
+		    (!best || !send_rank_before(&(*best)->rank, &(*at)->rank)))
+			best = at;
+	if (best) {
+		u = *best;
+		*best = u->next;
 		w->upload_count--;
 	}
 	pthread_mutex_unlock(&w->upload_mutex);
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -30,18 +30,26 @@
 	return NULL;
 }
 
-/* Returns the length of a chunk that is verified and staged, or 0. */
-int weights_holds(struct weights *w, const struct digest *d)
+/*
+ * Returns the length of a chunk that is verified and staged, or 0.  *fresh
+ * tells whether it is asked for the first time.
+ */
+int weights_holds(struct weights *w, const struct digest *d, int *fresh)
 {
 	struct handle h = HANDLE_NONE;
+	struct swarm_chunk *c;
 	struct model_row *m;
 	int at, length = 0;
 
 	table_lock(&w->models);
 	while (!length && (m = table_next(&w->models, &h))) {
 		at = m->swarm ? swarm_find(m->swarm, d) : -1;
-		if (at >= 0 && m->swarm->chunks[at].status == CHUNK_HELD)
-			length = (int)m->swarm->chunks[at].length;
+		if (at < 0 || m->swarm->chunks[at].status != CHUNK_HELD)
+			continue;
+		c = &m->swarm->chunks[at];
+		length = (int)c->length;
+		*fresh = !c->sent;
+		c->sent = 1;
 	}
 	table_unlock(&w->models);
 	return length;
