--- a/net/httpd.c
+++ b/net/httpd.c
@@ -382,14 +382,13 @@
 		MHD_OPTION_CONNECTION_LIMIT, CONNECTION_LIMIT,
 		MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_IDLE_SECONDS,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1,
 		threads > 1 ? MHD_OPTION_THREAD_POOL_SIZE : MHD_OPTION_END,
 		(unsigned)threads, MHD_OPTION_END);
 	if (!h->daemon) {
 		hangup_stop(h->hangups);
 		free(h);
 		error_set(err, ERROR_INTERNAL, "http-listen", address,
-			  "cannot listen on port %d: %m (is it in use?)", port);
+			  "cannot listen on port %d: %m", port);
 		return NULL;
 	}
 	return h;
@@ -639,7 +638,7 @@
 	pthread_mutex_lock(&c->mutex);
 	c->on_gone = gone;
 	c->gone_arg = arg;
-	if (c->gone && gone)
+	if (c->gone && !c->ended && gone)
 		gone(arg);
 	pthread_mutex_unlock(&c->mutex);
 }
