--- a/t/perf/p0001-rollout.sh
+++ b/t/perf/p0001-rollout.sh
@@ -23,7 +23,7 @@
 STORE_RATE=$((SIZE * 4 / T))
 FLEET_THREADS=${FLEET_THREADS:-4}
 . "$(dirname "$0")/../test-lib.sh"
-. "$TOP/t/fleet-lib.sh"
+. "$TEST_DIR/fleet-lib.sh"
 ENGINES_A_PROCESS=90
 AGENT_IDS=
 
@@ -82,7 +82,11 @@
 		 {account:"adubo",keys:[],models:[{name:"quotes",
 		  manifest:$m,upstreams:["agent-*"],time_weight:$w}]}]}' \
 		>document.json
-	limpetctl check document.json >/dev/null 2>&1
+	fleet_publish_config document.json
+}
+
+document_publish_empty () {
+	echo '{"revision":1,"accounts":[]}' >document.json
 	fleet_publish_config document.json
 }
 
@@ -131,3 +135,142 @@
 store_counts () {
 	curl -s $STORE_URL/standin/counts
 }
+
+# origin_bytes_of DC: drawn from the store by that data centre's machines.
+origin_bytes_of () {
+	jq --arg p "$(fleet_net "$1")." '[.by_client | to_entries[] |
+		select(.key | startswith($p)) | .value] | add // 0' "$2"
+}
+
+# cross_copies DC: what crossed into a data centre; the store is in the first.
+cross_copies () {
+	cross_bytes=0
+	for id in $AGENT_IDS; do
+		case $id in agent-$1-*) cat "status-$id" ;; esac
+	done >dc.status 2>/dev/null
+	cross_bytes=$(metric_sum dc.status weights_received_bytes cross)
+	if test "$1" != 1; then
+		cross_bytes=$((cross_bytes +
+			$(origin_bytes_of "$1" store.after) -
+			$(origin_bytes_of "$1" store.before)))
+	fi
+	echo "$cross_bytes $SIZE" | awk '{printf "%.3f", $1 / $2}'
+}
+
+status_split () {
+	for id in $AGENT_IDS; do
+		curl -s -m 5 "http://$(address_of $id):7102/status" >"status-$id"
+	done
+	cat status-* >status.after
+}
+
+ratio () {
+	awk "BEGIN {printf \"%.${3:-3}f\", ($1) / ($2)}"
+}
+
+bound_ms () {
+	awk "BEGIN {m = $SIZE / $LINK_RATE; c = $SIZE / $CROSS_RATE
+		o = $SIZE / $STORE_RATE; b = m > c ? m : c
+		printf \"%d\", 1000 * (b > o ? b : o)}"
+}
+
+# faults_run COUNT: kills a tenth of the agents and cuts the third data centre
+# off for T/3; the store corrupts a hundredth of its answers meanwhile.
+faults_run () {
+	curl -s -d '{"mode":"corrupt","share":0.01}' $STORE_URL/standin/fault \
+		>/dev/null
+	sleep 1
+	killed=0
+	for id in $AGENT_IDS; do
+		killed=$((killed + 1))
+		test $((killed % 10)) = 5 || continue
+		kill -KILL "$(cat $id.pid)" 2>/dev/null
+		echo "$id" >>killed.ids
+	done
+	cut_set '["'"$(fleet_net 3)"'."]' "$(fleet_net 1)" "$(fleet_net 2)"
+	cut_set '["'"$(fleet_net 1)"'.","'"$(fleet_net 2)"'.","'"$TEST_NET"'."]' \
+		"$(fleet_net 3)"
+	sleep $((T / 3))
+	cut_set '[]' "$(fleet_net 1)" "$(fleet_net 2)" "$(fleet_net 3)"
+}
+
+# cut_set PREFIXES NET...: on every agent of those networks.
+cut_set () {
+	cut_body="{\"prefixes\":$1}"
+	shift
+	for cut_net; do
+		for id in $AGENT_IDS; do
+			cut_address=$(address_of $id)
+			case $cut_address in $cut_net.*) ;; *) continue ;; esac
+			echo "next"
+			echo "url = http://$cut_address:7102/cut"
+			echo "data = \"$(echo "$cut_body" | sed 's/"/\\"/g')\""
+			echo "output = /dev/null"
+		done
+	done | sed 1d >cut.urls
+	curl -s -m 3 --parallel --parallel-max 40 -K cut.urls >/dev/null 2>&1
+}
+
+# naive_run: each of NAIVE instances draws the whole file from the store.
+naive_run () {
+	curl -s -d '{"mode":"ok"}' $STORE_URL/standin/fault >/dev/null
+	naive_before=$(store_counts | jq .bytes)
+	naive_began=$(now_ms)
+	naive_pids=
+	for i in $(seq 1 "$NAIVE"); do
+		curl -s --limit-rate $LINK_RATE -o /dev/null \
+			--interface "$(fleet_net 1).$((10 + i))" \
+			"$STORE_URL/weights/quotes-1.bin" &
+		naive_pids="$naive_pids $!"
+	done
+	wait $naive_pids
+	naive_took=$(($(now_ms) - naive_began))
+	naive_bytes=$(($(store_counts | jq .bytes) - naive_before))
+}
+
+# measure LABEL VERSION REVISION FILE: publishes a version and prints a line.
+measure () {
+	content=$(sha256sum <"$4" | cut -d' ' -f1)
+	store_counts >store.before
+	status_all status.before
+	cpu_before=$(agents_cpu_ticks)
+	rollout_began=$(now_ms)
+	document_publish "$2" "$3"
+	want=$N
+	if test "$1" = faults; then
+		faults_run
+		want=$((N - $(wc -l <killed.ids)))
+	fi
+	rollout_wait "$2" "$content" "$want" $((T * 6)) || failed=1
+	cpu_after=$(agents_cpu_ticks)
+	store_counts >store.after
+	status_split
+	b=$(bound_ms)
+	control=$(($(metric_sum status.after rpc_sent_bytes) +
+		$(metric_sum status.after rpc_received_bytes) -
+		$(metric_sum status.before rpc_sent_bytes) -
+		$(metric_sum status.before rpc_received_bytes)))
+	echo "$1:" "replicas $want, size_bytes $SIZE," \
+		"seconds $(ratio $took 1000), bound_seconds $(ratio $b 1000)," \
+		"ratio $(ratio $took $b)," \
+		"origin_copies $(ratio "$(jq .bytes store.after) - $(jq .bytes store.before)" $SIZE)," \
+		"cross_copies $(cross_copies 1)/$(cross_copies 2)/$(cross_copies 3)," \
+		"naive_replicas $NAIVE," \
+		"naive_seconds $(ratio ${naive_took:-0} 1000)," \
+		"naive_origin_copies $(ratio ${naive_bytes:-0} $SIZE)," \
+		"agent_rss_mb $(ratio "$(agents_rss_kb)" 1024 1)," \
+		"agent_cpu_percent $(ratio "($cpu_after - $cpu_before) * 1000" "$N * $took")," \
+		"control_bytes_per_second $(ratio "$control * 1000" "$N * $took" 0)"
+}
+
+model_make one.bin $SIZE 1
+version=$(model_publish store quotes 1 one.bin $CHUNK) || exit 1
+fleet_launch && document_publish_empty || exit 1
+fleet_ready 60 $(for id in $AGENT_IDS; do address_of $id; done) || exit 1
+test "$NAIVE" = 0 || naive_run
+failed=0
+label=plain
+test -z "$FAULTS" || label=faults
+measure $label "$version" 2 one.bin
+stop_all
+exit $failed
