--- a/t/helper/lib-attempt.c
+++ b/t/helper/lib-attempt.c
@@ -301,8 +301,10 @@
 				  US_PER_MS));
 	if (ans->run)
 		json_object_set_new(line, "run", json_integer(ans->run));
-	if (*ans->problem)
-		json_object_set_new(line, "problem", json_string(ans->problem));
+	set_text(line, "run_key", ans->run_key);
+	set_text(line, "scope", ans->scope);
+	set_text(line, "reason", ans->reason);
+	set_text(line, "problem", ans->problem);
 	if (call->earlier)
 		json_object_set(line, "earlier", call->earlier);
 	set_flag(line, "crossed", ans->crossed);
