calls, t: cancel nothing that was never submitted; end every test process

The gate's watch could cancel a run between its listing and its submission. stop_all went by a variable that cases set in a subshell, so their processes outlived the test; it now goes by the files of process ids.

--- a/calls/gate-stream.c
+++ b/calls/gate-stream.c
@@ -323,6 +323,9 @@
 	run->hop = *h;
 	run->model = g->n->settings.upstream_kind == UPSTREAM_MODEL;
 	run->deadline = now + apr_time_from_msec(h->left_ms);
+	run->last_byte = now;
+	run->fetch.fetcher = g->n->fetcher;
+	run->fetch.over = 1; /* nothing to cancel yet */
 	if (request_read(run)) {
 		refusal_set(&r, 400, OUTCOME_NOT_RUN, AGAIN_NO, "bad-request",
 			    "gate", "the body is not a JSON object");
--- a/t/test-lib.sh
+++ b/t/test-lib.sh
@@ -17,7 +17,6 @@
 SQ="'"
 test_count=0
 test_failed=0
-test_pids=
 
 rm -rf "$TRASH"
 mkdir -p "$TRASH"
@@ -30,22 +29,31 @@
 	shift
 	"$@" >"$start_name.out" 2>"$start_name.err" &
 	echo $! >"$start_name.pid"
-	test_pids="$test_pids $!"
 }
 
-# stop_all: ends every process that start began, politely at first.
+# pids_alive PID...: succeeds while one of them runs.
+pids_alive () {
+	for alive_pid; do
+		kill -0 "$alive_pid" 2>/dev/null && return 0
+	done
+	return 1
+}
+
+# stop_all: ends every process that start began, politely at first.  Goes by
+# the files, as a case runs in a subshell, whose variables are lost.
 stop_all () {
-	test -n "$test_pids" || return 0
-	kill -CONT $test_pids 2>/dev/null
-	kill -TERM $test_pids 2>/dev/null
+	stop_pids=$(cat "$TRASH"/*.pid 2>/dev/null)
+	rm -f "$TRASH"/*.pid
+	test -n "$stop_pids" || return 0
+	kill -CONT $stop_pids 2>/dev/null
+	kill -TERM $stop_pids 2>/dev/null
 	stop_tries=0
-	while test $stop_tries -lt 50 && kill -0 $test_pids 2>/dev/null; do
+	while test $stop_tries -lt 50 && pids_alive $stop_pids; do
 		sleep 0.1
 		stop_tries=$((stop_tries + 1))
 	done
-	kill -KILL $test_pids 2>/dev/null
-	wait $test_pids 2>/dev/null
-	test_pids=
+	kill -KILL $stop_pids 2>/dev/null
+	wait 2>/dev/null
 }
 
 # wait_until SECONDS COMMAND...: polls COMMAND until it succeeds.
