--- a/calls/entry-internal.h
+++ b/calls/entry-internal.h
@@ -22,7 +22,6 @@
 #define ENTRY_BODY_MAX (1024 * 1024)
 #define ENTRY_DEADLINE_MS 30000 /* when nobody states one */
 #define ENTRY_DEADLINE_MAX_MS (10 * 60 * 1000)
-#define ENTRY_TICKET_LIFETIME_S 600
 #define ENTRY_PAUSE_US (500 * 1000)
 #define ENTRY_PAUSE_GRACE_US (250 * 1000)
 #define ENTRY_HAND_OVER_US (250 * 1000)
--- a/calls/entry-request.c
+++ b/calls/entry-request.c
@@ -372,8 +372,8 @@
 	}
 	r->class = route_class(UPSTREAM_PLAIN, r->name);
 	r->repeatable = o->repeatable;
-	r->lifetime_s = o->key_lifetime_s > 0 ? o->key_lifetime_s
-					      : ENTRY_TICKET_LIFETIME_S;
+	r->lifetime_s =
+		o->key_lifetime_s > 0 ? o->key_lifetime_s : TICKET_LIFETIME_S;
 	if (headers_read(r, &d->accounts[account],
 			 o->deadline_ms > 0 ? o->deadline_ms
 					    : ENTRY_DEADLINE_MS) ||
--- a/calls/entry.c
+++ b/calls/entry.c
@@ -99,13 +99,13 @@
 	}
 	snprintf(t.account, sizeof(t.account), "%s", account);
 	snprintf(t.service, sizeof(t.service), "%s", service);
-	t.expiry = (uint64_t)time(NULL) + ENTRY_TICKET_LIFETIME_S;
+	t.expiry = (uint64_t)time(NULL) + TICKET_LIFETIME_S;
 	ticket_identity_random(&t);
 	ticket_mint(&t, e->n->self.keys.current, text);
 	http_call_set(c, "X-Ticket", text);
 	http_call_reply_json(c, 200,
 			     json_pack("{s:s,s:i}", "ticket", text,
-				       "lifetime_s", ENTRY_TICKET_LIFETIME_S));
+				       "lifetime_s", TICKET_LIFETIME_S));
 }
 
 /* Serves POST /v1/tickets. */
--- a/calls/gate-table.c
+++ b/calls/gate-table.c
@@ -183,7 +183,8 @@
 
 /* Answers for an identity that the table holds. */
 static void admit_known(struct gate_row *row, struct handle h,
-			const struct gate_ask *ask, struct gate_reply *out)
+			const struct gate_ask *ask, apr_time_t now,
+			struct gate_reply *out)
 {
 	uint32_t asked = ask->ticketed ? ask->ticket->generation : 0;
 
@@ -211,6 +212,7 @@
 	case GATE_MARKED:
 		if (asked > row->generation) {
 			row->generation = asked;
+			row->keep_until = now + ask->lifetime;
 			if (ask->ticket->expiry > row->expiry)
 				row->expiry = ask->ticket->expiry;
 			if (ask->may_run)
@@ -222,6 +224,8 @@
 		break;
 	}
 	out->generation = row->generation;
+	if (out->verdict == GATE_RUN)
+		out->reason = "";
 }
 
 /* Returns 0 when an identity that isn't in the table is surely new. */
@@ -251,7 +255,7 @@
 
 	if (new_check(t, ask, now, out))
 		return;
-	out->reason = "marked";
+	out->reason = run ? "" : "marked";
 	if (!is_keyed(k->identity) && wall_s > k->expiry) {
 		run = 0;
 		out->reason = "ticket-expired";
@@ -299,7 +303,7 @@
 	table_lock(&t->rows);
 	row = row_find(t, ask->ticket->identity, &h);
 	if (row)
-		admit_known(row, h, ask, out);
+		admit_known(row, h, ask, now, out);
 	else
 		admit_new(t, ask, now, wall_s, out);
 	table_unlock(&t->rows);
--- a/calls/relay.c
+++ b/calls/relay.c
@@ -57,8 +57,7 @@
 	if (why->outcome == OUTCOME_NOT_RUN && why->scope == SCOPE_KEY) {
 		if (!strcmp(why->reason, "draining") || !t.boot)
 			return NULL;
-		t.generation = r->generation + 1;
-		t.expiry = (uint64_t)time(NULL) + ENTRY_TICKET_LIFETIME_S;
+		ticket_renew(&t, r->generation + 1);
 		ticket_mint(&t, r->e->n->self.keys.current, r->ticket_text);
 	}
 	return *r->ticket_text ? r->ticket_text : NULL;
@@ -196,7 +195,7 @@
 	r->ticket.boot = u->boot;
 	r->ticket.expiry =
 		(uint64_t)time(NULL) +
-		(uint64_t)(*r->key ? r->lifetime_s : ENTRY_TICKET_LIFETIME_S);
+		(uint64_t)(*r->key ? r->lifetime_s : TICKET_LIFETIME_S);
 	if (!*r->key)
 		ticket_identity_random(&r->ticket);
 	ticket_mint(&r->ticket, r->e->n->self.keys.current, r->ticket_text);
--- a/calls/ticket.c
+++ b/calls/ticket.c
@@ -49,6 +49,21 @@
 	identity_hex(t, 'k', d.bytes);
 }
 
+/*
+ * Turns a ticket into one of a later generation.  Its expiry follows from
+ * the first one's alone: whichever entry renews it, the same identity and
+ * generation have the same expiry, and a later generation a later one.
+ * The gate's floor relies on that.
+ */
+void ticket_renew(struct ticket *t, uint32_t generation)
+{
+	uint64_t first =
+		t->expiry - (uint64_t)t->generation * TICKET_LIFETIME_S;
+
+	t->expiry = first + (uint64_t)generation * TICKET_LIFETIME_S;
+	t->generation = generation;
+}
+
 /* Returns 1 when the identity comes from the caller's own key. */
 int ticket_is_keyed(const struct ticket *t)
 {
--- a/calls/ticket.h
+++ b/calls/ticket.h
@@ -17,6 +17,7 @@
 
 #define TICKET_IDENTITY_SIZE 34 /* 'n' or 'k', 32 hex digits, NUL */
 #define TICKET_TEXT_MAX 512
+#define TICKET_LIFETIME_S 600 /* of each generation */
 
 struct ticket {
 	char agent[SETTINGS_NAME_SIZE]; /* instance id */
@@ -35,6 +36,7 @@
 void ticket_identity_random(struct ticket *t);
 void ticket_identity_key(struct ticket *t, const char *key);
 int ticket_is_keyed(const struct ticket *t);
+void ticket_renew(struct ticket *t, uint32_t generation);
 void ticket_mint(const struct ticket *t, const char *key,
 		 char out[TICKET_TEXT_MAX]);
 int ticket_verify(const char *text, const struct rpc_keys *keys,
--- /dev/null
+++ b/t/helper/test-calls-gate.c
@@ -0,0 +1,272 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/random.h"
+#include "calls/gate-table.h"
+#include "calls/home.h"
+
+/*
+ * Runs a script of requests against the gate's table and prints what it
+ * decides, or a long random run against its promise.  See t/t0500.
+ */
+
+#define LIFETIME_US (10 * APR_USEC_PER_SEC)
+#define WORDS_MAX 12
+#define NAMES 12
+#define RANDOM_STEPS 200000
+
+static struct gate_table table;
+static apr_time_t now;
+static uint64_t wall;
+static struct home_view view;
+
+static const char *const verdict_names[] = { "",	 "run",	    "join",
+					     "replay",	 "not-run", "unknown",
+					     "mismatch", "no-home" };
+
+static void ticket_named(struct ticket *t, const char *name, int keyed)
+{
+	memset(t, 0, sizeof(*t));
+	snprintf(t->agent, sizeof(t->agent), "a");
+	snprintf(t->account, sizeof(t->account), "adubo");
+	snprintf(t->service, sizeof(t->service), "billing");
+	t->boot = 1;
+	t->expiry = 100;
+	ticket_identity_key(t, name);
+	if (!keyed)
+		t->identity[0] = 'n';
+}
+
+static int option(char **words, int count, const char *name, int absent)
+{
+	size_t n = strlen(name);
+	int i;
+
+	for (i = 2; i < count; i++)
+		if (!strncmp(words[i], name, n) && words[i][n] == '=')
+			return atoi(words[i] + n + 1);
+	return absent;
+}
+
+static void ask(char **words, int count)
+{
+	struct gate_ask a = { 0 };
+	struct gate_reply r;
+	struct ticket t;
+	int content = option(words, count, "content", 0);
+
+	ticket_named(&t, words[1], option(words, count, "key", 0));
+	t.boot = (uint64_t)option(words, count, "boot", 1);
+	t.expiry = (uint64_t)option(words, count, "expiry", 100);
+	t.generation = (uint32_t)option(words, count, "generation", 0);
+	a.ticket = &t;
+	a.ticketed = option(words, count, "ticket", 1);
+	a.boot = 1;
+	digest_of(&content, sizeof(content), &a.content);
+	a.home = option(words, count, "home", 1);
+	a.may_run = option(words, count, "may_run", 1);
+	a.lifetime = LIFETIME_US;
+	gate_admit(&table, &a, now, wall, &r);
+	printf("%s: %s", words[1], verdict_names[r.verdict]);
+	if (r.verdict == GATE_REPLAY)
+		printf(" %.*s", (int)r.answer->size, r.answer->body);
+	else if (r.reason && *r.reason)
+		printf(" %s", r.reason);
+	if (r.verdict == GATE_NOT_RUN)
+		printf(" generation %u", r.generation);
+	printf("\n");
+	gate_answer_release(r.answer);
+}
+
+static struct handle row_named(const char *name)
+{
+	struct handle cursor = HANDLE_NONE;
+	struct gate_row *row;
+	struct ticket t;
+
+	ticket_named(&t, name, 0);
+	while ((row = table_next(&table.rows, &cursor)))
+		if (!strcmp(row->identity + 1, t.identity + 1))
+			break;
+	return cursor;
+}
+
+static void command(char **words, int count)
+{
+	const char *c = words[0];
+
+	if (!strcmp(c, "rows")) {
+		gate_table_destroy(&table);
+		gate_table_init(&table, (uint32_t)atoi(words[1]),
+				(size_t)atoi(words[2]));
+	} else if (!strcmp(c, "at")) {
+		now = apr_time_from_msec(atoi(words[1]));
+	} else if (!strcmp(c, "wall")) {
+		wall = (uint64_t)atoi(words[1]);
+	} else if (!strcmp(c, "ask")) {
+		ask(words, count);
+	} else if (!strcmp(c, "answer")) {
+		gate_finish(&table, row_named(words[1]), GATE_ANSWERED,
+			    gate_answer_new(200, "text/plain", "", words[2],
+					    strlen(words[2])));
+	} else if (!strcmp(c, "lose")) {
+		gate_finish(&table, row_named(words[1]), GATE_LOST, NULL);
+	} else if (!strcmp(c, "mark")) {
+		gate_finish(&table, row_named(words[1]), GATE_MARKED, NULL);
+	} else if (!strcmp(c, "sweep")) {
+		gate_sweep(&table, now, wall);
+	} else if (!strcmp(c, "view")) {
+		struct home_agent agents[WORDS_MAX] = { 0 };
+		int i;
+
+		for (i = 1; i < count; i++) {
+			char *age = strchr(words[i], '@');
+
+			agents[i - 1].heard = now;
+			if (age) {
+				*age++ = '\0';
+				agents[i - 1].heard -=
+					apr_time_from_msec(atoi(age));
+			}
+			snprintf(agents[i - 1].id, SETTINGS_NAME_SIZE, "%s",
+				 words[i]);
+			agents[i - 1].place = place_hash_string(words[i], 0);
+		}
+		home_view_update(&view, agents, count - 1, now);
+	} else if (!strcmp(c, "self")) {
+		memset(&view, 0, sizeof(view));
+		snprintf(view.self, sizeof(view.self), "%s", words[1]);
+		view.since = now;
+	} else if (!strcmp(c, "sure")) {
+		printf("%s: %s\n", words[1],
+		       home_sure(&view, words[1], LIFETIME_US, now) ? "sure"
+								    : "unsure");
+	} else {
+		printf("what is \"%s\"?\n", c);
+	}
+}
+
+static int script_run(void)
+{
+	char line[256], *words[WORDS_MAX], *rest;
+	int n;
+
+	gate_table_init(&table, 0, 1000);
+	while (fgets(line, sizeof(line), stdin)) {
+		line[strcspn(line, "#\n")] = '\0';
+		rest = line;
+		n = 0;
+		while (n < WORDS_MAX && (words[n] = strsep(&rest, " ")))
+			if (*words[n])
+				n++;
+		if (n)
+			command(words, n);
+	}
+	gate_table_destroy(&table);
+	return 0;
+}
+
+/* What the random run knows of each identity. */
+struct model {
+	struct handle row;
+	int running;
+	int ran; /* runs that were not proved not to have happened */
+	apr_time_t ran_at;
+	uint32_t generation; /* the highest that an entry has minted */
+	int incarnation;
+	uint64_t expiry; /* of generation 0 */
+};
+
+static void finish_one(struct random *r, struct model *m)
+{
+	uint32_t how = random_below(r, 3);
+
+	m->running = 0;
+	if (how == 0) {
+		gate_finish(&table, m->row, GATE_ANSWERED,
+			    gate_answer_new(200, "", "", "x", 1));
+	} else if (how == 1) {
+		gate_finish(&table, m->row, GATE_LOST, NULL);
+	} else {
+		gate_finish(&table, m->row, GATE_MARKED, NULL);
+		m->ran--;
+	}
+}
+
+static int ask_one(struct random *r, struct model *m, int i, int keyed)
+{
+	struct gate_ask a = { 0 };
+	struct gate_reply rep;
+	struct ticket t;
+	char name[32];
+
+	if (!m->running && !keyed && random_below(r, 200) == 0) {
+		m->incarnation++;
+		m->expiry = 0;
+		m->ran = 0;
+		m->generation = 0;
+	}
+	if (!m->expiry)
+		m->expiry = wall + random_below(r, 30);
+	snprintf(name, sizeof(name), "%d-%d", i, m->incarnation);
+	ticket_named(&t, name, keyed);
+	t.expiry = m->expiry;
+	ticket_renew(&t, random_below(r, m->generation + 1));
+	a.ticket = &t;
+	a.ticketed = !keyed || random_below(r, 2);
+	a.boot = 1;
+	a.home = random_below(r, 10) > 0;
+	a.may_run = random_below(r, 5) > 0;
+	a.lifetime = LIFETIME_US;
+	gate_admit(&table, &a, now, wall, &rep);
+	gate_answer_release(rep.answer);
+	if (rep.verdict == GATE_NOT_RUN && rep.generation >= m->generation)
+		m->generation = rep.generation + 1;
+	if (rep.verdict != GATE_RUN)
+		return 0;
+	if (keyed && m->ran && now - m->ran_at > LIFETIME_US)
+		m->ran = 0; /* the key's lifetime is over */
+	if (m->ran++) {
+		printf("%s %d ran twice\n", keyed ? "key" : "ticket", i);
+		return 1;
+	}
+	m->ran_at = now;
+	m->running = 1;
+	m->row = rep.row;
+	return 0;
+}
+
+/* Few rows, clocks that jump: no identity may run a second time. */
+static int random_run(uint64_t seed)
+{
+	struct model models[2 * NAMES] = { 0 };
+	struct random r;
+	int step, i, bad = 0;
+
+	random_seed(&r, seed);
+	gate_table_init(&table, 8, 4);
+	wall = 1000;
+	for (step = 0; step < RANDOM_STEPS && !bad; step++) {
+		i = (int)random_below(&r, 2 * NAMES);
+		now += random_below(&r, 100000);
+		wall += random_below(&r, 50) == 0;
+		if (random_below(&r, 500) == 0)
+			wall += random_below(&r, 100) - 50;
+		if (models[i].running && random_below(&r, 2))
+			finish_one(&r, &models[i]);
+		else
+			bad = ask_one(&r, &models[i], i, i >= NAMES);
+		if (random_below(&r, 20) == 0)
+			gate_sweep(&table, now, wall);
+	}
+	gate_table_destroy(&table);
+	return bad;
+}
+
+int main(int argc, const char **argv)
+{
+	if (argc == 2)
+		return random_run(strtoull(argv[1], NULL, 10));
+	return script_run();
+}
