--- a/t/test-lib.sh
+++ b/t/test-lib.sh
@@ -4,6 +4,7 @@
 # network of its own, $TEST_NET (the first three bytes of an address).
 
 TEST_DIR=$(cd "$(dirname "$0")" && pwd)
+TEST_DIR=${TEST_DIR%/perf}
 TOP=$(cd "$TEST_DIR/.." && pwd)
 FLAVOR=${FLAVOR:-release}
 BIN=$TOP/build/$FLAVOR
