--- a/calls/gate-once.c
+++ b/calls/gate-once.c
@@ -106,7 +106,14 @@
 	struct once_run *run = f->arg;
 	struct refusal r;
 
-	if (!f->error.code && f->status) {
+	if (!f->error.code && f->status >= 500) {
+		run_settle(run, GATE_LOST, NULL);
+		refusal_set(&r, 502, OUTCOME_UNKNOWN, AGAIN_NO,
+			    "upstream-error", "gate-answer",
+			    "the upstream answered with status %d", f->status);
+		r.scope = SCOPE_KEY;
+		run_refuse_all(run, &r);
+	} else if (!f->error.code && f->status) {
 		run_answered(run);
 	} else if (f->never_sent) {
 		run_settle(run, GATE_MARKED, NULL);
--- a/calls/gate-stream.c
+++ b/calls/gate-stream.c
@@ -79,6 +79,10 @@
 	} else if (run->model && f->status >= 400 && f->status < 500) {
 		refusal_set(r, 400, OUTCOME_NOT_RUN, AGAIN_NO, "bad-request",
 			    "gate-answer", "the engine refused the request");
+	} else if (f->status >= 500) {
+		refusal_set(r, 502, OUTCOME_UNKNOWN, AGAIN_SAME,
+			    "upstream-error", "gate-answer",
+			    "the upstream answered with status %d", f->status);
 	} else {
 		refusal_set(r, 502, OUTCOME_UNKNOWN, AGAIN_SAME,
 			    "upstream-lost", "gate-exchange", "%s",
@@ -197,7 +201,7 @@
 	if (*run->id_echoed && strcmp(run->id_echoed, run->hop.request) != 0)
 		run->fault = SSE_CROSSED;
 	if (!run->model)
-		return run->fault ? -1 : 0;
+		return run->fault || status >= 500 ? -1 : 0;
 	if (status != 200)
 		return -1;
 	if (!*run->id_echoed || strcmp(run->version, run->hop.version) != 0)
--- a/calls/relay.c
+++ b/calls/relay.c
@@ -399,6 +399,7 @@
 	if (end == RELAY_SILENT)
 		return r->fetch.reused ? BREAKER_SILENT : BREAKER_SILENT_FRESH;
 	if (!strcmp(why->reason, "upstream-lost") ||
+	    !strcmp(why->reason, "upstream-error") ||
 	    !strcmp(why->reason, "upstream-unreachable") ||
 	    !strcmp(why->reason, "agent-lost") ||
 	    !strcmp(why->reason, "agent-unreachable"))
--- a/t/helper/caller.c
+++ b/t/helper/caller.c
@@ -101,6 +101,10 @@
 		call->is_double = true;
 	}
 	load.started++;
+	if (second && plan.wants_ticket && !load.set.direct) {
+		call->second = second;
+		second = NULL;
+	}
 	attempt_start(call);
 	if (second)
 		attempt_start(second);
--- a/t/helper/lib-attempt.c
+++ b/t/helper/lib-attempt.c
@@ -127,6 +127,20 @@
 	return ticket ? 0 : -1;
 }
 
+/* A call that is sent twice has one ticket: the second goes on with it. */
+static void second_release(struct load_call *call, int has_ticket)
+{
+	struct load_call *second = call->second;
+
+	call->second = NULL;
+	if (!second)
+		return;
+	second->plan.wants_ticket = !has_ticket;
+	memcpy(second->plan.ticket, call->plan.ticket,
+	       sizeof(second->plan.ticket));
+	attempt_start(second);
+}
+
 /* Ends an attempt; a call that has got its ticket goes on with itself. */
 static void on_done(struct fetch *f)
 {
@@ -137,7 +151,8 @@
 	call->end_us = clock_now();
 	if (call->in_ticket) {
 		call->in_ticket = false;
-		if (clean && !ticket_take(call)) {
+		second_release(call, clean && !ticket_take(call));
+		if (*call->plan.ticket) {
 			call->plan.wants_ticket = false;
 			attempt_start(call);
 			return;
--- a/t/helper/lib-attempt.h
+++ b/t/helper/lib-attempt.h
@@ -18,7 +18,8 @@
 #define ATTEMPT_HEADERS 12
 
 struct load_call {
-	struct load_call *next; /* while it waits for its next attempt */
+	struct load_call *second; /* waits for this one's ticket */
+	struct load_call *next;	  /* while it waits for its next attempt */
 	struct fetch fetch;
 	struct fetcher *fetcher;
 	struct plan plan;
