--- a/t/helper/caller.c
+++ b/t/helper/caller.c
@@ -102,7 +102,7 @@
 	}
 	load.started++;
 	if (second && plan.wants_ticket && !load.set.direct) {
-		call->second = second;
+		call->twin = second; /* starts when the ticket is there */
 		second = NULL;
 	}
 	attempt_start(call);
--- a/t/helper/lib-attempt.c
+++ b/t/helper/lib-attempt.c
@@ -127,40 +127,55 @@
 	return ticket ? 0 : -1;
 }
 
-/* A call that is sent twice has one ticket: the second goes on with it. */
-static void second_release(struct load_call *call, int has_ticket)
+/* Starts the copy of a call with the ticket that both carry. */
+static void twin_start(struct load_call *call)
 {
-	struct load_call *second = call->second;
+	struct load_call *twin = call->twin;
 
-	call->second = NULL;
-	if (!second)
+	call->twin = NULL;
+	if (!twin)
 		return;
-	second->plan.wants_ticket = !has_ticket;
-	memcpy(second->plan.ticket, call->plan.ticket,
-	       sizeof(second->plan.ticket));
-	attempt_start(second);
+	snprintf(twin->plan.ticket, sizeof(twin->plan.ticket), "%s",
+		 call->plan.ticket);
+	twin->plan.wants_ticket = false;
+	attempt_start(twin);
+}
+
+/* Ends a call that was never sent, as it got no ticket. */
+static void ticket_missing(struct load_call *call, int status)
+{
+	call->answer.outcome = OUTCOME_ERROR;
+	snprintf(call->answer.problem, sizeof(call->answer.problem),
+		 "no ticket, status %d", status);
 }
 
 /* Ends an attempt; a call that has got its ticket goes on with itself. */
 static void on_done(struct fetch *f)
 {
 	struct load_call *call = f->arg;
+	struct load_call *twin;
 	bool clean = f->error.code == ERROR_NONE;
 
 	call->answer.status = f->status;
 	call->end_us = clock_now();
 	if (call->in_ticket) {
 		call->in_ticket = false;
-		second_release(call, clean && !ticket_take(call));
-		if (*call->plan.ticket) {
+		if (clean && !ticket_take(call)) {
 			call->plan.wants_ticket = false;
+			twin_start(call);
 			attempt_start(call);
 			return;
 		}
-		/* Without a ticket the call itself was never sent. */
-		call->answer.outcome = OUTCOME_ERROR;
-		snprintf(call->answer.problem, sizeof(call->answer.problem),
-			 "no ticket, status %d", f->status);
+		ticket_missing(call, f->status);
+		if (call->twin) {
+			twin = call->twin;
+			call->twin = NULL;
+			twin->begin_us = call->begin_us;
+			twin->begin_unix_us = call->begin_unix_us;
+			twin->end_us = call->end_us;
+			ticket_missing(twin, f->status);
+			twin->over(twin);
+		}
 	} else {
 		answer_finish(&call->answer, &call->want, clean,
 			      !f->never_sent);
