--- a/calls/limit-core.c
+++ b/calls/limit-core.c
@@ -1,5 +1,6 @@
 #include "calls/limit-core.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,6 +8,7 @@
 #include "base/metric.h"
 
 #define HOLD_SMOOTHING 16 /* calls that the mean run time looks back on */
+#define HOLD_DEVIATIONS 2 /* above the mean: nearly all calls are done */
 
 void limit_core_init(struct limit_core *c, const char *id, uint64_t boot)
 {
@@ -168,20 +170,11 @@
 	}
 }
 
-struct eligible_arg {
-	struct limit_core *core;
-};
-
 static int account_room(const struct limit_account *a)
 {
 	return a->slots < 0 || a->running < a->slots;
 }
 
-static int pool_room(const struct limit_pool *p)
-{
-	return p->window < 0 || p->running < p->window;
-}
-
 /* The row in a slot, whatever its generation: flows go by slots. */
 static struct limit_account *account_of_flow(struct limit_core *c, int flow)
 {
@@ -189,9 +182,22 @@
 					(size_t)flow * c->accounts.row_size);
 }
 
+struct pump {
+	struct limit_core *core;
+	struct limit_pool *pool;
+	int reserved; /* only flows below their part of the pool */
+};
+
 static int flow_eligible(void *arg, int flow)
 {
-	return account_room(account_of_flow(arg, flow));
+	struct pump *m = arg;
+	struct limit_account *row = account_of_flow(m->core, flow);
+
+	if (!account_room(row))
+		return 0;
+	return !m->reserved ||
+	       row->demand[LIMIT_CONCURRENT].value <=
+		       queue_lanes(&m->pool->queue, flow, m->pool->window);
 }
 
 static void grant(struct limit_core *c, struct limit_pool *p,
@@ -209,20 +215,25 @@
 	decide(out, a, ADMIT_GRANTED, 0, "within limits");
 }
 
-/* Takes a call that waits out and refuses it; its budget is given back. */
-static void drop(struct limit_core *c, struct limit_pool *p,
-		 struct admission *a, apr_interval_time_t wait,
-		 const char *reason, struct limit_decisions *out)
+/* Gives a call's budget back that did not run after all. */
+static void refund(struct limit_core *c, struct admission *a)
 {
 	struct limit_account *row = table_get(&c->accounts, a->account_row);
 
-	queue_remove(&p->queue, a);
 	row->waiting--;
 	bucket_take(&row->request_bucket, -1);
 	bucket_take(&row->token_bucket, -a->tokens);
 	metric_add(row->refused_calls, 1);
-	if (out)
-		decide(out, a, ADMIT_OVERLOAD, wait, reason);
+}
+
+/* Takes a call that waits out and refuses it. */
+static void drop(struct limit_core *c, struct limit_pool *p,
+		 struct admission *a, apr_interval_time_t wait,
+		 const char *reason, struct limit_decisions *out)
+{
+	queue_remove(&p->queue, a);
+	refund(c, a);
+	decide(out, a, ADMIT_OVERLOAD, wait, reason);
 }
 
 /* Returns how long the call behind ahead others of its account will wait. */
@@ -245,14 +256,20 @@
 	return (apr_interval_time_t)((ahead + 1) * p->hold_us / lanes);
 }
 
+/* Returns how long a call runs at most, but for a few. */
+static apr_interval_time_t hold_bound(const struct limit_pool *p)
+{
+	return (apr_interval_time_t)(p->hold_us +
+				     HOLD_DEVIATIONS * p->hold_off_us);
+}
+
 /* Returns 1 if a call that has to wait so long should be refused now. */
 static int too_late(const struct admission *a, const struct limit_pool *p,
 		    apr_interval_time_t wait, apr_time_t now)
 {
 	if (now - a->asked + wait > LIMIT_WAIT_MAX_US)
 		return 1;
-	return a->deadline &&
-	       now + wait + (apr_interval_time_t)p->hold_us > a->deadline;
+	return a->deadline && now + wait + hold_bound(p) > a->deadline;
 }
 
 /*
@@ -268,16 +285,42 @@
 				     APR_USEC_PER_SEC);
 }
 
+/* Refuses a call whose turn came too late for its deadline. */
+static void refuse_picked(struct limit_core *c, struct limit_pool *p,
+			  struct admission *a, apr_time_t now,
+			  struct limit_decisions *out)
+{
+	queue_ended(&p->queue, a);
+	refund(c, a);
+	decide(out, a, ADMIT_OVERLOAD, pool_retry(p, now),
+	       "would be served too late");
+}
+
+/* Lanes above the window, for accounts below their part: no wait there. */
+static int pool_reserve(const struct limit_pool *p)
+{
+	int reserve = (int)(p->window * LIMIT_RESERVE);
+
+	return reserve > LIMIT_RESERVE_MIN ? reserve : LIMIT_RESERVE_MIN;
+}
+
 static void pool_pump(struct limit_core *c, struct limit_pool *p,
 		      apr_time_t now, struct limit_decisions *out)
 {
+	struct pump m = { c, p, 0 };
 	struct admission *a;
 
-	while (p->queue.count && pool_room(p)) {
-		a = queue_pick(&p->queue, flow_eligible, c);
+	while (p->queue.count) {
+		m.reserved = p->window >= 0 && p->running >= p->window;
+		if (m.reserved && p->running >= p->window + pool_reserve(p))
+			return;
+		a = queue_pick(&p->queue, flow_eligible, &m);
 		if (!a)
 			return;
-		grant(c, p, a, now, out);
+		if (too_late(a, p, 0, now))
+			refuse_picked(c, p, a, now, out);
+		else
+			grant(c, p, a, now, out);
 	}
 }
 
@@ -424,6 +467,11 @@
 	enqueue(c, row, a, now, out);
 }
 
+static void hold_note(double *mean, double held)
+{
+	*mean += *mean > 0 ? (held - *mean) / HOLD_SMOOTHING : held;
+}
+
 /* A granted call ended. */
 void limit_core_end(struct limit_core *c, struct admission *a, int tokens_used,
 		    apr_time_t now, struct limit_decisions *out)
@@ -437,9 +485,11 @@
 	a->state = ADMIT_ENDED;
 	row->running--;
 	p->running--;
+	queue_ended(&p->queue, a);
 	bucket_take(&row->token_bucket, tokens_used - a->tokens);
-	p->hold_us +=
-		p->hold_us > 0 ? (held - p->hold_us) / HOLD_SMOOTHING : held;
+	hold_note(&p->hold_off_us, fabs(held - p->hold_us));
+	hold_note(&p->hold_us, held);
+	hold_note(&row->hold_us, held);
 	demand_add(&p->ended, 1, now);
 	pumps(c, now, out);
 }
@@ -450,7 +500,8 @@
 {
 	if (a->state != ADMIT_WAITING)
 		return 0;
-	drop(c, &c->pools[a->pool], a, 0, "withdrawn", NULL);
+	queue_remove(&c->pools[a->pool].queue, a);
+	refund(c, a);
 	a->state = ADMIT_ENDED;
 	pumps(c, now, out);
 	return 1;
--- a/calls/limit-core.h
+++ b/calls/limit-core.h
@@ -36,9 +36,11 @@
 #define LIMIT_GAIN_FIRST 1.1
 #define LIMIT_GAIN_MIN 0.5
 #define LIMIT_GAIN_MAX 2.0
-#define LIMIT_GAIN_STEP 0.01   /* each tick */
-#define LIMIT_WAITING_HIGH 0.2 /* waiting in upstreams, of their slots */
-#define LIMIT_WAITING_LOW 0.05
+#define LIMIT_GAIN_STEP 0.01	/* each tick */
+#define LIMIT_WAITING_HIGH 0.05 /* waiting in upstreams, of their slots */
+#define LIMIT_WAITING_LOW 0.02
+#define LIMIT_RESERVE 0.125 /* of the window, for accounts below their part */
+#define LIMIT_RESERVE_MIN 2
 
 struct limit_account {
 	char name[DOCUMENT_NAME_SIZE];
@@ -53,6 +55,7 @@
 	int slots;   /* that may run here, below 0 for any number */
 	int running; /* here */
 	int waiting;
+	double hold_us; /* mean time that a call runs */
 	struct demand_mean demand[LIMIT_VALUES];
 	double budget[LIMIT_VALUES]; /* of the account, to divide */
 	struct metric *granted_calls;
@@ -71,7 +74,8 @@
 	int window; /* calls that may run from here, below 0 for any number */
 	int running;
 	struct demand_mean demand;
-	double hold_us; /* mean time that a call runs */
+	double hold_us;	    /* mean time that a call runs */
+	double hold_off_us; /* mean distance from it */
 	struct demand_window asked;
 	struct demand_window ended;
 	struct fair_queue queue;
--- a/calls/limit-demand.c
+++ b/calls/limit-demand.c
@@ -7,10 +7,25 @@
  * The demand at this entry: measured, smoothed, and claimed from the others.
  */
 
+/*
+ * Calls that would run if all that ask were let in.  Not the calls that
+ * wait: an entry with a large slice has a long queue, and would gain more.
+ */
+static double offered_calls(double asked, double hold_us, int running,
+			    int waiting)
+{
+	double offered = asked * hold_us / APR_USEC_PER_SEC;
+
+	if (hold_us <= 0)
+		return running + waiting;
+	return offered > running ? offered : running;
+}
+
 static void account_demand(struct limit_account *a, int entries, apr_time_t now)
 {
 	double requests = demand_rate(&a->requests, now);
-	double here = a->running + a->waiting;
+	double here =
+		offered_calls(requests, a->hold_us, a->running, a->waiting);
 	struct demand_mean *m = a->demand;
 	int i, jump;
 
@@ -24,9 +39,11 @@
 
 static void pool_demand(struct limit_pool *p, int entries, apr_time_t now)
 {
-	double here = p->running + p->queue.count;
+	double asked = demand_rate(&p->asked, now);
+	double here =
+		offered_calls(asked, p->hold_us, p->running, p->queue.count);
 
-	demand_smooth(&p->demand, here, demand_rate(&p->asked, now), 0);
+	demand_smooth(&p->demand, here, asked, 0);
 	demand_claim(&p->demand, p->slots ? p->slots * p->gain : -1, entries);
 }
 
--- a/calls/queue.c
+++ b/calls/queue.c
@@ -46,6 +46,14 @@
 	return a->tokens > 1 ? a->tokens : 1;
 }
 
+/* Takes a flow's weight out of the sum or into it, if it has calls. */
+static void flow_weigh(struct fair_queue *q, const struct queue_flow *f,
+		       int sign)
+{
+	if (f->running)
+		q->weight_active += sign * f->weight;
+}
+
 /* Adds a call behind those of its account and priority. */
 void queue_push(struct fair_queue *q, struct admission *a, double weight)
 {
@@ -58,8 +66,12 @@
 		/* An account that was idle does not save up its turns. */
 		if (f->start < q->virtual_now)
 			f->start = q->virtual_now;
+		flow_weigh(q, f, -1);
 		f->weight = weight;
+		flow_weigh(q, f, 1);
 		q->weight_waiting += weight;
+		if (!f->running)
+			q->weight_active += weight;
 	}
 	a->next = NULL;
 	a->prev = f->last[priority];
@@ -90,12 +102,32 @@
 	a->prev = a->next = NULL;
 	q->count--;
 	f->waiting[priority]--;
-	if (!--f->count)
+	if (!--f->count) {
 		q->weight_waiting -= f->weight;
+		if (!f->running)
+			q->weight_active -= f->weight;
+	}
 	if (!q->count)
 		q->weight_waiting = 0; /* no rounding is left over */
 }
 
+/* Notes that a call which queue_pick took out has ended. */
+void queue_ended(struct fair_queue *q, const struct admission *a)
+{
+	struct queue_flow *f = flow_get(q, flow_of(a));
+
+	if (!--f->running && !f->count)
+		q->weight_active -= f->weight;
+}
+
+/* Returns a flow's part of so many lanes, shared by those that wait or run. */
+double queue_lanes(const struct fair_queue *q, int flow, int lanes)
+{
+	return q->weight_active > 0
+		       ? lanes * q->flows[flow].weight / q->weight_active
+		       : lanes;
+}
+
 /* Returns the next call of a flow, or NULL. */
 struct admission *queue_flow_first(const struct fair_queue *q, int flow)
 {
@@ -149,6 +181,7 @@
 	if (best->start > q->virtual_now)
 		q->virtual_now = best->start;
 	best->start += cost_of(a) / best->weight;
+	best->running++; /* before the removal: the flow stays active */
 	queue_remove(q, a);
 	return a;
 }
--- a/calls/queue.h
+++ b/calls/queue.h
@@ -16,6 +16,7 @@
 	double weight;
 	double start; /* virtual start of its next call */
 	int count;
+	int running; /* taken out and not ended yet */
 	int waiting[QUEUE_PRIORITIES];
 	struct admission *first[QUEUE_PRIORITIES];
 	struct admission *last[QUEUE_PRIORITIES];
@@ -27,10 +28,12 @@
 	double virtual_now; /* start of the call served last */
 	int count;
 	double weight_waiting; /* sum over flows with calls */
+	double weight_active;  /* the same with calls that run */
 };
 
 void queue_destroy(struct fair_queue *q);
 void queue_push(struct fair_queue *q, struct admission *a, double weight);
+void queue_ended(struct fair_queue *q, const struct admission *a);
 void queue_remove(struct fair_queue *q, struct admission *a);
 struct admission *queue_pick(struct fair_queue *q,
 			     int (*eligible)(void *arg, int flow), void *arg);
@@ -38,6 +41,7 @@
 struct admission *queue_flow_next(const struct fair_queue *q,
 				  const struct admission *a);
 int queue_ahead(const struct fair_queue *q, int flow, int priority);
+double queue_lanes(const struct fair_queue *q, int flow, int lanes);
 double queue_part(const struct fair_queue *q, int flow, double weight);
 
 #endif
--- a/t/helper/lib-limit-sim.c
+++ b/t/helper/lib-limit-sim.c
@@ -252,7 +252,7 @@
 	struct sim_call *call;
 	int entry;
 
-	if (!o->on)
+	if (!o->on || o->rate <= 0)
 		return;
 	arrival_next(s, offer);
 	s->accounts[o->account].offered++;
@@ -272,8 +272,9 @@
 
 void sim_offer_start(struct sim *s, int offer)
 {
-	s->offers[offer].on = 1;
-	arrival_next(s, offer);
+	s->offers[offer].on = s->offers[offer].rate > 0;
+	if (s->offers[offer].on)
+		arrival_next(s, offer);
 }
 
 static void message_bytes(struct sim *s, int a, int b,
