--- a/calls/limit-core.c
+++ b/calls/limit-core.c
@@ -8,6 +8,8 @@
 #include "base/metric.h"
 
 #define HOLD_SMOOTHING 16 /* calls that the mean run time looks back on */
+#define WAIT_MARGIN 2.0	  /* of an estimated wait, either way */
+#define HOLD_FADE 0.9	  /* each tick in which none ended */
 #define HOLD_DEVIATIONS 2 /* above the mean: nearly all calls are done */
 
 void limit_core_init(struct limit_core *c, const char *id, uint64_t boot)
@@ -263,10 +265,23 @@
 				     HOLD_DEVIATIONS * p->hold_off_us);
 }
 
-/* Returns 1 if a call that has to wait so long should be refused now. */
-static int too_late(const struct admission *a, const struct limit_pool *p,
-		    apr_interval_time_t wait, apr_time_t now)
+/*
+ * Returns 1 if a call should be refused on arrival, for it would probably
+ * wait too long.  Strict, so that few are refused after they waited.
+ */
+static int wait_hopeless(const struct admission *a, const struct limit_pool *p,
+			 apr_interval_time_t wait, apr_time_t now)
+{
+	wait = (apr_interval_time_t)(wait * WAIT_MARGIN);
+	return wait > LIMIT_WAIT_MAX_US ||
+	       (a->deadline && now + wait + hold_bound(p) > a->deadline);
+}
+
+/* Returns 1 if a call that waited will not be done in time, even if lucky. */
+static int wait_lost(const struct admission *a, const struct limit_pool *p,
+		     apr_interval_time_t wait, apr_time_t now)
 {
+	wait = (apr_interval_time_t)(wait / WAIT_MARGIN);
 	if (now - a->asked + wait > LIMIT_WAIT_MAX_US)
 		return 1;
 	return a->deadline && now + wait + hold_bound(p) > a->deadline;
@@ -317,7 +332,7 @@
 		a = queue_pick(&p->queue, flow_eligible, &m);
 		if (!a)
 			return;
-		if (too_late(a, p, 0, now))
+		if (now > a->asked && wait_lost(a, p, 0, now))
 			refuse_picked(c, p, a, now, out);
 		else
 			grant(c, p, a, now, out);
@@ -347,7 +362,7 @@
 	for (a = queue_flow_first(&p->queue, flow); a; a = next) {
 		next = queue_flow_next(&p->queue, a);
 		wait = wait_estimate(p, account_of_flow(c, flow), flow, ahead);
-		if (too_late(a, p, wait, now))
+		if (wait_lost(a, p, wait, now))
 			drop(c, p, a, pool_retry(p, now),
 			     "would be served too late", out);
 		else
@@ -355,15 +370,29 @@
 	}
 }
 
+/*
+ * Forgets how long calls took while none ends: an estimate from an
+ * overload must not refuse all that would correct it.
+ */
+static void hold_fade(struct limit_pool *p, apr_time_t now)
+{
+	if (demand_rate(&p->ended, now) > 0)
+		return;
+	p->hold_us *= HOLD_FADE;
+	p->hold_off_us *= HOLD_FADE;
+}
+
 static void pools_shed(struct limit_core *c, apr_time_t now,
 		       struct limit_decisions *out)
 {
 	struct limit_pool *p;
 	int flow;
 
-	for (p = c->pools; p < c->pools + c->pool_count; p++)
+	for (p = c->pools; p < c->pools + c->pool_count; p++) {
+		hold_fade(p, now);
 		for (flow = 0; flow < p->queue.flow_count; flow++)
 			flow_shed(c, p, flow, now, out);
+	}
 }
 
 /* Divides the budgets anew and refuses what has become late. */
@@ -434,7 +463,7 @@
 	wait = wait_estimate(p, row, flow, ahead);
 	if (p->queue.count > LIMIT_QUEUE_MAX)
 		drop(c, p, a, pool_retry(p, now), "too many calls wait", out);
-	else if (too_late(a, p, wait, now))
+	else if (wait_hopeless(a, p, wait, now))
 		drop(c, p, a, pool_retry(p, now), "would be served too late",
 		     out);
 }
--- a/calls/limit-core.h
+++ b/calls/limit-core.h
@@ -29,6 +29,7 @@
 #define LIMIT_REFINE_MIN 2
 #define LIMIT_REFINE_MAX 8
 #define LIMIT_REFINE_GAP 0.02
+#define LIMIT_ALONE_US (6 * APR_USEC_PER_SEC) /* cut off, not just new */
 #define LIMIT_RETRY_MIN_MS 100
 #define LIMIT_RETRY_MAX_MS 10000
 
@@ -102,6 +103,7 @@
 	uint32_t codes[LIMIT_KEYS_MAX];		    /* own demand */
 	apr_time_t ticked;
 	apr_time_t published;
+	apr_time_t alone_since;
 };
 
 /* Decided admissions, linked by next. */
--- a/calls/limit-slices.c
+++ b/calls/limit-slices.c
@@ -126,6 +126,17 @@
 		a->slots = 1;
 }
 
+/*
+ * Upstreams in reach serve those that reach them: an entry cut off for long
+ * has them to itself, but one that just came is not the only one.
+ */
+static int pool_entries(const struct limit_core *c, apr_time_t now)
+{
+	if (c->view.alone && now - c->alone_since < LIMIT_ALONE_US)
+		return c->view.known;
+	return c->view.present;
+}
+
 static void pool_window_set(const struct limit_core *c, struct limit_pool *p,
 			    apr_time_t now)
 {
@@ -134,7 +145,7 @@
 		return;
 	}
 	p->window = limit_peers_slots(&c->peers, p->key, p->slots * p->gain,
-				      c->view.present, now);
+				      pool_entries(c, now), now);
 	if (p->window < 1)
 		p->window = 1;
 }
@@ -150,6 +161,10 @@
 	if (!s)
 		abort();
 	limit_peers_view(&c->peers, now, &c->view);
+	if (!c->view.alone)
+		c->alone_since = 0;
+	else if (!c->alone_since)
+		c->alone_since = now;
 	while ((a = table_next(&c->accounts, &h))) {
 		s[count].account = a;
 		demand_read(c, &s[count++], now);
--- a/t/helper/lib-limit-sim.c
+++ b/t/helper/lib-limit-sim.c
@@ -175,6 +175,8 @@
 		s->waiting_tail = &call->next;
 		return;
 	}
+	if (s->now - call->arrived > SIM_REFUSE_LATE_US)
+		account->refused_late++;
 	if (outcome == ADMIT_LIMIT)
 		account->limited++;
 	else
--- a/t/helper/lib-limit-sim.h
+++ b/t/helper/lib-limit-sim.h
@@ -14,6 +14,7 @@
 #define SIM_ENTRIES_MAX 64
 #define SIM_ACCOUNTS_MAX 128
 #define SIM_OFFERS_MAX 512
+#define SIM_REFUSE_LATE_US (50 * 1000)
 #define SIM_LATENCY_MAX 20000 /* milliseconds that are told apart */
 
 struct sim_account {
@@ -24,7 +25,8 @@
 	int limited;
 	int overloaded;
 	int finished;
-	int naive; /* what the naive global limiter admitted */
+	int refused_late; /* more than 50 ms after they came */
+	int naive;	  /* what the naive global limiter admitted */
 	int latency[SIM_LATENCY_MAX];
 	/* of the naive limiter */
 	double level;
--- a/t/helper/test-limits.c
+++ b/t/helper/test-limits.c
@@ -160,7 +160,7 @@
 static void account_clear(struct sim_account *a)
 {
 	a->offered = a->admitted = a->limited = a->overloaded = 0;
-	a->finished = a->naive = 0;
+	a->finished = a->naive = a->refused_late = 0;
 	memset(a->latency, 0, sizeof(a->latency));
 }
 
@@ -185,11 +185,12 @@
 	for (i = 0; i < s->document.account_count; i++) {
 		a = &s->accounts[i];
 		printf("%.1f %s offered %.1f admitted %.1f due %.1f "
-		       "limited %.1f overloaded %.1f finished %.1f p99 %d\n",
+		       "limited %.1f overloaded %.1f finished %.1f p99 %d late %d\n",
 		       (double)s->now / APR_USEC_PER_SEC - 1000, a->name,
 		       a->offered / span, a->admitted / span, a->naive / span,
 		       a->limited / span, a->overloaded / span,
-		       a->finished / span, latency_of(a, 0.99));
+		       a->finished / span, latency_of(a, 0.99),
+		       a->refused_late);
 	}
 	do_clear(s, arg);
 }
