--- /dev/null
+++ b/calls/crash-table.h
@@ -0,0 +1,46 @@
+#ifndef CALLS_CRASH_TABLE_H
+#define CALLS_CRASH_TABLE_H
+
+#include "calls/crash.h"
+#include "calls/crash_proto.h"
+
+/* The decisions of crash.h, and what is told to others.  Pure. */
+
+#define CRASH_SUSPECTS_MAX 1024
+#define CRASH_KEEP_US (600 * APR_USEC_PER_SEC) /* suspicion, since a death */
+/* Time for the others to learn of a death before a suspect runs again. */
+#define CRASH_SPREAD_US (250 * 1000)
+/* For so long after a death suspects run one at a time at an upstream. */
+#define CRASH_ALONE_US (30 * APR_USEC_PER_SEC)
+/* Refused when it alone was suspect at both deaths, renewed by repeats. */
+#define CRASH_REFUSE_US (600 * APR_USEC_PER_SEC)
+/* Refused when others may have been the cause as well. */
+#define CRASH_REFUSE_UNSURE_US (60 * APR_USEC_PER_SEC)
+
+struct crash_row {
+	struct digest fp;
+	struct crash_death deaths[CRASH_DEATHS_MAX];
+	apr_time_t died[CRASH_DEATHS_MAX];
+	int death_count;
+	int certain;
+	apr_time_t refused_until; /* 0: not refused */
+	int judged;		  /* no death since the last judgement */
+	int inside;		  /* runs at this gate */
+	int told;		  /* the others know of the row as it is */
+	int cleared;		  /* to be told, then removed */
+};
+
+struct crash_list {
+	struct table rows; /* struct crash_row, rank RANK_CRASH */
+	struct node *node;
+	apr_time_t compared; /* last comparison with another process */
+};
+
+void crash_init(struct crash_list *c);
+void crash_destroy(struct crash_list *c);
+int crash_news(struct crash_list *c, struct crash_message *m, int all,
+	       apr_time_t now);
+int crash_merge(struct crash_list *c, const struct crash_message *m,
+		apr_time_t now);
+
+#endif
--- a/calls/crash.c
+++ b/calls/crash.c
@@ -1,37 +1,20 @@
-#include "calls/crash.h"
-
 #include <stdlib.h>
 #include <string.h>
 
-#define CRASH_SUSPECTS_MAX 512
-#define CRASH_KEEP_US (600 * APR_USEC_PER_SEC)
-#define CRASH_REFUSE_US (60 * APR_USEC_PER_SEC)
-
-struct crash_row {
-	struct digest fp;
-	char upstream[2][64]; /* where it was in flight at a death */
-	uint64_t boot[2];
-	int deaths;
-	apr_time_t last; /* death */
-	int inside;	 /* in flight at this gate */
-};
+#include "calls/crash-table.h"
 
-struct crash_list {
-	struct table rows; /* rank RANK_CRASH */
-};
+#define US_PER_MS 1000
 
-/* Makes the list of this process. */
-int crash_start(struct node *n, struct crash_list **out, struct error *err)
+void crash_init(struct crash_list *c)
 {
-	struct crash_list *c = calloc(1, sizeof(*c));
-
-	if (!c)
-		return error_set(err, ERROR_INTERNAL, "crash-start", NULL,
-				 "no memory");
+	memset(c, 0, sizeof(*c));
 	table_init(&c->rows, "crash suspects", RANK_CRASH,
 		   sizeof(struct crash_row), CRASH_SUSPECTS_MAX);
-	*out = c;
-	return 0;
+}
+
+void crash_destroy(struct crash_list *c)
+{
+	table_destroy(&c->rows);
 }
 
 /* The fingerprint of a request: the same bytes by the same account. */
@@ -47,18 +30,20 @@
 }
 
 /*
- * Chooses the two upstreams at which a fingerprint may run, as indexes into
- * upstreams; -1 where there are too few.  All entries must pass the names
- * of all upstreams that serve the model in the data center, the dead ones
- * of the last seconds included, so that a death does not widen the choice.
+ * Chooses the two upstreams at which a request may run, as indexes into
+ * upstreams; -1 where there are too few.  key is the fingerprint, or the
+ * digest of anything else that every entry finds in the request (its
+ * session).  All entries must pass the names of all upstreams that serve it
+ * in the data center, those that died in the last seconds included, so that
+ * a death does not widen the choice.
  */
-void crash_pair(const struct digest *fp, const char *const *upstreams,
+void crash_pair(const struct digest *key, const char *const *upstreams,
 		int count, int pair[2])
 {
 	uint64_t seed, hash, best[2] = { 0, 0 };
 	int i;
 
-	memcpy(&seed, fp->bytes, sizeof(seed));
+	memcpy(&seed, key->bytes, sizeof(seed));
 	pair[0] = pair[1] = -1;
 	for (i = 0; i < count; i++) {
 		hash = place_hash_string(upstreams[i], seed);
@@ -74,44 +59,141 @@
 	}
 }
 
-static struct crash_row *row_find(struct crash_list *c, const struct digest *fp)
+static struct crash_row *row_find(struct crash_list *c, const struct digest *fp,
+				  struct handle *h)
 {
-	struct handle h = HANDLE_NONE;
 	struct crash_row *r;
 
-	while ((r = table_next(&c->rows, &h)))
+	*h = HANDLE_NONE;
+	while ((r = table_next(&c->rows, h)))
 		if (digest_equal(&r->fp, fp))
 			return r;
 	return NULL;
 }
 
-static int row_refused(const struct crash_row *r, apr_time_t now,
-		       int *retry_after_s)
+static apr_time_t row_last(const struct crash_row *r)
+{
+	apr_time_t last = 0;
+	int i;
+
+	for (i = 0; i < r->death_count; i++)
+		if (r->died[i] > last)
+			last = r->died[i];
+	return last;
+}
+
+static int row_past(const struct crash_row *r, apr_time_t now)
+{
+	return now - row_last(r) > CRASH_KEEP_US && now > r->refused_until;
+}
+
+/* Removes rows that are past; if none is, the one with the oldest death. */
+static void rows_make_room(struct crash_list *c, apr_time_t now)
+{
+	struct handle h = HANDLE_NONE, oldest = HANDLE_NONE;
+	struct crash_row *r, *o;
+
+	while ((r = table_next(&c->rows, &h))) {
+		if (r->inside)
+			continue;
+		if (row_past(r, now)) {
+			table_remove(&c->rows, h);
+			continue;
+		}
+		o = table_get(&c->rows, oldest);
+		if (!o || row_last(r) < row_last(o))
+			oldest = h;
+	}
+	if (c->rows.count >= CRASH_SUSPECTS_MAX)
+		table_remove(&c->rows, oldest);
+}
+
+static struct crash_row *row_add(struct crash_list *c, const struct digest *fp,
+				 apr_time_t now)
+{
+	struct crash_row row;
+
+	if (c->rows.count >= CRASH_SUSPECTS_MAX)
+		rows_make_room(c, now);
+	memset(&row, 0, sizeof(row));
+	row.fp = *fp;
+	row.judged = 1;
+	return table_get(&c->rows, table_add(&c->rows, &row));
+}
+
+static void refuse(struct crash_row *r, apr_interval_time_t length,
+		   apr_time_t now)
+{
+	if (now + length > r->refused_until)
+		r->refused_until = now + length;
+}
+
+/* Adds a death unless it is known.  Returns 1 if it is new. */
+static int death_add(struct crash_row *r, uint64_t upstream, uint64_t boot,
+		     apr_time_t at)
+{
+	int i;
+
+	for (i = 0; i < r->death_count; i++)
+		if (r->deaths[i].upstream == upstream &&
+		    r->deaths[i].boot == boot)
+			return 0;
+	i = r->death_count < CRASH_DEATHS_MAX ? r->death_count++
+					      : CRASH_DEATHS_MAX - 1;
+	r->deaths[i].upstream = upstream;
+	r->deaths[i].boot = boot;
+	r->died[i] = at;
+	r->told = 0;
+	return 1;
+}
+
+static int fault_seen_at(const struct crash_row *r, uint64_t upstream)
 {
-	apr_time_t left = r->last + CRASH_REFUSE_US - now;
+	int i;
+
+	for (i = 0; i < r->death_count; i++)
+		if (r->deaths[i].upstream == upstream)
+			return 1;
+	return 0;
+}
 
-	if (r->deaths < 2 || left <= 0)
+/* Returns 1 if the request is refused now; a repeat renews it if certain. */
+static int row_refused(struct crash_row *r, apr_time_t now, int *retry_after_s)
+{
+	if (now >= r->refused_until)
 		return 0;
+	if (r->certain)
+		refuse(r, CRASH_REFUSE_US, now);
 	if (retry_after_s)
-		*retry_after_s = (int)(left / APR_USEC_PER_SEC) + 1;
+		*retry_after_s =
+			(int)((r->refused_until - now) / APR_USEC_PER_SEC) + 1;
 	return 1;
 }
 
+static int row_suspect(const struct crash_row *r, apr_time_t now)
+{
+	return !r->cleared && now - row_last(r) < CRASH_KEEP_US;
+}
+
+static enum crash_verdict verdict(struct crash_row *r, apr_time_t now,
+				  int *retry_after_s)
+{
+	if (r && row_refused(r, now, retry_after_s))
+		return CRASH_QUARANTINED;
+	return r && row_suspect(r, now) ? CRASH_SUSPECT : CRASH_CLEAR;
+}
+
 /* Says what is known of a fingerprint. */
 enum crash_verdict crash_verdict(struct crash_list *c, const struct digest *fp,
 				 apr_time_t now, int *retry_after_s)
 {
-	enum crash_verdict verdict = CRASH_CLEAR;
-	struct crash_row *r;
+	enum crash_verdict v;
+	struct handle h;
 
 	table_lock(&c->rows);
-	r = row_find(c, fp);
-	if (r && row_refused(r, now, retry_after_s))
-		verdict = CRASH_QUARANTINED;
-	else if (r && now - r->last < CRASH_KEEP_US)
-		verdict = CRASH_SUSPECT;
+	v = verdict(row_find(c, fp, &h), now, retry_after_s);
 	table_unlock(&c->rows);
-	return verdict;
+	return v;
 }
 
 /* Returns 1 if the request must be refused, not run. */
@@ -122,69 +204,291 @@
 }
 
 /*
- * Asks to run a request at an upstream: at a gate before it hands over, at
- * an entry before it chooses.  Returns 1 if it may, 0 if it is refused.
+ * A suspect may run at the upstream if it was not in flight at a death
+ * there, and only once the others had time to learn of the last one.
+ */
+static int suspect_allowed(const struct crash_row *r, const char *upstream,
+			   apr_time_t now, int *retry_after_s)
+{
+	if (!fault_seen_at(r, place_hash_string(upstream, 0)) &&
+	    now - row_last(r) >= CRASH_SPREAD_US)
+		return 1;
+	if (retry_after_s)
+		*retry_after_s = 1;
+	return 0;
+}
+
+/*
+ * Returns 1 if a request may be handed to an upstream, 0 if not to this one
+ * now.  For entries; a gate asks crash_enter.
+ */
+int crash_allowed(struct crash_list *c, const struct digest *fp,
+		  const char *upstream, apr_time_t now, int *retry_after_s)
+{
+	enum crash_verdict v;
+	struct crash_row *r;
+	struct handle h;
+	int allowed;
+
+	table_lock(&c->rows);
+	r = row_find(c, fp, &h);
+	v = verdict(r, now, retry_after_s);
+	allowed = v == CRASH_CLEAR ||
+		  (v == CRASH_SUSPECT &&
+		   suspect_allowed(r, upstream, now, retry_after_s));
+	table_unlock(&c->rows);
+	return allowed;
+}
+
+/* Returns 1 if a suspect of a recent death runs at this gate.  Locked. */
+static int suspect_inside(struct crash_list *c, apr_time_t now)
+{
+	struct handle h = HANDLE_NONE;
+	struct crash_row *r;
+
+	while ((r = table_next(&c->rows, &h)))
+		if (r->inside && row_suspect(r, now) &&
+		    now - row_last(r) < CRASH_ALONE_US)
+			return 1;
+	return 0;
+}
+
+/*
+ * Asks, at a gate, to run a request.  Returns 1 if it may, and must then be
+ * followed by crash_leave; 0 if it is refused.
  */
 int crash_enter(struct crash_list *c, const struct digest *fp,
 		const char *upstream, apr_time_t now, int *retry_after_s)
 {
+	enum crash_verdict v;
 	struct crash_row *r;
+	struct handle h;
 	int allowed = 1;
 
 	table_lock(&c->rows);
-	r = row_find(c, fp);
-	if (r && row_refused(r, now, retry_after_s)) {
-		allowed = 0;
-	} else if (r && (r->inside || !strcmp(r->upstream[0], upstream))) {
+	r = row_find(c, fp, &h);
+	v = verdict(r, now, retry_after_s);
+	if (v == CRASH_QUARANTINED)
 		allowed = 0;
+	else if (v == CRASH_SUSPECT)
+		allowed = suspect_allowed(r, upstream, now, retry_after_s);
+	if (allowed && v == CRASH_SUSPECT && suspect_inside(c, now)) {
 		if (retry_after_s)
 			*retry_after_s = 1;
-	} else if (r) {
-		r->inside++;
+		allowed = 0;
 	}
+	if (allowed && r)
+		r->inside++;
 	table_unlock(&c->rows);
 	return allowed;
 }
 
-/* Ends what crash_enter allowed; finished: the upstream lived through it. */
+/*
+ * Ends what crash_enter allowed.  finished: the upstream lived through all
+ * of it, so the suspicion ends.
+ */
 void crash_leave(struct crash_list *c, const struct digest *fp,
 		 const char *upstream, int finished, apr_time_t now)
 {
 	struct crash_row *r;
+	struct handle h;
 
 	(void)upstream;
-	(void)now;
 	table_lock(&c->rows);
-	r = row_find(c, fp);
+	r = row_find(c, fp, &h);
 	if (r && r->inside)
 		r->inside--;
-	if (r && finished)
-		r->deaths = 0;
+	if (r && finished && r->death_count == 1 && row_suspect(r, now)) {
+		r->cleared = 1;
+		r->told = 0;
+	}
 	table_unlock(&c->rows);
 }
 
+static int death_of(const struct crash_row *r, const struct crash_death *d)
+{
+	int i;
+
+	for (i = 0; i < r->death_count; i++)
+		if (r->deaths[i].upstream == d->upstream &&
+		    r->deaths[i].boot == d->boot)
+			return 1;
+	return 0;
+}
+
+/* Returns how many requests of a death were in flight at another as well. */
+static int death_suspects(struct crash_list *c, const struct crash_death *d)
+{
+	struct handle h = HANDLE_NONE;
+	struct crash_row *r;
+	int count = 0;
+
+	while ((r = table_next(&c->rows, &h)))
+		count += r->death_count >= 2 && death_of(r, d);
+	return count;
+}
+
+/*
+ * Refuses a request seen at two deaths.  It is the cause for certain if at
+ * one of them no other request had been seen at a death as well.
+ */
+static void row_judge(struct crash_list *c, struct crash_row *r, apr_time_t now)
+{
+	int i;
+
+	for (i = 0; i < r->death_count && !r->certain; i++)
+		if (death_suspects(c, &r->deaths[i]) == 1)
+			r->certain = 1;
+	refuse(r, r->certain ? CRASH_REFUSE_US : CRASH_REFUSE_UNSURE_US, now);
+}
+
+/* Judges the requests of new deaths, once all of these are noted. */
+static void rows_judge(struct crash_list *c, apr_time_t now)
+{
+	struct handle h = HANDLE_NONE;
+	struct crash_row *r;
+
+	while ((r = table_next(&c->rows, &h))) {
+		if (r->judged)
+			continue;
+		r->judged = 1;
+		if (r->death_count >= 2)
+			row_judge(c, r, now);
+	}
+}
+
 /* Notes that an upstream died with these fingerprints in flight. */
 void crash_seen(struct crash_list *c, const char *upstream, uint64_t boot,
 		const struct digest *fps, int count, apr_time_t now)
 {
-	struct crash_row row, *r;
+	uint64_t hash = place_hash_string(upstream, 0);
+	struct handle h = HANDLE_NONE;
+	struct crash_row *r;
 	int i;
 
 	table_lock(&c->rows);
 	for (i = 0; i < count; i++) {
-		r = row_find(c, &fps[i]);
-		if (!r) {
-			memset(&row, 0, sizeof(row));
-			row.fp = fps[i];
-			r = table_get(&c->rows, table_add(&c->rows, &row));
-		}
-		if (!r || (r->deaths && r->boot[0] == boot))
+		r = row_find(c, &fps[i], &h);
+		if (!r)
+			r = row_add(c, &fps[i], now);
+		if (!r)
 			continue;
-		if (r->deaths < 2) {
-			strncpy(r->upstream[r->deaths], upstream, 63);
-			r->boot[r->deaths++] = boot;
-		}
-		r->last = now;
+		if (r->cleared)
+			r->cleared = r->death_count = 0;
+		r->judged &= !death_add(r, hash, boot, now);
+	}
+	rows_judge(c, now);
+	table_unlock(&c->rows);
+}
+
+static void record_write(const struct crash_row *r, struct crash_record *out,
+			 apr_time_t now)
+{
+	int i;
+
+	memcpy(out->fingerprint, r->fp.bytes, sizeof(r->fp.bytes));
+	out->deaths.deaths_val =
+		calloc(CRASH_DEATHS_MAX, sizeof(struct crash_death));
+	if (!out->deaths.deaths_val)
+		abort();
+	out->deaths.deaths_len = r->death_count;
+	for (i = 0; i < r->death_count; i++) {
+		out->deaths.deaths_val[i] = r->deaths[i];
+		out->deaths.deaths_val[i].age_ms =
+			(u_int)((now - r->died[i]) / US_PER_MS);
+	}
+	if (now < r->refused_until)
+		out->refused_ms = (u_int)((r->refused_until - now) / US_PER_MS);
+	out->certain = r->certain;
+	out->cleared = r->cleared;
+}
+
+/*
+ * Writes the rows that the others do not know of, or all.  Returns how many;
+ * the message is the caller's to free.
+ */
+int crash_news(struct crash_list *c, struct crash_message *m, int all,
+	       apr_time_t now)
+{
+	struct handle h = HANDLE_NONE;
+	struct crash_row *r;
+
+	memset(m, 0, sizeof(*m));
+	m->records.records_val =
+		calloc(CRASH_RECORDS_MAX, sizeof(struct crash_record));
+	if (!m->records.records_val)
+		abort();
+	table_lock(&c->rows);
+	while ((r = table_next(&c->rows, &h)) &&
+	       m->records.records_len < CRASH_RECORDS_MAX) {
+		if (row_past(r, now) || (r->told && !all))
+			continue;
+		record_write(r,
+			     &m->records.records_val[m->records.records_len++],
+			     now);
+		if (!all)
+			r->told = 1;
+	}
+	table_unlock(&c->rows);
+	return (int)m->records.records_len;
+}
+
+/* Takes one record over.  Returns 1 if it told anything new. */
+static int record_merge(struct crash_list *c, const struct crash_record *in,
+			apr_time_t now)
+{
+	const struct crash_death *d;
+	struct digest fp;
+	struct crash_row *r;
+	struct handle h;
+	int news = 0, told;
+	u_int i;
+
+	memcpy(fp.bytes, in->fingerprint, sizeof(fp.bytes));
+	r = row_find(c, &fp, &h);
+	if (in->cleared) {
+		if (!r || r->death_count != 1 || r->cleared ||
+		    in->deaths.deaths_len != 1 ||
+		    r->deaths[0].boot != in->deaths.deaths_val[0].boot)
+			return 0;
+		r->cleared = 1;
+		return 1;
 	}
+	if (!r)
+		r = row_add(c, &fp, now);
+	if (!r)
+		return 0;
+	told = !r->death_count || r->told;
+	for (i = 0; i < in->deaths.deaths_len; i++) {
+		d = &in->deaths.deaths_val[i];
+		if (r->cleared && r->deaths[0].boot == d->boot)
+			continue;
+		news |= death_add(r, d->upstream, d->boot,
+				  now - (apr_time_t)d->age_ms * US_PER_MS);
+	}
+	if (in->certain && !r->certain) {
+		r->certain = 1;
+		news = 1;
+	}
+	if (news)
+		r->judged = r->cleared = 0;
+	r->told = told; /* whoever saw it tells all */
+	if (in->refused_ms)
+		refuse(r, (apr_interval_time_t)in->refused_ms * US_PER_MS, now);
+	return news;
+}
+
+/* Takes over what another process knows.  Returns how much was new. */
+int crash_merge(struct crash_list *c, const struct crash_message *m,
+		apr_time_t now)
+{
+	int news = 0;
+	u_int i;
+
+	table_lock(&c->rows);
+	for (i = 0; i < m->records.records_len; i++)
+		news += record_merge(c, &m->records.records_val[i], now);
+	rows_judge(c, now);
 	table_unlock(&c->rows);
+	return news;
 }
--- a/calls/crash.h
+++ b/calls/crash.h
@@ -13,11 +13,18 @@
  * spread it in their data center.
  *
  * Rules that keep the damage to two upstreams in a data center:
- * - each fingerprint may run only at its pair, two upstreams that every
- *   entry derives alike from the fingerprint (crash_pair);
- * - one death seen: it runs only at the other upstream of the pair, and no
- *   other suspect runs there at the same time (crash_enter);
+ * - each request may run only at its pair, two upstreams that every entry
+ *   derives alike from the request (crash_pair), so that repeats through
+ *   all entries at once meet two upstreams at most;
+ * - one death seen: it runs only where it was not seen to die, after the
+ *   others had time to learn, and one suspect at a time (crash_enter), so
+ *   that the second death tells who it was;
  * - two deaths seen: refused, not run, for a while.
+ *
+ * An entry asks crash_allowed before it hands over, a gate crash_enter and
+ * crash_leave around the run.  Both call crash_seen when they see a death:
+ * the gate with all that was in flight, the entry with its own calls that
+ * were cut, before it sends any of them again.
  */
 
 struct crash_list;
@@ -32,13 +39,15 @@
 
 void crash_fingerprint(const char *account, const char *path, const void *body,
 		       size_t size, struct digest *out);
-void crash_pair(const struct digest *fp, const char *const *upstreams,
+void crash_pair(const struct digest *key, const char *const *upstreams,
 		int count, int pair[2]);
 
 enum crash_verdict crash_verdict(struct crash_list *c, const struct digest *fp,
 				 apr_time_t now, int *retry_after_s);
 int crash_quarantined(struct crash_list *c, const struct digest *fp,
 		      apr_time_t now, int *retry_after_s);
+int crash_allowed(struct crash_list *c, const struct digest *fp,
+		  const char *upstream, apr_time_t now, int *retry_after_s);
 int crash_enter(struct crash_list *c, const struct digest *fp,
 		const char *upstream, apr_time_t now, int *retry_after_s);
 void crash_leave(struct crash_list *c, const struct digest *fp,
--- a/calls/limit-core.h
+++ b/calls/limit-core.h
@@ -130,6 +130,21 @@
 int limit_core_serve(struct limit_core *c, const char *id, uint64_t boot,
 		     const struct limits_message *m,
 		     struct limits_message *reply, apr_time_t now);
+
+/* Parts of the core: limit-pool.c, limit-demand.c, limit-slices.c. */
+
+void limit_decide(struct limit_decisions *out, struct admission *a,
+		  enum admit_outcome outcome, apr_interval_time_t wait,
+		  const char *reason);
+void limit_refund(struct limit_core *c, struct admission *a);
+int limit_pool_get(struct limit_core *c, const char *name, int plain);
+void limit_pool_enqueue(struct limit_core *c, struct limit_account *row,
+			struct admission *a, apr_time_t now,
+			struct limit_decisions *out);
+void limit_pools_pump(struct limit_core *c, apr_time_t now,
+		      struct limit_decisions *out);
+void limit_pools_shed(struct limit_core *c, apr_time_t now,
+		      struct limit_decisions *out);
 void limit_core_demand(struct limit_core *c, apr_time_t now);
 void limit_core_slices(struct limit_core *c, apr_time_t now);
 
--- a/net/envelope_proto_xdr.c
+++ b/net/envelope_proto_xdr.c
@@ -5,55 +5,54 @@
 
 #include "net/envelope_proto.h"
 
-bool_t xdr_envelope_status(XDR *xdrs, envelope_status *objp)
+bool_t
+xdr_envelope_status (XDR *xdrs, envelope_status *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_enum(xdrs, (enum_t *)objp))
-		return FALSE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_envelope_request(XDR *xdrs, envelope_request *objp)
+bool_t
+xdr_envelope_request (XDR *xdrs, envelope_request *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, &objp->sender, ENVELOPE_NAME_MAX))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->sender_boot))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->target_boot))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->sequence))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->kind))
-		return FALSE;
-	if (!xdr_bytes(xdrs, (char **)&objp->body.body_val,
-		       (u_int *)&objp->body.body_len, ENVELOPE_BODY_MAX))
-		return FALSE;
-	if (!xdr_bytes(xdrs, (char **)&objp->mac.mac_val,
-		       (u_int *)&objp->mac.mac_len, ENVELOPE_MAC_SIZE))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->sender, ENVELOPE_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sender_boot))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target_boot))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, ENVELOPE_BODY_MAX))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->mac.mac_val, (u_int *) &objp->mac.mac_len, ENVELOPE_MAC_SIZE))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_envelope_reply(XDR *xdrs, envelope_reply *objp)
+bool_t
+xdr_envelope_reply (XDR *xdrs, envelope_reply *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_envelope_status(xdrs, &objp->status))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->instance, ENVELOPE_NAME_MAX))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->boot))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->sequence))
-		return FALSE;
-	if (!xdr_bytes(xdrs, (char **)&objp->body.body_val,
-		       (u_int *)&objp->body.body_len, ENVELOPE_BODY_MAX))
-		return FALSE;
-	if (!xdr_bytes(xdrs, (char **)&objp->mac.mac_val,
-		       (u_int *)&objp->mac.mac_len, ENVELOPE_MAC_SIZE))
-		return FALSE;
+	 if (!xdr_envelope_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->instance, ENVELOPE_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->boot))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, ENVELOPE_BODY_MAX))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->mac.mac_val, (u_int *) &objp->mac.mac_len, ENVELOPE_MAC_SIZE))
+		 return FALSE;
 	return TRUE;
 }
--- a/t/helper/lib-limit-sim.c
+++ b/t/helper/lib-limit-sim.c
@@ -161,8 +161,11 @@
 	struct sim *s = sim_of_call;
 	struct sim_account *account = &s->accounts[call->account];
 
-	(void)retry_after_ms;
-	(void)reason;
+	if (s->trace)
+		printf("%.6f entry %d %s outcome %d retry %d %s\n",
+		       (double)s->now / APR_USEC_PER_SEC - 1000,
+		       call->entry + 1, account->name, (int)outcome,
+		       retry_after_ms, reason);
 	if (outcome == ADMIT_GRANTED) {
 		account->admitted++;
 		if (!s->slots || s->busy < s->slots) {
@@ -184,6 +187,12 @@
 	free(call);
 }
 
+/* The present time on an entry's own clock. */
+static apr_time_t clock_of(const struct sim *s, int entry)
+{
+	return s->now + s->entries[entry].skew;
+}
+
 static void carry_out(struct sim *s, struct limit_decisions *d)
 {
 	struct admission *a, *next;
@@ -199,8 +208,8 @@
 {
 	struct limit_decisions out = { NULL, NULL };
 
-	limit_core_arrive(&s->entries[call->entry].core, &call->a, s->now,
-			  &out);
+	limit_core_arrive(&s->entries[call->entry].core, &call->a,
+			  clock_of(s, call->entry), &out);
 	carry_out(s, &out);
 }
 
@@ -216,7 +225,7 @@
 	call->a.tokens = o->tokens;
 	call->a.decided = call_decided;
 	if (o->deadline_ms)
-		call->a.deadline = s->now + o->deadline_ms * 1000LL;
+		call->a.deadline = clock_of(s, entry) + o->deadline_ms * 1000LL;
 	call->entry = entry;
 	call->account = o->account;
 	call->arrived = s->now;
@@ -300,7 +309,9 @@
 
 static void ask(struct sim *s, int from, struct limit_peer *q)
 {
-	struct sim_event e = { .kind = SIM_ASK, .from = from, .sent = s->now };
+	struct sim_event e = { .kind = SIM_ASK,
+			       .from = from,
+			       .sent = clock_of(s, from) };
 	int to = atoi(q->id + strlen("entry-")) - 1;
 
 	e.entry = to;
@@ -330,7 +341,8 @@
 		return;
 	memset(&answer.message, 0, sizeof(answer.message));
 	if (limit_core_serve(&to->core, s->entries[e->from].id, e->boot,
-			     &e->message, &answer.message, s->now))
+			     &e->message, &answer.message,
+			     clock_of(s, e->entry)))
 		return;
 	message_bytes(s, e->from, e->entry, &answer.message);
 	answer.kind = SIM_ANSWER;
@@ -349,10 +361,11 @@
 	if (!q || !q->asking || q->asked != e->sent)
 		return;
 	if (lost)
-		limit_peers_failed(&from->core.peers, q->id, s->now);
+		limit_peers_failed(&from->core.peers, q->id,
+				   clock_of(s, e->from));
 	else if (!from->paused && reaches(s, e->from, e->entry))
 		limit_peers_reply(&from->core.peers, q->id, &e->message,
-				  e->sent, s->now);
+				  e->sent, clock_of(s, e->from));
 }
 
 static void entry_sync(struct sim *s, int entry)
@@ -369,7 +382,8 @@
 			 "127.0.0.%d", i + 1);
 		count++;
 	}
-	limit_peers_sync(&s->entries[entry].core.peers, list, count, s->now);
+	limit_peers_sync(&s->entries[entry].core.peers, list, count,
+			 clock_of(s, entry));
 }
 
 /* Notes the most that all entries together could use of a limit. */
@@ -406,10 +420,10 @@
 	struct limit_decisions out = { NULL, NULL };
 	struct limit_core *c = &s->entries[entry].core;
 
-	limit_core_configure(c, &s->document, s->now);
+	limit_core_configure(c, &s->document, clock_of(s, entry));
 	entry_sync(s, entry);
 	limit_core_report(c, &r, 1);
-	limit_core_tick(c, s->now, &out);
+	limit_core_tick(c, clock_of(s, entry), &out);
 	carry_out(s, &out);
 	slices_check(s);
 }
@@ -432,7 +446,8 @@
 			entry->bytes_peak = (int)entry->bytes_second;
 		entry->bytes_second = 0;
 	}
-	count = limit_peers_due(&entry->core.peers, s->now, due, 8);
+	count = limit_peers_due(&entry->core.peers, clock_of(s, e->entry), due,
+				8);
 	for (i = 0; i < count; i++)
 		ask(s, e->entry, &entry->core.peers.peers[due[i]]);
 }
@@ -454,11 +469,11 @@
 		pool_start(s, next);
 	}
 	a->latency[ms < SIM_LATENCY_MAX ? ms : SIM_LATENCY_MAX - 1]++;
-	if (!call->a.deadline || s->now <= call->a.deadline)
+	if (!call->a.deadline || clock_of(s, e->entry) <= call->a.deadline)
 		a->finished++;
 	if (entry->alive && entry->boot == e->boot) {
-		limit_core_end(&entry->core, &call->a, call->a.tokens, s->now,
-			       &out);
+		limit_core_end(&entry->core, &call->a, call->a.tokens,
+			       clock_of(s, e->entry), &out);
 		carry_out(s, &out);
 	}
 	free(call);
--- a/t/helper/lib-limit-sim.h
+++ b/t/helper/lib-limit-sim.h
@@ -83,6 +83,7 @@
 	int bytes_peak; /* in one second */
 	long long bytes_second;
 	int steps;
+	apr_interval_time_t skew; /* of its clock */
 };
 
 struct sim {
@@ -103,6 +104,7 @@
 	apr_time_t told_at;
 	struct sim_call *waiting, **waiting_tail;
 	double slices_peak; /* most of all entries' slices, of the limit */
+	int trace;	    /* print each decision */
 	apr_time_t reported;
 	apr_time_t naive_at;
 };
--- /dev/null
+++ b/t/helper/test-limit-units.c
@@ -0,0 +1,298 @@
+#include <apr_general.h>
+#include <check.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/random.h"
+#include "calls/breaker.h"
+#include "calls/budget.h"
+#include "calls/limit-peers.h"
+#include "calls/limit-share.h"
+#include "calls/queue.h"
+
+#define S APR_USEC_PER_SEC
+
+/* Unit suite of limits: shares, windows, buckets, queue, breaker, budget. */
+
+static double due_sum(const struct share_claim *c, int count, double level)
+{
+	double sum = 0;
+	int i;
+
+	for (i = 0; i < count; i++)
+		sum += fmin(c[i].demand, c[i].weight * level);
+	return sum;
+}
+
+START_TEST(level_divides_the_whole_and_starves_nobody)
+{
+	struct share_claim c[20];
+	struct random r;
+	double total, level;
+	int turn, i;
+
+	random_seed(&r, 1);
+	for (turn = 0; turn < 2000; turn++) {
+		for (i = 0; i < 20; i++) {
+			c[i].weight = 1 + random_below(&r, 5);
+			c[i].demand =
+				random_below(&r, 3) ? random_unit(&r) * 100 : 0;
+		}
+		total = random_unit(&r) * 1000;
+		level = share_level(c, 20, total);
+		if (level < 0)
+			ck_assert(due_sum(c, 20, 1e9) <= total + 1e-6);
+		else
+			ck_assert_double_eq_tol(due_sum(c, 20, level), total,
+						1e-6);
+	}
+}
+END_TEST
+
+/*
+ * Entries whose figures of each other are old, but never below what the
+ * other counts for itself, never use more than the budget together.
+ */
+START_TEST(slices_from_old_figures_stay_within_the_budget)
+{
+	double own[8], budget, others, sum;
+	struct random r;
+	int turn, i, k;
+
+	random_seed(&r, 2);
+	for (turn = 0; turn < 20000; turn++) {
+		budget = 1 + random_unit(&r) * 100;
+		for (i = 0; i < 8; i++)
+			own[i] = random_unit(&r) *
+				 (random_below(&r, 2) ? 100 : 5);
+		sum = 0;
+		for (i = 0; i < 8; i++) {
+			others = 0;
+			for (k = 0; k < 8; k++)
+				if (k != i)
+					others += own[k] +
+						  random_unit(&r) * own[k];
+			sum += share_slice(budget, own[i], others, 8);
+		}
+		ck_assert(sum <= budget * (1 + 1e-9));
+	}
+}
+END_TEST
+
+START_TEST(parted_groups_stay_within_the_stated_bound)
+{
+	static const double cut[] = { 0, 0.05, 0.1, 0.3 };
+	int known, a, b, k;
+	double sum, bound;
+
+	for (k = 0; k < 4; k++)
+		for (known = 2; known <= 37; known++)
+			for (a = 0; a <= known; a++)
+				for (b = 0; a + b <= known; b++) {
+					sum = share_group(a, known, 1, cut[k]);
+					sum += share_group(b, known, 0, cut[k]);
+					sum += share_group(known - a - b, known,
+							   0, cut[k]);
+					bound = share_bound(known, cut[k]);
+					ck_assert(sum <= bound + 1e-9);
+				}
+}
+END_TEST
+
+START_TEST(codes_are_within_three_percent)
+{
+	double v;
+
+	for (v = 0.2; v < 200000; v *= 1.01)
+		ck_assert_double_eq_tol(
+			limit_decode(limit_codes(0, 0, v), LIMIT_CONCURRENT) /
+				v,
+			1, 0.03);
+	ck_assert_uint_eq(limit_codes(0, 0, 0), 0);
+}
+END_TEST
+
+START_TEST(demand_is_that_of_the_last_second)
+{
+	struct demand_window w = { { 0 }, 0 };
+	apr_time_t now;
+
+	for (now = 50 * S; now < 52 * S; now += S / 100)
+		demand_add(&w, 1, now);
+	ck_assert_double_eq_tol(demand_rate(&w, 52 * S), 100, 1);
+	ck_assert_double_eq_tol(demand_rate(&w, 52 * S + S / 2), 50, 10);
+	ck_assert_double_eq(demand_rate(&w, 60 * S), 0);
+}
+END_TEST
+
+START_TEST(bucket_keeps_its_rate_and_depth)
+{
+	struct bucket b = { 0 };
+	apr_time_t now = S;
+	int taken = 0;
+
+	bucket_set(&b, 10, 5, now);
+	for (; now < 11 * S; now += S / 1000)
+		if (bucket_has(&b, 1, now)) {
+			bucket_take(&b, 1);
+			taken++;
+		}
+	ck_assert_int_ge(taken, 104);
+	ck_assert_int_le(taken, 105);
+	ck_assert_int_le(bucket_wait(&b, 1), S / 10);
+	/* An hour's pause fills it up to its depth, no more. */
+	now += 3600 * S;
+	for (taken = 0; bucket_has(&b, 1, now); taken++)
+		bucket_take(&b, 1);
+	ck_assert_int_eq(taken, 5);
+}
+END_TEST
+
+static int anyone(void *arg, int flow)
+{
+	(void)arg;
+	(void)flow;
+	return 1;
+}
+
+START_TEST(queue_serves_by_weight_then_priority)
+{
+	struct admission a[300];
+	struct fair_queue q = { 0 };
+	struct admission *got;
+	int i, from_first = 0, last = -1;
+
+	memset(a, 0, sizeof(a));
+	for (i = 0; i < 300; i++) {
+		a[i].account_row.index = i < 200 ? 1 : 2;
+		a[i].priority = i % 10;
+		queue_push(&q, &a[i], i < 200 ? 3 : 1);
+	}
+	for (i = 0; i < 100; i++) {
+		got = queue_pick(&q, anyone, NULL);
+		if (got->account_row.index != 1)
+			continue;
+		from_first++;
+		ck_assert_int_ge(got->priority, last);
+		last = got->priority;
+	}
+	ck_assert_int_ge(from_first, 74);
+	ck_assert_int_le(from_first, 76);
+	queue_destroy(&q);
+}
+END_TEST
+
+START_TEST(queue_serves_a_newcomer_next)
+{
+	struct admission a[102];
+	struct fair_queue q = { 0 };
+	int i;
+
+	memset(a, 0, sizeof(a));
+	for (i = 0; i < 102; i++) {
+		a[i].account_row.index = i < 100 ? 1 : 2;
+		if (i < 100)
+			queue_push(&q, &a[i], 1);
+	}
+	for (i = 0; i < 50; i++)
+		queue_pick(&q, anyone, NULL);
+	queue_push(&q, &a[100], 1);
+	queue_push(&q, &a[101], 1);
+	ck_assert_ptr_eq(queue_pick(&q, anyone, NULL), &a[100]);
+	queue_pick(&q, anyone, NULL);
+	ck_assert_ptr_eq(queue_pick(&q, anyone, NULL), &a[101]);
+	queue_remove(&q, &a[60]);
+	for (i = 0; queue_pick(&q, anyone, NULL); i++)
+		;
+	ck_assert_int_eq(i, 48);
+	queue_destroy(&q);
+}
+END_TEST
+
+START_TEST(breaker_is_not_opened_by_a_silent_connection)
+{
+	struct breaker b = { 0 };
+	int i;
+
+	for (i = 0; i < 100; i++)
+		breaker_note(&b, BREAKER_SILENT, i * S);
+	ck_assert(!breaker_open(&b, 100 * S));
+	ck_assert_int_eq(breaker_allow(&b, 100 * S), BREAKER_YES_FRESH);
+	breaker_note(&b, BREAKER_ANSWERED, 101 * S);
+	ck_assert_int_eq(breaker_allow(&b, 102 * S), BREAKER_YES);
+	breaker_note(&b, BREAKER_SILENT, 103 * S);
+	breaker_note(&b, BREAKER_SILENT_FRESH, 104 * S);
+	ck_assert(breaker_open(&b, 104 * S));
+}
+END_TEST
+
+START_TEST(breaker_lets_one_probe_out_at_a_time)
+{
+	struct breaker b = { 0 };
+	apr_time_t now = S;
+	int i;
+
+	for (i = 0; i < BREAKER_FAILURES; i++)
+		breaker_note(&b, BREAKER_FAILED, now);
+	ck_assert_int_eq(breaker_allow(&b, now), BREAKER_NO);
+	now += BREAKER_OPEN_MIN_US;
+	ck_assert_int_eq(breaker_allow(&b, now), BREAKER_YES_FRESH);
+	ck_assert_int_eq(breaker_allow(&b, now), BREAKER_NO);
+	breaker_note(&b, BREAKER_FAILED, now);
+	ck_assert_int_eq(breaker_allow(&b, now + BREAKER_OPEN_MIN_US),
+			 BREAKER_NO);
+	now += 2 * BREAKER_OPEN_MIN_US;
+	ck_assert_int_eq(breaker_allow(&b, now), BREAKER_YES_FRESH);
+	/* A probe that was lost does not keep it open for good. */
+	now += BREAKER_PROBE_MAX_US;
+	ck_assert_int_eq(breaker_allow(&b, now), BREAKER_YES_FRESH);
+	breaker_note(&b, BREAKER_ANSWERED, now);
+	ck_assert_int_eq(breaker_allow(&b, now), BREAKER_YES);
+}
+END_TEST
+
+START_TEST(retries_stay_below_a_tenth_of_calls)
+{
+	struct retry_budget b;
+	int i, retries = 0;
+
+	retry_budget_init(&b);
+	for (i = 0; i < 10000; i++) {
+		retry_budget_call(&b, "a");
+		while (retry_budget_take(&b, "a"))
+			retries++;
+		ck_assert(retries <= 0.1 * (i + 1) + RETRY_RESERVE + 1e-6);
+	}
+	ck_assert_int_ge(retries, 999);
+	ck_assert(retry_budget_take(&b, "other"));
+	retry_budget_destroy(&b);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("limits");
+	TCase *t = tcase_create("limits");
+	SRunner *r;
+	int failed;
+
+	apr_initialize();
+	tcase_add_test(t, level_divides_the_whole_and_starves_nobody);
+	tcase_add_test(t, slices_from_old_figures_stay_within_the_budget);
+	tcase_add_test(t, parted_groups_stay_within_the_stated_bound);
+	tcase_add_test(t, codes_are_within_three_percent);
+	tcase_add_test(t, demand_is_that_of_the_last_second);
+	tcase_add_test(t, bucket_keeps_its_rate_and_depth);
+	tcase_add_test(t, queue_serves_by_weight_then_priority);
+	tcase_add_test(t, queue_serves_a_newcomer_next);
+	tcase_add_test(t, breaker_is_not_opened_by_a_silent_connection);
+	tcase_add_test(t, breaker_lets_one_probe_out_at_a_time);
+	tcase_add_test(t, retries_stay_below_a_tenth_of_calls);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_VERBOSE);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/t/helper/test-limits.c
+++ b/t/helper/test-limits.c
@@ -19,6 +19,8 @@
  *	until SECONDS		runs on, counted from the start
  *	stop ACCOUNT		ends its offers
  *	die N, start N, pause N, wake N, cut FIRST LAST, heal
+ *	skew N SECONDS		sets its clock off, before the first step
+ *	trace 0|1		prints each decision
  *	report			rates since the last one
  *	total			the same, added up over the accounts
  *	slices			most that all entries could use of a limit
@@ -124,6 +126,17 @@
 	sim_entry_wake(s, atoi(arg[0]) - 1);
 }
 
+static void do_skew(struct sim *s, char **arg)
+{
+	s->entries[atoi(arg[0]) - 1].skew =
+		(apr_interval_time_t)(atof(arg[1]) * APR_USEC_PER_SEC);
+}
+
+static void do_trace(struct sim *s, char **arg)
+{
+	s->trace = atoi(arg[0]);
+}
+
 static void do_cut(struct sim *s, char **arg)
 {
 	static int side;
@@ -264,6 +277,7 @@
 	{ "heal", do_heal, 0 },		{ "report", do_report, 0 },
 	{ "total", do_total, 0 },	{ "slices", do_slices, 0 },
 	{ "clear", do_clear, 0 },	{ "claims", do_claims, 0 },
+	{ "skew", do_skew, 2 },		{ "trace", do_trace, 1 },
 };
 
 static int line_run(struct sim *s, char *line)
