--- a/calls/limit-core.h
+++ b/calls/limit-core.h
@@ -29,6 +29,7 @@
 #define LIMIT_REFINE_MIN 2
 #define LIMIT_REFINE_MAX 8
 #define LIMIT_REFINE_GAP 0.02
+#define LIMIT_ALONE_US (6 * APR_USEC_PER_SEC) /* cut off, not just new */
 #define LIMIT_RETRY_MIN_MS 100
 #define LIMIT_RETRY_MAX_MS 10000
 
@@ -36,9 +37,11 @@
 #define LIMIT_GAIN_FIRST 1.1
 #define LIMIT_GAIN_MIN 0.5
 #define LIMIT_GAIN_MAX 2.0
-#define LIMIT_GAIN_STEP 0.01   /* each tick */
-#define LIMIT_WAITING_HIGH 0.2 /* waiting in upstreams, of their slots */
-#define LIMIT_WAITING_LOW 0.05
+#define LIMIT_GAIN_STEP 0.01	/* each tick */
+#define LIMIT_WAITING_HIGH 0.05 /* waiting in upstreams, of their slots */
+#define LIMIT_WAITING_LOW 0.02
+#define LIMIT_RESERVE 0.125 /* of the window, for accounts below their part */
+#define LIMIT_RESERVE_MIN 2
 
 struct limit_account {
 	char name[DOCUMENT_NAME_SIZE];
@@ -53,6 +56,7 @@
 	int slots;   /* that may run here, below 0 for any number */
 	int running; /* here */
 	int waiting;
+	double hold_us; /* mean time that a call runs */
 	struct demand_mean demand[LIMIT_VALUES];
 	double budget[LIMIT_VALUES]; /* of the account, to divide */
 	struct metric *granted_calls;
@@ -71,7 +75,8 @@
 	int window; /* calls that may run from here, below 0 for any number */
 	int running;
 	struct demand_mean demand;
-	double hold_us; /* mean time that a call runs */
+	double hold_us;	    /* mean time that a call runs */
+	double hold_off_us; /* mean distance from it */
 	struct demand_window asked;
 	struct demand_window ended;
 	struct fair_queue queue;
@@ -98,6 +103,7 @@
 	uint32_t codes[LIMIT_KEYS_MAX];		    /* own demand */
 	apr_time_t ticked;
 	apr_time_t published;
+	apr_time_t alone_since;
 };
 
 /* Decided admissions, linked by next. */
@@ -124,6 +130,21 @@
 int limit_core_serve(struct limit_core *c, const char *id, uint64_t boot,
 		     const struct limits_message *m,
 		     struct limits_message *reply, apr_time_t now);
+
+/* Parts of the core: limit-pool.c, limit-demand.c, limit-slices.c. */
+
+void limit_decide(struct limit_decisions *out, struct admission *a,
+		  enum admit_outcome outcome, apr_interval_time_t wait,
+		  const char *reason);
+void limit_refund(struct limit_core *c, struct admission *a);
+int limit_pool_get(struct limit_core *c, const char *name, int plain);
+void limit_pool_enqueue(struct limit_core *c, struct limit_account *row,
+			struct admission *a, apr_time_t now,
+			struct limit_decisions *out);
+void limit_pools_pump(struct limit_core *c, apr_time_t now,
+		      struct limit_decisions *out);
+void limit_pools_shed(struct limit_core *c, apr_time_t now,
+		      struct limit_decisions *out);
 void limit_core_demand(struct limit_core *c, apr_time_t now);
 void limit_core_slices(struct limit_core *c, apr_time_t now);
 
--- a/t/helper/test-limits.c
+++ b/t/helper/test-limits.c
@@ -19,6 +19,8 @@
  *	until SECONDS		runs on, counted from the start
  *	stop ACCOUNT		ends its offers
  *	die N, start N, pause N, wake N, cut FIRST LAST, heal
+ *	skew N SECONDS		sets its clock off, before the first step
+ *	trace 0|1		prints each decision
  *	report			rates since the last one
  *	total			the same, added up over the accounts
  *	slices			most that all entries could use of a limit
@@ -124,6 +126,17 @@
 	sim_entry_wake(s, atoi(arg[0]) - 1);
 }
 
+static void do_skew(struct sim *s, char **arg)
+{
+	s->entries[atoi(arg[0]) - 1].skew =
+		(apr_interval_time_t)(atof(arg[1]) * APR_USEC_PER_SEC);
+}
+
+static void do_trace(struct sim *s, char **arg)
+{
+	s->trace = atoi(arg[0]);
+}
+
 static void do_cut(struct sim *s, char **arg)
 {
 	static int side;
@@ -160,7 +173,7 @@
 static void account_clear(struct sim_account *a)
 {
 	a->offered = a->admitted = a->limited = a->overloaded = 0;
-	a->finished = a->naive = 0;
+	a->finished = a->naive = a->refused_late = 0;
 	memset(a->latency, 0, sizeof(a->latency));
 }
 
@@ -185,11 +198,12 @@
 	for (i = 0; i < s->document.account_count; i++) {
 		a = &s->accounts[i];
 		printf("%.1f %s offered %.1f admitted %.1f due %.1f "
-		       "limited %.1f overloaded %.1f finished %.1f p99 %d\n",
+		       "limited %.1f overloaded %.1f finished %.1f p99 %d late %d\n",
 		       (double)s->now / APR_USEC_PER_SEC - 1000, a->name,
 		       a->offered / span, a->admitted / span, a->naive / span,
 		       a->limited / span, a->overloaded / span,
-		       a->finished / span, latency_of(a, 0.99));
+		       a->finished / span, latency_of(a, 0.99),
+		       a->refused_late);
 	}
 	do_clear(s, arg);
 }
@@ -263,6 +277,7 @@
 	{ "heal", do_heal, 0 },		{ "report", do_report, 0 },
 	{ "total", do_total, 0 },	{ "slices", do_slices, 0 },
 	{ "clear", do_clear, 0 },	{ "claims", do_claims, 0 },
+	{ "skew", do_skew, 2 },		{ "trace", do_trace, 1 },
 };
 
 static int line_run(struct sim *s, char *line)
