t/perf: end what the soak restarted

Cause: pid files without a newline ran together, so processes stayed and the script waited for them. Change: the newline.

--- a/t/perf/p0005-soak.sh
+++ b/t/perf/p0005-soak.sh
@@ -88,10 +88,6 @@
 	curl -s http://$net.14:7200/standin/runs >runs-plain-$dc.json
 done
 end_bytes=$(curl -s $STORE_URL/standin/counts | jq .bytes)
-# What the driver restarted is not among the shell's own children.
-for p in restarted-*.pid; do
-	test -f "$p" && test_pids="$test_pids $(cat "$p")"
-done
 stop_all
 
 python3 "$TOP/t/helper/history-check.py" \
--- a/t/perf/soak.py
+++ b/t/perf/soak.py
@@ -67,7 +67,7 @@
                 stdout=subprocess.DEVNULL, stderr=err)
         self.pid = child.pid
         with open(f"restarted-{self.id}.pid", "w", encoding="utf-8") as file:
-            file.write(str(child.pid))
+            file.write(f"{child.pid}\n")
         return child
 
 
