--- a/t/standin/standin-platform.c
+++ b/t/standin/standin-platform.c
@@ -59,6 +59,9 @@
 	int64_t list_lag_ms;
 	unsigned flap;
 	long calls;
+	long peak_second; /* most calls that came within one second */
+	long this_second;
+	int64_t second;
 	long config_calls;
 	long list_calls;
 	struct watch *watches;
@@ -121,6 +124,25 @@
 	pthread_mutex_unlock(&platform.lock);
 }
 
+/* Counts a call and the rate at which calls come. */
+static void count_call(bool on_list, int64_t now_ms)
+{
+	int64_t second = now_ms / MS_PER_S;
+
+	if (second != platform.second) {
+		platform.second = second;
+		platform.this_second = 0;
+	}
+	platform.this_second++;
+	if (platform.this_second > platform.peak_second)
+		platform.peak_second = platform.this_second;
+	platform.calls++;
+	if (on_list)
+		platform.list_calls++;
+	else
+		platform.config_calls++;
+}
+
 /* Opens the watch of a call that is seen for the first time and counts it. */
 static struct watch *watch_open(struct web_request *req, bool on_list,
 				int64_t now_ms)
@@ -140,11 +162,7 @@
 	watch->next = platform.watches;
 	platform.watches = watch;
 	req->call = watch;
-	platform.calls++;
-	if (on_list)
-		platform.list_calls++;
-	else
-		platform.config_calls++;
+	count_call(on_list, now_ms);
 	if (!on_list)
 		platform.flap++;
 	return watch;
@@ -323,9 +341,11 @@
 	json_t *obj;
 
 	pthread_mutex_lock(&platform.lock);
-	obj = json_pack("{s:I,s:I,s:I}", "calls", (json_int_t)platform.calls,
-			"config", (json_int_t)platform.config_calls,
-			"instances", (json_int_t)platform.list_calls);
+	obj = json_pack("{s:I,s:I,s:I,s:I}", "calls",
+			(json_int_t)platform.calls, "peak_second",
+			(json_int_t)platform.peak_second, "config",
+			(json_int_t)platform.config_calls, "instances",
+			(json_int_t)platform.list_calls);
 	pthread_mutex_unlock(&platform.lock);
 	return web_reply_json(req, MHD_HTTP_OK, obj);
 }
--- a/t/t0005-standin.sh
+++ b/t/t0005-standin.sh
@@ -118,7 +118,8 @@
 	test $took -ge 300 && test $took -lt 3000 &&
 	test "$(jq -r ".instances[0].id" body)" = agent-a1 &&
 	fetch $platform/standin/counts &&
-	jq -e ".instances == 2 and .calls == .config + 2" body
+	jq -e ".instances == 2 and .calls == .config + 2 and
+		.peak_second >= 2 and .peak_second <= .calls" body
 '
 
 test_expect_success 'store: ranges, whole files and a file that is replaced' '
