--- a/t/helper/lib-attempt.c
+++ b/t/helper/lib-attempt.c
@@ -171,22 +171,25 @@
 
 static const struct fetch_ops attempt_ops = { on_header, on_data, on_done };
 
-/* Sends the double of a call, with the same ticket. */
-static void second_start(struct load_call *call)
+/* Detaches the double of a call that has got its ticket, if any. */
+static struct load_call *second_take(struct load_call *call)
 {
 	struct load_call *second = call->second;
 
+	if (!second || call->in_ticket)
+		return NULL;
 	call->second = NULL;
 	memcpy(second->plan.ticket, call->plan.ticket,
 	       sizeof(second->plan.ticket));
 	second->plan.wants_ticket = false;
-	attempt_start(second);
+	return second;
 }
 
 /* Sends a call, or the request for its ticket; over() is called at the end. */
 void attempt_start(struct load_call *call)
 {
 	struct fetch *f = &call->fetch;
+	struct load_call *second;
 
 	call->in_ticket = call->plan.wants_ticket && !call->set->direct;
 	if (!call->begin_us) {
@@ -214,9 +217,11 @@
 	f->body_size = strlen(f->body);
 	f->timeout_ms = call->timeout_ms;
 	f->once = call->fresh;
+	second = second_take(call);
+	/* From here on the call belongs to the fetcher's thread. */
 	fetch_submit(call->fetcher, f);
-	if (!call->in_ticket && call->second)
-		second_start(call);
+	if (second)
+		attempt_start(second);
 }
 
 static void set_text(json_t *line, const char *name, const char *text)
