t/standin: write faults, bodies and addresses once; comment each function

The four stand-ins each read fault names, JSON bodies and addresses in their own way, and 114 functions had no comment.

--- a/t/helper/caller.c
+++ b/t/helper/caller.c
@@ -53,6 +53,7 @@
 	return !load.end_us || now < load.end_us;
 }
 
+/* Creates a call at an entry that is drawn.  The lock is held. */
 static struct load_call *call_create(const struct plan *plan)
 {
 	struct load_call *call = calloc(1, sizeof(*call));
@@ -103,6 +104,7 @@
 	attempt_start(call);
 }
 
+/* Whether a call got what no caller may get. */
 static bool call_is_violation(const struct load_call *call)
 {
 	const struct answer *ans = &call->answer;
@@ -111,6 +113,7 @@
 	       (ans->outcome == OUTCOME_ANSWER && !ans->whole);
 }
 
+/* Whether a call is sent again after the outcome that it had. */
 static bool call_is_repeated(const struct load_call *call)
 {
 	enum answer_outcome outcome = call->answer.outcome;
@@ -143,6 +146,7 @@
 	history_line(history, attempt_line(call));
 }
 
+/* Frees a call that is over. */
 static void call_free(struct load_call *call)
 {
 	plan_release(&call->plan);
@@ -240,6 +244,7 @@
 	}
 }
 
+/* Reports what is wrong with the command line and exits. */
 static void fail(const char *what, const char *text)
 {
 	fprintf(stderr, "caller: %s: %s\n", what, text ? text : "");
@@ -305,6 +310,7 @@
 	free(text);
 }
 
+/* Sets what an option leaves out. */
 static void options_default(struct plan_settings *set)
 {
 	load.threads = 1;
@@ -349,6 +355,7 @@
 	random_seed(&load.random, (uint64_t)seed);
 }
 
+/* Reads the command line. */
 static void options_read(int argc, const char **argv)
 {
 	struct plan_settings *set = &load.set;
--- a/t/helper/lib-answer.c
+++ b/t/helper/lib-answer.c
@@ -15,12 +15,14 @@
 const char *const answer_outcome_names[OUTCOME_COUNT] = { "answer", "not-run",
 							  "unknown", "error" };
 
+/* Starts with nothing received. */
 void answer_init(struct answer *ans)
 {
 	memset(ans, 0, sizeof(*ans));
 	ans->last = -1;
 }
 
+/* Frees what was received and starts anew. */
 void answer_release(struct answer *ans)
 {
 	free(ans->text);
@@ -28,12 +30,14 @@
 	answer_init(ans);
 }
 
+/* Keeps the first reason why the answer is not whole. */
 static void answer_problem(struct answer *ans, const char *problem)
 {
 	if (!*ans->problem)
 		snprintf(ans->problem, sizeof(ans->problem), "%s", problem);
 }
 
+/* Copies a string that may be missing, cut to size. */
 static void copy_string(char *out, size_t size, const char *text)
 {
 	if (text)
@@ -91,6 +95,7 @@
 		    json_string_value(json_object_get(obj, "content")));
 }
 
+/* Whether an object carries another identity than the call. */
 static bool id_differs(const struct answer_expectation *want, json_t *obj)
 {
 	const char *id = json_string_value(json_object_get(obj, "id"));
@@ -241,6 +246,7 @@
 	json_decref(obj);
 }
 
+/* Judges a model's answer that ended cleanly. */
 static void check_model(struct answer *ans,
 			const struct answer_expectation *want)
 {
@@ -257,6 +263,7 @@
 	check_tokens(ans, want);
 }
 
+/* Judges a plain service's answer that ended cleanly. */
 static void check_plain(struct answer *ans,
 			const struct answer_expectation *want)
 {
@@ -276,6 +283,7 @@
 	json_decref(obj);
 }
 
+/* Copies a string member of a refusal, if it is there. */
 static void read_member(json_t *obj, const char *name, char *out, size_t size)
 {
 	copy_string(out, size, json_string_value(json_object_get(obj, name)));
--- a/t/helper/lib-attempt.c
+++ b/t/helper/lib-attempt.c
@@ -28,6 +28,7 @@
 	call->fetch.headers[i] = call->headers[i];
 }
 
+/* Adds the headers that an entry reads. */
 static void headers_entry(struct load_call *call)
 {
 	const struct plan_settings *set = call->set;
@@ -51,6 +52,7 @@
 		header_add(call, "X-Session: %s", call->plan.session);
 }
 
+/* Sets the headers of the attempt's request. */
 static void headers_set(struct load_call *call)
 {
 	memset(call->fetch.headers, 0, sizeof(call->fetch.headers));
@@ -62,6 +64,7 @@
 		header_add(call, "X-Idempotency-Key: %s", call->plan.key);
 }
 
+/* Sets the URL of the attempt's request. */
 static void url_set(struct load_call *call)
 {
 	const struct plan_settings *set = call->set;
@@ -83,6 +86,7 @@
 			 entry, set->model);
 }
 
+/* Sets what a whole answer to the attempt looks like. */
 static void want_set(struct load_call *call)
 {
 	struct answer_expectation *want = &call->want;
@@ -99,6 +103,7 @@
 	want->stream = call->plan.stream && !call->in_ticket;
 }
 
+/* Takes a header of the answer, on the client thread. */
 static void on_header(struct fetch *f, const char *name, const char *value)
 {
 	struct load_call *call = f->arg;
@@ -107,6 +112,7 @@
 	answer_header(&call->answer, &call->want, name, value);
 }
 
+/* Takes a piece of the answer, on the client thread. */
 static int on_data(struct fetch *f, const void *data, size_t size)
 {
 	struct load_call *call = f->arg;
@@ -224,12 +230,14 @@
 		attempt_start(second);
 }
 
+/* Sets a member unless its text is empty. */
 static void set_text(json_t *line, const char *name, const char *text)
 {
 	if (*text)
 		json_object_set_new(line, name, json_string(text));
 }
 
+/* Sets a member to true, or leaves it out. */
 static void set_flag(json_t *line, const char *name, bool value)
 {
 	if (value)
--- a/t/helper/lib-history.c
+++ b/t/helper/lib-history.c
@@ -5,6 +5,7 @@
 #define US_PER_S 1e6
 #define SAMPLES_START 1024
 
+/* Adds a time to the samples. */
 void samples_add(struct samples *samples, double ms)
 {
 	long room;
@@ -21,6 +22,7 @@
 	samples->ms[samples->count++] = (float)ms;
 }
 
+/* Orders two samples for qsort(). */
 static int compare_floats(const void *a, const void *b)
 {
 	float x = *(const float *)a;
--- a/t/helper/lib-plan.c
+++ b/t/helper/lib-plan.c
@@ -30,6 +30,7 @@
 	return prompt;
 }
 
+/* Composes the body of a model call. */
 static char *model_body(const struct plan *plan,
 			const struct plan_settings *set)
 {
@@ -48,6 +49,7 @@
 	return body;
 }
 
+/* Draws what is special to a plain call. */
 static void plain_draw(struct plan *plan, const struct plan_settings *set,
 		       struct random *random, bool crash)
 {
@@ -91,6 +93,7 @@
 	plan->body = model_body(plan, set);
 }
 
+/* Frees what a plan holds. */
 void plan_release(struct plan *plan)
 {
 	free(plan->prompt);
--- a/t/standin/lib-addresses.h
+++ b/t/standin/lib-addresses.h
@@ -13,9 +13,11 @@
 	int count;
 };
 
-int addresses_add(struct address_list *list, const char *range);
-int addresses_find(const struct address_list *list, const char *address);
-int addresses_listen(struct address_list *list, struct web_server *server,
-		     int port);
+extern struct address_list addresses;
+
+void addresses_option(int value, const char *text);
+void addresses_default(void);
+int addresses_find(const char *address);
+int addresses_listen(struct web_server *server, int port);
 
 #endif
--- a/t/standin/lib-blob.c
+++ b/t/standin/lib-blob.c
@@ -19,6 +19,7 @@
 } blobs = { .lock = PTHREAD_MUTEX_INITIALIZER,
 	    .digest_lock = PTHREAD_MUTEX_INITIALIZER };
 
+/* Bucket of the table for a hash. */
 static struct blob **blob_bucket(XXH128_hash_t hash)
 {
 	return &blobs.buckets[hash.low64 % BUCKETS];
@@ -52,6 +53,7 @@
 	return blob;
 }
 
+/* Adds a reference. */
 struct blob *blob_ref(struct blob *blob)
 {
 	pthread_mutex_lock(&blobs.lock);
@@ -82,6 +84,7 @@
 	}
 }
 
+/* Writes bytes in lower-case hex. */
 static void hex_format(const unsigned char *raw, size_t n, char *out)
 {
 	static const char digits[] = "0123456789abcdef";
@@ -94,6 +97,7 @@
 	out[2 * n] = '\0';
 }
 
+/* Writes the SHA-256 of some bytes in lower-case hex. */
 void blob_sha256_hex(const char *data, size_t len, char *out)
 {
 	unsigned char raw[SHA256_DIGEST_LENGTH];
--- a/t/standin/lib-bucket.c
+++ b/t/standin/lib-bucket.c
@@ -16,6 +16,7 @@
 	bucket->last = &bucket->first;
 }
 
+/* Queues a stream unless it waits already. */
 static void waiter_push(struct bucket *bucket, struct bucket_waiter *waiter)
 {
 	if (waiter->queued)
@@ -26,6 +27,7 @@
 	bucket->last = &waiter->next;
 }
 
+/* Takes the stream that has waited longest. */
 static struct bucket_waiter *waiter_pop(struct bucket *bucket)
 {
 	struct bucket_waiter *waiter = bucket->first;
--- a/t/standin/lib-engine-batch.c
+++ b/t/standin/lib-engine-batch.c
@@ -14,12 +14,14 @@
 	json_t *counts;
 } runs = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
+/* Makes a ring of one. */
 static void ring_init(struct engine_call *head)
 {
 	head->next = head;
 	head->prev = head;
 }
 
+/* Adds a call at the end of a ring. */
 static void ring_append(struct engine_call *head, struct engine_call *call)
 {
 	call->next = head;
@@ -28,6 +30,7 @@
 	head->prev = call;
 }
 
+/* Takes a call out of its ring. */
 static void ring_remove(struct engine_call *call)
 {
 	call->next->prev = call->prev;
@@ -35,6 +38,7 @@
 	ring_init(call);
 }
 
+/* Starts without calls. */
 void batch_init(struct engine *engine)
 {
 	int i;
@@ -76,6 +80,7 @@
 			batch_remove(engine->waiting[i].next, CALL_CANCELLED);
 }
 
+/* Counts a run of a request. */
 static void count_run(const char *id)
 {
 	json_int_t n;
@@ -193,6 +198,7 @@
 	}
 }
 
+/* A call of a ring by its request identity, or NULL. */
 static struct engine_call *ring_find(struct engine_call *head, const char *id)
 {
 	struct engine_call *call;
--- a/t/standin/lib-engine-cache.c
+++ b/t/standin/lib-engine-cache.c
@@ -11,6 +11,7 @@
 #define US_PER_MS 1000
 #define KV_PATH "/kv/"
 
+/* Starts with an empty cache. */
 void cache_init(struct engine *engine)
 {
 	engine->recent.next = &engine->recent;
@@ -29,12 +30,14 @@
 	event->store = store;
 }
 
+/* Takes a block out of the order of use. */
 static void block_unlink(struct cache_block *block)
 {
 	block->next->prev = block->prev;
 	block->prev->next = block->next;
 }
 
+/* Makes a block the latest used. */
 static void block_push(struct engine *engine, struct cache_block *block)
 {
 	block->next = engine->recent.next;
@@ -43,6 +46,7 @@
 	engine->recent.next = block;
 }
 
+/* Drops the block that was used longest ago. */
 static void block_evict(struct engine *engine, int64_t now_ms)
 {
 	struct cache_block *block = engine->recent.prev;
@@ -96,6 +100,7 @@
 	return (int)blocks;
 }
 
+/* Forgets the KV cache of a session. */
 static void session_remove(struct engine *engine, struct kv_session *session)
 {
 	apr_hash_set(engine->sessions, session->name, APR_HASH_KEY_STRING,
@@ -146,6 +151,7 @@
 	return missing * engine_settings.prefill_us / US_PER_MS;
 }
 
+/* Forgets every block and session. */
 void cache_clear(struct engine *engine)
 {
 	apr_hash_index_t *it;
@@ -156,6 +162,7 @@
 		session_remove(engine, apr_hash_this_val(it));
 }
 
+/* One event as JSON. */
 static json_t *event_json(const struct cache_event *event, long seq)
 {
 	char hash[17];
@@ -197,6 +204,7 @@
 					"events", array));
 }
 
+/* The KV cache of a session as JSON. */
 static json_t *session_json(const struct kv_session *session)
 {
 	json_t *blocks = json_array();
@@ -212,6 +220,7 @@
 			 session->content, "blocks", blocks);
 }
 
+/* Serves GET /kv/<session>. */
 static enum web_verdict kv_export(struct engine *engine,
 				  struct web_request *req, const char *name)
 {
@@ -243,11 +252,11 @@
 	return false;
 }
 
+/* Serves PUT /kv/<session>. */
 static enum web_verdict kv_import(struct engine *engine,
 				  struct web_request *req, const char *name)
 {
-	json_t *obj =
-		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *obj = web_body(req);
 	json_t *blocks = json_object_get(obj, "blocks");
 	const char *content =
 		json_string_value(json_object_get(obj, "content"));
--- a/t/standin/lib-engine-calls.c
+++ b/t/standin/lib-engine-calls.c
@@ -88,6 +88,7 @@
 
 static const struct web_stream_ops stream_ops = { stream_read, NULL };
 
+/* Frees a call that is in no list. */
 static void call_free(struct engine_call *call)
 {
 	free(call->id);
@@ -114,6 +115,7 @@
 	req->call = NULL;
 }
 
+/* Copies a string that may be NULL. */
 static char *dup_string(const char *text)
 {
 	return text ? strdup(text) : NULL;
@@ -249,8 +251,7 @@
 static enum web_verdict generate_start(struct engine *engine,
 				       struct web_request *req)
 {
-	json_t *obj =
-		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *obj = web_body(req);
 	struct engine_call *call = call_read(engine, req, obj);
 	unsigned status;
 
@@ -297,8 +298,7 @@
 /* Serves POST /v1/cancel. */
 enum web_verdict cancel_handle(struct engine *engine, struct web_request *req)
 {
-	json_t *obj =
-		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *obj = web_body(req);
 	const char *id = json_string_value(json_object_get(obj, "id"));
 	struct engine_call *call = NULL;
 
--- a/t/standin/lib-engine-orders.c
+++ b/t/standin/lib-engine-orders.c
@@ -16,17 +16,20 @@
 	json_int_t fence;
 };
 
+/* A loaded model by its name, ready or not, or NULL. */
 static struct engine_model *model_get(struct engine *engine, const char *name)
 {
 	return apr_hash_get(engine->models, name, APR_HASH_KEY_STRING);
 }
 
+/* Frees a model that is not in the table. */
 static void model_free(struct engine_model *model)
 {
 	free(model->name);
 	free(model);
 }
 
+/* Unloads a model if it is loaded. */
 static void model_remove(struct engine *engine, const char *name)
 {
 	struct engine_model *model = model_get(engine, name);
@@ -46,6 +49,7 @@
 	return model && model->ready_ms <= now_ms ? model : NULL;
 }
 
+/* Unloads every model. */
 void models_clear(struct engine *engine)
 {
 	struct engine_model *model;
@@ -117,6 +121,7 @@
 	return MHD_HTTP_OK;
 }
 
+/* Unloads a model. */
 static unsigned order_unload(struct engine *engine, const struct order *order,
 			     int64_t now_ms)
 {
@@ -126,6 +131,7 @@
 	return MHD_HTTP_OK;
 }
 
+/* Changes the role of the engine. */
 static unsigned order_role(struct engine *engine, const struct order *order,
 			   int64_t now_ms)
 {
@@ -185,8 +191,7 @@
 	json_int_t highest;
 	unsigned status;
 
-	order.obj =
-		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	order.obj = web_body(req);
 	if (json_unpack(order.obj, "{s:s,s?s,s?s,s?s,s?I}", "order",
 			&order.kind, "model", &order.model, "version",
 			&order.version, "role", &order.role, "fence",
--- a/t/standin/lib-engine-staging.c
+++ b/t/standin/lib-engine-staging.c
@@ -6,12 +6,14 @@
 
 #define CHUNK_PATH "/staging/chunks/"
 
+/* A staged chunk by its digest, or NULL. */
 static struct staged_chunk *chunk_find(struct engine *engine,
 				       const char *digest)
 {
 	return apr_hash_get(engine->staged, digest, APR_HASH_KEY_STRING);
 }
 
+/* Forgets a staged chunk. */
 static void chunk_remove(struct engine *engine, struct staged_chunk *chunk)
 {
 	apr_hash_set(engine->staged, chunk->digest, APR_HASH_KEY_STRING, NULL);
@@ -56,6 +58,7 @@
 	return 0;
 }
 
+/* Serves PUT of a chunk. */
 static enum web_verdict chunk_put(struct engine *engine,
 				  struct web_request *req, const char *digest)
 {
@@ -81,11 +84,13 @@
 	return web_reply_error(req, 507, "staging memory is full");
 }
 
+/* Called by libmicrohttpd when a chunk has been sent. */
 static void release_blob(void *blob)
 {
 	blob_put(blob);
 }
 
+/* Serves GET of a chunk. */
 static enum web_verdict chunk_get(struct engine *engine,
 				  struct web_request *req, const char *digest)
 {
@@ -108,6 +113,7 @@
 	return web_send(req, MHD_HTTP_OK, res);
 }
 
+/* Serves DELETE of a chunk. */
 static enum web_verdict
 chunk_delete(struct engine *engine, struct web_request *req, const char *digest)
 {
@@ -121,6 +127,7 @@
 	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
 }
 
+/* Serves GET /staging. */
 static enum web_verdict staging_list(struct engine *engine,
 				     struct web_request *req)
 {
--- a/t/standin/lib-listen.c
+++ b/t/standin/lib-listen.c
@@ -52,6 +52,7 @@
 	}
 }
 
+/* Accepts for all listeners, on a thread of its own. */
 static void *accept_loop(void *arg)
 {
 	struct listen_set *set = arg;
@@ -202,6 +203,7 @@
 	return 0;
 }
 
+/* Writes a host-order address in dotted form. */
 void listen_format(uint32_t ip, char *out)
 {
 	struct in_addr addr = { .s_addr = htonl(ip) };
--- a/t/standin/lib-options.c
+++ b/t/standin/lib-options.c
@@ -3,6 +3,7 @@
 
 #include "t/standin/lib-options.h"
 
+/* Reports a wrong value of an option and exits. */
 void options_fail(const char *what, const char *text)
 {
 	fprintf(stderr, "%s: %s\n", what, text ? text : "");
--- a/t/standin/lib-options.h
+++ b/t/standin/lib-options.h
@@ -11,6 +11,6 @@
 		  void (*seen)(int value, const char *text));
 
 /* Reports a wrong value of an option and exits. */
-void options_fail(const char *what, const char *text);
+__attribute__((noreturn)) void options_fail(const char *what, const char *text);
 
 #endif
--- a/t/standin/lib-process.c
+++ b/t/standin/lib-process.c
@@ -27,6 +27,7 @@
 	return (int64_t)ts.tv_sec * MS_PER_S + ts.tv_nsec / NS_PER_MS;
 }
 
+/* Calls a ticker for ever. */
 static void *ticker_loop(void *arg)
 {
 	struct ticker *ticker = arg;
@@ -62,6 +63,7 @@
 	return 0;
 }
 
+/* The signals that end a stand-in. */
 static void exit_signals(sigset_t *set)
 {
 	sigemptyset(set);
--- a/t/standin/lib-web-reply.c
+++ b/t/standin/lib-web-reply.c
@@ -3,6 +3,23 @@
 
 #include "t/standin/lib-web.h"
 
+/* The request's body as JSON, or NULL. */
+json_t *web_body(const struct web_request *req)
+{
+	return json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+}
+
+/* Index of a word (which may be NULL) among others, or -1. */
+int web_word(const char *const *words, int count, const char *word)
+{
+	int i;
+
+	for (i = 0; word && i < count; i++)
+		if (!strcmp(word, words[i]))
+			return i;
+	return -1;
+}
+
 /* Queues res as the reply and gives up the caller's reference to it. */
 enum web_verdict web_send(struct web_request *req, unsigned status,
 			  struct MHD_Response *res)
@@ -43,6 +60,7 @@
 	return web_send(req, status, res);
 }
 
+/* Replies with the reason of a failure. */
 enum web_verdict web_reply_error(struct web_request *req, unsigned status,
 				 const char *error)
 {
--- a/t/standin/lib-web.c
+++ b/t/standin/lib-web.c
@@ -58,11 +58,13 @@
 		inet_ntop(AF_INET, &sin.sin_addr, out, WEB_ADDRESS_MAX);
 }
 
+/* getpeername() with the plain type of an address. */
 static int conn_peername(int fd, struct sockaddr *sa, socklen_t *len)
 {
 	return getpeername(fd, sa, len);
 }
 
+/* getsockname() with the plain type of an address. */
 static int conn_sockname(int fd, struct sockaddr *sa, socklen_t *len)
 {
 	return getsockname(fd, sa, len);
@@ -94,6 +96,7 @@
 	return conn;
 }
 
+/* Unlinks and frees the record of a connection. */
 static void conn_close(struct web_conn *conn)
 {
 	struct web_server *server = conn->server;
@@ -173,6 +176,7 @@
 	return silent;
 }
 
+/* Tells whether conn was dropped and has to end. */
 static bool conn_is_dropped(struct web_conn *conn)
 {
 	bool dropped;
@@ -220,6 +224,7 @@
 	pthread_mutex_unlock(&server->lock);
 }
 
+/* Creates the record of a request whose head has come. */
 static struct web_request *request_open(struct MHD_Connection *mhd,
 					const char *path, const char *method)
 {
@@ -335,6 +340,7 @@
 	return request_run(arg, req);
 }
 
+/* Hands an accepted connection to the thread pool. */
 static void on_accept(void *arg, int fd, const struct sockaddr *sa,
 		      socklen_t len)
 {
@@ -377,6 +383,7 @@
 	return NULL;
 }
 
+/* Listens on one address. */
 int web_listen(struct web_server *server, const char *address, unsigned port)
 {
 	return listen_add(server->listeners, address, port);
@@ -388,21 +395,25 @@
 	listen_remove(server->listeners, address);
 }
 
+/* Address that the request came to. */
 const char *web_local(const struct web_request *req)
 {
 	return req->conn->local;
 }
 
+/* Address that the request came from. */
 const char *web_peer(const struct web_request *req)
 {
 	return req->conn->peer;
 }
 
+/* A header's value, or NULL. */
 const char *web_header(const struct web_request *req, const char *name)
 {
 	return MHD_lookup_connection_value(req->mhd, MHD_HEADER_KIND, name);
 }
 
+/* A query parameter's value, or NULL. */
 const char *web_query(const struct web_request *req, const char *name)
 {
 	return MHD_lookup_connection_value(req->mhd, MHD_GET_ARGUMENT_KIND,
@@ -438,6 +449,7 @@
 	return held < 0 ? WEB_STREAM_FAIL : 0;
 }
 
+/* Called by libmicrohttpd when a streamed reply is over. */
 static void stream_close(void *arg)
 {
 	struct web_stream_state *state = arg;
--- a/t/standin/lib-web.h
+++ b/t/standin/lib-web.h
@@ -63,6 +63,8 @@
 const char *web_peer(const struct web_request *req);
 const char *web_header(const struct web_request *req, const char *name);
 const char *web_query(const struct web_request *req, const char *name);
+json_t *web_body(const struct web_request *req);
+int web_word(const char *const *words, int count, const char *word);
 long web_query_long(const struct web_request *req, const char *name,
 		    long missing);
 
--- a/t/standin/standin-engine.c
+++ b/t/standin/standin-engine.c
@@ -13,7 +13,6 @@
 #define SERVER_THREADS 6
 #define TICK_US 1000
 
-static struct address_list addresses;
 static struct engine **engines;
 
 static const char *const fault_names[ENGINE_FAULT_COUNT] = {
@@ -21,6 +20,7 @@
 	"ignore-fence", "slow"
 };
 
+/* Does what is due at every engine. */
 static void on_tick(void *arg, int64_t now_ms)
 {
 	int i;
@@ -33,20 +33,16 @@
 static enum web_verdict post_fault(struct engine *engine,
 				   struct web_request *req)
 {
-	json_t *obj =
-		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *obj = web_body(req);
 	const char *mode = json_string_value(json_object_get(obj, "mode"));
 	const char *address =
 		json_string_value(json_object_get(obj, "address"));
 	int ms = (int)json_integer_value(json_object_get(obj, "ms"));
-	int only = address ? addresses_find(&addresses, address) : -1;
-	int fault;
+	int only = address ? addresses_find(address) : -1;
+	int fault = web_word(fault_names, ENGINE_FAULT_COUNT, mode);
 	int i;
 
-	for (fault = 0; mode && fault < ENGINE_FAULT_COUNT; fault++)
-		if (!strcmp(mode, fault_names[fault]))
-			break;
-	if (!mode || fault == ENGINE_FAULT_COUNT || (address && only < 0)) {
+	if (fault < 0 || (address && only < 0)) {
 		json_decref(obj);
 		return web_reply_error(req, MHD_HTTP_BAD_REQUEST, "bad fault");
 	}
@@ -57,12 +53,14 @@
 	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
 }
 
+/* Serves GET /standin/runs. */
 static enum web_verdict get_runs(struct engine *engine, struct web_request *req)
 {
 	return web_reply_json(req, MHD_HTTP_OK,
 			      json_pack("{s:o}", "runs", batch_runs()));
 }
 
+/* Serves GET /standin/counts. */
 static enum web_verdict get_counts(struct engine *engine,
 				   struct web_request *req)
 {
@@ -101,6 +99,7 @@
 	{ "GET", "/standin/counts", get_counts },
 };
 
+/* Whether a path of the routes stands for the one asked for. */
 static bool route_matches(const char *path, const char *asked)
 {
 	size_t len = strlen(path);
@@ -110,9 +109,10 @@
 	return !strcmp(path, asked);
 }
 
+/* Serves a request at the engine of its address. */
 static enum web_verdict handle(struct web_request *req, void *arg)
 {
-	int at = addresses_find(&addresses, web_local(req));
+	int at = addresses_find(web_local(req));
 	size_t i;
 
 	if (at < 0)
@@ -125,6 +125,7 @@
 	return web_reply_error(req, MHD_HTTP_NOT_FOUND, "no such path");
 }
 
+/* Ends the call of a request, if it made one. */
 static void request_end(struct web_request *req, void *arg)
 {
 	call_close(req);
@@ -132,20 +133,13 @@
 
 static const struct web_ops ops = { handle, request_end };
 
-static void option_seen(int value, const char *text)
-{
-	if (addresses_add(&addresses, text))
-		options_fail("not an address", text);
-}
-
 /* Creates the engines and lets them be reached. */
 static int engines_start(void)
 {
 	struct web_server *server = web_start(&ops, NULL, SERVER_THREADS);
 	int i;
 
-	if (!addresses.count)
-		addresses_add(&addresses, "127.0.0.1");
+	addresses_default();
 	engines = calloc((size_t)addresses.count, sizeof(struct engine *));
 	if (!server || !engines)
 		return -1;
@@ -156,9 +150,10 @@
 	}
 	if (web_ticker(TICK_US, on_tick, NULL))
 		return -1;
-	return addresses_listen(&addresses, server, engine_settings.port);
+	return addresses_listen(server, engine_settings.port);
 }
 
+/* Runs engines on the addresses given. */
 int main(int argc, const char **argv)
 {
 	struct engine_settings *set = &engine_settings;
@@ -196,7 +191,7 @@
 	set->slots = DEFAULT_SLOTS;
 	set->token_ms = DEFAULT_TOKEN_MS;
 	set->cache_blocks = DEFAULT_CACHE_BLOCKS;
-	options_read(argc, argv, options, option_seen);
+	options_read(argc, argv, options, addresses_option);
 	web_block_signals();
 	if (apr_initialize() || engines_start())
 		return 1;
--- a/t/standin/standin-plain.c
+++ b/t/standin/standin-plain.c
@@ -46,14 +46,13 @@
 	struct web_server *server;
 } service = { .lock = PTHREAD_MUTEX_INITIALIZER, .crash_ms = CRASH_MS };
 
-static struct address_list addresses;
 static int port = DEFAULT_PORT;
 static int delay_ms;
 
 /* Drops the connections of an address and refuses new ones for a while. */
 static void service_crash(const char *address, int64_t now_ms)
 {
-	int i = addresses_find(&addresses, address);
+	int i = addresses_find(address);
 
 	if (i < 0)
 		return;
@@ -134,6 +133,7 @@
 	return call;
 }
 
+/* Ends the call of a request that is over. */
 static void call_close(struct web_request *req, void *arg)
 {
 	struct call *call = req->call;
@@ -174,6 +174,7 @@
 	return verdict;
 }
 
+/* Serves GET /standin/runs. */
 static enum web_verdict get_runs(struct web_request *req)
 {
 	json_t *obj;
@@ -185,31 +186,29 @@
 	return web_reply_json(req, MHD_HTTP_OK, obj);
 }
 
+/* Serves POST /standin/fault. */
 static enum web_verdict post_fault(struct web_request *req)
 {
-	json_t *obj =
-		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *obj = web_body(req);
 	const char *name = json_string_value(json_object_get(obj, "mode"));
 	json_t *ms = json_object_get(obj, "ms");
-	int i;
+	int fault = web_word(fault_names, FAULT_COUNT, name);
 
-	for (i = 0; name && i < FAULT_COUNT; i++)
-		if (!strcmp(name, fault_names[i]))
-			break;
-	if (!name || i == FAULT_COUNT) {
+	if (fault < 0) {
 		json_decref(obj);
 		return web_reply_error(req, MHD_HTTP_BAD_REQUEST, "bad fault");
 	}
 	pthread_mutex_lock(&service.lock);
-	service.fault = i;
+	service.fault = fault;
 	service.crash_ms = ms ? json_integer_value(ms) : CRASH_MS;
 	pthread_mutex_unlock(&service.lock);
 	json_decref(obj);
-	if (i == FAULT_BLACKHOLE)
+	if (fault == FAULT_BLACKHOLE)
 		web_silence(service.server, NULL);
 	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
 }
 
+/* Serves every request. */
 static enum web_verdict handle(struct web_request *req, void *arg)
 {
 	if (!strcmp(req->path, "/standin/runs"))
@@ -223,12 +222,7 @@
 
 static const struct web_ops ops = { handle, call_close };
 
-static void option_seen(int value, const char *text)
-{
-	if (addresses_add(&addresses, text))
-		options_fail("not an address", text);
-}
-
+/* Runs the plain service. */
 int main(int argc, const char **argv)
 {
 	const struct poptOption options[] = {
@@ -240,7 +234,7 @@
 		POPT_AUTOHELP POPT_TABLEEND
 	};
 
-	options_read(argc, argv, options, option_seen);
+	options_read(argc, argv, options, addresses_option);
 	web_block_signals();
 	service.runs = json_object();
 	service.requests = json_object();
@@ -249,7 +243,7 @@
 	service.server = web_start(&ops, NULL, SERVER_THREADS);
 	if (!service.server || web_ticker(TICK_US, on_tick, NULL))
 		return 1;
-	if (addresses_listen(&addresses, service.server, port))
+	if (addresses_listen(service.server, port))
 		return 1;
 	return web_wait_for_signal();
 }
--- a/t/standin/standin-platform.c
+++ b/t/standin/standin-platform.c
@@ -67,8 +67,6 @@
 	struct watch *watches;
 } platform = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
-static struct address_list addresses;
-
 /* The document that a reader sees under the present fault. */
 static const struct document *config_visible(void)
 {
@@ -168,6 +166,7 @@
 	return watch;
 }
 
+/* Ends the watch of a request that is over. */
 static void watch_close(struct web_request *req, void *arg)
 {
 	struct watch **link;
@@ -254,8 +253,7 @@
 static enum web_verdict put_config(struct web_request *req)
 {
 	struct document doc = { .len = req->body_len };
-	json_t *obj =
-		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *obj = web_body(req);
 	json_t *revision = json_object_get(obj, "revision");
 
 	if (!json_is_integer(revision)) {
@@ -279,8 +277,7 @@
 /* PUT /standin/instances: the body becomes the next version of the list. */
 static enum web_verdict put_instances(struct web_request *req)
 {
-	json_t *array =
-		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *array = web_body(req);
 	struct list_version *list;
 
 	if (!json_is_array(array)) {
@@ -304,23 +301,20 @@
 static int read_fault(json_t *obj, const char *member, enum fault_mode *mode)
 {
 	const char *name = json_string_value(json_object_get(obj, member));
-	int i;
+	int fault = web_word(fault_names, FAULT_COUNT, name);
 
 	if (!name)
 		return 0;
-	for (i = 0; i < FAULT_COUNT; i++) {
-		if (!strcmp(name, fault_names[i])) {
-			*mode = i;
-			return 0;
-		}
-	}
-	return -1;
+	if (fault < 0)
+		return -1;
+	*mode = fault;
+	return 0;
 }
 
+/* Serves POST /standin/fault. */
 static enum web_verdict post_fault(struct web_request *req)
 {
-	json_t *obj =
-		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *obj = web_body(req);
 	json_t *lag = json_object_get(obj, "list_lag_ms");
 	int ret;
 
@@ -336,6 +330,7 @@
 	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
 }
 
+/* Serves GET /standin/counts. */
 static enum web_verdict get_counts(struct web_request *req)
 {
 	json_t *obj;
@@ -361,6 +356,7 @@
 	{ "GET", "/standin/counts", get_counts },
 };
 
+/* Serves every request. */
 static enum web_verdict handle(struct web_request *req, void *arg)
 {
 	size_t i;
@@ -378,12 +374,7 @@
 
 static const struct web_ops ops = { handle, watch_close };
 
-static void option_seen(int value, const char *text)
-{
-	if (addresses_add(&addresses, text))
-		options_fail("not an address", text);
-}
-
+/* Runs the configuration service and the instance list. */
 int main(int argc, const char **argv)
 {
 	int port = DEFAULT_PORT;
@@ -395,12 +386,12 @@
 	};
 	struct web_server *server;
 
-	options_read(argc, argv, options, option_seen);
+	options_read(argc, argv, options, addresses_option);
 	web_block_signals();
 	server = web_start(&ops, NULL, SERVER_THREADS);
 	if (!server || web_ticker(TICK_US, on_tick, NULL))
 		return 1;
-	if (addresses_listen(&addresses, server, port))
+	if (addresses_listen(server, port))
 		return 1;
 	return web_wait_for_signal();
 }
--- a/t/standin/standin-store.c
+++ b/t/standin/standin-store.c
@@ -58,13 +58,14 @@
 } store = { .lock = PTHREAD_MUTEX_INITIALIZER, .share = 1, .seed = 1 };
 
 static char *directory = ".";
-static struct address_list addresses;
 
+/* Grants the bytes that the rate allows by now. */
 static void on_tick(void *arg, int64_t now_ms)
 {
 	bucket_tick(&store.bucket, now_ms * US_PER_MS);
 }
 
+/* Lets a transfer go on that has been granted bytes. */
 static void transfer_wake(struct bucket_waiter *waiter)
 {
 	struct transfer *tr = (struct transfer *)waiter;
@@ -72,6 +73,7 @@
 	web_release(tr->req);
 }
 
+/* Counts bytes sent to a client. */
 static void count_bytes(const char *client, size_t n)
 {
 	json_t *old;
@@ -115,6 +117,7 @@
 	return n;
 }
 
+/* Ends a transfer, whole or not. */
 static void transfer_close(void *arg)
 {
 	struct transfer *tr = arg;
@@ -167,6 +170,7 @@
 	return 1;
 }
 
+/* Replies that the client has to come back later. */
 static enum web_verdict reply_limited(struct web_request *req, long after_s)
 {
 	struct MHD_Response *res =
@@ -242,6 +246,7 @@
 			res);
 }
 
+/* Serves a file of weights or a manifest. */
 static enum web_verdict get_file(struct web_request *req)
 {
 	long retry_after_s;
@@ -265,24 +270,21 @@
 	return reply_file(req, fd, size, fault);
 }
 
+/* Serves POST /standin/fault. */
 static enum web_verdict post_fault(struct web_request *req)
 {
-	json_t *obj =
-		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *obj = web_body(req);
 	const char *name = json_string_value(json_object_get(obj, "mode"));
 	json_t *share = json_object_get(obj, "share");
 	json_t *after = json_object_get(obj, "retry_after");
-	int i;
+	int fault = web_word(fault_names, FAULT_COUNT, name);
 
-	for (i = 0; name && i < FAULT_COUNT; i++)
-		if (!strcmp(name, fault_names[i]))
-			break;
-	if (!name || i == FAULT_COUNT) {
+	if (fault < 0) {
 		json_decref(obj);
 		return web_reply_error(req, MHD_HTTP_BAD_REQUEST, "bad fault");
 	}
 	pthread_mutex_lock(&store.lock);
-	store.fault = i;
+	store.fault = fault;
 	store.share = share ? json_number_value(share) : 1;
 	store.retry_after_s =
 		after ? (long)json_integer_value(after) : DEFAULT_RETRY_AFTER_S;
@@ -291,6 +293,7 @@
 	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
 }
 
+/* Serves GET /standin/counts. */
 static enum web_verdict get_counts(struct web_request *req)
 {
 	json_t *obj;
@@ -303,6 +306,7 @@
 	return web_reply_json(req, MHD_HTTP_OK, obj);
 }
 
+/* Serves every request. */
 static enum web_verdict handle(struct web_request *req, void *arg)
 {
 	if (!strcmp(req->path, "/standin/fault"))
@@ -320,12 +324,7 @@
 
 static const struct web_ops ops = { handle, NULL };
 
-static void option_seen(int value, const char *text)
-{
-	if (addresses_add(&addresses, text))
-		options_fail("not an address", text);
-}
-
+/* Runs the weight store. */
 int main(int argc, const char **argv)
 {
 	int port = DEFAULT_PORT;
@@ -345,7 +344,7 @@
 	};
 	struct web_server *server;
 
-	options_read(argc, argv, options, option_seen);
+	options_read(argc, argv, options, addresses_option);
 	web_block_signals();
 	store.seed = (unsigned)seed;
 	store.by_client = json_object();
@@ -353,7 +352,7 @@
 	server = web_start(&ops, NULL, SERVER_THREADS);
 	if (!server || web_ticker(TICK_US, on_tick, NULL))
 		return 1;
-	if (addresses_listen(&addresses, server, port))
+	if (addresses_listen(server, port))
 		return 1;
 	return web_wait_for_signal();
 }
