--- a/member/member.c
+++ b/member/member.c
@@ -180,12 +180,14 @@
 static int needs_retry(const struct instance *row)
 {
 	return row->state == INSTANCE_SUSPECT ||
+	       row->state == INSTANCE_LEAVING ||
 	       (row->state == INSTANCE_DEAD && row->listed);
 }
 
 /*
- * Tries suspects, and some of the dead that the list still shows: they may
- * be back, or have been on the other side of a partition.
+ * Tries suspects and those who leave, whom nobody else greets, and some
+ * of the dead that the list still shows: they may be back, or have been on
+ * the other side of a partition.
  */
 static void retry_some(struct member *m, apr_time_t now)
 {
--- a/member/poll.c
+++ b/member/poll.c
@@ -318,6 +318,13 @@
 	member_post(m, &e);
 }
 
+/* A greeting, on a fresh connection, will tell more. */
+static void poll_failed(struct member *m, const struct target *t)
+{
+	metric_count("member_report_failures", NULL, 1);
+	hello_send(m, t->address, t->id, 0, NULL);
+}
+
 static void poll_run(struct job *job)
 {
 	struct poll_job *j = (struct poll_job *)job;
@@ -344,7 +351,7 @@
 	if (ok)
 		metric_count("member_reports", NULL, 1);
 	else
-		hello_send(m, t->address, t->id, 0, NULL);
+		poll_failed(m, t);
 	if (!err.code)
 		xdr_free((xdrproc_t)xdr_member_report, &rep);
 	free(j);
--- a/t/test-lib.sh
+++ b/t/test-lib.sh
@@ -13,6 +13,8 @@
 TEST_NAME=$(basename "$0" .sh)
 TRASH=$TOP/t/trash/$FLAVOR/$TEST_NAME
 test_number=$(expr "$TEST_NAME" : '[tp]0*\([0-9]*\)')
+# Checkouts whose tests run at once on one machine need an offset each.
+test_number=$((test_number + ${TEST_NET_OFFSET:-0}))
 case "$TEST_NAME" in p*) test_number=$((test_number + 20000)) ;; esac
 TEST_NET=127.$((10 + test_number / 250 % 240)).$((1 + test_number % 250))
 SQ="'"
