--- a/t/helper/lib-attempt.h
+++ b/t/helper/lib-attempt.h
@@ -18,7 +18,8 @@
 #define ATTEMPT_HEADERS 12
 
 struct load_call {
-	struct load_call *next; /* while it waits for its next attempt */
+	struct load_call *next;	  /* while it waits for its next attempt */
+	struct load_call *second; /* its double, until both are sent */
 	struct fetch fetch;
 	struct fetcher *fetcher;
 	struct plan plan;
@@ -33,8 +34,7 @@
 	bool fresh; /* always on a new connection */
 	bool in_ticket;
 	bool is_double;
-	struct load_call *twin; /* copy that waits for the ticket */
-	json_t *earlier;	/* outcomes of former attempts */
+	json_t *earlier; /* outcomes of former attempts */
 	apr_time_t begin_us;
 	apr_time_t sent_us;
 	apr_time_t end_us;
@@ -45,7 +45,8 @@
 };
 
 void attempt_start(struct load_call *call);
-void attempt_note_earlier(struct load_call *call);
+bool attempt_is_safe_again(const struct load_call *call);
+void attempt_prepare_again(struct load_call *call);
 json_t *attempt_line(const struct load_call *call);
 
 #endif
