--- a/t/helper/lib-weights-run.c
+++ b/t/helper/lib-weights-run.c
@@ -1,4 +1,5 @@
 #include "t/helper/lib-weights-run.h"
+#include "weights/hint.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -125,6 +126,26 @@
 	xdr_free((xdrproc_t)xdr_weights_have, (char *)&h);
 }
 
+/* The same by the header of a request for a chunk. */
+static void hint_pass(struct run *r, int from, int to)
+{
+	struct swarm *sf = r->nodes[from].swarm, *st = r->nodes[to].swarm;
+	struct swarm_peer *p = swarm_peer_find(sf, r->nodes[to].id);
+	struct swarm_peer *q = swarm_peer_find(st, r->nodes[from].id);
+	u_int entries[HINT_ENTRIES_MAX];
+	struct weights_have h, got;
+	char text[HINT_SIZE];
+
+	memset(&h, 0, sizeof(h));
+	if (!p || !q)
+		return;
+	swarm_have_make(sf, p, &h, r->now);
+	hint_format(&h, text);
+	if (!hint_parse(text, &got, entries))
+		swarm_hint_take(st, q, &got, r->now);
+	xdr_free((xdrproc_t)xdr_weights_have, (char *)&h);
+}
+
 static void node_exchange(struct run *r, int node)
 {
 	struct swarm *s = r->nodes[node].swarm;
@@ -308,6 +329,10 @@
 	    r->nodes[t->peer].corrupt)
 		r->bad_staged++;
 	swarm_result(n->swarm, &t->action, t->result, t->wait, r->now);
+	if (t->result == RESULT_DONE && t->peer >= 0) {
+		hint_pass(r, t->peer, t->node);
+		hint_pass(r, t->node, t->peer);
+	}
 }
 
 static void transfers_step(struct run *r)
--- a/weights/exchange.c
+++ b/weights/exchange.c
@@ -178,6 +178,47 @@
 	}
 }
 
+/* Writes the header with this instance's news for a peer.  Locked. */
+void hint_make(struct model_row *m, const char *peer, char out[HINT_SIZE],
+	       apr_time_t now)
+{
+	struct swarm_peer *p = swarm_peer_find(m->swarm, peer);
+	struct weights_have h;
+
+	*out = '\0';
+	if (!p)
+		return;
+	memset(&h, 0, sizeof(h));
+	swarm_have_make(m->swarm, p, &h, now);
+	hint_format(&h, out);
+	xdr_free((xdrproc_t)xdr_weights_have, (char *)&h);
+}
+
+/* Takes in a header from a peer and writes the one to answer with. */
+void hint_exchange(struct weights *w, const char *peer, const char *text,
+		   char out[HINT_SIZE])
+{
+	u_int entries[HINT_ENTRIES_MAX];
+	struct weights_have h;
+	struct swarm_peer *p;
+	struct model_row *m;
+	apr_time_t now = clock_now();
+
+	if (out)
+		*out = '\0';
+	if (!peer || !text || hint_parse(text, &h, entries))
+		return;
+	table_lock(&w->models);
+	m = model_by_digest(w, (const struct digest *)h.digest);
+	p = m && m->swarm ? swarm_peer_find(m->swarm, peer) : NULL;
+	if (p) {
+		swarm_hint_take(m->swarm, p, &h, now);
+		if (out)
+			hint_make(m, peer, out, now);
+	}
+	table_unlock(&w->models);
+}
+
 /* Sends the messages that are due.  Locked. */
 void exchange_step(struct weights *w, apr_time_t now)
 {
--- a/weights/internal.h
+++ b/weights/internal.h
@@ -5,6 +5,7 @@
 #include "net/node.h"
 #include "weights/activate.h"
 #include "weights/blob.h"
+#include "weights/hint.h"
 #include "weights/manifest.h"
 #include "weights/pace.h"
 #include "weights/place.h"
@@ -109,6 +110,10 @@
 /* exchange.c: messages with neighbours */
 int exchange_start(struct weights *w);
 void exchange_step(struct weights *w, apr_time_t now);
+void hint_make(struct model_row *m, const char *peer, char out[HINT_SIZE],
+	       apr_time_t now);
+void hint_exchange(struct weights *w, const char *peer, const char *text,
+		   char out[HINT_SIZE]);
 
 /* engine.c, staging.c: orders to the engine and its staging memory */
 void engine_step(struct weights *w, apr_time_t now);
--- a/weights/manifest-fetch.c
+++ b/weights/manifest-fetch.c
@@ -13,8 +13,8 @@
  * origin, one after the other, all others ask peers until one has it.
  */
 
-#define MANIFEST_RETRY_US (150 * 1000)
-#define MANIFEST_RETRY_SPREAD_US (100 * 1000)
+#define MANIFEST_RETRY_US (60 * 1000)
+#define MANIFEST_RETRY_SPREAD_US (60 * 1000)
 #define MANIFEST_RETRY_MAX_US (2 * APR_USEC_PER_SEC)
 #define MANIFEST_PERMIT_US APR_USEC_PER_SEC /* before the next holder's turn */
 #define MANIFEST_ALONE_US (10 * APR_USEC_PER_SEC)
--- a/weights/swarm.c
+++ b/weights/swarm.c
@@ -334,6 +334,21 @@
 		p->known = in->start + i;
 }
 
+/*
+ * Takes in what a peer told beside a chunk: only what chunks it holds and
+ * how much of this instance's log it knows.
+ */
+void swarm_hint_take(struct swarm *s, struct swarm_peer *p,
+		     const struct weights_have *in, apr_time_t now)
+{
+	entries_take(s, p, in, now);
+	/* Overtaken by a message, it must not take knowledge back. */
+	if (in->known_epoch != p->sent_epoch || in->known > p->sent) {
+		p->sent_epoch = in->known_epoch;
+		p->sent = in->known;
+	}
+}
+
 /*
  * Takes in what a peer told.  Returns 1 when it brought news about the
  * first loaders, which should travel on at once.
--- a/weights/swarm.h
+++ b/weights/swarm.h
@@ -24,7 +24,7 @@
 #define SWARM_PULLS_MAX 6      /* transfers asked for within the data centre */
 #define SWARM_CARRIES_MAX 2    /* across data centres */
 #define SWARM_DRAWS_MAX 1      /* from the origin */
-#define SWARM_PEER_ASKED_MAX 2 /* transfers asked of one peer */
+#define SWARM_PEER_ASKED_MAX 1 /* transfers asked of one peer */
 #define SWARM_NO_PEER (-1)
 
 enum chunk_status {
@@ -160,6 +160,8 @@
 int send_rank_before(const struct send_rank *a, const struct send_rank *b);
 void swarm_have_make(const struct swarm *s, const struct swarm_peer *p,
 		     struct weights_have *out, apr_time_t now);
+void swarm_hint_take(struct swarm *s, struct swarm_peer *p,
+		     const struct weights_have *in, apr_time_t now);
 int swarm_have_take(struct swarm *s, struct swarm_peer *p,
 		    const struct weights_have *in, apr_time_t now);
 int swarm_exchange_next(struct swarm *s, int urgent, apr_time_t now);
--- a/weights/transfer.c
+++ b/weights/transfer.c
@@ -51,6 +51,8 @@
 	char url[WEIGHTS_URL_SIZE];
 	char range[64];
 	char held[32];
+	char sender[sizeof(HINT_SENDER_HEADER) + SETTINGS_NAME_SIZE + 4];
+	char hint[sizeof(HINT_HEADER) + HINT_SIZE + 4];
 };
 
 static const char *const way_names[WAY_COUNT] = { "peer", "cross", "origin" };
@@ -150,6 +152,8 @@
 		t->wait = atol(value) * 1000LL;
 	else if (!strcasecmp(name, "Retry-After"))
 		t->wait = atol(value) * APR_USEC_PER_SEC;
+	else if (t->action.way != WAY_DRAW && !strcasecmp(name, HINT_HEADER))
+		hint_exchange(t->w, t->peer, value, NULL);
 }
 
 static int received_data(struct fetch *f, const void *data, size_t size)
@@ -270,8 +274,10 @@
 	} else {
 		f->timeout_ms = transfer_timeout_ms(t);
 		f->headers[0] = t->held;
+		f->headers[1] = t->sender;
+		f->headers[2] = t->hint;
 		if (t->action.way == WAY_CARRY)
-			f->headers[1] = "X-Limpet-Purpose: carry";
+			f->headers[3] = "X-Limpet-Purpose: carry";
 	}
 	fetch_submit(t->w->node->fetcher, f);
 }
@@ -285,11 +291,12 @@
 	return (uint64_t)i * s->manifest->chunk_size;
 }
 
-static void url_set(struct transfer *t, const struct model_row *m)
+static void url_set(struct transfer *t, struct model_row *m)
 {
 	const struct settings *s = &t->w->node->settings;
 	const struct swarm_peer *p;
 	char hex[DIGEST_HEX_SIZE];
+	char hint[HINT_SIZE];
 
 	if (t->action.way == WAY_DRAW) {
 		t->offset = origin_offset(m->swarm, t->action.chunk);
@@ -301,6 +308,10 @@
 	p = &m->swarm->peers[t->action.peer];
 	snprintf(t->held, sizeof(t->held), "X-Limpet-Held: %u",
 		 m->swarm->held * 1000 / m->swarm->count);
+	snprintf(t->sender, sizeof(t->sender), "%s: %s", HINT_SENDER_HEADER,
+		 s->instance);
+	hint_make(m, p->id, hint, clock_now());
+	snprintf(t->hint, sizeof(t->hint), "%s: %s", HINT_HEADER, hint);
 	digest_hex(&t->digest, hex);
 	snprintf(t->peer, sizeof(t->peer), "%s", p->id);
 	snprintf(t->url, sizeof(t->url), "http://%s:%d/chunks/%s", p->address,
--- a/weights/upload.c
+++ b/weights/upload.c
@@ -138,6 +138,7 @@
 	const char *purpose = http_call_header(c, "X-Limpet-Purpose");
 	const char *held = http_call_header(c, "X-Limpet-Held");
 	const char *hex = http_call_path(c) + strlen("/chunks/");
+	char hint[HINT_SIZE];
 	struct upload *u;
 	struct digest d;
 	int length, reading, fresh = 0;
@@ -147,6 +148,10 @@
 		reply_status(c, HTTP_NOT_FOUND);
 		return;
 	}
+	hint_exchange(w, http_call_header(c, HINT_SENDER_HEADER),
+		      http_call_header(c, HINT_HEADER), hint);
+	if (*hint)
+		http_call_set(c, HINT_HEADER, hint);
 	u = calloc(1, sizeof(*u));
 	if (!u)
 		abort();
