--- a/t/helper/lib-limit-sim.h
+++ b/t/helper/lib-limit-sim.h
@@ -14,6 +14,7 @@
 #define SIM_ENTRIES_MAX 64
 #define SIM_ACCOUNTS_MAX 128
 #define SIM_OFFERS_MAX 512
+#define SIM_REFUSE_LATE_US (50 * 1000)
 #define SIM_LATENCY_MAX 20000 /* milliseconds that are told apart */
 
 struct sim_account {
@@ -24,7 +25,8 @@
 	int limited;
 	int overloaded;
 	int finished;
-	int naive; /* what the naive global limiter admitted */
+	int refused_late; /* more than 50 ms after they came */
+	int naive;	  /* what the naive global limiter admitted */
 	int latency[SIM_LATENCY_MAX];
 	/* of the naive limiter */
 	double level;
@@ -81,6 +83,7 @@
 	int bytes_peak; /* in one second */
 	long long bytes_second;
 	int steps;
+	apr_interval_time_t skew; /* of its clock */
 };
 
 struct sim {
@@ -101,6 +104,7 @@
 	apr_time_t told_at;
 	struct sim_call *waiting, **waiting_tail;
 	double slices_peak; /* most of all entries' slices, of the limit */
+	int trace;	    /* print each decision */
 	apr_time_t reported;
 	apr_time_t naive_at;
 };
