--- a/calls/gate-once.c
+++ b/calls/gate-once.c
@@ -245,10 +245,10 @@
 			    "gate", "the key was used for another request");
 		break;
 	case GATE_NO_HOME:
-		refusal_set(r, 503, OUTCOME_NOT_RUN, AGAIN_TICKET, rep->reason,
+		refusal_set(r, 503, OUTCOME_NOT_RUN, AGAIN_SAME, rep->reason,
 			    "gate",
 			    "an earlier run of this key elsewhere can't be "
-			    "ruled out");
+			    "ruled out; begin with a ticket instead");
 		break;
 	case GATE_UNKNOWN:
 		refusal_set(r, 502, OUTCOME_UNKNOWN, AGAIN_NO, rep->reason,
--- a/t/t0510-plain-calls.sh
+++ b/t/t0510-plain-calls.sh
@@ -10,6 +10,16 @@
 NO_MANIFEST=$(printf none | sha256sum | cut -d' ' -f1)
 CHARGE=/v1/services/billing/charge
 
+# raw_send ADDRESS TEXT: bytes that are no whole request, then a close.
+raw_send () {
+	python3 -c "import socket, sys
+s = socket.create_connection((sys.argv[1], 7100))
+s.sendall(sys.argv[2].encode().decode('unicode_escape').encode('latin1'))
+s.shutdown(socket.SHUT_WR)
+s.settimeout(2)
+s.recv(4096)" "$1" "$2"
+}
+
 test_expect_success 'a fleet with two plain services starts' '
 	fleet_platform_start &&
 	plain_start plain1 $P1 &&
@@ -89,21 +99,21 @@
 	call $ENTRY1 /v1/services/billing/none -d "{}" >out &&
 	test "$(status_of)" = 404 &&
 	head -c 1100000 /dev/zero >large &&
-	call $ENTRY1 $CHARGE --data-binary @large >out &&
+	call $ENTRY1 $CHARGE -H "Expect:" --data-binary @large >out &&
 	test "$(status_of)" = 413 &&
 	test "$(jq -r .outcome out)" = not-run &&
 	call $ENTRY1 /v1/models/quotes/generate -d "{\"prompt\":" >out &&
 	test "$(status_of)" = 400 &&
-	printf "POST /v1/tickets HTTP/1.1\r\nContent-Length: 99\r\n\r\n{" |
-		timeout 2 nc -q 1 $ENTRY1 7100 >out || true
-	printf "\000\001garbage\r\n\r\n" |
-		timeout 2 nc -q 1 $ENTRY1 7100 >out || true
+	raw_send $ENTRY1 "POST /v1/tickets HTTP/1.1\r\nContent-Length: 99\r\n\r\n{" &&
+	raw_send $ENTRY1 "\0\1garbage\r\n\r\n" &&
+	raw_send $P1 "POST /call/plain/x/y HTTP/1.1\r\nContent-Le" &&
 	curl -s -D headers.txt -d "{}" http://$P1:7100/call/plain/billing/charge \
 		>out &&
 	test "$(status_of)" = 400 &&
 	curl -s -D headers.txt -d "{}" -H "X-Limpet-Request: x" \
 		-H "X-Limpet-Account: adubo" -H "X-Limpet-Left-Ms: 1000" \
 		-H "X-Limpet-Repeatable: 1 1" \
+		-H "X-Limpet-Fingerprint: $NO_MANIFEST" \
 		-H "X-Limpet-Auth: $NO_MANIFEST" \
 		http://$P1:7100/call/plain/billing/charge >out &&
 	test "$(status_of)" = 401 &&
