--- a/Makefile
+++ b/Makefile
@@ -121,11 +121,14 @@
 perf: all
 	for p in t/perf/p[0-9]*.sh; do sh $$p || exit 1; done
 
+model:
+	sh t/model/run.sh
+
 clean:
 	rm -rf build t/trash t/output
 
 -include $(shell find build/$(FLAVOR) -name '*.d' 2>/dev/null)
 
 .PHONY: all xdr deps demo test test-asan test-tsan format style style-format \
-	style-lint perf clean
+	style-lint perf model clean
 .SECONDARY:
