--- a/net/httpd.c
+++ b/net/httpd.c
@@ -29,7 +29,8 @@
 	struct MHD_Daemon *daemon;
 	const struct http_route *routes;
 	struct hangup_watch *hangups;
-	int active; /* calls not yet answered whole */
+	int closing; /* atomic; answers end their connection */
+	int active;  /* calls not yet answered whole */
 };
 
 struct http_call {
@@ -228,6 +229,8 @@
 	for (i = 0; i < c->header_count; i++)
 		MHD_add_response_header(r, c->headers[i].name,
 					c->headers[i].value);
+	if (__atomic_load_n(&c->server->closing, __ATOMIC_RELAXED))
+		MHD_add_response_header(r, "Connection", "close");
 	ret = MHD_queue_response(c->connection, (unsigned)c->status, r);
 	MHD_destroy_response(r);
 	return ret;
@@ -394,6 +397,16 @@
 	return h;
 }
 
+/*
+ * Has each answer from now on end its connection, so that callers turn to
+ * another server before this one closes connections that they may be about
+ * to use.
+ */
+void httpd_close_after_answers(struct httpd *h)
+{
+	__atomic_store_n(&h->closing, 1, __ATOMIC_RELAXED);
+}
+
 /* Takes no further connections; those that are open are served on. */
 void httpd_stop_accepting(struct httpd *h)
 {
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -28,6 +28,7 @@
 struct httpd *httpd_start(const char *address, int port,
 			  const struct http_route *routes, int threads,
 			  struct error *err);
+void httpd_close_after_answers(struct httpd *h);
 void httpd_stop_accepting(struct httpd *h);
 int httpd_active(struct httpd *h);
 void httpd_stop(struct httpd *h);
--- a/net/node.c
+++ b/net/node.c
@@ -185,6 +185,8 @@
 {
 	if (!__atomic_exchange_n(&n->draining, 1, __ATOMIC_RELAXED))
 		log_notice("drain", NULL, "takes no new work");
+	if (n->http)
+		httpd_close_after_answers(n->http);
 }
 
 static int ports_open(struct node *n, struct error *err)
