calls, t: prefer a prefix's own upstream in a pair; test routing

The pair of a request that was never seen to end well is now the first upstream for its affinity and the first for its fingerprint, so affinity works for new prompts too.

--- a/calls/relay-crash.c
+++ b/calls/relay-crash.c
@@ -44,8 +44,8 @@
 	if (is_proven(r) && crash_verdict(r->e->crashes, &r->fingerprint,
 					  clock_now(), NULL) == CRASH_CLEAR)
 		return;
-	q->allowed_count =
-		route_pair(&r->e->routes, r->class, &r->fingerprint, pair);
+	q->allowed_count = route_pair(&r->e->routes, r->class, &r->fingerprint,
+				      r->affinity, pair);
 	q->allowed = pair;
 }
 
--- a/calls/route.c
+++ b/calls/route.c
@@ -140,6 +140,7 @@
 	u->present = 1;
 	u->boot = r->boot;
 	snprintf(u->upstream, sizeof(u->upstream), "%s", r->upstream);
+	u->name_hash = place_hash_string(r->upstream, 0);
 	snprintf(u->address, sizeof(u->address), "%s", r->address);
 	snprintf(u->data_center, sizeof(u->data_center), "%s", r->data_center);
 	u->local = !strcmp(r->data_center, data_center);
@@ -255,10 +256,18 @@
 	for (i = 0; i < q->excluded_count; i++)
 		if (!strcmp(q->excluded[i], u->instance))
 			return 1;
+	return 0;
+}
+
+static int is_allowed(const struct route_upstream *u,
+		      const struct route_query *q)
+{
+	int i;
+
 	for (i = 0; i < q->allowed_count; i++)
 		if (!strcmp(q->allowed[i], u->upstream))
-			return 0;
-	return q->allowed_count > 0;
+			return 1;
+	return !q->allowed_count;
 }
 
 /* What keeps a row from being chosen, in the order of being reported. */
@@ -297,17 +306,41 @@
 	return MISS_NONE;
 }
 
+/* Rank of an upstream for a session or prefix; the highest is preferred. */
+static uint64_t affinity_rank(uint64_t affinity, uint64_t name_hash)
+{
+	return place_hash(&affinity, sizeof(affinity), name_hash);
+}
+
+/* Returns the index of the name that is first for an affinity, -1 for none. */
+static int affinity_first(const char *const *names, int count,
+			  uint64_t affinity)
+{
+	uint64_t rank, best_rank = 0;
+	int i, best = -1;
+
+	for (i = 0; affinity && i < count; i++) {
+		rank = affinity_rank(affinity, place_hash_string(names[i], 0));
+		if (best < 0 || rank > best_rank) {
+			best = i;
+			best_rank = rank;
+		}
+	}
+	return best;
+}
+
 /*
  * The two upstreams of the own data center (of all, if it has none) at
- * which a request that was never seen to end well may run.  Upstreams that
- * died a moment ago count, so that their death does not widen the choice.
- * Returns how many there are.
+ * which a request that was never seen to end well may run: the first for
+ * its affinity, if it has one, and the first for its fingerprint.  Upstreams
+ * that died a moment ago count, so that their death does not widen the
+ * choice.  Returns how many there are.
  */
 int route_pair(const struct route_table *t, uint64_t class,
-	       const struct digest *fp, const char *names[2])
+	       const struct digest *fp, uint64_t affinity, const char *names[2])
 {
-	const char *all[ROUTE_UPSTREAMS_MAX];
-	int pair[2], i, n = 0, local = 0;
+	const char *all[ROUTE_UPSTREAMS_MAX] = { NULL };
+	int pair[2], i, n = 0, local = 0, first, count = 0;
 
 	for (i = 0; i < t->count; i++)
 		local |=
@@ -320,9 +353,13 @@
 			all[n++] = u->upstream;
 	}
 	crash_pair(fp, all, n, pair);
-	for (n = 0; n < 2 && pair[n] >= 0; n++)
-		names[n] = all[pair[n]];
-	return n;
+	first = affinity_first(all, n, affinity);
+	if (first >= 0)
+		names[count++] = all[first];
+	for (i = 0; i < 2 && count < 2; i++)
+		if (pair[i] >= 0 && pair[i] != first)
+			names[count++] = all[pair[i]];
+	return count;
 }
 
 struct eligible {
@@ -403,8 +440,7 @@
 	for (i = 0; i < e->count; i++) {
 		const struct route_upstream *u = &t->rows[e->rows[i]];
 
-		rank = place_hash(&q->affinity, sizeof(q->affinity),
-				  u->id_hash);
+		rank = affinity_rank(q->affinity, u->name_hash);
 		if (load_now(u, now) <= bound &&
 		    (best < 0 || rank > best_rank)) {
 			best = e->rows[i];
@@ -414,6 +450,23 @@
 	return best;
 }
 
+/* Keeps what the query allows; returns the affine row if it is one. */
+static int allowed_keep(const struct route_table *t,
+			const struct route_query *q, struct eligible *e,
+			int affine)
+{
+	int i, kept = 0, has_affine = 0;
+
+	for (i = 0; i < e->count; i++) {
+		if (!is_allowed(&t->rows[e->rows[i]], q))
+			continue;
+		has_affine |= e->rows[i] == affine;
+		e->rows[kept++] = e->rows[i];
+	}
+	e->count = kept;
+	return has_affine ? affine : -1;
+}
+
 /* Two random candidates and the affine one: the least wait is taken. */
 static int candidate_pick(const struct route_table *t, apr_time_t now,
 			  struct random *r, const struct eligible *e,
@@ -462,7 +515,12 @@
 		return;
 	version_prefer(t, q, &e);
 	affine = affine_pick(t, q, now, &e);
+	affine = allowed_keep(t, q, &e, affine);
 	out->eligible = e.count;
+	if (!e.count) {
+		out->reason = "pair-unavailable";
+		return;
+	}
 	out->index = candidate_pick(t, now, r, &e, affine);
 	u = &t->rows[out->index];
 	leave = breaker_allow(&u->breaker, now);
--- a/calls/route.h
+++ b/calls/route.h
@@ -36,7 +36,8 @@
 	char upstream[SETTINGS_NAME_SIZE];
 	char address[SETTINGS_ADDRESS_SIZE];
 	char data_center[SETTINGS_NAME_SIZE];
-	uint64_t id_hash;
+	uint64_t id_hash;   /* of instance */
+	uint64_t name_hash; /* of upstream */
 	uint64_t boot;
 	int present; /* still reported */
 	int draining;
@@ -106,7 +107,8 @@
 		apr_time_t now);
 
 int route_pair(const struct route_table *t, uint64_t class,
-	       const struct digest *fp, const char *names[2]);
+	       const struct digest *fp, uint64_t affinity,
+	       const char *names[2]);
 
 double route_wait(const struct route_upstream *u, apr_time_t now);
 void route_choose(struct route_table *t, const struct route_query *q,
--- /dev/null
+++ b/t/helper/test-calls-route.c
@@ -0,0 +1,526 @@
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/digest.h"
+#include "base/random.h"
+#include "calls/route.h"
+#include "calls/sse.h"
+
+/*
+ * The routing choice against a naive version on random scripts, and policies
+ * against each other in simulated time.  See t/t0505.
+ */
+
+#define UPSTREAMS 14
+#define LOG_MAX 65536
+#define CHOICES 20000
+#define OWN "ne"
+
+/* What the naive version goes by: everything that ever happened. */
+struct event {
+	int row;
+	int change; /* +1 begun, -1 ended */
+	apr_time_t at;
+};
+
+static struct event events[LOG_MAX];
+static int event_count;
+static struct upstream_report reports[UPSTREAMS];
+static int in_flight[UPSTREAMS];
+
+static int naive_load(int i, apr_time_t now)
+{
+	int64_t from = (reports[i].heard - reports[i].measured_ms * 1000LL) /
+		       ROUTE_SLICE_US;
+	int k, load = reports[i].running + reports[i].waiting;
+
+	for (k = 0; k < event_count; k++)
+		if (events[k].row == i &&
+		    events[k].at / ROUTE_SLICE_US >= from &&
+		    events[k].at <= now)
+			load += events[k].change;
+	return load > in_flight[i] ? load : in_flight[i];
+}
+
+static double naive_wait(int i, apr_time_t now)
+{
+	int slots = reports[i].slots, load = naive_load(i, now);
+	double token = reports[i].token_us;
+
+	if (load < slots)
+		return token * load / slots;
+	return token + token * ROUTE_CALL_TOKENS * (load - slots + 1) / slots;
+}
+
+static int naive_may(int i, const struct route_query *q, int local_only)
+{
+	int k;
+
+	if (reports[i].draining || !reports[i].reachable ||
+	    !reports[i].model_count)
+		return 0;
+	for (k = 0; k < q->excluded_count; k++)
+		if (!strcmp(q->excluded[k], reports[i].instance))
+			return 0;
+	if (q->version_strict &&
+	    strcmp(q->version, reports[i].models[0].version) != 0)
+		return 0;
+	return !local_only || !strcmp(reports[i].data_center, OWN);
+}
+
+/* Chooses by the rules of docs/design/calls.md, one after the other. */
+static int naive_choose(const struct route_query *q, apr_time_t now,
+			struct random *r)
+{
+	int list[UPSTREAMS], n = 0, i, have = 0, m = 0, affine = -1, best = -1;
+	int pick[3], picks = 0;
+	double total = 0, cost, best_cost = 0;
+	uint64_t rank, best_rank = 0;
+
+	for (i = 0; i < UPSTREAMS; i++)
+		if (naive_may(i, q, 1))
+			list[n++] = i;
+	for (i = 0; !have && !n && i < UPSTREAMS; i++)
+		if (naive_may(i, q, 0))
+			list[m++] = i;
+	if (!n)
+		n = m;
+	if (!n)
+		return -1;
+	for (i = 0; i < n; i++)
+		have += !strcmp(reports[list[i]].models[0].version, q->version);
+	if (have && have >= q->min_serving * n) {
+		for (i = m = 0; i < n; i++)
+			if (!strcmp(reports[list[i]].models[0].version,
+				    q->version))
+				list[m++] = list[i];
+		n = m;
+	}
+	for (i = 0; i < n; i++)
+		total += naive_load(list[i], now);
+	for (i = 0; q->affinity && i < n; i++) {
+		double bound = ROUTE_BOUNDED_LOAD * (total + 1) / n;
+
+		rank = place_hash(
+			&q->affinity, sizeof(q->affinity),
+			place_hash_string(reports[list[i]].upstream, 0));
+		if (naive_load(list[i], now) <= (bound < 1 ? 1 : bound) &&
+		    (affine < 0 || rank > best_rank)) {
+			affine = list[i];
+			best_rank = rank;
+		}
+	}
+	if (n <= 2) {
+		for (i = 0; i < n; i++)
+			pick[picks++] = list[i];
+	} else {
+		pick[picks++] = list[random_below(r, (uint32_t)n)];
+		pick[picks++] = list[random_below(r, (uint32_t)n)];
+	}
+	if (affine >= 0)
+		pick[picks++] = affine;
+	for (i = 0; i < picks; i++) {
+		cost = naive_wait(pick[i], now) -
+		       (pick[i] == affine ? ROUTE_AFFINITY_BONUS_US * 0.5 : 0);
+		if (best < 0 || cost < best_cost) {
+			best = pick[i];
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+static void report_draw(struct random *r, int i, apr_time_t now)
+{
+	struct upstream_report *u = &reports[i];
+
+	snprintf(u->instance, sizeof(u->instance), "agent-%d", i);
+	snprintf(u->upstream, sizeof(u->upstream), "up-%d", i);
+	snprintf(u->data_center, sizeof(u->data_center), "%s",
+		 i % 3 ? "se" : OWN);
+	u->kind = UPSTREAM_MODEL;
+	u->boot = 1;
+	u->draining = random_below(r, 10) == 0;
+	u->reachable = random_below(r, 10) != 0;
+	u->running = (int)random_below(r, 9);
+	u->waiting = (int)random_below(r, 4);
+	u->slots = 8;
+	u->token_us = 10000;
+	u->heard = now;
+	u->measured_ms = (int)random_below(r, 1500);
+	u->model_count = random_below(r, 12) != 0;
+	snprintf(u->models[0].name, sizeof(u->models[0].name), "m");
+	snprintf(u->models[0].version, sizeof(u->models[0].version), "v%d",
+		 (int)random_below(r, 2));
+}
+
+static void query_draw(struct random *r, struct route_query *q)
+{
+	memset(q, 0, sizeof(*q));
+	q->class = route_class(UPSTREAM_MODEL, "m");
+	q->version = random_below(r, 2) ? "v0" : "v1";
+	q->version_strict = random_below(r, 4) == 0;
+	q->min_serving = 0.5;
+	q->affinity = random_below(r, 2) ? random_below(r, 20) + 1 : 0;
+	if (random_below(r, 3) == 0)
+		q->excluded[q->excluded_count++] =
+			reports[random_below(r, UPSTREAMS)].instance;
+}
+
+static void event_note(struct route_table *t, int i, int change, apr_time_t now)
+{
+	struct route_upstream *u = route_find(t, reports[i].instance);
+
+	if (change > 0)
+		route_begun(u, now);
+	else
+		route_ended(u, now);
+	in_flight[i] += change;
+	events[event_count++] = (struct event){ i, change, now };
+}
+
+/* Returns 1 when the two versions differ. */
+static int differential(uint64_t seed)
+{
+	struct route_table t;
+	struct route_query q;
+	struct route_choice c;
+	struct random r, a, b;
+	apr_time_t now = 100 * APR_USEC_PER_SEC;
+	int step, i, naive, none = 0;
+
+	random_seed(&r, seed);
+	route_table_init(&t);
+	for (i = 0; i < UPSTREAMS; i++)
+		report_draw(&r, i, now);
+	route_sync(&t, reports, UPSTREAMS, NULL, OWN, now);
+	for (step = 0; step < CHOICES; step++) {
+		now += random_below(&r, 4000);
+		i = (int)random_below(&r, UPSTREAMS);
+		if (random_below(&r, 10) == 0) {
+			report_draw(&r, i, now);
+			route_sync(&t, reports, UPSTREAMS, NULL, OWN, now);
+		} else if (in_flight[i] && random_below(&r, 2)) {
+			event_note(&t, i, -1, now);
+		}
+		query_draw(&r, &q);
+		random_seed(&a, seed + (uint64_t)step);
+		b = a;
+		route_choose(&t, &q, now, &a, &c);
+		naive = naive_choose(&q, now, &b);
+		none += naive < 0;
+		if ((c.index < 0) != (naive < 0) ||
+		    (naive >= 0 && strcmp(t.rows[c.index].instance,
+					  reports[naive].instance) != 0)) {
+			printf("step %d: %s, naive %d\n", step,
+			       c.index < 0 ? c.reason
+					   : t.rows[c.index].instance,
+			       naive);
+			return 1;
+		}
+		if (naive >= 0 && random_below(&r, 2))
+			event_note(&t, naive, 1, now);
+	}
+	printf("%d choices alike, %d of them none\n", CHOICES, none);
+	route_table_destroy(&t);
+	return 0;
+}
+
+/* Simulated time: 8 entries, 14 engines, reports that lag by a second. */
+
+#define ENTRIES 8
+#define SLOTS 8
+#define TOKEN_US 10000
+#define MEAN_TOKENS 32
+#define LAG_US APR_USEC_PER_SEC
+#define REPORT_US (250 * 1000)
+#define SIM_CALLS 40000
+#define PREFIXES 300
+#define CACHE 40		/* prefixes that an engine holds */
+#define PREFILL_US (200 * 1000) /* of a prefix that it does not hold */
+
+enum policy { POLICY_ROUTE, POLICY_RANDOM, POLICY_ROUND_ROBIN };
+
+struct sim_call {
+	apr_time_t arrived;
+	apr_time_t began;
+	apr_time_t ended;
+	int engine;
+	int entry;
+	int over; /* the entry knows */
+};
+
+struct engine {
+	apr_time_t free_at[SLOTS];
+	int cache[CACHE];
+	int cache_count;
+	int first; /* calls that a report may still have to count */
+};
+
+static struct sim_call sim_calls[SIM_CALLS];
+static struct engine engines[UPSTREAMS];
+static struct route_table tables[ENTRIES];
+
+static int cache_use(struct engine *e, int prefix)
+{
+	int i, hit = 0;
+
+	for (i = 0; i < e->cache_count; i++)
+		if (e->cache[i] == prefix)
+			break;
+	hit = i < e->cache_count;
+	if (!hit && e->cache_count < CACHE)
+		e->cache_count++;
+	if (!hit)
+		i = e->cache_count - 1;
+	memmove(e->cache + 1, e->cache, (size_t)i * sizeof(int));
+	e->cache[0] = prefix;
+	return hit;
+}
+
+/* Runs a call in the slot that is free first; returns whether it hit. */
+static int engine_run(struct sim_call *c, int tokens, int prefix)
+{
+	struct engine *e = &engines[c->engine];
+	int i, slot = 0, hit = cache_use(e, prefix);
+
+	for (i = 1; i < SLOTS; i++)
+		if (e->free_at[i] < e->free_at[slot])
+			slot = i;
+	c->began =
+		e->free_at[slot] > c->arrived ? e->free_at[slot] : c->arrived;
+	c->ended = c->began + (apr_time_t)tokens * TOKEN_US +
+		   (hit ? 0 : PREFILL_US);
+	e->free_at[slot] = c->ended;
+	return hit;
+}
+
+static void sim_reports(int count, apr_time_t now)
+{
+	static struct upstream_report list[UPSTREAMS];
+	apr_time_t at = now - LAG_US;
+	int i, k;
+
+	memset(list, 0, sizeof(list));
+	for (i = 0; i < UPSTREAMS; i++) {
+		struct upstream_report *u = &list[i];
+
+		snprintf(u->instance, sizeof(u->instance), "agent-%d", i);
+		snprintf(u->upstream, sizeof(u->upstream), "up-%d", i);
+		snprintf(u->data_center, sizeof(u->data_center), OWN);
+		u->kind = UPSTREAM_MODEL;
+		u->boot = 1;
+		u->reachable = 1;
+		u->slots = SLOTS;
+		u->token_us = TOKEN_US;
+		u->heard = now;
+		u->measured_ms = (int)(LAG_US / 1000);
+		u->model_count = 1;
+		snprintf(u->models[0].name, sizeof(u->models[0].name), "m");
+		snprintf(u->models[0].version, sizeof(u->models[0].version),
+			 "v0");
+	}
+	for (k = 0; k < count; k++) {
+		struct sim_call *c = &sim_calls[k];
+
+		if (c->arrived <= at && c->ended > at)
+			list[c->engine].running++;
+	}
+	for (i = 0; i < ENTRIES; i++)
+		route_sync(&tables[i], list, UPSTREAMS, NULL, OWN, now);
+}
+
+static void sim_ends(int count, int *first, apr_time_t now)
+{
+	int k;
+
+	for (k = *first; k < count; k++) {
+		struct sim_call *c = &sim_calls[k];
+
+		if (!c->over && c->ended <= now) {
+			c->over = 1;
+			route_ended(&tables[c->entry].rows[c->engine],
+				    c->ended);
+		}
+		if (c->over && k == *first)
+			(*first)++;
+	}
+}
+
+static int sim_pick(enum policy p, int entry, int prefix, int paired,
+		    apr_time_t now, struct random *r)
+{
+	static int turn[ENTRIES];
+	struct route_query q = { 0 };
+	struct route_choice c;
+	const char *pair[2];
+	struct digest fp;
+
+	if (p == POLICY_RANDOM)
+		return (int)random_below(r, UPSTREAMS);
+	if (p == POLICY_ROUND_ROBIN)
+		return turn[entry]++ % UPSTREAMS;
+	q.class = route_class(UPSTREAM_MODEL, "m");
+	q.version = "v0";
+	q.affinity = prefix >= 0 ? (uint64_t)prefix + 1 : 0;
+	if (paired) {
+		random_next(r);
+		digest_of(&r->state, sizeof(r->state), &fp);
+		q.allowed_count = route_pair(&tables[entry], q.class, &fp,
+					     q.affinity, pair);
+		q.allowed = pair;
+	}
+	route_choose(&tables[entry], &q, now, r, &c);
+	route_begun(&tables[entry].rows[c.index], now);
+	return c.index;
+}
+
+static int time_compare(const void *a, const void *b)
+{
+	const apr_time_t *x = a, *y = b;
+
+	return (*x > *y) - (*x < *y);
+}
+
+/* Prefixes as in practice: few are frequent, most are rare. */
+static int prefix_draw(struct random *r)
+{
+	return (int)(PREFIXES * pow(random_unit(r), 2));
+}
+
+/* Prints the quantiles of the wait and the cache's hit rate. */
+static double simulate(const char *name, enum policy p, int affinity,
+		       int paired, double load)
+{
+	static apr_time_t waits[SIM_CALLS];
+	double rate = load * UPSTREAMS * SLOTS * 1e6 / (MEAN_TOKENS * TOKEN_US);
+	apr_time_t now = 100 * APR_USEC_PER_SEC, report_at = now;
+	struct random r;
+	int k, first = 0, hits = 0, tokens, prefix;
+
+	random_seed(&r, 11);
+	memset(engines, 0, sizeof(engines));
+	for (k = 0; k < ENTRIES; k++)
+		route_table_init(&tables[k]);
+	for (k = 0; k < SIM_CALLS; k++) {
+		struct sim_call *c = &sim_calls[k];
+
+		now += (apr_time_t)(-log(1 - random_unit(&r)) * 1e6 / rate);
+		sim_ends(k, &first, now);
+		if (now >= report_at) {
+			sim_reports(k, now);
+			report_at = now + REPORT_US;
+		}
+		memset(c, 0, sizeof(*c));
+		c->arrived = now;
+		c->entry = (int)random_below(&r, ENTRIES);
+		tokens = 1 + (int)(-log(1 - random_unit(&r)) * MEAN_TOKENS);
+		prefix = prefix_draw(&r);
+		c->engine = sim_pick(p, c->entry, affinity ? prefix : -1,
+				     paired, now, &r);
+		hits += engine_run(c, tokens, prefix);
+		waits[k] = c->began - c->arrived;
+	}
+	for (k = 0; k < ENTRIES; k++)
+		route_table_destroy(&tables[k]);
+	qsort(waits, SIM_CALLS, sizeof(*waits), time_compare);
+	printf("%-26s wait p50 %7.1f ms, p99 %8.1f ms, hits %4.1f%%\n", name,
+	       (double)waits[SIM_CALLS / 2] / 1000,
+	       (double)waits[SIM_CALLS * 99 / 100] / 1000,
+	       100.0 * hits / SIM_CALLS);
+	return (double)waits[SIM_CALLS * 99 / 100];
+}
+
+static int policies(double load)
+{
+	double random, robin, plain, paired;
+
+	random = simulate("random", POLICY_RANDOM, 0, 0, load);
+	robin = simulate("round robin", POLICY_ROUND_ROBIN, 0, 0, load);
+	plain = simulate("route, no affinity", POLICY_ROUTE, 0, 0, load);
+	simulate("route, affinity", POLICY_ROUTE, 1, 0, load);
+	simulate("route, pairs", POLICY_ROUTE, 0, 1, load);
+	paired =
+		simulate("route, pairs and affinity", POLICY_ROUTE, 1, 1, load);
+	return !(plain < random && plain < robin && paired < random &&
+		 paired < robin);
+}
+
+/* One event stream, cut at every place into two pieces. */
+
+static int events_seen;
+
+static int event_count_up(void *arg, const char *text, size_t size)
+{
+	(void)arg;
+	(void)text;
+	(void)size;
+	events_seen++;
+	return 0;
+}
+
+static enum sse_fault stream_feed(const char *text, size_t cut, int *done)
+{
+	struct sse s;
+	size_t n = strlen(text);
+
+	events_seen = 0;
+	sse_init(&s, "r1", 0, event_count_up, NULL);
+	if (!sse_feed(&s, text, cut))
+		sse_feed(&s, text + cut, n - cut);
+	*done = s.done;
+	sse_destroy(&s);
+	return s.fault;
+}
+
+static int streams(void)
+{
+	static const struct {
+		const char *text;
+		enum sse_fault fault;
+		int done;
+	} cases[] = {
+		{ "data: {\"id\":\"r1\",\"index\":0,\"token\":\"a\"}\n\n"
+		  "data: {\"id\":\"r1\",\"index\":1,\"token\":\"b\"}\n\n"
+		  "data: {\"id\":\"r1\",\"done\":true,\"tokens\":2,"
+		  "\"version\":\"v\"}\n\n",
+		  SSE_OK, 1 },
+		{ "data: {\"id\":\"r1\",\"index\":0,\"token\":\"a\"}\n\n"
+		  "data: {\"id\":\"r1\",\"index\":2,\"token\":\"b\"}\n\n",
+		  SSE_GAP, 0 },
+		{ "data: {\"id\":\"r1\",\"index\":0,\"token\":\"a\"}\n\n"
+		  "data: {\"id\":\"r1\",\"done\":true,\"tokens\":2,"
+		  "\"version\":\"v\"}\n\n",
+		  SSE_GAP, 0 },
+		{ "data: {\"id\":\"r2\",\"index\":0,\"token\":\"a\"}\n\n",
+		  SSE_CROSSED, 0 },
+		{ "data: {\"id\":\"r1\",\"index\":0\n\n", SSE_MALFORMED, 0 },
+		{ "data: {\"id\":\"r1\",\"index\":0,\"token\":\"a\"}\n", SSE_OK,
+		  0 },
+	};
+	size_t i, cut;
+	int done;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		for (cut = 0; cut <= strlen(cases[i].text); cut++) {
+			if (stream_feed(cases[i].text, cut, &done) ==
+				    cases[i].fault &&
+			    done == cases[i].done)
+				continue;
+			printf("case %zu, cut at %zu\n", i, cut);
+			return 1;
+		}
+	}
+	return 0;
+}
+
+int main(int argc, const char **argv)
+{
+	if (argc == 3 && !strcmp(argv[1], "differential"))
+		return differential(strtoull(argv[2], NULL, 10));
+	if (argc == 3 && !strcmp(argv[1], "policies"))
+		return policies(atof(argv[2]));
+	return streams();
+}
