--- a/calls/limit-core.c
+++ b/calls/limit-core.c
@@ -218,6 +218,7 @@
 		return -1;
 	if (m->cells.cells_len)
 		limit_core_slices(c, now);
-	limit_peers_fill(&c->peers, limit_peers_find(&c->peers, id), reply);
+	limit_peers_fill(&c->peers, limit_peers_find(&c->peers, id), reply,
+			 now);
 	return 0;
 }
--- a/calls/limit-exchange.c
+++ b/calls/limit-exchange.c
@@ -43,9 +43,10 @@
 
 /* Writes the message for a peer; the cells are the caller's to free. */
 void limit_peers_fill(const struct limit_peers *p, const struct limit_peer *q,
-		      struct limits_message *m)
+		      struct limits_message *m, apr_time_t now)
 {
-	const uint32_t *now = p->ring[p->number % LIMIT_RING], *then = NULL;
+	const uint32_t *codes = p->ring[p->number % LIMIT_RING];
+	const uint32_t *then = NULL;
 	struct limits_cell *cell;
 	int i;
 
@@ -54,6 +55,8 @@
 	m->number = p->number;
 	m->have_boot = q->boot;
 	m->have = q->held;
+	m->known = p->known;
+	m->heard = limit_peers_heard(p, now);
 	if (q->acked && p->number - q->acked < LIMIT_RING) {
 		m->base = q->acked;
 		then = p->ring[q->acked % LIMIT_RING];
@@ -62,11 +65,11 @@
 	if (!m->cells.cells_val)
 		abort();
 	for (i = 0; i < p->key_count; i++) {
-		if (now[i] == (then ? then[i] : 0))
+		if (codes[i] == (then ? then[i] : 0))
 			continue;
 		cell = &m->cells.cells_val[m->cells.cells_len++];
 		cell->key = p->keys[i];
-		cell->codes = now[i];
+		cell->codes = codes[i];
 	}
 }
 
@@ -103,6 +106,7 @@
 		q->acked = m->have;
 	if (contact > q->contact)
 		q->contact = contact;
+	limit_peers_vouch(p, m, contact);
 }
 
 /* Takes the answer to a message that was sent at the time sent. */
--- a/calls/limit-peers.c
+++ b/calls/limit-peers.c
@@ -140,14 +140,23 @@
 	return q->contact && now - q->contact < lease_length(p);
 }
 
-/* Its demand counts: it may still use its slices. */
-static int peer_present(const struct limit_peers *p, const struct limit_peer *q,
-			apr_time_t now)
+/* In contact with this entry, or so lately that it may think so. */
+static int peer_direct(const struct limit_peers *p, const struct limit_peer *q,
+		       apr_time_t now)
 {
 	return q->contact &&
 	       now - q->contact < lease_length(p) + LIMIT_MARGIN_US;
 }
 
+/* Its demand counts: it may still use its slices, as far as any entry knows. */
+static int peer_present(const struct limit_peers *p, const struct limit_peer *q,
+			apr_time_t now)
+{
+	return peer_direct(p, q, now) ||
+	       (q->vouched &&
+		now - q->vouched < lease_length(p) + LIMIT_MARGIN_US);
+}
+
 /* Returns the peer of that id, or NULL. */
 struct limit_peer *limit_peers_find(struct limit_peers *p, const char *id)
 {
@@ -184,6 +193,64 @@
 	return 0;
 }
 
+/* Gives each entry its place by id, and all of them a digest. */
+static void order_set(struct limit_peers *p)
+{
+	struct limit_peer *q, *o;
+	uint64_t hash = 0;
+
+	p->order = 0;
+	for (q = p->peers; q < p->peers + p->peer_count; q++) {
+		p->order += strcmp(q->id, p->id) < 0;
+		q->order = strcmp(p->id, q->id) < 0;
+		for (o = p->peers; o < p->peers + p->peer_count; o++)
+			q->order += strcmp(o->id, q->id) < 0;
+		hash += place_hash_string(q->id, 0);
+	}
+	p->known = hash + place_hash_string(p->id, 0);
+}
+
+static uint64_t bit_of(int order)
+{
+	return (uint64_t)1 << order;
+}
+
+/* So long ago at most was an entry heard that this one vouches for. */
+static apr_interval_time_t vouch_age(const struct limit_peers *p)
+{
+	return limit_peers_period(p) * 3 / 2;
+}
+
+/* Returns the bits of the entries heard lately. */
+uint64_t limit_peers_heard(const struct limit_peers *p, apr_time_t now)
+{
+	const struct limit_peer *q;
+	uint64_t heard = bit_of(p->order);
+
+	for (q = p->peers; q < p->peers + p->peer_count; q++)
+		if (q->contact && now - q->contact < vouch_age(p))
+			heard |= bit_of(q->order);
+	return heard;
+}
+
+/*
+ * Notes which entries another one heard, as long ago as may be: so one that
+ * is out of this entry's reach alone keeps its slices, and for one that died
+ * the time does not start anew.
+ */
+void limit_peers_vouch(struct limit_peers *p, const struct limits_message *m,
+		       apr_time_t now)
+{
+	struct limit_peer *q;
+
+	if (m->known != p->known)
+		return;
+	for (q = p->peers; q < p->peers + p->peer_count; q++)
+		if (m->heard & bit_of(q->order) &&
+		    now - vouch_age(p) > q->vouched)
+			q->vouched = now - vouch_age(p);
+}
+
 /* Takes over who the other entries are; this one is not in the list. */
 void limit_peers_sync(struct limit_peers *p, const struct limit_address *list,
 		      int count, apr_time_t now)
@@ -206,6 +273,7 @@
 		if (q && !q->due)
 			q->due = now;
 	}
+	order_set(p);
 }
 
 /* Returns the oldest version that an entry in contact may hold of ours. */
@@ -217,7 +285,7 @@
 
 	for (i = 0; i < p->peer_count; i++) {
 		q = &p->peers[i];
-		if (peer_present(p, q, now) && q->acked && q->acked < oldest)
+		if (peer_direct(p, q, now) && q->acked && q->acked < oldest)
 			oldest = q->acked;
 	}
 	return oldest;
--- a/calls/limit-peers.h
+++ b/calls/limit-peers.h
@@ -16,8 +16,8 @@
  */
 
 #define LIMIT_KEYS_MAX 2048
-#define LIMIT_PEERS_MAX 64
-#define LIMIT_RING 16 /* own versions kept to send changes since */
+#define LIMIT_PEERS_MAX 63 /* with this entry, the bits of a word */
+#define LIMIT_RING 16	   /* own versions kept to send changes since */
 
 /* One pair of entries exchanges once a period. */
 #define LIMIT_PERIOD_MIN_US (500 * 1000)
@@ -41,8 +41,10 @@
 struct limit_peer {
 	char id[64];
 	char address[64];
+	int order;	    /* among all entries, by id */
 	uint64_t boot;	    /* 0: not heard from yet */
 	apr_time_t contact; /* last message in either direction, 0: none */
+	apr_time_t vouched; /* last contact that another entry told of */
 	apr_time_t due;	    /* when this side asks next */
 	int asking;	    /* an exchange is under way */
 	apr_time_t asked;   /* since when */
@@ -58,6 +60,8 @@
 	uint32_t number;      /* newest version of own demand */
 	apr_time_t joined_at; /* in contact with a majority since */
 	apr_time_t viewed;    /* last limit_peers_view */
+	uint64_t known;	      /* digest of all ids, this one's too */
+	int order;	      /* of this entry among them, by id */
 	int key_count;
 	uint32_t keys[LIMIT_KEYS_MAX];
 	uint16_t slots[2 * LIMIT_KEYS_MAX]; /* hash table: key index + 1 */
@@ -103,11 +107,14 @@
 		       enum limit_value which);
 double limit_peers_others(const struct limit_peers *p, int key,
 			  enum limit_value which, apr_time_t now);
+uint64_t limit_peers_heard(const struct limit_peers *p, apr_time_t now);
+void limit_peers_vouch(struct limit_peers *p, const struct limits_message *m,
+		       apr_time_t now);
 apr_interval_time_t limit_peers_period(const struct limit_peers *p);
 
 int limit_peers_due(struct limit_peers *p, apr_time_t now, int *out, int max);
 void limit_peers_fill(const struct limit_peers *p, const struct limit_peer *q,
-		      struct limits_message *m);
+		      struct limits_message *m, apr_time_t now);
 void limit_peers_reply(struct limit_peers *p, const char *id,
 		       const struct limits_message *m, apr_time_t sent,
 		       apr_time_t now);
--- a/calls/limit-share.c
+++ b/calls/limit-share.c
@@ -6,7 +6,7 @@
 /* Smoothing, in steps: over about so many events, within these bounds. */
 #define SMOOTH_EVENTS 100
 #define SMOOTH_MIN 10
-#define SMOOTH_MAX 80
+#define SMOOTH_MAX 20
 /* Deviations of a Poisson count that chance does not explain. */
 #define CHANCE_DEVIATIONS 3
 #define CHANCE_COUNT 2
--- a/calls/limits.c
+++ b/calls/limits.c
@@ -245,7 +245,7 @@
 		x->limits = l;
 		memcpy(x->id, q->id, sizeof(x->id));
 		memcpy(x->address, q->address, sizeof(x->address));
-		limit_peers_fill(&l->core.peers, q, &x->message);
+		limit_peers_fill(&l->core.peers, q, &x->message, now);
 		x->job.next = (struct job *)first;
 		first = x;
 	}
--- a/calls/limits_proto.x
+++ b/calls/limits_proto.x
@@ -16,5 +16,7 @@
 	unsigned int base;		/* cells changed since; 0: all cells */
 	unsigned hyper have_boot;	/* the receiver, as the sender knows it */
 	unsigned int have;		/* number of its demand held */
+	unsigned hyper known;	/* digest of the ids of all entries, sorted */
+	unsigned hyper heard;	/* bit i: the i-th of them was heard lately */
 	limits_cell cells<LIMITS_CELLS_MAX>;
 };
--- a/t/helper/lib-limit-sim.c
+++ b/t/helper/lib-limit-sim.c
@@ -317,7 +317,8 @@
 	e.entry = to;
 	e.at = s->now + delay_draw(s);
 	e.boot = s->entries[from].boot;
-	limit_peers_fill(&s->entries[from].core.peers, q, &e.message);
+	limit_peers_fill(&s->entries[from].core.peers, q, &e.message,
+			 clock_of(s, from));
 	message_bytes(s, from, to, &e.message);
 	event_add(s, e);
 	/* The answer, if one came, is noted before this. */
@@ -477,6 +478,7 @@
 		carry_out(s, &out);
 	}
 	free(call);
+	e->call = NULL;
 }
 
 /* Lets an entry go on, with what came while it was paused, before a tick. */
