--- a/t/helper/lib-plan.h
+++ b/t/helper/lib-plan.h
@@ -14,9 +14,9 @@
 #define PLAN_ID_LEN 48
 
 struct plan_settings {
-	const char *entries[PLAN_ENTRIES_MAX]; /* "address:port" */
+	char *entries[PLAN_ENTRIES_MAX]; /* "address:port" */
 	int entry_count;
-	const char *accounts[PLAN_ACCOUNTS_MAX]; /* "name=token" */
+	char *accounts[PLAN_ACCOUNTS_MAX]; /* "name=token" */
 	int account_count;
 	const char *model;
 	const char *service;
@@ -35,6 +35,7 @@
 	int deadline_ms;  /* 0 for none */
 	const char *name; /* first part of every identity */
 	int direct;
+	int repeatable;	  /* plain calls may run more than once */
 	json_t *contents; /* version to SHA-256 of its content */
 };
 
