--- a/t/helper/lib-limit-sim.c
+++ b/t/helper/lib-limit-sim.c
@@ -81,16 +81,27 @@
 		sim_entry_start(s, i);
 }
 
+static void call_free(struct sim_call *call)
+{
+	*call->all_link = call->all_next;
+	if (call->all_next)
+		call->all_next->all_link = call->all_link;
+	free(call);
+}
+
 void sim_destroy(struct sim *s)
 {
+	struct sim_call *call, *next;
 	struct sim_event e;
 	int i;
 
 	while (s->heap_count) {
 		e = event_take(s);
 		xdr_free((xdrproc_t)xdr_limits_message, &e.message);
-		if (e.kind == SIM_DONE)
-			free(e.call);
+	}
+	for (call = s->all; call; call = next) {
+		next = call->all_next;
+		free(call);
 	}
 	for (i = 0; i < s->entry_count; i++)
 		limit_core_destroy(&s->entries[i].core);
@@ -184,7 +195,7 @@
 		account->limited++;
 	else
 		account->overloaded++;
-	free(call);
+	call_free(call);
 }
 
 /* The present time on an entry's own clock. */
@@ -218,6 +229,14 @@
 {
 	struct sim_call *call = calloc(1, sizeof(*call));
 
+	if (!call)
+		abort();
+	call->all_next = s->all;
+	call->all_link = &s->all;
+	if (s->all)
+		s->all->all_link = &call->all_next;
+	s->all = call;
+
 	snprintf(call->a.account, sizeof(call->a.account), "%s",
 		 s->accounts[o->account].name);
 	snprintf(call->a.target, sizeof(call->a.target), "model");
@@ -477,8 +496,7 @@
 			       clock_of(s, e->entry), &out);
 		carry_out(s, &out);
 	}
-	free(call);
-	e->call = NULL;
+	call_free(call);
 }
 
 /* Lets an entry go on, with what came while it was paused, before a tick. */
--- a/t/helper/lib-limit-sim.h
+++ b/t/helper/lib-limit-sim.h
@@ -47,6 +47,7 @@
 struct sim_call {
 	struct admission a; /* first */
 	struct sim_call *next;
+	struct sim_call *all_next, **all_link; /* of all calls there are */
 	int entry;
 	int account;
 	apr_time_t arrived;
@@ -103,6 +104,7 @@
 	int told_busy, told_waiting; /* as reported, late */
 	apr_time_t told_at;
 	struct sim_call *waiting, **waiting_tail;
+	struct sim_call *all;
 	double slices_peak; /* most of all entries' slices, of the limit */
 	int trace;	    /* print each decision */
 	apr_time_t reported;
