--- a/t/helper/lib-limit-sim.c
+++ b/t/helper/lib-limit-sim.c
@@ -46,6 +46,7 @@
 	int i = 0, child;
 
 	s->heap[0] = s->heap[--s->heap_count];
+	s->heap[s->heap_count].call = NULL;
 	for (;;) {
 		child = 2 * i + 1;
 		if (child >= s->heap_count)
@@ -477,9 +478,13 @@
 	struct limit_decisions out = { NULL, NULL };
 	struct sim_entry *entry = &s->entries[e->entry];
 	struct sim_call *call = e->call, *next = s->waiting;
-	struct sim_account *a = &s->accounts[call->account];
-	long ms = (long)((s->now - call->arrived) / 1000);
+	struct sim_account *a;
+	long ms;
 
+	if (!call)
+		return;
+	a = &s->accounts[call->account];
+	ms = (long)((s->now - call->arrived) / 1000);
 	s->busy--;
 	if (next) {
 		s->waiting = next->next;
