net, weights: recover from connections that went silent

Cause: a request that timed out closed its own connection, but libcurl kept the host's other idle ones; an agent whose engine's connections had gone silent met them one by one, 10 s each. The other agents waited for it, as it was the first loader. Change: after a silent time-out no connection older than that request is reused for the host; further ranks take over from a first loader that does not load within 5 s of being able to themselves.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -11,11 +11,13 @@
 
 #include "base/clock.h"
 #include "net/cut.h"
+#include "net/silence.h"
 
 #define POLLSET_SIZE 8192
 #define READY_MAX 1024 /* sockets served in one turn */
 #define POLL_MAX_US (200 * 1000)
 #define CONNECTION_CACHE 1024
+#define SILENCE_CANCEL_US (500 * 1000) /* a cancel after that is a time-out */
 
 enum request_kind { REQUEST_SUBMIT, REQUEST_CANCEL, REQUEST_RESUME };
 
@@ -46,6 +48,7 @@
 	int woken;	  /* a wake-up is under way */
 	apr_time_t timer; /* when libcurl wants to be called, -1 for never */
 	struct fetch *running;
+	struct silence silence; /* event thread only */
 	struct ready_socket ready[READY_MAX];
 };
 
@@ -200,6 +203,7 @@
 {
 	CURL *e = curl_easy_init();
 	struct curl_slist *list = NULL;
+	long max_age;
 	int i;
 
 	if (!e)
@@ -237,8 +241,11 @@
 	 * On a reused connection that closes before a byte of the answer
 	 * libcurl sends the request again, although it may have run.
 	 */
-	if (f->once)
+	max_age = silence_max_age(&r->silence, f->url, clock_now());
+	if (f->once || max_age == SILENCE_FRESH)
 		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+	else if (max_age)
+		curl_easy_setopt(e, CURLOPT_MAXLIFETIME_CONN, max_age);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, send_allowed);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, f);
 	if (*r->local_address)
@@ -304,6 +311,19 @@
 	pthread_mutex_unlock(&r->mutex);
 }
 
+/* Notes a request that got no answer on a connection used before. */
+static void silence_check(struct fetcher *r, const struct fetch *f, long sent,
+			  CURLcode code)
+{
+	int silent = code == CURLE_OPERATION_TIMEDOUT ||
+		     (code == CURLE_ABORTED_BY_CALLBACK &&
+		      clock_now() - f->began > SILENCE_CANCEL_US);
+
+	if (silent && sent && !f->status &&
+	    __atomic_load_n(&f->reused, __ATOMIC_RELAXED))
+		silence_note(&r->silence, f->url, f->began);
+}
+
 /* Ends a fetch: frees libcurl's part, unlinks it and calls done. */
 static void fetch_end(struct fetcher *r, struct fetch *f, CURLcode code)
 {
@@ -326,6 +346,7 @@
 	f->header_list = NULL;
 	f->status = (int)status;
 	f->never_sent = !sent;
+	silence_check(r, f, sent, code);
 	error_from_curl(f, code);
 	requests_forget(r, f);
 	/* done may take f->text over by clearing it, or free f itself. */
@@ -574,6 +595,7 @@
 	f->fetcher = r;
 	f->status = 0;
 	f->never_sent = 1;
+	f->began = clock_now();
 	f->link = NULL;
 	f->refused = 0;
 	f->reused = 0;
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -49,9 +49,10 @@
 	int once; /* never sent twice: new connection, no library retry */
 
 	/* filled in by the library */
-	int status;	/* of HTTP, 0 when no answer began */
-	int never_sent; /* no byte of the request left this process */
-	int reused;	/* atomic: went over a connection used before */
+	int status;	  /* of HTTP, 0 when no answer began */
+	apr_time_t began; /* when it was submitted */
+	int never_sent;	  /* no byte of the request left this process */
+	int reused;	  /* atomic: went over a connection used before */
 	struct error error;
 	void *easy;
 	void *header_list;
--- a/t/perf/soak.py
+++ b/t/perf/soak.py
@@ -21,7 +21,7 @@
 POLL_S = 0.25
 IN_FORCE_S = 6.0  # bound on a change being in force everywhere
 LEAVING_S = 2.0  # a draining upstream gets nothing new after that
-CONVERGE_S = 90.0
+CONVERGE_S = 45.0
 MODELS = ("quotes", "appraise")
 
 
@@ -379,6 +379,11 @@
             time.sleep(0.5)
             waits = self.unsettled()
         self.note(f"settled, {len(waits)} not whole")
+        for i in self.instances:
+            if i.id in waits:
+                status = ask("GET", i.operator("/status")) or {}
+                engine = ask("GET", f"http://{i.address}:7200/running")
+                self.note(json.dumps([i.id, status.get("weights"), engine]))
         for i in self.instances:
             if i.role == "agent" and not i.id.startswith("plain"):
                 self.converged.check(i.id not in waits, f"{i.id} is not whole")
--- a/weights/staging.c
+++ b/weights/staging.c
@@ -12,8 +12,8 @@
  * used again, what nobody wants is dropped.
  */
 
-#define STAGING_TIMEOUT_MS 10000
-#define REREAD_TIMEOUT_MS 10000
+#define STAGING_TIMEOUT_MS 2000
+#define REREAD_TIMEOUT_MS 5000
 #define REREADS_MAX 4 /* chunks under way */
 
 #define HTTP_OK 200
--- a/weights/transfer.c
+++ b/weights/transfer.c
@@ -20,7 +20,7 @@
 #define TRANSFER_SLACK 8 /* times the time at the link's rate */
 #define TRANSFER_IDLE_S 3
 #define ORIGIN_TRIES 3 /* requests for the rest of a chunk */
-#define STAGE_TIMEOUT_MS 10000
+#define STAGE_TIMEOUT_MS 5000
 #define BUSY_DEFAULT_US (100 * 1000)
 #define BUSY_MISSING_US (500 * 1000)
 #define IN_FLIGHT_PART 8 /* of the memory limit */
