--- a/calls/limits_proto.h
+++ b/calls/limits_proto.h
@@ -8,6 +8,7 @@
 
 #include <rpc/rpc.h>
 
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -36,12 +37,12 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern bool_t xdr_limits_cell(XDR *, limits_cell *);
-extern bool_t xdr_limits_message(XDR *, limits_message *);
+extern  bool_t xdr_limits_cell (XDR *, limits_cell*);
+extern  bool_t xdr_limits_message (XDR *, limits_message*);
 
 #else /* K&R C */
-extern bool_t xdr_limits_cell();
-extern bool_t xdr_limits_message();
+extern bool_t xdr_limits_cell ();
+extern bool_t xdr_limits_message ();
 
 #endif /* K&R C */
 
--- a/calls/limits_proto_xdr.c
+++ b/calls/limits_proto_xdr.c
@@ -5,34 +5,35 @@
 
 #include "calls/limits_proto.h"
 
-bool_t xdr_limits_cell(XDR *xdrs, limits_cell *objp)
+bool_t
+xdr_limits_cell (XDR *xdrs, limits_cell *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->key))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->codes))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->codes))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_limits_message(XDR *xdrs, limits_message *objp)
+bool_t
+xdr_limits_message (XDR *xdrs, limits_message *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->boot))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->number))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->base))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->have_boot))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->have))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->cells.cells_val,
-		       (u_int *)&objp->cells.cells_len, LIMITS_CELLS_MAX,
-		       sizeof(limits_cell), (xdrproc_t)xdr_limits_cell))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->boot))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->have_boot))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->have))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->cells.cells_val, (u_int *) &objp->cells.cells_len, LIMITS_CELLS_MAX,
+		sizeof (limits_cell), (xdrproc_t) xdr_limits_cell))
+		 return FALSE;
 	return TRUE;
 }
--- a/config/component.h
+++ b/config/component.h
@@ -12,6 +12,7 @@
 
 #define CHANGES_KEPT 512
 #define CHANGES_SHOWN 64 /* in the status */
+#define TEXTS_KEPT 4	 /* the newest and those that deltas are made to */
 #define FAULTS_KEPT 20
 #define SOURCE_SIZE 80
 
@@ -21,8 +22,10 @@
 	apr_time_t at; /* wall clock, for operators */
 };
 
-/* The text of a value, shared with replies under way. */
+/* The text of a value at one version. */
 struct value_text {
+	uint64_t version;
+	struct digest digest;
 	char *data;
 	size_t size;
 };
@@ -30,7 +33,8 @@
 struct value_state {
 	const struct value_ops *ops;
 	void *arg;
-	struct value_text text;
+	struct value_text texts[TEXTS_KEPT]; /* the newest first */
+	int whole; /* a delta failed: ask for the whole text next */
 	char source[SOURCE_SIZE];
 	struct value_change changes[CHANGES_KEPT];
 	unsigned change_count; /* ever */
--- a/config/config.c
+++ b/config/config.c
@@ -41,27 +41,37 @@
 	snprintf(v->source, sizeof(v->source), "%s", source);
 }
 
+/* Makes room for a text; the oldest one goes.  The caller holds the mutex. */
+static struct value_text *text_slot(struct value_state *v)
+{
+	free(v->texts[TEXTS_KEPT - 1].data);
+	memmove(&v->texts[1], &v->texts[0],
+		(TEXTS_KEPT - 1) * sizeof(v->texts[0]));
+	memset(&v->texts[0], 0, sizeof(v->texts[0]));
+	return &v->texts[0];
+}
+
 /* The caller holds the mutex.  Returns 1 when it was above all before. */
 static int text_keep(struct config *c, int value, uint64_t version,
 		     const char *text, size_t size, const char *source)
 {
 	struct value_state *v = &c->values[value];
-	struct digest digest;
-	char *copy;
+	struct value_text *t;
 
 	if (version <= c->spread.values[value].version)
 		return 0;
-	copy = malloc(size + 1);
-	if (!copy)
+	t = text_slot(v);
+	t->data = malloc(size + 1);
+	if (!t->data)
 		abort();
-	memcpy(copy, text, size);
-	copy[size] = '\0';
-	free(v->text.data);
-	v->text.data = copy;
-	v->text.size = size;
+	memcpy(t->data, text, size);
+	t->data[size] = '\0';
+	t->size = size;
+	t->version = version;
+	digest_of(text, size, &t->digest);
+	v->whole = 0;
 	change_note(v, version, source);
-	digest_of(text, size, &digest);
-	spread_taken(&c->spread, value, version, &digest, size, clock_now());
+	spread_taken(&c->spread, value, version, &t->digest, clock_now());
 	return 1;
 }
 
--- a/config/config_proto.h
+++ b/config/config_proto.h
@@ -30,6 +30,7 @@
 		config_version *have_val;
 	} have;
 	u_int want;
+	int whole;
 };
 typedef struct config_request config_request;
 
@@ -38,6 +39,7 @@
 		u_int have_len;
 		config_version *have_val;
 	} have;
+	u_quad_t base;
 	struct {
 		u_int text_len;
 		char *text_val;
--- a/config/config_proto.x
+++ b/config/config_proto.x
@@ -16,9 +16,11 @@
 struct config_request {
 	config_version have<CONFIG_VALUES>;
 	unsigned int want;		/* a value's number plus one, or 0 */
+	int whole;			/* no delta */
 };
 
 struct config_reply {
 	config_version have<CONFIG_VALUES>;
+	unsigned hyper base;		/* 0: text is whole; else a delta to it */
 	opaque text<CONFIG_TEXT_MAX>;	/* of the value wanted */
 };
--- a/config/config_proto_xdr.c
+++ b/config/config_proto_xdr.c
@@ -30,6 +30,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->want))
 		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->whole))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -41,6 +43,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->have.have_val, (u_int *) &objp->have.have_len, CONFIG_VALUES,
 		sizeof (config_version), (xdrproc_t) xdr_config_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, CONFIG_TEXT_MAX))
 		 return FALSE;
 	return TRUE;
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -6,6 +6,7 @@
 #include "base/metric.h"
 #include "config/component.h"
 #include "config/config_proto.h"
+#include "config/delta.h"
 
 #define EXCHANGE_MS 800 /* timeout of an exchange of versions */
 #define PULL_MS 3000	/* same, with a text in the reply */
@@ -75,6 +76,7 @@
 
 	req.want = (u_int)(j->action.want + 1);
 	pthread_mutex_lock(&c->mutex);
+	req.whole = j->action.want >= 0 && c->values[j->action.want].whole;
 	wire_say(c, have, clock_now());
 	pthread_mutex_unlock(&c->mutex);
 	return rpc_exchange(c->node->rpc, j->action.address,
@@ -82,6 +84,59 @@
 			    rep, timeout, err);
 }
 
+/* Makes the whole text of a delta.  The caller frees it. */
+static char *text_rebuild(struct config *c, int value, const config_reply *rep,
+			  size_t *size)
+{
+	struct value_state *v = &c->values[value];
+	char *text = NULL;
+	int i;
+
+	pthread_mutex_lock(&c->mutex);
+	for (i = 0; i < TEXTS_KEPT && !text; i++) {
+		if (v->texts[i].data && v->texts[i].version == rep->base)
+			text = delta_apply(v->texts[i].data, v->texts[i].size,
+					   rep->text.text_val,
+					   rep->text.text_len, CONFIG_TEXT_MAX,
+					   size);
+	}
+	pthread_mutex_unlock(&c->mutex);
+	return text;
+}
+
+/* A text made of a delta counts only if it has the digest announced. */
+static void delta_take(struct config *c, int value, const config_reply *rep,
+		       const char *source)
+{
+	struct digest digest;
+	size_t size = 0;
+	char *text = text_rebuild(c, value, rep, &size);
+
+	if (text)
+		digest_of(text, size, &digest);
+	if (text && (u_int)value < rep->have.have_len &&
+	    !memcmp(digest.bytes, rep->have.have_val[value].digest,
+		    DIGEST_SIZE)) {
+		config_take(c, value, text, size, source);
+	} else {
+		metric_count("config_delta_failures", NULL, 1);
+		pthread_mutex_lock(&c->mutex);
+		c->values[value].whole = 1;
+		pthread_mutex_unlock(&c->mutex);
+	}
+	free(text);
+}
+
+static void reply_take(struct config *c, int value, const config_reply *rep,
+		       const char *source)
+{
+	if (rep->base)
+		delta_take(c, value, rep, source);
+	else
+		config_take(c, value, rep->text.text_val, rep->text.text_len,
+			    source);
+}
+
 static void exchange_run(struct job *job)
 {
 	struct exchange_job *j = (struct exchange_job *)job;
@@ -94,8 +149,7 @@
 
 	ok = !exchange_request(c, j, &rep, &err);
 	if (ok && j->action.want >= 0 && rep.text.text_len)
-		config_take(c, j->action.want, rep.text.text_val,
-			    rep.text.text_len, j->action.address);
+		reply_take(c, j->action.want, &rep, j->action.address);
 	now = clock_now();
 	pthread_mutex_lock(&c->mutex);
 	/* Done first: it drops the offer that what was heard may renew. */
@@ -143,10 +197,44 @@
 	pthread_mutex_unlock(&c->mutex);
 }
 
-/* Copies the text wanted into the reply.  The caller holds the mutex. */
-static void text_copy(const struct value_text *t, config_reply *rep)
+/* Fills in a delta to what the asker holds, if that is known here. */
+static int delta_fill(const struct value_state *v, const config_request *req,
+		      config_reply *rep)
 {
-	rep->text.text_val = malloc(t->size);
+	const config_version *old;
+	size_t size;
+	int i;
+
+	if (req->whole || req->want > req->have.have_len)
+		return -1;
+	old = &req->have.have_val[req->want - 1];
+	for (i = 1; i < TEXTS_KEPT; i++) {
+		const struct value_text *t = &v->texts[i];
+
+		if (!t->data || t->version != old->revision ||
+		    memcmp(t->digest.bytes, old->digest, DIGEST_SIZE))
+			continue;
+		rep->text.text_val =
+			delta_make(t->data, t->size, v->texts[0].data,
+				   v->texts[0].size, &size);
+		if (!rep->text.text_val)
+			return -1;
+		rep->text.text_len = (u_int)size;
+		rep->base = t->version;
+		return 0;
+	}
+	return -1;
+}
+
+/* Fills in the text wanted.  The caller holds the mutex. */
+static void text_fill(const struct value_state *v, const config_request *req,
+		      config_reply *rep)
+{
+	const struct value_text *t = &v->texts[0];
+
+	if (!t->data || !delta_fill(v, req, rep))
+		return;
+	rep->text.text_val = malloc(t->size ? t->size : 1);
 	if (!rep->text.text_val)
 		return;
 	memcpy(rep->text.text_val, t->data, t->size);
@@ -172,8 +260,8 @@
 	pthread_mutex_lock(&c->mutex);
 	wire_say(c, rep->have.have_val, now);
 	spread_heard(&c->spread, from->address, said, count, now);
-	if (req->want && c->values[req->want - 1].text.data)
-		text_copy(&c->values[req->want - 1].text, rep);
+	if (req->want)
+		text_fill(&c->values[req->want - 1], req, rep);
 	pthread_mutex_unlock(&c->mutex);
 	config_react(c);
 	return 0;
--- a/config/overlay.c
+++ b/config/overlay.c
@@ -54,8 +54,8 @@
 }
 
 /*
- * Neighbours at the distances 1, b, b^2, b^3 on the ring, where b^4 covers
- * it: from any place every other is at most 4 (b - 1) steps away, and
+ * Neighbours at the distances 1, b, b^2 on the ring, where b^3 covers it:
+ * from any place every other is at most 3 (b - 1) steps away, and
  * everybody is neighbour of as many as it has.
  */
 static void neighbors_choose(struct overlay *o,
@@ -63,7 +63,7 @@
 {
 	int base = 2, distance = 1, i;
 
-	while (base * base * base * base < n)
+	while (base * base * base < n)
 		base++;
 	for (i = 0; i < OVERLAY_DEGREE && distance < n; i++) {
 		address_copy(o->neighbors[o->neighbor_count++],
--- a/config/overlay.h
+++ b/config/overlay.h
@@ -13,7 +13,7 @@
  */
 
 #define OVERLAY_WATCHERS 2    /* processes of a data centre that watch */
-#define OVERLAY_DEGREE 4      /* neighbours inside the data centre */
+#define OVERLAY_DEGREE 3      /* neighbours inside the data centre */
 #define OVERLAY_REMOTE_MAX 32 /* watchers of other data centres told */
 
 /* An instance that may take part: neither leaving nor dead. */
--- a/config/spread-decide.c
+++ b/config/spread-decide.c
@@ -6,10 +6,13 @@
 #define REMOTE_EVERY 4		     /* exchanges for one abroad */
 #define BUSY_MAX 8		     /* neighbours told at once */
 
-/* Pace of pulls: bytes a second of text, within bounds. */
-#define PULL_RATE 8000
-#define PULL_GAP_MIN_US (200 * 1000)
-#define PULL_GAP_MAX_US APR_USEC_PER_SEC
+/*
+ * A lone change goes on at once.  Versions that follow each other within
+ * BUSY_US are taken this far apart; the ones between are passed over.
+ */
+#define BUSY_US (2 * APR_USEC_PER_SEC)
+#define BUSY_GAP_US (600 * 1000)
+#define PULL_GAP_US (100 * 1000)
 
 /* Watching. */
 #define PLATFORM_CALLS_PER_SECOND 24 /* of all watchers, under any load */
@@ -98,13 +101,24 @@
 	return gap * 3 / 4 + random_below(r, (uint32_t)(gap / 2 + 1));
 }
 
-static apr_interval_time_t watch_gap(const struct spread *s)
+/* Returns 1 when versions follow each other closely. */
+static int is_busy(const struct spread_value *v, apr_time_t now)
+{
+	return v->taken_before && now - v->taken_before < BUSY_US;
+}
+
+static apr_interval_time_t
+watch_gap(const struct spread *s, const struct spread_value *v, apr_time_t now)
 {
 	apr_interval_time_t gap = OVERLAY_WATCHERS * SPREAD_VALUES *
 				  s->overlay.data_center_count *
 				  APR_USEC_PER_SEC / PLATFORM_CALLS_PER_SECOND;
 
-	return gap > WATCH_GAP_MIN_US ? gap : WATCH_GAP_MIN_US;
+	if (gap < WATCH_GAP_MIN_US)
+		gap = WATCH_GAP_MIN_US;
+	if (is_busy(v, now) && gap < BUSY_GAP_US)
+		gap = BUSY_GAP_US;
+	return gap;
 }
 
 static apr_interval_time_t watch_backoff(int failures)
@@ -137,7 +151,7 @@
 	v->watch_failures = 0;
 	v->platform_heard = now;
 	if (changed)
-		v->watch_after = now + spread_out(watch_gap(s), r);
+		v->watch_after = now + spread_out(watch_gap(s, v, now), r);
 	else if (held >= SPREAD_WATCH_S * APR_USEC_PER_SEC / 2)
 		v->watch_after = now;
 	else
@@ -181,8 +195,6 @@
 void spread_pull_done(struct spread_value *v, const char *address,
 		      apr_time_t now)
 {
-	apr_interval_time_t gap =
-		(apr_interval_time_t)v->size * APR_USEC_PER_SEC / PULL_RATE;
 	int i;
 
 	v->pulling = 0;
@@ -190,11 +202,7 @@
 		if (!strcmp(v->offers[i].address, address))
 			v->offers[i].version = 0;
 	}
-	if (gap < PULL_GAP_MIN_US)
-		gap = PULL_GAP_MIN_US;
-	if (gap > PULL_GAP_MAX_US)
-		gap = PULL_GAP_MAX_US;
-	v->pull_after = now + gap;
+	v->pull_after = now + (is_busy(v, now) ? BUSY_GAP_US : PULL_GAP_US);
 }
 
 static void tell_decide(struct spread *s, struct spread_actions *out)
--- a/config/spread.c
+++ b/config/spread.c
@@ -184,17 +184,17 @@
 
 /* Notes that a version was put in force here; neighbours are to be told. */
 void spread_taken(struct spread *s, int value, uint64_t version,
-		  const struct digest *digest, size_t size, apr_time_t now)
+		  const struct digest *digest, apr_time_t now)
 {
 	struct spread_value *v = &s->values[value];
 	int i;
 
-	(void)now;
 	if (version <= v->version)
 		return;
 	v->version = version;
 	v->digest = *digest;
-	v->size = size;
+	v->taken_before = v->taken;
+	v->taken = now;
 	offers_prune(v);
 	for (i = 0; i < s->peer_count; i++)
 		s->peers[i].pending = 1;
--- a/config/spread.h
+++ b/config/spread.h
@@ -71,7 +71,8 @@
 	struct spread_offer offers[SPREAD_OFFERS]; /* version 0: free */
 	int pulling;
 	apr_time_t pull_after;
-	size_t size; /* of the text held, sets the pace of pulls */
+	apr_time_t taken;	 /* when the version held came into force */
+	apr_time_t taken_before; /* same of the one before it */
 	int watching;
 	apr_time_t watch_after;
 	int watch_failures;
@@ -119,7 +120,7 @@
 		   struct spread_actions *out);
 
 void spread_taken(struct spread *s, int value, uint64_t version,
-		  const struct digest *digest, size_t size, apr_time_t now);
+		  const struct digest *digest, apr_time_t now);
 void spread_refused(struct spread *s, int value, uint64_t version,
 		    const struct digest *digest);
 void spread_platform_done(struct spread *s, int value, int ok, int changed,
--- a/config/status.c
+++ b/config/status.c
@@ -42,7 +42,8 @@
 			    json_integer((json_int_t)s->version));
 	json_object_set_new(o, "digest", json_string(s->version ? hex : ""));
 	json_object_set_new(o, "source", json_string(v->source));
-	json_object_set_new(o, "bytes", json_integer((json_int_t)v->text.size));
+	json_object_set_new(o, "bytes",
+			    json_integer((json_int_t)v->texts[0].size));
 	json_object_set_new(o, "older_seen", json_integer(v->old));
 	json_object_set_new(o, "invalid_seen", json_integer(v->invalid));
 	json_object_set_new(
--- a/member/poll.c
+++ b/member/poll.c
@@ -15,7 +15,7 @@
  */
 #define REPORT_PERIOD_MIN_US (250 * 1000)
 #define REPORT_PERIOD_MAX_US (2 * APR_USEC_PER_SEC)
-#define REPORT_COST_US (50 * 1000) /* period for each agent asked */
+#define REPORT_COST_US (75 * 1000) /* period for each agent asked */
 #define FAR_PERIOD_US (2 * APR_USEC_PER_SEC)
 #define SILENT_PERIOD_US APR_USEC_PER_SEC /* of one that doesn't answer */
 
--- a/net/rpc-client.c
+++ b/net/rpc-client.c
@@ -342,6 +342,8 @@
 					"the reply does not decode");
 		metric_count("rpc_received_bytes", NULL,
 			     rep.body.body_len + 160);
+		metric_count("rpc_kind_bytes", kind->name,
+			     req.body.body_len + rep.body.body_len + 320);
 		if (rep.status == ENVELOPE_BOOT)
 			boot_set(c, address, port, rep.boot);
 		xdr_free((xdrproc_t)xdr_envelope_reply, &rep);
--- a/net/rpc-server.c
+++ b/net/rpc-server.c
@@ -88,6 +88,7 @@
 					  const char *address)
 {
 	struct rpc_peer from = { req->sender, req->sender_boot, address };
+	enum envelope_status status;
 	const struct rpc_kind *k;
 	void *arg;
 
@@ -98,7 +99,10 @@
 	k = kind_find(req->kind, &arg);
 	if (!k)
 		return ENVELOPE_KIND;
-	return kind_serve(k, arg, &from, req, rep);
+	status = kind_serve(k, arg, &from, req, rep);
+	metric_count("rpc_kind_bytes", k->name,
+		     req->body.body_len + rep->body.body_len + 320);
+	return status;
 }
 
 static void reply_send(SVCXPRT *xprt, struct envelope_reply *rep)
--- a/t/helper/test-config.c
+++ b/t/helper/test-config.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config/delta.h"
 #include "config/diff.h"
 #include "config/document.h"
 #include "config/overlay.h"
@@ -268,7 +269,7 @@
 		}
 	}
 	ck_assert_int_eq(reached, n);
-	ck_assert_int_le(steps, 16); /* 4 (b - 1), b = 5 */
+	ck_assert_int_le(steps, 24); /* 3 (b - 1), b = 9 */
 	for (i = 0; i < n; i++)
 		ck_assert_int_eq(in[i], OVERLAY_DEGREE);
 }
@@ -332,7 +333,7 @@
 
 	rig_init(&g);
 	say(v, 5, 5);
-	spread_taken(&g.s, 0, 5, &v[0].digest, 100, SECOND);
+	spread_taken(&g.s, 0, 5, &v[0].digest, SECOND);
 	say(v, 4, 4);
 	spread_heard(&g.s, "127.0.0.2", v, SPREAD_VALUES, SECOND);
 	spread_decide(&g.s, SECOND, &g.r, &g.out);
@@ -348,7 +349,7 @@
 	spread_heard(&g.s, "127.0.0.3", v, SPREAD_VALUES, 2 * SECOND);
 	spread_decide(&g.s, 9 * SECOND, &g.r, &g.out);
 	ck_assert_ptr_null(find(&g, SPREAD_EXCHANGE, 0));
-	spread_taken(&g.s, 0, 3, &v[0].digest, 100, 9 * SECOND);
+	spread_taken(&g.s, 0, 3, &v[0].digest, 9 * SECOND);
 	ck_assert_uint_eq(g.s.values[0].version, 5);
 	spread_destroy(&g.s);
 }
@@ -372,7 +373,7 @@
 	ck_assert_int_eq(n, 2);
 	/* The platform went back to 3. */
 	say(v, 3, 3);
-	spread_taken(&g.s, 0, 3, &v[0].digest, 100, SECOND);
+	spread_taken(&g.s, 0, 3, &v[0].digest, SECOND);
 	spread_platform_done(&g.s, 0, 1, 1, SECOND, SECOND, &g.r);
 	spread_platform_done(&g.s, 1, 1, 0, SECOND, SECOND, &g.r);
 	ck_assert(!spread_ready(&g.s, SECOND));
@@ -383,7 +384,7 @@
 	spread_exchange_done(&g.s, &peer[1], 1, SECOND);
 	spread_heard(&g.s, peer[1].address, v, SPREAD_VALUES, SECOND);
 	ck_assert(!spread_ready(&g.s, SECOND));
-	spread_taken(&g.s, 0, 4, &v[0].digest, 100, SECOND);
+	spread_taken(&g.s, 0, 4, &v[0].digest, SECOND);
 	ck_assert(spread_ready(&g.s, SECOND));
 	spread_destroy(&g.s);
 }
@@ -440,6 +441,36 @@
 }
 END_TEST
 
+START_TEST(delta_of_a_small_change_is_small_and_exact)
+{
+	char *a = malloc(20001), *b, *d, *back;
+	size_t size, n, i;
+	struct random r;
+
+	random_seed(&r, 21);
+	for (i = 0; i < 20000; i++)
+		a[i] = (char)('a' + random_below(&r, 26));
+	a[20000] = '\0';
+	b = strdup(a);
+	memcpy(b + 5, "XX", 2);
+	memcpy(b + 9000, "YYYY", 4);
+	d = delta_make(a, 20000, b, 20000, &size);
+	ck_assert_ptr_nonnull(d);
+	ck_assert_uint_le(size, 100);
+	back = delta_apply(a, 20000, d, size, 20000, &n);
+	ck_assert_uint_eq(n, 20000);
+	ck_assert_str_eq(back, b);
+	ck_assert_ptr_null(delta_apply(a, 8000, d, size, 20000, &n));
+	ck_assert_ptr_null(delta_apply(a, 20000, d, size - 1, 20000, &n));
+	ck_assert_ptr_null(delta_apply(a, 20000, d, size, 19999, &n));
+	ck_assert_ptr_null(delta_make("", 0, b, 20000, &size));
+	free(back);
+	free(d);
+	free(b);
+	free(a);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("config");
@@ -451,6 +482,7 @@
 	tcase_add_test(t, document_is_bound_with_defaults);
 	tcase_add_test(t, document_is_refused_whole);
 	tcase_add_test(t, diff_names_what_changes_and_whom_it_touches);
+	tcase_add_test(t, delta_of_a_small_change_is_small_and_exact);
 	tcase_add_test(t, watchers_agree_with_the_naive_choice);
 	tcase_add_test(t, overlay_reaches_everybody_in_few_steps);
 	tcase_add_test(t, older_versions_and_refused_ones_are_not_pulled);
--- a/t/perf/config_spread.py
+++ b/t/perf/config_spread.py
@@ -56,6 +56,12 @@
                 r"^\w*rpc_(?:sent|received)_bytes\S* (\d+)", text, re.M
             )
         )
+        self.kinds = {
+            k: float(v)
+            for k, v in re.findall(
+                r'^limpet_rpc_kind_bytes\{label="([^"]+)"\} (\d+)', text, re.M
+            )
+        }
         cpu = (int(fields[11]) + int(fields[12])) / TICKS
         return cpu, int(fields[21]) * PAGE_MB, moved
 
@@ -125,6 +131,7 @@
     def __init__(self, processes):
         self.processes = processes
         self.before = each(processes, "usage")
+        self.kinds = [p.kinds for p in processes]
         self.calls = platform_calls()
         self.began = time.time()
 
@@ -135,6 +142,15 @@
         cpu = [100 * (b[0] - a[0]) / took for a, b in zip(self.before, after)]
         moved = [(b[2] - a[2]) / took for a, b in zip(self.before, after)]
         rss = [b[1] for b in after]
+        top = moved.index(max(moved))
+        then = self.kinds[top]
+        print(
+            "  most bytes at %s:" % self.processes[top].name,
+            ", ".join(
+                "%s %.0f/s" % (k, (v - then.get(k, 0)) / took)
+                for k, v in sorted(self.processes[top].kinds.items())
+            ),
+        )
         return calls, moved, cpu, rss
 
 
