--- a/t/perf/p0001-rollout.sh
+++ b/t/perf/p0001-rollout.sh
@@ -105,7 +105,7 @@
 			echo "only $(whole_count "$1" "$2") of $3 are whole" >&2
 			return 1
 		fi
-		sleep 0.1
+		sleep 0.3
 	done
 	took=$(($(now_ms) - rollout_began))
 }
--- a/weights/internal.h
+++ b/weights/internal.h
@@ -39,7 +39,6 @@
 	struct swarm *former;	/* of the version before, for its chunks */
 	struct place_view view; /* rows don't move: see WEIGHTS_MODELS_MAX */
 	uint64_t view_signature;
-	apr_time_t view_at;
 	int manifest_asked; /* a request for it is under way */
 	int manifest_tries;
 	apr_time_t manifest_at;	   /* next try */
@@ -75,6 +74,7 @@
 	apr_time_t engine_at;  /* next look */
 	apr_time_t engine_seen;
 	apr_time_t view_at;
+	int view_new; /* a version waits to be placed */
 	apr_time_t published_at;
 
 	struct blob_cache cache;
--- a/weights/manifest-fetch.c
+++ b/weights/manifest-fetch.c
@@ -41,6 +41,7 @@
 
 	m->swarm = swarm_new(manifest, &m->policy, seed, now);
 	m->view_signature = 0; /* has it placed at the next step */
+	w->view_new = 1;
 	m->listed = 0;
 	log_info("manifest", m->name, "version %.12s: %llu bytes, %u chunks",
 		 m->want_hex, (unsigned long long)manifest->size,
--- a/weights/transfer.c
+++ b/weights/transfer.c
@@ -97,6 +97,7 @@
 	m = table_get(&w->models, t->model);
 	if (m && m->swarm && m->swarm_id == t->swarm_id)
 		swarm_result(m->swarm, &t->action, result, t->wait, now);
+	transfers_begin(w, now);
 	table_unlock(&w->models);
 	transfer_free(t);
 }
--- a/weights/view.c
+++ b/weights/view.c
@@ -10,8 +10,8 @@
  * Turns the board's instances into the view of one model: who needs it.
  */
 
-#define VIEW_STEP_US (50 * 1000)
 #define VIEW_PERIOD_US (250 * 1000)
+#define VIEW_NEW_US (20 * 1000) /* with a version not placed yet */
 
 /* A copy of what is needed of one instance. */
 struct needer {
@@ -131,10 +131,12 @@
 	struct model_row *m;
 	int count;
 
-	if (now - w->view_at < VIEW_STEP_US || !d) {
+	if (now - w->view_at < (w->view_new ? VIEW_NEW_US : VIEW_PERIOD_US) ||
+	    !d) {
 		document_release(d);
 		return;
 	}
+	w->view_new = 0;
 	w->view_at = now;
 	all = needers_copy(w->node, &count);
 	table_lock(&w->models);
@@ -142,10 +144,8 @@
 		const struct model_spec *spec = document_model(d, m->name);
 		uint64_t signature;
 
-		if (!spec || !m->wanted ||
-		    (m->view_signature && now - m->view_at < VIEW_PERIOD_US))
+		if (!spec || !m->wanted)
 			continue;
-		m->view_at = now;
 		signature = signature_make(spec, all, count);
 		if (signature == m->view_signature)
 			continue;
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -8,7 +8,7 @@
 #include "base/log.h"
 #include "weights/internal.h"
 
-#define STEP_US (10 * 1000)
+#define STEP_US (20 * 1000)
 #define PUBLISH_US (100 * 1000)
 #define STAGING_RETRY_US (500 * 1000)
 #define RECEIVE_BURST_S 0.25
@@ -87,6 +87,7 @@
 	m->urgent = 0;
 	m->whole_at = 0;
 	m->view_signature = 0;
+	w->view_new = 1;
 	activation_want(&m->activation, version);
 }
 
@@ -274,6 +275,7 @@
 		weights_publish(w);
 	}
 	table_unlock(&w->models);
+	upload_step(w, now);
 }
 
 /* See weights.h. */
@@ -334,7 +336,6 @@
 	node_add_route(n, "GET", "/manifests/", PATH_BODY_MAX, manifest_serve,
 		       w);
 	node_add_controller(n, "weights", STEP_US, weights_step, w);
-	node_add_controller(n, "weights-send", STEP_US, upload_step, w);
 	node_add_status(n, "weights", weights_status, w);
 	node_add_drain(n, "weights-uploads", upload_busy, w);
 	return 0;
