calls: follow cache events, move KV caches, widen pairs by data center

The gate follows its engine's cache events and tells the entry whether it believes a prompt's start to be cached; that scales the affinity bonus. When a session's upstream leaves, the next one's agent fetches its KV cache.

A new request whose pair can't take it goes to its pair in another data center; agents that leave no longer count for pairs (t0560: a call was refused for 5 s after a drain).

--- a/calls/entry-internal.h
+++ b/calls/entry-internal.h
@@ -26,9 +26,16 @@
 #define ENTRY_PAUSE_GRACE_US (250 * 1000)
 #define ENTRY_HAND_OVER_US (250 * 1000)
 #define ENTRY_PROVEN 65536
+#define ENTRY_SESSIONS 4096
 #define RELAY_ATTEMPTS_MAX 4
 #define RELAY_ANSWER_MAX (4 * 1024 * 1024)
 
+/* Where a session ran last, to bring its KV cache along when it moves. */
+struct entry_session {
+	uint64_t affinity;
+	char agent[SETTINGS_NAME_SIZE];
+};
+
 struct entry {
 	struct node *n;
 	struct limits *limits;
@@ -44,6 +51,7 @@
 
 	/* Guards the rest; taken when no table is locked. */
 	pthread_mutex_t mutex;
+	struct entry_session sessions[ENTRY_SESSIONS];
 	struct route_table routes;
 	struct random random;
 };
@@ -71,6 +79,9 @@
 	/* routing */
 	uint64_t class;
 	uint64_t affinity;
+	int has_session;
+	int affine;    /* the attempt went to its affinity's own upstream */
+	int cache_hit; /* as the gate said: 1, 0, -1 for nothing */
 	char version[DIGEST_HEX_SIZE]; /* wanted, later the answer's */
 	int version_strict;
 	double min_serving;
@@ -140,11 +151,15 @@
 
 /* relay-crash.c */
 int relay_crash_check(struct relay *r, apr_time_t now, struct refusal *why);
-void relay_crash_restrict(struct relay *r, struct route_query *q,
-			  const char *pair[2]);
+void relay_route(struct relay *r, struct route_query *q, apr_time_t now,
+		 struct route_choice *out);
 int relay_crash_enter(struct relay *r, const char *upstream, apr_time_t now);
 void relay_crash_leave(struct relay *r, int finished);
 
+/* relay-session.c */
+void relay_session_move(struct relay *r, const struct route_upstream *to);
+void relay_session_note(struct relay *r);
+
 /* relay.c */
 void relay_attempt(struct relay *r);
 void relay_refuse(struct relay *r, struct refusal *why);
--- a/calls/entry-request.c
+++ b/calls/entry-request.c
@@ -143,8 +143,14 @@
 		json_string_value(json_object_get(r->request, "prompt"));
 	size_t n;
 
-	if (!session)
+	if (!session) {
 		session = http_call_header(r->call, "X-Session");
+		if (session)
+			json_object_set_new(r->request, "session",
+					    json_string(session));
+	}
+	r->cache_hit = -1;
+	r->has_session = session != NULL;
 	if (session)
 		return place_hash_string(session, r->class) | 1;
 	n = strlen(prompt);
--- a/calls/entry.c
+++ b/calls/entry.c
@@ -9,6 +9,7 @@
 #include "calls/calls.h"
 #include "calls/entry-internal.h"
 #include "calls/home.h"
+#include "member/instance.h"
 
 #define RELAYS_MAX 16384
 #define ROUTE_PERIOD_US (50 * 1000)
@@ -47,7 +48,9 @@
 	struct document *d = board_document(b);
 	struct handle cursor = HANDLE_NONE;
 	struct upstream_report *list, *row;
-	int n = 0;
+	char(*gone)[SETTINGS_NAME_SIZE];
+	struct instance *in;
+	int n = 0, gone_count = 0;
 
 	table_lock(&b->upstreams);
 	list = calloc(b->upstreams.count + 1, sizeof(*list));
@@ -56,10 +59,22 @@
 	while ((row = table_next(&b->upstreams, &cursor)))
 		list[n++] = *row;
 	table_unlock(&b->upstreams);
+	table_lock(&b->instances);
+	gone = calloc(b->instances.count + 1, sizeof(*gone));
+	if (!gone)
+		abort();
+	cursor = HANDLE_NONE;
+	while ((in = table_next(&b->instances, &cursor)))
+		if (in->state == INSTANCE_LEAVING && in->role == ROLE_AGENT)
+			memcpy(gone[gone_count++], in->id, sizeof(*gone));
+	table_unlock(&b->instances);
 	pthread_mutex_lock(&e->mutex);
 	route_sync(&e->routes, list, n, d, e->n->settings.data_center, now);
+	while (gone_count)
+		route_leaving(&e->routes, gone[--gone_count]);
 	pthread_mutex_unlock(&e->mutex);
 	free(list);
+	free(gone);
 	if (d)
 		document_release(d);
 }
--- a/calls/gate-internal.h
+++ b/calls/gate-internal.h
@@ -1,6 +1,7 @@
 #ifndef CALLS_GATE_INTERNAL_H
 #define CALLS_GATE_INTERNAL_H
 
+#include "calls/cache-view.h"
 #include "calls/crash.h"
 #include "calls/gate-table.h"
 #include "calls/hop.h"
@@ -64,6 +65,8 @@
 	apr_time_t alive_at; /* the upstream last answered a new connection */
 	apr_time_t poll_began;
 	int polling;
+	int polling_cache;
+	struct cache_view cache;
 	int checking; /* whether the upstream died */
 	char upstream_boot[64];
 	uint64_t deaths;
@@ -100,6 +103,12 @@
 void gate_crash_lost(struct gate *g, const struct hop *h);
 void gate_crash_start(struct gate *g);
 
+/* gate-cache.c */
+int gate_cache_has(struct gate *g, const char *model, const char *prompt);
+void gate_kv_fetch(struct gate *g, const char *address, const char *session,
+		   void (*after)(void *arg), void *arg);
+void gate_cache_start(struct gate *g);
+
 /* gate-watch.c */
 void gate_watch_start(struct gate *g);
 void engine_cancel(struct gate *g, const char *request,
--- a/calls/gate-stream.c
+++ b/calls/gate-stream.c
@@ -38,6 +38,7 @@
 	char version[DIGEST_HEX_SIZE];
 	char type[64];
 	int begun;
+	int cached; /* its prompt's start was in the engine's cache */
 	int resumes;
 	enum sse_fault fault; /* of headers */
 	apr_time_t deadline;
@@ -227,6 +228,9 @@
 		      outcome_name(OUTCOME_ANSWER));
 	if (run->model)
 		http_call_set(run->call, "X-Limpet-Version", run->version);
+	if (run->model)
+		http_call_set(run->call, "X-Limpet-Cache",
+			      run->cached ? "hit" : "miss");
 	http_call_stream_begin(run->call, run->fetch.status,
 			       *run->type ? run->type : "application/json", -1);
 	return 0;
@@ -284,6 +288,7 @@
 {
 	size_t size;
 	const char *body = http_call_body(run->call, &size);
+	const char *model, *prompt;
 
 	if (!run->model) {
 		run->body = malloc(size + 1);
@@ -295,8 +300,11 @@
 		return 0;
 	}
 	run->request = json_loadb(body, size, 0, NULL);
-	if (!json_is_object(run->request))
+	model = json_string_value(json_object_get(run->request, "model"));
+	prompt = json_string_value(json_object_get(run->request, "prompt"));
+	if (!model || !prompt)
 		return -1;
+	run->cached = gate_cache_has(run->g, model, prompt);
 	sse_init(&run->sse, run->hop.request,
 		 (int)json_integer_value(
 			 json_object_get(run->request, "resume_from")),
@@ -318,12 +326,31 @@
 	pthread_mutex_unlock(&g->mutex);
 }
 
+/* Begins after the session's KV cache came, or didn't. */
+static void run_first_submit(void *arg)
+{
+	struct stream_run *run = arg;
+	apr_time_t now = clock_now();
+
+	if (__atomic_load_n(&run->why, __ATOMIC_ACQUIRE) == END_GONE ||
+	    now >= run->deadline) {
+		run->fetch.never_sent = 1;
+		gate_crash_leave(run->g, &run->hop, 0);
+		run_end(run, 0);
+		return;
+	}
+	run_submit(run, now);
+	if (__atomic_load_n(&run->why, __ATOMIC_ACQUIRE) == END_GONE)
+		fetch_cancel(&run->fetch);
+}
+
 /* Hands a checked call to the upstream and streams its answer back. */
 void stream_run_start(struct gate *g, struct http_call *c, const struct hop *h,
 		      const char *path)
 {
 	struct stream_run *run = calloc(1, sizeof(*run));
 	apr_time_t now = clock_now();
+	const char *session;
 	struct refusal r;
 
 	if (!run)
@@ -361,7 +388,11 @@
 	run->fetch.url = run->url;
 	run_link(run);
 	http_call_on_drain(c, entry_drained, run);
-	run_submit(run, now);
+	session = json_string_value(json_object_get(run->request, "session"));
+	if (*h->kv_from && session)
+		gate_kv_fetch(g, h->kv_from, session, run_first_submit, run);
+	else
+		run_submit(run, now);
 	/* Has no effect on a run that ended meanwhile. */
 	http_call_on_gone(c, entry_gone, run);
 }
--- a/calls/gate.c
+++ b/calls/gate.c
@@ -307,5 +307,6 @@
 	node_add_drain(n, "gate", gate_busy, g);
 	gate_watch_start(g);
 	gate_crash_start(g);
+	gate_cache_start(g);
 	return 0;
 }
--- a/calls/hop.c
+++ b/calls/hop.c
@@ -34,10 +34,10 @@
 	digest_of(body, size, &d);
 	digest_hex(&d, hex);
 	n = snprintf(text, sizeof(text),
-		     "%s\n%s\n%s\n%s\n%ld\n%s\n%s\n%d\n%d\n%s\n%s\n%s", path,
-		     h->request, h->account, h->agent, h->left_ms, h->ticket,
-		     h->key, h->repeatable, h->lifetime_s, h->fingerprint,
-		     h->version, hex);
+		     "%s\n%s\n%s\n%s\n%ld\n%s\n%s\n%d\n%d\n%s\n%s\n%s\n%s",
+		     path, h->request, h->account, h->agent, h->left_ms,
+		     h->ticket, h->key, h->repeatable, h->lifetime_s,
+		     h->fingerprint, h->kv_from, h->version, hex);
 	digest_hmac(key, text, (size_t)n, mac);
 }
 
@@ -77,6 +77,8 @@
 		line_add(out, f, "X-Limpet-Ticket: %s", h->ticket);
 	if (*h->key)
 		line_add(out, f, "X-Limpet-Key: %s", h->key);
+	if (*h->kv_from)
+		line_add(out, f, "X-Limpet-Kv-From: %s", h->kv_from);
 	if (*h->version)
 		line_add(out, f, "X-Limpet-Version: %s", h->version);
 }
@@ -116,6 +118,8 @@
 	    header_copy(c, "X-Limpet-Ticket", 0, h->ticket,
 			sizeof(h->ticket)) ||
 	    header_copy(c, "X-Limpet-Key", 0, h->key, sizeof(h->key)) ||
+	    header_copy(c, "X-Limpet-Kv-From", 0, h->kv_from,
+			sizeof(h->kv_from)) ||
 	    header_copy(c, "X-Limpet-Version", 0, h->version,
 			sizeof(h->version)) ||
 	    digest_parse(hex, &given) || !request_id_valid(h->request))
--- a/calls/hop.h
+++ b/calls/hop.h
@@ -26,12 +26,13 @@
 	int repeatable;
 	int lifetime_s;	      /* of keys, for calls that aren't repeatable */
 	char fingerprint[65]; /* of what the caller sent, see crash.h */
+	char kv_from[64];     /* agent that the session leaves, or empty */
 	char version[65];     /* of the model, empty for a plain service */
 };
 
 /* Headers of one hand-over, kept until it is over. */
 struct hop_headers {
-	char lines[11][HOP_HEADER_MAX];
+	char lines[12][HOP_HEADER_MAX];
 	int count;
 };
 
--- a/calls/relay-answer.c
+++ b/calls/relay-answer.c
@@ -57,6 +57,8 @@
 		r->crossed |= strcmp(value, r->version) != 0;
 	} else if (!strcasecmp(name, "X-Limpet-Generation")) {
 		r->generation = (uint32_t)strtoul(value, NULL, 10);
+	} else if (!strcasecmp(name, "X-Limpet-Cache")) {
+		r->cache_hit = !strcmp(value, "hit");
 	} else if (!strcasecmp(name, "Content-Type")) {
 		snprintf(r->type, sizeof(r->type), "%s", value);
 	}
--- a/calls/relay-crash.c
+++ b/calls/relay-crash.c
@@ -37,16 +37,53 @@
 	return -1;
 }
 
-/* Restricts the choice to the request's pair.  The routes are locked. */
-void relay_crash_restrict(struct relay *r, struct route_query *q,
-			  const char *pair[2])
+/* Chooses out of the request's pair in one data center.  Returns -1 if none. */
+static int pair_choose(struct relay *r, struct route_query *q,
+		       const char *data_center, apr_time_t now,
+		       struct route_choice *out)
 {
-	if (is_proven(r) && crash_verdict(r->e->crashes, &r->fingerprint,
-					  clock_now(), NULL) == CRASH_CLEAR)
-		return;
-	q->allowed_count = route_pair(&r->e->routes, r->class, &r->fingerprint,
-				      r->affinity, pair);
+	struct entry *e = r->e;
+	const char *pair[2];
+
+	q->data_center = data_center;
 	q->allowed = pair;
+	q->allowed_count = route_pair(&e->routes, r->class, &r->fingerprint,
+				      r->affinity, data_center, pair);
+	if (!q->allowed_count) {
+		out->index = -1;
+		out->reason = "no-upstream";
+		return -1;
+	}
+	route_choose(&e->routes, q, now, &e->random, out);
+	return out->index < 0 ? -1 : 0;
+}
+
+/*
+ * Chooses the upstream: any, for a request that was seen to end well; else
+ * one of its pair in the own data center, or in another one if neither can
+ * take it.  The routes are locked.
+ */
+void relay_route(struct relay *r, struct route_query *q, apr_time_t now,
+		 struct route_choice *out)
+{
+	const char *own = r->e->n->settings.data_center, *other;
+	struct route_choice elsewhere;
+	int n;
+
+	if (is_proven(r) && crash_verdict(r->e->crashes, &r->fingerprint, now,
+					  NULL) == CRASH_CLEAR) {
+		route_choose(&r->e->routes, q, now, &r->e->random, out);
+		return;
+	}
+	if (!pair_choose(r, q, own, now, out))
+		return;
+	for (n = 0; (other = route_other_data_center(&r->e->routes, own, n));
+	     n++) {
+		if (!pair_choose(r, q, other, now, &elsewhere)) {
+			*out = elsewhere;
+			return;
+		}
+	}
 }
 
 /* Returns 1 if the request may run at an upstream now. */
--- /dev/null
+++ b/calls/relay-session.c
@@ -0,0 +1,53 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "calls/entry-internal.h"
+
+/*
+ * Sessions: which upstream holds a session's KV cache, and what the caches
+ * were seen to hold.
+ */
+
+static struct entry_session *session_slot(struct relay *r)
+{
+	return &r->e->sessions[r->affinity % ENTRY_SESSIONS];
+}
+
+/*
+ * Has the agent fetch the session's KV cache when the upstream that holds it
+ * is leaving.  While that one stays, it may be chosen again, so nothing is
+ * moved.  The entry's mutex is held.
+ */
+void relay_session_move(struct relay *r, const struct route_upstream *to)
+{
+	struct entry_session *s = session_slot(r);
+	struct route_upstream *from;
+
+	r->hop.kv_from[0] = '\0';
+	if (!r->has_session || s->affinity != r->affinity ||
+	    !strcmp(s->agent, to->instance))
+		return;
+	from = route_find(&r->e->routes, s->agent);
+	if (from && (from->draining || !from->present))
+		snprintf(r->hop.kv_from, sizeof(r->hop.kv_from), "%s",
+			 from->address);
+}
+
+/* Notes where the session ran, and whether the cache had its prefix. */
+void relay_session_note(struct relay *r)
+{
+	struct entry_session *s = session_slot(r);
+	struct route_upstream *u;
+
+	if (!r->affinity)
+		return;
+	pthread_mutex_lock(&r->e->mutex);
+	if (r->has_session) {
+		s->affinity = r->affinity;
+		snprintf(s->agent, sizeof(s->agent), "%s", r->agent);
+	}
+	u = route_find(&r->e->routes, r->agent);
+	if (u && r->cache_hit >= 0 && r->affine)
+		route_cache_note(u, r->cache_hit);
+	pthread_mutex_unlock(&r->e->mutex);
+}
--- a/calls/relay.c
+++ b/calls/relay.c
@@ -95,7 +95,6 @@
 	struct entry *e = r->e;
 	struct route_query q = { 0 };
 	struct route_choice choice;
-	const char *pair[2];
 	apr_time_t now = clock_now();
 	int i;
 
@@ -109,8 +108,12 @@
 	if (relay_crash_check(r, now, why))
 		return -1;
 	pthread_mutex_lock(&e->mutex);
-	relay_crash_restrict(r, &q, pair);
-	route_choose(&e->routes, &q, now, &e->random, &choice);
+	relay_route(r, &q, now, &choice);
+	if (choice.index >= 0)
+		explain_step(&r->explain, now, "%s of %d, wait %.1f ms%s",
+			     e->routes.rows[choice.index].instance,
+			     choice.eligible, choice.wait_us / 1000,
+			     choice.affine ? ", affine" : "");
 	pthread_mutex_unlock(&e->mutex);
 	if (choice.index < 0) {
 		explain_step(&r->explain, now, "no upstream: %s",
@@ -123,9 +126,7 @@
 	if (r->kind == UPSTREAM_MODEL)
 		snprintf(r->version, sizeof(r->version), "%s", choice.version);
 	r->fresh = choice.fresh;
-	explain_step(&r->explain, now, "%s of %d, wait %.1f ms%s",
-		     e->routes.rows[choice.index].instance, choice.eligible,
-		     choice.wait_us / 1000, choice.affine ? ", affine" : "");
+	r->affine = choice.affine;
 	return choice.index;
 }
 
@@ -265,8 +266,6 @@
 	digest_hex(&r->fingerprint, h->fingerprint);
 	if (r->kind == UPSTREAM_MODEL)
 		snprintf(h->version, sizeof(h->version), "%s", r->version);
-	if (!r->repeatable && (r->ticket_given || !*r->key))
-		snprintf(h->ticket, sizeof(h->ticket), "%s", r->ticket_text);
 }
 
 static void model_body(struct relay *r)
@@ -345,12 +344,16 @@
 		return;
 	}
 	route_begun(&e->routes.rows[r->row], now);
+	hop_fill(r, &u, now);
+	relay_session_move(r, &u);
 	pthread_mutex_unlock(&e->mutex);
 	if (!r->repeatable && !r->ticket_given && !r->resend)
 		ticket_make(r, &u);
 	if (r->kind == UPSTREAM_MODEL)
 		model_body(r);
-	hop_fill(r, &u, now);
+	if (!r->repeatable && (r->ticket_given || !*r->key))
+		snprintf(r->hop.ticket, sizeof(r->hop.ticket), "%s",
+			 r->ticket_text);
 	fetch_fill(r, &u, now);
 	r->resend = 0;
 	relay_answer_reset(r);
@@ -472,6 +475,7 @@
 
 	if (relay_answer_whole(r)) {
 		relay_crash_leave(r, 1);
+		relay_session_note(r);
 		attempt_note(r, BREAKER_ANSWERED);
 		explain_step(&r->explain, clock_now(), "answered by %s",
 			     r->agent);
--- a/calls/route.c
+++ b/calls/route.c
@@ -327,7 +327,8 @@
 {
 	const char *version = version_served(u, q->class);
 
-	if (!u->present || !version)
+	if (!u->present || !version ||
+	    (q->data_center && strcmp(u->data_center, q->data_center) != 0))
 		return MISS_SERVES;
 	if (u->draining)
 		return MISS_LEAVING;
@@ -364,26 +365,23 @@
 }
 
 /*
- * The two upstreams of the own data center (of all, if it has none) at
- * which a request that was never seen to end well may run: the first for
- * its affinity, if it has one, and the first for its fingerprint.  Upstreams
- * that died a moment ago count, so that their death does not widen the
- * choice.  Returns how many there are.
+ * The two upstreams of a data center at which a request that was never seen
+ * to end well may run: the first for its affinity, if it has one, and the
+ * first for its fingerprint.  Upstreams that died a moment ago count, so
+ * that their death does not widen the choice.  Returns how many there are.
  */
 int route_pair(const struct route_table *t, uint64_t class,
-	       const struct digest *fp, uint64_t affinity, const char *names[2])
+	       const struct digest *fp, uint64_t affinity,
+	       const char *data_center, const char *names[2])
 {
 	const char *all[ROUTE_UPSTREAMS_MAX] = { NULL };
-	int pair[2], i, n = 0, local = 0, first, count = 0;
+	int pair[2], i, n = 0, first, count = 0;
 
-	for (i = 0; i < t->count; i++)
-		local |=
-			t->rows[i].local && serve_find(&t->rows[i], class) >= 0;
 	for (i = 0; i < t->count; i++) {
 		const struct route_upstream *u = &t->rows[i];
 
 		if (serve_find(u, class) >= 0 && !u->draining &&
-		    (u->local || !local))
+		    !strcmp(u->data_center, data_center))
 			all[n++] = u->upstream;
 	}
 	crash_pair(fp, all, n, pair);
@@ -396,6 +394,33 @@
 	return count;
 }
 
+/* Notes that an agent is leaving although it reports nothing any more. */
+void route_leaving(struct route_table *t, const char *instance)
+{
+	struct route_upstream *u = route_find(t, instance);
+
+	if (u)
+		u->draining = 1;
+}
+
+/* Returns the nth data center that has rows, other than own, or NULL. */
+const char *route_other_data_center(const struct route_table *t,
+				    const char *own, int n)
+{
+	int i, k;
+
+	for (i = 0; i < t->count; i++) {
+		const char *name = t->rows[i].data_center;
+
+		for (k = 0; k < i; k++)
+			if (!strcmp(t->rows[k].data_center, name))
+				break;
+		if (k == i && strcmp(name, own) != 0 && n-- == 0)
+			return name;
+	}
+	return NULL;
+}
+
 struct eligible {
 	int rows[ROUTE_UPSTREAMS_MAX];
 	int count;
--- a/calls/route.h
+++ b/calls/route.h
@@ -74,6 +74,7 @@
 	uint64_t affinity;   /* of session or prefix, 0 for none */
 	const char *excluded[ROUTE_EXCLUDED_MAX]; /* instances */
 	int excluded_count;
+	const char *data_center;    /* only there; NULL: own first */
 	const char *const *allowed; /* upstream names; NULL: any */
 	int allowed_count;
 };
@@ -108,7 +109,10 @@
 
 int route_pair(const struct route_table *t, uint64_t class,
 	       const struct digest *fp, uint64_t affinity,
-	       const char *names[2]);
+	       const char *data_center, const char *names[2]);
+void route_leaving(struct route_table *t, const char *instance);
+const char *route_other_data_center(const struct route_table *t,
+				    const char *own, int n);
 
 double route_wait(const struct route_upstream *u, apr_time_t now);
 void route_choose(struct route_table *t, const struct route_query *q,
--- a/t/helper/test-calls-route.c
+++ b/t/helper/test-calls-route.c
@@ -392,7 +392,7 @@
 		random_next(r);
 		digest_of(&r->state, sizeof(r->state), &fp);
 		q.allowed_count = route_pair(&tables[entry], q.class, &fp,
-					     q.affinity, pair);
+					     q.affinity, OWN, pair);
 		q.allowed = pair;
 	}
 	route_choose(&tables[entry], &q, now, r, &c);
--- a/t/t0530-history.sh
+++ b/t/t0530-history.sh
@@ -9,6 +9,7 @@
 RATE=${RATE:-200}
 SEED=${SEED:-5}
 ROUNDS=${ROUNDS:-1} # of faults
+# ANSWERED: the part of calls that must be answered (0.8)
 NET2=$(fleet_net 2)
 E2=$NET2.101
 models="$CALLS_NET.31 $CALLS_NET.32 $NET2.31"
@@ -114,7 +115,7 @@
 '
 
 test_expect_success 'most calls are answered all the same' '
-	jq -e ".answers > 0.8 * .calls" summary.json
+	jq -e ".answers > ${ANSWERED:-0.8} * .calls" summary.json
 '
 
 test_done
