--- a/t/helper/lib-attempt.c
+++ b/t/helper/lib-attempt.c
@@ -28,6 +28,7 @@
 	call->fetch.headers[i] = call->headers[i];
 }
 
+/* Adds the headers that an entry reads. */
 static void headers_entry(struct load_call *call)
 {
 	const struct plan_settings *set = call->set;
@@ -51,6 +52,7 @@
 		header_add(call, "X-Session: %s", call->plan.session);
 }
 
+/* Sets the headers of the attempt's request. */
 static void headers_set(struct load_call *call)
 {
 	memset(call->fetch.headers, 0, sizeof(call->fetch.headers));
@@ -62,6 +64,7 @@
 		header_add(call, "X-Idempotency-Key: %s", call->plan.key);
 }
 
+/* Sets the URL of the attempt's request. */
 static void url_set(struct load_call *call)
 {
 	const struct plan_settings *set = call->set;
@@ -83,6 +86,7 @@
 			 entry, set->model);
 }
 
+/* Sets what a whole answer to the attempt looks like. */
 static void want_set(struct load_call *call)
 {
 	struct answer_expectation *want = &call->want;
@@ -99,6 +103,7 @@
 	want->stream = call->plan.stream && !call->in_ticket;
 }
 
+/* Takes a header of the answer, on the client thread. */
 static void on_header(struct fetch *f, const char *name, const char *value)
 {
 	struct load_call *call = f->arg;
@@ -107,6 +112,7 @@
 	answer_header(&call->answer, &call->want, name, value);
 }
 
+/* Takes a piece of the answer, on the client thread. */
 static int on_data(struct fetch *f, const void *data, size_t size)
 {
 	struct load_call *call = f->arg;
@@ -171,22 +177,25 @@
 
 static const struct fetch_ops attempt_ops = { on_header, on_data, on_done };
 
-/* Sends the double of a call, with the same ticket. */
-static void second_start(struct load_call *call)
+/* Detaches the double of a call that has got its ticket, if any. */
+static struct load_call *second_take(struct load_call *call)
 {
 	struct load_call *second = call->second;
 
+	if (!second || call->in_ticket)
+		return NULL;
 	call->second = NULL;
 	memcpy(second->plan.ticket, call->plan.ticket,
 	       sizeof(second->plan.ticket));
 	second->plan.wants_ticket = false;
-	attempt_start(second);
+	return second;
 }
 
 /* Sends a call, or the request for its ticket; over() is called at the end. */
 void attempt_start(struct load_call *call)
 {
 	struct fetch *f = &call->fetch;
+	struct load_call *second;
 
 	call->in_ticket = call->plan.wants_ticket && !call->set->direct;
 	if (!call->begin_us) {
@@ -214,17 +223,21 @@
 	f->body_size = strlen(f->body);
 	f->timeout_ms = call->timeout_ms;
 	f->once = call->fresh;
+	second = second_take(call);
+	/* From here on the call belongs to the fetcher's thread. */
 	fetch_submit(call->fetcher, f);
-	if (!call->in_ticket && call->second)
-		second_start(call);
+	if (second)
+		attempt_start(second);
 }
 
+/* Sets a member unless its text is empty. */
 static void set_text(json_t *line, const char *name, const char *text)
 {
 	if (*text)
 		json_object_set_new(line, name, json_string(text));
 }
 
+/* Sets a member to true, or leaves it out. */
 static void set_flag(json_t *line, const char *name, bool value)
 {
 	if (value)
--- a/t/helper/lib-limit-sim.c
+++ b/t/helper/lib-limit-sim.c
@@ -46,6 +46,7 @@
 	int i = 0, child;
 
 	s->heap[0] = s->heap[--s->heap_count];
+	s->heap[s->heap_count].call = NULL;
 	for (;;) {
 		child = 2 * i + 1;
 		if (child >= s->heap_count)
@@ -81,16 +82,27 @@
 		sim_entry_start(s, i);
 }
 
+static void call_free(struct sim_call *call)
+{
+	*call->all_link = call->all_next;
+	if (call->all_next)
+		call->all_next->all_link = call->all_link;
+	free(call);
+}
+
 void sim_destroy(struct sim *s)
 {
+	struct sim_call *call, *next;
 	struct sim_event e;
 	int i;
 
 	while (s->heap_count) {
 		e = event_take(s);
 		xdr_free((xdrproc_t)xdr_limits_message, &e.message);
-		if (e.kind == SIM_DONE)
-			free(e.call);
+	}
+	for (call = s->all; call; call = next) {
+		next = call->all_next;
+		free(call);
 	}
 	for (i = 0; i < s->entry_count; i++)
 		limit_core_destroy(&s->entries[i].core);
@@ -184,7 +196,7 @@
 		account->limited++;
 	else
 		account->overloaded++;
-	free(call);
+	call_free(call);
 }
 
 /* The present time on an entry's own clock. */
@@ -218,6 +230,14 @@
 {
 	struct sim_call *call = calloc(1, sizeof(*call));
 
+	if (!call)
+		abort();
+	call->all_next = s->all;
+	call->all_link = &s->all;
+	if (s->all)
+		s->all->all_link = &call->all_next;
+	s->all = call;
+
 	snprintf(call->a.account, sizeof(call->a.account), "%s",
 		 s->accounts[o->account].name);
 	snprintf(call->a.target, sizeof(call->a.target), "model");
@@ -317,7 +337,8 @@
 	e.entry = to;
 	e.at = s->now + delay_draw(s);
 	e.boot = s->entries[from].boot;
-	limit_peers_fill(&s->entries[from].core.peers, q, &e.message);
+	limit_peers_fill(&s->entries[from].core.peers, q, &e.message,
+			 clock_of(s, from));
 	message_bytes(s, from, to, &e.message);
 	event_add(s, e);
 	/* The answer, if one came, is noted before this. */
@@ -457,9 +478,13 @@
 	struct limit_decisions out = { NULL, NULL };
 	struct sim_entry *entry = &s->entries[e->entry];
 	struct sim_call *call = e->call, *next = s->waiting;
-	struct sim_account *a = &s->accounts[call->account];
-	long ms = (long)((s->now - call->arrived) / 1000);
+	struct sim_account *a;
+	long ms;
 
+	if (!call)
+		return;
+	a = &s->accounts[call->account];
+	ms = (long)((s->now - call->arrived) / 1000);
 	s->busy--;
 	if (next) {
 		s->waiting = next->next;
@@ -476,7 +501,7 @@
 			       clock_of(s, e->entry), &out);
 		carry_out(s, &out);
 	}
-	free(call);
+	call_free(call);
 }
 
 /* Lets an entry go on, with what came while it was paused, before a tick. */
--- a/t/standin/standin-platform.c
+++ b/t/standin/standin-platform.c
@@ -59,13 +59,14 @@
 	int64_t list_lag_ms;
 	unsigned flap;
 	long calls;
+	long peak_second; /* most calls that came within one second */
+	long this_second;
+	int64_t second;
 	long config_calls;
 	long list_calls;
 	struct watch *watches;
 } platform = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
-static struct address_list addresses;
-
 /* The document that a reader sees under the present fault. */
 static const struct document *config_visible(void)
 {
@@ -121,6 +122,25 @@
 	pthread_mutex_unlock(&platform.lock);
 }
 
+/* Counts a call and the rate at which calls come. */
+static void count_call(bool on_list, int64_t now_ms)
+{
+	int64_t second = now_ms / MS_PER_S;
+
+	if (second != platform.second) {
+		platform.second = second;
+		platform.this_second = 0;
+	}
+	platform.this_second++;
+	if (platform.this_second > platform.peak_second)
+		platform.peak_second = platform.this_second;
+	platform.calls++;
+	if (on_list)
+		platform.list_calls++;
+	else
+		platform.config_calls++;
+}
+
 /* Opens the watch of a call that is seen for the first time and counts it. */
 static struct watch *watch_open(struct web_request *req, bool on_list,
 				int64_t now_ms)
@@ -140,16 +160,13 @@
 	watch->next = platform.watches;
 	platform.watches = watch;
 	req->call = watch;
-	platform.calls++;
-	if (on_list)
-		platform.list_calls++;
-	else
-		platform.config_calls++;
+	count_call(on_list, now_ms);
 	if (!on_list)
 		platform.flap++;
 	return watch;
 }
 
+/* Ends the watch of a request that is over. */
 static void watch_close(struct web_request *req, void *arg)
 {
 	struct watch **link;
@@ -236,8 +253,7 @@
 static enum web_verdict put_config(struct web_request *req)
 {
 	struct document doc = { .len = req->body_len };
-	json_t *obj =
-		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *obj = web_body(req);
 	json_t *revision = json_object_get(obj, "revision");
 
 	if (!json_is_integer(revision)) {
@@ -261,8 +277,7 @@
 /* PUT /standin/instances: the body becomes the next version of the list. */
 static enum web_verdict put_instances(struct web_request *req)
 {
-	json_t *array =
-		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *array = web_body(req);
 	struct list_version *list;
 
 	if (!json_is_array(array)) {
@@ -286,23 +301,20 @@
 static int read_fault(json_t *obj, const char *member, enum fault_mode *mode)
 {
 	const char *name = json_string_value(json_object_get(obj, member));
-	int i;
+	int fault = web_word(fault_names, FAULT_COUNT, name);
 
 	if (!name)
 		return 0;
-	for (i = 0; i < FAULT_COUNT; i++) {
-		if (!strcmp(name, fault_names[i])) {
-			*mode = i;
-			return 0;
-		}
-	}
-	return -1;
+	if (fault < 0)
+		return -1;
+	*mode = fault;
+	return 0;
 }
 
+/* Serves POST /standin/fault. */
 static enum web_verdict post_fault(struct web_request *req)
 {
-	json_t *obj =
-		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *obj = web_body(req);
 	json_t *lag = json_object_get(obj, "list_lag_ms");
 	int ret;
 
@@ -318,14 +330,17 @@
 	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
 }
 
+/* Serves GET /standin/counts. */
 static enum web_verdict get_counts(struct web_request *req)
 {
 	json_t *obj;
 
 	pthread_mutex_lock(&platform.lock);
-	obj = json_pack("{s:I,s:I,s:I}", "calls", (json_int_t)platform.calls,
-			"config", (json_int_t)platform.config_calls,
-			"instances", (json_int_t)platform.list_calls);
+	obj = json_pack("{s:I,s:I,s:I,s:I}", "calls",
+			(json_int_t)platform.calls, "peak_second",
+			(json_int_t)platform.peak_second, "config",
+			(json_int_t)platform.config_calls, "instances",
+			(json_int_t)platform.list_calls);
 	pthread_mutex_unlock(&platform.lock);
 	return web_reply_json(req, MHD_HTTP_OK, obj);
 }
@@ -341,6 +356,7 @@
 	{ "GET", "/standin/counts", get_counts },
 };
 
+/* Serves every request. */
 static enum web_verdict handle(struct web_request *req, void *arg)
 {
 	size_t i;
@@ -358,12 +374,7 @@
 
 static const struct web_ops ops = { handle, watch_close };
 
-static void option_seen(int value, const char *text)
-{
-	if (addresses_add(&addresses, text))
-		options_fail("not an address", text);
-}
-
+/* Runs the configuration service and the instance list. */
 int main(int argc, const char **argv)
 {
 	int port = DEFAULT_PORT;
@@ -375,12 +386,12 @@
 	};
 	struct web_server *server;
 
-	options_read(argc, argv, options, option_seen);
+	options_read(argc, argv, options, addresses_option);
 	web_block_signals();
 	server = web_start(&ops, NULL, SERVER_THREADS);
 	if (!server || web_ticker(TICK_US, on_tick, NULL))
 		return 1;
-	if (addresses_listen(&addresses, server, port))
+	if (addresses_listen(server, port))
 		return 1;
 	return web_wait_for_signal();
 }
