--- a/calls/limit-peers.c
+++ b/calls/limit-peers.c
@@ -325,7 +325,8 @@
 /*
  * Works out the group in contact.  After a time without a majority the
  * others have divided this entry's slices; it stays at the cut-off share
- * until it heard all of them, or until those not heard must have lapsed.
+ * until it heard all of them, or until those not heard must have lapsed.  So
+ * does one that never saw a list of entries: it may be one of many.
  */
 void limit_peers_view(struct limit_peers *p, apr_time_t now,
 		      struct limit_view *v)
@@ -350,8 +351,8 @@
 	settled = v->leased == v->known ||
 		  (p->joined_at &&
 		   now - p->joined_at > lease_length(p) + LIMIT_MARGIN_US);
-	v->alone =
-		v->known > 1 && (v->leased == 1 || (p->joined_at && !settled));
+	v->alone = p->blind || (v->known > 1 &&
+				(v->leased == 1 || (p->joined_at && !settled)));
 	p->viewed = now;
 	low_update(p, now);
 }
--- a/calls/limits.c
+++ b/calls/limits.c
@@ -142,8 +142,11 @@
 	{ 0 },
 };
 
-/* Lists the other entries that may be serving.  A leaving one is not. */
-static int entries_list(struct limits *l)
+/*
+ * Lists the other entries that may be serving.  A leaving one is not.  listed
+ * is set if the platform's list has been seen.
+ */
+static int entries_list(struct limits *l, int *listed)
 {
 	struct table *t = &l->node->board.instances;
 	struct handle h = HANDLE_NONE;
@@ -152,6 +155,7 @@
 
 	table_lock(t);
 	while ((i = table_next(t, &h)) && count < LIMIT_PEERS_MAX) {
+		*listed |= i->listed;
 		if (i->role != ROLE_ENTRY || i->state == INSTANCE_LEAVING ||
 		    (!i->listed && i->state != INSTANCE_LIVE) ||
 		    !strcmp(i->id, l->node->settings.instance))
@@ -273,14 +277,15 @@
 			struct limit_decisions *out)
 {
 	struct document *d = board_document(&l->node->board);
-	int entries, reports;
+	int entries, reports, listed = 0;
 
 	if (!d)
 		return;
-	entries = entries_list(l);
+	entries = entries_list(l, &listed);
 	reports = reports_list(l, d, now);
 	table_lock(&l->core.accounts);
 	limit_core_configure(&l->core, d, now);
+	l->core.peers.blind = !listed && !entries;
 	limit_peers_sync(&l->core.peers, l->entries, entries, now);
 	limit_core_report(&l->core, l->reports, reports);
 	limit_core_tick(&l->core, now, out);
--- a/t/helper/lib-limit-sim.c
+++ b/t/helper/lib-limit-sim.c
@@ -394,7 +394,7 @@
 	struct limit_address list[SIM_ENTRIES_MAX];
 	int i, count = 0;
 
-	for (i = 0; i < s->entry_count; i++) {
+	for (i = 0; i < s->entry_count && !s->entries[entry].blind; i++) {
 		if (i == entry || !s->entries[i].listed)
 			continue;
 		snprintf(list[count].id, sizeof(list[count].id), "%s",
@@ -403,6 +403,7 @@
 			 "127.0.0.%d", i + 1);
 		count++;
 	}
+	s->entries[entry].core.peers.blind = s->entries[entry].blind;
 	limit_peers_sync(&s->entries[entry].core.peers, list, count,
 			 clock_of(s, entry));
 }
--- a/t/helper/lib-limit-sim.h
+++ b/t/helper/lib-limit-sim.h
@@ -74,7 +74,8 @@
 	int alive;
 	int listed;
 	int paused;
-	int side; /* entries of one side reach each other */
+	int blind; /* has not seen the platform's list */
+	int side;  /* entries of one side reach each other */
 	apr_time_t unlist_at;
 	uint64_t boot;
 	struct sim_call *held; /* arrived while paused */
--- a/t/helper/test-limits.c
+++ b/t/helper/test-limits.c
@@ -19,6 +19,7 @@
  *	until SECONDS		runs on, counted from the start
  *	stop ACCOUNT		ends its offers
  *	die N, start N, pause N, wake N, cut FIRST LAST, heal
+ *	blind N 0|1		it has not seen the list of entries
  *	skew N SECONDS		sets its clock off, before the first step
  *	trace 0|1		prints each decision
  *	report			rates since the last one
@@ -121,6 +122,12 @@
 	s->entries[atoi(arg[0]) - 1].paused = 1;
 }
 
+/* The entry does not see the platform's list until it is let see it. */
+static void do_blind(struct sim *s, char **arg)
+{
+	s->entries[atoi(arg[0]) - 1].blind = atoi(arg[1]);
+}
+
 static void do_wake(struct sim *s, char **arg)
 {
 	sim_entry_wake(s, atoi(arg[0]) - 1);
@@ -277,7 +284,8 @@
 	{ "heal", do_heal, 0 },		{ "report", do_report, 0 },
 	{ "total", do_total, 0 },	{ "slices", do_slices, 0 },
 	{ "clear", do_clear, 0 },	{ "claims", do_claims, 0 },
-	{ "skew", do_skew, 2 },		{ "trace", do_trace, 1 },
+	{ "blind", do_blind, 2 },	{ "skew", do_skew, 2 },
+	{ "trace", do_trace, 1 },
 };
 
 static int line_run(struct sim *s, char *line)
--- a/t/t0700-limits.sh
+++ b/t/t0700-limits.sh
@@ -162,6 +162,30 @@
 	slices_within 1.1 actual
 '
 
+test_expect_success 'an entry that has seen no list keeps to the cut-off share' '
+	cat >script <<-\END &&
+	entries 8 5
+	delay 5 5
+	account a 1 200 0 0.1
+	offer a 1 8 2000 0 20 0
+	until 10
+	clear
+	die 4
+	start 4
+	blind 4 1
+	until 20
+	slices
+	blind 4 0
+	until 25
+	clear
+	until 35
+	report
+	END
+	test-limits <script >actual &&
+	slices_within 1.1 actual &&
+	dues_met actual
+'
+
 test_expect_success 'clocks an hour off change nothing' '
 	{ fleet_script 8 1 10 &&
 	  printf "%s\n" "until 5" clear "until 15" report; } >straight &&
