--- a/calls/crash_proto.h
+++ b/calls/crash_proto.h
@@ -8,6 +8,7 @@
 
 #include <rpc/rpc.h>
 
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -46,14 +47,14 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern bool_t xdr_crash_death(XDR *, crash_death *);
-extern bool_t xdr_crash_record(XDR *, crash_record *);
-extern bool_t xdr_crash_message(XDR *, crash_message *);
+extern  bool_t xdr_crash_death (XDR *, crash_death*);
+extern  bool_t xdr_crash_record (XDR *, crash_record*);
+extern  bool_t xdr_crash_message (XDR *, crash_message*);
 
 #else /* K&R C */
-extern bool_t xdr_crash_death();
-extern bool_t xdr_crash_record();
-extern bool_t xdr_crash_message();
+extern bool_t xdr_crash_death ();
+extern bool_t xdr_crash_record ();
+extern bool_t xdr_crash_message ();
 
 #endif /* K&R C */
 
--- a/calls/limits_proto_xdr.c
+++ b/calls/limits_proto_xdr.c
@@ -32,6 +32,10 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->have))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->known))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->heard))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->cells.cells_val, (u_int *) &objp->cells.cells_len, LIMITS_CELLS_MAX,
 		sizeof (limits_cell), (xdrproc_t) xdr_limits_cell))
 		 return FALSE;
