--- a/config/spread-decide.c
+++ b/config/spread-decide.c
@@ -6,13 +6,7 @@
 #define REMOTE_EVERY 4		     /* exchanges for one abroad */
 #define BUSY_MAX 8		     /* neighbours told at once */
 
-/*
- * A lone change goes on at once.  Versions that follow each other within
- * BUSY_US are taken this far apart; the ones between are passed over.
- */
-#define BUSY_US (2 * APR_USEC_PER_SEC)
-#define BUSY_GAP_US (600 * 1000)
-#define PULL_GAP_US (100 * 1000)
+#define PULL_GAP_US (100 * 1000) /* between pulls of one value */
 
 /* Watching. */
 #define PLATFORM_CALLS_PER_SECOND 24 /* of all watchers, under any load */
@@ -101,12 +95,6 @@
 	return gap * 3 / 4 + random_below(r, (uint32_t)(gap / 2 + 1));
 }
 
-/* Returns 1 when versions follow each other closely. */
-static int is_busy(const struct spread_value *v, apr_time_t now)
-{
-	return v->taken_before && now - v->taken_before < BUSY_US;
-}
-
 static apr_interval_time_t
 watch_gap(const struct spread *s, const struct spread_value *v, apr_time_t now)
 {
@@ -116,8 +104,8 @@
 
 	if (gap < WATCH_GAP_MIN_US)
 		gap = WATCH_GAP_MIN_US;
-	if (is_busy(v, now) && gap < BUSY_GAP_US)
-		gap = BUSY_GAP_US;
+	if (spread_is_busy(v, now) && gap < SPREAD_BUSY_GAP_US)
+		gap = SPREAD_BUSY_GAP_US;
 	return gap;
 }
 
@@ -202,7 +190,8 @@
 		if (!strcmp(v->offers[i].address, address))
 			v->offers[i].version = 0;
 	}
-	v->pull_after = now + (is_busy(v, now) ? BUSY_GAP_US : PULL_GAP_US);
+	if (v->pull_after < now + PULL_GAP_US)
+		v->pull_after = now + PULL_GAP_US;
 }
 
 static void tell_decide(struct spread *s, struct spread_actions *out)
--- a/config/spread.c
+++ b/config/spread.c
@@ -182,6 +182,12 @@
 	snprintf(at->address, sizeof(at->address), "%s", address);
 }
 
+/* Returns 1 when versions follow each other closely. */
+int spread_is_busy(const struct spread_value *v, apr_time_t now)
+{
+	return v->taken_before && now - v->taken_before < SPREAD_BUSY_US;
+}
+
 /* Notes that a version was put in force here; neighbours are to be told. */
 void spread_taken(struct spread *s, int value, uint64_t version,
 		  const struct digest *digest, apr_time_t now)
@@ -195,6 +201,8 @@
 	v->digest = *digest;
 	v->taken_before = v->taken;
 	v->taken = now;
+	if (spread_is_busy(v, now))
+		v->pull_after = now + SPREAD_BUSY_GAP_US;
 	offers_prune(v);
 	for (i = 0; i < s->peer_count; i++)
 		s->peers[i].pending = 1;
