--- a/Makefile
+++ b/Makefile
@@ -118,6 +118,10 @@
 		"$$@" -- $(filter-out -O% -Wno-% -D_FORTIFY%,$(LIMPET_CFLAGS)) \
 		2>/dev/null' sh
 
+# Parsers of outside input under libFuzzer, a short run with a fixed seed.
+fuzz:
+	sh t/fuzz.sh $(FUZZ_RUNS)
+
 perf: all
 	for p in t/perf/p[0-9]*.sh; do sh $$p || exit 1; done
 
@@ -129,6 +133,8 @@
 
 -include $(shell find build/$(FLAVOR) -name '*.d' 2>/dev/null)
 
-.PHONY: all xdr deps demo test test-asan test-tsan format style style-format \
+FUZZ_RUNS ?= 20000
+
+.PHONY: all fuzz xdr deps demo test test-asan test-tsan format style style-format \
 	style-lint perf model clean
 .SECONDARY:
--- /dev/null
+++ b/t/fuzz.sh
@@ -0,0 +1,59 @@
+#!/bin/sh
+# Short libFuzzer runs with a fixed seed over every parser of outside input:
+#   t/fuzz.sh [RUNS]
+# Ends non-zero at the first crash; its input stays in build/fuzz.
+
+cd "$(dirname "$0")/.." || exit 1
+runs=${1:-20000}
+packages="apr-1 apr-util-1 libmicrohttpd libcurl libtirpc popt jansson
+libxxhash libcrypto"
+names="document list settings account manifest xdr delta"
+flags="-std=gnu11 -g -O1 -fsanitize=fuzzer-no-link,address,undefined -I.
+-Wno-deprecated-declarations $(pkg-config --cflags $packages)"
+rm -rf build/fuzz/corpus # the same start every time
+mkdir -p build/fuzz
+
+sources=$(ls base/*.c net/*.c config/*.c member/*.c weights/manifest.c)
+for source in $sources; do
+	echo "$source"
+done | xargs -P 4 -I{} sh -c 'out=build/fuzz/$(echo "$1" | tr / _).o
+	test "$out" -nt "$1" || clang '"$(echo $flags)"' -w -c -o "$out" "$1"' \
+	sh {} || exit 1
+objects=$(for source in $sources; do
+	echo "build/fuzz/$(echo "$source" | tr / _).o"
+done)
+
+seed_corpus () {
+	case "$1" in
+	document)
+		echo '{"revision":1,"accounts":[{"account":"a","models":[{"name":"m","manifest":"'$(printf %064d 1)'","upstreams":["m-*"]}],"services":[{"name":"s","upstreams":["*"],"operations":[{"name":"o"}]}]}]}' ;;
+	account)
+		echo '{"account":"a","keys":["'$(printf %064d 1)'"],"limits":{"concurrent":1}}' ;;
+	list)
+		echo '{"version":1,"instances":[{"id":"a","role":"agent","data_center":"d","address":"127.0.0.1","state":"live"}]}' ;;
+	settings)
+		echo '{"instance":"a","data_center":"d","address":"127.0.0.1","platform_url":"http://127.0.0.1:7001","key":"0123456789abcdef","upstream":{"url":"http://127.0.0.1:7200"}}' ;;
+	manifest)
+		echo '{"model":"m","version":"1","source":"m.bin","size":10,"chunk_size":4096,"chunks":["'$(printf %064d 1)'"]}' ;;
+	esac
+}
+
+number=0
+for name in $names; do
+	number=$((number + 1))
+	mkdir -p "build/fuzz/corpus/$name"
+	seed_corpus "$name" >"build/fuzz/corpus/$name/seed"
+	clang $flags -fsanitize=fuzzer,address,undefined \
+		-DFUZZ_TARGET=$number -o "build/fuzz/$name" \
+		t/helper/fuzz-input.c $objects \
+		$(pkg-config --libs $packages) -lm -lpthread || exit 1
+	(cd build/fuzz && ./$name -seed=1 -runs="$runs" -max_len=4096 \
+		-verbosity=0 -timeout=10 -rss_limit_mb=1024 \
+		-artifact_prefix="crash-$name-" "corpus/$name") \
+		>"build/fuzz/$name.log" 2>&1 || {
+		tail -30 "build/fuzz/$name.log"
+		echo "fuzz: $name failed"
+		exit 1
+	}
+	echo "fuzz: $name, $runs runs, no fault"
+done
