--- a/config/spread-internal.h
+++ b/config/spread-internal.h
@@ -12,7 +12,7 @@
  * SPREAD_BUSY_US are taken this far apart; the ones between are passed over.
  */
 #define SPREAD_BUSY_US (2 * APR_USEC_PER_SEC)
-#define SPREAD_BUSY_GAP_US (600 * 1000)
+#define SPREAD_BUSY_GAP_US (400 * 1000)
 
 int spread_is_busy(const struct spread_value *v, apr_time_t now);
 void spread_pull_done(struct spread_value *v, const char *address,
