t/perf: begin the soak's load once the first versions serve

Cause: a third of the refusals came before any upstream had a model. Change: the script waits for both models on nine upstreams.

--- a/t/perf/p0005-soak.sh
+++ b/t/perf/p0005-soak.sh
@@ -52,6 +52,15 @@
 	--platform $PLATFORM_URL --store $STORE_URL --keys "$keys" \
 	--publish-only >publish.log 2>&1 || { cat publish.log; exit 1; }
 fleet_ready 20 $ENTRIES || exit 1
+model_agents=
+for dc in 1 2 3; do
+	net=$(fleet_net $dc)
+	model_agents="$model_agents $net.11 $net.12 $net.13"
+done
+for m in quotes appraise; do
+	first=$(awk -v m=$m '$1 == m {print $2; exit}' versions.rows)
+	wait_until 40 serving_all 9 $m "$first" $model_agents || exit 1
+done
 start_bytes=$(curl -s $STORE_URL/standin/counts | jq .bytes)
 
 entry_args=
