--- a/builtin/status.c
+++ b/builtin/status.c
@@ -126,17 +126,23 @@
 	return ret;
 }
 
-static int64_t metric_of(const json_t *status, const char *name)
+/* Returns a metric's value under a label, or its sum when label is NULL. */
+static long long metric_of(const json_t *status, const char *name,
+			   const char *label)
 {
 	const json_t *m =
 		json_object_get(json_object_get(status, "metrics"), name);
+	long long sum = 0;
 	const char *key;
-	int64_t sum = 0;
 	json_t *v;
 
 	if (json_is_integer(m))
 		return json_integer_value(m);
-	json_object_foreach((json_t *)m, key, v) sum += json_integer_value(v);
+	json_object_foreach((json_t *)m, key, v)
+	{
+		if (!label || !strcmp(key, label))
+			sum += json_integer_value(v);
+	}
 	return sum;
 }
 
@@ -144,11 +150,11 @@
 {
 	printf("%-20s %10lld %10lld %10lld %14lld %14lld\n",
 	       schema_string(v, "instance", t->id),
-	       (long long)metric_of(v, "calls_answered"),
-	       (long long)metric_of(v, "calls_not_run"),
-	       (long long)metric_of(v, "calls_unknown"),
-	       (long long)metric_of(v, "weights_received_bytes"),
-	       (long long)metric_of(v, "weights_sent_bytes"));
+	       metric_of(v, "calls_outcome", "answer"),
+	       metric_of(v, "calls_outcome", "not-run"),
+	       metric_of(v, "calls_outcome", "unknown"),
+	       metric_of(v, "weights_received_bytes", NULL),
+	       metric_of(v, "weights_sent_bytes", NULL));
 }
 
 /* limpetctl top [--count N] [--interval S] [--platform URL] [ADDRESS...] */
