--- /dev/null
+++ b/t/helper/test-weights.c
@@ -0,0 +1,444 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "weights/activate.h"
+#include "weights/blob.h"
+#include "weights/hint.h"
+#include "weights/manifest.h"
+#include "weights/pace.h"
+#include "weights/place.h"
+
+#define SECOND APR_USEC_PER_SEC
+
+static char *manifest_text(int chunks, const char *chunk, long size)
+{
+	char *text = malloc(4096);
+	int i, at;
+
+	at = sprintf(text,
+		     "{\"model\":\"m\",\"version\":\"1\",\"source\":\"f\","
+		     "\"size\":%ld,\"chunk_size\":4096,\"chunks\":[",
+		     size);
+	for (i = 0; i < chunks; i++)
+		at += sprintf(text + at, "%s\"%s\"", i ? "," : "", chunk);
+	sprintf(text + at, "]}");
+	return text;
+}
+
+static const char *const some =
+	"0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
+
+START_TEST(manifest_refuses_what_does_not_add_up)
+{
+	static const struct {
+		int chunks;
+		long size;
+		int good;
+	} cases[] = { { 2, 8192, 1 }, { 2, 4097, 1 }, { 2, 4096, 0 },
+		      { 2, 8193, 0 }, { 1, 0, 0 },    { 1, 1, 1 } };
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		char *text =
+			manifest_text(cases[i].chunks, some, cases[i].size);
+		struct error err = ERROR_INIT;
+		struct manifest *m =
+			manifest_parse(text, strlen(text), NULL, &err);
+
+		ck_assert_int_eq(m != NULL, cases[i].good);
+		ck_assert_int_eq(err.code != ERROR_NONE, !cases[i].good);
+		manifest_free(m);
+		free(text);
+	}
+}
+END_TEST
+
+START_TEST(manifest_must_match_its_digest)
+{
+	char *text = manifest_text(2, some, 8192);
+	struct error err = ERROR_INIT;
+	struct digest d;
+	struct manifest *m;
+
+	digest_of(text, strlen(text), &d);
+	m = manifest_parse(text, strlen(text), &d, &err);
+	ck_assert_ptr_nonnull(m);
+	ck_assert_uint_eq(manifest_chunk_length(m, 1), 4096);
+	manifest_free(m);
+	text[strlen(text) - 5] ^= 1;
+	ck_assert_ptr_null(manifest_parse(text, strlen(text), &d, &err));
+	ck_assert_int_eq(err.code, ERROR_CORRUPT);
+	free(text);
+}
+END_TEST
+
+static void view_make(struct place_view *v, int dcs, int each, int dead_mod,
+		      const char *self, const struct digest *version)
+{
+	char id[32], dc[16];
+	int i, j;
+
+	memset(v, 0, sizeof(*v));
+	for (i = 0; i < dcs; i++) {
+		for (j = 0; j < each; j++) {
+			sprintf(id, "i%d-%d", i, j);
+			sprintf(dc, "dc%d", i);
+			place_view_add(v, id, id, dc,
+				       !strcmp(id, self) || !dead_mod ||
+					       j % dead_mod != 0);
+		}
+	}
+	place_view_finish(v, self, version);
+}
+
+/* Naive ranks: sort all counted members by hash, carriers by chunk. */
+static int naive_rank(const struct place_view *v, int member,
+		      const struct digest *chunk)
+{
+	const struct place_member *m = &v->members[member];
+	int i, rank = 0;
+
+	for (i = 0; i < v->count; i++) {
+		const struct place_member *o = &v->members[i];
+		uint64_t a = m->hash, b = o->hash;
+
+		if (i == member || o->order < 0 ||
+		    o->data_center != m->data_center)
+			continue;
+		if (m->order < PLACE_CARRIERS) {
+			if (o->order >= PLACE_CARRIERS)
+				continue;
+			a = place_hash(chunk, sizeof(*chunk), m->hash);
+			b = place_hash(chunk, sizeof(*chunk), o->hash);
+		}
+		rank += b > a;
+	}
+	return rank;
+}
+
+START_TEST(place_ranks_equal_naive_ranks)
+{
+	struct digest version, chunk;
+	struct place_view v;
+	int seed, i;
+
+	for (seed = 0; seed < 50; seed++) {
+		digest_of(&seed, sizeof(seed), &version);
+		view_make(&v, 1 + seed % 4, 1 + seed % 17, seed % 5, "i0-0",
+			  &version);
+		digest_of(&version, sizeof(version), &chunk);
+		for (i = 0; i < v.count; i++) {
+			if (v.members[i].order < 0)
+				continue;
+			ck_assert_int_eq(place_rank(&v, i, &chunk),
+					 naive_rank(&v, i, &chunk));
+			ck_assert_int_eq(
+				place_at_rank(&v, v.members[i].data_center,
+					      &chunk,
+					      place_rank(&v, i, &chunk)),
+				i);
+		}
+		place_view_clear(&v);
+	}
+}
+END_TEST
+
+START_TEST(place_deals_at_most_four_permits)
+{
+	struct digest version, chunk;
+	struct place_view v;
+	int dcs, c, i, permit, seen[PLACE_PERMITS_MAX];
+
+	digest_of("v", 1, &version);
+	for (dcs = 1; dcs <= 10; dcs++) {
+		view_make(&v, dcs, 9, 0, "i0-0", &version);
+		for (c = 0; c < 100; c++) {
+			digest_of(&c, sizeof(c), &chunk);
+			memset(seen, 0, sizeof(seen));
+			for (i = 0; i < v.count; i++) {
+				permit = place_permit(&v, i, &chunk, 4);
+				if (permit != PLACE_NO_PERMIT)
+					seen[permit]++;
+			}
+			for (i = 0; i < PLACE_PERMITS_MAX; i++)
+				ck_assert_int_eq(seen[i], 1);
+		}
+		place_view_clear(&v);
+	}
+}
+END_TEST
+
+/*
+ * Every instance alone in its own view, all others dead to it: permits
+ * must not multiply, or the origin would be drawn once for each.
+ */
+START_TEST(place_isolated_instances_hold_no_more_permits)
+{
+	struct digest version, chunk;
+	struct place_view v;
+	char self[32];
+	int c, i, j, k, total;
+
+	digest_of("v", 1, &version);
+	for (c = 0; c < 50; c++) {
+		digest_of(&c, sizeof(c), &chunk);
+		total = 0;
+		for (i = 0; i < 3; i++) {
+			for (j = 0; j < 9; j++) {
+				sprintf(self, "i%d-%d", i, j);
+				view_make(&v, 3, 9, 1, self, &version);
+				k = place_permit(&v, v.self, &chunk, 4);
+				total += k != PLACE_NO_PERMIT;
+				place_view_clear(&v);
+			}
+		}
+		ck_assert_int_le(total, PLACE_PERMITS_MAX);
+	}
+}
+END_TEST
+
+START_TEST(place_neighbours_connect_a_data_center)
+{
+	struct digest version;
+	struct place_view v;
+	int reached[100] = { 0 }, queue[100], out[48];
+	int head = 0, tail = 0, i, n;
+
+	digest_of("v", 1, &version);
+	view_make(&v, 1, 87, 0, "i0-0", &version);
+	queue[tail++] = v.self;
+	reached[v.self] = 1;
+	while (head < tail) {
+		v.self = queue[head++];
+		n = place_neighbours(&v, out, 48);
+		ck_assert_int_le(n, 20);
+		for (i = 0; i < n; i++) {
+			if (reached[out[i]])
+				continue;
+			reached[out[i]] = 1;
+			queue[tail++] = out[i];
+		}
+	}
+	ck_assert_int_eq(tail, 87);
+	place_view_clear(&v);
+}
+END_TEST
+
+static void activation_begin(struct activation *a)
+{
+	memset(a, 0, sizeof(*a));
+	a->loader = ACTIVATE_NOT_LOADER;
+	a->fence = 7;
+	activation_want(a, "new");
+	activation_read_back(a, "old", 1, 6, 0, SECOND);
+}
+
+START_TEST(activation_orders_only_when_whole)
+{
+	struct activation a;
+
+	activation_begin(&a);
+	ck_assert_int_eq(activation_step(&a, SECOND), ACTIVATION_FETCHING);
+	ck_assert_int_eq(activation_serves(&a), 1);
+	a.whole = 1;
+	ck_assert_int_eq(activation_step(&a, SECOND), ACTIVATION_READY);
+	a.ordering = 1;
+	ck_assert_int_eq(activation_step(&a, SECOND), ACTIVATION_ORDERED);
+	activation_ordered(&a, 200, SECOND);
+	ck_assert_int_eq(activation_serves(&a), 0); /* not read back yet */
+	activation_read_back(&a, "new", 1, 7, 0, 2 * SECOND);
+	ck_assert_int_eq(activation_step(&a, 2 * SECOND), ACTIVATION_SERVING);
+	ck_assert_int_eq(activation_serves(&a), 1);
+}
+END_TEST
+
+START_TEST(activation_never_orders_below_a_known_fence)
+{
+	struct activation a;
+
+	activation_begin(&a);
+	a.whole = 1;
+	a.peer_revision = 8;
+	ck_assert_int_eq(activation_step(&a, SECOND), ACTIVATION_STALE);
+	a.peer_revision = 0;
+	activation_read_back(&a, "newer", 1, 9, 0, SECOND);
+	ck_assert_int_eq(activation_step(&a, SECOND), ACTIVATION_STALE);
+}
+END_TEST
+
+START_TEST(activation_checks_its_view_after_a_pause)
+{
+	struct activation a;
+
+	activation_begin(&a);
+	a.whole = 1;
+	a.view_checked = 9 * SECOND;
+	a.pause_end = 10 * SECOND;
+	ck_assert_int_eq(activation_step(&a, 11 * SECOND), ACTIVATION_CHECKING);
+	ck_assert_int_eq(activation_serves(&a), 0);
+	a.view_checked = 11 * SECOND;
+	ck_assert_int_eq(activation_step(&a, 11 * SECOND), ACTIVATION_READY);
+	/* Nobody answers for long: it is alone and goes on. */
+	a.view_checked = 9 * SECOND;
+	ck_assert_int_eq(activation_step(&a, 16 * SECOND), ACTIVATION_READY);
+}
+END_TEST
+
+START_TEST(activation_does_not_serve_what_an_old_order_brought)
+{
+	struct activation a;
+
+	activation_begin(&a);
+	a.whole = 1;
+	activation_read_back(&a, "new", 1, 7, 0, SECOND);
+	activation_step(&a, SECOND);
+	activation_read_back(&a, "old", 1, 5, 0, 2 * SECOND);
+	ck_assert_int_eq(activation_serves(&a), 0);
+	ck_assert_int_eq(activation_step(&a, 2 * SECOND), ACTIVATION_READY);
+}
+END_TEST
+
+START_TEST(activation_halts_after_a_first_loader_crashed)
+{
+	struct activation a;
+
+	activation_begin(&a);
+	a.whole = 1;
+	a.needed = 1;
+	ck_assert_int_eq(activation_step(&a, SECOND), ACTIVATION_WAITING);
+	a.crashed = 1;
+	ck_assert_int_eq(activation_step(&a, SECOND), ACTIVATION_HALTED);
+
+	activation_begin(&a);
+	a.whole = 1;
+	a.loader = 0;
+	a.ordering = 1;
+	activation_ordered(&a, 0, SECOND);
+	activation_read_back(&a, "", 0, 0, 1, 2 * SECOND);
+	ck_assert_uint_eq(a.crashed, 1);
+	ck_assert_int_eq(activation_step(&a, 3 * SECOND), ACTIVATION_HALTED);
+	/* Another version starts with a clean slate. */
+	activation_want(&a, "newest");
+	a.whole = 1;
+	ck_assert_int_eq(activation_step(&a, 3 * SECOND), ACTIVATION_READY);
+}
+END_TEST
+
+START_TEST(pace_keeps_the_rate)
+{
+	struct pace p;
+	double sent = 0;
+	apr_time_t now;
+
+	pace_init(&p, 1000, 100, 0);
+	for (now = 0; now < 10 * SECOND; now += 1000) {
+		while (pace_level(&p, now) > 0) {
+			pace_charge(&p, 250, now);
+			sent += 250;
+		}
+	}
+	ck_assert_double_ge(sent, 10000 - 250);
+	ck_assert_double_le(sent, 10000 + 100 + 250);
+}
+END_TEST
+
+START_TEST(yield_gives_way_to_slow_calls_and_comes_back)
+{
+	struct yield y;
+	apr_time_t now = SECOND;
+	double share = 1;
+	int i;
+
+	yield_init(&y);
+	for (i = 0; i < 5; i++, now += SECOND)
+		share = yield_step(&y, 4, 2000, now);
+	ck_assert_double_eq(share, 1);
+	for (i = 0; i < 3; i++, now += SECOND)
+		share = yield_step(&y, 4, 3000, now);
+	ck_assert_double_eq(share, 0.125);
+	for (i = 0; i < 10; i++, now += SECOND)
+		share = yield_step(&y, 4, 2000, now);
+	ck_assert_double_eq(share, 1);
+}
+END_TEST
+
+START_TEST(hint_survives_the_trip_and_refuses_rubbish)
+{
+	u_int sent[3] = { 5, 0, 4000000000u }, entries[HINT_ENTRIES_MAX];
+	struct weights_have h = { .epoch = 3, .start = 9, .total = 12 };
+	struct weights_have got;
+	char text[HINT_SIZE];
+
+	h.entries.entries_val = sent;
+	h.entries.entries_len = 3;
+	hint_format(&h, text);
+	ck_assert_int_eq(hint_parse(text, &got, entries), 0);
+	ck_assert_uint_eq(got.start, 9);
+	ck_assert_uint_eq(got.entries.entries_len, 3);
+	ck_assert_uint_eq(entries[2], 4000000000u);
+	ck_assert_int_eq(hint_parse("", &got, entries), -1);
+	ck_assert_int_eq(hint_parse("abc 1 2", &got, entries), -1);
+	text[66] = '\0';
+	ck_assert_int_eq(hint_parse(text, &got, entries), -1);
+}
+END_TEST
+
+START_TEST(blob_cache_keeps_its_limit)
+{
+	struct blob_cache c;
+	struct blob *b;
+	int i;
+
+	blob_cache_init(&c, 1000);
+	for (i = 0; i < 600; i++) {
+		b = blob_new(300);
+		digest_of(&i, sizeof(i), &b->digest);
+		blob_cache_add(&c, b);
+		blob_release(b);
+		ck_assert_uint_le(c.bytes, 1000);
+	}
+	i = 599;
+	{
+		struct digest d;
+
+		digest_of(&i, sizeof(i), &d);
+		b = blob_cache_find(&c, &d);
+		ck_assert_ptr_nonnull(b);
+		blob_release(b);
+		blob_cache_drop(&c, &d);
+		ck_assert_ptr_null(blob_cache_find(&c, &d));
+	}
+	blob_cache_destroy(&c);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("weights");
+	TCase *tc = tcase_create("core");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, tc);
+	tcase_add_test(tc, manifest_refuses_what_does_not_add_up);
+	tcase_add_test(tc, manifest_must_match_its_digest);
+	tcase_add_test(tc, place_ranks_equal_naive_ranks);
+	tcase_add_test(tc, place_deals_at_most_four_permits);
+	tcase_add_test(tc, place_isolated_instances_hold_no_more_permits);
+	tcase_add_test(tc, place_neighbours_connect_a_data_center);
+	tcase_add_test(tc, activation_orders_only_when_whole);
+	tcase_add_test(tc, activation_never_orders_below_a_known_fence);
+	tcase_add_test(tc, activation_checks_its_view_after_a_pause);
+	tcase_add_test(tc, activation_does_not_serve_what_an_old_order_brought);
+	tcase_add_test(tc, activation_halts_after_a_first_loader_crashed);
+	tcase_add_test(tc, pace_keeps_the_rate);
+	tcase_add_test(tc, yield_gives_way_to_slow_calls_and_comes_back);
+	tcase_add_test(tc, hint_survives_the_trip_and_refuses_rubbish);
+	tcase_add_test(tc, blob_cache_keeps_its_limit);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/t/perf/p0001-rollout.sh
+++ b/t/perf/p0001-rollout.sh
@@ -24,7 +24,7 @@
 FLEET_THREADS=${FLEET_THREADS:-4}
 . "$(dirname "$0")/../test-lib.sh"
 . "$TEST_DIR/fleet-lib.sh"
-ENGINES_A_PROCESS=90
+ENGINES_A_PROCESS=30 # keeps its connections under 1024 descriptors
 AGENT_IDS=
 
 now_ms () {
@@ -44,7 +44,7 @@
 }
 
 address_of () {
-	jq -r .address "$1.json"
+	sed -n 's/.*"address":"\([0-9.]*\)".*/\1/p' "$1.json"
 }
 
 # addresses DC COUNT: of that data centre's machines.
@@ -60,7 +60,13 @@
 fleet_launch () {
 	fleet_platform_start && fleet_store_start store || return 1
 	for dc in 1 2 3; do
-		engines_start "engines-$dc" $(addresses $dc "$(dc_count $dc)")
+		addresses $dc "$(dc_count $dc)" | xargs -n $ENGINES_A_PROCESS \
+			>engines.$dc
+		part=0
+		while read -r list; do
+			part=$((part + 1))
+			engines_start "engines-$dc-$part" $list
+		done <engines.$dc
 		for a in $(addresses $dc "$(dc_count $dc)"); do
 			agent_launch "agent-$dc-${a##*.}" dc$dc $a
 		done
@@ -158,9 +164,12 @@
 }
 
 status_split () {
+	rm -f status-*
 	for id in $AGENT_IDS; do
-		curl -s -m 5 "http://$(address_of $id):7102/status" >"status-$id"
-	done
+		echo "url = http://$(address_of $id):7102/status"
+		echo "output = status-$id"
+	done >split.urls
+	curl -s -m 5 --parallel --parallel-max 40 -K split.urls >/dev/null 2>&1
 	cat status-* >status.after
 }
 
--- a/weights/choose.c
+++ b/weights/choose.c
@@ -4,6 +4,7 @@
 
 #define HEDGE_BASE_US (2 * APR_USEC_PER_SEC)
 #define HEDGE_DRAWS 3  /* times a usual draw */
+#define LOST_HEDGES 2  /* hedge delays until a lost data centre counts out */
 #define HEDGE_LOOKS 64 /* chunks looked at in one step */
 #define PERMIT_RENEW_US (120 * APR_USEC_PER_SEC)
 #define PEER_FAILURES_LATE 2
@@ -39,6 +40,18 @@
 	return 0;
 }
 
+/*
+ * A data centre that is lost whole is rather cut off than dead: its part is
+ * taken over only when it stays away, or a short partition would cost a copy
+ * on each side.
+ */
+static int lost_long(const struct swarm *s, int dc, apr_time_t now)
+{
+	apr_time_t since = s->lost_since[dc];
+
+	return !since || now - since > LOST_HEDGES * swarm_hedge_delay(s);
+}
+
 /* Returns 1 when a member can't be counted on to bring a chunk soon. */
 static int member_late(struct swarm *s, int member, uint32_t chunk,
 		       apr_time_t now)
@@ -46,12 +59,15 @@
 	const struct swarm_peer *p;
 	apr_time_t since;
 
-	if (member < 0 || !s->view->members[member].live)
+	if (member < 0)
 		return 1;
+	if (!s->view->members[member].live)
+		return lost_long(s, s->view->members[member].data_center, now);
 	p = swarm_peer_find(s, s->view->members[member].id);
 	if (!p)
 		return now - s->began > 4 * swarm_hedge_delay(s);
-	if (!p->live || p->failures >= PEER_FAILURES_LATE || gave_up(p, chunk))
+	if (!p->live || p->failures >= PEER_FAILURES_LATE ||
+	    p->avoid_until > now || gave_up(p, chunk))
 		return 1;
 	if (p->waiting_until > now)
 		return 0;
@@ -149,12 +165,13 @@
 	return best;
 }
 
-static int held_near(const struct swarm *s, uint32_t chunk)
+static int held_near(const struct swarm *s, uint32_t chunk, apr_time_t now)
 {
 	int i;
 
 	for (i = 0; i < s->peer_count; i++)
 		if (s->peers[i].same_data_center && s->peers[i].live &&
+		    s->peers[i].avoid_until <= now &&
 		    bit_get(s->peers[i].have, chunk))
 			return 1;
 	return 0;
@@ -229,7 +246,7 @@
 		if (!c->holders || c->rank < 0 || !chunk_open(c, now))
 			continue;
 		peer = peer_choose(s, i, 0, now);
-		if (peer == SWARM_NO_PEER || held_near(s, i) ||
+		if (peer == SWARM_NO_PEER || held_near(s, i, now) ||
 		    !duty_passed(s, i, now))
 			continue;
 		action_begin(s, a, WAY_CARRY, i, peer, now);
@@ -238,10 +255,26 @@
 	return 0;
 }
 
-static int draw_allowed(const struct swarm_chunk *c, apr_time_t now)
+/* Returns 1 when a neighbour that can be trusted has the chunk. */
+static int held_somewhere(const struct swarm *s, uint32_t chunk, apr_time_t now)
+{
+	int i;
+
+	if (!s->chunks[chunk].holders)
+		return 0;
+	for (i = 0; i < s->peer_count; i++)
+		if (s->peers[i].live && s->peers[i].avoid_until <= now &&
+		    bit_get(s->peers[i].have, chunk))
+			return 1;
+	return 0;
+}
+
+static int draw_allowed(const struct swarm *s, uint32_t chunk, apr_time_t now)
 {
-	return c->permit != PLACE_NO_PERMIT && !c->holders &&
-	       chunk_open(c, now) &&
+	const struct swarm_chunk *c = &s->chunks[chunk];
+
+	return c->permit != PLACE_NO_PERMIT && chunk_open(c, now) &&
+	       !held_somewhere(s, chunk, now) &&
 	       (!c->spent || now - c->spent_at > PERMIT_RENEW_US);
 }
 
@@ -252,14 +285,14 @@
 
 	for (n = 0; n < s->count; n++) {
 		i = (n + (uint32_t)s->seed) % s->count;
-		if (s->chunks[i].permit || !draw_allowed(&s->chunks[i], now))
+		if (s->chunks[i].permit || !draw_allowed(s, i, now))
 			continue;
 		action_begin(s, a, WAY_DRAW, i, SWARM_NO_PEER, now);
 		return 1;
 	}
 	for (n = 0; n < HEDGE_LOOKS && n < s->count; n++) {
 		i = s->hedge_cursor++ % s->count;
-		if (!s->chunks[i].permit || !draw_allowed(&s->chunks[i], now) ||
+		if (!s->chunks[i].permit || !draw_allowed(s, i, now) ||
 		    !permit_passed(s, i, now))
 			continue;
 		action_begin(s, a, WAY_DRAW, i, SWARM_NO_PEER, now);
--- a/weights/swarm.c
+++ b/weights/swarm.c
@@ -197,6 +197,23 @@
 	}
 }
 
+/* Notes since when no instance of a data centre is live. */
+static void lost_set(struct swarm *s, const struct place_view *v,
+		     apr_time_t now)
+{
+	int live[PLACE_DATA_CENTERS_MAX] = { 0 };
+	int i;
+
+	for (i = 0; i < v->count; i++)
+		live[v->members[i].data_center] += v->members[i].live;
+	for (i = 0; i < v->data_center_count; i++) {
+		if (live[i])
+			s->lost_since[i] = 0;
+		else if (!s->lost_since[i])
+			s->lost_since[i] = now;
+	}
+}
+
 /*
  * Takes in a changed view: neighbours, and this instance's part in bringing
  * each chunk into the data centre.
@@ -215,6 +232,7 @@
 	for (i = 0; i < n; i++)
 		peer_bind(s, v, out[i], now);
 	peers_drop(s);
+	lost_set(s, v, now);
 	roles_set(s, v);
 }
 
--- a/weights/swarm.h
+++ b/weights/swarm.h
@@ -92,6 +92,7 @@
 	int peer_count;
 	const struct place_view *view; /* of the last swarm_place */
 	struct swarm_policy policy;
+	apr_time_t lost_since[PLACE_DATA_CENTERS_MAX]; /* 0: some live */
 	uint64_t seed; /* spreads equal choices over instances */
 	apr_time_t began;
 	apr_time_t origin_until; /* the store told us to wait */
