--- a/calls/entry-internal.h
+++ b/calls/entry-internal.h
@@ -156,6 +156,10 @@
 int relay_crash_enter(struct relay *r, const char *upstream, apr_time_t now);
 void relay_crash_leave(struct relay *r, int finished);
 
+/* relay-target.c */
+int relay_row_pick(struct relay *r, struct refusal *why);
+void relay_ticket_make(struct relay *r, const struct route_upstream *u);
+
 /* relay-session.c */
 void relay_session_move(struct relay *r, const struct route_upstream *to);
 void relay_session_note(struct relay *r);
--- a/calls/relay.c
+++ b/calls/relay.c
@@ -7,7 +7,6 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "calls/entry-internal.h"
-#include "calls/home.h"
 
 #define RETRY_SOON_MS 200
 #define RETRY_SUSPECT_MS 1000
@@ -89,142 +88,6 @@
 	relay_finish(r, r->begun ? "cut" : outcome_name(outcome), reason);
 }
 
-/* Chooses by load, affinity and health.  Returns the row or -1. */
-static int row_choose(struct relay *r, struct refusal *why)
-{
-	struct entry *e = r->e;
-	struct route_query q = { 0 };
-	struct route_choice choice;
-	apr_time_t now = clock_now();
-	int i;
-
-	q.class = r->class;
-	q.version = r->kind == UPSTREAM_MODEL ? r->version : NULL;
-	q.version_strict = r->version_strict;
-	q.min_serving = r->min_serving;
-	q.affinity = r->affinity;
-	for (i = 0; i < r->tried_count; i++)
-		q.excluded[q.excluded_count++] = r->tried[i];
-	if (relay_crash_check(r, now, why))
-		return -1;
-	pthread_mutex_lock(&e->mutex);
-	relay_route(r, &q, now, &choice);
-	if (choice.index >= 0)
-		explain_step(&r->explain, now, "%s of %d, wait %.1f ms%s",
-			     e->routes.rows[choice.index].instance,
-			     choice.eligible, choice.wait_us / 1000,
-			     choice.affine ? ", affine" : "");
-	pthread_mutex_unlock(&e->mutex);
-	if (choice.index < 0) {
-		explain_step(&r->explain, now, "no upstream: %s",
-			     choice.reason);
-		refusal_set(why, 503, OUTCOME_NOT_RUN, AGAIN_SAME,
-			    choice.reason, "route", "no upstream can take it");
-		why->retry_after_ms = RETRY_SOON_MS;
-		return -1;
-	}
-	if (r->kind == UPSTREAM_MODEL)
-		snprintf(r->version, sizeof(r->version), "%s", choice.version);
-	r->fresh = choice.fresh;
-	r->affine = choice.affine;
-	return choice.index;
-}
-
-/* Returns the row of an instance or -1. */
-static int row_find(struct entry *e, const char *instance)
-{
-	struct route_upstream *u;
-	int i;
-
-	pthread_mutex_lock(&e->mutex);
-	u = route_find(&e->routes, instance);
-	i = u ? (int)(u - e->routes.rows) : -1;
-	pthread_mutex_unlock(&e->mutex);
-	return i;
-}
-
-/* The home of the caller's key.  Returns the row or -1. */
-static int row_home(struct relay *r, struct refusal *why)
-{
-	struct home_agent *agents = calloc(HOME_AGENTS_MAX, sizeof(*agents));
-	struct document *d = board_document(&r->e->n->board);
-	const struct service_spec *s = d ? document_service(d, r->name) : NULL;
-	int n = 0, home = -1, row = -1;
-
-	if (!agents)
-		abort();
-	if (s)
-		n = home_agents(&r->e->n->board, s, agents, HOME_AGENTS_MAX);
-	if (n <= HOME_AGENTS_MAX)
-		home = home_pick(agents, n, r->ticket.identity);
-	if (home >= 0) {
-		snprintf(r->ticket.agent, sizeof(r->ticket.agent), "%s",
-			 agents[home].id);
-		row = row_find(r->e, agents[home].id);
-		explain_step(&r->explain, clock_now(), "home of the key: %s",
-			     agents[home].id);
-	}
-	if (row < 0) {
-		refusal_set(why, 503, OUTCOME_NOT_RUN, AGAIN_SAME,
-			    "home-unreachable", "route",
-			    "the one agent that may run this key is not there");
-		why->retry_after_ms = RETRY_SOON_MS;
-	}
-	free(agents);
-	if (d)
-		document_release(d);
-	return row;
-}
-
-static int row_of_ticket(struct relay *r, struct refusal *why)
-{
-	int row = row_find(r->e, r->ticket.agent);
-
-	explain_step(&r->explain, clock_now(), "bound by its ticket to %s",
-		     r->ticket.agent);
-	if (row < 0) {
-		refusal_set(why, 502, OUTCOME_UNKNOWN, AGAIN_CHECK,
-			    "agent-gone", "route",
-			    "the agent that the ticket names is not there");
-		why->scope = SCOPE_KEY;
-	}
-	return row;
-}
-
-/* Mints the ticket of a call whose caller brought none. */
-static void ticket_make(struct relay *r, const struct route_upstream *u)
-{
-	snprintf(r->ticket.agent, sizeof(r->ticket.agent), "%s", u->instance);
-	snprintf(r->ticket.account, sizeof(r->ticket.account), "%s",
-		 r->account);
-	snprintf(r->ticket.service, sizeof(r->ticket.service), "%s", r->name);
-	r->ticket.boot = u->boot;
-	r->ticket.expiry =
-		(uint64_t)time(NULL) +
-		(uint64_t)(*r->key ? r->lifetime_s : TICKET_LIFETIME_S);
-	if (!*r->key)
-		ticket_identity_random(&r->ticket);
-	ticket_mint(&r->ticket, r->e->n->self.keys.current, r->ticket_text);
-}
-
-/* Returns the row for the next attempt, or -1 with the refusal. */
-static int row_pick(struct relay *r, struct refusal *why)
-{
-	if (r->repeatable)
-		return row_choose(r, why);
-	if (r->ticket_given)
-		return row_of_ticket(r, why);
-	if (*r->key) {
-		snprintf(r->ticket.account, sizeof(r->ticket.account), "%s",
-			 r->account);
-		snprintf(r->ticket.service, sizeof(r->ticket.service), "%s",
-			 r->name);
-		ticket_identity_key(&r->ticket, r->key);
-		return row_home(r, why);
-	}
-	return row_choose(r, why);
-}
-
 /* Checks what must hold at each hand-over. */
 static int attempt_allowed(struct relay *r, apr_time_t now, struct refusal *why)
 {
@@ -329,7 +192,7 @@
 		return;
 	}
 	if (r->row < 0)
-		r->row = row_pick(r, &why);
+		r->row = relay_row_pick(r, &why);
 	if (r->row < 0) {
 		if (r->maybe_ran)
 			why.outcome = OUTCOME_UNKNOWN;
@@ -348,7 +211,7 @@
 	relay_session_move(r, &u);
 	pthread_mutex_unlock(&e->mutex);
 	if (!r->repeatable && !r->ticket_given && !r->resend)
-		ticket_make(r, &u);
+		relay_ticket_make(r, &u);
 	if (r->kind == UPSTREAM_MODEL)
 		model_body(r);
 	if (!r->repeatable && (r->ticket_given || !*r->key))
--- a/calls/route.h
+++ b/calls/route.h
@@ -55,7 +55,8 @@
 	int slots;
 	int token_us;
 	apr_time_t measured_at;
-	int in_flight; /* own calls */
+	int in_flight;	 /* own calls */
+	int load_chosen; /* route_load, during one choice */
 	struct route_slice slices[ROUTE_SLICES];
 	double affinity_trust; /* 0 to 1: how often the cache had the prefix */
 	struct breaker breaker;
@@ -114,6 +115,13 @@
 const char *route_other_data_center(const struct route_table *t,
 				    const char *own, int n);
 
+/* Shared by the parts: route.c, route-choose.c, route-pair.c. */
+int route_serves(const struct route_upstream *u, uint64_t class);
+int route_load(const struct route_upstream *u, apr_time_t now);
+double route_call_time(const struct route_upstream *u);
+double route_wait_at(const struct route_upstream *u, double load);
+uint64_t route_affinity_rank(uint64_t affinity, uint64_t name_hash);
+
 double route_wait(const struct route_upstream *u, apr_time_t now);
 void route_choose(struct route_table *t, const struct route_query *q,
 		  apr_time_t now, struct random *r, struct route_choice *out);
