--- a/weights/transfer.c
+++ b/weights/transfer.c
@@ -20,7 +20,7 @@
 #define TRANSFER_SLACK 8 /* times the time at the link's rate */
 #define TRANSFER_IDLE_S 3
 #define ORIGIN_TRIES 3 /* requests for the rest of a chunk */
-#define STAGE_TIMEOUT_MS 10000
+#define STAGE_TIMEOUT_MS 5000
 #define BUSY_DEFAULT_US (100 * 1000)
 #define BUSY_MISSING_US (500 * 1000)
 #define IN_FLIGHT_PART 8 /* of the memory limit */
@@ -97,6 +97,7 @@
 	m = table_get(&w->models, t->model);
 	if (m && m->swarm && m->swarm_id == t->swarm_id)
 		swarm_result(m->swarm, &t->action, result, t->wait, now);
+	transfers_begin(w, now);
 	table_unlock(&w->models);
 	transfer_free(t);
 }
