--- a/weights/activate.c
+++ b/weights/activate.c
@@ -8,7 +8,6 @@
 #define ORDER_BACKOFF_SHIFT_MAX 5
 #define ORDER_SETTLE_US (300 * 1000) /* for the read-back after an order */
 #define CRASH_WINDOW_US (10 * APR_USEC_PER_SEC)
-#define LOADER_LATE_US (5 * APR_USEC_PER_SEC) /* then the next rank loads */
 
 #define HTTP_OK 200
 #define HTTP_CONFLICT 409
@@ -20,7 +19,6 @@
 		return;
 	snprintf(a->want, sizeof(a->want), "%s", version);
 	a->whole = 0;
-	a->whole_since = 0;
 	a->failures = 0;
 	a->not_before = 0;
 	a->crashed_here = 0;
@@ -45,22 +43,6 @@
 	       now - a->pause_end < CHECK_MAX_US;
 }
 
-/*
- * The first loaders go first, then the rest once enough have loaded.  A
- * first loader that is alive but whose engine is stuck must not hold up all
- * others, so further ranks take over one by one.
- */
-static int may_load(const struct activation *a, apr_time_t now)
-{
-	int needed = __builtin_popcount(a->needed);
-	int late;
-
-	if (a->live_before < needed || __builtin_popcount(a->loaded) >= needed)
-		return 1;
-	late = (int)((now - a->whole_since) / LOADER_LATE_US);
-	return a->rank != ACTIVATE_NO_RANK && a->live_before < needed + late;
-}
-
 /*
  * Returns the state at now.  ACTIVATION_READY asks for the order to load;
  * the caller sets ordering and reports with activation_ordered.
@@ -69,14 +51,12 @@
 {
 	if (runs_wanted(a)) {
 		snprintf(a->confirmed, sizeof(a->confirmed), "%s", a->want);
-		if (a->rank != ACTIVATE_NO_RANK)
-			a->loaded |= 1u << a->rank;
+		if (a->loader != ACTIVATE_NOT_LOADER)
+			a->loaded |= 1u << a->loader;
 		return ACTIVATION_SERVING;
 	}
 	if (!a->whole)
 		return ACTIVATION_FETCHING;
-	if (!a->whole_since)
-		a->whole_since = now;
 	if (a->crashed || a->crashed_here)
 		return ACTIVATION_HALTED;
 	if (a->peer_revision > a->fence || a->running_fence > a->fence)
@@ -85,7 +65,8 @@
 		return ACTIVATION_CHECKING;
 	if (a->ordering || now < a->not_before || !a->running_known)
 		return ACTIVATION_ORDERED;
-	if (!may_load(a, now))
+	if (a->loader == ACTIVATE_NOT_LOADER &&
+	    (a->loaded & a->needed) != a->needed)
 		return ACTIVATION_WAITING;
 	return ACTIVATION_READY;
 }
@@ -120,8 +101,8 @@
 	if (rebooted && a->failures && a->ordered_at &&
 	    now - a->ordered_at < CRASH_WINDOW_US && !runs_wanted(a)) {
 		a->crashed_here = 1;
-		if (a->rank != ACTIVATE_NO_RANK)
-			a->crashed |= 1u << a->rank;
+		if (a->loader != ACTIVATE_NOT_LOADER)
+			a->crashed |= 1u << a->loader;
 	}
 	a->running_known = 1;
 	a->running_ready = ready;
--- a/weights/activate.h
+++ b/weights/activate.h
@@ -12,7 +12,7 @@
  */
 
 #define ACTIVATE_LOADERS_MAX 32 /* bits in the masks of first loaders */
-#define ACTIVATE_NO_RANK (-1)
+#define ACTIVATE_NOT_LOADER (-1)
 
 struct activation {
 	char want[DIGEST_HEX_SIZE];
@@ -38,12 +38,10 @@
 	apr_time_t view_checked; /* last word from the platform or a peer */
 	uint64_t peer_revision;	 /* highest that a peer named */
 
-	int rank;	  /* this instance's bit, or ACTIVATE_NO_RANK */
-	int live_before;  /* live instances of lower rank */
-	uint32_t needed;  /* first loaders that should run it before the rest */
-	uint32_t loaded;  /* of the ranks that are known to run it */
-	uint32_t crashed; /* of the ranks that it brought down */
-	apr_time_t whole_since;
+	int loader;	  /* this instance's bit, or ACTIVATE_NOT_LOADER */
+	uint32_t needed;  /* first loaders that must run it before the rest */
+	uint32_t loaded;  /* that are known to run it */
+	uint32_t crashed; /* that it brought down */
 };
 
 enum activation_state {
--- a/weights/view.c
+++ b/weights/view.c
@@ -75,42 +75,32 @@
 	return signature ? signature : 1;
 }
 
-/* Counts the members, live ones apart, of a lower rank than member i. */
-static int rank_of(const struct place_view *v, int i, int *live_before)
-{
-	int j, before = 0;
-
-	*live_before = 0;
-	for (j = 0; j < v->count; j++) {
-		if (v->members[j].hash <= v->members[i].hash)
-			continue;
-		before++;
-		*live_before += v->members[j].live;
-	}
-	return before;
-}
-
-/* First loaders: the first live ones in rendezvous order. */
+/* First loaders: the first in rendezvous order of all that need it. */
 static void loaders_set(struct model_row *m)
 {
 	const struct place_view *v = &m->view;
 	struct activation *a = &m->activation;
-	int i, rank, live_before;
+	int i, j, taken = 0;
 
-	a->rank = ACTIVATE_NO_RANK;
-	a->live_before = 0;
+	a->loader = ACTIVATE_NOT_LOADER;
 	a->needed = 0;
 	for (i = 0; i < v->count; i++) {
-		rank = rank_of(v, i, &live_before);
-		if (i == v->self) {
-			a->live_before = live_before;
-			if (rank < ACTIVATE_LOADERS_MAX)
-				a->rank = rank;
+		int before = 0;
+
+		for (j = 0; j < v->count; j++)
+			before += v->members[j].hash > v->members[i].hash;
+		if (before >= ACTIVATE_LOADERS_MAX)
+			continue;
+		if (before < m->first_loaders && v->members[i].live) {
+			a->needed |= 1u << before;
+			taken++;
+			if (i == v->self)
+				a->loader = before;
 		}
-		if (v->members[i].live && rank < ACTIVATE_LOADERS_MAX &&
-		    live_before < m->first_loaders)
-			a->needed |= 1u << rank;
 	}
+	/* With all of them dead somebody has to be the first. */
+	if (!taken && v->self >= 0)
+		a->loader = 0;
 }
 
 static void view_build(struct weights *w, struct model_row *m,
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -101,7 +101,7 @@
 		memset(&fresh, 0, sizeof(fresh));
 		snprintf(fresh.name, sizeof(fresh.name), "%s", spec->name);
 		fresh.view.self = -1;
-		fresh.activation.rank = ACTIVATE_NO_RANK;
+		fresh.activation.loader = ACTIVATE_NOT_LOADER;
 		if (handle_is_none(table_add(&w->models, &fresh))) {
 			log_error("models", spec->name,
 				  "more than %d models on one upstream",
