--- a/Makefile
+++ b/Makefile
@@ -128,6 +128,13 @@
 model:
 	sh t/model/run.sh
 
+# Measures what an instance spends and rewrites the capacity page's tables.
+CAPACITY_POINTS = docs/measurements/capacity.jsonl
+capacity: all
+	sh t/perf/p0006-capacity.sh >$(CAPACITY_POINTS).new
+	mv $(CAPACITY_POINTS).new $(CAPACITY_POINTS)
+	python3 t/perf/capacity.py $(CAPACITY_POINTS) docs/CAPACITY.md
+
 clean:
 	rm -rf build t/trash t/output
 
