--- a/t/helper/test-weights.c
+++ b/t/helper/test-weights.c
@@ -230,6 +230,7 @@
 {
 	memset(a, 0, sizeof(*a));
 	a->loader = ACTIVATE_NOT_LOADER;
+	a->loader_rank = 5;
 	a->fence = 7;
 	activation_want(a, "new");
 	activation_read_back(a, "old", 1, 6, 0, SECOND);
@@ -313,7 +314,9 @@
 
 	activation_begin(&a);
 	a.whole = 1;
+	a.needed = 1;
 	a.loader = 0;
+	a.loader_rank = 0;
 	a.ordering = 1;
 	activation_ordered(&a, 0, SECOND);
 	activation_read_back(&a, "", 0, 0, 1, 2 * SECOND);
@@ -326,6 +329,23 @@
 }
 END_TEST
 
+START_TEST(activation_passes_over_a_first_loader_that_does_not_load)
+{
+	struct activation a;
+
+	activation_begin(&a);
+	a.whole = 1;
+	a.whole_at = SECOND;
+	a.needed = 1;
+	a.loader_rank = 2;
+	ck_assert_int_eq(activation_step(&a, 2 * SECOND), ACTIVATION_WAITING);
+	ck_assert_int_eq(activation_step(&a, 12 * SECOND), ACTIVATION_WAITING);
+	ck_assert_int_eq(activation_step(&a, 22 * SECOND), ACTIVATION_READY);
+	a.loaded = 1u << 9; /* any instance that runs it will do */
+	ck_assert_int_eq(activation_step(&a, 2 * SECOND), ACTIVATION_READY);
+}
+END_TEST
+
 START_TEST(pace_keeps_the_rate)
 {
 	struct pace p;
@@ -433,6 +453,8 @@
 	tcase_add_test(tc, activation_checks_its_view_after_a_pause);
 	tcase_add_test(tc, activation_does_not_serve_what_an_old_order_brought);
 	tcase_add_test(tc, activation_halts_after_a_first_loader_crashed);
+	tcase_add_test(
+		tc, activation_passes_over_a_first_loader_that_does_not_load);
 	tcase_add_test(tc, pace_keeps_the_rate);
 	tcase_add_test(tc, yield_gives_way_to_slow_calls_and_comes_back);
 	tcase_add_test(tc, hint_survives_the_trip_and_refuses_rubbish);
--- a/weights/activate.c
+++ b/weights/activate.c
@@ -7,6 +7,7 @@
 #define ORDER_BACKOFF_US (500 * 1000)
 #define ORDER_BACKOFF_SHIFT_MAX 5
 #define ORDER_SETTLE_US (300 * 1000) /* for the read-back after an order */
+#define LOADER_WAIT_US (10 * APR_USEC_PER_SEC)
 #define CRASH_WINDOW_US (10 * APR_USEC_PER_SEC)
 
 #define HTTP_OK 200
@@ -19,6 +20,7 @@
 		return;
 	snprintf(a->want, sizeof(a->want), "%s", version);
 	a->whole = 0;
+	a->whole_at = 0;
 	a->failures = 0;
 	a->not_before = 0;
 	a->crashed_here = 0;
@@ -43,6 +45,20 @@
 	       now - a->pause_end < CHECK_MAX_US;
 }
 
+/*
+ * The first loaders go first; the rest follow once enough are known to run
+ * the version.  A first loader that doesn't get there (its engine refuses, or
+ * it is gone and not yet known to be) is joined by the next one after a while.
+ */
+static int load_turn(const struct activation *a, apr_time_t now)
+{
+	apr_interval_time_t waited = a->whole_at ? now - a->whole_at : 0;
+
+	if (__builtin_popcount(a->loaded) >= a->needed)
+		return 1;
+	return a->loader_rank < a->needed + (int)(waited / LOADER_WAIT_US);
+}
+
 /*
  * Returns the state at now.  ACTIVATION_READY asks for the order to load;
  * the caller sets ordering and reports with activation_ordered.
@@ -65,8 +81,7 @@
 		return ACTIVATION_CHECKING;
 	if (a->ordering || now < a->not_before || !a->running_known)
 		return ACTIVATION_ORDERED;
-	if (a->loader == ACTIVATE_NOT_LOADER &&
-	    (a->loaded & a->needed) != a->needed)
+	if (!load_turn(a, now))
 		return ACTIVATION_WAITING;
 	return ACTIVATION_READY;
 }
--- a/weights/activate.h
+++ b/weights/activate.h
@@ -38,10 +38,12 @@
 	apr_time_t view_checked; /* last word from the platform or a peer */
 	uint64_t peer_revision;	 /* highest that a peer named */
 
-	int loader;	  /* this instance's bit, or ACTIVATE_NOT_LOADER */
-	uint32_t needed;  /* first loaders that must run it before the rest */
-	uint32_t loaded;  /* that are known to run it */
-	uint32_t crashed; /* that it brought down */
+	int loader;	     /* this instance's bit, or ACTIVATE_NOT_LOADER */
+	int loader_rank;     /* of this instance among the live ones */
+	int needed;	     /* how many run it before the rest may load */
+	apr_time_t whole_at; /* when this instance got whole, 0: not yet */
+	uint32_t loaded;     /* that are known to run it */
+	uint32_t crashed;    /* that it brought down */
 };
 
 enum activation_state {
--- a/weights/view.c
+++ b/weights/view.c
@@ -26,7 +26,25 @@
 {
 	if (i->role != ROLE_AGENT || i->state == INSTANCE_LEAVING)
 		return 0;
-	return i->listed || i->state != INSTANCE_DEAD;
+	/* Not in the list: only while it is heard from. */
+	return i->listed || i->state == INSTANCE_LIVE;
+}
+
+/*
+ * A replaced agent may be remembered under the address of its successor:
+ * the one that is listed stays.
+ */
+static int address_taken(const struct instance *i, struct table *instances)
+{
+	struct handle h = HANDLE_NONE;
+	const struct instance *o;
+
+	if (i->listed)
+		return 0;
+	while ((o = table_next(instances, &h)))
+		if (o != i && o->listed && !strcmp(o->address, i->address))
+			return 1;
+	return 0;
 }
 
 /* Copies the agents out of the board.  The caller frees the array. */
@@ -44,7 +62,8 @@
 	while ((i = table_next(&n->board.instances, &h))) {
 		struct needer *x = &all[*count];
 
-		if (!needer_counts(i) || !strcmp(i->id, n->settings.instance))
+		if (!needer_counts(i) || !strcmp(i->id, n->settings.instance) ||
+		    address_taken(i, &n->board.instances))
 			continue;
 		memcpy(x->id, i->id, sizeof(x->id));
 		memcpy(x->address, i->address, sizeof(x->address));
@@ -75,32 +94,23 @@
 	return signature ? signature : 1;
 }
 
-/* First loaders: the first in rendezvous order of all that need it. */
+/* Ranks this instance among those that may load first. */
 static void loaders_set(struct model_row *m)
 {
 	const struct place_view *v = &m->view;
 	struct activation *a = &m->activation;
-	int i, j, taken = 0;
+	int i, all = 0, live = 0, living = 0;
 
-	a->loader = ACTIVATE_NOT_LOADER;
-	a->needed = 0;
 	for (i = 0; i < v->count; i++) {
-		int before = 0;
-
-		for (j = 0; j < v->count; j++)
-			before += v->members[j].hash > v->members[i].hash;
-		if (before >= ACTIVATE_LOADERS_MAX)
+		living += v->members[i].live;
+		if (v->members[i].hash <= v->members[v->self].hash)
 			continue;
-		if (before < m->first_loaders && v->members[i].live) {
-			a->needed |= 1u << before;
-			taken++;
-			if (i == v->self)
-				a->loader = before;
-		}
+		all++;
+		live += v->members[i].live;
 	}
-	/* With all of them dead somebody has to be the first. */
-	if (!taken && v->self >= 0)
-		a->loader = 0;
+	a->loader = all < ACTIVATE_LOADERS_MAX ? all : ACTIVATE_NOT_LOADER;
+	a->loader_rank = live;
+	a->needed = m->first_loaders < living ? m->first_loaders : living;
 }
 
 static void view_build(struct weights *w, struct model_row *m,
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -195,6 +195,7 @@
 		log_info("weights", m->name, "version %.12s is whole",
 			 m->want_hex);
 	}
+	a->whole_at = m->whole_at;
 	a->loaded |= m->swarm->loaded;
 	a->crashed |= m->swarm->crashed;
 	before = m->state;
