--- a/t/perf/p0001-rollout.sh
+++ b/t/perf/p0001-rollout.sh
@@ -205,7 +205,7 @@
 
 # cut_set PREFIXES NET...: on every agent of those networks.
 cut_set () {
-	cut_body="{\"prefixes\":$1}"
+	cut_body=$1
 	shift
 	for cut_net; do
 		for id in $AGENT_IDS; do
