--- a/calls/hop.c
+++ b/calls/hop.c
@@ -44,12 +44,17 @@
 __attribute__((format(printf, 3, 4))) static void
 line_add(struct hop_headers *out, struct fetch *f, const char *fmt, ...)
 {
-	char *line = out->lines[out->count];
+	char *line = out->text + out->used;
+	size_t room = sizeof(out->text) - out->used;
 	va_list ap;
+	int n;
 
 	va_start(ap, fmt);
-	vsnprintf(line, HOP_HEADER_MAX, fmt, ap);
+	n = vsnprintf(line, room, fmt, ap);
 	va_end(ap);
+	if (n < 0 || (size_t)n >= room)
+		abort(); /* the parts' own limits leave room for all */
+	out->used += (size_t)n + 1;
 	f->headers[out->count++] = line;
 	f->headers[out->count] = NULL;
 }
@@ -65,6 +70,7 @@
 	hop_sign(h, path, body, size, key, &mac);
 	digest_hex(&mac, hex);
 	out->count = 0;
+	out->used = 0;
 	line_add(out, f, "Content-Type: application/json");
 	line_add(out, f, "X-Limpet-Request: %s", h->request);
 	line_add(out, f, "X-Limpet-Account: %s", h->account);
--- a/calls/hop.h
+++ b/calls/hop.h
@@ -14,7 +14,7 @@
 #define HOP_ACCOUNT_MAX 64
 #define HOP_TICKET_MAX 512
 #define HOP_KEY_MAX 256
-#define HOP_HEADER_MAX 640
+#define HOP_HEADERS_SIZE 2048 /* of all together */
 
 struct hop {
 	char request[HOP_REQUEST_MAX]; /* identity, echoed by each hop */
@@ -32,7 +32,8 @@
 
 /* Headers of one hand-over, kept until it is over. */
 struct hop_headers {
-	char lines[12][HOP_HEADER_MAX];
+	char text[HOP_HEADERS_SIZE]; /* NUL-ended lines, one after another */
+	size_t used;
 	int count;
 };
 
