--- a/Makefile
+++ b/Makefile
@@ -131,7 +131,7 @@
 # Measures what an instance spends and rewrites the capacity page's tables.
 CAPACITY_POINTS = docs/measurements/capacity.jsonl
 capacity: all
-	sh t/perf/p0006-capacity.sh >$(CAPACITY_POINTS).new
+	sh t/perf/p0009-capacity.sh >$(CAPACITY_POINTS).new
 	mv $(CAPACITY_POINTS).new $(CAPACITY_POINTS)
 	python3 t/perf/capacity.py $(CAPACITY_POINTS) docs/CAPACITY.md
 
--- a/t/perf/capacity.py
+++ b/t/perf/capacity.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Turns the points of p0006-capacity.sh into slopes and the page's table.
+"""Turns the points of p0009-capacity.sh into slopes and the page's table.
 
 Usage: capacity.py POINTS.jsonl docs/CAPACITY.md
 Replaces what stands between the two markers of the page.
--- a/t/perf/p0006-capacity.sh
+++ b/t/perf/p0009-capacity.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Usage: p0006-capacity.sh [PROCESSES...]
+# Usage: p0009-capacity.sh [PROCESSES...]
 # What one instance spends, at three sizes of each cause: processes of the
 # fleet (control), calls a second, events a second, open streams.  Prints a
 # JSON line for each point; capacity.py turns them into slopes.
@@ -15,7 +15,7 @@
 HZ=$(getconf CLK_TCK)
 
 fail () {
-	echo "p0006: $*" >&2
+	echo "p0009: $*" >&2
 	exit 1
 }
 
