--- a/t/fuzz.sh
+++ b/t/fuzz.sh
@@ -8,12 +8,14 @@
 packages="apr-1 apr-util-1 libmicrohttpd libcurl libtirpc popt jansson
 libxxhash libcrypto"
 names="document list settings account manifest xdr delta"
+call_names="ticket stream refusal" # of t/helper/fuzz-calls.c
 flags="-std=gnu11 -g -O1 -fsanitize=fuzzer-no-link,address,undefined -I.
 -Wno-deprecated-declarations $(pkg-config --cflags $packages)"
 rm -rf build/fuzz/corpus # the same start every time
 mkdir -p build/fuzz
 
-sources=$(ls base/*.c net/*.c config/*.c member/*.c weights/manifest.c)
+sources=$(ls base/*.c net/*.c config/*.c member/*.c weights/manifest.c \
+	calls/ticket.c calls/sse.c calls/problem.c)
 for source in $sources; do
 	echo "$source"
 done | xargs -P 4 -I{} sh -c 'out=build/fuzz/$(echo "$1" | tr / _).o
@@ -33,19 +35,31 @@
 		echo '{"version":1,"instances":[{"id":"a","role":"agent","data_center":"d","address":"127.0.0.1","state":"live"}]}' ;;
 	settings)
 		echo '{"instance":"a","data_center":"d","address":"127.0.0.1","platform_url":"http://127.0.0.1:7001","key":"0123456789abcdef","upstream":{"url":"http://127.0.0.1:7200"}}' ;;
+	ticket)
+		printf 't1:a:0000000000000001:64:0:adubo:billing:n%032d' 1 ;;
+	stream)
+		printf 'data: {"id":"r1","index":0,"token":"a"}\n\n' ;;
+	refusal)
+		echo '{"status":503,"outcome":"not-run","again":"same","scope":"key","reason":"r","step":"s","detail":"d"}' ;;
 	manifest)
 		echo '{"model":"m","version":"1","source":"m.bin","size":10,"chunk_size":4096,"chunks":["'$(printf %064d 1)'"]}' ;;
 	esac
 }
 
 number=0
-for name in $names; do
+file=t/helper/fuzz-input.c
+for name in $names -- $call_names; do
+	if test "$name" = --; then
+		number=0
+		file=t/helper/fuzz-calls.c
+		continue
+	fi
 	number=$((number + 1))
 	mkdir -p "build/fuzz/corpus/$name"
 	seed_corpus "$name" >"build/fuzz/corpus/$name/seed"
 	clang $flags -fsanitize=fuzzer,address,undefined \
 		-DFUZZ_TARGET=$number -o "build/fuzz/$name" \
-		t/helper/fuzz-input.c $objects \
+		$file $objects \
 		$(pkg-config --libs $packages) -lm -lpthread || exit 1
 	(cd build/fuzz && ./$name -seed=1 -runs="$runs" -max_len=4096 \
 		-verbosity=0 -timeout=10 -rss_limit_mb=1024 \
