--- a/t/t0700-limits.sh
+++ b/t/t0700-limits.sh
@@ -77,7 +77,7 @@
 done
 
 test_expect_success 'slices never exceed the limit, however late messages are' '
-	for seed in 1 2 3 4 5; do
+	for seed in $(seq 20); do
 		cat >script <<-END &&
 		entries 8 $seed
 		delay 1 250
@@ -139,7 +139,7 @@
 	slices_within 1.4 first &&
 	slices_within 0.8 second &&
 	slices_within 1 third &&
-	grep report actual || tail -1 actual >healed &&
+	tail -1 actual >healed &&
 	dues_met healed
 '
 
--- a/weights/view.c
+++ b/weights/view.c
@@ -26,7 +26,25 @@
 {
 	if (i->role != ROLE_AGENT || i->state == INSTANCE_LEAVING)
 		return 0;
-	return i->listed || i->state != INSTANCE_DEAD;
+	/* Not in the list: only while it is heard from. */
+	return i->listed || i->state == INSTANCE_LIVE;
+}
+
+/*
+ * A replaced agent may be remembered under the address of its successor:
+ * the one that is listed stays.
+ */
+static int address_taken(const struct instance *i, struct table *instances)
+{
+	struct handle h = HANDLE_NONE;
+	const struct instance *o;
+
+	if (i->listed)
+		return 0;
+	while ((o = table_next(instances, &h)))
+		if (o != i && o->listed && !strcmp(o->address, i->address))
+			return 1;
+	return 0;
 }
 
 /* Copies the agents out of the board.  The caller frees the array. */
@@ -44,7 +62,8 @@
 	while ((i = table_next(&n->board.instances, &h))) {
 		struct needer *x = &all[*count];
 
-		if (!needer_counts(i) || !strcmp(i->id, n->settings.instance))
+		if (!needer_counts(i) || !strcmp(i->id, n->settings.instance) ||
+		    address_taken(i, &n->board.instances))
 			continue;
 		memcpy(x->id, i->id, sizeof(x->id));
 		memcpy(x->address, i->address, sizeof(x->address));
@@ -75,42 +94,23 @@
 	return signature ? signature : 1;
 }
 
-/* Counts the members, live ones apart, of a lower rank than member i. */
-static int rank_of(const struct place_view *v, int i, int *live_before)
-{
-	int j, before = 0;
-
-	*live_before = 0;
-	for (j = 0; j < v->count; j++) {
-		if (v->members[j].hash <= v->members[i].hash)
-			continue;
-		before++;
-		*live_before += v->members[j].live;
-	}
-	return before;
-}
-
-/* First loaders: the first live ones in rendezvous order. */
+/* Ranks this instance among those that may load first. */
 static void loaders_set(struct model_row *m)
 {
 	const struct place_view *v = &m->view;
 	struct activation *a = &m->activation;
-	int i, rank, live_before;
+	int i, all = 0, live = 0, living = 0;
 
-	a->rank = ACTIVATE_NO_RANK;
-	a->live_before = 0;
-	a->needed = 0;
 	for (i = 0; i < v->count; i++) {
-		rank = rank_of(v, i, &live_before);
-		if (i == v->self) {
-			a->live_before = live_before;
-			if (rank < ACTIVATE_LOADERS_MAX)
-				a->rank = rank;
-		}
-		if (v->members[i].live && rank < ACTIVATE_LOADERS_MAX &&
-		    live_before < m->first_loaders)
-			a->needed |= 1u << rank;
+		living += v->members[i].live;
+		if (v->members[i].hash <= v->members[v->self].hash)
+			continue;
+		all++;
+		live += v->members[i].live;
 	}
+	a->loader = all < ACTIVATE_LOADERS_MAX ? all : ACTIVATE_NOT_LOADER;
+	a->loader_rank = live;
+	a->needed = m->first_loaders < living ? m->first_loaders : living;
 }
 
 static void view_build(struct weights *w, struct model_row *m,
