--- a/weights/choose.c
+++ b/weights/choose.c
@@ -15,7 +15,7 @@
 #define AVOID_CORRUPT_US (60 * APR_USEC_PER_SEC)
 #define ENGINE_BACKOFF_US APR_USEC_PER_SEC
 #define EXCHANGE_MIN_US (400 * 1000)
-#define EXCHANGE_SPACING_US (33 * 1000) /* a neighbour; bounds the traffic */
+#define EXCHANGE_SPACING_US (66 * 1000) /* a neighbour; bounds the traffic */
 #define EXCHANGE_KEEP_US (2 * APR_USEC_PER_SEC)
 #define EXCHANGE_BACKOFF_SHIFT_MAX 4
 
