t: have the relay go silent at once under the thread sanitizer

That sanitizer delivers a signal only once a blocking call returns, so the case of silent connections failed under it. A thread now waits for it.

--- a/t/helper/tcp-relay.c
+++ b/t/helper/tcp-relay.c
@@ -20,13 +20,25 @@
 #define POLL_MS 50
 #define BUFFER_SIZE 65536
 
-static volatile sig_atomic_t generation;
+static int generation; /* atomic */
 static struct sockaddr_in to;
 
-static void go_silent(int sig)
+static int generation_now(void)
 {
-	(void)sig;
-	generation++;
+	return __atomic_load_n(&generation, __ATOMIC_RELAXED);
+}
+
+/* Waits for the signal, which every thread has blocked. */
+static void *signal_main(void *arg)
+{
+	sigset_t *set = arg;
+	int sig;
+
+	for (;;) {
+		if (!sigwait(set, &sig))
+			__atomic_add_fetch(&generation, 1, __ATOMIC_RELAXED);
+	}
+	return NULL;
 }
 
 static int forward(int from, int into)
@@ -45,7 +57,7 @@
 
 static void *connection_main(void *arg)
 {
-	int a = (int)(long)arg, born = generation;
+	int a = (int)(long)arg, born = generation_now();
 	int b = socket(AF_INET, SOCK_STREAM, 0);
 	struct pollfd p[2] = { { a, POLLIN, 0 }, { b, POLLIN, 0 } };
 
@@ -54,7 +66,7 @@
 	for (;;) {
 		int n = poll(p, 2, POLL_MS);
 
-		while (born != generation)
+		while (born != generation_now())
 			pause();
 		if (n > 0 && ((p[0].revents && forward(a, b)) ||
 			      (p[1].revents && forward(b, a))))
@@ -81,14 +93,16 @@
 
 int main(int argc, char **argv)
 {
-	struct sigaction sa = { .sa_handler = go_silent };
+	static sigset_t set;
 	pthread_t thread;
 	int listener, fd;
 
 	if (argc != 4)
 		return 2;
-	sa.sa_flags = SA_RESTART;
-	sigaction(SIGUSR1, &sa, NULL);
+	sigemptyset(&set);
+	sigaddset(&set, SIGUSR1);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	pthread_create(&thread, NULL, signal_main, &set);
 	signal(SIGPIPE, SIG_IGN);
 	to.sin_family = AF_INET;
 	to.sin_port = htons((uint16_t)strtol(argv[3], NULL, 10));
