--- a/t/fleet-lib.sh
+++ b/t/fleet-lib.sh
@@ -170,3 +170,47 @@
 	shift
 	test "$(serving_count "$@")" = "$serving_want"
 }
+
+# fleet_signal NAME SIGNAL: sends it to the process that start began.
+fleet_signal () {
+	kill -"$2" "$(cat "$1.pid")"
+}
+
+# fleet_gone NAME: its process has ended, reaped or not.
+fleet_gone () {
+	! grep -q '^State:[[:space:]]*[^Z]' "/proc/$(cat "$1.pid")/status" \
+		2>/dev/null
+}
+
+# fleet_restart NAME PROGRAM SIGNAL: ends a process and starts it anew.
+fleet_restart () {
+	fleet_signal "$1" "$3" &&
+	wait_until 30 fleet_gone "$1" &&
+	start "$1" "$2" --settings "$1.json"
+}
+
+# fleet_pause SECONDS NAME...: stops processes for a while.
+fleet_pause () {
+	pause_seconds=$1
+	shift
+	for pause_name; do
+		fleet_signal "$pause_name" STOP
+	done
+	sleep "$pause_seconds"
+	for pause_name; do
+		fleet_signal "$pause_name" CONT
+	done
+}
+
+# fleet_cut ADDRESS [PREFIX...]: has a process exchange nothing with these.
+fleet_cut () {
+	cut_at=$1
+	shift
+	jq -cn '$ARGS.positional' --args "$@" |
+		curl -s -f -o /dev/null -d @- "http://$cut_at:7102/cut"
+}
+
+# fleet_fault URL JSON: sets the fault of a stand-in.
+fleet_fault () {
+	curl -s -f -o /dev/null -X POST -d "$2" "$1/standin/fault"
+}
--- /dev/null
+++ b/t/t0902-graceful-stop.sh
@@ -0,0 +1,104 @@
+#!/bin/sh
+
+test_description='a graceful stop of every entry and agent in turn cuts nothing'
+. "$(dirname "$0")/test-lib.sh"
+ENGINE_OPTIONS='--fencing --slots 64 --token-ms 20'
+. "$TEST_DIR/fleet-lib.sh"
+. "$TEST_DIR/calls-lib.sh"
+
+ENTRY3=$CALLS_NET.103
+ALL_ENTRIES="$ENTRY1 $ENTRY2 $ENTRY3"
+models="$CALLS_NET.31 $CALLS_NET.32"
+plains="$CALLS_NET.41 $CALLS_NET.42"
+
+routes_all () {
+	for routes_at in $ALL_ENTRIES; do
+		routes_are $routes_at 4 || return 1
+	done
+}
+
+test_expect_success 'a fleet of 3 entries and 4 agents starts' '
+	mkdir store &&
+	model_make m.bin 65536 1 &&
+	model_publish store quotes 1 m.bin 16384 >digest &&
+	fleet_platform_start &&
+	fleet_store_start store &&
+	engines_start engines $models &&
+	start plain standin-plain --port 7200 --delay-ms 200 \
+		--address $CALLS_NET.41 --address $CALLS_NET.42 &&
+	agent_start m-1 dc1 $CALLS_NET.31 model &&
+	agent_start m-2 dc1 $CALLS_NET.32 model &&
+	agent_start p-1 dc1 $CALLS_NET.41 plain &&
+	agent_start p-2 dc1 $CALLS_NET.42 plain &&
+	entry_start e-1 dc1 $ENTRY1 &&
+	entry_start e-2 dc1 $ENTRY2 &&
+	entry_start e-3 dc1 $ENTRY3 &&
+	fleet_publish_instances &&
+	calls_config 1 "$(cat digest)" &&
+	wait_until 30 routes_all
+'
+
+# turn NAME PROGRAM [NAME PROGRAM]: ends and starts these, then waits until
+# they take calls again.
+turn () {
+	{ test $# -lt 3 || fleet_restart $3 $4 TERM; } &
+	turn_second=$!
+	fleet_restart $1 $2 TERM
+	wait $turn_second
+	wait_until 30 routes_all || echo "$* did not come back"
+}
+
+rolling_restart () {
+	turn p-1 limpet-agent e-1 limpet-entry
+	turn m-1 limpet-agent e-2 limpet-entry
+	turn p-2 limpet-agent e-3 limpet-entry
+	turn m-2 limpet-agent
+	touch rolled
+}
+
+# The load goes on in rounds until the last one has come back.
+load_rounds () {
+	content=$(sha256sum <m.bin | cut -d" " -f1)
+	for round in $(seq 1 20); do
+		caller --entry $ENTRY1 --entry $ENTRY2 --entry $ENTRY3 \
+			--account adubo=$KEY_ADUBO --seed $round \
+			--name round$round --seconds 3 --rate 60 \
+			--content "$(cat digest)=$content" --plain-share 0.4 \
+			--ticket-share 0 --key-share 0 --double-share 0 \
+			--stream-share 0.7 --tokens 40 --concurrency 400 \
+			--attempts 30 --repeat-ms 300 --repeat-not-run \
+			--timeout-ms 20000 --history round$round.jsonl \
+			>round$round.json
+		test ! -f rolled || break
+	done
+}
+
+test_expect_success 'each is ended and started anew under load' '
+	rolling_restart >rolling.log 2>&1 &
+	load_rounds
+	wait
+	cat rolling.log
+	test -f rolled && test ! -s rolling.log &&
+	cat round*.jsonl >history.jsonl &&
+	curl -s http://$CALLS_NET.31:7200/standin/runs >engine-runs.json &&
+	curl -s http://$CALLS_NET.41:7200/standin/runs >plain-runs.json &&
+	python3 "$TEST_DIR/helper/history-check.py" \
+		--engine-runs engine-runs.json --plain-runs plain-runs.json \
+		history.jsonl
+'
+
+# Refused, or never sent as nothing listened: neither was in flight.
+test_expect_success 'no call in flight was cut, each was answered' '
+	jq -c "select(.outcome != \"answer\" or any(.earlier[]?;
+		.outcome != \"not-run\" and
+		(.outcome != \"error\" or .status != 0)))" history.jsonl >cut &&
+	head -5 cut && test ! -s cut &&
+	test "$(wc -l <history.jsonl)" -gt 300
+'
+
+test_expect_success 'and refused calls did not run there' '
+	jq -s -e "any(.[]; any(.earlier[]?; .outcome == \"not-run\" or
+		.status == 0))" history.jsonl
+'
+
+test_done
