--- a/calls/crash-spread.c
+++ b/calls/crash-spread.c
@@ -130,7 +130,8 @@
 	__atomic_add_fetch(&s->refs, 1, __ATOMIC_ACQ_REL);
 	if (!worker_pool_submit(s->list->node->pool, &x->job))
 		return;
-	spread_release(s);
+	/* The caller holds a reference of its own, so this isn't the last. */
+	__atomic_sub_fetch(&s->refs, 1, __ATOMIC_ACQ_REL);
 	free(x);
 }
 
