--- a/calls/crash-spread.c
+++ b/calls/crash-spread.c
@@ -38,9 +38,10 @@
 	struct crash_target to;
 };
 
-static void spread_release(struct crash_spread *s)
+/* Gives so many references back. */
+static void spread_release(struct crash_spread *s, int refs)
 {
-	if (__atomic_sub_fetch(&s->refs, 1, __ATOMIC_ACQ_REL))
+	if (__atomic_sub_fetch(&s->refs, refs, __ATOMIC_ACQ_REL))
 		return;
 	xdr_free((xdrproc_t)xdr_crash_message, &s->message);
 	free(s);
@@ -63,7 +64,7 @@
 		crash_merge(s->list, &reply, clock_now());
 		xdr_free((xdrproc_t)xdr_crash_message, &reply);
 	}
-	spread_release(s);
+	spread_release(s, 1);
 	free(x);
 }
 
@@ -118,7 +119,8 @@
 	return count;
 }
 
-static void spread_to(struct crash_spread *s, const struct crash_target *to)
+/* Returns the references left to give back: 1 if no job took it. */
+static int spread_to(struct crash_spread *s, const struct crash_target *to)
 {
 	struct crash_job *x = calloc(1, sizeof(*x));
 
@@ -129,9 +131,9 @@
 	x->to = *to;
 	__atomic_add_fetch(&s->refs, 1, __ATOMIC_ACQ_REL);
 	if (!worker_pool_submit(s->list->node->pool, &x->job))
-		return;
-	spread_release(s);
+		return 0;
 	free(x);
+	return 1;
 }
 
 static struct crash_spread *spread_new(struct crash_list *c, int all,
@@ -154,19 +156,19 @@
 	static struct crash_target targets[CRASH_TARGETS_MAX];
 	struct crash_list *c = arg;
 	struct crash_spread *s;
-	int i, count;
+	int i, count, left = 1;
 
 	s = spread_new(c, 0, now);
 	if (s->message.records.records_len) {
 		count = targets_list(c->node, targets);
 		for (i = 0; i < count; i++)
-			spread_to(s, &targets[i]);
+			left += spread_to(s, &targets[i]);
 		log_warning("crash", NULL,
 			    "tells %d processes of %u requests in flight at "
 			    "a death",
 			    count, s->message.records.records_len);
 	}
-	spread_release(s);
+	spread_release(s, left);
 	if (now - c->compared < CRASH_COMPARE_US)
 		return;
 	count = targets_list(c->node, targets);
@@ -174,8 +176,8 @@
 		return;
 	c->compared = now;
 	s = spread_new(c, 1, now);
-	spread_to(s, &targets[random_below(&c->node->random, count)]);
-	spread_release(s);
+	left = spread_to(s, &targets[random_below(&c->node->random, count)]);
+	spread_release(s, 1 + left);
 }
 
 static json_t *crash_status(void *arg)
