t/perf: measure a rollout to a tenth of a second

Cause: a poll every 0.3 s and a share of 0.95 of the link, while the bound is of the whole link, stood in the ratio. Change: polls every 0.1 s, SHARE=1 unless set.

--- a/t/perf/p0001-rollout.sh
+++ b/t/perf/p0001-rollout.sh
@@ -15,7 +15,7 @@
 CHUNK=${CHUNK:-262144}
 T=${T:-20}
 CROSS_COPIES=${CROSS_COPIES:-4}
-SHARE=${SHARE:-0.95}
+SHARE=${SHARE:-1}
 TIME_WEIGHT=${TIME_WEIGHT:-0.5}
 NAIVE=${NAIVE:-4}
 LINK_RATE=$((SIZE * 2 / T))
@@ -111,7 +111,7 @@
 			echo "only $(whole_count "$1" "$2") of $3 are whole" >&2
 			return 1
 		fi
-		sleep 0.3
+		sleep 0.1
 	done
 	took=$(($(now_ms) - rollout_began))
 }
