--- a/t/perf/p0001-rollout.sh
+++ b/t/perf/p0001-rollout.sh
@@ -12,7 +12,7 @@
 test_description='rollout'
 N=${1:-10}
 SIZE=${SIZE:-16777216}
-CHUNK=${CHUNK:-262144}
+CHUNK=${CHUNK:-131072}
 T=${T:-20}
 CROSS_COPIES=${CROSS_COPIES:-4}
 SHARE=${SHARE:-1}
