--- a/weights/weights.c
+++ b/weights/weights.c
@@ -101,7 +101,7 @@
 		memset(&fresh, 0, sizeof(fresh));
 		snprintf(fresh.name, sizeof(fresh.name), "%s", spec->name);
 		fresh.view.self = -1;
-		fresh.activation.rank = ACTIVATE_NO_RANK;
+		fresh.activation.loader = ACTIVATE_NOT_LOADER;
 		if (handle_is_none(table_add(&w->models, &fresh))) {
 			log_error("models", spec->name,
 				  "more than %d models on one upstream",
@@ -114,7 +114,7 @@
 	m->priority = spec->priority;
 	m->first_loaders = spec->first_loaders;
 	m->policy.time_weight = spec->time_weight;
-	m->policy.permits = PLACE_PERMITS_MAX;
+	m->policy.permits = (int)spec->origin_copies;
 	m->revision = revision;
 	m->activation.fence = revision;
 	version_set(w, m, spec->version);
@@ -195,6 +195,7 @@
 		log_info("weights", m->name, "version %.12s is whole",
 			 m->want_hex);
 	}
+	a->whole_at = m->whole_at;
 	a->loaded |= m->swarm->loaded;
 	a->crashed |= m->swarm->crashed;
 	before = m->state;
