calls, member: count this agent among those that may be a key's home

Cause: the table of instances leaves out the process itself, so home_sure never found it present and a key alone was refused for ever, everywhere; in addition agents of other data centres were never heard (t0904 case 2, known red until now). Change: the gate adds itself while the platform's list names it. t0410 waits for a killed agent's ports before it starts the next one.

--- a/calls/gate-watch.c
+++ b/calls/gate-watch.c
@@ -164,7 +164,28 @@
 	g->greet_turn += (unsigned)n;
 }
 
-/* Follows who else serves each of this upstream's services. */
+/*
+ * Adds this agent to the others of a service, whose table leaves it out, as
+ * long as the platform's list names it: entries choose a key's home among
+ * all that are listed.
+ */
+static int self_add(const struct gate *g, struct home_agent *agents, int count,
+		    apr_time_t now)
+{
+	struct home_agent *a = &agents[count];
+
+	if (count >= HOME_AGENTS_MAX || !member_self_listed())
+		return count;
+	memset(a, 0, sizeof(*a));
+	snprintf(a->id, sizeof(a->id), "%s", g->n->settings.instance);
+	snprintf(a->address, sizeof(a->address), "%s", g->n->settings.address);
+	a->boot = g->n->self.boot;
+	a->place = place_hash_string(a->id, 0);
+	a->heard = now;
+	return count + 1;
+}
+
+/* Follows who serves each of this upstream's services. */
 static void view_turn(void *arg, apr_time_t now)
 {
 	static struct home_agent agents[HOME_AGENTS_MAX]; /* controller's */
@@ -180,6 +201,9 @@
 			continue;
 		n = home_agents(&g->n->board, &d->services[i], agents,
 				HOME_AGENTS_MAX);
+		if (n <= HOME_AGENTS_MAX)
+			siblings_greet(g, agents, n, now);
+		n = self_add(g, agents, n, now);
 		pthread_mutex_lock(&g->mutex);
 		s = service_slot(g, d->services[i].name, now);
 		if (s && n <= HOME_AGENTS_MAX)
@@ -187,8 +211,6 @@
 		else if (s)
 			s->view.overflowed = 1;
 		pthread_mutex_unlock(&g->mutex);
-		if (n <= HOME_AGENTS_MAX)
-			siblings_greet(g, agents, n, now);
 	}
 	if (d)
 		document_release(d);
--- a/member/component.h
+++ b/member/component.h
@@ -75,6 +75,7 @@
 	unsigned generation; /* raised when the instance table changed */
 	unsigned subset_generation;
 	uint64_t subset_revision;
+	int self_listed; /* atomic: the platform's list names this process */
 	apr_time_t hello_due;
 	unsigned hello_turn;
 	apr_time_t retry_due;
--- a/member/list.c
+++ b/member/list.c
@@ -29,6 +29,10 @@
 	news = l.version > m->list_version;
 	if (news) {
 		m->list_version = l.version;
+		__atomic_store_n(
+			&m->self_listed,
+			instance_list_names(&l, m->node->settings.instance),
+			__ATOMIC_RELAXED);
 		member_merge(t, &l, m->node->settings.instance, clock_now());
 	}
 	table_unlock(t);
--- a/member/member.c
+++ b/member/member.c
@@ -294,6 +294,12 @@
 	hello_send(&member, address, id, 0, NULL);
 }
 
+/* See member.h. */
+int member_self_listed(void)
+{
+	return __atomic_load_n(&member.self_listed, __ATOMIC_RELAXED);
+}
+
 static uint64_t revision_in_force(struct member *m)
 {
 	struct document *d = board_document(&m->node->board);
--- a/member/member.h
+++ b/member/member.h
@@ -12,4 +12,7 @@
  */
 void member_greet(const char *address, const char *id);
 
+/* Returns 1 when the platform's list names this process, at the last look. */
+int member_self_listed(void);
+
 #endif
--- a/member/merge.c
+++ b/member/merge.c
@@ -198,6 +198,12 @@
 			: NULL;
 }
 
+/* Returns 1 when the list names an instance. */
+int instance_list_names(const struct instance_list *l, const char *id)
+{
+	return item_find(l, id) != NULL;
+}
+
 /*
  * Merges a list into the table, which the caller has locked, leaving out
  * the row of self.  Returns how many rows were added or changed.
--- a/t/t0410-weights-fleet.sh
+++ b/t/t0410-weights-fleet.sh
@@ -194,6 +194,7 @@
 test_expect_success 'a replaced agent reuses what its engine holds' '
 	origin_bytes >before
 	kill -KILL $(cat agent-2-11.pid)
+	wait_until 10 sh -c "! curl -s -o ready http://$(fleet_net 2).11:7102/ready"
 	agent_settings agent-2-11b dc2 "$(fleet_net 2).11" model >b.json
 	limpet-agent --settings b.json >b.out 2>b.err &
 	echo $! >replaced.pid
--- a/t/t0550-drain.sh
+++ b/t/t0550-drain.sh
@@ -63,7 +63,9 @@
 	cat headers.txt out | tail -3 &&
 	! grep -q done out &&
 	wait_until 10 engines_idle &&
+	echo "engines are idle" &&
 	call $ENTRY1 $GEN -H "X-Deadline-Ms: 300" -d "{\"prompt\":\"long\",\"max_tokens\":2000}" >out &&
+	cat headers.txt out &&
 	test "$(status_of)" = 504 &&
 	test "$(jq -r .outcome out)" = unknown
 '
