net: read the settings again at HUP

Cause: HUP was ignored; operators expect it to reread what is safe. Change: the log's level is taken over, the rest is said to need a restart, faults change nothing. Conclusion: keys could follow once their readers take a lock.

--- a/base/log.c
+++ b/base/log.c
@@ -39,6 +39,12 @@
 	state.lowest = lowest;
 }
 
+/* Changes the lowest severity kept, at any time. */
+void log_level_set(enum log_severity lowest)
+{
+	__atomic_store_n(&state.lowest, lowest, __ATOMIC_RELAXED);
+}
+
 static const char *severity_name(enum log_severity sev)
 {
 	switch (sev) {
@@ -106,7 +112,7 @@
 	va_list ap;
 	int allowed;
 
-	if (sev > state.lowest)
+	if (sev > __atomic_load_n(&state.lowest, __ATOMIC_RELAXED))
 		return;
 	pthread_mutex_lock(&state.mutex);
 	allowed = limit_allows(fmt, now, &repeated);
--- a/base/log.h
+++ b/base/log.h
@@ -25,6 +25,7 @@
 
 void log_init(const char *program, const char *instance,
 	      enum log_severity lowest);
+void log_level_set(enum log_severity lowest);
 void log_write(enum log_severity sev, const struct log_place *at,
 	       const char *fmt, ...) __attribute__((format(printf, 3, 4)));
 void log_error_value(enum log_severity sev, const struct error *err);
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -63,7 +63,7 @@
 }
 
 static int daemon_run(const char *program, enum role role,
-		      const struct settings *s,
+		      const char *settings_file, const struct settings *s,
 		      int (*start)(struct node *n, struct error *err))
 {
 	static struct node n;
@@ -73,6 +73,7 @@
 	log_init(program, s->instance,
 		 s->log_debug ? LOG_SEV_DEBUG : LOG_SEV_INFO);
 	ret = node_init(&n, program, role, s, &err);
+	n.settings_file = settings_file;
 	if (!ret)
 		ret = start(&n, &err);
 	if (!ret)
@@ -104,8 +105,9 @@
 	}
 	if (settings_read(o.settings_file, role, &s))
 		goto out;
-	ret = o.check_only ? EXIT_SUCCESS
-			   : daemon_run(program, role, &s, start);
+	ret = o.check_only
+		      ? EXIT_SUCCESS
+		      : daemon_run(program, role, o.settings_file, &s, start);
 out:
 	free(o.settings_file);
 	apr_terminate();
--- a/net/node.c
+++ b/net/node.c
@@ -17,6 +17,7 @@
 #define DRAIN_MAX_US (60 * APR_USEC_PER_SEC)
 
 static volatile sig_atomic_t stop_signals;
+static volatile sig_atomic_t reload_signals;
 
 static void stop_requested(int sig)
 {
@@ -24,6 +25,12 @@
 	stop_signals++;
 }
 
+static void reload_requested(int sig)
+{
+	(void)sig;
+	reload_signals = 1;
+}
+
 static void signals_set(void)
 {
 	struct sigaction sa;
@@ -34,6 +41,7 @@
 	sigaction(SIGINT, &sa, NULL);
 	sa.sa_handler = SIG_IGN;
 	sigaction(SIGPIPE, &sa, NULL);
+	sa.sa_handler = reload_requested;
 	sigaction(SIGHUP, &sa, NULL);
 }
 
@@ -235,6 +243,33 @@
 	return next;
 }
 
+/*
+ * Reads the settings again.  Only the log's level takes effect at once;
+ * addresses, keys, links and threads need a restart.  A file with faults
+ * changes nothing.
+ */
+static void settings_reload(struct node *n)
+{
+	struct fault_list faults = { 0 };
+	struct settings s;
+	size_t i;
+
+	reload_signals = 0;
+	if (!n->settings_file)
+		return;
+	if (!settings_load(n->settings_file, n->role, &s, &faults)) {
+		log_level_set(s.log_debug ? LOG_SEV_DEBUG : LOG_SEV_INFO);
+		n->settings.log_debug = s.log_debug;
+		log_notice("reload", NULL,
+			   "settings read again, debug lines %s",
+			   s.log_debug ? "on" : "off");
+	}
+	for (i = 0; i < faults.count; i++)
+		log_warning("reload", NULL, "settings unchanged: %s",
+			    faults.lines[i]);
+	fault_list_clear(&faults);
+}
+
 static int node_busy(struct node *n)
 {
 	int i, busy = 0;
@@ -279,6 +314,8 @@
 		now = clock_now();
 		pause_check(n, last, now);
 		last = now;
+		if (reload_signals)
+			settings_reload(n);
 		next = controllers_step(n, now);
 		if (stop_step(n, now, &stop_began))
 			break;
--- a/net/node.h
+++ b/net/node.h
@@ -64,6 +64,7 @@
 	const char *program;
 	enum role role;
 	struct settings settings;
+	const char *settings_file; /* read again at SIGHUP */
 	struct rpc_identity self;
 	struct board board;
 	struct random random; /* for the controller thread only */
--- a/t/t0002-settings.sh
+++ b/t/t0002-settings.sh
@@ -66,4 +66,17 @@
 	grep "^limpet-entry: http-listen: $TEST_NET.1: cannot listen on port" actual
 '
 
+test_expect_success 'HUP reads the settings again, faults change nothing' '
+	cp good.json live.json
+	start live limpet-entry --settings live.json
+	wait_until 10 curl -s -o status http://$TEST_NET.1:7102/status
+	echo "{}" >live.json
+	kill -HUP $(cat live.pid)
+	wait_until 10 grep "settings unchanged: instance: is required" live.err
+	sed "s/^{/{\"log_debug\":true,/" good.json >live.json
+	kill -HUP $(cat live.pid)
+	wait_until 10 grep "settings read again, debug lines on" live.err
+	stop_all
+'
+
 test_done
