--- a/t/perf/capacity.py
+++ b/t/perf/capacity.py
@@ -61,8 +61,10 @@
 
 
 def at(fits, role, cause, field, x):
+    """The fit's value at x; a fit that falls says nothing beyond its points,
+    so its intercept stands for the bound."""
     a, b = fits.get((role, cause, field), (0.0, 0.0))
-    return a + b * x
+    return a + max(b, 0.0) * x
 
 
 def slope(fits, role, cause, field):
