forward: tell returns from impatient first attempts

Cause: a caller's time left was compared with the longest one seen on its route, and anything shorter counted as a return after a refusal.

Ruled out: slow engines and old reports (first events came within 150 ms of the estimate for nearly all that were admitted in time).

Change: by how much callers differ is learned while nobody is refused, and a request within that spread is a first attempt. The line that ends a request tells its class, the time to its first byte and the estimate.

--- a/forward/admit.c
+++ b/forward/admit.c
@@ -1,6 +1,7 @@
 #include "forward/admit.h"
 
 #include <stdint.h>
+#include <string.h>
 
 #include "base/digest.h"
 
@@ -16,6 +17,13 @@
 #define RETRY_MIN_MS 150
 #define RETRY_SPREAD_MIN_MS 400
 
+/* Callers of one route differ at most by this part in how long they wait. */
+#define PATIENCE_MAX 0.25
+#define PATIENCE_SAMPLES 20 /* attempts after which the spread is known */
+
+/* The refused have returned or given up so long after a refusal. */
+#define RETURNS_OVER_US (3 * 1000 * 1000)
+
 /* Callers wait at most this part of the time that they have left. */
 #define RETRY_LEFT_PART 0.3
 
@@ -41,6 +49,14 @@
 	return ADMIT_REFUSED;
 }
 
+/* Returns a class's name for log lines. */
+const char *admit_class_name(enum admit_class c)
+{
+	static const char *const names[] = { "", "in-time", "late" };
+
+	return names[c];
+}
+
 /*
  * Returns when a refused caller should come back: after the wait that there
  * is now, spread so that the refused do not return as one, and soon enough
@@ -60,20 +76,45 @@
 	return most > RETRY_MIN_MS && ms > most ? most : ms;
 }
 
-/* Returns the time since the first attempt, 0 for what looks like one. */
+/* Returns the part of the callers' time by which first attempts differ. */
+static long spread_ms(struct deadlines *d, struct deadline_seen *s,
+		      long gone_ms, apr_time_t now)
+{
+	long most = (long)(PATIENCE_MAX * (double)s->longest_ms);
+
+	if (!d->refused_at || now - d->refused_at > RETURNS_OVER_US) {
+		if (gone_ms <= most && gone_ms > s->spread_ms)
+			s->spread_ms = gone_ms;
+		s->calm++;
+		return most;
+	}
+	if (s->calm < PATIENCE_SAMPLES)
+		return most;
+	return s->spread_ms;
+}
+
+/*
+ * Returns the time since the first attempt, 0 for what looks like one.  One
+ * that came back within the time by which callers differ in patience looks
+ * like a first one, too.
+ */
 int deadlines_elapsed_ms(struct deadlines *d, const char *route, long left_ms,
 			 apr_time_t now)
 {
 	uint64_t hash = place_hash_string(route, 0);
 	struct deadline_seen *s = &d->rows[hash % ADMIT_ROUTES];
+	long gone_ms;
 
 	if (left_ms < 0)
 		return 0;
-	if (s->route != hash || now - s->at > ADMIT_SEEN_US ||
-	    left_ms >= s->longest_ms) {
+	if (s->route != hash || now - s->at > ADMIT_SEEN_US) {
+		memset(s, 0, sizeof(*s));
 		s->route = hash;
+	}
+	if (left_ms >= s->longest_ms) {
 		s->longest_ms = left_ms;
 		s->at = now;
 	}
-	return (int)(s->longest_ms - left_ms);
+	gone_ms = s->longest_ms - left_ms;
+	return gone_ms <= spread_ms(d, s, gone_ms, now) ? 0 : (int)gone_ms;
 }
--- a/forward/admit.h
+++ b/forward/admit.h
@@ -31,6 +31,7 @@
 };
 
 enum admit_class admit_decide(const struct admit_input *in);
+const char *admit_class_name(enum admit_class c);
 int admit_retry_after_ms(double wait_us, apr_interval_time_t left,
 			 struct random *r);
 
@@ -40,8 +41,9 @@
 
 /*
  * How long ago a caller first asked, told by how much of its time is gone:
- * callers of one route wait equally long, so the longest time left that was
- * seen lately is that of a first attempt.
+ * the longest time left that was seen lately is that of a first attempt of
+ * the most patient caller.  By how much callers differ in patience is learned
+ * while nobody is refused, as there are hardly any returns then.
  */
 #define ADMIT_ROUTES 512
 #define ADMIT_SEEN_US (20 * 1000 * 1000)
@@ -49,11 +51,14 @@
 struct deadline_seen {
 	uint64_t route; /* hash of its name */
 	long longest_ms;
+	long spread_ms; /* of first attempts */
+	int calm;	/* attempts seen while nobody was refused */
 	apr_time_t at;
 };
 
 struct deadlines {
 	struct deadline_seen rows[ADMIT_ROUTES];
+	apr_time_t refused_at; /* the last refusal, 0: none */
 };
 
 int deadlines_elapsed_ms(struct deadlines *d, const char *route, long left_ms,
--- a/forward/answer.c
+++ b/forward/answer.c
@@ -96,6 +96,7 @@
 static void reply_begin(struct forward *f, int status)
 {
 	f->begun = 1;
+	f->begun_at = clock_now();
 	f->answer_status = status;
 	reply_headers(f);
 	http_call_stream_begin(f->call, status, NULL, f->answer_size);
@@ -235,6 +236,13 @@
 			    e->status, f->fetch.error.text);
 }
 
+/* Time until the caller got the first bytes of its answer, -1: none. */
+static json_int_t first_ms(const struct forward *f)
+{
+	return f->begun_at ? (json_int_t)((f->begun_at - f->arrived) / 1000)
+			   : -1;
+}
+
 static void answered_log(struct forward *f, const char *outcome, int status,
 			 apr_time_t now)
 {
@@ -249,13 +257,19 @@
 	if (!log_wants(sev, 1))
 		return;
 	log_fields(sev, &at,
-		   json_pack("{s:s,s:i,s:s,s:s,s:i,s:i,s:I,s:I,s:s}", "outcome",
-			     outcome, "status", status, "route", f->route->name,
-			     "account", f->account ? f->account : "", "tries",
-			     f->tries, "runs", f->runs, "ms",
+		   json_pack("{s:s,s:i,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:i,s:i,"
+			     "s:I,s:s}",
+			     "outcome", outcome, "status", status, "route",
+			     f->route->name, "account",
+			     f->account ? f->account : "", "admitted",
+			     admit_class_name(f->admitted), "tries", f->tries,
+			     "runs", f->runs, "ms",
 			     (json_int_t)((now - f->arrived) / 1000),
-			     "revision", (json_int_t)f->document->revision,
-			     "error", f->fetch.error.text),
+			     "first_ms", first_ms(f), "wait_ms",
+			     (json_int_t)(f->wait_us / 1000), "load", f->load,
+			     "elapsed_ms", f->elapsed_ms, "revision",
+			     (json_int_t)f->document->revision, "error",
+			     f->fetch.error.text),
 		   "request ended");
 }
 
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -72,6 +72,11 @@
 				    json_integer(retry_after_ms));
 		log_fields(LOG_SEV_WARNING, &at, fields, "request refused");
 	}
+	if (status == 503) {
+		pthread_mutex_lock(&f->w->mutex);
+		f->w->deadlines.refused_at = clock_now();
+		pthread_mutex_unlock(&f->w->mutex);
+	}
 	metric_count("forward_refused", reason, 1);
 	refusal_set(&r, status, not_run ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN,
 		    again, reason, "forward", "%s", reason);
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -102,6 +102,7 @@
 	struct answer_head answer;
 	long long answer_size; /* -1: not said */
 	int begun;	       /* the caller got its status */
+	apr_time_t begun_at;   /* then, 0: not yet */
 	int answer_status;     /* that the caller got */
 	struct event_cutter events;
 	char *kept; /* body of an answer that may yet be replaced */
--- a/t/helper/test-forward-load.c
+++ b/t/helper/test-forward-load.c
@@ -28,6 +28,7 @@
 
 struct request {
 	apr_time_t first_asked;
+	long deadline_ms; /* that its caller is ready to wait in all */
 	apr_time_t asked; /* now: when this attempt is made */
 	int attempts;
 	int engine; /* -1: not handed over */
@@ -42,6 +43,7 @@
 struct run {
 	int entries, engines, slots;
 	double load, seconds;
+	double patience; /* part by which callers' deadlines differ */
 	int away, away_from_s, away_for_s; /* engines that carry out an order */
 	unsigned seed;
 	int naive;
@@ -135,12 +137,14 @@
 
 static void refuse(struct run *r, struct request *q, apr_time_t now)
 {
-	apr_interval_time_t left = q->first_asked + DEADLINE_MS * 1000LL - now;
+	apr_interval_time_t left =
+		q->first_asked + q->deadline_ms * 1000LL - now;
 
 	if (q->attempts > 1) {
 		q->refused = q->over = 1;
 		return;
 	}
+	r->deadlines[q->entry].refused_at = now;
 	q->asked = now + 1000LL * admit_retry_after_ms(0, left, &r->random);
 }
 
@@ -154,7 +158,7 @@
 				  .slots = r->slots };
 	struct target_choice c;
 	enum admit_class class;
-	long left_ms = (long)((q->first_asked - now) / 1000) + DEADLINE_MS;
+	long left_ms = (long)((q->first_asked - now) / 1000) + q->deadline_ms;
 
 	if (r->naive)
 		return (int)random_below(&r->random, (uint32_t)r->engines);
@@ -262,6 +266,11 @@
 
 			memset(q, 0, sizeof(*q));
 			q->first_asked = q->asked = now;
+			q->deadline_ms = DEADLINE_MS;
+			if (r->patience > 0)
+				q->deadline_ms -=
+					(long)(DEADLINE_MS * r->patience *
+					       random_unit(&r->random));
 			q->engine = -1;
 			q->entry = (int)random_below(&r->random,
 						     (uint32_t)r->entries);
@@ -319,6 +328,7 @@
 		sscanf(line, "fleet %d %d", &r.entries, &r.engines);
 		sscanf(line, "load %lf", &r.load);
 		sscanf(line, "seed %u", &r.seed);
+		sscanf(line, "patience %lf", &r.patience);
 		sscanf(line, "away %d %d %d", &r.away, &r.away_from_s,
 		       &r.away_for_s);
 		if (sscanf(line, "run %lf", &r.seconds) == 1) {
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -360,8 +360,12 @@
 START_TEST(the_time_since_the_first_attempt_shows_in_the_deadline)
 {
 	static struct deadlines d;
+	int i;
 
-	ck_assert_int_eq(deadlines_elapsed_ms(&d, "r", 6000, SECOND), 0);
+	for (i = 0; i < 20; i++)
+		ck_assert_int_eq(deadlines_elapsed_ms(&d, "r", 6000, SECOND),
+				 0);
+	d.refused_at = SECOND;
 	ck_assert_int_eq(deadlines_elapsed_ms(&d, "r", 4500, SECOND), 1500);
 	ck_assert_int_eq(deadlines_elapsed_ms(&d, "r", -1, SECOND), 0);
 	ck_assert_int_eq(deadlines_elapsed_ms(&d, "r", 6000, 2 * SECOND), 0);
@@ -370,6 +374,23 @@
 }
 END_TEST
 
+START_TEST(callers_of_one_route_differ_in_patience)
+{
+	static struct deadlines d;
+	int i;
+
+	for (i = 0; i < 100; i++)
+		ck_assert_int_eq(
+			deadlines_elapsed_ms(&d, "r", 6000 - 9 * i, SECOND), 0);
+	d.refused_at = 2 * SECOND;
+	ck_assert_int_eq(deadlines_elapsed_ms(&d, "r", 5120, 3 * SECOND), 0);
+	ck_assert_int_eq(deadlines_elapsed_ms(&d, "r", 5000, 3 * SECOND), 1000);
+	ck_assert_int_eq(deadlines_elapsed_ms(&d, "r", 4000, 3 * SECOND), 2000);
+	/* Nobody returns any more. */
+	ck_assert_int_eq(deadlines_elapsed_ms(&d, "r", 5000, 6 * SECOND), 0);
+}
+END_TEST
+
 /* target.c */
 
 static const struct engine_spec engine = { .slots = 16,
@@ -646,6 +667,7 @@
 	tcase_add_test(tc, the_refused_return_within_their_time_and_not_as_one);
 	tcase_add_test(tc,
 		       the_time_since_the_first_attempt_shows_in_the_deadline);
+	tcase_add_test(tc, callers_of_one_route_differ_in_patience);
 	tcase_add_test(tc, only_upstreams_that_may_serve_are_chosen);
 	tcase_add_test(tc, upstreams_that_are_alike_share_the_requests);
 	tcase_add_test(tc, when_all_are_ejected_one_is_tried_all_the_same);
