weights: fewer chunks at once on a narrowed link

Change: a window on transfers under way. A chunk whose bytes take over 0.4 s to arrive halves it, one that takes under 0.25 s opens it by one. Each chunk drawn from the origin gets a line.

Test: fewer_chunks_are_under_way_on_a_narrowed_link.

--- a/t/helper/test-weights.c
+++ b/t/helper/test-weights.c
@@ -405,6 +405,39 @@
 }
 END_TEST
 
+/* Pattern: the machine's link narrows to an eighth during a distribution. */
+START_TEST(fewer_chunks_are_under_way_on_a_narrowed_link)
+{
+	struct transfer_window w;
+	apr_time_t now = 10 * SECOND;
+	int i;
+
+	window_init(&w, 8);
+	for (i = 0; i < 8; i++)
+		window_note(&w, 200 * 1000, now);
+	ck_assert_int_eq(w.open, 8);
+	/* All that were under way when it narrowed are slow: one step. */
+	for (i = 0; i < 8; i++)
+		window_note(&w, 1600 * 1000, now);
+	ck_assert_int_eq(w.open, 4);
+	now += 1100 * 1000;
+	window_note(&w, 1000 * 1000, now);
+	ck_assert_int_eq(w.open, 2);
+	now += 600 * 1000;
+	window_note(&w, 550 * 1000, now);
+	ck_assert_int_eq(w.open, 1);
+	now += 500 * 1000;
+	window_note(&w, 450 * 1000, now);
+	ck_assert_int_eq(w.open, 1);
+	/* Neither quick nor slow: it stays. */
+	window_note(&w, 300 * 1000, now + SECOND);
+	ck_assert_int_eq(w.open, 1);
+	for (i = 0; i < 10; i++)
+		window_note(&w, 40 * 1000, now + SECOND);
+	ck_assert_int_eq(w.open, 8);
+}
+END_TEST
+
 START_TEST(yield_gives_way_to_slow_calls_and_comes_back)
 {
 	struct yield y;
@@ -499,6 +532,7 @@
 	tcase_add_test(
 		tc, activation_passes_over_a_first_loader_that_does_not_load);
 	tcase_add_test(tc, pace_keeps_the_rate);
+	tcase_add_test(tc, fewer_chunks_are_under_way_on_a_narrowed_link);
 	tcase_add_test(tc, yield_gives_way_to_slow_calls_and_comes_back);
 	tcase_add_test(tc, hint_survives_the_trip_and_refuses_rubbish);
 	tcase_add_test(tc, blob_cache_keeps_its_limit);
--- a/weights/choose.c
+++ b/weights/choose.c
@@ -310,6 +310,13 @@
 	return 0;
 }
 
+/* Returns 1 when another transfer may be under way beside the present ones. */
+static int window_open(const struct swarm *s, const struct swarm_credit *credit)
+{
+	return !credit->transfers ||
+	       s->pulls + s->carries + s->draws < credit->transfers;
+}
+
 /*
  * Decides which transfers begin now, within the credit of the links and the
  * bounds on transfers under way.  Returns how many; swarm_result must be
@@ -324,17 +331,17 @@
 	if (swarm_whole(s) || !s->view || s->view->self < 0)
 		return 0;
 	while (!credit->no_draws && n < max && link > 0 &&
-	       s->draws < SWARM_DRAWS_MAX && s->origin_until <= now &&
-	       draw_choose(s, now, &out[n]))
+	       window_open(s, credit) && s->draws < SWARM_DRAWS_MAX &&
+	       s->origin_until <= now && draw_choose(s, now, &out[n]))
 		link -= s->chunks[out[n++].chunk].length;
-	while (n < max && link > 0 && cross > 0 &&
+	while (n < max && link > 0 && cross > 0 && window_open(s, credit) &&
 	       s->carries < SWARM_CARRIES_MAX &&
 	       carry_choose(s, now, &out[n])) {
 		link -= s->chunks[out[n].chunk].length;
 		cross -= s->chunks[out[n++].chunk].length;
 	}
-	while (n < max && link > 0 && s->pulls < SWARM_PULLS_MAX &&
-	       pull_choose(s, now, &out[n]))
+	while (n < max && link > 0 && window_open(s, credit) &&
+	       s->pulls < SWARM_PULLS_MAX && pull_choose(s, now, &out[n]))
 		link -= s->chunks[out[n++].chunk].length;
 	return n;
 }
--- a/weights/internal.h
+++ b/weights/internal.h
@@ -78,6 +78,7 @@
 	double send_rate; /* now; lower while live calls slow */
 	struct pace receive;
 	struct pace cross;
+	struct transfer_window window;
 	struct yield yield;
 	size_t in_flight;	 /* bytes of buffers of transfers */
 	struct transfer *parked; /* verified, wait for room in staging */
--- a/weights/pace.c
+++ b/weights/pace.c
@@ -6,6 +6,13 @@
 #define YIELD_CLIMB 0.125	   /* of the whole share, a step */
 #define YIELD_BASELINE_WEIGHT 0.02 /* of a new sample in the baseline */
 
+/*
+ * A chunk's bytes arrive within 0.2 s where as many as are allowed share a
+ * link of the slowest kind; twice that tells of a link that is narrower.
+ */
+#define WINDOW_QUICK_US (250 * 1000)
+#define WINDOW_SLOW_US (400 * 1000)
+
 /* Prepares a full bucket. */
 void pace_init(struct pace *p, double rate, double burst, apr_time_t now)
 {
@@ -43,6 +50,31 @@
 		p->level = p->burst;
 }
 
+/* Prepares a window that is wide open. */
+void window_init(struct transfer_window *w, int most)
+{
+	w->most = most;
+	w->open = most;
+	w->narrowed = 0;
+}
+
+/*
+ * Takes in how long the bytes of a chunk were arriving.  Chunks that were
+ * under way when the window was made smaller don't make it smaller again.
+ */
+void window_note(struct transfer_window *w, apr_interval_time_t took,
+		 apr_time_t now)
+{
+	if (took > WINDOW_SLOW_US) {
+		if (w->narrowed && now - took <= w->narrowed)
+			return;
+		w->open = w->open > 1 ? w->open / 2 : 1;
+		w->narrowed = now;
+	} else if (took < WINDOW_QUICK_US && w->open < w->most) {
+		w->open++;
+	}
+}
+
 /* Prepares for the whole share. */
 void yield_init(struct yield *y)
 {
--- a/weights/pace.h
+++ b/weights/pace.h
@@ -20,6 +20,20 @@
 double pace_level(struct pace *p, apr_time_t now);
 void pace_charge(struct pace *p, double bytes, apr_time_t now);
 
+/*
+ * How many chunks may be on their way here at once.  More than a narrowed
+ * link can carry wait in its queue, and live calls with them.
+ */
+struct transfer_window {
+	int most;
+	int open;
+	apr_time_t narrowed; /* last time that it was made smaller, 0: never */
+};
+
+void window_init(struct transfer_window *w, int most);
+void window_note(struct transfer_window *w, apr_interval_time_t took,
+		 apr_time_t now);
+
 /*
  * How much of a link transfers may take while live calls are served: falls
  * by half when calls slow by more than a tenth against what they were
--- a/weights/swarm.h
+++ b/weights/swarm.h
@@ -132,7 +132,8 @@
 struct swarm_credit {
 	double link;
 	double cross;
-	int no_draws; /* it may turn out that the engine holds the chunks */
+	int transfers; /* under way at once, 0: as many as there may be */
+	int no_draws;  /* it may turn out that the engine holds the chunks */
 };
 
 enum swarm_result {
--- a/weights/transfer.c
+++ b/weights/transfer.c
@@ -48,7 +48,8 @@
 	struct digest digest;
 	struct blob *blob;
 	size_t received;
-	uint64_t offset; /* of the chunk in the origin's file */
+	apr_time_t first_at; /* when its first bytes came, 0: not yet */
+	uint64_t offset;     /* of the chunk in the origin's file */
 	char stage_path[ENGINE_PATH_SIZE];
 	int tries;
 	int park_tries;	     /* times that it was kept for later */
@@ -253,6 +254,8 @@
 		return -1;
 	if (t->received + size > t->blob->size)
 		return -1;
+	if (!t->first_at)
+		t->first_at = clock_now();
 	memcpy(t->blob->data + t->received, data, size);
 	EVP_DigestUpdate(t->sha, data, size);
 	t->received += size;
@@ -303,6 +306,33 @@
 	return 1;
 }
 
+/* Draws are left out: the origin's link is shared by many. */
+static void arrival_note(struct transfer *t, apr_time_t now)
+{
+	struct transfer_window *window = &t->w->window;
+	int open;
+
+	if (t->action.way == WAY_DRAW)
+		return;
+	table_lock(&t->w->models);
+	open = window->open;
+	window_note(window, now - t->first_at, now);
+	table_unlock(&t->w->models);
+	if (window->open < open)
+		log_info("transfer-window", t->peer,
+			 "a chunk took %lld ms to arrive; at most %d at once",
+			 (long long)(now - t->first_at) / 1000, window->open);
+}
+
+/* The origin's bytes are few and dear: each chunk of them gets a line. */
+static void draw_log(const struct transfer *t, apr_time_t now)
+{
+	if (t->action.way == WAY_DRAW)
+		log_info("chunk-draw", t->peer, "chunk %u, %lld ms, tries %d",
+			 t->action.chunk,
+			 (long long)(now - t->action.began) / 1000, t->tries);
+}
+
 static void received_done(struct fetch *f)
 {
 	struct transfer *t = f->arg;
@@ -311,6 +341,8 @@
 	free(f->text);
 	if (status == HTTP_OK || status == HTTP_PARTIAL) {
 		if (!f->error.code && digest_matches(t)) {
+			arrival_note(t, clock_now());
+			draw_log(t, clock_now());
 			transfer_stage(t);
 			return;
 		}
@@ -476,6 +508,7 @@
 		credit.no_draws = !m->listed;
 		credit.link = pace_level(&w->receive, now);
 		credit.cross = pace_level(&w->cross, now);
+		credit.transfers = w->window.open;
 		n = swarm_choose(m->swarm, &credit, now, actions, ACTIONS_MAX);
 		for (j = 0; j < n; j++)
 			transfer_begin(w, order[i], m, &actions[j], now);
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -460,6 +460,8 @@
 	pace_init(&w->cross, (double)s->cross_rate,
 		  (double)s->cross_rate * burst, now);
 	yield_init(&w->yield);
+	window_init(&w->window,
+		    SWARM_PULLS_MAX + SWARM_CARRIES_MAX + SWARM_DRAWS_MAX);
 }
 
 /*
