forward: let the refused come back when something can serve

Of those refused once while no upstream could serve (version-nowhere, no-configuration) most came back within 0.2 s to 1 s, before an engine had loaded, and had no attempt left. 250 more ended as not-run: the list still named the dead processes, each was asked and answered as another one, and the budget of repeats was used up by that.

Ruled out: a shorter wait that ends in time (the objective of 0.4 s is over whatever is sent); refusals by admission (15 of 570).

Change: while no upstream can serve, the refused come back as late as they may. A report of a later process at an address takes the listed one out.

Tests: while_nothing_can_serve_the_refused_return_as_late_as_they_may, a_report_of_a_later_process_takes_the_listed_one_out.

--- a/forward/admit.c
+++ b/forward/admit.c
@@ -27,6 +27,9 @@
 /* Callers wait at most this part of the time that they have left. */
 #define RETRY_LEFT_PART 0.3
 
+/* Of that, by how much returns are spread while no upstream can serve. */
+#define RETRY_NOWHERE_SPREAD 0.15
+
 /*
  * Decides on one request.  The bound on the backlog is the same for all
  * requests of a service, whatever their size and objective: a stricter one
@@ -57,6 +60,16 @@
 	return names[c];
 }
 
+/* Nothing can serve yet and nobody knows when: as late as the caller may. */
+static int nowhere_ms(int most, struct random *r)
+{
+	int spread = (int)(RETRY_NOWHERE_SPREAD * most);
+
+	if (most < RETRY_MIN_MS)
+		return RETRY_MIN_MS;
+	return most - (spread ? (int)random_below(r, (uint32_t)spread) : 0);
+}
+
 /*
  * Returns when a refused caller should come back: after the wait that there
  * is now, spread so that the refused do not return as one, and soon enough
@@ -69,6 +82,9 @@
 	int spread = most - RETRY_MIN_MS;
 	int ms;
 
+	if (wait_us == ADMIT_WAIT_UNKNOWN)
+		return nowhere_ms(most, r);
+
 	if (spread < RETRY_SPREAD_MIN_MS)
 		spread = RETRY_SPREAD_MIN_MS;
 	ms = RETRY_MIN_MS + (int)(wait_us / 1000) +
--- a/forward/admit.h
+++ b/forward/admit.h
@@ -32,6 +32,8 @@
 
 enum admit_class admit_decide(const struct admit_input *in);
 const char *admit_class_name(enum admit_class c);
+#define ADMIT_WAIT_UNKNOWN (-1.0) /* no upstream can serve at all */
+
 int admit_retry_after_ms(double wait_us, apr_interval_time_t left,
 			 struct random *r);
 
--- a/forward/answer.c
+++ b/forward/answer.c
@@ -215,7 +215,7 @@
 		goto out;
 	if (e->other && *f->answer.upstream &&
 	    strcmp(f->answer.upstream, f->upstream))
-		u->leaving = 1; /* its address is another one's now */
+		u->replaced = 1;
 	if (e->not_run)
 		u->refused_until = now + FULL_PAUSE_US;
 	if (e->silent || (e->never_sent && !caller_gone))
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -78,6 +78,8 @@
 	f->list_version = w->list_version;
 	target_choose(&w->targets, q, now, &w->random, &choice);
 	f->wait_us = choice.wait_us;
+	if (choice.nowhere)
+		f->wait_us = ADMIT_WAIT_UNKNOWN;
 	if (choice.index < 0)
 		return choice.reason;
 	u = &w->targets.rows[choice.index];
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -12,8 +12,8 @@
  * refuses it at once.
  */
 
-#define NO_DOCUMENT_RETRY_MS 1000 /* a document comes within seconds */
-#define CLOSED_RETRY_MS 50	  /* other entries take requests now */
+#define NO_DEADLINE_MS 3000 /* taken for callers that name none */
+#define CLOSED_RETRY_MS 50  /* other entries take requests now */
 
 /* Frees a request that was answered. */
 void forward_free(struct forward *f)
@@ -204,6 +204,12 @@
 	__atomic_store_n(&f->gone, 1, __ATOMIC_RELEASE);
 }
 
+/* How long the caller waits, as far as it shows without a route. */
+static long deadline_ms(const struct forward *f)
+{
+	return f->head.deadline_ms >= 0 ? f->head.deadline_ms : NO_DEADLINE_MS;
+}
+
 /* Serves any request on the callers' port. */
 void forward_serve(struct http_call *c, void *arg)
 {
@@ -218,7 +224,10 @@
 		return;
 	}
 	if (!f->document) {
-		forward_refuse(f, 503, AGAIN_SAME, NO_DOCUMENT_RETRY_MS,
+		f->wait_us = ADMIT_WAIT_UNKNOWN;
+		f->expires = f->arrived + deadline_ms(f) * 1000LL;
+		forward_refuse(f, 503, AGAIN_SAME,
+			       forward_retry_after_ms(f, f->arrived),
 			       "no-configuration");
 		return;
 	}
--- a/forward/target.c
+++ b/forward/target.c
@@ -86,6 +86,7 @@
 		u->reported_at = 0;
 		u->refused_until = 0;
 		u->busy_since = 0;
+		u->replaced = 0;
 		memset(&u->health, 0, sizeof(u->health));
 		memset(&u->recent, 0, sizeof(u->recent));
 	}
@@ -153,8 +154,14 @@
 		if (t->rows[i].used && t->rows[i].listed &&
 		    !strcmp(t->rows[i].address, r->address))
 			u = &t->rows[i];
-	if (!u || (r->born_ms && u->born_ms && r->born_ms != u->born_ms))
+	if (!u)
 		return -1;
+	if (r->born_ms && u->born_ms && r->born_ms != u->born_ms) {
+		/* The list still names the process before. */
+		if (r->born_ms > u->born_ms)
+			u->replaced = 1;
+		return -1;
+	}
 	if (u->agent_boot == r->agent_boot && u->sequence >= r->sequence)
 		return -1;
 	u->agent_boot = r->agent_boot;
@@ -331,7 +338,7 @@
 {
 	if (!u->used || !u->listed || strcmp(u->service, q->service) != 0)
 		return MISS_SERVICE;
-	if (u->leaving)
+	if (u->leaving || u->replaced)
 		return MISS_LEAVING;
 	if (is_excluded(u, q))
 		return MISS_TRIED;
@@ -439,8 +446,10 @@
 		sample_choose(t, &down, q, now, r, out);
 		out->ejected = 1;
 	}
-	if (out->index < 0)
+	if (out->index < 0) {
 		out->reason = miss_reasons[worst];
+		out->nowhere = worst < MISS_DOWN;
+	}
 }
 
 /* Estimates the time until the first event of a usual request, when free. */
--- a/forward/target.h
+++ b/forward/target.h
@@ -40,7 +40,8 @@
 	char data_center[SETTINGS_NAME_SIZE];
 	int listed; /* the platform lists it */
 	int leaving;
-	int local; /* in this entry's data centre */
+	int replaced; /* another process is at its address */
+	int local;    /* in this entry's data centre */
 	int slots;
 	int64_t born_ms;
 	struct listed_model models[LISTED_MODELS_MAX];
@@ -87,6 +88,7 @@
 	int ejected;	    /* chosen although it is ejected */
 	int eligible;	    /* rows that could be chosen */
 	const char *reason; /* why none */
+	int nowhere;	    /* none that is there will do in a moment */
 };
 
 void target_table_init(struct target_table *t);
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -357,6 +357,24 @@
 }
 END_TEST
 
+/* Pattern: no upstream can serve for some seconds; most come back too early. */
+START_TEST(while_nothing_can_serve_the_refused_return_as_late_as_they_may)
+{
+	struct random r;
+	int i, ms;
+
+	random_seed(&r, 6);
+	for (i = 0; i < 1000; i++) {
+		ms = admit_retry_after_ms(ADMIT_WAIT_UNKNOWN, 6 * SECOND, &r);
+		ck_assert_int_ge(ms, 1500);
+		ck_assert_int_le(ms, 1800);
+		ms = admit_retry_after_ms(ADMIT_WAIT_UNKNOWN, SECOND / 10, &r);
+		ck_assert_int_ge(ms, 0);
+		ck_assert_int_le(ms, 150);
+	}
+}
+END_TEST
+
 START_TEST(the_time_since_the_first_attempt_shows_in_the_deadline)
 {
 	static struct deadlines d;
@@ -557,6 +575,30 @@
 }
 END_TEST
 
+/* Pattern: all machines lose power and the list still names the dead. */
+START_TEST(a_report_of_a_later_process_takes_the_listed_one_out)
+{
+	struct target_table t;
+	struct target_query q = query_of();
+	struct target_choice c;
+	struct random random;
+	struct target_report r = { .agent_boot = 9, .sequence = 1 };
+
+	random_seed(&random, 3);
+	table_make(&t, 1, RUNS_ONE);
+	target_choose(&t, &q, 2 * SECOND, &random, &c);
+	ck_assert_int_eq(c.index, 0);
+	ck_assert(!c.nowhere);
+	snprintf(r.address, sizeof(r.address), "10.0.0.1:80");
+	r.born_ms = 5;
+	ck_assert_int_eq(target_report_take(&t, &r, 2 * SECOND), -1);
+	target_choose(&t, &q, 2 * SECOND, &random, &c);
+	ck_assert_int_eq(c.index, -1);
+	ck_assert(c.nowhere);
+	target_table_destroy(&t);
+}
+END_TEST
+
 START_TEST(long_streams_hold_an_engine_with_an_order)
 {
 	struct target_table t;
@@ -667,6 +709,11 @@
 	tcase_add_test(tc, the_refused_return_within_their_time_and_not_as_one);
 	tcase_add_test(tc,
 		       the_time_since_the_first_attempt_shows_in_the_deadline);
+	tcase_add_test(
+		tc,
+		while_nothing_can_serve_the_refused_return_as_late_as_they_may);
+	tcase_add_test(tc,
+		       a_report_of_a_later_process_takes_the_listed_one_out);
 	tcase_add_test(tc, callers_of_one_route_differ_in_patience);
 	tcase_add_test(tc, only_upstreams_that_may_serve_are_chosen);
 	tcase_add_test(tc, upstreams_that_are_alike_share_the_requests);
