weights: ask for manifests evenly, use the whole link of an idle engine

Manifests were asked for at growing intervals, so the last agent had it 1.3 s late; single carriers drew their chunks one by one at the end, with the origin's link half idle; and 0.15 of each link was kept for calls although no engine could take any.

Change: where a release has a bound, manifests are asked for every 60 ms to 120 ms; two draws at once; the whole link while the engine beside has no request; an order's effect is looked for every 20 ms.

--- a/weights/engine-ops.h
+++ b/weights/engine-ops.h
@@ -57,6 +57,8 @@
 	/* Returns -1 when it can't be read. */
 	int (*state_decode)(const json_t *o, struct engine_state *out);
 
+	int tells_load; /* its state says how many requests are there */
+
 	/* Staged chunks go by digest, or by position in one model's manifest. */
 	int by_digest;
 	void (*list_path)(const char *model, char *out);
--- a/weights/engine.c
+++ b/weights/engine.c
@@ -12,7 +12,8 @@
  * Talks to the engine beside this agent: what runs, what is staged, orders.
  */
 
-#define RUNNING_BUSY_US (100 * 1000) /* while an order takes effect */
+#define RUNNING_BUSY_US (100 * 1000)   /* while another version is to run */
+#define RUNNING_ORDERED_US (20 * 1000) /* while an order takes effect */
 #define RUNNING_TIMEOUT_MS 2000
 #define ORDER_TIMEOUT_MS 120000
 
@@ -130,8 +131,10 @@
 		if (m->wanted && m->activation.whole &&
 		    (!m->activation.running_known ||
 		     strcmp(m->activation.running, m->want_hex) != 0) &&
-		    !m->activation.ordering)
+		    !m->activation.ordering && period > RUNNING_BUSY_US)
 			period = RUNNING_BUSY_US;
+		if (m->wanted && m->activation.busy)
+			period = RUNNING_ORDERED_US;
 	}
 	if (w->engine_asked || now - w->engine_at < period)
 		return;
--- a/weights/internal.h
+++ b/weights/internal.h
@@ -74,8 +74,7 @@
 	const struct engine_ops *ops;
 	struct table models; /* struct model_row */
 	uint64_t next_swarm_id;
-	double link_rate; /* bytes a second that transfers may use */
-	double send_rate; /* now; lower while live calls slow */
+	double send_rate; /* bytes a second that transfers may use now */
 	struct pace receive;
 	struct pace cross;
 	struct transfer_window window;
--- a/weights/manifest-fetch.c
+++ b/weights/manifest-fetch.c
@@ -19,6 +19,7 @@
 #define MANIFEST_PERMIT_US APR_USEC_PER_SEC /* before the next holder's turn */
 #define MANIFEST_ALONE_US (10 * APR_USEC_PER_SEC)
 #define MANIFEST_TIMEOUT_MS 5000
+#define MANIFEST_TIMEOUT_NEAR_MS 1500 /* it is a few KB */
 
 #define HTTP_OK 200
 #define HTTP_NOT_FOUND 404
@@ -49,12 +50,20 @@
 		 m->swarm->count);
 }
 
+/* Returns 1 where a release has to be everywhere within seconds. */
+static int is_hurried(const struct model_row *m)
+{
+	return m->policy.scale < 1;
+}
+
 static void retry_set(struct model_row *m, uint64_t hash, apr_time_t now)
 {
-	apr_interval_time_t wait =
-		MANIFEST_RETRY_US
-		<< (m->manifest_tries / 8 > 4 ? 4 : m->manifest_tries / 8);
+	int shift = m->manifest_tries / 8 > 4 ? 4 : m->manifest_tries / 8;
+	apr_interval_time_t wait = MANIFEST_RETRY_US;
 
+	/* Where little time is allowed, all wait for whoever gets it first. */
+	if (!is_hurried(m))
+		wait <<= shift;
 	if (wait > MANIFEST_RETRY_MAX_US)
 		wait = MANIFEST_RETRY_MAX_US;
 	m->manifest_tries++;
@@ -237,7 +246,8 @@
 	x->fetch.ops = &fetch_manifest_ops;
 	x->fetch.arg = x;
 	x->fetch.url = x->url;
-	x->fetch.timeout_ms = MANIFEST_TIMEOUT_MS;
+	x->fetch.timeout_ms =
+		is_hurried(m) ? MANIFEST_TIMEOUT_NEAR_MS : MANIFEST_TIMEOUT_MS;
 	fetch_submit(w->node->fetcher, &x->fetch);
 }
 
--- a/weights/status.c
+++ b/weights/status.c
@@ -79,7 +79,6 @@
 	struct table *t = &w->node->board.upstreams;
 	struct handle h = HANDLE_NONE;
 	struct upstream_report *r;
-	double share;
 	apr_time_t now = clock_now();
 
 	table_lock(t);
@@ -87,9 +86,7 @@
 		if (strcmp(r->instance, w->node->settings.instance) != 0)
 			continue;
 		models_copy(w, r);
-		share = yield_step(&w->yield, r->running, r->token_us, now);
-		pace_rate_set(&w->receive, share * w->link_rate, now);
-		w->send_rate = share * w->link_rate;
+		yield_step(&w->yield, r->running, r->token_us, now);
 	}
 	table_unlock(t);
 }
--- a/weights/swarm.h
+++ b/weights/swarm.h
@@ -23,7 +23,7 @@
 #define SWARM_PEERS_MAX 48
 #define SWARM_PULLS_MAX 6      /* transfers asked for within the data centre */
 #define SWARM_CARRIES_MAX 2    /* across data centres */
-#define SWARM_DRAWS_MAX 1      /* from the origin */
+#define SWARM_DRAWS_MAX 2      /* from the origin */
 #define SWARM_PEER_ASKED_MAX 1 /* transfers asked of one peer */
 #define SWARM_NO_PEER (-1)
 
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -363,6 +363,18 @@
 		      now);
 }
 
+/* The whole link is for chunks while the engine has nothing to answer. */
+static void paces_follow(struct weights *w, apr_time_t now)
+{
+	const struct settings *s = &w->node->settings;
+	int calls =
+		!w->ops->tells_load || w->engine.running || w->engine.waiting;
+	double part = calls ? s->transfer_share * w->yield.share : 1;
+
+	w->send_rate = part * (double)s->link_rate;
+	pace_rate_set(&w->receive, w->send_rate, now);
+}
+
 static int is_idle(struct weights *w)
 {
 	struct handle h = HANDLE_NONE;
@@ -384,6 +396,7 @@
 	int unlisted = 0;
 
 	document_follow(w, now);
+	paces_follow(w, now);
 	view_refresh(w, now);
 	table_lock(&w->models);
 	while ((m = table_next(&w->models, &h))) {
@@ -453,10 +466,9 @@
 	const struct settings *s = &w->node->settings;
 	double burst = RECEIVE_BURST_S * policy_scale(s);
 
-	w->link_rate = (double)s->link_rate * s->transfer_share;
-	w->send_rate = w->link_rate;
-	pace_init(&w->receive, w->link_rate, w->link_rate * burst, now);
-	pace_init(&w->send, w->link_rate, w->link_rate * SEND_BURST_S, now);
+	w->send_rate = (double)s->link_rate * s->transfer_share;
+	pace_init(&w->receive, w->send_rate, w->send_rate * burst, now);
+	pace_init(&w->send, w->send_rate, w->send_rate * SEND_BURST_S, now);
 	pace_init(&w->cross, (double)s->cross_rate,
 		  (double)s->cross_rate * burst, now);
 	yield_init(&w->yield);
