config: wait 0.25 s, not 0.8 s, for peers asked at the start

Cause: after a loss of power agents were up at 42.70 s and had the document at 43.51 s: the seeds they asked at the start were not up yet and each question took the whole timeout. Engines that still held all chunks were loaded that much later.

Ruled out: the platform (entries had it 0.13 s after their start), staging (whole 0.17 s after the manifest).

--- a/config/exchange.c
+++ b/config/exchange.c
@@ -11,6 +11,7 @@
 #include "config/pack.h"
 
 #define EXCHANGE_MS 800 /* timeout of an exchange of versions */
+#define START_MS 250	/* same, while a process waits for it to start */
 #define PACK_MIN 512	/* bytes; below, a text is sent as it is */
 #define PULL_MS 3000	/* same, with a text in the reply */
 
@@ -67,7 +68,9 @@
 {
 	config_version have[SPREAD_VALUES];
 	config_request req = { { SPREAD_VALUES, have } };
-	int timeout = j->action.want < 0 ? EXCHANGE_MS : PULL_MS;
+	int timeout = j->action.starting   ? START_MS
+		      : j->action.want < 0 ? EXCHANGE_MS
+					   : PULL_MS;
 
 	req.want = (u_int)(j->action.want + 1);
 	pthread_mutex_lock(&c->mutex);
