forward: hand on an error where nobody else can be asked

Change: the answer that is held back is given to the caller. A hand-over that ran counts as such also when its answer was whole, so a later refusal isn't called not run.

The stream test beside it took a torn stream for a sign that both upstreams are listed and failed when the store had been quiet for some seconds; it waits for the second one now.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -28,6 +28,7 @@
 	header_list_clear(&f->answer_headers);
 	memset(&f->answer, 0, sizeof(f->answer));
 	f->answer_size = -1;
+	f->has_answer = 0;
 	free(f->kept);
 	f->kept = NULL;
 	f->kept_size = 0;
@@ -273,7 +274,8 @@
 		   "request ended");
 }
 
-static void finish_whole(struct forward *f, apr_time_t now)
+/* Gives the caller the rest of an answer that is whole. */
+void forward_finish_whole(struct forward *f, apr_time_t now)
 {
 	answered_log(f, "answer", f->fetch.status, now);
 	if (!f->begun) {
@@ -343,10 +345,11 @@
 	f->runs = handover_runs(f->runs, &e);
 	state_fill(f, &s, now);
 	target_learn(f, &e, s.caller_gone, now);
-	f->maybe_ran |= handover_may_have_run(&e) && !e.whole;
+	f->maybe_ran |= handover_may_have_run(&e);
+	f->has_answer = e.whole && !e.crossed && handover_may_have_run(&e);
 	switch (handover_decide(&e, &s)) {
 	case NEXT_DONE:
-		finish_whole(f, now);
+		forward_finish_whole(f, now);
 		break;
 	case NEXT_CUT:
 		forward_finish_cut(f, "cut", now);
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -134,7 +134,9 @@
 /* No upstream can take the request: end it as honestly as can be. */
 static void none_left(struct forward *f, const char *reason, apr_time_t now)
 {
-	if (f->begun)
+	if (f->has_answer && !f->begun)
+		forward_finish_whole(f, now);
+	else if (f->begun)
 		forward_finish_cut(f, "cut", now);
 	else if (f->maybe_ran)
 		forward_refuse(f, 502, AGAIN_CHECK, 0, reason);
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -105,7 +105,8 @@
 	apr_time_t begun_at;   /* then, 0: not yet */
 	int answer_status;     /* that the caller got */
 	struct event_cutter events;
-	char *kept; /* body of an answer that may yet be replaced */
+	int has_answer; /* a whole one of an upstream that ran the request */
+	char *kept;	/* body of an answer that may yet be replaced */
 	size_t kept_size;
 
 	struct forward *next;
@@ -128,6 +129,7 @@
 /* answer.c */
 extern const struct fetch_ops forward_answer_ops;
 void forward_answer_clear(struct forward *f);
+void forward_finish_whole(struct forward *f, apr_time_t now);
 void forward_finish_cut(struct forward *f, const char *outcome, apr_time_t now);
 
 /* handover.c */
--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -7,8 +7,8 @@
 The store's test tree: PUT /test/KEY stores the body under KEY, DELETE removes
 it, POST /test/mode {"down": bool, "forget": bool} sets faults, GET /test/calls
 counts calls.  An upstream answers with what it received; MODE is ok, full
-(refuses as not run), other (another instance) or torn (a stream that breaks
-off after its second event; a resumed one is whole).
+(refuses as not run), error (its own 500), other (another instance) or torn (a
+stream that breaks off after its second event; a resumed one is whole).
 """
 import base64
 import json
@@ -133,6 +133,8 @@
                   ("X-Limpetflow-Instance-Id", s.id)]
         if s.mode == "full":
             return self.answer(503, {}, common + [("X-Limpetflow-Not-Run", "1")])
+        if s.mode == "error":
+            return self.answer(500, {"error": "own"}, common)
         if s.mode == "other":
             return self.answer(421, {}, [("X-Limpetflow-Instance-Id", "i-other")])
         if s.mode in ("torn", "stream"):
--- a/t/t1010-platform.sh
+++ b/t/t1010-platform.sh
@@ -26,8 +26,9 @@
 	 {"Name":"once","Host":"a.example","Prefix":"/once/","Kind":"non_idempotent","TimeoutMs":3000,"Service":"web","Attempts":2},
 	 {"Name":"open","Host":"a.example","Prefix":"/open/","Kind":"idempotent","TimeoutMs":3000,"Service":"web","Attempts":1,"Public":true},
 	 {"Name":"tell","Host":"a.example","Prefix":"/tell/","Kind":"streaming","TimeoutMs":3000,"Service":"voice","Attempts":3,"Resumable":true},
+	 {"Name":"lone","Host":"a.example","Prefix":"/lone/","Kind":"idempotent","TimeoutMs":3000,"Service":"lone","Attempts":2},
 	 {"Name":"bad","Host":"a.example"}$2],
-	 "Services":[{"Name":"web","MaxConns":9},{"Name":"voice"},{"Name":"old","Origin":"127.0.0.1:1"}],
+	 "Services":[{"Name":"web","MaxConns":9},{"Name":"lone"},{"Name":"voice"},{"Name":"old","Origin":"127.0.0.1:1"}],
 	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
 	 "Tenants":[{"Name":"acme","ApiKeys":["k1"${3:+,\"$3\"}]}]}
 	EOF
@@ -61,6 +62,12 @@
 	six_are_answered && test "$(i2_requests)" -gt 0
 }
 
+# The list may name one upstream of two for a moment.
+i4_was_asked () {
+	code_is 200 http://$ENTRY/tell/x &&
+	test "$(curl -s http://$TEST_NET.5:80/test/requests | jq length)" -gt 0
+}
+
 i2_is_left_alone () {
 	i2_before=$(i2_requests) &&
 	six_are_answered &&
@@ -71,6 +78,7 @@
 start up1 python3 "$TEST_DIR/standin/metadata_store.py" upstream $TEST_NET.2:80 i-1
 start up2 python3 "$TEST_DIR/standin/metadata_store.py" upstream $TEST_NET.3:80 i-2 full
 start up3 python3 "$TEST_DIR/standin/metadata_store.py" upstream $TEST_NET.4:80 i-3 torn
+start up5 python3 "$TEST_DIR/standin/metadata_store.py" upstream $TEST_NET.6:80 i-5 error
 start up4 python3 "$TEST_DIR/standin/metadata_store.py" upstream $TEST_NET.5:80 i-4 stream
 
 cat >entry.json <<EOF
@@ -78,7 +86,8 @@
  "ports":{"first":7700},"listen":{"callers":"$ENTRY","ready":"$READY"},
  "platform":"store","platform_url":"http://$STORE",
  "key":"0123456789abcdef","seeds":["$TEST_NET.1:1"],
- "forward":{"stop_grace_s":8}}
+ "forward":{"stop_grace_s":8,"retry_ratio":0.2,"retry_window_s":10,
+  "retry_slack":100}}
 EOF
 
 test_expect_success 'without a configuration it is not ready and refuses' '
@@ -141,10 +150,18 @@
 	wait_until 10 code_is 200 http://$ENTRY/read/x
 '
 
+test_expect_success 'an error is given to the caller where nobody else can be asked' '
+	server i-5 $TEST_NET.6:80 ready lone &&
+	wait_until 10 code_is 500 http://$ENTRY/lone/x &&
+	grep "\"error\": \"own\"" body &&
+	ask -D head -o body -H "Authorization: Bearer k1" http://$ENTRY/lone/x &&
+	grep -i "^x-limpetflow-response-stamp: stamp-i-5" head
+'
+
 test_expect_success 'a torn stream goes on elsewhere, each event once' '
 	server i-3 $TEST_NET.4:80 ready voice &&
 	server i-4 $TEST_NET.5:80 ready voice &&
-	wait_until 10 code_is 200 http://$ENTRY/tell/x &&
+	wait_until 10 i4_was_asked &&
 	for i in 1 2 3 4 5 6; do
 		code_is 200 http://$ENTRY/tell/x &&
 		test "$(sed -n "s/^id: //p" body | tr -d "\n")" = 12345 ||
