forward: steer away from upstreams behind a queue

Change: reports carry the agent's clock. How much later than usual one comes tells of the queue on the way; above 0.12 s it counts twice in the choice, not in what is admitted (an entry that pauses sees all reports late). The clock goes on while a machine is suspended, so no gap stays after that.

Test: an_upstream_behind_a_queue_is_chosen_last.

--- a/base/clock.c
+++ b/base/clock.c
@@ -7,6 +7,6 @@
 {
 	struct timespec t;
 
-	clock_gettime(CLOCK_MONOTONIC, &t);
+	clock_gettime(CLOCK_BOOTTIME, &t);
 	return (apr_time_t)t.tv_sec * APR_USEC_PER_SEC + t.tv_nsec / 1000;
 }
--- a/forward/report-receive.c
+++ b/forward/report-receive.c
@@ -37,6 +37,7 @@
 	to->busy = r->busy;
 	to->running = r->running;
 	to->waiting = r->waiting;
+	to->sent = r->sent_us;
 	to->pace = r->pace_percent / 100.0;
 	for (i = 0; i < r->models.models_len && i < LISTED_MODELS_MAX; i++) {
 		struct listed_model *m = &to->models[to->model_count++];
--- a/forward/report-send.c
+++ b/forward/report-send.c
@@ -77,7 +77,7 @@
 }
 
 static size_t report_make(struct sender *s, const struct engine_state *e,
-			  char out[REPORT_SIZE_MAX])
+			  apr_time_t now, char out[REPORT_SIZE_MAX])
 {
 	const char *url = s->node->settings.upstream_url;
 	load_model models[LOAD_MODELS_MAX];
@@ -89,6 +89,7 @@
 	r.born_ms = atoll(e->boot);
 	r.boot = s->node->self.boot;
 	r.sequence = ++s->sequence;
+	r.sent_us = now;
 	r.busy = e->busy;
 	r.running = e->running;
 	r.waiting = e->waiting;
@@ -102,12 +103,13 @@
 	return report_encode(&r, &s->node->self.keys, out);
 }
 
-static void report_send(struct sender *s, const struct engine_state *e)
+static void report_send(struct sender *s, const struct engine_state *e,
+			apr_time_t now)
 {
 	struct sockaddr_in to = { .sin_family = AF_INET };
 	struct in_addr entries[ENTRIES_MAX];
 	char data[REPORT_SIZE_MAX];
-	size_t size = report_make(s, e, data);
+	size_t size = report_make(s, e, now, data);
 	int i, count = entries_list(s->node, entries);
 
 	to.sin_port = htons((uint16_t)s->node->settings.report_port);
@@ -126,7 +128,7 @@
 
 	if (weights_engine_state(s->node, &e, now) || !is_due(s, &e, now))
 		return;
-	report_send(s, &e);
+	report_send(s, &e, now);
 	s->sent = e;
 	s->sent_at = now;
 }
--- a/forward/report_proto.h
+++ b/forward/report_proto.h
@@ -26,6 +26,7 @@
 	quad_t born_ms;
 	u_quad_t boot;
 	u_quad_t sequence;
+	quad_t sent_us;
 	int busy;
 	int running;
 	int waiting;
--- a/forward/report_proto.x
+++ b/forward/report_proto.x
@@ -16,6 +16,7 @@
 	hyper born_ms;			/* start of the upstream's process */
 	unsigned hyper boot;		/* of the agent */
 	unsigned hyper sequence;
+	hyper sent_us;			/* agent's steady clock */
 	int busy;
 	int running;
 	int waiting;
--- a/forward/report_proto_xdr.c
+++ b/forward/report_proto_xdr.c
@@ -32,6 +32,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->sent_us))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_int (xdrs, &objp->busy))
@@ -62,6 +64,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->sent_us))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_int (xdrs, &objp->busy))
@@ -93,6 +97,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sent_us))
+		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->busy))
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->running))
--- a/forward/target.c
+++ b/forward/target.c
@@ -23,6 +23,14 @@
 #define REPORT_LATE_US (900 * 1000)
 #define LATE_WAIT 0.2 /* added to the wait, of the time without a report */
 
+/*
+ * A report that comes this much later than usual tells of a queue on the way,
+ * in which requests and answers wait as well.
+ */
+#define DELAY_LEAST_US (120 * 1000) /* below, this process may have paused */
+#define DELAY_TRIPS 2
+#define DELAY_DRIFT 512 /* reports; clocks of two machines drift slowly */
+
 /* An order waits so long for requests to end before they are moved. */
 #define HELD_US (700 * 1000)
 #define HELD_PART 0.5 /* and until so many of the slots are in use at most */
@@ -140,6 +148,19 @@
 	return 0;
 }
 
+/* Learns from a report how much longer than usual the way is. */
+static void delay_take(struct target *u, const struct target_report *r,
+		       apr_time_t now)
+{
+	apr_interval_time_t gap = now - r->sent;
+
+	if (!u->reported_at || u->agent_boot != r->agent_boot ||
+	    gap < u->clock_gap)
+		u->clock_gap = gap;
+	u->delay = gap - u->clock_gap;
+	u->clock_gap += u->delay / DELAY_DRIFT;
+}
+
 /*
  * Takes in an agent's report.  Returns 1 when it changed which models the
  * upstream runs, 0 when not, -1 when it is of no upstream known or old.
@@ -164,6 +185,7 @@
 	}
 	if (u->agent_boot == r->agent_boot && u->sequence >= r->sequence)
 		return -1;
+	delay_take(u, r, now);
 	u->agent_boot = r->agent_boot;
 	u->sequence = r->sequence;
 	u->reported_at = now;
@@ -351,6 +373,12 @@
 	return MISS_NONE;
 }
 
+/* Counts in the choice, not in what is admitted. */
+static double delay_us(const struct target *u)
+{
+	return u->delay > DELAY_LEAST_US ? DELAY_TRIPS * (double)u->delay : 0;
+}
+
 static double row_wait(const struct target_table *t, const struct target *u,
 		       const struct target_query *q, apr_time_t now,
 		       struct wait_parts *w)
@@ -365,7 +393,7 @@
 		w->backlog_us += LATE_WAIT * (double)(now - u->reported_at);
 	if (!u->local)
 		w->own_us += FAR_WAIT_US;
-	return w->backlog_us + w->own_us;
+	return w->backlog_us + w->own_us + delay_us(u);
 }
 
 /* Rows drawn by chance from those seen, each with the same chance. */
--- a/forward/target.h
+++ b/forward/target.h
@@ -24,6 +24,7 @@
 	int64_t born_ms;		     /* of the upstream's process */
 	uint64_t agent_boot;
 	uint64_t sequence; /* of this agent's reports */
+	apr_time_t sent;   /* by the agent's steady clock */
 	int busy;	   /* an order keeps it from taking requests */
 	int running;
 	int waiting;
@@ -50,6 +51,8 @@
 	apr_time_t reported_at; /* 0: no report of this process of it */
 	uint64_t agent_boot;
 	uint64_t sequence;
+	apr_interval_time_t clock_gap; /* of the agent's clock and the trip */
+	apr_interval_time_t delay;     /* of the last report above that */
 	int busy;
 	apr_time_t busy_since; /* first report of it, 0: not busy */
 	int running;
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -599,6 +599,44 @@
 }
 END_TEST
 
+/* Pattern: a machine's link narrows and its queue grows to half a second. */
+START_TEST(an_upstream_behind_a_queue_is_chosen_last)
+{
+	struct target_table t;
+	struct target_query q = query_of();
+	struct target_choice c;
+	struct random random;
+	struct target_report r = { .agent_boot = 1, .born_ms = 1, .pace = 1 };
+	apr_time_t now = 10 * SECOND, skew = 777 * SECOND;
+	int i, j, chosen = 0;
+
+	random_seed(&random, 4);
+	table_make(&t, 2, RUNS_ONE);
+	r.model_count = 1;
+	snprintf(r.models[0].name, sizeof(r.models[0].name), "m");
+	r.models[0].release = 1;
+	for (i = 0; i < 40; i++, now += SECOND / 20) {
+		for (j = 0; j < 2; j++) {
+			int late = j == 0 && i >= 20 ? 500 * MS : 3 * MS;
+
+			snprintf(r.address, sizeof(r.address), "10.0.0.%d:80",
+				 j + 1);
+			r.sequence++;
+			r.sent = now + skew - late;
+			r.running = j ? 10 : 0;
+			target_report_take(&t, &r, now);
+		}
+	}
+	for (i = 0; i < 50; i++) {
+		target_choose(&t, &q, now, &random, &c);
+		chosen += c.index == 0;
+	}
+	ck_assert_int_eq(chosen, 0);
+	ck_assert_double_lt(c.backlog_us, 100 * MS);
+	target_table_destroy(&t);
+}
+END_TEST
+
 START_TEST(long_streams_hold_an_engine_with_an_order)
 {
 	struct target_table t;
@@ -714,6 +752,7 @@
 		while_nothing_can_serve_the_refused_return_as_late_as_they_may);
 	tcase_add_test(tc,
 		       a_report_of_a_later_process_takes_the_listed_one_out);
+	tcase_add_test(tc, an_upstream_behind_a_queue_is_chosen_last);
 	tcase_add_test(tc, callers_of_one_route_differ_in_patience);
 	tcase_add_test(tc, only_upstreams_that_may_serve_are_chosen);
 	tcase_add_test(tc, upstreams_that_are_alike_share_the_requests);
