forward: keep upstreams whose entries lapsed together

Cause: entries of the list that ran out while the platform's store was away counted as gone at once, so for up to two seconds after its return a service had no upstream although all lived (open in docs/design/faults.md).

Change: when more than half of a service's entries, two at least, vanish in one list without having been announced as leaving, they are used for two more seconds. One that goes alone is out at once, as before.

Test: entries_that_lapse_together_are_used_for_two_seconds.

--- a/forward/target.c
+++ b/forward/target.c
@@ -31,6 +31,13 @@
 #define DELAY_TRIPS 2
 #define DELAY_DRIFT 512 /* reports; clocks of two machines drift slowly */
 
+/*
+ * More than half of a service's entries gone at once are a lapse, not servers
+ * that left; the platform's pages say that they are back within two seconds.
+ */
+#define LAPSE_LEAST 2
+#define LAPSE_US (2 * APR_USEC_PER_SEC)
+
 /* An order waits so long for requests to end before they are moved. */
 #define HELD_US (700 * 1000)
 #define HELD_PART 0.5 /* and until so many of the slots are in use at most */
@@ -103,6 +110,7 @@
 	memcpy(u->address, x->address, sizeof(u->address));
 	memcpy(u->data_center, x->data_center, sizeof(u->data_center));
 	u->listed = 1;
+	u->lapsed_until = 0;
 	u->leaving = x->leaving;
 	u->local = !strcmp(x->data_center, data_center);
 	u->slots = x->slots > 0 ? x->slots : 1;
@@ -114,6 +122,43 @@
 	u->model_count = x->model_count;
 }
 
+/* Returns 1 for a row that was in the list before and is not any more. */
+static int has_vanished(const struct target *u)
+{
+	return u->used && u->was_listed && !u->listed && !u->leaving;
+}
+
+/*
+ * Entries of servers that live lapse together while the platform's store is
+ * away.  They are back soon after; until then the servers are still used.
+ */
+static void lapses_find(struct target_table *t, apr_time_t now)
+{
+	int i, j;
+
+	for (i = 0; i < t->count; i++) {
+		int vanished = 0, all = 0;
+
+		if (!has_vanished(&t->rows[i]))
+			continue;
+		for (j = 0; j < t->count; j++) {
+			const struct target *u = &t->rows[j];
+
+			if (!u->used || strcmp(u->service, t->rows[i].service))
+				continue;
+			vanished += has_vanished(u);
+			all += u->was_listed;
+		}
+		if (vanished >= LAPSE_LEAST && vanished > all / 2)
+			t->rows[i].lapsed_until = now + LAPSE_US;
+	}
+}
+
+static int is_there(const struct target *u, apr_time_t now)
+{
+	return u->listed || now < u->lapsed_until;
+}
+
 /* Takes over the list in force; rows out of it stay while calls use them. */
 void target_sync(struct target_table *t, const struct listing *l,
 		 const char *data_center, apr_time_t now)
@@ -121,8 +166,10 @@
 	struct target *u;
 	int i;
 
-	for (i = 0; i < t->count; i++)
+	for (i = 0; i < t->count; i++) {
+		t->rows[i].was_listed = t->rows[i].listed;
 		t->rows[i].listed = 0;
+	}
 	for (i = 0; i < l->count; i++) {
 		u = target_find(t, l->items[i].id);
 		if (!u)
@@ -130,8 +177,9 @@
 		if (u)
 			row_take(u, &l->items[i], data_center, now);
 	}
+	lapses_find(t, now);
 	for (i = 0; i < t->count; i++)
-		if (!t->rows[i].listed && !t->rows[i].in_flight)
+		if (!is_there(&t->rows[i], now) && !t->rows[i].in_flight)
 			t->rows[i].used = 0;
 }
 
@@ -172,7 +220,7 @@
 	int i, changed;
 
 	for (i = 0; i < t->count && !u; i++)
-		if (t->rows[i].used && t->rows[i].listed &&
+		if (t->rows[i].used && is_there(&t->rows[i], now) &&
 		    !strcmp(t->rows[i].address, r->address))
 			u = &t->rows[i];
 	if (!u)
@@ -358,7 +406,8 @@
 static enum miss row_check(const struct target *u, const struct target_query *q,
 			   apr_time_t now)
 {
-	if (!u->used || !u->listed || strcmp(u->service, q->service) != 0)
+	if (!u->used || !is_there(u, now) ||
+	    strcmp(u->service, q->service) != 0)
 		return MISS_SERVICE;
 	if (u->leaving || u->replaced)
 		return MISS_LEAVING;
--- a/forward/target.h
+++ b/forward/target.h
@@ -39,7 +39,9 @@
 	char service[SETTINGS_NAME_SIZE];
 	char address[SETTINGS_ADDRESS_SIZE];
 	char data_center[SETTINGS_NAME_SIZE];
-	int listed; /* the platform lists it */
+	int listed;		 /* the platform lists it */
+	int was_listed;		 /* before the present list */
+	apr_time_t lapsed_until; /* used until then though not listed */
 	int leaving;
 	int replaced; /* another process is at its address */
 	int local;    /* in this entry's data centre */
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -599,6 +599,44 @@
 }
 END_TEST
 
+static int eligible(struct target_table *t, apr_time_t now)
+{
+	struct target_query q = query_of();
+	struct target_choice c;
+	struct random random;
+
+	random_seed(&random, 5);
+	target_choose(t, &q, now, &random, &c);
+	return c.eligible;
+}
+
+static void list(struct target_table *t, int count, apr_time_t now)
+{
+	struct listing *l = listing_of(count, RUNS_ONE);
+
+	target_sync(t, l, "a", now);
+	listing_release(l);
+}
+
+/* Pattern: the store was away, and most entries have run out meanwhile. */
+START_TEST(entries_that_lapse_together_are_used_for_two_seconds)
+{
+	struct target_table t;
+
+	table_make(&t, 8, RUNS_ONE);
+	/* One that goes alone has left. */
+	list(&t, 7, 2 * SECOND);
+	ck_assert_int_eq(eligible(&t, 2 * SECOND), 7);
+	list(&t, 1, 3 * SECOND);
+	ck_assert_int_eq(eligible(&t, 3 * SECOND), 7);
+	ck_assert_int_eq(eligible(&t, 4 * SECOND + 900 * MS), 7);
+	/* Some are back, the others are gone. */
+	list(&t, 4, 4 * SECOND);
+	ck_assert_int_eq(eligible(&t, 5 * SECOND), 4);
+	target_table_destroy(&t);
+}
+END_TEST
+
 /* Pattern: a machine's link narrows and its queue grows to half a second. */
 START_TEST(an_upstream_behind_a_queue_is_chosen_last)
 {
@@ -753,6 +791,8 @@
 	tcase_add_test(tc,
 		       a_report_of_a_later_process_takes_the_listed_one_out);
 	tcase_add_test(tc, an_upstream_behind_a_queue_is_chosen_last);
+	tcase_add_test(tc,
+		       entries_that_lapse_together_are_used_for_two_seconds);
 	tcase_add_test(tc, callers_of_one_route_differ_in_patience);
 	tcase_add_test(tc, only_upstreams_that_may_serve_are_chosen);
 	tcase_add_test(tc, upstreams_that_are_alike_share_the_requests);
