--- a/base/log.c
+++ b/base/log.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "base/log-writer.h"
+#include "base/metric.h"
 
 #define LOG_TEXT_SIZE 512
 #define LOG_BURST 60
@@ -164,6 +165,8 @@
 	if (!wanted)
 		b->dropped++;
 	pthread_mutex_unlock(&state.mutex);
+	if (!wanted)
+		metric_count("log_lines_dropped", "budget", 1);
 	return wanted;
 }
 
@@ -237,8 +240,11 @@
 	allowed = at->request ? budget_allows(sev, now, &left_out)
 			      : limit_allows(fmt, now, &left_out);
 	pthread_mutex_unlock(&state.mutex);
-	if (!allowed)
+	if (!allowed) {
+		metric_count("log_lines_dropped",
+			     at->request ? "budget" : "repeated", 1);
 		return;
+	}
 	vsnprintf(text, sizeof(text), fmt, ap);
 	o = line_make(sev, at, text, fields, now);
 	if (left_out)
--- a/base/metric.c
+++ b/base/metric.c
@@ -1,5 +1,6 @@
 #include "base/metric.h"
 
+#include <apr_general.h>
 #include <apr_hash.h>
 #include <apr_pools.h>
 #include <apr_strings.h>
@@ -67,6 +68,8 @@
 		label = "";
 	pthread_mutex_lock(&reg.mutex);
 	if (!reg.pool) {
+		/* Lines may be logged before anything else has begun. */
+		apr_initialize();
 		apr_pool_create(&reg.pool, NULL);
 		reg.by_key = apr_hash_make(reg.pool);
 		reg.tail = &reg.first;
--- a/builtin/status.c
+++ b/builtin/status.c
@@ -95,37 +95,6 @@
 	return ret;
 }
 
-/* limpetctl explain ID [--platform URL] [ADDRESS...] */
-int cmd_explain(int argc, const char **argv)
-{
-	struct remote r = { 0 };
-	char path[256];
-	int ret, i, found = 0;
-
-	ret = remote_open(&r, argc, argv, 1, "REQUEST-ID [ADDRESS...]", NULL);
-	if (ret)
-		goto out;
-	snprintf(path, sizeof(path), "/explain?id=%s", r.words[0]);
-	for (i = 0; i < r.target_count; i++) {
-		json_t *v = remote_ask(&r, &r.targets[i], "GET", path);
-
-		if (v && json_object_get(v, "id")) {
-			remote_print_json(v);
-			found = 1;
-		}
-		json_decref(v);
-	}
-	if (!found) {
-		fprintf(stderr,
-			"limpetctl explain: no instance remembers \"%s\"\n",
-			r.words[0]);
-		ret = EXIT_FAILURE;
-	}
-out:
-	remote_close(&r);
-	return ret;
-}
-
 /* Returns a metric's value under a label, or its sum when label is NULL. */
 static long long metric_of(const json_t *status, const char *name,
 			   const char *label)
--- a/t/fuzz.sh
+++ b/t/fuzz.sh
@@ -6,16 +6,20 @@
 cd "$(dirname "$0")/.." || exit 1
 runs=${1:-20000}
 packages="apr-1 apr-util-1 libmicrohttpd libcurl libtirpc popt jansson
-libxxhash libcrypto"
+libxxhash zlib libcrypto"
 names="document list settings account manifest xdr delta"
 call_names="ticket stream refusal" # of t/helper/fuzz-calls.c
+# of t/helper/fuzz-platform.c
+platform_names="operator servers report origin events"
 flags="-std=gnu11 -g -O1 -fsanitize=fuzzer-no-link,address,undefined -I.
 -Wno-deprecated-declarations $(pkg-config --cflags $packages)"
 rm -rf build/fuzz/corpus # the same start every time
 mkdir -p build/fuzz
 
 sources=$(ls base/*.c net/*.c config/*.c member/*.c weights/manifest.c \
-	calls/ticket.c calls/sse.c calls/problem.c)
+	calls/ticket.c calls/sse.c calls/problem.c forward/events.c \
+	platform/document.c platform/upstreams.c platform/models.c \
+	platform/json.c platform/engine.c)
 for source in $sources; do
 	echo "$source"
 done | xargs -P 4 -I{} sh -c 'out=build/fuzz/$(echo "$1" | tr / _).o
@@ -41,6 +45,16 @@
 		printf 'data: {"id":"r1","index":0,"token":"a"}\n\n' ;;
 	refusal)
 		echo '{"status":503,"outcome":"not-run","again":"same","scope":"key","reason":"r","step":"s","detail":"d"}' ;;
+	operator)
+		echo '{"op/config":{"Version":3,"Routes":[{"Name":"r","Host":"h","Prefix":"/a/","Kind":"streaming","TimeoutMs":6000,"SloMs":400,"Service":"s","Attempts":2,"Resumable":true}],"Services":[{"Name":"s","Slots":16,"Engine":{"step_ms":7.4,"usual":{"prompt":9,"answer":7}}}],"Tenants":[{"Name":"t","ApiKeys":["k"]}],"Limits":{"MaxBodyBytes":9}},"op/version/m":{"Model":"m","Version":2}}' ;;
+	servers)
+		echo '{"servers/i-1":{"Service":"s","Addr":"10.0.0.1:80","Zone":"z","State":"ready","Slots":16,"born":5,"Models":[{"Name":"m","Version":1}],"layers":[{"From":0,"Target":16,"Version":1}]}}' ;;
+	report)
+		echo '{"Models":[{"Name":"m","Version":1}],"layers":[{"From":0,"Target":16,"Version":1}],"Busy":true,"Queued":1,"Active":2,"pace":1.5,"born":5}' ;;
+	origin)
+		echo '{"Model":"m","Version":2,"ChunkBytes":32768,"Digests":["'$(printf %064d 1)'"]}' ;;
+	events)
+		printf 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n' ;;
 	manifest)
 		echo '{"model":"m","version":"1","source":"m.bin","size":10,"chunk_size":4096,"chunks":["'$(printf %064d 1)'"]}' ;;
 	esac
@@ -48,12 +62,13 @@
 
 number=0
 file=t/helper/fuzz-input.c
-for name in $names -- $call_names; do
-	if test "$name" = --; then
+for name in $names calls: $call_names platform: $platform_names; do
+	case "$name" in
+	*:)
 		number=0
-		file=t/helper/fuzz-calls.c
-		continue
-	fi
+		file=t/helper/fuzz-${name%:}.c
+		continue ;;
+	esac
 	number=$((number + 1))
 	mkdir -p "build/fuzz/corpus/$name"
 	seed_corpus "$name" >"build/fuzz/corpus/$name/seed"
