forward: prefer near upstreams more, report to far entries less often

Cause: with another data centre counted as 25 ms of wait, entries went there for differences of one or two requests, behind older reports and a longer way; reports went every 50 ms to entries that hardly use them.

Change: 60 ms, and reports to other data centres every 200 ms while the load changes; what is urgent goes at once as before.

Test: t1001 far-reports.

--- a/forward/report-send.c
+++ b/forward/report-send.c
@@ -16,14 +16,27 @@
 #define STEP_US (25 * 1000)
 #define CHANGED_US (50 * 1000) /* between reports while the load changes */
 #define SAME_US (500 * 1000)   /* between reports that tell nothing new */
+
+/*
+ * The same to other data centres, whose entries come here only when their own
+ * upstreams are full: bytes between regions are dear.
+ */
+#define FAR_CHANGED_US (200 * 1000)
 #define ENTRIES_MAX 512
 
+/* Entries that get reports at the same times. */
+struct audience {
+	int far; /* those in other data centres */
+	apr_interval_time_t changed_us;
+	struct engine_state sent;
+	apr_time_t sent_at;
+};
+
 struct sender {
 	struct node *node;
 	int fd;
 	uint64_t sequence;
-	struct engine_state sent;
-	apr_time_t sent_at;
+	struct audience near, far;
 };
 
 static struct sender sender;
@@ -49,19 +62,21 @@
 	       models_differ(a, b);
 }
 
-static int is_due(const struct sender *s, const struct engine_state *e,
+static int is_due(const struct audience *a, const struct engine_state *e,
 		  apr_time_t now)
 {
-	apr_interval_time_t age = now - s->sent_at;
+	apr_interval_time_t age = now - a->sent_at;
 
-	if (is_urgent(&s->sent, e) || age >= SAME_US)
+	if (is_urgent(&a->sent, e) || age >= SAME_US)
 		return 1;
-	return age >= CHANGED_US &&
-	       (s->sent.running != e->running || s->sent.waiting != e->waiting);
+	return age >= a->changed_us &&
+	       (a->sent.running != e->running || a->sent.waiting != e->waiting);
 }
 
-static int entries_list(struct node *n, struct in_addr *out)
+static int entries_list(struct node *n, const struct audience *a,
+			struct in_addr *out)
 {
+	const char *own = n->settings.data_center;
 	struct table *t = &n->board.instances;
 	struct handle at = HANDLE_NONE;
 	const struct instance *row;
@@ -70,6 +85,7 @@
 	table_lock(t);
 	while ((row = table_next(t, &at)) && count < ENTRIES_MAX)
 		if (row->role == ROLE_ENTRY && row->state != INSTANCE_DEAD &&
+		    a->far == (strcmp(row->data_center, own) != 0) &&
 		    inet_pton(AF_INET, row->address, &out[count]) == 1)
 			count++;
 	table_unlock(t);
@@ -103,14 +119,14 @@
 	return report_encode(&r, &s->node->self.keys, out);
 }
 
-static void report_send(struct sender *s, const struct engine_state *e,
-			apr_time_t now)
+static void report_send(struct sender *s, struct audience *a,
+			const struct engine_state *e, apr_time_t now)
 {
 	struct sockaddr_in to = { .sin_family = AF_INET };
 	struct in_addr entries[ENTRIES_MAX];
 	char data[REPORT_SIZE_MAX];
 	size_t size = report_make(s, e, now, data);
-	int i, count = entries_list(s->node, entries);
+	int i, count = entries_list(s->node, a, entries);
 
 	to.sin_port = htons((uint16_t)s->node->settings.report_port);
 	for (i = 0; i < count; i++) {
@@ -119,6 +135,8 @@
 			   (struct sockaddr *)&to, sizeof(to)) < 0)
 			metric_count("reports_not_sent", NULL, 1);
 	}
+	a->sent = *e;
+	a->sent_at = now;
 }
 
 static void sender_step(void *arg, apr_time_t now)
@@ -126,11 +144,12 @@
 	struct sender *s = arg;
 	struct engine_state e;
 
-	if (weights_engine_state(s->node, &e, now) || !is_due(s, &e, now))
+	if (weights_engine_state(s->node, &e, now))
 		return;
-	report_send(s, &e, now);
-	s->sent = e;
-	s->sent_at = now;
+	if (is_due(&s->near, &e, now))
+		report_send(s, &s->near, &e, now);
+	if (is_due(&s->far, &e, now))
+		report_send(s, &s->far, &e, now);
 }
 
 /* See report.h. */
@@ -139,6 +158,9 @@
 	struct sockaddr_in from = { .sin_family = AF_INET };
 
 	sender.node = n;
+	sender.near.changed_us = CHANGED_US;
+	sender.far.changed_us = FAR_CHANGED_US;
+	sender.far.far = 1;
 	inet_pton(AF_INET, n->settings.address, &from.sin_addr);
 	sender.fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
 	if (sender.fd < 0 ||
--- a/forward/target.c
+++ b/forward/target.c
@@ -11,7 +11,7 @@
  * Answering in another data centre takes two more trips between them, and
  * every byte goes over a narrow link.
  */
-#define FAR_WAIT_US (25 * 1000.0)
+#define FAR_WAIT_US (60 * 1000.0)
 
 /* What one call more is worth in the choice: calls under way tie often. */
 #define TIE_US (4 * 1000.0)
--- a/t/helper/test-forward-load.c
+++ b/t/helper/test-forward-load.c
@@ -53,7 +53,8 @@
 	struct request *requests;
 	int count;
 	int running[ENGINES_MAX];
-	apr_time_t reported;
+	apr_time_t reported, far_reported;
+	long far_report_us; /* between reports to other data centres */
 	uint64_t sequence;
 };
 
@@ -114,11 +115,14 @@
 
 static void reports_send(struct run *r, apr_time_t now)
 {
-	int e, i;
+	int e, i, far;
 
 	if (now - r->reported < REPORT_US)
 		return;
 	r->reported = now;
+	far = now - r->far_reported >= r->far_report_us;
+	if (far)
+		r->far_reported = now;
 	for (e = 0; e < r->engines; e++) {
 		struct target_report x = { .agent_boot = 1,
 					   .sequence = ++r->sequence,
@@ -130,8 +134,10 @@
 
 		x.models[0].release = 1;
 		snprintf(x.address, sizeof(x.address), "%d:1", e);
+		x.sent = now;
 		for (i = 0; i < r->entries; i++)
-			target_report_take(&r->tables[i], &x, now);
+			if (far || i % 3 == e % 3)
+				target_report_take(&r->tables[i], &x, now);
 	}
 }
 
@@ -288,6 +294,7 @@
 	r->naive = naive;
 	r->count = 0;
 	r->reported = -REPORT_US;
+	r->far_reported = -r->far_report_us;
 	memset(r->running, 0, sizeof(r->running));
 	memset(r->deadlines, 0, sizeof(r->deadlines));
 	random_seed(&r->random, r->seed);
@@ -329,6 +336,7 @@
 		sscanf(line, "load %lf", &r.load);
 		sscanf(line, "seed %u", &r.seed);
 		sscanf(line, "patience %lf", &r.patience);
+		sscanf(line, "far-reports %ld", &r.far_report_us);
 		sscanf(line, "away %d %d %d", &r.away, &r.away_from_s,
 		       &r.away_for_s);
 		if (sscanf(line, "run %lf", &r.seconds) == 1) {
