builtin: explain starts from empty times

Cause: the linter follows a path on which a request has no line and its times stay NULL until they are compared. The caller returns before that, so nothing failed; empty times make it plain.

--- a/builtin/explain.c
+++ b/builtin/explain.c
@@ -86,9 +86,9 @@
 		json_array_append(s->found, o);
 		if (strcmp(schema_string(o, "step", ""), "refuse") != 0)
 			peer_note(s, schema_string(o, "peer", ""));
-		if (!s->first || strcmp(when, s->first) < 0)
+		if (!*s->first || strcmp(when, s->first) < 0)
 			s->first = when;
-		if (!s->last || strcmp(when, s->last) > 0)
+		if (strcmp(when, s->last) > 0)
 			s->last = when;
 	}
 }
@@ -189,7 +189,7 @@
 /* Tells the story of a request in log files.  Returns the exit status. */
 static int explain_logs(const char *id, const char **files, int as_json)
 {
-	struct story s = { .id = id };
+	struct story s = { .id = id, .first = "", .last = "" };
 	int ret = EXIT_FAILURE;
 
 	s.lines = json_array();
