forward, weights: keep the queue before a narrowed link short

A link narrowed to 0.95 Mbit/s with eight chunks under way, 2.2 s of queue before the window had closed. Requests sent then reached their engine 1.7 s late. They were not given up as silent, as bytes of other streams still trickled in, and the cancel that followed their callers waited in the same queue.

Change: three or four chunks at once, which fill a whole link as well; and a hand-over to an upstream whose reports come late by a queue is silent after 0.7 s, whatever comes for others.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -16,7 +16,8 @@
 
 /*
  * An upstream counts as silent when nothing has come from it on any
- * connection for so long, with a request waiting.
+ * connection for so long, with a request waiting.  Where a queue on the way
+ * holds requests up, bytes for others may still trickle in.
  */
 #define SILENT_FIRST_US (700 * 1000)
 #define SILENT_GAP_US (600 * 1000)
@@ -97,7 +98,7 @@
 		bound = SILENT_GAP_US;
 	if (now - since < bound)
 		return 0;
-	return !u || now - u->answered_at >= bound ||
+	return !u || now - u->answered_at >= bound || target_is_clogged(u) ||
 	       f->route->kind != ROUTE_STREAM;
 }
 
--- a/forward/target.c
+++ b/forward/target.c
@@ -422,10 +422,16 @@
 	return MISS_NONE;
 }
 
+/* Returns 1 when what is sent to the upstream waits in a queue on the way. */
+int target_is_clogged(const struct target *u)
+{
+	return u->reported_at && u->delay > DELAY_LEAST_US;
+}
+
 /* Counts in the choice, not in what is admitted. */
 static double delay_us(const struct target *u)
 {
-	return u->delay > DELAY_LEAST_US ? DELAY_TRIPS * (double)u->delay : 0;
+	return target_is_clogged(u) ? DELAY_TRIPS * (double)u->delay : 0;
 }
 
 static double row_wait(const struct target_table *t, const struct target *u,
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -671,6 +671,8 @@
 	}
 	ck_assert_int_eq(chosen, 0);
 	ck_assert_double_lt(c.backlog_us, 100 * MS);
+	ck_assert(target_is_clogged(&t.rows[0]));
+	ck_assert(!target_is_clogged(&t.rows[1]));
 	target_table_destroy(&t);
 }
 END_TEST
--- a/t/helper/test-weights.c
+++ b/t/helper/test-weights.c
@@ -413,15 +413,18 @@
 	int i;
 
 	window_init(&w, 8);
-	for (i = 0; i < 8; i++)
-		window_note(&w, 200 * 1000, now);
-	ck_assert_int_eq(w.open, 8);
-	/* All that were under way when it narrowed are slow: one step. */
-	for (i = 0; i < 8; i++)
-		window_note(&w, 1600 * 1000, now);
+	/* Eight at once fill the queue of a whole link for 0.27 s. */
+	window_note(&w, 270 * 1000, now);
+	ck_assert_int_eq(w.open, 4);
+	/* Those that were under way then don't count again. */
+	for (i = 0; i < 7; i++)
+		window_note(&w, 270 * 1000, now + 100 * 1000);
 	ck_assert_int_eq(w.open, 4);
-	now += 1100 * 1000;
-	window_note(&w, 1000 * 1000, now);
+	now += SECOND;
+	window_note(&w, 135 * 1000, now);
+	ck_assert_int_eq(w.open, 4);
+	/* It narrows. */
+	window_note(&w, 900 * 1000, now);
 	ck_assert_int_eq(w.open, 2);
 	now += 600 * 1000;
 	window_note(&w, 550 * 1000, now);
@@ -429,9 +432,6 @@
 	now += 500 * 1000;
 	window_note(&w, 450 * 1000, now);
 	ck_assert_int_eq(w.open, 1);
-	/* Neither quick nor slow: it stays. */
-	window_note(&w, 300 * 1000, now + SECOND);
-	ck_assert_int_eq(w.open, 1);
 	for (i = 0; i < 10; i++)
 		window_note(&w, 40 * 1000, now + SECOND);
 	ck_assert_int_eq(w.open, 8);
--- a/weights/pace.c
+++ b/weights/pace.c
@@ -7,11 +7,12 @@
 #define YIELD_BASELINE_WEIGHT 0.02 /* of a new sample in the baseline */
 
 /*
- * A chunk's bytes arrive within 0.2 s where as many as are allowed share a
- * link of the slowest kind; twice that tells of a link that is narrower.
+ * A chunk's bytes arrive within 0.1 s where three share a link of the slowest
+ * kind, which three are enough to fill.  More only make its queue longer, and
+ * much longer when the link narrows.
  */
-#define WINDOW_QUICK_US (250 * 1000)
-#define WINDOW_SLOW_US (400 * 1000)
+#define WINDOW_QUICK_US (90 * 1000)
+#define WINDOW_SLOW_US (150 * 1000)
 
 /* Prepares a full bucket. */
 void pace_init(struct pace *p, double rate, double burst, apr_time_t now)
