--- /dev/null
+++ b/t/soak/faults.py
@@ -0,0 +1,129 @@
+"""Faults from outside the programs: a relay on loopback and a schedule.
+
+A schedule is drawn whole from a seed, so that a run can be read before it is
+played, and played again.
+"""
+import random
+import select
+import socket
+import struct
+import threading
+import time
+
+PIECE = 65536
+DELAY_S = 0.15  # held back by a relay in mode "delay", each piece
+RST = struct.pack("ii", 1, 0)  # SO_LINGER: closing resets
+
+
+class Relay:
+    """Forwards connections.  Modes: ok, delay, silent (nothing passes, nothing
+    is closed), one_way (answers don't pass), reset (all are reset, also new
+    ones)."""
+
+    def __init__(self, address, to):
+        self.to = to
+        self.mode = "ok"
+        self.open = set()
+        self.lock = threading.Lock()
+        self.listener = socket.create_server(address, backlog=64)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            client = self.listener.accept()[0]
+            if self.mode == "reset":
+                self.cut(client)
+                continue
+            threading.Thread(target=self.serve, args=(client,),
+                             daemon=True).start()
+
+    @staticmethod
+    def cut(*ends):
+        for end in ends:
+            try:
+                end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RST)
+                end.close()
+            except OSError:
+                pass
+
+    def serve(self, client):
+        try:
+            server = socket.create_connection(self.to, timeout=2)
+        except OSError:
+            self.cut(client)
+            return
+        with self.lock:
+            self.open.add((client, server))
+        try:
+            self.pump(client, server)
+        except (OSError, ValueError):
+            pass
+        with self.lock:
+            self.open.discard((client, server))
+        client.close()
+        server.close()
+
+    def pump(self, client, server):
+        ends = {client.fileno(): client, server.fileno(): server}
+        poll = select.poll()
+        for fd in ends:
+            poll.register(fd, select.POLLIN)
+        while True:
+            for fd, _ in poll.poll(100):
+                end = ends[fd]
+                if self.mode == "silent" or (self.mode == "one_way"
+                                             and end is server):
+                    time.sleep(0.02)
+                    continue
+                data = end.recv(PIECE)
+                if not data:
+                    return
+                if self.mode == "delay":
+                    time.sleep(DELAY_S)
+                (server if end is client else client).sendall(data)
+
+    def set(self, mode):
+        self.mode = mode
+        if mode == "reset":
+            with self.lock:
+                for pair in self.open:
+                    self.cut(*pair)
+
+
+class Fault:
+    """What is done to whom, from when and for how long."""
+
+    def __init__(self, at, kind, target, how, for_s):
+        self.at, self.kind, self.target = at, kind, target
+        self.how, self.for_s = how, for_s
+
+    def __str__(self):
+        return (f"{self.at:6.2f} {self.kind:9} {self.target:8} "
+                f"{self.how:8} {self.for_s:.2f} s")
+
+
+LINK_MODES = ("delay", "silent", "one_way", "reset")
+KINDS = (  # name, weight, targets, ways, longest
+    ("pause", 3, "entry", ("stop",), 2.0),
+    ("kill", 2, "entry", ("kill",), 0.6),
+    ("term", 2, "entry", ("term",), 9.0),
+    ("hup", 1, "entry", ("hup",), 0.1),
+    ("store", 3, "entry", LINK_MODES, 3.0),  # the way from it to the store
+    ("down", 1, "store", ("down", "forget"), 2.0),
+    ("upstream", 4, "upstream", LINK_MODES, 2.0),
+    ("drain", 2, "upstream", ("drain",), 3.0),
+    ("config", 4, "store", ("keys", "route"), 0.0),
+)
+
+
+def schedule(seed, seconds, entries, upstreams):
+    """Draws faults that come in series and overlap."""
+    r = random.Random(seed)
+    targets = {"entry": entries, "upstream": upstreams, "store": ["store"]}
+    out, at = [], 1.0
+    while at < seconds - 2:
+        kind = r.choices(KINDS, [k[1] for k in KINDS])[0]
+        out.append(Fault(at, kind[0], r.choice(targets[kind[2]]),
+                         r.choice(kind[3]), r.uniform(0.2, 1) * kind[4]))
+        at += r.choice((0.05, 0.3, 0.8, 1.5)) * r.uniform(0.5, 1.5)
+    return out
--- /dev/null
+++ b/t/soak/soak.py
@@ -0,0 +1,454 @@
+#!/usr/bin/env python3
+"""Soak of entries on the users' platform, by faults from outside.
+
+    soak.py --net 127.a.b --seed N [--seconds S] [--no-bounds] [--print]
+
+Runs limpet-entry processes against stand-ins of the store and of upstreams,
+each way through a relay, and judges what callers and upstreams saw.  Promises
+with a bound on time are judged only for entries that nothing disturbed, and
+not at all with --no-bounds.  Prints the schedule first; exits 1 when a promise
+is broken, with the ids that broke it.  Logs stay in the current folder.
+"""
+import argparse
+import http.client
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import threading
+import time
+from http.server import ThreadingHTTPServer
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path[:0] = [HERE, os.path.join(HERE, "..", "standin")]
+from faults import Relay, schedule  # noqa: E402
+from metadata_store import (Store, StoreHandler,  # noqa: E402
+                            UpstreamHandler)
+
+CALM_S = 3.0  # after a disturbance, before bounds on time hold again
+IN_FORCE_S = 2.0  # a configuration, after the store has it
+DRAIN_S = 2.0  # a draining upstream gets nothing later than that
+BACK_S = 0.25  # a request sent so long after a newer one was seen in force
+GRACE_S = 8.0  # TERM until the end
+RECOVER_S = 12.0
+WORKERS = 6  # callers an entry
+EVENTS = 5
+NOT_RUN = (408, 421, 429, 503)
+
+
+class Upstream(UpstreamHandler):
+    """Notes when a request came and whose it is; streams take some time."""
+
+    def handle_any(self):
+        request = self.headers.get("X-Limpetflow-Request-Id", "")
+        if request:
+            self.server.runs.append((time.monotonic(), request))
+        if self.path.startswith("/tell/"):
+            self.stream([("X-Limpetflow-Request-Id", request),
+                         ("X-Limpetflow-Response-Stamp", self.server.id)])
+            return
+        super().handle_any()
+
+    do_GET = do_POST = do_PUT = do_DELETE = handle_any
+
+
+class Server(ThreadingHTTPServer):
+    def handle_error(self, request, client_address):
+        pass  # relays reset connections on purpose
+
+
+def serve(address, handler, **fields):
+    server = Server(address, handler)
+    server.daemon_threads = True
+    for name, value in fields.items():
+        setattr(server, name, value)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+class Entry:
+    def __init__(self, soak, number):
+        net = soak.net
+        self.name = f"e{number}"
+        self.ip = f"{net}.{number}"
+        self.relay = Relay((f"{net}.{10 + number}", 7001), soak.store_address)
+        self.incarnation = 0
+        self.disturbed = 0.0  # until then
+        self.stopping = 0.0  # since TERM, 0: not
+        self.lock = threading.Lock()
+        settings = {
+            "instance": self.name, "data_center": "d1", "address": self.ip,
+            "ports": {"first": 7700}, "platform": "store",
+            "platform_url": f"http://{net}.{10 + number}:7001",
+            "listen": {"callers": f"{self.ip}:8000",
+                       "ready": f"{self.ip}:8001"},
+            "key": "0123456789abcdef",
+            "seeds": [f"{net}.{i}:7700" for i in (1, 2, 3)],
+            "forward": {"stop_grace_s": int(GRACE_S), "retry_ratio": 0.2,
+                        "retry_window_s": 10, "retry_slack": 100},
+        }
+        with open(f"{self.name}.json", "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+        self.start()
+
+    def start(self):
+        with open(f"{self.name}.log", "ab") as log:
+            self.process = subprocess.Popen(
+                ["limpet-entry", "--settings", f"{self.name}.json"],
+                stdout=log, stderr=log)
+        self.incarnation += 1
+        self.stopping = 0.0
+
+    def disturb(self, until):
+        self.disturbed = max(self.disturbed, until + CALM_S)
+
+
+class Soak:
+    def __init__(self, o):
+        self.o, self.net = o, o.net
+        self.entries, self.upstreams = ["e1", "e2", "e3"], []
+        self.store_address = (f"{self.net}.9", 7001)
+        self.store = Store()
+        serve(self.store_address, StoreHandler, store=self.store)
+        self.servers, self.relays, self.states = {}, {}, {}
+        for i, (name, service) in enumerate(
+                (("w1", "web"), ("w2", "web"), ("w3", "web"),
+                 ("v1", "voice"), ("v2", "voice"))):
+            own, listed = (f"{self.net}.{21 + i}", 80), f"{self.net}.{31 + i}"
+            self.servers[name] = serve(own, Upstream, id=name, mode="ok",
+                                       requests=[], runs=[])
+            self.relays[name] = Relay((listed, 80), own)
+            self.states[name] = (service, f"{listed}:80")
+            self.upstreams.append(name)
+        self.records, self.broken, self.checked = {}, [], {}
+        self.lock = threading.Lock()
+        self.number = 0
+        self.version = 0
+        self.keys = ["k0"]
+        self.revoked = {}  # key: when the store had it
+        self.drains = []  # (upstream, when, until)
+        self.store_disturbed = 0.0
+        self.stop = False
+        self.config("route")
+        for name in self.upstreams:
+            self.list(name, "ready")
+        self.processes = [Entry(self, i + 1) for i in range(3)]
+        self.by_name = {e.name: e for e in self.processes}
+
+    # what the operator and the servers write
+
+    def config(self, how):
+        if how == "keys":
+            if len(self.keys) > 1:
+                key = self.keys.pop()
+                self.config("route")
+                self.revoked[key] = time.monotonic()
+                return
+            self.keys.append(f"k{self.version + 1}")
+        self.version += 1
+        routes = [
+            {"Name": n, "Host": "a.example", "Prefix": f"/{n}/", "Kind": kind,
+             "TimeoutMs": 2000, "SloMs": 300, "Service": service,
+             "Attempts": 2, "Resumable": n == "tell"}
+            for n, kind, service in
+            [("read", "idempotent", "web"), ("once", "non_idempotent", "web"),
+             ("tell", "streaming", "voice")] +
+            [(f"n{v}", "idempotent", "web")
+             for v in range(1, self.version + 1)]]
+        self.put("op/config", {
+            "Version": self.version, "Routes": routes,
+            "Services": [{"Name": "web"}, {"Name": "voice"}],
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100000,
+                       "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+            "Tenants": [{"Name": "acme", "ApiKeys": list(self.keys)}]})
+
+    def put(self, key, value):
+        self.store.write(key, json.dumps(value).encode())
+
+    def list(self, name, state):
+        service, address = self.states[name]
+        self.put(f"servers/{name}", {
+            "Service": service, "Addr": address, "Zone": "d1", "Slots": 8,
+            "Version": "v1", "State": state, "ColdLeftMs": 0, "Seq": 1})
+
+    # faults
+
+    def play(self, fault):
+        now = time.monotonic()
+        end = now + fault.for_s
+        e = self.by_name.get(fault.target)
+        getattr(self, "fault_" + fault.kind)(fault, e, now, end)
+
+    @staticmethod
+    def later(seconds, do, *args):
+        threading.Timer(seconds, do, args).start()
+
+    def fault_pause(self, fault, e, now, end):
+        e.disturb(end)
+        e.process.send_signal(signal.SIGSTOP)
+        self.later(fault.for_s, e.process.send_signal, signal.SIGCONT)
+
+    def fault_kill(self, fault, e, now, end):
+        with e.lock:
+            if e.stopping:
+                return
+            e.disturb(end)
+            e.process.kill()
+            e.process.wait()
+            self.later(fault.for_s, e.start)
+            e.stopping = now
+
+    def fault_term(self, fault, e, now, end):
+        with e.lock:
+            if e.stopping:
+                return
+            e.stopping = now
+        e.process.terminate()
+        threading.Thread(target=self.term_wait, args=(e, now)).start()
+
+    def term_wait(self, e, now):
+        try:
+            e.process.wait(GRACE_S + CALM_S)
+            late = e.disturbed < now and time.monotonic() - now > GRACE_S
+        except subprocess.TimeoutExpired:
+            e.process.send_signal(signal.SIGCONT)
+            e.process.kill()
+            e.process.wait()
+            late = e.disturbed < now
+        self.check("stop within the grace", not late or self.o.no_bounds,
+                   f"{e.name} at {now:.2f}")
+        e.disturb(time.monotonic())
+        e.start()
+
+    def fault_hup(self, fault, e, now, end):
+        if not e.stopping:
+            e.process.send_signal(signal.SIGHUP)
+
+    def fault_store(self, fault, e, now, end):
+        e.disturb(end)
+        e.relay.set(fault.how)
+        self.later(fault.for_s, e.relay.set, "ok")
+
+    def fault_down(self, fault, e, now, end):
+        self.store_disturbed = max(self.store_disturbed, end + CALM_S)
+        if fault.how == "forget":
+            self.store.forgotten = self.store.revision
+            self.store.events = []
+            return
+        self.store.down = True
+        self.later(fault.for_s, setattr, self.store, "down", False)
+
+    def fault_upstream(self, fault, e, now, end):
+        self.relays[fault.target].set(fault.how)
+        self.later(fault.for_s, self.relays[fault.target].set, "ok")
+
+    def fault_drain(self, fault, e, now, end):
+        if any(until > now for _, _, until in self.drains):
+            return  # the others have to serve
+        self.list(fault.target, "draining")
+        self.drains.append((fault.target, time.monotonic(), end))
+        self.later(fault.for_s, self.list, fault.target, "ready")
+
+    def fault_config(self, fault, e, now, end):
+        self.config(fault.how)
+
+    # callers
+
+    def caller(self, e, seed):
+        r = random.Random(seed)
+        connection = None
+        while not self.stop:
+            if connection is None:
+                connection = http.client.HTTPConnection(e.ip, 8000, timeout=4)
+            kind = r.choice(("read", "once", "tell", "probe", "key"))
+            if not self.ask(e, connection, kind, r):
+                connection.close()
+                connection = None
+                time.sleep(0.05)
+            time.sleep(r.uniform(0, 0.08))
+
+    def ask(self, e, connection, kind, r):
+        with self.lock:
+            self.number += 1
+            id = f"r{self.number}"
+        revoked = [k for k in list(self.revoked)]
+        key = r.choice(revoked) if kind == "key" and revoked else "k0"
+        version = self.version
+        path = {"probe": f"/n{version}/x", "key": "/read/x"}.get(
+            kind, f"/{kind}/x")
+        record = {"entry": e.name, "kind": kind, "key": key, "path": path,
+                  "version": version, "incarnation": e.incarnation,
+                  "disturbed": e.disturbed, "term": e.stopping,
+                  "sent": time.monotonic(), "status": 0, "error": ""}
+        self.records[id] = record
+        try:
+            connection.request("GET", path, headers={
+                "Host": "a.example", "X-Limpetflow-Request-Id": id,
+                "X-Limpetflow-Deadline-Ms": "2000",
+                "Authorization": f"Bearer {key}"})
+            answer = connection.getresponse()
+            record["status"] = answer.status
+            body = answer.read()
+            self.answer_check(id, record, answer, body)
+            return not answer.will_close
+        except (OSError, http.client.HTTPException) as error:
+            record["error"] = repr(error)
+            return False
+        finally:
+            record["done"] = time.monotonic()
+            record["disturbed"] = max(record["disturbed"], e.disturbed)
+
+    def answer_check(self, id, record, answer, body):
+        if answer.status != 200:
+            return
+        if record["kind"] == "tell":
+            ids = [line[4:] for line in body.decode().split("\n")
+                   if line.startswith("id: ")]
+            self.check("whole streams", ids == [str(i) for i in
+                       range(1, EVENTS + 1)], f"{id}: events {ids}")
+            return
+        try:
+            got = dict(json.loads(body)["headers"])
+        except (ValueError, KeyError):
+            got = {}
+        self.check("answers belong to their request",
+                   got.get("X-Limpetflow-Request-Id") == id, id)
+        self.check("the key stays here", "Authorization" not in got, id)
+
+    # judging
+
+    def check(self, promise, holds, what):
+        with self.lock:
+            self.checked[promise] = self.checked.get(promise, 0) + 1
+            if not holds:
+                self.broken.append((promise, what))
+
+    def judge(self):
+        runs = {}
+        for name, server in self.servers.items():
+            for at, id in server.runs:
+                runs.setdefault(id, []).append((at, name))
+        for id, rec in self.records.items():
+            ran = runs.get(id, [])
+            if rec["kind"] == "once":
+                self.check("at most once", len(ran) <= 1, f"{id}: {ran}")
+            if rec["status"] in NOT_RUN:
+                self.check("not run is true", not ran, f"{id}: {ran}")
+            if not self.o.no_bounds:
+                self.judge_bounds(id, rec, ran)
+        self.judge_versions()
+
+    def judge_bounds(self, id, rec, ran):
+        sent = rec["sent"]
+        calm = max(rec["disturbed"], self.store_disturbed) < sent
+        if rec["key"] in self.revoked and calm:
+            gone = sent - self.revoked[rec["key"]] > IN_FORCE_S
+            self.check("revoked keys are refused",
+                       not gone or rec["status"] != 200, id)
+        for name, at, until in self.drains:
+            if not calm or sent < at + DRAIN_S or sent > until:
+                continue
+            self.check("nothing new while draining",
+                       all(u != name for _, u in ran), id)
+        if rec["term"] and calm and ran and not rec["status"]:
+            self.check("a stop answers what it took",
+                       sent > rec["term"] + CALM_S, f"{id} {rec['error']}")
+
+    def judge_versions(self):
+        """Within one incarnation no older configuration comes back."""
+        seen = {}
+        probes = [(rec["sent"], id, rec) for id, rec in self.records.items()
+                  if rec["kind"] == "probe" and rec["status"] in (200, 404)]
+        for sent, id, rec in sorted(probes, key=lambda p: p[0]):
+            key = (rec["entry"], rec["incarnation"])
+            known, since = seen.get(key, (0, 0))
+            if rec["status"] == 200 and rec["version"] > known:
+                seen[key] = (rec["version"], rec["done"])
+            if rec["status"] == 404 and sent > since + BACK_S:
+                self.check("configuration never goes back",
+                           rec["version"] > known, id)
+
+    def recovered(self, e):
+        record = {}
+        for kind in ("read", "once", "tell"):
+            connection = http.client.HTTPConnection(e.ip, 8000, timeout=4)
+            before = self.number
+            self.ask(e, connection, kind, random.Random(1))
+            record = self.records[f"r{before + 1}"]
+            connection.close()
+            if record["status"] != 200:
+                return False
+        return True
+
+    def recover(self, bound):
+        end = time.monotonic() + bound
+        for e in self.processes:
+            while not self.recovered(e):
+                if time.monotonic() > end:
+                    self.check("all serve again", False, e.name)
+                    return
+                time.sleep(0.1)
+            self.check("all serve again", True, e.name)
+
+    def run(self, faults):
+        self.recover(60)
+        threads = [threading.Thread(target=self.caller,
+                                    args=(e, self.o.seed * 1000 + i))
+                   for e in self.processes for i in range(WORKERS)]
+        for t in threads:
+            t.start()
+        began = time.monotonic()
+        for fault in faults:
+            time.sleep(max(0, began + fault.at - time.monotonic()))
+            print(f"{time.monotonic() - began:6.2f} plays {fault}", flush=True)
+            self.play(fault)
+        time.sleep(max(0, began + self.o.seconds - time.monotonic()))
+        for t in threading.enumerate():
+            if isinstance(t, threading.Timer):
+                t.join()
+        self.stop = True
+        for t in threads:
+            t.join()
+        while any(e.stopping for e in self.processes):
+            time.sleep(0.1)
+        self.recover(60 if self.o.no_bounds else RECOVER_S)
+        self.judge()
+        for e in self.processes:
+            e.process.terminate()
+        for e in self.processes:
+            e.process.wait()
+
+
+def main():
+    p = argparse.ArgumentParser()
+    p.add_argument("--net", required=True, help="first bytes of addresses")
+    p.add_argument("--seed", type=int, default=1)
+    p.add_argument("--seconds", type=float, default=20)
+    p.add_argument("--no-bounds", action="store_true")
+    p.add_argument("--print", action="store_true", help="only the schedule")
+    o = p.parse_args()
+    faults = schedule(o.seed, o.seconds, ["e1", "e2", "e3"],
+                      ["w1", "w2", "w3", "v1", "v2"])
+    for fault in faults:
+        print(fault)
+    if o.print:
+        return 0
+    soak = Soak(o)
+    soak.run(faults)
+    for promise, count in sorted(soak.checked.items()):
+        broken = [w for n, w in soak.broken if n == promise]
+        print(f"{promise}: {count} checked, {len(broken)} broken")
+        for what in broken[:5]:
+            print(f"  {what}")
+    statuses = {}
+    for rec in soak.records.values():
+        statuses[rec["status"]] = statuses.get(rec["status"], 0) + 1
+    print(f"seed {o.seed}: {len(soak.records)} requests, {statuses}, "
+          f"{len(faults)} faults, {len(soak.broken)} broken")
+    return 1 if soak.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -181,4 +181,5 @@
     server.serve_forever()
 
 
-main()
+if __name__ == "__main__":
+    main()
