forward: name the upstream in refusals, times by upstream and account

Cause: of four failed ids drawn by chance (docs/OPERATIONS.md) two ended with 504 and 502 and no line said which upstream had been asked.

Change: the line of a refusal names the last upstream and how the hand-over ended. Histograms by upstream, by account and to the first byte. A request whose caller left ends with 502, not 503, when it may have run.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -21,6 +21,8 @@
 #define STATUS_OK 200
 #define STATUS_MISDIRECTED 421
 #define STATUS_SERVER_ERROR 500
+#define STATUS_BAD_GATEWAY 502
+#define STATUS_UNAVAILABLE 503
 
 /* Forgets what came of the hand-over before. */
 void forward_answer_clear(struct forward *f)
@@ -244,6 +246,23 @@
 			   : -1;
 }
 
+static void times_record(const struct forward *f, apr_time_t now)
+{
+	uint64_t took = (uint64_t)(now - f->arrived);
+
+	metric_record(metric_histogram("forward_us", f->route->name), took);
+	metric_record(metric_histogram("forward_upstream_us", f->upstream),
+		      (uint64_t)(now - f->sent_at));
+	if (f->account)
+		metric_record(
+			metric_histogram("forward_account_us", f->account),
+			took);
+	if (f->begun_at)
+		metric_record(
+			metric_histogram("forward_first_us", f->route->name),
+			(uint64_t)(f->begun_at - f->arrived));
+}
+
 static void answered_log(struct forward *f, const char *outcome, int status,
 			 apr_time_t now)
 {
@@ -253,8 +272,7 @@
 	enum log_severity sev = plain ? LOG_SEV_INFO : LOG_SEV_WARNING;
 
 	metric_count("forward_outcome", outcome, 1);
-	metric_record(metric_histogram("forward_us", f->route->name),
-		      (uint64_t)(now - f->arrived));
+	times_record(f, now);
 	if (!log_wants(sev, 1))
 		return;
 	log_fields(sev, &at,
@@ -298,7 +316,10 @@
 	if (f->begun)
 		http_call_stream_end(f->call, 0);
 	else
-		http_call_reply(f->call, 503, NULL, "", 0);
+		http_call_reply(f->call,
+				f->maybe_ran ? STATUS_BAD_GATEWAY
+					     : STATUS_UNAVAILABLE,
+				NULL, "", 0);
 	forward_free(f);
 }
 
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -38,14 +38,14 @@
 	json_int_t revision =
 		f->document ? (json_int_t)f->document->revision : 0;
 
-	return json_pack("{s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i}", "account",
-			 f->account ? f->account : "", "tries", f->tries,
-			 "runs", f->runs, "ms",
-			 (json_int_t)((clock_now() - f->arrived) / 1000),
-			 "revision", revision, "list_version",
-			 (json_int_t)f->list_version, "wait_ms",
-			 (json_int_t)(f->wait_us / 1000), "load", f->load,
-			 "slots", f->slots, "elapsed_ms", f->elapsed_ms);
+	return json_pack(
+		"{s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i}", "account",
+		f->account ? f->account : "", "upstream", f->upstream, "error",
+		f->fetch.error.text, "tries", f->tries, "runs", f->runs, "ms",
+		(json_int_t)((clock_now() - f->arrived) / 1000), "revision",
+		revision, "list_version", (json_int_t)f->list_version,
+		"wait_ms", (json_int_t)(f->wait_us / 1000), "load", f->load,
+		"slots", f->slots, "elapsed_ms", f->elapsed_ms);
 }
 
 /*
