builtin: free the names of log files; a comment in plain words

Ruled out: the JSON lines (the report names poptSaveString only). They are freed now; t0230 passes in both flavors. The comment on lapsed entries tells of the store, not of pages.

--- a/builtin/explain.c
+++ b/builtin/explain.c
@@ -212,6 +212,15 @@
 	return ret;
 }
 
+static void files_free(const char **files)
+{
+	int i;
+
+	for (i = 0; files && files[i]; i++)
+		free((char *)files[i]);
+	free(files);
+}
+
 /* limpetctl explain ID --log FILE... */
 static int explain_from_logs(int argc, const char **argv)
 {
@@ -237,6 +246,7 @@
 		poptPrintUsage(ctx, stderr, 0);
 	else
 		ret = explain_logs(id, files, as_json);
+	files_free(files);
 	poptFreeContext(ctx);
 	return ret;
 }
--- a/forward/target.c
+++ b/forward/target.c
@@ -32,8 +32,8 @@
 #define DELAY_DRIFT 512 /* reports; clocks of two machines drift slowly */
 
 /*
- * More than half of a service's entries gone at once are a lapse, not servers
- * that left; the platform's pages say that they are back within two seconds.
+ * More than half of a service's entries gone at once have run out while the
+ * store was away; servers that live are back in it within two seconds.
  */
 #define LAPSE_LEAST 2
 #define LAPSE_US (2 * APR_USEC_PER_SEC)
