forward: an older release takes what it begins at once before it is out

Their requests were 0.4 s on the way over the link between regions, where no report counts them, and then waited up to 1.4 s for a slot: a request sent 1.8 s before began 0.18 s too late.

Change: in the last 2 s an engine with the older release gets one request of each entry at a time, the next after its first byte, and only with a fresh report and a slot free; the older release is out 1.2 s before the bound (1 s before).

Test: a_release_that_is_out_soon_takes_what_it_begins_at_once.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -41,6 +41,14 @@
 	return f->route->kind == ROUTE_STREAM && f->route->resumable;
 }
 
+/* The upstream's answer has begun, or never will.  Locked. */
+static void unbegun_end(struct forward *f, struct target *u)
+{
+	if (u && f->is_unbegun && u->unbegun > 0)
+		u->unbegun--;
+	f->is_unbegun = 0;
+}
+
 /* Takes the present hand-over out of the upstream's load.  Locked. */
 static void load_end(struct forward *f, apr_time_t now)
 {
@@ -50,6 +58,7 @@
 		return;
 	f->under_way = 0;
 	u = target_find(&f->w->targets, f->upstream);
+	unbegun_end(f, u);
 	if (u && u->in_flight > 0)
 		target_ended(u, now);
 	*f->link = f->next;
@@ -139,6 +148,7 @@
 	u = target_find(&f->w->targets, f->upstream);
 	if (u)
 		u->answered_at = now;
+	unbegun_end(f, u);
 	pthread_mutex_unlock(&f->w->mutex);
 }
 
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -20,6 +20,8 @@
 	struct forwarder *w = f->w;
 
 	target_begun(u, now);
+	u->unbegun++;
+	f->is_unbegun = 1;
 	f->under_way = 1;
 	f->next = w->active;
 	f->link = &w->active;
@@ -40,6 +42,8 @@
 							 : NULL;
 	q->model = f->head.model;
 	q->release = release_least(&f->w->releases, f->head.model, now);
+	q->release_soon = release_least(&f->w->releases, f->head.model,
+					now + TARGET_SOON_US);
 	q->prompt_tokens = f->head.prompt_tokens;
 	for (i = 0; i < f->tries && i < TARGET_EXCLUDED_MAX; i++)
 		q->excluded[q->excluded_count++] = f->tried[i];
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -90,6 +90,7 @@
 	apr_time_t sent_at;
 	apr_time_t heard_at; /* atomic: last byte of the answer, 0: none */
 	int under_way;	     /* guarded by the forwarder's mutex */
+	int is_unbegun;	     /* the same: counted so in its upstream's row */
 	int call_off;	     /* atomic: enum call_off */
 	int gone;	     /* atomic: the caller left */
 	struct fetch fetch;
--- a/forward/release.h
+++ b/forward/release.h
@@ -15,8 +15,8 @@
 #define RELEASE_MODELS_MAX 32
 #define RELEASE_STEPS_MAX 8 /* declared and not yet alone, of one model */
 
-/* A request may wait in an upstream before it begins to run. */
-#define RELEASE_MARGIN_MS 1000
+/* A request may wait on its way and in an upstream before it begins to run. */
+#define RELEASE_MARGIN_MS 1200
 
 /* A process that has just started can't know how old a release is. */
 #define RELEASE_FIRST_MS 2500
--- a/forward/target.c
+++ b/forward/target.c
@@ -7,6 +7,9 @@
 /* A report older than this says nothing of the load any more. */
 #define REPORT_VALID_US (1500 * 1000)
 
+/* One that is younger tells the state now; they come every 0.05 s to 0.5 s. */
+#define REPORT_FRESH_US (700 * 1000)
+
 /*
  * Answering in another data centre takes two more trips between them, and
  * every byte goes over a narrow link.
@@ -366,8 +369,27 @@
 	return 0;
 }
 
-/* Returns 1 when the upstream runs the model in a release that will do. */
-static int runs_model(const struct target *u, const struct target_query *q)
+/*
+ * Returns 1 when a request sent now begins at once, as far as a fresh report
+ * tells: nothing holds it up on the way, and a slot is free.  What is still on
+ * the way is in no report, so one request of each entry has to begin before
+ * the next is sent.
+ */
+static int begins_at_once(const struct target_table *t, const struct target *u,
+			  apr_time_t now)
+{
+	return u->reported_at && now - u->reported_at < REPORT_FRESH_US &&
+	       !u->unbegun && !target_is_clogged(u) &&
+	       target_load(t, u, now) < u->slots;
+}
+
+/*
+ * Returns 1 when the upstream runs the model in a release that will do, also
+ * when the request begins: one that is out in a moment takes only what it
+ * begins at once.
+ */
+static int runs_model(const struct target_table *t, const struct target *u,
+		      const struct target_query *q, apr_time_t now)
 {
 	int i;
 
@@ -377,7 +399,9 @@
 		if (q->model && *q->model &&
 		    strcmp(u->models[i].name, q->model) != 0)
 			continue;
-		if (u->models[i].release >= q->release)
+		if (u->models[i].release >= q->release &&
+		    (u->models[i].release >= q->release_soon ||
+		     begins_at_once(t, u, now)))
 			return 1;
 	}
 	return 0;
@@ -403,8 +427,8 @@
 						      "upstreams-failing",
 						      "upstreams-full" };
 
-static enum miss row_check(const struct target *u, const struct target_query *q,
-			   apr_time_t now)
+static enum miss row_check(const struct target_table *t, const struct target *u,
+			   const struct target_query *q, apr_time_t now)
 {
 	if (!u->used || !is_there(u, now) ||
 	    strcmp(u->service, q->service) != 0)
@@ -413,7 +437,7 @@
 		return MISS_LEAVING;
 	if (is_excluded(u, q))
 		return MISS_TRIED;
-	if (!runs_model(u, q))
+	if (!runs_model(t, u, q, now))
 		return MISS_MODEL;
 	if (!health_allows(&u->health, now))
 		return MISS_DOWN;
@@ -512,7 +536,7 @@
 	for (i = 0; i < t->count; i++) {
 		const struct target *u = &t->rows[i];
 
-		m = row_check(u, q, now);
+		m = row_check(t, u, q, now);
 		if (m > worst)
 			worst = m;
 		if (m == MISS_DOWN)
--- a/forward/target.h
+++ b/forward/target.h
@@ -63,6 +63,7 @@
 
 	struct recent_calls recent;
 	int in_flight;
+	int unbegun; /* of those, without a byte of an answer yet */
 	apr_time_t refused_until; /* it said that it is full */
 	apr_time_t answered_at;	  /* last byte from it */
 	struct health health;
@@ -74,11 +75,15 @@
 	int entries; /* that send requests to the same upstreams, 0: one */
 };
 
+/* Requests wait at most so long, on the way or in an upstream's queue. */
+#define TARGET_SOON_US (2 * APR_USEC_PER_SEC)
+
 struct target_query {
 	const char *service;
 	const struct engine_spec *engine; /* NULL for a plain service */
 	const char *model;		  /* "" or NULL: any */
 	uint64_t release;		  /* the oldest that will do, 0: any */
+	uint64_t release_soon;		  /* the same a moment later; 0: any */
 	int prompt_tokens;
 	const char *excluded[TARGET_EXCLUDED_MAX]; /* ids */
 	int excluded_count;
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -677,6 +677,48 @@
 }
 END_TEST
 
+/* Pattern: links narrow while a release is fetched; the older one runs out. */
+START_TEST(a_release_that_is_out_soon_takes_what_it_begins_at_once)
+{
+	struct target_table t;
+	struct target_query q = query_of();
+	struct target_choice c;
+	struct random random;
+	apr_time_t now = 10 * SECOND;
+
+	random_seed(&random, 8);
+	table_make(&t, 1, RUNS_ONE);
+	q.release = 1;
+	q.release_soon = 2;
+	report(&t, 0, 3, 0, 1, now);
+	target_choose(&t, &q, now, &random, &c);
+	ck_assert_int_eq(c.index, 0);
+	/* A request would wait for a slot. */
+	report(&t, 0, 16, 0, 1, now);
+	target_choose(&t, &q, now, &random, &c);
+	ck_assert_int_eq(c.index, -1);
+	/* One is still on its way. */
+	report(&t, 0, 3, 0, 1, now);
+	t.rows[0].unbegun = 1;
+	target_choose(&t, &q, now, &random, &c);
+	ck_assert_int_eq(c.index, -1);
+	t.rows[0].unbegun = 0;
+	/* Nobody knows. */
+	target_choose(&t, &q, now + SECOND, &random, &c);
+	ck_assert_int_eq(c.index, -1);
+	/* It would wait on the way. */
+	report(&t, 0, 3, 0, 1, now);
+	t.rows[0].delay = 400 * MS;
+	target_choose(&t, &q, now, &random, &c);
+	ck_assert_int_eq(c.index, -1);
+	/* The newer one takes all. */
+	q.release_soon = 1;
+	target_choose(&t, &q, now, &random, &c);
+	ck_assert_int_eq(c.index, 0);
+	target_table_destroy(&t);
+}
+END_TEST
+
 START_TEST(long_streams_hold_an_engine_with_an_order)
 {
 	struct target_table t;
@@ -795,6 +837,8 @@
 	tcase_add_test(tc, an_upstream_behind_a_queue_is_chosen_last);
 	tcase_add_test(tc,
 		       entries_that_lapse_together_are_used_for_two_seconds);
+	tcase_add_test(tc,
+		       a_release_that_is_out_soon_takes_what_it_begins_at_once);
 	tcase_add_test(tc, callers_of_one_route_differ_in_patience);
 	tcase_add_test(tc, only_upstreams_that_may_serve_are_chosen);
 	tcase_add_test(tc, upstreams_that_are_alike_share_the_requests);
