t: a program of its own for the choice of an upstream

Change: the nine cases of forward/target.c stand in test-target.c, unchanged; 19 stay. Ruled out: a shared header, as they share no function. 28 cases before and after, both flavors.

--- /dev/null
+++ b/t/helper/test-target.c
@@ -0,0 +1,362 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "forward/listing.h"
+#include "forward/target.h"
+
+#define SECOND APR_USEC_PER_SEC
+#define MS 1000LL
+
+static const struct engine_spec engine = { .slots = 16,
+					   .step_us = 7400,
+					   .running_us = 38,
+					   .read_per_s = 31900,
+					   .stride = 6,
+					   .usual_prompt = 970,
+					   .usual_answer = 106 };
+
+static struct listing *listing_of(int count, const char *models)
+{
+	struct fault_list faults = { 0 };
+	json_t *list = json_array();
+	struct listing *l;
+	char *text;
+	json_t *o;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		char id[16], address[32];
+
+		snprintf(id, sizeof(id), "u%d", i);
+		snprintf(address, sizeof(address), "10.0.0.%d:80", i + 1);
+		json_array_append_new(
+			list, json_pack("{s:s,s:s,s:s,s:s,s:i,s:I,s:o}", "id",
+					id, "service", "s", "address", address,
+					"data_center", i % 2 ? "b" : "a",
+					"slots", 16, "born_ms", (json_int_t)1,
+					"models", json_loads(models, 0, NULL)));
+	}
+	o = json_pack("{s:i,s:o}", "version", 1, "upstreams", list);
+	text = json_dumps(o, 0);
+	l = listing_parse(text, strlen(text), &faults);
+	ck_assert_msg(l != NULL, "%s", l ? "" : faults.lines[0]);
+	free(text);
+	json_decref(o);
+	return l;
+}
+
+#define RUNS_ONE "[{\"name\":\"m\",\"release\":1}]"
+
+static void table_make(struct target_table *t, int count, const char *models)
+{
+	struct listing *l = listing_of(count, models);
+
+	target_table_init(t);
+	target_sync(t, l, "a", SECOND);
+	listing_release(l);
+}
+
+static void report(struct target_table *t, int upstream, int running, int busy,
+		   uint64_t release, apr_time_t now)
+{
+	static uint64_t sequence;
+	struct target_report r = { .agent_boot = 1, .sequence = ++sequence };
+
+	snprintf(r.address, sizeof(r.address), "10.0.0.%d:80", upstream + 1);
+	r.born_ms = 1;
+	r.running = running;
+	r.busy = busy;
+	r.pace = 1;
+	r.model_count = release ? 1 : 0;
+	snprintf(r.models[0].name, sizeof(r.models[0].name), "m");
+	r.models[0].release = release;
+	ck_assert_int_ge(target_report_take(t, &r, now), 0);
+}
+
+static struct target_query query_of(void)
+{
+	struct target_query q = { .service = "s",
+				  .engine = &engine,
+				  .model = "m" };
+
+	return q;
+}
+
+START_TEST(only_upstreams_that_may_serve_are_chosen)
+{
+	struct target_query q = query_of();
+	struct target_choice c;
+	struct target_table t;
+	struct random r;
+	int i;
+
+	random_seed(&r, 1);
+	table_make(&t, 4, RUNS_ONE);
+	for (i = 0; i < 4; i++)
+		report(&t, i, 0, i == 0, i == 3 ? 2 : 1, SECOND);
+	target_find(&t, "u1")->leaving = 1;
+	q.excluded[q.excluded_count++] = "u2";
+	for (i = 0; i < 50; i++) {
+		target_choose(&t, &q, SECOND, &r, &c);
+		ck_assert_int_eq(c.index, 3);
+	}
+	q.excluded[q.excluded_count++] = "u3";
+	target_choose(&t, &q, SECOND, &r, &c);
+	ck_assert_int_eq(c.index, -1);
+	q = query_of();
+	q.release = 3;
+	target_choose(&t, &q, SECOND, &r, &c);
+	ck_assert_str_eq(c.reason, "version-nowhere");
+	target_table_destroy(&t);
+}
+END_TEST
+
+START_TEST(upstreams_that_are_alike_share_the_requests)
+{
+	struct target_query q = query_of();
+	struct target_choice c;
+	struct target_table t;
+	struct random r;
+	int i, counts[3] = { 0 };
+
+	random_seed(&r, 3);
+	table_make(&t, 3, RUNS_ONE);
+	for (i = 0; i < 3; i++)
+		t.rows[i].local = 1;
+	for (i = 0; i < 900; i++) {
+		target_choose(&t, &q, SECOND, &r, &c);
+		counts[c.index]++;
+	}
+	for (i = 0; i < 3; i++)
+		ck_assert_int_gt(counts[i], 200);
+	target_table_destroy(&t);
+}
+END_TEST
+
+START_TEST(when_all_are_ejected_one_is_tried_all_the_same)
+{
+	struct target_query q = query_of();
+	struct target_choice c;
+	struct target_table t;
+	struct random r;
+
+	random_seed(&r, 1);
+	table_make(&t, 2, RUNS_ONE);
+	health_note(&target_find(&t, "u0")->health, HEALTH_SILENT, SECOND);
+	target_choose(&t, &q, SECOND, &r, &c);
+	ck_assert_int_eq(c.index, 1);
+	health_note(&target_find(&t, "u1")->health, HEALTH_SILENT, SECOND);
+	target_choose(&t, &q, SECOND, &r, &c);
+	ck_assert_int_ge(c.index, 0);
+	ck_assert_int_eq(c.ejected, 1);
+	target_table_destroy(&t);
+}
+END_TEST
+
+START_TEST(a_restart_under_the_same_id_is_another_process)
+{
+	struct target_report r = { .address = "10.0.0.1:80",
+				   .born_ms = 7,
+				   .agent_boot = 1,
+				   .sequence = 99 };
+	struct target_table t;
+
+	table_make(&t, 1, RUNS_ONE);
+	/* A report of a process that the list doesn't name yet, or any more. */
+	ck_assert_int_eq(target_report_take(&t, &r, SECOND), -1);
+	r.born_ms = 1;
+	ck_assert_int_ge(target_report_take(&t, &r, SECOND), 0);
+	ck_assert_int_eq(target_report_take(&t, &r, SECOND), -1); /* again */
+	target_table_destroy(&t);
+}
+END_TEST
+
+/* Pattern: all machines lose power and the list still names the dead. */
+START_TEST(a_report_of_a_later_process_takes_the_listed_one_out)
+{
+	struct target_table t;
+	struct target_query q = query_of();
+	struct target_choice c;
+	struct random random;
+	struct target_report r = { .agent_boot = 9, .sequence = 1 };
+
+	random_seed(&random, 3);
+	table_make(&t, 1, RUNS_ONE);
+	target_choose(&t, &q, 2 * SECOND, &random, &c);
+	ck_assert_int_eq(c.index, 0);
+	ck_assert(!c.nowhere);
+	snprintf(r.address, sizeof(r.address), "10.0.0.1:80");
+	r.born_ms = 5;
+	ck_assert_int_eq(target_report_take(&t, &r, 2 * SECOND), -1);
+	target_choose(&t, &q, 2 * SECOND, &random, &c);
+	ck_assert_int_eq(c.index, -1);
+	ck_assert(c.nowhere);
+	target_table_destroy(&t);
+}
+END_TEST
+
+static int eligible(struct target_table *t, apr_time_t now)
+{
+	struct target_query q = query_of();
+	struct target_choice c;
+	struct random random;
+
+	random_seed(&random, 5);
+	target_choose(t, &q, now, &random, &c);
+	return c.eligible;
+}
+
+static void list(struct target_table *t, int count, apr_time_t now)
+{
+	struct listing *l = listing_of(count, RUNS_ONE);
+
+	target_sync(t, l, "a", now);
+	listing_release(l);
+}
+
+/* Pattern: the store was away, and most entries have run out meanwhile. */
+START_TEST(entries_that_lapse_together_are_used_for_two_seconds)
+{
+	struct target_table t;
+
+	table_make(&t, 8, RUNS_ONE);
+	/* One that goes alone has left. */
+	list(&t, 7, 2 * SECOND);
+	ck_assert_int_eq(eligible(&t, 2 * SECOND), 7);
+	list(&t, 1, 3 * SECOND);
+	ck_assert_int_eq(eligible(&t, 3 * SECOND), 7);
+	ck_assert_int_eq(eligible(&t, 4 * SECOND + 900 * MS), 7);
+	/* Some are back, the others are gone. */
+	list(&t, 4, 4 * SECOND);
+	ck_assert_int_eq(eligible(&t, 5 * SECOND), 4);
+	target_table_destroy(&t);
+}
+END_TEST
+
+/* Pattern: a machine's link narrows and its queue grows to half a second. */
+START_TEST(an_upstream_behind_a_queue_is_chosen_last)
+{
+	struct target_table t;
+	struct target_query q = query_of();
+	struct target_choice c;
+	struct random random;
+	struct target_report r = { .agent_boot = 1, .born_ms = 1, .pace = 1 };
+	apr_time_t now = 10 * SECOND, skew = 777 * SECOND;
+	int i, j, chosen = 0;
+
+	random_seed(&random, 4);
+	table_make(&t, 2, RUNS_ONE);
+	r.model_count = 1;
+	snprintf(r.models[0].name, sizeof(r.models[0].name), "m");
+	r.models[0].release = 1;
+	for (i = 0; i < 40; i++, now += SECOND / 20) {
+		for (j = 0; j < 2; j++) {
+			int late = j == 0 && i >= 20 ? 500 * MS : 3 * MS;
+
+			snprintf(r.address, sizeof(r.address), "10.0.0.%d:80",
+				 j + 1);
+			r.sequence++;
+			r.sent = now + skew - late;
+			r.running = j ? 10 : 0;
+			target_report_take(&t, &r, now);
+		}
+	}
+	for (i = 0; i < 50; i++) {
+		target_choose(&t, &q, now, &random, &c);
+		chosen += c.index == 0;
+	}
+	ck_assert_int_eq(chosen, 0);
+	ck_assert_double_lt(c.backlog_us, 100 * MS);
+	ck_assert(target_is_clogged(&t.rows[0]));
+	ck_assert(!target_is_clogged(&t.rows[1]));
+	target_table_destroy(&t);
+}
+END_TEST
+
+/* Pattern: links narrow while a release is fetched; the older one runs out. */
+START_TEST(a_release_that_is_out_soon_takes_what_it_begins_at_once)
+{
+	struct target_table t;
+	struct target_query q = query_of();
+	struct target_choice c;
+	struct random random;
+	apr_time_t now = 10 * SECOND;
+
+	random_seed(&random, 8);
+	table_make(&t, 1, RUNS_ONE);
+	q.release = 1;
+	q.release_soon = 2;
+	report(&t, 0, 3, 0, 1, now);
+	target_choose(&t, &q, now, &random, &c);
+	ck_assert_int_eq(c.index, 0);
+	/* A request would wait for a slot. */
+	report(&t, 0, 16, 0, 1, now);
+	target_choose(&t, &q, now, &random, &c);
+	ck_assert_int_eq(c.index, -1);
+	/* One is still on its way. */
+	report(&t, 0, 3, 0, 1, now);
+	t.rows[0].unbegun = 1;
+	target_choose(&t, &q, now, &random, &c);
+	ck_assert_int_eq(c.index, -1);
+	t.rows[0].unbegun = 0;
+	/* Nobody knows. */
+	target_choose(&t, &q, now + SECOND, &random, &c);
+	ck_assert_int_eq(c.index, -1);
+	/* It would wait on the way. */
+	report(&t, 0, 3, 0, 1, now);
+	t.rows[0].delay = 400 * MS;
+	target_choose(&t, &q, now, &random, &c);
+	ck_assert_int_eq(c.index, -1);
+	/* The newer one takes all. */
+	q.release_soon = 1;
+	target_choose(&t, &q, now, &random, &c);
+	ck_assert_int_eq(c.index, 0);
+	target_table_destroy(&t);
+}
+END_TEST
+
+START_TEST(long_streams_hold_an_engine_with_an_order)
+{
+	struct target_table t;
+	struct target *u;
+
+	table_make(&t, 1, RUNS_ONE);
+	report(&t, 0, 9, 1, 1, SECOND);
+	report(&t, 0, 3, 1, 1, SECOND + 900 * MS);
+	u = target_find(&t, "u0");
+	ck_assert_int_eq(target_is_held(u, SECOND + 900 * MS), 1);
+	report(&t, 0, 9, 1, 1, SECOND + 950 * MS);
+	ck_assert_int_eq(target_is_held(u, SECOND + 950 * MS), 0);
+	report(&t, 0, 0, 0, 2, SECOND + 990 * MS);
+	ck_assert_int_eq(target_is_held(u, SECOND + 990 * MS), 0);
+	target_table_destroy(&t);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("target");
+	TCase *tc = tcase_create("core");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, tc);
+	tcase_add_test(tc, only_upstreams_that_may_serve_are_chosen);
+	tcase_add_test(tc, upstreams_that_are_alike_share_the_requests);
+	tcase_add_test(tc, when_all_are_ejected_one_is_tried_all_the_same);
+	tcase_add_test(tc, a_restart_under_the_same_id_is_another_process);
+	tcase_add_test(tc,
+		       a_report_of_a_later_process_takes_the_listed_one_out);
+	tcase_add_test(tc,
+		       entries_that_lapse_together_are_used_for_two_seconds);
+	tcase_add_test(tc, an_upstream_behind_a_queue_is_chosen_last);
+	tcase_add_test(tc,
+		       a_release_that_is_out_soon_takes_what_it_begins_at_once);
+	tcase_add_test(tc, long_streams_hold_an_engine_with_an_order);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/t/t1000-forward-unit.sh
+++ b/t/t1000-forward-unit.sh
@@ -6,4 +6,6 @@
 
 test_expect_success 'the unit suite of forward' 'test-forward'
 
+test_expect_success 'the unit suite of the choice of an upstream' 'test-target'
+
 test_done
