t: one event sink for the fuzz programs

Cause: fuzz-platform.c repeated fuzz-calls.c's prototype and its sink for events, word for word. Both take them from lib-fuzz.h now; what they play is unchanged.

--- a/t/helper/fuzz-calls.c
+++ b/t/helper/fuzz-calls.c
@@ -6,6 +6,7 @@
 #include "calls/problem.h"
 #include "calls/sse.h"
 #include "calls/ticket.h"
+#include "t/helper/lib-fuzz.h"
 
 /*
  * What calls read from the other end.  FUZZ_TARGET says which: 1 tickets
@@ -17,16 +18,6 @@
 #define FUZZ_TARGET 1
 #endif
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
-
-static int event_ignore(void *arg, const char *text, size_t size)
-{
-	(void)arg;
-	(void)text;
-	(void)size;
-	return 0;
-}
-
 static void stream_read(const char *text, size_t size)
 {
 	size_t cut = size ? (unsigned char)text[0] % size : 0;
--- a/t/helper/fuzz-platform.c
+++ b/t/helper/fuzz-platform.c
@@ -5,6 +5,7 @@
 #include "forward/events.h"
 #include "platform/document.h"
 #include "platform/platform.h"
+#include "t/helper/lib-fuzz.h"
 
 /*
  * What the users' platform sends.  FUZZ_TARGET says which: 1 the operator's
@@ -16,16 +17,6 @@
 #define FUZZ_TARGET 1
 #endif
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
-
-static int event_ignore(void *arg, const char *text, size_t size)
-{
-	(void)arg;
-	(void)text;
-	(void)size;
-	return 0;
-}
-
 static void events_read(const char *text, size_t size)
 {
 	size_t cut = size ? (unsigned char)text[0] % size : 0;
