--- a/t/soak/faults.py
+++ b/t/soak/faults.py
@@ -110,7 +110,8 @@
     ("hup", 1, "entry", ("hup",), 0.1),
     ("store", 3, "entry", LINK_MODES, 3.0),  # the way from it to the store
     ("down", 1, "store", ("down", "forget"), 2.0),
-    ("upstream", 4, "upstream", LINK_MODES, 2.0),
+    ("upstream", 3, "upstream", LINK_MODES, 2.0),
+    ("cut", 4, "upstream", ("reset",), 0.1),  # what is under way
     ("drain", 2, "upstream", ("drain",), 3.0),
     ("config", 4, "store", ("keys", "route"), 0.0),
 )
--- a/t/soak/soak.py
+++ b/t/soak/soak.py
@@ -34,6 +34,7 @@
 GRACE_S = 8.0  # TERM until the end
 RECOVER_S = 12.0
 WORKERS = 6  # callers an entry
+WORK_S = 0.06  # of an upstream, so that faults meet requests that run
 EVENTS = 5
 NOT_RUN = (408, 421, 429, 503)
 
@@ -45,6 +46,7 @@
         request = self.headers.get("X-Limpetflow-Request-Id", "")
         if request:
             self.server.runs.append((time.monotonic(), request))
+            time.sleep(WORK_S)
         if self.path.startswith("/tell/"):
             self.stream([("X-Limpetflow-Request-Id", request),
                          ("X-Limpetflow-Response-Stamp", self.server.id)])
@@ -244,6 +246,8 @@
         self.relays[fault.target].set(fault.how)
         self.later(fault.for_s, self.relays[fault.target].set, "ok")
 
+    fault_cut = fault_upstream
+
     def fault_drain(self, fault, e, now, end):
         if any(until > now for _, _, until in self.drains):
             return  # the others have to serve
