calls: break ties between two upstreams by chance

Cause: t0903 failed once in make test of a fresh clone: an upstream that was to be drained had run nothing before. Played 8 times at once, it failed once more. In both plays all three entries had heard of the other upstream first; with two candidates the first row won every tie, and idle upstreams tie always.

Ruled out: the drain itself (nothing new reached the upstream), load on the machine (calls took 1 ms), a report that was missing (both were live).

Change: with two candidates the look begins at a place drawn by chance. The naive version in the test draws alike.

--- a/calls/route-choose.c
+++ b/calls/route-choose.c
@@ -225,10 +225,11 @@
 	double cost, best_cost = 0;
 
 	if (e->count <= 2) {
-		while (n < e->count) {
-			pick[n] = e->rows[n];
-			n++;
-		}
+		/* From a place drawn by chance, so that no row wins each tie. */
+		int first = (int)random_below(r, (uint32_t)e->count);
+
+		for (; n < e->count; n++)
+			pick[n] = e->rows[(first + n) % e->count];
 	} else {
 		pick[n++] = e->rows[random_below(r, (uint32_t)e->count)];
 		pick[n++] = e->rows[random_below(r, (uint32_t)e->count)];
--- a/t/helper/test-calls-route.c
+++ b/t/helper/test-calls-route.c
@@ -25,6 +25,8 @@
 	apr_time_t at;
 };
 
+#define TIES 200 /* choices; by chance each row gets half */
+
 static struct event events[LOG_MAX];
 static int event_count;
 static struct upstream_report reports[UPSTREAMS];
@@ -135,8 +137,10 @@
 		}
 	}
 	if (n <= 2) {
+		int first = (int)random_below(r, (uint32_t)n);
+
 		for (i = 0; i < n; i++)
-			pick[picks++] = list[i];
+			pick[picks++] = list[(first + i) % n];
 	} else {
 		pick[picks++] = list[random_below(r, (uint32_t)n)];
 		pick[picks++] = list[random_below(r, (uint32_t)n)];
@@ -250,6 +254,39 @@
 	return 0;
 }
 
+/* Pattern: few calls, two idle upstreams whose waits tie. */
+static int ties(void)
+{
+	struct route_query q = { .class = route_class(UPSTREAM_MODEL, "m"),
+				 .version = "v1" };
+	apr_time_t now = 100 * APR_USEC_PER_SEC;
+	struct route_choice c;
+	struct route_table t;
+	struct random r;
+	int i, counts[2] = { 0 };
+
+	random_seed(&r, 1);
+	route_table_init(&t);
+	for (i = 0; i < 2; i++) {
+		report_draw(&r, 3 * i, now);
+		reports[i] = reports[3 * i];
+		reports[i].draining = 0;
+		reports[i].reachable = 1;
+		reports[i].running = reports[i].waiting = 0;
+		reports[i].measured_ms = 100;
+		reports[i].model_count = 1;
+		strcpy(reports[i].models[0].version, "v1");
+	}
+	route_sync(&t, reports, 2, NULL, OWN, now);
+	for (i = 0; i < TIES; i++) {
+		route_choose(&t, &q, now, &r, &c);
+		counts[c.index]++;
+	}
+	route_table_destroy(&t);
+	printf("%d and %d\n", counts[0], counts[1]);
+	return counts[0] < TIES / 4 || counts[1] < TIES / 4;
+}
+
 /* Simulated time: 8 entries, 14 engines, reports that lag by a second. */
 
 #define ENTRIES 8
@@ -548,5 +585,7 @@
 		return differential(strtoull(argv[2], NULL, 10));
 	if (argc == 3 && !strcmp(argv[1], "policies"))
 		return policies(atof(argv[2]));
+	if (argc == 2 && !strcmp(argv[1], "ties"))
+		return ties();
 	return streams();
 }
--- a/t/t0505-route.sh
+++ b/t/t0505-route.sh
@@ -9,6 +9,10 @@
 	'
 done
 
+test_expect_success 'two idle upstreams share the calls' '
+	test-calls-route ties
+'
+
 test_expect_success 'waits less than random and round robin, reports 1 s old' '
 	test-calls-route policies 0.55 &&
 	test-calls-route policies 0.7
