forward: say upstreams-full for engines that soon change, -1 for no estimate

Cause, from reading the change once more: an engine that runs a release which is out in a moment, and has no slot free, was reported as version-nowhere, and its callers came back as late as they may, although it or its neighbours have room soon. The same held where the only upstream had just refused as full.

Ruled out: a reason of its own for such an engine (what a caller can do is the same as for a full one).

Tests: a_release_that_is_out_soon_takes_what_it_begins_at_once and a_report_of_a_later_process_takes_the_listed_one_out ask for the reason too.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -38,6 +38,13 @@
 	return ms;
 }
 
+/* The estimated wait for log lines, in ms; -1: no upstream can serve. */
+json_int_t forward_wait_ms(const struct forward *f)
+{
+	return f->wait_us == ADMIT_WAIT_UNKNOWN ? -1
+						: (json_int_t)f->wait_us / 1000;
+}
+
 /* Follows the list of upstreams and the document in force. */
 static void values_follow(struct forwarder *w, apr_time_t now)
 {
@@ -98,7 +105,7 @@
 		bound = SILENT_GAP_US;
 	if (now - since < bound)
 		return 0;
-	return !u || now - u->answered_at >= bound || target_is_clogged(u) ||
+	return !u || now - u->answered_at >= bound || target_is_congested(u) ||
 	       f->route->kind != ROUTE_STREAM;
 }
 
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -44,8 +44,8 @@
 		f->fetch.error.text, "tries", f->tries, "runs", f->runs, "ms",
 		(json_int_t)((clock_now() - f->arrived) / 1000), "revision",
 		revision, "list_version", (json_int_t)f->list_version,
-		"wait_ms", (json_int_t)(f->wait_us / 1000), "load", f->load,
-		"slots", f->slots, "elapsed_ms", f->elapsed_ms);
+		"wait_ms", forward_wait_ms(f), "load", f->load, "slots",
+		f->slots, "elapsed_ms", f->elapsed_ms);
 }
 
 /*
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -136,6 +136,7 @@
 /* handover.c */
 void forward_hand_over(struct forward *f, apr_time_t now);
 
+json_int_t forward_wait_ms(const struct forward *f);
 int forward_retry_after_ms(struct forward *f, apr_time_t now);
 
 #endif
--- a/forward/target.c
+++ b/forward/target.c
@@ -126,31 +126,32 @@
 }
 
 /* Returns 1 for a row that was in the list before and is not any more. */
-static int has_vanished(const struct target *u)
+static int has_vanished(const struct target *u, int was_listed)
 {
-	return u->used && u->was_listed && !u->listed && !u->leaving;
+	return u->used && was_listed && !u->listed && !u->leaving;
 }
 
 /*
  * Entries of servers that live lapse together while the platform's store is
  * away.  They are back soon after; until then the servers are still used.
  */
-static void lapses_find(struct target_table *t, apr_time_t now)
+static void lapses_find(struct target_table *t, const char *was_listed,
+			apr_time_t now)
 {
 	int i, j;
 
 	for (i = 0; i < t->count; i++) {
 		int vanished = 0, all = 0;
 
-		if (!has_vanished(&t->rows[i]))
+		if (!has_vanished(&t->rows[i], was_listed[i]))
 			continue;
 		for (j = 0; j < t->count; j++) {
 			const struct target *u = &t->rows[j];
 
 			if (!u->used || strcmp(u->service, t->rows[i].service))
 				continue;
-			vanished += has_vanished(u);
-			all += u->was_listed;
+			vanished += has_vanished(u, was_listed[j]);
+			all += was_listed[j];
 		}
 		if (vanished >= LAPSE_LEAST && vanished > all / 2)
 			t->rows[i].lapsed_until = now + LAPSE_US;
@@ -166,11 +167,12 @@
 void target_sync(struct target_table *t, const struct listing *l,
 		 const char *data_center, apr_time_t now)
 {
+	char was_listed[TARGETS_MAX] = { 0 };
 	struct target *u;
 	int i;
 
 	for (i = 0; i < t->count; i++) {
-		t->rows[i].was_listed = t->rows[i].listed;
+		was_listed[i] = (char)t->rows[i].listed;
 		t->rows[i].listed = 0;
 	}
 	for (i = 0; i < l->count; i++) {
@@ -180,7 +182,7 @@
 		if (u)
 			row_take(u, &l->items[i], data_center, now);
 	}
-	lapses_find(t, now);
+	lapses_find(t, was_listed, now);
 	for (i = 0; i < t->count; i++)
 		if (!is_there(&t->rows[i], now) && !t->rows[i].in_flight)
 			t->rows[i].used = 0;
@@ -379,17 +381,13 @@
 			  apr_time_t now)
 {
 	return u->reported_at && now - u->reported_at < REPORT_FRESH_US &&
-	       !u->unbegun && !target_is_clogged(u) &&
+	       !u->unbegun && !target_is_congested(u) &&
 	       target_load(t, u, now) < u->slots;
 }
 
-/*
- * Returns 1 when the upstream runs the model in a release that will do, also
- * when the request begins: one that is out in a moment takes only what it
- * begins at once.
- */
-static int runs_model(const struct target_table *t, const struct target *u,
-		      const struct target_query *q, apr_time_t now)
+/* Returns 1 when the upstream runs the model in a release from this one on. */
+static int runs_model(const struct target *u, const struct target_query *q,
+		      uint64_t release)
 {
 	int i;
 
@@ -399,9 +397,7 @@
 		if (q->model && *q->model &&
 		    strcmp(u->models[i].name, q->model) != 0)
 			continue;
-		if (u->models[i].release >= q->release &&
-		    (u->models[i].release >= q->release_soon ||
-		     begins_at_once(t, u, now)))
+		if (u->models[i].release >= release)
 			return 1;
 	}
 	return 0;
@@ -437,17 +433,20 @@
 		return MISS_LEAVING;
 	if (is_excluded(u, q))
 		return MISS_TRIED;
-	if (!runs_model(t, u, q, now))
+	if (!runs_model(u, q, q->release))
 		return MISS_MODEL;
 	if (!health_allows(&u->health, now))
 		return MISS_DOWN;
 	if (u->refused_until > now || (report_valid(u, now) && u->busy))
 		return MISS_FULL;
+	/* The release may be retired before a request that waits begins. */
+	if (!runs_model(u, q, q->release_soon) && !begins_at_once(t, u, now))
+		return MISS_FULL;
 	return MISS_NONE;
 }
 
 /* Returns 1 when what is sent to the upstream waits in a queue on the way. */
-int target_is_clogged(const struct target *u)
+int target_is_congested(const struct target *u)
 {
 	return u->reported_at && u->delay > DELAY_LEAST_US;
 }
@@ -455,7 +454,7 @@
 /* Counts in the choice, not in what is admitted. */
 static double delay_us(const struct target *u)
 {
-	return target_is_clogged(u) ? DELAY_TRIPS * (double)u->delay : 0;
+	return target_is_congested(u) ? DELAY_TRIPS * (double)u->delay : 0;
 }
 
 static double row_wait(const struct target_table *t, const struct target *u,
@@ -555,7 +554,8 @@
 	}
 	if (out->index < 0) {
 		out->reason = miss_reasons[worst];
-		out->nowhere = worst < MISS_DOWN;
+		/* One that was tried was there, and may have room again. */
+		out->nowhere = worst < MISS_DOWN && worst != MISS_TRIED;
 	}
 }
 
--- a/forward/target.h
+++ b/forward/target.h
@@ -113,7 +113,7 @@
 int target_load(const struct target_table *t, const struct target *u,
 		apr_time_t now);
 double target_usual_us(const struct engine_spec *e);
-int target_is_clogged(const struct target *u);
+int target_is_congested(const struct target *u);
 int target_is_held(const struct target *u, apr_time_t now);
 void target_choose(struct target_table *t, const struct target_query *q,
 		   apr_time_t now, struct random *r, struct target_choice *out);
--- a/t/helper/test-target.c
+++ b/t/helper/test-target.c
@@ -84,6 +84,25 @@
 	return q;
 }
 
+static int eligible(struct target_table *t, apr_time_t now)
+{
+	struct target_query q = query_of();
+	struct target_choice c;
+	struct random random;
+
+	random_seed(&random, 5);
+	target_choose(t, &q, now, &random, &c);
+	return c.eligible;
+}
+
+static void list(struct target_table *t, int count, apr_time_t now)
+{
+	struct listing *l = listing_of(count, RUNS_ONE);
+
+	target_sync(t, l, "a", now);
+	listing_release(l);
+}
+
 START_TEST(only_upstreams_that_may_serve_are_chosen)
 {
 	struct target_query q = query_of();
@@ -193,29 +212,18 @@
 	target_choose(&t, &q, 2 * SECOND, &random, &c);
 	ck_assert_int_eq(c.index, -1);
 	ck_assert(c.nowhere);
+	/* The only one refused as full a moment ago: it will have room. */
+	list(&t, 1, 2 * SECOND);
+	t.rows[0].replaced = 0;
+	q.excluded[0] = "u0";
+	q.excluded_count = 1;
+	target_choose(&t, &q, 2 * SECOND, &random, &c);
+	ck_assert_str_eq(c.reason, "upstreams-tried");
+	ck_assert(!c.nowhere);
 	target_table_destroy(&t);
 }
 END_TEST
 
-static int eligible(struct target_table *t, apr_time_t now)
-{
-	struct target_query q = query_of();
-	struct target_choice c;
-	struct random random;
-
-	random_seed(&random, 5);
-	target_choose(t, &q, now, &random, &c);
-	return c.eligible;
-}
-
-static void list(struct target_table *t, int count, apr_time_t now)
-{
-	struct listing *l = listing_of(count, RUNS_ONE);
-
-	target_sync(t, l, "a", now);
-	listing_release(l);
-}
-
 /* Pattern: the store was away, and most entries have run out meanwhile. */
 START_TEST(entries_that_lapse_together_are_used_for_two_seconds)
 {
@@ -269,8 +277,8 @@
 	}
 	ck_assert_int_eq(chosen, 0);
 	ck_assert_double_lt(c.backlog_us, 100 * MS);
-	ck_assert(target_is_clogged(&t.rows[0]));
-	ck_assert(!target_is_clogged(&t.rows[1]));
+	ck_assert(target_is_congested(&t.rows[0]));
+	ck_assert(!target_is_congested(&t.rows[1]));
 	target_table_destroy(&t);
 }
 END_TEST
@@ -295,6 +303,8 @@
 	report(&t, 0, 16, 0, 1, now);
 	target_choose(&t, &q, now, &random, &c);
 	ck_assert_int_eq(c.index, -1);
+	ck_assert_str_eq(c.reason, "upstreams-full");
+	ck_assert(!c.nowhere);
 	/* One is still on its way. */
 	report(&t, 0, 3, 0, 1, now);
 	t.rows[0].unbegun = 1;
