--- a/t/calls-lib.sh
+++ b/t/calls-lib.sh
@@ -66,3 +66,23 @@
 routes_are () {
 	test "$(routes_count "$1")" = "$2"
 }
+
+# models_start COUNT: a platform, a store with one small model, and COUNT engines
+# with an agent each.  Sets $models (addresses), $digest and $content.
+models_start () {
+	models=
+	for models_i in $(seq "$1"); do
+		models="$models $CALLS_NET.$((30 + models_i))"
+	done
+	mkdir -p store &&
+	model_make m.bin 65536 1 &&
+	digest=$(model_publish store quotes 1 m.bin 16384) &&
+	content=$(sha256sum <m.bin | cut -d" " -f1) &&
+	fleet_platform_start && fleet_store_start store &&
+	engines_start engines $models || return 1
+	models_i=0
+	for models_at in $models; do
+		models_i=$((models_i + 1))
+		agent_start m-$models_i dc1 $models_at model
+	done
+}
--- a/t/perf/p0002-calls.sh
+++ b/t/perf/p0002-calls.sh
@@ -24,17 +24,7 @@
 for i in $(seq 1 "$UPSTREAMS"); do
 	models="$models $CALLS_NET.$((30 + i))"
 done
-mkdir -p store
-model_make m.bin 65536 1
-digest=$(model_publish store quotes 1 m.bin 16384) || fail "no manifest"
-content=$(sha256sum <m.bin | cut -d' ' -f1)
-fleet_platform_start && fleet_store_start store || fail "no stand-ins"
-engines_start engines $models
-i=0
-for m in $models; do
-	i=$((i + 1))
-	agent_start m-$i dc1 $m model
-done
+models_start "$UPSTREAMS" || fail "no engines"
 entry_start e-1 dc1 $ENTRY1
 fleet_publish_instances
 calls_config 1 "$digest"
--- a/t/perf/p0006-overload.sh
+++ b/t/perf/p0006-overload.sh
@@ -20,21 +20,7 @@
 	exit 1
 }
 
-models=
-for i in $(seq $UPSTREAMS); do
-	models="$models $CALLS_NET.$((30 + i))"
-done
-mkdir -p store
-model_make m.bin 65536 1
-digest=$(model_publish store quotes 1 m.bin 16384) || fail "no manifest"
-content=$(sha256sum <m.bin | cut -d' ' -f1)
-fleet_platform_start && fleet_store_start store || fail "no stand-ins"
-engines_start engines $models
-i=0
-for m in $models; do
-	i=$((i + 1))
-	agent_start m-$i dc1 $m model
-done
+models_start "$UPSTREAMS" || fail "no engines"
 entries=
 for i in $(seq $ENTRY_COUNT); do
 	entry_start e-$i dc1 $CALLS_NET.$((100 + i))
