forward: log releases, their limits and the wait at the upstream

Entries log when they learn of a release and until when older ones may begin requests. Lines that end, refuse or retry a request name the release of the upstream chosen, the time that was left on it, and when the last attempt was sent. An answer whose first bytes come after the limit is a warning of its own and is counted in forward_expired_release.

release.c keeps the limit itself; the margin for sending is applied by release_find_send_min. What is sent where stays the same.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -146,6 +146,34 @@
 	return http_call_stream_write(f->call, text, size);
 }
 
+/* Returns when the last attempt was sent, in ms since the request arrived. */
+static json_int_t sent_ms(const struct forward *f)
+{
+	return (json_int_t)((f->sent_at - f->received_at) / 1000);
+}
+
+/*
+ * Reports an answer that began on a release on which, as far as this entry
+ * knows, no request may begin any more.
+ */
+static void check_release(struct forward *f, apr_time_t now)
+{
+	struct log_place at = { "release", f->upstream,
+				*f->head.id ? f->head.id : "-" };
+	apr_time_t expiry = forward_release_expiry(f);
+
+	if (!expiry || now < expiry)
+		return;
+	metric_count("forward_expired_release", f->head.model, 1);
+	if (!log_is_enabled(LOG_SEV_WARNING, 1))
+		return;
+	log_fields(LOG_SEV_WARNING, &at,
+		   json_pack("{s:I,s:I,s:I}", "release", (json_int_t)f->release,
+			     "sent_ms", sent_ms(f), "over_ms",
+			     (json_int_t)((now - expiry) / 1000)),
+		   "first bytes of an answer of an expired release");
+}
+
 /* Records that the upstream sent bytes, at most once per CONTACT_PERIOD_US. */
 static void record_contact(struct forward *f, apr_time_t now)
 {
@@ -153,6 +181,8 @@
 
 	if (f->last_contact && now - f->last_contact < CONTACT_PERIOD_US)
 		return;
+	if (!f->last_contact)
+		check_release(f, now);
 	__atomic_store_n(&f->last_contact, now, __ATOMIC_RELAXED);
 	pthread_mutex_lock(&f->w->mutex);
 	u = target_find(&f->w->targets, f->upstream);
@@ -310,19 +340,21 @@
 	if (!log_is_enabled(sev, 1))
 		return;
 	log_fields(sev, &at,
-		   json_pack("{s:s,s:i,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:i,s:i,"
-			     "s:I,s:s}",
+		   json_pack("{s:s,s:i,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,"
+			     "s:i,s:I,s:I,s:I,s:s}",
 			     "outcome", outcome, "status", status, "route",
 			     f->route->name, "account",
 			     f->account ? f->account : "", "admitted",
 			     admit_class_name(f->admitted), "tries",
 			     f->attempts, "runs", f->runs, "ms",
 			     (json_int_t)((now - f->received_at) / 1000),
-			     "first_ms", first_byte_ms(f), "wait_ms",
-			     forward_wait_ms(f), "load", f->load, "elapsed_ms",
-			     f->elapsed_ms, "revision",
-			     (json_int_t)f->document->revision, "error",
-			     f->fetch.error.text),
+			     "sent_ms", sent_ms(f), "first_ms",
+			     first_byte_ms(f), "wait_ms", forward_wait_ms(f),
+			     "load", f->load, "elapsed_ms", f->elapsed_ms,
+			     "revision", (json_int_t)f->document->revision,
+			     "release", (json_int_t)f->release,
+			     "release_left_ms", forward_release_left_ms(f),
+			     "error", f->fetch.error.text),
 		   "request finished");
 }
 
@@ -370,10 +402,13 @@
 	if (!log_is_enabled(LOG_SEV_NOTICE, 1))
 		return;
 	log_fields(LOG_SEV_NOTICE, &at,
-		   json_pack("{s:i,s:b,s:b,s:b,s:i,s:i,s:s}", "status",
-			     e->status, "not_run", e->is_not_run, "never_sent",
-			     e->is_unsent, "silent", e->is_unresponsive,
-			     "tries", f->attempts, "runs", f->runs, "error",
+		   json_pack("{s:i,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:s}",
+			     "status", e->status, "not_run", e->is_not_run,
+			     "never_sent", e->is_unsent, "silent",
+			     e->is_unresponsive, "tries", f->attempts, "runs",
+			     f->runs, "sent_ms", sent_ms(f), "release",
+			     (json_int_t)f->release, "release_left_ms",
+			     forward_release_left_ms(f), "error",
 			     f->fetch.error.text),
 		   "attempt did not succeed; trying another upstream");
 }
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -56,6 +56,52 @@
 		       : (json_int_t)f->wait_us / 1000;
 }
 
+/*
+ * Returns the time from which no request may begin on the chosen upstream's
+ * release, 0 without a limit.
+ */
+apr_time_t forward_release_expiry(struct forward *f)
+{
+	struct forwarder *w = f->w;
+	apr_time_t expiry;
+
+	pthread_mutex_lock(&w->mutex);
+	expiry = f->release ? release_find_expiry(&w->releases, f->head.model,
+						  f->release)
+			    : 0;
+	pthread_mutex_unlock(&w->mutex);
+	return expiry;
+}
+
+/*
+ * Returns for log lines the time in ms from the last attempt to
+ * forward_release_expiry, -1 without a limit.
+ */
+json_int_t forward_release_left_ms(struct forward *f)
+{
+	apr_time_t expiry = forward_release_expiry(f);
+
+	return expiry ? (json_int_t)(expiry - f->sent_at) / 1000 : -1;
+}
+
+/* Logs the releases that were declared by the document applied at `now`. */
+static void log_new_releases(const struct releases *r, apr_time_t now)
+{
+	int i;
+
+	for (i = 0; i < r->count; i++) {
+		const struct release_row *row = &r->rows[i];
+		const struct release_change *c = &row->changes[row->count - 1];
+
+		if (row->count && c->learned_at == now)
+			log_info("release", row->model,
+				 "release %llu declared; requests may begin on "
+				 "older ones for %lld ms",
+				 (unsigned long long)c->release,
+				 (long long)(c->required_at - now) / 1000);
+	}
+}
+
 /* Applies the current list of upstreams and the current document. */
 static void apply_current_values(struct forwarder *w, apr_time_t now)
 {
@@ -73,6 +119,7 @@
 		w->document_revision = d->revision;
 		releases_apply_document(&w->releases, d,
 					w->node->settings.release_ms, now);
+		log_new_releases(&w->releases, now);
 	}
 	pthread_mutex_unlock(&w->mutex);
 	document_unref(d);
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -43,9 +43,10 @@
 	q->engine = f->service && f->service->has_engine ? &f->service->engine
 							 : NULL;
 	q->model = f->head.model;
-	q->release_min = release_find_min(&f->w->releases, f->head.model, now);
-	q->queued_release_min = release_find_min(&f->w->releases, f->head.model,
-						 now + TARGET_QUEUE_MAX_US);
+	q->release_min =
+		release_find_send_min(&f->w->releases, f->head.model, now);
+	q->queued_release_min = release_find_send_min(
+		&f->w->releases, f->head.model, now + TARGET_QUEUE_MAX_US);
 	q->prompt_tokens = f->head.prompt_tokens;
 	for (i = 0; i < f->attempts && i < TARGET_EXCLUDED_MAX; i++)
 		q->excluded[q->excluded_count++] = f->attempted_upstreams[i];
@@ -100,6 +101,7 @@
 	}
 	*is_probe = u->health.is_probing;
 	health_record_start(&u->health, now);
+	f->release = target_find_release(u, f->head.model);
 	snprintf(f->upstream, sizeof(f->upstream), "%s", u->id);
 	snprintf(f->url, sizeof(f->url), "http://%s", u->address);
 	record_attempt_start(f, u, now);
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -35,12 +35,13 @@
 }
 
 /* Returns the inputs of a refusal with their versions and ages, for the log. */
-static json_t *refusal_inputs_json(const struct forward *f)
+static json_t *refusal_inputs_json(struct forward *f)
 {
 	json_int_t revision =
 		f->document ? (json_int_t)f->document->revision : 0;
 
-	return json_pack("{s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i}",
+	return json_pack("{s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i,"
+			 "s:I,s:I}",
 			 "account", f->account ? f->account : "", "upstream",
 			 f->upstream, "error", f->fetch.error.text, "tries",
 			 f->attempts, "runs", f->runs, "ms",
@@ -48,7 +49,9 @@
 			 "revision", revision, "list_version",
 			 (json_int_t)f->list_version, "wait_ms",
 			 forward_wait_ms(f), "load", f->load, "slots", f->slots,
-			 "elapsed_ms", f->elapsed_ms);
+			 "elapsed_ms", f->elapsed_ms, "release",
+			 (json_int_t)f->release, "release_left_ms",
+			 forward_release_left_ms(f));
 }
 
 /*
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -89,6 +89,8 @@
 	double wait_us; /* estimated at the last attempt or refusal */
 	int load;	/* at the chosen upstream, same time as wait_us */
 	int slots;
+	/* Of the model at the chosen upstream, 0: unknown or no model. */
+	uint64_t release;
 	apr_time_t sent_at;
 	/* Atomic: time of the last byte of the answer, 0: none. */
 	apr_time_t last_contact;
@@ -144,6 +146,8 @@
 void forward_send(struct forward *f, apr_time_t now);
 
 json_int_t forward_wait_ms(const struct forward *f);
+apr_time_t forward_release_expiry(struct forward *f);
+json_int_t forward_release_left_ms(struct forward *f);
 int forward_retry_after_ms(struct forward *f, apr_time_t now);
 
 #endif
--- a/forward/release.c
+++ b/forward/release.c
@@ -21,7 +21,7 @@
 }
 
 static void add_change(struct release_row *row, uint64_t release,
-		       apr_time_t required_at)
+		       apr_time_t now, apr_time_t required_at)
 {
 	if (row->count && row->changes[row->count - 1].release >= release)
 		return;
@@ -35,6 +35,7 @@
 		row->count--;
 	}
 	row->changes[row->count].release = release;
+	row->changes[row->count].learned_at = now;
 	row->changes[row->count].required_at = required_at;
 	row->count++;
 }
@@ -43,36 +44,72 @@
 void releases_apply_document(struct releases *r, const struct document *d,
 			     int release_ms, apr_time_t now)
 {
-	int i, grace_ms = release_ms - RELEASE_MARGIN_MS;
+	apr_interval_time_t grace = release_ms * 1000LL;
+	apr_interval_time_t startup_max =
+		RELEASE_STARTUP_GRACE_MAX_MS * 1000LL + RELEASE_SEND_MARGIN_US;
+	int i;
 
-	if (!r->has_document && grace_ms > RELEASE_STARTUP_GRACE_MAX_MS)
-		grace_ms = RELEASE_STARTUP_GRACE_MAX_MS;
+	if (!r->has_document && grace > startup_max)
+		grace = startup_max;
 	r->has_document = 1;
 	for (i = 0; i < d->model_count; i++) {
 		struct release_row *row = find_or_add_row(r, d->models[i].name);
 
 		if (row)
-			add_change(row, d->models[i].release,
-				   now + (grace_ms > 0 ? grace_ms : 0) *
-						   1000LL);
+			add_change(row, d->models[i].release, now, now + grace);
 	}
 }
 
-/* Returns the oldest release of a model that may serve now, 0 for any. */
+static const struct release_row *find_row(const struct releases *r,
+					  const char *model)
+{
+	int i;
+
+	for (i = 0; i < r->count; i++)
+		if (!strcmp(r->rows[i].model, model))
+			return &r->rows[i];
+	return NULL;
+}
+
+/*
+ * Returns the oldest release of a model on which a request may begin at the
+ * time `at`, 0 for any.
+ */
 uint64_t release_find_min(const struct releases *r, const char *model,
-			  apr_time_t now)
+			  apr_time_t at)
 {
+	const struct release_row *row = find_row(r, model);
 	uint64_t release_min = 0;
-	int i, j;
-
-	for (i = 0; i < r->count; i++) {
-		const struct release_row *row = &r->rows[i];
+	int i;
 
-		if (strcmp(row->model, model))
-			continue;
-		for (j = 0; j < row->count; j++)
-			if (now >= row->changes[j].required_at)
-				release_min = row->changes[j].release;
-	}
+	for (i = 0; row && i < row->count; i++)
+		if (at >= row->changes[i].required_at)
+			release_min = row->changes[i].release;
 	return release_min;
 }
+
+/*
+ * Returns the oldest release of a model to which a request may be sent now, 0
+ * for any.
+ */
+uint64_t release_find_send_min(const struct releases *r, const char *model,
+			       apr_time_t now)
+{
+	return release_find_min(r, model, now + RELEASE_SEND_MARGIN_US);
+}
+
+/*
+ * Returns the time from which no request may begin on a release of a model, 0
+ * when no newer release is known.
+ */
+apr_time_t release_find_expiry(const struct releases *r, const char *model,
+			       uint64_t release)
+{
+	const struct release_row *row = find_row(r, model);
+	int i;
+
+	for (i = 0; row && i < row->count; i++)
+		if (row->changes[i].release > release)
+			return row->changes[i].required_at;
+	return 0;
+}
--- a/forward/release.h
+++ b/forward/release.h
@@ -17,20 +17,24 @@
 #define RELEASE_CHANGES_MAX 8
 
 /*
- * Older releases are excluded this much earlier than the setting requires, as
- * a request may queue in the network and in an upstream before it runs.
+ * Requests are no longer sent to older releases this long before these may no
+ * longer begin them, as a request may queue in the network and in an upstream
+ * before it begins.
  */
-#define RELEASE_MARGIN_MS 1200
+#define RELEASE_SEND_MARGIN_US (1200 * 1000LL)
 
 /*
- * Maximum grace period for releases in the first document after a start: the
- * process can't determine when these were declared.
+ * Maximum time for which older releases still receive requests after the first
+ * document since the start: the process can't determine when its releases were
+ * declared.
  */
 #define RELEASE_STARTUP_GRACE_MAX_MS 2500
 
 struct release_change {
 	uint64_t release;
-	apr_time_t required_at; /* from then on older ones are excluded */
+	apr_time_t learned_at;
+	apr_time_t
+		required_at; /* from then on no request begins on older ones */
 };
 
 struct release_row {
@@ -48,6 +52,10 @@
 void releases_apply_document(struct releases *r, const struct document *d,
 			     int release_ms, apr_time_t now);
 uint64_t release_find_min(const struct releases *r, const char *model,
-			  apr_time_t now);
+			  apr_time_t at);
+uint64_t release_find_send_min(const struct releases *r, const char *model,
+			       apr_time_t now);
+apr_time_t release_find_expiry(const struct releases *r, const char *model,
+			       uint64_t release);
 
 #endif
--- a/forward/target.c
+++ b/forward/target.c
@@ -431,6 +431,24 @@
 	       target_estimate_load(t, u, now) < u->slots;
 }
 
+/*
+ * Returns the latest release of the model that the upstream runs, 0 when it
+ * runs none. "" or NULL stands for any model.
+ */
+uint64_t target_find_release(const struct target *u, const char *model)
+{
+	uint64_t release = 0;
+	int i;
+
+	for (i = 0; i < u->model_count; i++) {
+		if (model && *model && strcmp(u->models[i].name, model))
+			continue;
+		if (u->models[i].release > release)
+			release = u->models[i].release;
+	}
+	return release;
+}
+
 /* Returns 1 when the upstream runs the model in this or a later release. */
 static int runs_model(const struct target *u, const struct target_query *q,
 		      uint64_t release)
--- a/forward/target.h
+++ b/forward/target.h
@@ -117,6 +117,7 @@
 int target_estimate_load(const struct target_table *t, const struct target *u,
 			 apr_time_t now);
 double target_typical_first_event_us(const struct engine_spec *e);
+uint64_t target_find_release(const struct target *u, const char *model);
 int target_is_congested(const struct target *u);
 int target_has_blocked_order(const struct target *u, apr_time_t now);
 void target_choose(struct target_table *t, const struct target_query *q,
