t: a request that waits at an upstream past its release's limit

t1012 sends a request to an engine that queues it, declares the next release and expects the request to be withdrawn before the limit. It fails on this code: the request stays in the engine's queue, where it may begin at any later time.

--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -7,11 +7,17 @@
 The store's test tree: PUT /test/KEY stores the body under KEY, DELETE removes
 it, POST /test/mode {"down": bool, "forget": bool} sets faults, GET /test/calls
 counts calls.  An upstream answers with what it received; MODE is ok, full
-(refuses as not run), error (its own 500), other (another instance) or torn (a
-stream that breaks off after its second event; a resumed one is whole).
+(refuses as not run), error (its own 500), other (another instance), torn (a
+stream that breaks off after its second event; a resumed one is whole) or queue
+(paths that contain "begun" get the first event at once and the rest after POST
+/test/finish; other requests wait without a byte of an answer). GET
+/test/requests lists the ids of the requests, GET /test/withdrawn those that
+waited in mode queue when their connection was closed.
 """
 import base64
 import json
+import select
+import socket
 import sys
 import threading
 import time
@@ -127,6 +133,11 @@
         request = self.headers.get("X-Limpetflow-Request-Id", "")
         if self.path == "/test/requests":
             return self.answer(200, s.requests)
+        if self.path == "/test/withdrawn":
+            return self.answer(200, s.withdrawn)
+        if self.path == "/test/finish":
+            s.finish.set()
+            return self.answer(200, {})
         s.requests.append(request)
         common = [("X-Limpetflow-Request-Id", request),
                   ("X-Limpetflow-Response-Stamp", "stamp-" + s.id),
@@ -137,13 +148,28 @@
             return self.answer(500, {"error": "own"}, common)
         if s.mode == "other":
             return self.answer(421, {}, [("X-Limpetflow-Instance-Id", "i-other")])
-        if s.mode in ("torn", "stream"):
+        if s.mode == "queue" and "begun" not in self.path:
+            self.wait_for_close()
+            s.withdrawn.append(request)
+            return None
+        if s.mode in ("torn", "stream", "queue"):
             return self.stream(common)
         return self.answer(200, {
             "by": s.id, "method": self.command, "target": self.path,
             "headers": [[k, v] for k, v in self.headers.items()],
             "body": body.decode("latin1")}, common)
 
+    def wait_for_close(self):
+        while True:
+            select.select([self.connection], [], [])
+            try:
+                if not self.connection.recv(1, socket.MSG_PEEK):
+                    break
+            except ConnectionError:
+                break
+            time.sleep(0.05)
+        self.close_connection = True
+
     def stream(self, common):
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
         self.send_response(200)
@@ -154,6 +180,8 @@
         self.end_headers()
         for i in range(first, 6):
             text = f"id: {i}\ndata: event {i}\n\n".encode()
+            if self.server.mode == "queue" and i == 2:
+                self.server.finish.wait()
             if self.server.mode == "torn" and i == 3:
                 self.wfile.write(b"%x\r\n%s" % (len(text), text[:6]))
                 self.wfile.flush()
@@ -178,6 +206,8 @@
         server.id = sys.argv[3]
         server.mode = sys.argv[4] if len(sys.argv) > 4 else "ok"
         server.requests = []
+        server.withdrawn = []
+        server.finish = threading.Event()
     server.serve_forever()
 
 
