forward: withdraw requests that have not begun when their release expires

Cause: the limit is on when a request begins, but an entry kept it by a margin of 1.2 s on when it sends.

Ruled out: entries that learn late of the release (agents applied it 0.05 s to 0.18 s after the acknowledgement), requests sent after the cut (none), orders that come late (the engines had none: the origin was away).

Change: an attempt without a byte of an answer is canceled 0.8 s before the limit when its upstream's release expires. Upstreams drop a request whose connection closes, which the record shows ("doesn't run it (gone)"). It is sent on within the route's attempts, or ends as unknown.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -213,6 +213,13 @@
 	return http_call_stream_write(f->call, data, size);
 }
 
+/* Returns 1 when the last attempt was withdrawn as its release expired. */
+static int is_withdrawn(const struct forward *f)
+{
+	return __atomic_load_n(&f->cancel_reason, __ATOMIC_ACQUIRE) ==
+	       CANCEL_WITHDRAWN;
+}
+
 static void fill_attempt_result(struct forward *f, struct attempt_result *e)
 {
 	const struct fetch *x = &f->fetch;
@@ -402,14 +409,14 @@
 	if (!log_is_enabled(LOG_SEV_NOTICE, 1))
 		return;
 	log_fields(LOG_SEV_NOTICE, &at,
-		   json_pack("{s:i,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:s}",
+		   json_pack("{s:i,s:b,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:s}",
 			     "status", e->status, "not_run", e->is_not_run,
 			     "never_sent", e->is_unsent, "silent",
-			     e->is_unresponsive, "tries", f->attempts, "runs",
-			     f->runs, "sent_ms", sent_ms(f), "release",
-			     (json_int_t)f->release, "release_left_ms",
-			     forward_release_left_ms(f), "error",
-			     f->fetch.error.text),
+			     e->is_unresponsive, "withdrawn", is_withdrawn(f),
+			     "tries", f->attempts, "runs", f->runs, "sent_ms",
+			     sent_ms(f), "release", (json_int_t)f->release,
+			     "release_left_ms", forward_release_left_ms(f),
+			     "error", f->fetch.error.text),
 		   "attempt did not succeed; trying another upstream");
 }
 
@@ -465,7 +472,9 @@
 			       e.is_timed_out ? "deadline" : "not-run");
 		break;
 	case NEXT_UNKNOWN:
-		forward_refuse(f, 502, AGAIN_CHECK, 0, "upstream-failed");
+		forward_refuse(f, 502, AGAIN_CHECK, 0,
+			       is_withdrawn(f) ? "release-expired"
+					       : "upstream-failed");
 		break;
 	case NEXT_TIMEOUT:
 		forward_refuse(f, 504, AGAIN_CHECK, 0, "deadline");
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -192,6 +192,29 @@
 		       MOVE_RESERVED_RETRIES;
 }
 
+/*
+ * Returns 1 for a request that must be withdrawn: it waits at an upstream on
+ * whose release no request may begin soon. How long it waits there is not
+ * bounded otherwise. Called with the mutex held.
+ */
+static int should_withdraw(struct forwarder *w, const struct forward *f,
+			   apr_time_t now)
+{
+	const struct target *u;
+	uint64_t release = 0;
+
+	if (!f->is_unanswered || !f->release)
+		return 0;
+	u = target_find(&w->targets, f->upstream);
+	if (u)
+		release = target_find_release(u, f->head.model);
+	/* An upstream that loads a release reports none until it runs it. */
+	if (!release)
+		release = f->release;
+	return release <
+	       release_find_withdraw_min(&w->releases, f->head.model, now);
+}
+
 static void cancel_attempt(struct forward *f, enum cancel_reason why,
 			   const char *metric)
 {
@@ -201,8 +224,8 @@
 }
 
 /*
- * Cancels attempts whose caller has disconnected, whose upstream is
- * unresponsive, or whose stream is to be moved.
+ * Cancels attempts whose caller has disconnected, whose upstream's release
+ * expires, whose upstream is unresponsive, or whose stream is to be moved.
  */
 static void check_active_requests(struct forwarder *w, apr_time_t now)
 {
@@ -215,6 +238,9 @@
 			fetch_cancel(&f->fetch);
 		else if (__atomic_load_n(&f->cancel_reason, __ATOMIC_ACQUIRE))
 			continue;
+		else if (should_withdraw(w, f, now))
+			cancel_attempt(f, CANCEL_WITHDRAWN,
+				       "forward_withdrawn");
 		else if (is_attempt_unresponsive(w, f, now))
 			cancel_attempt(f, CANCEL_UNRESPONSIVE,
 				       "forward_silent");
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -52,7 +52,8 @@
 enum cancel_reason {
 	CANCEL_NONE = 0,
 	CANCEL_UNRESPONSIVE, /* the upstream sends nothing: try another */
-	CANCEL_MOVE /* the stream keeps an engine from its order: move it */
+	CANCEL_MOVE, /* the stream keeps an engine from its order: move it */
+	CANCEL_WITHDRAWN /* not begun, and the upstream's release expires */
 };
 
 /*
--- a/forward/release.c
+++ b/forward/release.c
@@ -98,6 +98,16 @@
 	return release_find_min(r, model, now + RELEASE_SEND_MARGIN_US);
 }
 
+/*
+ * Returns the oldest release of a model on which a request that waits now may
+ * still begin, 0 for any. From all older ones it must be withdrawn.
+ */
+uint64_t release_find_withdraw_min(const struct releases *r, const char *model,
+				   apr_time_t now)
+{
+	return release_find_min(r, model, now + RELEASE_WITHDRAW_MARGIN_US);
+}
+
 /*
  * Returns the time from which no request may begin on a release of a model, 0
  * when no newer release is known.
--- a/forward/release.h
+++ b/forward/release.h
@@ -23,6 +23,13 @@
  */
 #define RELEASE_SEND_MARGIN_US (1200 * 1000LL)
 
+/*
+ * Requests that have not begun are withdrawn from older releases this long
+ * before the limit, as the cancellation takes time to reach the upstream and
+ * this process learns of a release later than it was declared.
+ */
+#define RELEASE_WITHDRAW_MARGIN_US (800 * 1000LL)
+
 /*
  * Maximum time for which older releases still receive requests after the first
  * document since the start: the process can't determine when its releases were
@@ -55,6 +62,8 @@
 			  apr_time_t at);
 uint64_t release_find_send_min(const struct releases *r, const char *model,
 			       apr_time_t now);
+uint64_t release_find_withdraw_min(const struct releases *r, const char *model,
+				   apr_time_t now);
 apr_time_t release_find_expiry(const struct releases *r, const char *model,
 			       uint64_t release);
 
--- a/t/helper/test-forward-load.c
+++ b/t/helper/test-forward-load.c
@@ -2,14 +2,17 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config/document.h"
 #include "forward/admit.h"
+#include "forward/release.h"
 #include "forward/target.h"
 
 /*
  * Simulates the choice of upstreams and the admission under load, without a
  * network: entries with reports of a given age, engines with slots and a queue,
  * and callers that retry once after a refusal. Each run is compared with a
- * naive one that chooses at random and admits every request.
+ * naive one that chooses at random and admits every request. A second release
+ * may be declared, which engines change to one after the other.
  *
  * Usage: test-forward-load SCRIPT
  */
@@ -38,6 +41,9 @@
 	apr_time_t slot_at; /* 0: queued */
 	apr_time_t ends_at;
 	int in_time, late, refused;
+	apr_time_t arrives_at; /* at the engine */
+	/* when its withdrawal reaches the engine, 0: not withdrawn */
+	apr_time_t withdrawn_at;
 	int is_finished;
 };
 
@@ -46,6 +52,15 @@
 	double load, seconds;
 	double timeout_spread; /* spread of callers' timeouts, relative */
 	int away, away_from_s, away_for_s; /* engines carrying out an order */
+	/* Release 2 is declared then; 0: never. */
+	double release_at_s;
+	int release_ms;		  /* limit of release 1 */
+	double change_from_s;	  /* the first engine runs release 2 */
+	double change_interval_s; /* from one engine to the next */
+	long transit_max_us;	  /* of a request to the engine */
+	long cancel_us;		  /* time of a withdrawal to the engine */
+	struct releases releases[ENTRIES_MAX];
+	int withdrawn, begun_late;
 	unsigned seed;
 	int naive;
 	struct random random;
@@ -84,6 +99,8 @@
 			 "d%d", i % 3);
 		items[i].slots = r->slots;
 		items[i].model_count = 1;
+		snprintf(items[i].models[0].name,
+			 sizeof(items[i].models[0].name), "m");
 		items[i].models[0].release = 1;
 	}
 	for (i = 0; i < r->entries; i++) {
@@ -105,13 +122,33 @@
 	       now < from + r->away_for_s * APR_USEC_PER_SEC;
 }
 
-static int count_waiting(const struct run *r, int engine)
+static void declare_release(struct run *r, uint64_t release, apr_time_t now)
+{
+	struct model_spec model = { .name = "m", .release = release };
+	struct document d = { .models = &model, .model_count = 1 };
+	int i;
+
+	for (i = 0; i < r->entries; i++)
+		releases_apply_document(&r->releases[i], &d, r->release_ms,
+					now);
+}
+
+static uint64_t engine_release(const struct run *r, int engine, apr_time_t now)
+{
+	double at_s = r->change_from_s + engine * r->change_interval_s;
+
+	return r->release_at_s && now >= (apr_time_t)(at_s * 1e6) ? 2 : 1;
+}
+
+static int count_waiting(const struct run *r, int engine, apr_time_t now)
 {
 	int i, n = 0;
 
 	for (i = 0; i < r->count; i++)
 		n += !r->requests[i].is_finished &&
-		     r->requests[i].engine == engine && !r->requests[i].slot_at;
+		     r->requests[i].engine == engine &&
+		     !r->requests[i].slot_at &&
+		     now >= r->requests[i].arrives_at;
 	return n;
 }
 
@@ -130,12 +167,13 @@
 					   .sequence = ++r->sequence,
 					   .slowdown = 1,
 					   .running = r->running[e],
-					   .waiting = count_waiting(r, e),
+					   .waiting = count_waiting(r, e, now),
 					   .is_busy = is_carrying_out_order(
 						   r, e, now),
 					   .model_count = 1 };
 
-		x.models[0].release = 1;
+		snprintf(x.models[0].name, sizeof(x.models[0].name), "m");
+		x.models[0].release = engine_release(r, e, now);
 		snprintf(x.address, sizeof(x.address), "%d:1", e);
 		x.sent_at = now;
 		for (i = 0; i < r->entries; i++)
@@ -160,7 +198,15 @@
 
 static int choose_engine(struct run *r, struct request *q, apr_time_t now)
 {
-	struct target_query query = { .service = "s", .engine = &spec };
+	const struct releases *releases = &r->releases[q->entry];
+	struct target_query query = {
+		.service = "s",
+		.engine = &spec,
+		.model = "m",
+		.release_min = release_find_send_min(releases, "m", now),
+		.queued_release_min = release_find_send_min(
+			releases, "m", now + TARGET_QUEUE_MAX_US),
+	};
 	struct target_table *t = &r->tables[q->entry];
 	struct admit_input in = { .service_objective_ms = OBJECTIVE_MS,
 				  .route_objective_ms = OBJECTIVE_MS,
@@ -202,6 +248,10 @@
 		return;
 	}
 	q->slot_at = 0;
+	q->arrives_at = now;
+	if (r->transit_max_us)
+		q->arrives_at += (apr_time_t)random_below(
+			&r->random, (uint32_t)r->transit_max_us);
 }
 
 static void finish_request(struct run *r, struct request *q, apr_time_t now)
@@ -215,6 +265,32 @@
 	target_record_finish(target_find(&r->tables[q->entry], id), now);
 }
 
+static int is_release_expired(const struct run *r, int engine, apr_time_t now)
+{
+	apr_time_t limit =
+		(apr_time_t)(r->release_at_s * 1e6) + r->release_ms * 1000LL;
+
+	return r->release_at_s && now >= limit &&
+	       engine_release(r, engine, now) < 2;
+}
+
+/*
+ * Withdraws a request that waits at an engine whose release expires, and
+ * removes it from the queue when the withdrawal arrives there.
+ */
+static void step_withdrawal(struct run *r, struct request *q, apr_time_t now)
+{
+	uint64_t release_min =
+		release_find_withdraw_min(&r->releases[q->entry], "m", now);
+
+	if (!q->withdrawn_at && engine_release(r, q->engine, now) < release_min)
+		q->withdrawn_at = now + r->cancel_us;
+	if (!q->withdrawn_at || now < q->withdrawn_at)
+		return;
+	r->withdrawn++;
+	finish_request(r, q, now);
+}
+
 /* Assigns free slots to queued requests by priority, then by age. */
 static void assign_slots(struct run *r, int engine, apr_time_t now)
 {
@@ -227,7 +303,8 @@
 		for (i = 0; i < r->count; i++) {
 			struct request *q = &r->requests[i];
 
-			if (q->is_finished || q->engine != engine || q->slot_at)
+			if (q->is_finished || q->engine != engine ||
+			    q->slot_at || now < q->arrives_at)
 				continue;
 			if (!best || q->priority < best->priority)
 				best = q;
@@ -236,6 +313,8 @@
 			return;
 		r->running[engine]++;
 		best->slot_at = now;
+		if (is_release_expired(r, engine, now))
+			r->begun_late++;
 		best->ends_at =
 			now + ANSWER_MIN_US +
 			(apr_time_t)random_below(&r->random, ANSWER_SPREAD_US);
@@ -264,6 +343,8 @@
 		} else if (q->engine >= 0 && !q->slot_at &&
 			   now - q->first_attempt_at > QUEUE_TIMEOUT_US) {
 			finish_request(r, q, now);
+		} else if (q->engine >= 0 && !q->slot_at && !r->naive) {
+			step_withdrawal(r, q, now);
 		}
 	}
 }
@@ -304,9 +385,15 @@
 	r->remote_reported_at = -r->remote_report_us;
 	memset(r->running, 0, sizeof(r->running));
 	memset(r->deadline_tables, 0, sizeof(r->deadline_tables));
+	memset(r->releases, 0, sizeof(r->releases));
+	r->withdrawn = r->begun_late = 0;
 	random_seed(&r->random, r->seed);
 	create_tables(r);
+	declare_release(r, 1, 0);
 	for (now = APR_USEC_PER_SEC; now < until; now += STEP_US) {
+		if (r->release_at_s &&
+		    now >= (apr_time_t)(r->release_at_s * 1e6))
+			declare_release(r, 2, now);
 		add_arrivals(r, now);
 		send_reports(r, now);
 		step_requests(r, now);
@@ -332,6 +419,7 @@
 	static struct run r = { .slots = 16, .seed = 1 };
 	FILE *fp = argc == 2 ? fopen(argv[1], "r") : NULL;
 	double ours = 0, naive = 0, bound;
+	int withdrawn = 0, begun_late = 0, begun_late_max;
 	char line[256];
 
 	if (!fp) {
@@ -347,8 +435,15 @@
 		sscanf(line, "far-reports %ld", &r.remote_report_us);
 		sscanf(line, "away %d %d %d", &r.away, &r.away_from_s,
 		       &r.away_for_s);
+		sscanf(line, "release %lf %d", &r.release_at_s, &r.release_ms);
+		sscanf(line, "change %lf %lf", &r.change_from_s,
+		       &r.change_interval_s);
+		sscanf(line, "transit %ld", &r.transit_max_us);
+		sscanf(line, "cancel %ld", &r.cancel_us);
 		if (sscanf(line, "run %lf", &r.seconds) == 1) {
 			ours = simulate(&r, 0);
+			withdrawn = r.withdrawn;
+			begun_late = r.begun_late;
 			naive = simulate(&r, 1);
 		}
 		if (sscanf(line, "expect in-time %lf", &bound) == 1) {
@@ -367,8 +462,17 @@
 		if (sscanf(line, "expect above-naive %lf", &bound) == 1)
 			printf("above naive by %.2f: %s\n", bound,
 			       ours - naive >= bound ? "yes" : "no");
+		if (sscanf(line, "expect begun-late %d", &begun_late_max) == 1)
+			printf("begun on an expired release at most %d: %s\n",
+			       begun_late_max,
+			       begun_late <= begun_late_max ? "yes" : "no");
+		if (!strncmp(line, "expect withdrawn", 16))
+			printf("some requests are withdrawn: %s\n",
+			       withdrawn ? "yes" : "no");
 		if (!strncmp(line, "figures", 7))
-			printf("# ours %.3f naive %.3f\n", ours, naive);
+			printf("# ours %.3f naive %.3f withdrawn %d "
+			       "begun late %d\n",
+			       ours, naive, withdrawn, begun_late);
 	}
 	fclose(fp);
 	free(r.requests);
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -320,6 +320,9 @@
 	ck_assert_uint_le(release_find_send_min(&r, "m", 16 * SECOND), 1);
 	ck_assert_uint_eq(release_find_send_min(&r, "m", 17 * SECOND), 2);
 	ck_assert_uint_eq(release_find_send_min(&r, "m", 20 * SECOND), 3);
+	ck_assert_uint_le(release_find_withdraw_min(&r, "m", 17 * SECOND), 1);
+	ck_assert_uint_eq(release_find_withdraw_min(&r, "m", 17500 * MS), 2);
+	ck_assert_uint_eq(release_find_withdraw_min(&r, "m", 20500 * MS), 3);
 	ck_assert_int_eq(release_find_expiry(&r, "m", 1), 18 * SECOND);
 	ck_assert_int_eq(release_find_expiry(&r, "m", 2), 21 * SECOND);
 	ck_assert_int_eq(release_find_expiry(&r, "m", 3), 0);
