t: the limit of a release that an entry learns of late

The limit counts from when a process applies the document, not from the declaration: a second entry, started 4 s after a release was declared with a limit of 6 s, gives older ones 3.7 s more.

--- a/t/t1012-release-limit.sh
+++ b/t/t1012-release-limit.sh
@@ -57,6 +57,9 @@
   "retry_window_s":10,"retry_slack":100}}
 EOF
 
+sed "s/\"e1\"/\"e2\"/; s/$TEST_NET.1\"/$TEST_NET.3\"/; s/$TEST_NET.1:8/$TEST_NET.3:8/g;
+	s/release_ms\":4000/release_ms\":6000/; s/$STORE/$TEST_NET.9:1/" entry.json >late.json
+
 start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
 start engine python3 "$TEST_DIR/standin/metadata_store.py" upstream $ENGINE i-1 queue
 
@@ -86,4 +89,14 @@
 	test "$(sed -n "s/^id: //p" body-b1 | tr -d "\n")" = 12345
 '
 
+# Guards against a limit that counts from when a process learns of a release.
+test_expect_success 'an entry that learns of a release late keeps the limit' '
+	sleep 4 &&
+	start late limpet-entry --settings late.json &&
+	wait_until 20 grep "release 2 declared" late.out &&
+	left=$(sed -n "s/.*release 2 declared.*for \(-*[0-9]*\) ms.*/\1/p" late.out) &&
+	echo "$left ms left" &&
+	test "$left" -le 2000
+'
+
 test_done
