config, forward: count a release's limit from its declaration

What callers would see: requests that begin on an older release after its limit, as an entry counted the limit from when it applied the document that names the new one.

Change: a document's models carry when their release was declared, on the process's own monotonic clock: the answer of a held read, the read before an answer that was not held, or the age that a peer tells. Ages are a message kind of their own, asked for only when a peer's document names a new release; peers of an older build refuse it, and the time is then when the text was asked for. Entries' limits and the turns in which engines load count from it. Not known (the first document of a process without peers): as before.

Ruled out: a wall-clock time in the document (clocks differ and jump); a longer margin (bounds nothing, costs all turns).

Unit tests in t0200 and t1000.

--- a/config/component.h
+++ b/config/component.h
@@ -4,6 +4,7 @@
 #include <pthread.h>
 
 #include "base/pool.h"
+#include "config/document.h"
 #include "config/spread.h"
 #include "config/value.h"
 #include "net/node.h"
@@ -49,6 +50,7 @@
 	unsigned invalid_count;	 /* texts rejected */
 	unsigned old_count;	 /* texts ignored as not newer */
 	int is_platform_failing; /* the last read failed */
+	apr_time_t last_read_at; /* answer of the last read, 0: none yet */
 };
 
 struct config {
@@ -75,7 +77,8 @@
 void config_run_decisions(struct config *c);
 void config_start_actions(struct config *c, const struct spread_actions *list);
 int config_apply_text(struct config *c, int value, const char *text,
-		      size_t size, const char *source);
+		      size_t size, const struct text_source *source);
+void config_fetch_ages(struct config *c, struct document *d, const char *peer);
 json_t *config_status(void *arg);
 void config_serve_changes(struct http_call *h, void *arg);
 void config_update_members(struct config *c, apr_time_t now);
--- a/config/config.c
+++ b/config/config.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "config/component.h"
+#include "config/declared.h"
 #include "config/document.h"
 #include "member/instance.h"
 
@@ -87,7 +88,7 @@
  * version.  Returns 1 if it was applied.
  */
 int config_apply_text(struct config *c, int value, const char *text,
-		      size_t size, const char *source)
+		      size_t size, const struct text_source *source)
 {
 	struct value_state *v = &c->values[value];
 	enum value_verdict verdict;
@@ -97,10 +98,11 @@
 
 	if (!v->ops)
 		return 0;
-	verdict = v->ops->apply(v->arg, text, size, &version);
+	verdict = v->ops->apply(v->arg, text, size, source, &version);
 	pthread_mutex_lock(&c->mutex);
 	if (verdict == VALUE_APPLIED) {
-		is_applied = store_text(c, value, version, text, size, source);
+		is_applied =
+			store_text(c, value, version, text, size, source->name);
 	} else if (verdict == VALUE_INVALID) {
 		v->invalid_count++;
 		digest_of(text, size, &digest);
@@ -112,13 +114,14 @@
 	}
 	pthread_mutex_unlock(&c->mutex);
 	if (verdict == VALUE_INVALID)
-		log_warning("config-take", source,
+		log_warning("config-take", source->name,
 			    "rejected invalid %s, revision %llu; it was not "
 			    "applied",
 			    v->ops->name, (unsigned long long)version);
 	if (is_applied)
-		log_notice("config-take", source, "applied %s revision %llu",
-			   v->ops->name, (unsigned long long)version);
+		log_notice("config-take", source->name,
+			   "applied %s revision %llu", v->ops->name,
+			   (unsigned long long)version);
 	return is_applied;
 }
 
@@ -142,8 +145,25 @@
 	return n > 0 ? (uint64_t)n : 0;
 }
 
+/* Sets when the releases that the document names were declared. */
+static void set_declared(struct config *c, struct document *d,
+			 const struct text_source *source)
+{
+	struct document *old = board_document(&c->node->board);
+
+	if (old && old->revision >= d->revision)
+		goto out;
+	if (document_copy_declared(d, old) && source->peer)
+		config_fetch_ages(c, d, source->peer);
+	document_set_unknown_declared(d, old, source->earliest_change_at);
+out:
+	document_unref(old);
+}
+
 static enum value_verdict apply_document(void *arg, const char *text,
-					 size_t size, uint64_t *version)
+					 size_t size,
+					 const struct text_source *source,
+					 uint64_t *version)
 {
 	struct config *c = arg;
 	struct fault_list faults = { 0 };
@@ -156,6 +176,7 @@
 	}
 	fault_list_clear(&faults);
 	*version = d->revision;
+	set_declared(c, d, source);
 	if (board_document_set(&c->node->board, d)) {
 		document_unref(d);
 		return VALUE_OLD;
--- a/config/config_proto.h
+++ b/config/config_proto.h
@@ -47,6 +47,28 @@
 	} text;
 };
 typedef struct config_reply config_reply;
+#define CONFIG_MODELS_MAX 64
+#define CONFIG_MODEL_NAME_MAX 128
+
+struct config_release_age {
+	char *model;
+	u_quad_t release;
+	u_quad_t age_us;
+};
+typedef struct config_release_age config_release_age;
+
+struct config_ages_request {
+	u_quad_t revision;
+};
+typedef struct config_ages_request config_ages_request;
+
+struct config_ages_reply {
+	struct {
+		u_int ages_len;
+		config_release_age *ages_val;
+	} ages;
+};
+typedef struct config_ages_reply config_ages_reply;
 
 /* the xdr functions */
 
@@ -54,11 +76,17 @@
 extern  bool_t xdr_config_version (XDR *, config_version*);
 extern  bool_t xdr_config_request (XDR *, config_request*);
 extern  bool_t xdr_config_reply (XDR *, config_reply*);
+extern  bool_t xdr_config_release_age (XDR *, config_release_age*);
+extern  bool_t xdr_config_ages_request (XDR *, config_ages_request*);
+extern  bool_t xdr_config_ages_reply (XDR *, config_ages_reply*);
 
 #else /* K&R C */
 extern bool_t xdr_config_version ();
 extern bool_t xdr_config_request ();
 extern bool_t xdr_config_reply ();
+extern bool_t xdr_config_release_age ();
+extern bool_t xdr_config_ages_request ();
+extern bool_t xdr_config_ages_reply ();
 
 #endif /* K&R C */
 
--- a/config/config_proto.x
+++ b/config/config_proto.x
@@ -30,3 +30,22 @@
 
 	opaque text<CONFIG_TEXT_MAX>;	/* of the wanted value */
 };
+
+const CONFIG_MODELS_MAX = 64;
+const CONFIG_MODEL_NAME_MAX = 128;
+
+/* How long ago a release of a model was declared, for a document with it. */
+struct config_release_age {
+	string model<CONFIG_MODEL_NAME_MAX>;
+	unsigned hyper release;
+	unsigned hyper age_us;
+};
+
+struct config_ages_request {
+	unsigned hyper revision;	/* of the requester's document */
+};
+
+/* Releases whose age is not known are left out. */
+struct config_ages_reply {
+	config_release_age ages<CONFIG_MODELS_MAX>;
+};
--- a/config/config_proto_xdr.c
+++ b/config/config_proto_xdr.c
@@ -51,3 +51,38 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_config_release_age (XDR *xdrs, config_release_age *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->model, CONFIG_MODEL_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->release))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->age_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_config_ages_request (XDR *xdrs, config_ages_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_config_ages_reply (XDR *xdrs, config_ages_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->ages.ages_val, (u_int *) &objp->ages.ages_len, CONFIG_MODELS_MAX,
+		sizeof (config_release_age), (xdrproc_t) xdr_config_release_age))
+		 return FALSE;
+	return TRUE;
+}
--- /dev/null
+++ b/config/declared.h
@@ -0,0 +1,23 @@
+#ifndef CONFIG_DECLARED_H
+#define CONFIG_DECLARED_H
+
+#include "config/config_proto.h"
+#include "config/document.h"
+
+/*
+ * When the releases named by a document were declared, on the monotonic clock
+ * of this process.  A limit on a release counts from there, not from when a
+ * process happens to learn of it.  The text of a document can't hold these
+ * times, as clocks differ between machines: processes tell each other ages.
+ */
+
+int document_copy_declared(struct document *d, const struct document *old);
+void document_set_ages(struct document *d, const config_ages_reply *rep,
+		       apr_time_t asked_at);
+void document_set_unknown_declared(struct document *d,
+				   const struct document *old,
+				   apr_time_t earliest_at);
+void document_fill_ages(const struct document *d, config_ages_reply *rep,
+			apr_time_t now);
+
+#endif
--- a/config/document.h
+++ b/config/document.h
@@ -1,6 +1,7 @@
 #ifndef CONFIG_DOCUMENT_H
 #define CONFIG_DOCUMENT_H
 
+#include <apr_time.h>
 #include <jansson.h>
 #include <stdint.h>
 
@@ -35,7 +36,9 @@
 	int first_loader_count;	  /* upstreams that load before the others */
 	double min_serving_ratio; /* of upstreams that keep serving */
 	uint64_t release;	  /* origin's number of the version, 0: none */
-	char *origin;		  /* URL; NULL: origin from the settings */
+	/* When the release was declared (declared.h), 0: not known. */
+	apr_time_t declared_at;
+	char *origin; /* URL; NULL: origin from the settings */
 };
 
 /* An operation of a plain service. */
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -7,6 +7,7 @@
 #include "base/metric.h"
 #include "config/component.h"
 #include "config/config_proto.h"
+#include "config/declared.h"
 #include "config/delta.h"
 #include "config/pack.h"
 
@@ -22,6 +23,15 @@
 /* Timeout of an exchange with a text in the reply. */
 #define PULL_TIMEOUT_MS 3000
 
+/* Timeout of a request for the ages of releases. */
+#define AGES_TIMEOUT_MS 250
+
+/*
+ * A read that is answered later was held by the platform until a change was
+ * made.  What a faster one returns may be as old as the read before it.
+ */
+#define READ_HELD_MIN_US (250 * 1000)
+
 struct exchange_job {
 	struct job job;
 	struct config *config;
@@ -121,7 +131,7 @@
  * asks for the complete text.
  */
 static void apply_delta(struct config *c, int value, const config_reply *rep,
-			const char *source)
+			const struct text_source *source)
 {
 	struct digest digest;
 	size_t size = 0;
@@ -161,7 +171,7 @@
 }
 
 static void apply_reply(struct config *c, int value, const config_reply *rep,
-			const char *source)
+			const struct text_source *source)
 {
 	if (rep->base_revision)
 		apply_delta(c, value, rep, source);
@@ -178,12 +188,15 @@
 	struct error err = ERROR_INIT;
 	config_reply rep;
 	apr_time_t now;
+	struct text_source source = { .name = j->action.address,
+				      .peer = j->action.address,
+				      .earliest_change_at = clock_now() };
 	int ok, count;
 
 	ok = !send_exchange(c, j, &rep, &err);
 	if (ok && j->action.wanted_value >= 0 && rep.text.text_len &&
 	    !inflate_reply(&rep))
-		apply_reply(c, j->action.wanted_value, &rep, j->action.address);
+		apply_reply(c, j->action.wanted_value, &rep, &source);
 	now = clock_now();
 	pthread_mutex_lock(&c->mutex);
 	/*
@@ -332,18 +345,58 @@
 	return 0;
 }
 
+static int serve_ages(void *arg, const struct rpc_peer *from,
+		      const void *request, void *reply)
+{
+	struct config *c = arg;
+	struct document *d = board_document(&c->node->board);
+
+	(void)from;
+	(void)request;
+	if (!d)
+		return -1;
+	document_fill_ages(d, reply, clock_now());
+	document_unref(d);
+	return 0;
+}
+
 const struct rpc_kind config_kinds[] = {
 	{ RPC_KIND_CONFIG, "config-exchange", (xdrproc_t)xdr_config_request,
 	  sizeof(config_request), (xdrproc_t)xdr_config_reply,
 	  sizeof(config_reply), serve_exchange },
+	{ RPC_KIND_CONFIG_AGES, "config-ages",
+	  (xdrproc_t)xdr_config_ages_request, sizeof(config_ages_request),
+	  (xdrproc_t)xdr_config_ages_reply, sizeof(config_ages_reply),
+	  serve_ages },
 	{ 0 }
 };
 
+/*
+ * Asks a peer how long ago the releases of a document were declared.  A peer
+ * of an older build does not know the question; the times then stay unknown.
+ */
+void config_fetch_ages(struct config *c, struct document *d, const char *peer)
+{
+	config_ages_request req = { d->revision };
+	struct error err = ERROR_INIT;
+	apr_time_t asked_at = clock_now();
+	config_ages_reply rep;
+
+	if (rpc_exchange(c->node->rpc, peer, c->node->settings.rpc_port,
+			 &config_kinds[1], &req, &rep, AGES_TIMEOUT_MS, &err)) {
+		metric_count("config_ages_failures", NULL, 1);
+		return;
+	}
+	document_set_ages(d, &rep, asked_at);
+	xdr_free((xdrproc_t)xdr_config_ages_reply, &rep);
+}
+
 static void finish_watch(struct watch_job *w, int ok, int changed)
 {
 	struct config *c = w->config;
 
 	pthread_mutex_lock(&c->mutex);
+	c->values[w->read.value].last_read_at = w->read.answered_at;
 	spread_finish_watch(&c->spread, w->read.value, ok, changed,
 			    w->started_at, clock_now(), &c->random);
 	pthread_mutex_unlock(&c->mutex);
@@ -371,16 +424,36 @@
 			    "pulling newer versions from peers");
 }
 
+/*
+ * Returns the earliest time at which a change was made that a read found, 0 if
+ * that is not known.
+ */
+static apr_time_t earliest_change_at(const struct watch_job *w)
+{
+	const struct platform_read *r = &w->read;
+	struct config *c = w->config;
+	apr_time_t last_read_at;
+
+	if (r->hold_s && r->answered_at - w->started_at >= READ_HELD_MIN_US)
+		return r->answered_at;
+	pthread_mutex_lock(&c->mutex);
+	last_read_at = c->values[r->value].last_read_at;
+	pthread_mutex_unlock(&c->mutex);
+	return last_read_at;
+}
+
 /* Applies the platform's answer, on a worker: checking takes time. */
 static void apply_watch_answer(struct job *job)
 {
 	struct watch_job *w = (struct watch_job *)job;
 	struct platform_read *r = &w->read;
+	struct text_source source = { .name = "platform" };
 	int changed = 0;
 
+	source.earliest_change_at = earliest_change_at(w);
 	if (r->answer == PLATFORM_TEXT)
 		changed = config_apply_text(w->config, r->value, r->text,
-					    r->size, "platform");
+					    r->size, &source);
 	record_platform_contact(w->config, r->value,
 				r->answer != PLATFORM_FAILED);
 	finish_watch(w, r->answer != PLATFORM_FAILED, changed);
@@ -392,6 +465,8 @@
 		(struct watch_job *)((char *)r -
 				     offsetof(struct watch_job, read));
 
+	if (!r->answered_at)
+		r->answered_at = clock_now();
 	w->job.run = apply_watch_answer;
 	if (submit_job(w->config, &w->job))
 		finish_watch(w, 0, 0);
--- a/config/platform-service.c
+++ b/config/platform-service.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "config/component.h"
 
 /*
@@ -26,6 +27,13 @@
 	char url[URL_SIZE];
 };
 
+static void record_answer(struct fetch *f)
+{
+	struct service_read *x = f->arg;
+
+	x->read->answered_at = clock_now();
+}
+
 static void finish_service_read(struct fetch *f)
 {
 	struct service_read *x = f->arg;
@@ -44,7 +52,8 @@
 
 static void service_read(struct platform_read *r)
 {
-	static const struct fetch_ops ops = { NULL, NULL, finish_service_read };
+	static const struct fetch_ops ops = { NULL, NULL, finish_service_read,
+					      record_answer };
 	struct service_read *x = calloc(1, sizeof(*x));
 
 	if (!x)
--- a/config/value.h
+++ b/config/value.h
@@ -4,6 +4,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <apr_time.h>
+
 #include "config/overlay.h"
 #include "net/node.h"
 #include "config/spread.h"
@@ -29,10 +31,12 @@
 	struct node *node;
 	int value;
 	uint64_t after_version; /* current version of this process */
-	int hold_s; /* time to wait for a newer version, 0: don't wait */
+	/* time to wait for a newer version, 0: the answer did not wait */
+	int hold_s;
 	void (*on_finish)(struct platform_read *r);
 
 	/* the answer */
+	apr_time_t answered_at; /* when it began to arrive, or failed */
 	enum platform_answer answer;
 	char *text; /* freed by the caller that started the read */
 	size_t size;
@@ -58,6 +62,17 @@
 	VALUE_INVALID	   /* rejected; no part of it was applied */
 };
 
+/* Where a text comes from. */
+struct text_source {
+	const char *name; /* for operators: "platform", or the address */
+	const char *peer; /* address of the process that sent it, or NULL */
+	/*
+	 * A change that the current version does not contain was made at this
+	 * time or later.
+	 */
+	apr_time_t earliest_change_at;
+};
+
 struct value_ops {
 	const char *name;
 
@@ -66,6 +81,7 @@
 	 * receives its version, or 0 if the text does not contain one.
 	 */
 	enum value_verdict (*apply)(void *arg, const char *text, size_t size,
+				    const struct text_source *source,
 				    uint64_t *version);
 };
 
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -93,12 +93,15 @@
 		const struct release_row *row = &r->rows[i];
 		const struct release_change *c = &row->changes[row->count - 1];
 
-		if (row->count && c->learned_at == now)
-			log_info("release", row->model,
-				 "release %llu declared; requests may begin on "
-				 "older ones for %lld ms",
-				 (unsigned long long)c->release,
-				 (long long)(c->required_at - now) / 1000);
+		if (!row->count || c->learned_at != now)
+			continue;
+		log_info("release", row->model,
+			 "release %llu declared; requests may begin on older "
+			 "ones for %lld ms",
+			 (unsigned long long)c->release,
+			 c->required_at > now
+				 ? (long long)(c->required_at - now) / 1000
+				 : 0LL);
 	}
 }
 
--- a/forward/listing.c
+++ b/forward/listing.c
@@ -156,7 +156,9 @@
 
 /* Makes a list current when its version is above that of the current one. */
 static enum value_verdict apply_listing(void *arg, const char *text,
-					size_t size, uint64_t *version)
+					size_t size,
+					const struct text_source *source,
+					uint64_t *version)
 {
 	struct fault_list faults = { 0 };
 	struct listing *l = listing_parse(text, size, &faults);
@@ -164,6 +166,7 @@
 	int is_newer = 0;
 
 	(void)arg;
+	(void)source;
 	if (!l) {
 		log_warning("upstreams", NULL, "list of upstreams rejected: %s",
 			    faults.lines[0]);
--- a/forward/release.c
+++ b/forward/release.c
@@ -40,7 +40,10 @@
 	row->count++;
 }
 
-/* Applies the models of the document that became current at `now`. */
+/*
+ * Applies the models of the document that became current at `now`. Older
+ * releases may begin requests for release_ms after the declaration.
+ */
 void releases_apply_document(struct releases *r, const struct document *d,
 			     int release_ms, apr_time_t now)
 {
@@ -49,14 +52,19 @@
 		RELEASE_STARTUP_GRACE_MAX_MS * 1000LL + RELEASE_SEND_MARGIN_US;
 	int i;
 
-	if (!r->has_document && grace > startup_max)
-		grace = startup_max;
-	r->has_document = 1;
 	for (i = 0; i < d->model_count; i++) {
-		struct release_row *row = find_or_add_row(r, d->models[i].name);
+		const struct model_spec *m = &d->models[i];
+		struct release_row *row = find_or_add_row(r, m->name);
 
-		if (row)
-			add_change(row, d->models[i].release, now, now + grace);
+		if (!row)
+			continue;
+		if (m->declared_at)
+			add_change(row, m->release, now,
+				   m->declared_at + grace);
+		else
+			add_change(row, m->release, now,
+				   now + (grace < startup_max ? grace
+							      : startup_max));
 	}
 }
 
--- a/forward/release.h
+++ b/forward/release.h
@@ -31,9 +31,8 @@
 #define RELEASE_WITHDRAW_MARGIN_US (800 * 1000LL)
 
 /*
- * Maximum time for which older releases still receive requests after the first
- * document since the start: the process can't determine when its releases were
- * declared.
+ * Maximum time for which older releases still receive requests when it is not
+ * known when a release was declared, as after a start without a peer.
  */
 #define RELEASE_STARTUP_GRACE_MAX_MS 2500
 
@@ -53,7 +52,6 @@
 struct releases {
 	struct release_row rows[RELEASE_MODELS_MAX];
 	int count;
-	int has_document; /* a document was applied before */
 };
 
 void releases_apply_document(struct releases *r, const struct document *d,
--- a/member/list.c
+++ b/member/list.c
@@ -11,6 +11,7 @@
  * lists may arrive at the same time; the table lock orders them.
  */
 static enum value_verdict apply_list(void *arg, const char *text, size_t size,
+				     const struct text_source *source,
 				     uint64_t *version)
 {
 	struct member *m = arg;
--- a/t/helper/test-config.c
+++ b/t/helper/test-config.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config/declared.h"
 #include "config/delta.h"
 #include "config/diff.h"
 #include "config/document.h"
@@ -51,6 +52,81 @@
 	"{\"name\":\"register\",\"upstreams\":[\"p-*-x\"],\"operations\":["
 	"{\"name\":\"check\",\"repeatable\":true},{\"name\":\"reserve\"}]}]}]}";
 
+static struct document *document_of(uint64_t revision, uint64_t release)
+{
+	char text[512], hex[DIGEST_HEX_SIZE];
+
+	compute_release_version("m", release, hex);
+	snprintf(text, sizeof(text),
+		 "{\"revision\":%llu,\"accounts\":[{\"account\":\"x\","
+		 "\"models\":[{\"name\":\"m\",\"manifest\":\"%s\","
+		 "\"release\":%llu,\"upstreams\":[\"*\"]}]}]}",
+		 (unsigned long long)revision, hex,
+		 (unsigned long long)release);
+	return parse(text);
+}
+
+/* The clocks of two processes differ; a limit must not. */
+START_TEST(release_age_from_peer_gives_time_of_declaration)
+{
+	struct document *theirs = document_of(3, 2);
+	struct document *ours = document_of(3, 2);
+	struct document *old = document_of(2, 1);
+	config_ages_reply rep = { { 0 } };
+
+	theirs->models[0].declared_at = 100 * SECOND;
+	document_fill_ages(theirs, &rep, 104 * SECOND);
+	ck_assert_uint_eq(rep.ages.ages_len, 1);
+	ck_assert_int_eq(document_copy_declared(ours, old), 1);
+	document_set_ages(ours, &rep, 50 * SECOND);
+	ck_assert_int_eq(ours->models[0].declared_at, 46 * SECOND);
+	document_set_unknown_declared(ours, old, 49 * SECOND);
+	ck_assert_int_eq(ours->models[0].declared_at, 46 * SECOND);
+	xdr_free((xdrproc_t)xdr_config_ages_reply, &rep);
+	/* The age of another release says nothing. */
+	memset(&rep, 0, sizeof(rep));
+	document_unref(ours);
+	ours = document_of(4, 3);
+	document_fill_ages(theirs, &rep, 104 * SECOND);
+	document_set_ages(ours, &rep, 50 * SECOND);
+	ck_assert_int_eq(ours->models[0].declared_at, 0);
+	xdr_free((xdrproc_t)xdr_config_ages_reply, &rep);
+	document_unref(ours);
+	document_unref(theirs);
+	document_unref(old);
+}
+END_TEST
+
+START_TEST(time_of_declaration_is_kept_or_unknown)
+{
+	struct document *first = document_of(1, 1);
+	struct document *same = document_of(2, 1);
+	struct document *next = document_of(3, 2);
+	config_ages_reply rep = { { 0 } };
+
+	/* Without a peer, a process that starts can't know it. */
+	ck_assert_int_eq(document_copy_declared(first, NULL), 1);
+	document_set_unknown_declared(first, NULL, 5 * SECOND);
+	ck_assert_int_eq(first->models[0].declared_at, 0);
+	document_fill_ages(first, &rep, 6 * SECOND);
+	ck_assert_uint_eq(rep.ages.ages_len, 0);
+	xdr_free((xdrproc_t)xdr_config_ages_reply, &rep);
+	ck_assert_int_eq(document_copy_declared(same, first), 0);
+	document_set_unknown_declared(same, first, 7 * SECOND);
+	ck_assert_int_eq(same->models[0].declared_at, 0);
+	ck_assert_int_eq(document_copy_declared(next, same), 1);
+	document_set_unknown_declared(next, same, 8 * SECOND);
+	ck_assert_int_eq(next->models[0].declared_at, 8 * SECOND);
+	document_unref(same);
+	same = document_of(4, 2);
+	ck_assert_int_eq(document_copy_declared(same, next), 0);
+	ck_assert_int_eq(same->models[0].declared_at, 8 * SECOND);
+	document_unref(first);
+	document_unref(same);
+	document_unref(next);
+}
+END_TEST
+
 START_TEST(document_is_bound_with_defaults)
 {
 	struct document *d = parse(whole);
@@ -499,6 +575,8 @@
 	tcase_add_test(t, older_and_rejected_versions_are_not_pulled);
 	tcase_add_test(t, not_ready_before_all_start_exchanges_finish);
 	tcase_add_test(t, failed_pull_is_retried_from_next_source);
+	tcase_add_test(t, release_age_from_peer_gives_time_of_declaration);
+	tcase_add_test(t, time_of_declaration_is_kept_or_unknown);
 	tcase_add_test(t, silent_watchers_are_substituted_by_few_in_turn);
 	tcase_set_timeout(t, 60);
 	suite_add_tcase(s, t);
--- a/t/helper/test-forward-load.c
+++ b/t/helper/test-forward-load.c
@@ -124,7 +124,9 @@
 
 static void declare_release(struct run *r, uint64_t release, apr_time_t now)
 {
-	struct model_spec model = { .name = "m", .release = release };
+	struct model_spec model = { .name = "m",
+				    .release = release,
+				    .declared_at = now };
 	struct document d = { .models = &model, .model_count = 1 };
 	int i;
 
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -297,10 +297,13 @@
 	return d;
 }
 
-static void declare(struct releases *r, uint64_t release, apr_time_t now)
+/* Applies a document with a release at now; declared_at is 0 if not known. */
+static void declare(struct releases *r, uint64_t release,
+		    apr_time_t declared_at, apr_time_t now)
 {
 	struct document *d = document_of(release, release);
 
+	d->models[0].declared_at = declared_at;
 	releases_apply_document(r, d, 8000, now);
 	document_unref(d);
 }
@@ -309,9 +312,9 @@
 {
 	static struct releases r;
 
-	declare(&r, 1, 0);
-	declare(&r, 2, 10 * SECOND);
-	declare(&r, 3, 13 * SECOND);
+	declare(&r, 1, 0, 0);
+	declare(&r, 2, 10 * SECOND, 10 * SECOND);
+	declare(&r, 3, 13 * SECOND, 13 * SECOND);
 	ck_assert_uint_le(release_find_min(&r, "m", 16 * SECOND), 1);
 	ck_assert_uint_eq(release_find_min(&r, "m", 18 * SECOND), 2);
 	ck_assert_uint_eq(release_find_min(&r, "m", 19 * SECOND), 2);
@@ -329,6 +332,21 @@
 }
 END_TEST
 
+START_TEST(limit_of_release_counts_from_declaration)
+{
+	static struct releases late, started;
+
+	declare(&late, 1, 0, 0);
+	declare(&late, 2, 10 * SECOND, 17 * SECOND);
+	ck_assert_int_eq(release_find_expiry(&late, "m", 1), 18 * SECOND);
+	ck_assert_uint_eq(release_find_send_min(&late, "m", 17 * SECOND), 2);
+	/* Not known after a start: requests are sent for 2.5 s at most. */
+	declare(&started, 2, 0, 20 * SECOND);
+	ck_assert_uint_le(release_find_send_min(&started, "m", 22 * SECOND), 1);
+	ck_assert_uint_eq(release_find_send_min(&started, "m", 22500 * MS), 2);
+}
+END_TEST
+
 /* admit.c */
 
 START_TEST(late_request_leaves_slots_to_requests_in_time)
@@ -526,6 +544,7 @@
 		       unresponsive_upstream_is_ejected_at_once_with_backoff);
 	tcase_add_test(tc, entries_together_keep_retry_budget_in_any_window);
 	tcase_add_test(tc, second_release_keeps_minimum_of_first);
+	tcase_add_test(tc, limit_of_release_counts_from_declaration);
 	tcase_add_test(tc, late_request_leaves_slots_to_requests_in_time);
 	tcase_add_test(tc, retry_delays_are_spread_within_time_left);
 	tcase_add_test(tc, deadline_gives_time_since_first_attempt);
--- a/t/helper/test-weights.c
+++ b/t/helper/test-weights.c
@@ -341,7 +341,7 @@
 	struct activation a;
 
 	init_activation(&a);
-	a.first_seen_at = 10 * SECOND_US;
+	a.declared_at = 10 * SECOND_US;
 	ck_assert_int_eq(activation_is_loaded_first(&a, 0.9, 13 * SECOND_US),
 			 0);
 	a.load_time_limit = 8 * SECOND_US;
@@ -365,7 +365,7 @@
 	init_activation(&a);
 	a.is_complete = 1;
 	a.load_time_limit = 8 * SECOND_US;
-	a.first_seen_at = 10 * SECOND_US; /* turns from 13.36 s to 16.4 s */
+	a.declared_at = 10 * SECOND_US; /* turns from 13.36 s to 16.4 s */
 	a.live_count = 3;
 	a.loader_rank = 0;
 	ck_assert_int_eq(activation_step(&a, 13 * SECOND_US),
--- a/weights/activate.c
+++ b/weights/activate.c
@@ -83,7 +83,7 @@
 	if (a->live_count > 1)
 		at += (TURN_LAST_SHARE - TURN_FIRST_SHARE) * a->loader_rank /
 		      (a->live_count - 1);
-	return now - a->first_seen_at >=
+	return now - a->declared_at >=
 	       (apr_interval_time_t)(at * (double)a->load_time_limit);
 }
 
@@ -230,7 +230,7 @@
 {
 	if (!a->load_time_limit || !*a->wanted_version || is_running_wanted(a))
 		return 0;
-	if (now - a->first_seen_at >= a->load_time_limit || a->crashed_mask ||
+	if (now - a->declared_at >= a->load_time_limit || a->crashed_mask ||
 	    a->has_crashed_here)
 		return 0;
 	return a->is_ordering || a->is_engine_busy || a->is_complete ||
--- a/weights/activate.h
+++ b/weights/activate.h
@@ -51,10 +51,10 @@
 	/* Instances that must run the version before the rest may load it. */
 	int loaders_required;
 	int live_count; /* live instances that are to load the version */
-	/* time at which this instance first saw the version */
-	apr_time_t first_seen_at;
+	/* When the version was declared, or first seen if that is not known. */
+	apr_time_t declared_at;
 	/*
-	 * Time limit from first_seen_at until all instances run the version.
+	 * Time limit from declared_at until all instances run the version.
 	 * When it is set, they load one after the other over that time instead
 	 * of after the first loaders. 0: no limit.
 	 */
--- a/weights/internal.h
+++ b/weights/internal.h
@@ -43,7 +43,7 @@
 	 */
 	char next_version_hex[DIGEST_HEX_SIZE];
 	uint64_t next_release;
-	apr_time_t next_first_seen_at;
+	apr_time_t next_declared_at;
 
 	uint64_t swarm_id;   /* changes when the wanted version changes */
 	struct swarm *swarm; /* NULL until the manifest is fetched */
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -115,7 +115,7 @@
 
 /* Switches to another version; the old swarm stays for its chunks. */
 static void model_set_version(struct weights *w, struct model_row *m,
-			      const char *version, apr_time_t now)
+			      const char *version, apr_time_t declared_at)
 {
 	if (!strcmp(m->version_hex, version) ||
 	    digest_parse(version, &m->version))
@@ -146,7 +146,7 @@
 	memset(&m->verify, 0, sizeof(m->verify));
 	w->has_unplaced_version = 1;
 	activation_set_version(&m->activation, version);
-	m->activation.first_seen_at = now;
+	m->activation.declared_at = declared_at;
 }
 
 /*
@@ -174,6 +174,8 @@
 				      const struct model_spec *spec,
 				      apr_time_t now)
 {
+	apr_time_t declared_at = spec->declared_at ? spec->declared_at : now;
+
 	if (!strcmp(m->version_hex, spec->version)) {
 		*m->next_version_hex = '\0';
 		return;
@@ -185,12 +187,12 @@
 		snprintf(m->next_version_hex, sizeof(m->next_version_hex), "%s",
 			 spec->version);
 		m->next_release = spec->release;
-		m->next_first_seen_at = now;
+		m->next_declared_at = declared_at;
 		return;
 	}
 	*m->next_version_hex = '\0';
 	m->release = spec->release;
-	model_set_version(w, m, spec->version, now);
+	model_set_version(w, m, spec->version, declared_at);
 }
 
 /* Starts the next version once the current one need not be loaded. */
@@ -204,7 +206,7 @@
 	memcpy(next, m->next_version_hex, sizeof(next));
 	*m->next_version_hex = '\0';
 	m->release = m->next_release;
-	model_set_version(w, m, next, m->next_first_seen_at);
+	model_set_version(w, m, next, m->next_declared_at);
 }
 
 static void model_apply_spec(struct weights *w, const struct model_spec *spec,
@@ -334,11 +336,11 @@
 		w->is_cleanup_due = 1;
 		log_info("engine-order", m->name,
 			 "version %.12s runs, %lld ms after the order, %lld ms "
-			 "after the document named it",
+			 "after it was declared",
 			 m->version_hex,
 			 a->ordered_at ? (long long)(now - a->ordered_at) / 1000
 				       : 0LL,
-			 (long long)(now - a->first_seen_at) / 1000);
+			 (long long)(now - a->declared_at) / 1000);
 	}
 	if (state != before && state == ACTIVATION_HALTED)
 		log_error("activate", m->name,
