t: an ejected upstream while an older release expires

Near the limit of an older release, an upstream that runs it gets only requests that it can begin at once. The choice among ejected upstreams skips that check whenever no other upstream is eligible, also when the others are merely full.

Seen in a trace of narrowed links: seven of nine entries ejected i-0ae0239e06 as silent within 0.4 s and went on sending to it, one of them 0.14 s after the ejection; both requests told in full that began late were sent while an earlier one of the same entry had no answer there.

The test fails on this code: the ejected upstream is chosen.

--- a/t/helper/test-target.c
+++ b/t/helper/test-target.c
@@ -334,6 +334,42 @@
 }
 END_TEST
 
+/*
+ * Guards against one ejected upstream that receives the requests of all others
+ * while these take only what they begin at once.
+ */
+START_TEST(ejected_upstream_of_expiring_release_gets_no_waiting_requests)
+{
+	struct target_query q = query_of();
+	struct target_choice c;
+	struct target_table t;
+	struct random random;
+	apr_time_t now = 10 * SECOND;
+
+	random_seed(&random, 9);
+	create_table(&t, 2, RUNS_ONE);
+	report(&t, 0, 3, 0, 1, now);
+	report(&t, 1, 16, 0, 1, now);
+	q.release_min = 1;
+	q.queued_release_min = 2;
+	t.rows[0].unanswered = 1;
+	target_choose(&t, &q, now, &random, &c);
+	ck_assert_int_eq(c.index, -1);
+	/* Its slots are taken and requests of this entry wait there. */
+	t.rows[1].unanswered = 5;
+	t.rows[1].health.ejected_until = now + SECOND;
+	target_choose(&t, &q, now, &random, &c);
+	ck_assert_int_eq(c.index, -1);
+	/* The same for one whose probe has not been answered. */
+	t.rows[1].health.ejected_until = now - MS;
+	t.rows[1].health.is_probing = 1;
+	t.rows[1].health.probe_started_at = now - 100 * MS;
+	target_choose(&t, &q, now, &random, &c);
+	ck_assert_int_eq(c.index, -1);
+	target_table_destroy(&t);
+}
+END_TEST
+
 START_TEST(long_streams_block_an_order)
 {
 	struct target_table t;
@@ -370,6 +406,9 @@
 	tcase_add_test(tc, congested_upstream_is_chosen_last);
 	tcase_add_test(
 		tc, expiring_release_serves_only_requests_that_start_at_once);
+	tcase_add_test(
+		tc,
+		ejected_upstream_of_expiring_release_gets_no_waiting_requests);
 	tcase_add_test(tc, long_streams_block_an_order);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
