forward: ejected upstreams keep the limits of the others near a release's end

Cause: in the last seconds of an older release an upstream that runs it gets only requests that it can begin at once. The check came after that of health, so an ejected upstream was never asked it, and target_choose falls back to ejected upstreams when no other is eligible, also when the others only lack a free slot. Seven of nine entries had ejected i-0ae0239e06 as silent; at least 8 of about 20 requests reconstructed there were sent past the check, among them both that are told in full.

Change: health is checked last; an ejected upstream that is full, busy with an order or about to expire is not chosen.

Found by a review of the trace.

--- a/forward/target.c
+++ b/forward/target.c
@@ -503,14 +503,15 @@
 		return EXCLUSION_TRIED;
 	if (!runs_model(u, q, q->release_min))
 		return EXCLUSION_MODEL;
-	if (!health_can_send(&u->health, now))
-		return EXCLUSION_EJECTED;
 	if (u->full_until > now || (has_valid_report(u, now) && u->is_busy))
 		return EXCLUSION_FULL;
 	/* The release may be retired before a queued request starts. */
 	if (!runs_model(u, q, q->queued_release_min) &&
 	    !can_start_immediately(t, u, now))
 		return EXCLUSION_FULL;
+	/* Last, as an ejected upstream may be chosen when there is no other. */
+	if (!health_can_send(&u->health, now))
+		return EXCLUSION_EJECTED;
 	return EXCLUSION_NONE;
 }
 
