forward: decide on withdrawals in release.c

The decision is a pure function now, release_must_withdraw, that test-forward and the load simulation call; the cases of an upstream that runs the next release or loads one are in waiting_request_is_withdrawn_before_limit_of_release.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -196,26 +196,19 @@
 }
 
 /*
- * Returns 1 for a request that must be withdrawn: it waits at an upstream on
- * whose release no request may begin soon. How long it waits there is not
- * bounded otherwise. Called with the mutex held.
+ * Returns 1 for a request that waits at an upstream on whose release no request
+ * may begin soon. How long it waits there is not bounded otherwise. Called with
+ * the mutex held.
  */
 static int should_withdraw(struct forwarder *w, const struct forward *f,
 			   apr_time_t now)
 {
-	const struct target *u;
-	uint64_t release = 0;
+	const struct target *u = target_find(&w->targets, f->upstream);
+	uint64_t runs_now = u ? target_find_release(u, f->head.model) : 0;
 
-	if (!f->is_unanswered || !f->release)
-		return 0;
-	u = target_find(&w->targets, f->upstream);
-	if (u)
-		release = target_find_release(u, f->head.model);
-	/* An upstream that loads a release reports none until it runs it. */
-	if (!release)
-		release = f->release;
-	return release <
-	       release_find_withdraw_min(&w->releases, f->head.model, now);
+	return f->is_unanswered &&
+	       release_must_withdraw(&w->releases, f->head.model, f->release,
+				     runs_now, now);
 }
 
 static void cancel_attempt(struct forward *f, enum cancel_reason why,
--- a/forward/release.c
+++ b/forward/release.c
@@ -107,13 +107,19 @@
 }
 
 /*
- * Returns the oldest release of a model on which a request that waits now may
- * still begin, 0 for any. From all older ones it must be withdrawn.
+ * Returns 1 for a request that has not begun and must be withdrawn from its
+ * upstream. sent_to is the upstream's release when the request was sent, 0 if
+ * not known; runs_now its present one, 0 while it runs none. An upstream that
+ * loads a release runs none, and may load one that expires as well.
  */
-uint64_t release_find_withdraw_min(const struct releases *r, const char *model,
-				   apr_time_t now)
+int release_must_withdraw(const struct releases *r, const char *model,
+			  uint64_t sent_to, uint64_t runs_now, apr_time_t now)
 {
-	return release_find_min(r, model, now + RELEASE_WITHDRAW_MARGIN_US);
+	uint64_t release = runs_now ? runs_now : sent_to;
+
+	return release &&
+	       release < release_find_min(r, model,
+					  now + RELEASE_WITHDRAW_MARGIN_US);
 }
 
 /*
--- a/t/helper/test-forward-load.c
+++ b/t/helper/test-forward-load.c
@@ -282,10 +282,11 @@
  */
 static void step_withdrawal(struct run *r, struct request *q, apr_time_t now)
 {
-	uint64_t release_min =
-		release_find_withdraw_min(&r->releases[q->entry], "m", now);
+	const struct releases *releases = &r->releases[q->entry];
+	uint64_t runs_now = engine_release(r, q->engine, now);
 
-	if (!q->withdrawn_at && engine_release(r, q->engine, now) < release_min)
+	if (!q->withdrawn_at &&
+	    release_must_withdraw(releases, "m", runs_now, runs_now, now))
 		q->withdrawn_at = now + r->cancel_us;
 	if (!q->withdrawn_at || now < q->withdrawn_at)
 		return;
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -323,15 +323,33 @@
 	ck_assert_uint_le(release_find_send_min(&r, "m", 16 * SECOND), 1);
 	ck_assert_uint_eq(release_find_send_min(&r, "m", 17 * SECOND), 2);
 	ck_assert_uint_eq(release_find_send_min(&r, "m", 20 * SECOND), 3);
-	ck_assert_uint_le(release_find_withdraw_min(&r, "m", 17 * SECOND), 1);
-	ck_assert_uint_eq(release_find_withdraw_min(&r, "m", 17500 * MS), 2);
-	ck_assert_uint_eq(release_find_withdraw_min(&r, "m", 20500 * MS), 3);
 	ck_assert_int_eq(release_find_expiry(&r, "m", 1), 18 * SECOND);
 	ck_assert_int_eq(release_find_expiry(&r, "m", 2), 21 * SECOND);
 	ck_assert_int_eq(release_find_expiry(&r, "m", 3), 0);
 }
 END_TEST
 
+START_TEST(waiting_request_is_withdrawn_before_limit_of_release)
+{
+	static struct releases r;
+	apr_time_t early = 17 * SECOND, late = 17500 * MS;
+
+	declare(&r, 1, 0, 0);
+	declare(&r, 2, 10 * SECOND, 10 * SECOND);
+	declare(&r, 3, 13 * SECOND, 13 * SECOND);
+	ck_assert(!release_must_withdraw(&r, "m", 1, 1, early));
+	ck_assert(release_must_withdraw(&r, "m", 1, 1, late));
+	/* Meanwhile the upstream runs the next release, or loads one. */
+	ck_assert(!release_must_withdraw(&r, "m", 1, 2, late));
+	ck_assert(release_must_withdraw(&r, "m", 1, 0, late));
+	ck_assert(!release_must_withdraw(&r, "m", 2, 0, late));
+	ck_assert(release_must_withdraw(&r, "m", 1, 2, 20500 * MS));
+	ck_assert(!release_must_withdraw(&r, "m", 1, 3, 20500 * MS));
+	ck_assert(!release_must_withdraw(&r, "m", 0, 0, 20500 * MS));
+	ck_assert(!release_must_withdraw(&r, "other", 1, 1, 20500 * MS));
+}
+END_TEST
+
 START_TEST(limit_of_release_counts_from_declaration)
 {
 	static struct releases late, started;
@@ -544,6 +562,8 @@
 		       unresponsive_upstream_is_ejected_at_once_with_backoff);
 	tcase_add_test(tc, entries_together_keep_retry_budget_in_any_window);
 	tcase_add_test(tc, second_release_keeps_minimum_of_first);
+	tcase_add_test(tc,
+		       waiting_request_is_withdrawn_before_limit_of_release);
 	tcase_add_test(tc, limit_of_release_counts_from_declaration);
 	tcase_add_test(tc, late_request_leaves_slots_to_requests_in_time);
 	tcase_add_test(tc, retry_delays_are_spread_within_time_left);
