forward: count the limit of an undated release from the process's start

What callers could see: an entry that starts without a peer that knows when a release was declared may begin requests on an older one until 3.7 s after its first document. The platform counts a restarted machine as in touch 3 s after the process started, so a document that comes 0.5 s after the start is too late.

Cause: the first document's time stood for the start's.

Change: the limit is 3.7 s after the start (requests are sent for 2.5 s, withdrawn at 2.9 s), whenever the document comes.

Test: limit_of_release_counts_from_declaration, with a document 1 s after the start (failed before: sent until 23.5 s instead of 22.5 s).

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -337,6 +337,7 @@
 	w->retry_budget.window_s = n->settings.retry_window_s;
 	w->retry_budget.slack = n->settings.retry_slack;
 	w->retry_budget.entry_count = 1;
+	w->releases.started_at = clock_now();
 	node_add_route(n, NULL, "/", BODY_MAX_BYTES, forward_serve, w);
 	node_add_controller(n, "forward", STEP_US, forward_step, w);
 	node_add_status(n, "forward", forward_status, w);
--- a/forward/release.c
+++ b/forward/release.c
@@ -48,23 +48,21 @@
 			     int release_ms, apr_time_t now)
 {
 	apr_interval_time_t grace = release_ms * 1000LL;
-	apr_interval_time_t startup_max =
-		RELEASE_STARTUP_GRACE_MAX_MS * 1000LL + RELEASE_SEND_MARGIN_US;
+	apr_time_t required_at;
 	int i;
 
 	for (i = 0; i < d->model_count; i++) {
 		const struct model_spec *m = &d->models[i];
 		struct release_row *row = find_or_add_row(r, m->name);
 
-		if (!row)
-			continue;
 		if (m->declared_at)
-			add_change(row, m->release, now,
-				   m->declared_at + grace);
+			required_at = m->declared_at + grace;
+		else if (now + grace < r->started_at + RELEASE_STARTUP_LIMIT_US)
+			required_at = now + grace;
 		else
-			add_change(row, m->release, now,
-				   now + (grace < startup_max ? grace
-							      : startup_max));
+			required_at = r->started_at + RELEASE_STARTUP_LIMIT_US;
+		if (row)
+			add_change(row, m->release, now, required_at);
 	}
 }
 
--- a/forward/release.h
+++ b/forward/release.h
@@ -31,10 +31,11 @@
 #define RELEASE_WITHDRAW_MARGIN_US (800 * 1000LL)
 
 /*
- * Maximum time for which older releases still receive requests when it is not
- * known when a release was declared, as after a start without a peer.
+ * Time from the start of the process to the limit of older releases when it is
+ * not known when a release was declared, as in the first document without a
+ * peer.
  */
-#define RELEASE_STARTUP_GRACE_MAX_MS 2500
+#define RELEASE_STARTUP_LIMIT_US (3700 * 1000LL)
 
 struct release_change {
 	uint64_t release;
@@ -52,6 +53,7 @@
 struct releases {
 	struct release_row rows[RELEASE_MODELS_MAX];
 	int count;
+	apr_time_t started_at; /* of this process */
 };
 
 void releases_apply_document(struct releases *r, const struct document *d,
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -358,8 +358,9 @@
 	declare(&late, 2, 10 * SECOND, 17 * SECOND);
 	ck_assert_int_eq(release_find_expiry(&late, "m", 1), 18 * SECOND);
 	ck_assert_uint_eq(release_find_send_min(&late, "m", 17 * SECOND), 2);
-	/* Not known after a start: requests are sent for 2.5 s at most. */
-	declare(&started, 2, 0, 20 * SECOND);
+	/* Not known: requests are sent for 2.5 s from the process's start. */
+	started.started_at = 20 * SECOND;
+	declare(&started, 2, 0, 21 * SECOND);
 	ck_assert_uint_le(release_find_send_min(&started, "m", 22 * SECOND), 1);
 	ck_assert_uint_eq(release_find_send_min(&started, "m", 22500 * MS), 2);
 }
