forward: a request without a model has the limit of the only one

A request that named no model had no limit on its release at all: it was sent to an expired one and never withdrawn. Where a document names several models, such a request still has no limit.

Test: waiting_request_is_withdrawn_before_limit_of_release, failed before.

--- a/forward/release.c
+++ b/forward/release.c
@@ -66,11 +66,18 @@
 	}
 }
 
+/*
+ * Returns the row of a model, or NULL. A request that names no model is for the
+ * only one that there is.
+ */
 static const struct release_row *find_row(const struct releases *r,
 					  const char *model)
 {
 	int i;
 
+	if (!*model && r->count == 1)
+		return &r->rows[0];
+
 	for (i = 0; i < r->count; i++)
 		if (!strcmp(r->rows[i].model, model))
 			return &r->rows[i];
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -347,6 +347,9 @@
 	ck_assert(!release_must_withdraw(&r, "m", 1, 3, 20500 * MS));
 	ck_assert(!release_must_withdraw(&r, "m", 0, 0, 20500 * MS));
 	ck_assert(!release_must_withdraw(&r, "other", 1, 1, 20500 * MS));
+	/* A request without a model is for the only one. */
+	ck_assert_uint_eq(release_find_send_min(&r, "", 17 * SECOND), 2);
+	ck_assert(release_must_withdraw(&r, "", 1, 1, late));
 }
 END_TEST
 
