forward: bound the time until a request is sent, also by the library

Cause: libcurl sends a request again by itself when a connection that was used before ends without a byte of an answer. Nothing bounded how long after the decision that happens: the headers, the upstream and the retry budget were those of the first time. A send that this process delays had no bound either.

Evidence: t1013. An upstream that closes a kept connection after 0.8 s gets the same request once more at 0.8 s; the entry answers after 1602 ms and counts one run.

Ruled out: routes that may not be repeated (they use new connections, which libcurl does not retry); a connection that is being made (200 ms at most).

Change: an attempt has a latest time to be sent, 0.4 s after its decision and never after the deadline, which libcurl's retry must keep, too. A kept connection that was closed while idle is still replaced at once. Later, the attempt ends as one that may have run, and another one goes out with the time that is left and from the budget. A request that this process delayed counts as not sent, and not against its upstream's health.

Test: t1013, case 2, failed before (the request arrived twice); t0003 covers the report that nothing was sent.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -228,6 +228,7 @@
 	e->status = x->status;
 	e->is_complete = !x->error.code && x->status;
 	e->is_unsent = x->never_sent;
+	e->is_too_late = x->is_too_late;
 	e->is_not_run = f->answer.is_not_run && x->status;
 	e->is_other_instance = x->status == STATUS_MISDIRECTED;
 	e->is_mismatched = is_mismatched_answer(f);
@@ -284,7 +285,10 @@
 		u->is_replaced = 1;
 	if (e->is_not_run)
 		u->full_until = now + FULL_BACKOFF_US;
-	if (e->is_unresponsive || (e->is_unsent && !is_caller_disconnected))
+	if (e->is_unsent && e->is_too_late)
+		event = 0; /* this process was delayed, not the upstream */
+	else if (e->is_unresponsive ||
+		 (e->is_unsent && !is_caller_disconnected))
 		event = HEALTH_UNRESPONSIVE;
 	else if (e->is_canceled)
 		event = 0;
@@ -408,16 +412,18 @@
 
 	if (!log_is_enabled(LOG_SEV_NOTICE, 1))
 		return;
-	log_fields(LOG_SEV_NOTICE, &at,
-		   json_pack("{s:i,s:b,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:s}",
-			     "status", e->status, "not_run", e->is_not_run,
-			     "never_sent", e->is_unsent, "silent",
-			     e->is_unresponsive, "withdrawn", is_withdrawn(f),
-			     "tries", f->attempts, "runs", f->runs, "sent_ms",
-			     sent_ms(f), "release", (json_int_t)f->release,
-			     "release_left_ms", forward_release_left_ms(f),
-			     "error", f->fetch.error.text),
-		   "attempt did not succeed; trying another upstream");
+	log_fields(
+		LOG_SEV_NOTICE, &at,
+		json_pack("{s:i,s:b,s:b,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:s}",
+			  "status", e->status, "not_run", e->is_not_run,
+			  "never_sent", e->is_unsent, "too_late",
+			  e->is_too_late, "silent", e->is_unresponsive,
+			  "withdrawn", is_withdrawn(f), "tries", f->attempts,
+			  "runs", f->runs, "sent_ms", sent_ms(f), "release",
+			  (json_int_t)f->release, "release_left_ms",
+			  forward_release_left_ms(f), "error",
+			  f->fetch.error.text),
+		"attempt did not succeed; trying another upstream");
 }
 
 static void retry_request(struct forward *f, const struct attempt_result *e,
--- a/forward/decide.h
+++ b/forward/decide.h
@@ -12,6 +12,7 @@
 	int status;	       /* HTTP status of the answer, 0: none started */
 	int is_complete;       /* the answer was received to its end */
 	int is_unsent;	       /* no byte of the request left this process */
+	int is_too_late;       /* not sent, or not sent again, in time */
 	int is_not_run;	       /* the upstream states that it did not run it */
 	int is_other_instance; /* another instance answered, did not run it */
 	int is_mismatched;     /* the answer belongs to another request */
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -16,6 +16,13 @@
 /* Time limit for a connection, many times the delay between data centres. */
 #define CONNECT_TIMEOUT_MS 200
 
+/*
+ * Time limit from the decision to the first byte: the connection and the delays
+ * of this process. A request sent later would have a deadline, and perhaps an
+ * upstream, that are no longer right.
+ */
+#define SEND_TIMEOUT_US (400 * 1000)
+
 static void record_attempt_start(struct forward *f, struct target *u,
 				 apr_time_t now)
 {
@@ -181,6 +188,9 @@
 		x->body = NULL;
 	x->connect_timeout_ms = CONNECT_TIMEOUT_MS;
 	x->timeout_ms = (long)((f->expires_at - now) / 1000) + 1;
+	x->send_by = now + SEND_TIMEOUT_US;
+	if (x->send_by > f->expires_at)
+		x->send_by = f->expires_at;
 	x->once = is_probe || !is_route_repeatable(f->route);
 }
 
--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -107,9 +107,8 @@
 
 	curl_easy_getinfo(f->easy, CURLINFO_NUM_CONNECTS, &connects);
 	__atomic_store_n(&f->reused, !connects, __ATOMIC_RELAXED);
-	if (f->send_by && clock_now() > f->send_by)
-		return CURL_PREREQFUNC_ABORT;
-	return CURL_PREREQFUNC_OK;
+	f->is_too_late = f->send_by && clock_now() > f->send_by;
+	return f->is_too_late ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
 /*
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -50,14 +50,19 @@
 	long connect_timeout_ms; /* 0: FETCH_CONNECT_MS */
 	long idle_seconds;	 /* time-out without a received byte */
 	long long max_rate;	 /* bytes received per second, 0: no limit */
-	apr_time_t send_by;	 /* latest time to send it (0: no limit) */
+	/*
+	 * Latest time to send it, 0: no limit. Applies to the library's retry
+	 * on another connection as well.
+	 */
+	apr_time_t send_by;
 	int once; /* never sent twice: new connection, no library retry */
 
 	/* filled in by the library */
 	int status; /* of HTTP, 0 before a response */
 	apr_time_t submitted_at;
-	int never_sent; /* no byte of the request left this process */
-	int reused;	/* atomic: went over a connection used before */
+	int never_sent;	 /* no byte of the request left this process */
+	int is_too_late; /* given up when it was to be sent after send_by */
+	int reused;	 /* atomic: went over a connection used before */
 	struct error error;
 	void *easy;
 	void *header_list;
--- a/t/helper/test-net.c
+++ b/t/helper/test-net.c
@@ -205,6 +205,22 @@
 }
 END_TEST
 
+START_TEST(fetch_is_not_sent_after_send_by)
+{
+	struct fetch f = { .url = make_url("/echo"),
+			   .body = "a",
+			   .body_size = 1,
+			   .send_by = clock_now() - 1 };
+
+	ck_assert_int_eq(fetch_wait(fetcher, &f, NULL, NULL), -1);
+	ck_assert_int_eq(f.never_sent, 1);
+	ck_assert_int_eq(f.is_too_late, 1);
+	f.send_by = clock_now() + APR_USEC_PER_SEC;
+	ck_assert_int_eq(fetch_wait(fetcher, &f, NULL, NULL), 200);
+	ck_assert_int_eq(f.is_too_late, 0);
+}
+END_TEST
+
 START_TEST(partitioned_address_is_unreachable)
 {
 	struct fetch f = { .url = make_url("/echo"),
@@ -396,6 +412,7 @@
 	tcase_add_test(http, truncated_stream_is_detected);
 	tcase_add_test(http, refused_connection_sets_never_sent);
 	tcase_add_test(http, missing_answer_times_out_as_sent);
+	tcase_add_test(http, fetch_is_not_sent_after_send_by);
 	tcase_add_test(http, partitioned_address_is_unreachable);
 	tcase_add_test(http, cancelled_fetch_calls_done);
 	tcase_add_checked_fixture(rpc, start_rpc, stop_rpc);
--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -8,10 +8,11 @@
 it, POST /test/mode {"down": bool, "forget": bool} sets faults, GET /test/calls
 counts calls.  An upstream answers with what it received; MODE is ok, full
 (refuses as not run), error (its own 500), other (another instance), torn (a
-stream that breaks off after its second event; a resumed one is whole) or queue
-(paths that contain "begun" get the first event at once and the rest after POST
-/test/finish; other requests wait without a byte of an answer). GET
-/test/requests lists the ids of the requests, GET /test/withdrawn those that
+stream that breaks off after its second event; a resumed one is whole), drop
+(paths that contain "drop" get no answer, and the connection is closed after
+0.8 s) or queue (paths that contain "begun" get the first event at once and the
+rest after POST /test/finish; other requests wait without a byte of an answer).
+GET /test/requests lists the ids of the requests, GET /test/withdrawn those that
 waited in mode queue when their connection was closed.
 """
 import base64
@@ -148,6 +149,10 @@
             return self.answer(500, {"error": "own"}, common)
         if s.mode == "other":
             return self.answer(421, {}, [("X-Limpetflow-Instance-Id", "i-other")])
+        if s.mode == "drop" and "drop" in self.path:
+            time.sleep(0.8)
+            self.close_connection = True
+            return None
         if s.mode == "queue" and "begun" not in self.path:
             self.wait_for_close()
             s.withdrawn.append(request)
