net: drop a request whose caller has left before it was read

Cause: the watch for a closed connection begins when the request first waits, which is after it was handed to an upstream. How long a request lies unread in its socket is not bounded: it grows when the process is short of processor time, and callers give up after a second or a third of their time. The watch's cancellation within 40 ms comes after the upstream received the request.

Evidence: t1013. A caller sends a request while the entry is stopped, and closes; when the entry goes on, the upstream receives the request (log: outcome gone, the answer of 200 could not be written).

Ruled out: retries (finish_attempt looks at the flag first), requests that are read while their caller is there (the watch sees the close).

Change: before the handler, the connection is asked once whether its other end has closed. Such a request is dropped with its connection, unhandled. A caller that closes only its sending half was taken for gone by the watch before, too.

Test: t1013, case 3, failed before.

--- a/net/httpd.c
+++ b/net/httpd.c
@@ -1,6 +1,7 @@
 #include "net/httpd-internal.h"
 
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdarg.h>
 #include <stdlib.h>
@@ -214,6 +215,23 @@
 	return handled;
 }
 
+/*
+ * Returns 1 when the caller has closed its connection. The watch for that
+ * begins with the first wait only, and a request that was not read in time may
+ * be one whose caller has given up.
+ */
+static int is_hung_up(struct MHD_Connection *con)
+{
+	const union MHD_ConnectionInfo *info;
+	struct pollfd fd = { .events = POLLRDHUP };
+
+	info = MHD_get_connection_info(con, MHD_CONNECTION_INFO_CONNECTION_FD);
+	if (!info)
+		return 0;
+	fd.fd = info->connect_fd;
+	return poll(&fd, 1, 0) > 0;
+}
+
 static enum MHD_Result receive_request(void *cls, struct MHD_Connection *con,
 				       const char *url, const char *method,
 				       const char *version,
@@ -242,6 +260,8 @@
 		return queue_error_answer(con, MHD_HTTP_NOT_FOUND);
 	if (c->is_too_large)
 		return queue_error_answer(con, MHD_HTTP_CONTENT_TOO_LARGE);
+	if (is_hung_up(con))
+		return MHD_NO;
 	c->state = CALL_HANDLED;
 	call_ref(c);
 	c->route->handle(c, c->route->arg);
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -11,7 +11,8 @@
  * and may answer at once or later, from any thread; a waiting request
  * occupies no thread.  Every request must be answered exactly once, by
  * http_call_reply* or by http_call_stream_begin and _end.  The handler must
- * not use the call after the answer.
+ * not use the call after the answer.  A request whose caller has closed its
+ * connection by then does not reach the handler.
  */
 
 struct httpd;
--- a/t/t1013-begin-limits.sh
+++ b/t/t1013-begin-limits.sh
@@ -78,4 +78,14 @@
 	test "$(arrivals dropped)" = 1
 '
 
+test_expect_success 'a request whose caller has left before it was read is not sent' '
+	status_is 200 kept x &&
+	kill -STOP $(cat entry.pid) &&
+	! send left x -m 0.3 >/dev/null &&
+	kill -CONT $(cat entry.pid) &&
+	status_is 200 after x &&
+	test "$(arrivals after)" = 1 &&
+	test "$(arrivals left)" = 0
+'
+
 test_done
