forward: count the time in which a body is read in the deadline

What callers saw: a request whose body arrives slowly was handed over with the caller's whole deadline, and waited for its route's time-out anew, so that an upstream worked after its caller had given up, and the answer or refusal at the route's time-out came late by the time of the body (rules GONE, CONFIG).

Cause: the deadline began when the request was complete. The caller's begins when it sends the first line, and the time of a body is bounded only by the 120 s after which an idle connection is closed.

Evidence: t1013. With a body that comes after 1.2 s and a deadline of 5000 ms the upstream was given over 4000 ms.

Ruled out: the time before the first line is read, of which the entry knows nothing.

Change: the server notes when the request line was read, and deadlines count from then. Choices, the budget and the spread of callers' patience use the present time as before.

Test: t1013, case 4, failed before.

--- a/forward/intake.c
+++ b/forward/intake.c
@@ -124,8 +124,7 @@
 	header_add(&x->f->headers, name, value);
 }
 
-static struct forward *forward_new(struct forwarder *w, struct http_call *c,
-				   apr_time_t now)
+static struct forward *forward_new(struct forwarder *w, struct http_call *c)
 {
 	struct forward *f = calloc(1, sizeof(*f));
 	struct header_copy x = { f, http_call_header(c, "Connection") };
@@ -134,7 +133,7 @@
 		abort();
 	f->w = w;
 	f->call = c;
-	f->received_at = now;
+	f->received_at = http_call_started_at(c);
 	f->target = strdup(http_call_target(c));
 	f->method = strdup(http_call_method(c));
 	f->document = board_document(&w->node->board);
@@ -227,7 +226,8 @@
 void forward_serve(struct http_call *c, void *arg)
 {
 	struct forwarder *w = arg;
-	struct forward *f = forward_new(w, c, clock_now());
+	struct forward *f = forward_new(w, c);
+	apr_time_t now = clock_now();
 	size_t body_size;
 
 	metric_count("forward_requests", NULL, 1);
@@ -241,7 +241,7 @@
 		f->wait_us = ADMIT_WAIT_UNKNOWN_US;
 		f->expires_at = f->received_at + caller_timeout_ms(f) * 1000LL;
 		forward_refuse(f, 503, AGAIN_SAME,
-			       forward_retry_after_ms(f, f->received_at),
+			       forward_retry_after_ms(f, now),
 			       "no-configuration");
 		return;
 	}
@@ -262,12 +262,10 @@
 	}
 	set_service(f);
 	pthread_mutex_lock(&w->mutex);
-	retry_budget_count_request(&w->retry_budget, f->service_name,
-				   f->received_at);
-	f->elapsed_ms =
-		deadline_table_elapsed_ms(&w->deadline_table, f->route->name,
-					  f->head.deadline_ms, f->received_at);
+	retry_budget_count_request(&w->retry_budget, f->service_name, now);
+	f->elapsed_ms = deadline_table_elapsed_ms(
+		&w->deadline_table, f->route->name, f->head.deadline_ms, now);
 	pthread_mutex_unlock(&w->mutex);
 	http_call_on_disconnect(c, on_caller_disconnected, f);
-	forward_send(f, f->received_at);
+	forward_send(f, now);
 }
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -71,6 +71,7 @@
 	const char *account; /* NULL: none */
 	char service_name[ROUTING_NAME_SIZE];
 	int priority;
+	/* Its first line was read; the caller's time counts from then. */
 	apr_time_t received_at;
 	apr_time_t expires_at;
 	uint64_t list_version; /* of the upstreams, at the last attempt */
--- a/net/httpd-internal.h
+++ b/net/httpd-internal.h
@@ -35,6 +35,7 @@
 	char *path;
 	char *target; /* path and query as received */
 	char peer[INET_ADDRSTRLEN];
+	apr_time_t started_at; /* the request line was read */
 	char *body;
 	size_t body_size;
 	size_t body_capacity;
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "base/clock.h"
 #include "net/cut.h"
 
 #define CONNECTION_LIMIT 16384
@@ -72,6 +73,7 @@
 	c->server = h;
 	c->connection = con;
 	c->target = strdup(target);
+	c->started_at = clock_now();
 	__atomic_fetch_add(&h->active, 1, __ATOMIC_RELAXED);
 	return c;
 }
@@ -491,6 +493,12 @@
 	return c->peer;
 }
 
+/* Returns when the request line was read, before headers and body. */
+apr_time_t http_call_started_at(const struct http_call *c)
+{
+	return c->started_at;
+}
+
 /* Returns the body, NUL-ended, and its size. */
 const void *http_call_body(struct http_call *c, size_t *size)
 {
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -1,6 +1,7 @@
 #ifndef NET_HTTPD_H
 #define NET_HTTPD_H
 
+#include <apr_time.h>
 #include <jansson.h>
 #include <stddef.h>
 
@@ -44,6 +45,7 @@
 				    const char *value),
 		       void *arg);
 const char *http_call_peer(struct http_call *c);
+apr_time_t http_call_started_at(const struct http_call *c);
 const void *http_call_body(struct http_call *c, size_t *size);
 
 void http_call_set(struct http_call *c, const char *name, const char *value);
--- a/t/t1013-begin-limits.sh
+++ b/t/t1013-begin-limits.sh
@@ -88,4 +88,12 @@
 	test "$(arrivals left)" = 0
 '
 
+test_expect_success 'the time in which a body is read counts in the deadline' '
+	(sleep 1.2 && echo text) | status_is 200 slow x -T - -H "Expect:" &&
+	jq -r ".headers[]|join(\": \")" body-slow >headers &&
+	left=$(sed -n "s/^X-Limpetflow-Deadline-Ms: //p" headers) &&
+	test "$left" -gt 2000 && test "$left" -le 4000
+'
+
 test_done
+
