forward: take the retry of a moved stream from the budget when it is canceled

What callers saw: several streams at one engine that was given an order broke off midway, although their upstream was sound.

Cause: whether the retry budget allows a move was asked for each stream in one step, and the retries were counted only when the canceled attempts had ended and were sent again. All streams of the step saw the same budget; those that came last found none left and were ended as truncated.

Evidence: t1014. Ten streams at an engine with an order and a budget of 7: all were canceled, 4 were broken off.

Ruled out: resumed streams that fail elsewhere (the other upstream completed all that reached it); the reserve of 5 retries, which is a bound on when to begin and does not grow with the streams of a step.

Change: the retry is taken from the budget when the stream is canceled, and not once more when it is sent again. If the stream ends in between, one retry of the budget is lost.

Test: t1014, case 3, failed before; now 2 of the 10 are moved and all complete.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -261,7 +261,8 @@
 	s->is_caller_disconnected =
 		__atomic_load_n(&f->is_caller_disconnected, __ATOMIC_ACQUIRE);
 	pthread_mutex_lock(&f->w->mutex);
-	s->has_budget = retry_budget_remaining(&f->w->retry_budget,
+	s->has_budget = f->has_reserved_retry ||
+			retry_budget_remaining(&f->w->retry_budget,
 					       f->service_name, now) > 0;
 	pthread_mutex_unlock(&f->w->mutex);
 }
@@ -430,12 +431,12 @@
 			  int resume, apr_time_t now)
 {
 	log_retry(f, e, resume ? "resume" : "retry");
-	if (!e->is_unsent) {
-		pthread_mutex_lock(&f->w->mutex);
+	pthread_mutex_lock(&f->w->mutex);
+	if (!e->is_unsent && !f->has_reserved_retry)
 		retry_budget_try_consume(&f->w->retry_budget, f->service_name,
 					 now);
-		pthread_mutex_unlock(&f->w->mutex);
-	}
+	f->has_reserved_retry = 0;
+	pthread_mutex_unlock(&f->w->mutex);
 	metric_count("forward_repeats", resume ? "resume" : "retry", 1);
 	if (resume)
 		events_resume(&f->events);
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -176,10 +176,11 @@
 
 /*
  * Returns 1 for a stream to be moved, as it keeps an engine from carrying out
- * an order. Called with the mutex held.
+ * an order. Its retry is taken from the budget at once: other streams are
+ * checked before this one is sent again, and a stream that was canceled and
+ * finds no budget left is broken off. Called with the mutex held.
  */
-static int should_move(struct forwarder *w, const struct forward *f,
-		       apr_time_t now)
+static int reserve_move(struct forwarder *w, struct forward *f, apr_time_t now)
 {
 	const struct target *u;
 
@@ -187,9 +188,13 @@
 	    !f->is_answer_started || f->runs + 1 >= f->route->max_attempts)
 		return 0;
 	u = target_find(&w->targets, f->upstream);
-	return u && target_has_blocked_order(u, now) &&
-	       retry_budget_remaining(&w->retry_budget, f->service_name, now) >
-		       MOVE_RESERVED_RETRIES;
+	if (!u || !target_has_blocked_order(u, now) ||
+	    retry_budget_remaining(&w->retry_budget, f->service_name, now) <=
+		    MOVE_RESERVED_RETRIES)
+		return 0;
+	f->has_reserved_retry = retry_budget_try_consume(&w->retry_budget,
+							 f->service_name, now);
+	return f->has_reserved_retry;
 }
 
 /*
@@ -244,7 +249,7 @@
 		else if (is_attempt_unresponsive(w, f, now))
 			cancel_attempt(f, CANCEL_UNRESPONSIVE,
 				       "forward_silent");
-		else if (should_move(w, f, now))
+		else if (reserve_move(w, f, now))
 			cancel_attempt(f, CANCEL_MOVE, "forward_moved");
 	}
 	pthread_mutex_unlock(&w->mutex);
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -99,6 +99,8 @@
 	int is_in_flight; /* guarded by the forwarder's mutex */
 	/* Counted in `unanswered` of the upstream's row; same guard. */
 	int is_unanswered;
+	/* The retry after this attempt is in the budget already; same guard. */
+	int has_reserved_retry;
 	int cancel_reason;	    /* atomic: enum cancel_reason */
 	int is_caller_disconnected; /* atomic */
 	struct fetch fetch;
--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -11,7 +11,8 @@
 stream that breaks off after its second event; a resumed one is whole), drop
 (paths that contain "drop" get no answer, and the connection is closed after
 0.8 s) or queue (paths that contain "begun" get the first event at once and the
-rest after POST /test/finish; other requests wait without a byte of an answer).
+rest after /test/finish, and comments until then if they contain "alive"; other
+requests wait without a byte of an answer).
 GET /test/requests lists the ids of the requests, GET /test/withdrawn those that
 waited in mode queue when their connection was closed.
 """
@@ -186,7 +187,9 @@
         for i in range(first, 6):
             text = f"id: {i}\ndata: event {i}\n\n".encode()
             if self.server.mode == "queue" and i == 2:
-                self.server.finish.wait()
+                while not self.server.finish.wait(0.2):
+                    if "alive" in self.path:
+                        self.wfile.write(b"3\r\n:.\n\r\n")
             if self.server.mode == "torn" and i == 3:
                 self.wfile.write(b"%x\r\n%s" % (len(text), text[:6]))
                 self.wfile.flush()
