--- a/t/t1013-begin-limits.sh
+++ b/t/t1013-begin-limits.sh
@@ -8,6 +8,7 @@
 ENTRY=$TEST_NET.1:8000
 READY=$TEST_NET.1:8001
 UPSTREAM=$TEST_NET.2:80
+SLOW=$TEST_NET.3:80
 
 put () {
 	curl -sf -X PUT --data-binary @- "http://$STORE/test/$1" >/dev/null
@@ -16,16 +17,18 @@
 config () {
 	cat <<-EOF | put op/config
 	{"Version":1,"Routes":[
-	 {"Name":"read","Host":"a.example","Prefix":"/read/","Kind":"idempotent","TimeoutMs":6000,"SloMs":2000,"Service":"web","Attempts":1}],
-	 "Services":[{"Name":"web","MaxConns":9}],
+	 {"Name":"read","Host":"a.example","Prefix":"/read/","Kind":"idempotent","TimeoutMs":6000,"SloMs":2000,"Service":"web","Attempts":1},
+	 {"Name":"wait","Host":"a.example","Prefix":"/read/wait/","Kind":"idempotent","TimeoutMs":6000,"SloMs":2000,"Service":"slow","Attempts":1}],
+	 "Services":[{"Name":"web","MaxConns":9},{"Name":"slow","MaxConns":9}],
 	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
 	 "Tenants":[]}
 	EOF
 }
 
+# server ID ADDRESS SERVICE
 server () {
-	printf '{"Service":"web","Addr":"%s","Zone":"d1","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1}' \
-		"$UPSTREAM" | put servers/i-1
+	printf '{"Service":"%s","Addr":"%s","Zone":"d1","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1}' \
+		"$3" "$2" | put servers/$1
 }
 
 # send ID PATH [OPTIONS]: prints the status; the body goes to body-ID.
@@ -44,6 +47,12 @@
 	test "$(send "$@")" = "$status"
 }
 
+# withdrawn ID: the request waited at the slow upstream, and its connection was
+# closed.
+withdrawn () {
+	curl -s http://$SLOW/test/withdrawn | jq -e "index(\"$1\")"
+}
+
 # arrivals ID: the number of times that the upstream received the request.
 arrivals () {
 	curl -s http://$UPSTREAM/test/requests |
@@ -61,10 +70,11 @@
 
 start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
 start upstream python3 "$TEST_DIR/standin/metadata_store.py" upstream $UPSTREAM i-1 drop
+start slow python3 "$TEST_DIR/standin/metadata_store.py" upstream $SLOW i-2 queue
 
 test_expect_success 'the entry serves requests' '
 	wait_until 10 curl -sf http://$STORE/test/calls &&
-	config && server &&
+	config && server i-1 $UPSTREAM web && server i-2 $SLOW slow &&
 	start entry limpet-entry --settings entry.json &&
 	wait_until 10 curl -sf http://$READY/readyz &&
 	wait_until 10 status_is 200 first x
@@ -88,6 +98,11 @@
 	test "$(arrivals left)" = 0
 '
 
+test_expect_success 'a request whose caller leaves is withdrawn from its upstream' '
+	! send gone wait/x -m 1 >/dev/null &&
+	wait_until 2 withdrawn gone
+'
+
 test_expect_success 'the time in which a body is read counts in the deadline' '
 	(sleep 1.2 && echo text) | status_is 200 slow x -T - -H "Expect:" &&
 	jq -r ".headers[]|join(\": \")" body-slow >headers &&
