forward: guard the members of a request that its check reads

What callers saw: nothing known.

Cause: the step that checks attempts under way reads whether an answer has started and how many attempts may have run; the fetcher's thread changed both without the mutex.

Evidence: the thread sanitizer reports three races in t1012, t1013 and t1014 (forward.c and answer.c).

Change: the first is atomic, the second changes with the mutex held.

Test: t1010, t1012, t1013 and t1014 under the thread sanitizer, no report now.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -117,7 +117,7 @@
 
 static void start_reply(struct forward *f, int status)
 {
-	f->is_answer_started = 1;
+	__atomic_store_n(&f->is_answer_started, 1, __ATOMIC_RELAXED);
 	f->answer_started_at = clock_now();
 	f->answer_status = status;
 	copy_answer_headers(f);
@@ -451,7 +451,9 @@
 	apr_time_t now = clock_now();
 
 	fill_attempt_result(f, &e);
+	pthread_mutex_lock(&f->w->mutex);
 	f->runs = attempt_count_runs(f->runs, &e);
+	pthread_mutex_unlock(&f->w->mutex);
 	fill_attempt_context(f, &s, now);
 	record_target_outcome(f, &e, s.is_caller_disconnected, now);
 	f->may_have_run |= attempt_may_have_run(&e);
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -185,7 +185,8 @@
 	const struct target *u;
 
 	if (f->route->kind != ROUTE_STREAM || !f->route->is_resumable ||
-	    !f->is_answer_started || f->runs + 1 >= f->route->max_attempts)
+	    !__atomic_load_n(&f->is_answer_started, __ATOMIC_RELAXED) ||
+	    f->runs + 1 >= f->route->max_attempts)
 		return 0;
 	u = target_find(&w->targets, f->upstream);
 	if (!u || !target_has_blocked_order(u, now) ||
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -85,7 +85,8 @@
 	/* Attempts. */
 	char attempted_upstreams[FORWARD_ATTEMPTS_MAX][SETTINGS_NAME_SIZE];
 	int attempts;
-	int runs; /* attempts that may have run */
+	/* Attempts that may have run; changed with the forwarder's mutex. */
+	int runs;
 	int may_have_run;
 	char upstream[SETTINGS_NAME_SIZE]; /* id, of the current attempt */
 	double wait_us; /* estimated at the last attempt or refusal */
@@ -112,7 +113,7 @@
 	struct header_list answer_headers;
 	struct answer_head answer;
 	long long answer_size;	      /* from Content-Length, -1: unknown */
-	int is_answer_started;	      /* the caller received its status */
+	int is_answer_started;	      /* atomic: the caller has its status */
 	apr_time_t answer_started_at; /* 0: not yet */
 	int answer_status;	      /* sent to the caller */
 	struct event_splitter events;
