--- a/forward/answer.c
+++ b/forward/answer.c
@@ -117,7 +117,7 @@
 
 static void start_reply(struct forward *f, int status)
 {
-	f->is_answer_started = 1;
+	__atomic_store_n(&f->is_answer_started, 1, __ATOMIC_RELAXED);
 	f->answer_started_at = clock_now();
 	f->answer_status = status;
 	copy_answer_headers(f);
@@ -228,6 +228,7 @@
 	e->status = x->status;
 	e->is_complete = !x->error.code && x->status;
 	e->is_unsent = x->never_sent;
+	e->is_too_late = x->is_too_late;
 	e->is_not_run = f->answer.is_not_run && x->status;
 	e->is_other_instance = x->status == STATUS_MISDIRECTED;
 	e->is_mismatched = is_mismatched_answer(f);
@@ -260,7 +261,8 @@
 	s->is_caller_disconnected =
 		__atomic_load_n(&f->is_caller_disconnected, __ATOMIC_ACQUIRE);
 	pthread_mutex_lock(&f->w->mutex);
-	s->has_budget = retry_budget_remaining(&f->w->retry_budget,
+	s->has_budget = f->has_reserved_retry ||
+			retry_budget_remaining(&f->w->retry_budget,
 					       f->service_name, now) > 0;
 	pthread_mutex_unlock(&f->w->mutex);
 }
@@ -284,7 +286,10 @@
 		u->is_replaced = 1;
 	if (e->is_not_run)
 		u->full_until = now + FULL_BACKOFF_US;
-	if (e->is_unresponsive || (e->is_unsent && !is_caller_disconnected))
+	if (e->is_unsent && e->is_too_late)
+		event = 0; /* this process was delayed, not the upstream */
+	else if (e->is_unresponsive ||
+		 (e->is_unsent && !is_caller_disconnected))
 		event = HEALTH_UNRESPONSIVE;
 	else if (e->is_canceled)
 		event = 0;
@@ -408,28 +413,30 @@
 
 	if (!log_is_enabled(LOG_SEV_NOTICE, 1))
 		return;
-	log_fields(LOG_SEV_NOTICE, &at,
-		   json_pack("{s:i,s:b,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:s}",
-			     "status", e->status, "not_run", e->is_not_run,
-			     "never_sent", e->is_unsent, "silent",
-			     e->is_unresponsive, "withdrawn", is_withdrawn(f),
-			     "tries", f->attempts, "runs", f->runs, "sent_ms",
-			     sent_ms(f), "release", (json_int_t)f->release,
-			     "release_left_ms", forward_release_left_ms(f),
-			     "error", f->fetch.error.text),
-		   "attempt did not succeed; trying another upstream");
+	log_fields(
+		LOG_SEV_NOTICE, &at,
+		json_pack("{s:i,s:b,s:b,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:s}",
+			  "status", e->status, "not_run", e->is_not_run,
+			  "never_sent", e->is_unsent, "too_late",
+			  e->is_too_late, "silent", e->is_unresponsive,
+			  "withdrawn", is_withdrawn(f), "tries", f->attempts,
+			  "runs", f->runs, "sent_ms", sent_ms(f), "release",
+			  (json_int_t)f->release, "release_left_ms",
+			  forward_release_left_ms(f), "error",
+			  f->fetch.error.text),
+		"attempt did not succeed; trying another upstream");
 }
 
 static void retry_request(struct forward *f, const struct attempt_result *e,
 			  int resume, apr_time_t now)
 {
 	log_retry(f, e, resume ? "resume" : "retry");
-	if (!e->is_unsent) {
-		pthread_mutex_lock(&f->w->mutex);
+	pthread_mutex_lock(&f->w->mutex);
+	if (!e->is_unsent && !f->has_reserved_retry)
 		retry_budget_try_consume(&f->w->retry_budget, f->service_name,
 					 now);
-		pthread_mutex_unlock(&f->w->mutex);
-	}
+	f->has_reserved_retry = 0;
+	pthread_mutex_unlock(&f->w->mutex);
 	metric_count("forward_repeats", resume ? "resume" : "retry", 1);
 	if (resume)
 		events_resume(&f->events);
@@ -444,7 +451,9 @@
 	apr_time_t now = clock_now();
 
 	fill_attempt_result(f, &e);
+	pthread_mutex_lock(&f->w->mutex);
 	f->runs = attempt_count_runs(f->runs, &e);
+	pthread_mutex_unlock(&f->w->mutex);
 	fill_attempt_context(f, &s, now);
 	record_target_outcome(f, &e, s.is_caller_disconnected, now);
 	f->may_have_run |= attempt_may_have_run(&e);
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -71,6 +71,7 @@
 	const char *account; /* NULL: none */
 	char service_name[ROUTING_NAME_SIZE];
 	int priority;
+	/* Its first line was read; the caller's time counts from then. */
 	apr_time_t received_at;
 	apr_time_t expires_at;
 	uint64_t list_version; /* of the upstreams, at the last attempt */
@@ -84,7 +85,8 @@
 	/* Attempts. */
 	char attempted_upstreams[FORWARD_ATTEMPTS_MAX][SETTINGS_NAME_SIZE];
 	int attempts;
-	int runs; /* attempts that may have run */
+	/* Attempts that may have run; changed with the forwarder's mutex. */
+	int runs;
 	int may_have_run;
 	char upstream[SETTINGS_NAME_SIZE]; /* id, of the current attempt */
 	double wait_us; /* estimated at the last attempt or refusal */
@@ -98,6 +100,8 @@
 	int is_in_flight; /* guarded by the forwarder's mutex */
 	/* Counted in `unanswered` of the upstream's row; same guard. */
 	int is_unanswered;
+	/* The retry after this attempt is in the budget already; same guard. */
+	int has_reserved_retry;
 	int cancel_reason;	    /* atomic: enum cancel_reason */
 	int is_caller_disconnected; /* atomic */
 	struct fetch fetch;
@@ -109,7 +113,7 @@
 	struct header_list answer_headers;
 	struct answer_head answer;
 	long long answer_size;	      /* from Content-Length, -1: unknown */
-	int is_answer_started;	      /* the caller received its status */
+	int is_answer_started;	      /* atomic: the caller has its status */
 	apr_time_t answer_started_at; /* 0: not yet */
 	int answer_status;	      /* sent to the caller */
 	struct event_splitter events;
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -1,12 +1,14 @@
 #include "net/httpd-internal.h"
 
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
+#include "base/clock.h"
 #include "net/cut.h"
 
 #define CONNECTION_LIMIT 16384
@@ -71,6 +73,7 @@
 	c->server = h;
 	c->connection = con;
 	c->target = strdup(target);
+	c->started_at = clock_now();
 	__atomic_fetch_add(&h->active, 1, __ATOMIC_RELAXED);
 	return c;
 }
@@ -214,6 +217,23 @@
 	return handled;
 }
 
+/*
+ * Returns 1 when the caller has closed its connection. The watch for that
+ * begins with the first wait only, and a request that was not read in time may
+ * be one whose caller has given up.
+ */
+static int is_hung_up(struct MHD_Connection *con)
+{
+	const union MHD_ConnectionInfo *info;
+	struct pollfd fd = { .events = POLLRDHUP };
+
+	info = MHD_get_connection_info(con, MHD_CONNECTION_INFO_CONNECTION_FD);
+	if (!info)
+		return 0;
+	fd.fd = info->connect_fd;
+	return poll(&fd, 1, 0) > 0;
+}
+
 static enum MHD_Result receive_request(void *cls, struct MHD_Connection *con,
 				       const char *url, const char *method,
 				       const char *version,
@@ -242,6 +262,8 @@
 		return queue_error_answer(con, MHD_HTTP_NOT_FOUND);
 	if (c->is_too_large)
 		return queue_error_answer(con, MHD_HTTP_CONTENT_TOO_LARGE);
+	if (is_hung_up(con))
+		return MHD_NO;
 	c->state = CALL_HANDLED;
 	call_ref(c);
 	c->route->handle(c, c->route->arg);
@@ -471,6 +493,12 @@
 	return c->peer;
 }
 
+/* Returns when the request line was read, before headers and body. */
+apr_time_t http_call_started_at(const struct http_call *c)
+{
+	return c->started_at;
+}
+
 /* Returns the body, NUL-ended, and its size. */
 const void *http_call_body(struct http_call *c, size_t *size)
 {
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -1,6 +1,7 @@
 #ifndef NET_HTTPD_H
 #define NET_HTTPD_H
 
+#include <apr_time.h>
 #include <jansson.h>
 #include <stddef.h>
 
@@ -11,7 +12,8 @@
  * and may answer at once or later, from any thread; a waiting request
  * occupies no thread.  Every request must be answered exactly once, by
  * http_call_reply* or by http_call_stream_begin and _end.  The handler must
- * not use the call after the answer.
+ * not use the call after the answer.  A request whose caller has closed its
+ * connection by then does not reach the handler.
  */
 
 struct httpd;
@@ -43,6 +45,7 @@
 				    const char *value),
 		       void *arg);
 const char *http_call_peer(struct http_call *c);
+apr_time_t http_call_started_at(const struct http_call *c);
 const void *http_call_body(struct http_call *c, size_t *size);
 
 void http_call_set(struct http_call *c, const char *name, const char *value);
