calls: count the lifetime of a key from the end of its run

What callers would see: a call with an idempotency key alone that waits long in its service runs a second time within the key's lifetime. With a lifetime of 10 s, a call that is answered 19 s after it was taken in runs again when it is repeated 10 s after that answer began, or at once.

Cause: the gate kept the row of a key for the lifetime from the moment it admitted the call. The design says "after their run began", and that is later: the call waits in the upstream's queue for as long as its deadline and the 30 s after it allow (up to 630 s). The row left as soon as the run ended, if the lifetime was over by then.

Evidence: the scripted case, and the random test, whose model of a key counted from the admission as the code did.

Change: a run that ends renews the time its row is kept, whatever its end: it may have begun at any moment before. Rows stay longer by the time of the run.

Test: t0500.8 failed before (the repeat ran), and t0500.10 to .12 failed once their model counts from the end ("key 17 ran twice"). t0510, t0530, t0904 pass.

--- a/calls/gate-once.c
+++ b/calls/gate-once.c
@@ -68,7 +68,7 @@
 	struct once_run **link;
 
 	pthread_mutex_lock(&g->mutex);
-	gate_finish_run(&g->table, run->row, state, a);
+	gate_finish_run(&g->table, run->row, state, a, clock_now());
 	for (link = &g->once_runs; *link != run;)
 		link = &(*link)->next;
 	*link = run->next;
--- a/calls/gate-table.c
+++ b/calls/gate-table.c
@@ -223,7 +223,8 @@
 	case GATE_MARKED_NOT_RUN:
 		if (asked_generation > row->generation) {
 			row->generation = asked_generation;
-			row->retain_until = now + request->key_lifetime;
+			row->key_lifetime = request->key_lifetime;
+			row->retain_until = now + row->key_lifetime;
 			if (request->ticket->expiry > row->expiry)
 				row->expiry = request->ticket->expiry;
 			if (request->may_run)
@@ -283,7 +284,8 @@
 	row.state = run ? GATE_RUNNING : GATE_MARKED_NOT_RUN;
 	row.generation = out->generation;
 	row.expiry = k->expiry;
-	row.retain_until = now + request->key_lifetime;
+	row.key_lifetime = request->key_lifetime;
+	row.retain_until = now + row.key_lifetime;
 	row.request_digest = request->request_digest;
 	if (make_room(t)) {
 		/* No row can be marked, so the floor covers the identity. */
@@ -331,10 +333,11 @@
 /*
  * Ends a run with its final state: GATE_ANSWERED (takes over the reference to
  * answer), GATE_ANSWER_LOST, or GATE_MARKED_NOT_RUN when the request was
- * certainly never sent to the upstream.
+ * certainly never sent to the upstream.  The lifetime of a key counts from now.
  */
 void gate_finish_run(struct gate_table *t, struct handle h,
-		     enum gate_state state, struct gate_answer *answer)
+		     enum gate_state state, struct gate_answer *answer,
+		     apr_time_t now)
 {
 	struct gate_row *row, *last;
 
@@ -343,6 +346,7 @@
 	if (!row || row->state != GATE_RUNNING)
 		abort();
 	row->state = state;
+	row->retain_until = now + row->key_lifetime;
 	if (answer) {
 		row->answer = answer;
 		row->next_newer_answer = HANDLE_NONE;
--- a/calls/gate-table.h
+++ b/calls/gate-table.h
@@ -16,8 +16,10 @@
  * Rows of tickets are evicted in the order of their expiry.  The highest
  * expiry of a removed row is the expiry floor; the outcome of a ticket that
  * has no row and whose expiry is not above the floor is unknown.  Rows of
- * callers' keys are retained for the lifetime of the key; when one has to be
- * evicted earlier, all new keys are refused until that lifetime has passed.
+ * callers' keys are retained for the lifetime of the key after the end of the
+ * run, as the run may begin at any time until then: how long the upstream
+ * queues it is not known.  When such a row has to be evicted earlier, all new
+ * keys are refused until that lifetime has passed.
  * At-most-once execution therefore does not depend on correct clocks.
  */
 
@@ -54,6 +56,7 @@
 	uint32_t generation;
 	uint64_t expiry;	 /* of the ticket; wall clock, in seconds */
 	apr_time_t retain_until; /* row of a caller's key; monotonic */
+	apr_interval_time_t key_lifetime;
 	struct digest request_digest; /* of the first request */
 	struct gate_answer *answer;   /* NULL for none or evicted */
 	struct handle hash_next;      /* next row of the bucket */
@@ -102,7 +105,8 @@
 void gate_admit(struct gate_table *t, const struct gate_request *request,
 		apr_time_t now, uint64_t wall_s, struct gate_decision *out);
 void gate_finish_run(struct gate_table *t, struct handle h,
-		     enum gate_state state, struct gate_answer *answer);
+		     enum gate_state state, struct gate_answer *answer,
+		     apr_time_t now);
 void gate_remove_expired_rows(struct gate_table *t, apr_time_t now,
 			      uint64_t wall_s);
 
--- a/t/helper/test-calls-gate.c
+++ b/t/helper/test-calls-gate.c
@@ -120,19 +120,22 @@
 
 	gate_finish_run(
 		&table, find_row(words[1]), GATE_ANSWERED,
-		gate_answer_new(200, "text/plain", "", text, strlen(text)));
+		gate_answer_new(200, "text/plain", "", text, strlen(text)),
+		now);
 }
 
 static void finish_answer_lost(char **words, int count)
 {
 	(void)count;
-	gate_finish_run(&table, find_row(words[1]), GATE_ANSWER_LOST, NULL);
+	gate_finish_run(&table, find_row(words[1]), GATE_ANSWER_LOST, NULL,
+			now);
 }
 
 static void finish_not_run(char **words, int count)
 {
 	(void)count;
-	gate_finish_run(&table, find_row(words[1]), GATE_MARKED_NOT_RUN, NULL);
+	gate_finish_run(&table, find_row(words[1]), GATE_MARKED_NOT_RUN, NULL,
+			now);
 }
 
 static void remove_expired(char **words, int count)
@@ -239,9 +242,9 @@
 struct expected_state {
 	struct handle row;
 	int is_running;
-	int run_count; /* runs that may have happened */
-	apr_time_t last_run_at;
-	uint32_t generation; /* highest one minted so far */
+	int run_count;		      /* runs that may have happened */
+	apr_time_t last_run_ended_at; /* the latest time at which it began */
+	uint32_t generation;	      /* highest one minted so far */
 	int incarnation;
 	uint64_t expiry; /* of generation 0 */
 };
@@ -251,13 +254,16 @@
 	uint32_t choice = random_below(r, 3);
 
 	state->is_running = 0;
+	state->last_run_ended_at = now;
 	if (choice == 0) {
 		gate_finish_run(&table, state->row, GATE_ANSWERED,
-				gate_answer_new(200, "", "", "x", 1));
+				gate_answer_new(200, "", "", "x", 1), now);
 	} else if (choice == 1) {
-		gate_finish_run(&table, state->row, GATE_ANSWER_LOST, NULL);
+		gate_finish_run(&table, state->row, GATE_ANSWER_LOST, NULL,
+				now);
 	} else {
-		gate_finish_run(&table, state->row, GATE_MARKED_NOT_RUN, NULL);
+		gate_finish_run(&table, state->row, GATE_MARKED_NOT_RUN, NULL,
+				now);
 		state->run_count--;
 	}
 }
@@ -295,13 +301,13 @@
 		state->generation = decision.generation + 1;
 	if (decision.verdict != GATE_RUN)
 		return 0;
-	if (keyed && state->run_count && now - state->last_run_at > LIFETIME_US)
+	if (keyed && state->run_count && !state->is_running &&
+	    now - state->last_run_ended_at > LIFETIME_US)
 		state->run_count = 0; /* the key has expired */
 	if (state->run_count++) {
 		printf("%s %d ran twice\n", keyed ? "key" : "ticket", i);
 		return 1;
 	}
-	state->last_run_at = now;
 	state->is_running = 1;
 	state->row = decision.row;
 	return 0;
--- a/t/t0500-gate.sh
+++ b/t/t0500-gate.sh
@@ -185,6 +185,36 @@
 	test_decisions
 '
 
+# A run may begin at any time until it ends: it waits in the upstream.
+test_expect_success 'the lifetime of a key counts from the end of its run' '
+	cat >script <<-EOF &&
+	now 1000
+	admit k key=1 ticket=0
+	now 20000
+	remove-expired
+	answered k yes
+	remove-expired
+	now 29999
+	remove-expired
+	admit k key=1 ticket=0
+	now 30001
+	remove-expired
+	admit k key=1 ticket=0
+	now 50000
+	answer-lost k
+	now 59999
+	remove-expired
+	admit k key=1 ticket=0
+	EOF
+	cat >expect <<-EOF &&
+	k: run
+	k: replay yes
+	k: run
+	k: unknown answer-lost
+	EOF
+	test_decisions
+'
+
 # The home of k1 is a; that of k2 is b while b is in the view.
 test_expect_success 'a home is exclusive only with a long and complete view' '
 	cat >script <<-EOF &&
