weights: do not send an order long after it was decided

What callers would see: after an agent was stopped, its engine loads a version that the configuration no longer names, or staged bytes that were verified long before. When an engine restarts for a reason of its own and its agent orders it meanwhile, the fleet stops loading that version for 30 s.

Cause: an order is decided on the view, the fence and a verification that is valid for 1.5 s, but nothing bounded the wait between the decision and the first byte. "After a pause of the process no order is given" held for orders that were not decided yet; one that waited for the event thread or a connection left whenever that went on. An order that was refused the connection counted as a failed one, so that the restart of the engine looked like a crash by it.

Evidence: test-engine-order with the event thread held for 0.6 s: the engine received the order. With a closed port and an engine that starts anew: has_crashed_here was 1, which halts the version on all instances.

Ruled out: a second sending by libcurl (a new connection for each order); the engine's fence (it knows only what earlier orders told it, and some ignore it).

An order that was not sent is decided anew after 0.5 s and leaves no trace in the search for crashes. What remains is the wait in an engine that is connected to but does not read: see docs/design/limits-on-begin-calls.md.

Test: t0400.2 (test-engine-order); order_that_waited_is_not_sent and restart_after_refused_connection_is_no_crash failed before. t0400 to t0410 pass.

--- a/t/t0400-weights-unit.sh
+++ b/t/t0400-weights-unit.sh
@@ -6,6 +6,10 @@
 
 test_expect_success 'unit tests of the weights component' 'test-weights'
 
+test_expect_success 'an order to load is sent soon after it is decided, or not' '
+	test-engine-order
+'
+
 test_expect_success 'limpetctl manifest lists the digests of all chunks' '
 	head -c 10000 /dev/zero >model.bin
 	limpetctl manifest --model m --version 1 --chunk-size 4096 model.bin >m.json
--- a/weights/activate.c
+++ b/weights/activate.c
@@ -175,6 +175,17 @@
 	a->not_before = now + (ORDER_BACKOFF_US << shift);
 }
 
+/*
+ * Records that an order was not sent, as it waited too long or no connection
+ * was made. It has changed nothing, so a restart of the engine is no evidence
+ * against the version.
+ */
+void activation_record_unsent_order(struct activation *a, apr_time_t now)
+{
+	a->is_ordering = 0;
+	a->not_before = now + ORDER_BACKOFF_US;
+}
+
 /*
  * Records the version of this model that the engine runs. rebooted is 1 when
  * the engine restarted since the last read.
--- a/weights/activate.h
+++ b/weights/activate.h
@@ -85,6 +85,7 @@
 void activation_set_version(struct activation *a, const char *version);
 enum activation_state activation_step(struct activation *a, apr_time_t now);
 void activation_record_order(struct activation *a, int done, apr_time_t now);
+void activation_record_unsent_order(struct activation *a, apr_time_t now);
 void activation_record_running(struct activation *a, const char *version,
 			       int ready, uint64_t fence, int rebooted,
 			       apr_time_t now);
--- a/weights/engine.c
+++ b/weights/engine.c
@@ -16,6 +16,12 @@
 #define STATE_PERIOD_ORDERED_US (20 * 1000)   /* an order runs */
 #define STATE_TIMEOUT_MS 2000
 #define ORDER_TIMEOUT_MS 120000
+/*
+ * Time from the decision to order until the first byte is sent.  An order that
+ * waited longer, as the process was paused or no connection was made, is not
+ * sent: it is decided anew, on the view and the chunks of that time.
+ */
+#define ORDER_SEND_TIMEOUT_US (250 * 1000)
 
 #define HTTP_OK 200
 
@@ -177,23 +183,26 @@
 	table_lock(&w->models);
 	w->engine_query_at = 0;
 	m = table_get(&w->models, x->model);
-	if (m && m->swarm_id == x->swarm_id) {
+	if (m && m->swarm_id != x->swarm_id) {
+		m->activation.is_ordering = 0;
+	} else if (m && f->never_sent) {
+		activation_record_unsent_order(&m->activation, now);
+	} else if (m) {
 		activation_record_order(&m->activation,
 					result == ORDER_ACCEPTED, now);
 		if (result == ORDER_CHUNK_MISSING)
 			clear_staging(m, now);
-	} else if (m) {
-		m->activation.is_ordering = 0;
 	}
 	table_unlock(&w->models);
 	engine_call_free(x);
 }
 
 /*
- * Orders the engine to load the wanted version. The caller holds the lock of
- * the models.
+ * Orders the engine to load the wanted version, as decided at now. The caller
+ * holds the lock of the models.
  */
-void engine_load(struct weights *w, struct handle h, struct model_row *m)
+void engine_load(struct weights *w, struct handle h, struct model_row *m,
+		 apr_time_t now)
 {
 	struct engine_call *x =
 		engine_call_new(w, w->ops->order_path, order_done);
@@ -208,6 +217,7 @@
 	x->fetch.body = x->body;
 	x->fetch.body_size = strlen(x->body);
 	x->fetch.timeout_ms = ORDER_TIMEOUT_MS;
+	x->fetch.send_by = now + ORDER_SEND_TIMEOUT_US;
 	x->fetch.once = 1;
 	m->activation.is_ordering = 1;
 	log_info("engine-order", m->name, "load version %.12s, fence %llu",
--- a/weights/internal.h
+++ b/weights/internal.h
@@ -165,7 +165,8 @@
 
 /* engine.c, staging.c: orders to the engine and its staging memory */
 void engine_step(struct weights *w, apr_time_t now);
-void engine_load(struct weights *w, struct handle h, struct model_row *m);
+void engine_load(struct weights *w, struct handle h, struct model_row *m,
+		 apr_time_t now);
 void engine_delete_chunk(struct weights *w, const struct digest *d);
 void engine_list_staging(struct weights *w);
 
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -328,7 +328,7 @@
 	if (state == ACTIVATION_READY &&
 	    (w->ops->has_digest_staging ||
 	     weights_is_staging_verified(w, h, m, now)))
-		engine_load(w, h, m);
+		engine_load(w, h, m, now);
 	m->state = state;
 	if (state != before && state == ACTIVATION_SERVING) {
 		w->is_cleanup_due = 1;
