--- a/net/httpd.c
+++ b/net/httpd.c
@@ -1,6 +1,7 @@
 #include "net/httpd-internal.h"
 
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdarg.h>
 #include <stdlib.h>
@@ -171,6 +172,20 @@
 	MHD_suspend_connection(c->connection);
 }
 
+/*
+ * Returns 1 when the caller has closed its connection already.  To be called
+ * within the handler only; later, http_call_on_disconnect tells.
+ */
+int http_call_has_hung_up(struct http_call *c)
+{
+	struct pollfd p = { .events = POLLRDHUP };
+
+	p.fd = MHD_get_connection_info(c->connection,
+				       MHD_CONNECTION_INFO_CONNECTION_FD)
+		       ->connect_fd;
+	return poll(&p, 1, 0) > 0;
+}
+
 /*
  * Queues the response, or suspends the connection until there is one.
  * libmicrohttpd locks a response while it reads a stream, so its functions
--- a/t/t0510-plain-calls.sh
+++ b/t/t0510-plain-calls.sh
@@ -91,6 +91,23 @@
 		out.6
 '
 
+# A pause this short is not detected.
+test_expect_success 'a call that waits for its gate past its deadline does not run' '
+	call $ENTRY1 /v1/tickets -d "{\"service\":\"billing\"}" |
+		jq -r .ticket >ticket &&
+	key=$(cut -d: -f8 ticket) &&
+	fleet_signal p-1 STOP && fleet_signal p-2 STOP &&
+	{ call $ENTRY1 $CHARGE -H "X-Ticket: $(cat ticket)" \
+		-H "X-Deadline-Ms: 200" -d "{}" >out || :; } &&
+	fleet_signal p-1 CONT && fleet_signal p-2 CONT &&
+	test "$(jq -r .outcome out)" = unknown &&
+	sleep 0.5 &&
+	test "$(runs_of $P1 $key)$(runs_of $P2 $key)" = 00 &&
+	call $ENTRY2 $CHARGE -H "X-Ticket: $(cat ticket)" -d "{}" >out &&
+	test "$(status_of)" = 200 &&
+	test $(($(runs_of $P1 $key) + $(runs_of $P2 $key))) = 1
+'
+
 test_expect_success 'malformed input is refused and the entry keeps running' '
 	call $ENTRY1 $CHARGE -H "X-Deadline-Ms: soon" -d "{}" >out &&
 	test "$(status_of)" = 400 &&
