calls: keep the windows of pools apart when there are more than places

What callers would see: at an entry that has seen 64 names of models and services, also over weeks of changing configurations, calls to a further one queue in the window of the first one, which in turn is computed from the slots of the last one reported. An engine of 4 slots then gets as many calls as one of 131 would, and calls to a model without load wait behind another's.

Cause: limit_pool_get_or_add returned 0 for "no place", which is the first pool, and pools never left the table. Reports wrote the slots of what had no place into the first pool as well.

Evidence: the new unit tests.

Ruled out: two names for one pool by the hash of keys (pools compare names).

Change: a pool without calls and without upstreams gives way to a new one. Names that find no place share one pool, which has no window (as a pool whose slots are unknown) and publishes no demand; account limits hold for it as before.

Test: t0700 (test-limit-units) more_pools_than_places_leave_the_windows_alone and pools_without_calls_and_reports_give_way failed before; t0700 to t0702 pass.

--- a/calls/limit-core.h
+++ b/calls/limit-core.h
@@ -15,6 +15,7 @@
 
 #define LIMIT_ACCOUNTS_MAX 1024
 #define LIMIT_POOLS_MAX 64
+#define LIMIT_KEY_NONE (-1)
 #define LIMIT_QUEUE_MAX 4096 /* maximum per pool */
 /* Interval between updates of the slices and refusals of late calls. */
 #define LIMIT_TICK_US (100 * 1000)
@@ -97,7 +98,8 @@
 struct limit_pool {
 	char name[DOCUMENT_NAME_SIZE];
 	int is_plain;
-	int demand_key;
+	int is_shared;	      /* for all names that have no pool of their own */
+	int demand_key;	      /* LIMIT_KEY_NONE: not published */
 	int slots;	      /* of the upstreams; 0: unknown */
 	int upstream_running; /* calls that run in upstreams, as reported */
 	int upstream_waiting;
--- a/calls/limit-demand.c
+++ b/calls/limit-demand.c
@@ -128,7 +128,8 @@
 			a->demand[LIMIT_TOKENS].claimed,
 			a->demand[LIMIT_CONCURRENT].claimed);
 	for (p = c->pools; p < c->pools + c->pool_count; p++)
-		c->own_codes[p->demand_key] =
-			limit_encode_demands(0, 0, p->demand.claimed);
+		if (p->demand_key != LIMIT_KEY_NONE)
+			c->own_codes[p->demand_key] =
+				limit_encode_demands(0, 0, p->demand.claimed);
 	limit_peers_publish(&c->peers, c->own_codes);
 }
--- a/calls/limit-pool.c
+++ b/calls/limit-pool.c
@@ -46,30 +46,81 @@
 	out->tail = &a->next;
 }
 
+static int find_pool(const struct limit_core *c, const char *name, int plain)
+{
+	int i;
+
+	for (i = 0; i < c->pool_count; i++)
+		if (!c->pools[i].is_shared && c->pools[i].is_plain == plain &&
+		    !strcmp(c->pools[i].name, name))
+			return i;
+	return -1;
+}
+
 /*
- * Returns the index of a pool, which is added if needed; 0 when the table of
- * pools is full.
+ * Returns the index of a pool without calls and without upstreams, emptied, or
+ * of a new one.  One place is kept for the shared pool.  Returns -1 when there
+ * is none.
  */
-int limit_pool_get_or_add(struct limit_core *c, const char *name, int plain)
+static int find_free_pool(struct limit_core *c)
 {
 	struct limit_pool *p;
-	int i, key;
+	int i;
+
+	if (c->pool_count < LIMIT_POOLS_MAX - 1)
+		return c->pool_count++;
+	for (i = 0; i < c->pool_count; i++) {
+		p = &c->pools[i];
+		if (p->is_shared || p->running || p->queue.count || p->slots)
+			continue;
+		queue_destroy(&p->queue);
+		memset(p, 0, sizeof(*p));
+		return i;
+	}
+	return -1;
+}
+
+/*
+ * Returns the index of the pool for all names that have none of their own.  It
+ * has no window: the slots behind it are not known together.
+ */
+static int get_shared_pool(struct limit_core *c)
+{
+	int i;
 
 	for (i = 0; i < c->pool_count; i++)
-		if (c->pools[i].is_plain == plain &&
-		    !strcmp(c->pools[i].name, name))
+		if (c->pools[i].is_shared)
 			return i;
+	c->pools[i].is_shared = 1;
+	c->pools[i].demand_key = LIMIT_KEY_NONE;
+	c->pools[i].gain = LIMIT_GAIN_INITIAL;
+	c->pools[i].window = -1;
+	return c->pool_count++;
+}
+
+/*
+ * Returns the index of a pool, which is added if needed; that of the shared
+ * pool when the table of pools is full.
+ */
+int limit_pool_get_or_add(struct limit_core *c, const char *name, int plain)
+{
+	int i = find_pool(c, name, plain), key;
+	struct limit_pool *p;
+
+	if (i >= 0)
+		return i;
 	key = limit_peers_get_or_add_key(&c->peers, plain ? "service" : "model",
 					 name);
-	if (c->pool_count == LIMIT_POOLS_MAX || key < 0)
-		return 0;
-	p = &c->pools[c->pool_count];
+	i = key < 0 ? -1 : find_free_pool(c);
+	if (i < 0)
+		return get_shared_pool(c);
+	p = &c->pools[i];
 	snprintf(p->name, sizeof(p->name), "%s", name);
 	p->is_plain = plain;
 	p->demand_key = key;
 	p->gain = LIMIT_GAIN_INITIAL;
 	p->window = -1;
-	return c->pool_count++;
+	return i;
 }
 
 /*
@@ -93,23 +144,39 @@
 		p->gain = LIMIT_GAIN_MAX;
 }
 
-/* Applies the upstreams' reports.  A pool without a report has no slots. */
+static void apply_report(struct limit_pool *p, const struct pool_report *r)
+{
+	p->slots = r->slots;
+	p->upstream_running = r->running;
+	p->upstream_waiting = r->waiting;
+	if (p->slots)
+		adapt_gain(p);
+}
+
+/*
+ * Applies the upstreams' reports.  A pool without a report has no slots.  Pools
+ * are added after those that exist have their slots, so that none of these
+ * gives way.
+ */
 void limit_core_apply_reports(struct limit_core *c,
 			      const struct pool_report *reports, int count)
 {
-	struct limit_pool *p;
-	int i;
+	int i, at;
 
 	for (i = 0; i < c->pool_count; i++)
 		c->pools[i].slots = 0;
 	for (i = 0; i < count; i++) {
-		p = &c->pools[limit_pool_get_or_add(c, reports[i].name,
-						    reports[i].is_plain)];
-		p->slots = reports[i].slots;
-		p->upstream_running = reports[i].running;
-		p->upstream_waiting = reports[i].waiting;
-		if (p->slots)
-			adapt_gain(p);
+		at = find_pool(c, reports[i].name, reports[i].is_plain);
+		if (at >= 0)
+			apply_report(&c->pools[at], &reports[i]);
+	}
+	for (i = 0; i < count; i++) {
+		if (find_pool(c, reports[i].name, reports[i].is_plain) >= 0)
+			continue;
+		at = limit_pool_get_or_add(c, reports[i].name,
+					   reports[i].is_plain);
+		if (!c->pools[at].is_shared)
+			apply_report(&c->pools[at], &reports[i]);
 	}
 }
 
--- a/t/helper/test-limit-units.c
+++ b/t/helper/test-limit-units.c
@@ -1,6 +1,7 @@
 #include <apr_general.h>
 #include <check.h>
 #include <math.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +9,7 @@
 #include "calls/breaker.h"
 #include "calls/budget.h"
 #include "calls/crash-table.h"
+#include "calls/limit-core.h"
 #include "calls/limit-peers.h"
 #include "calls/limit-share.h"
 #include "calls/queue.h"
@@ -336,6 +338,106 @@
 }
 END_TEST
 
+/* Reports count pools of different sizes, named after kind. */
+static void report_pools(struct limit_core *c, const char *kind, int count,
+			 int slots)
+{
+	struct pool_report *reports = calloc((size_t)count, sizeof(*reports));
+	int i;
+
+	for (i = 0; i < count; i++) {
+		snprintf(reports[i].name, sizeof(reports[i].name), "%s-%d",
+			 kind, i);
+		reports[i].slots = slots + i;
+	}
+	limit_core_apply_reports(c, reports, count);
+	free(reports);
+}
+
+static struct limit_pool *find_pool(struct limit_core *c, const char *name)
+{
+	int i;
+
+	for (i = 0; i < c->pool_count; i++)
+		if (!strcmp(c->pools[i].name, name))
+			return &c->pools[i];
+	return NULL;
+}
+
+static void ignore_decision(struct admission *a, enum admit_outcome outcome,
+			    int retry_after_ms, const char *reason)
+{
+}
+
+static struct admission make_call(const char *target)
+{
+	struct admission a = { .decided = ignore_decision };
+
+	snprintf(a.account, sizeof(a.account), "adubo");
+	snprintf(a.target, sizeof(a.target), "%s", target);
+	return a;
+}
+
+static struct limit_core *create_core(void)
+{
+	struct account_spec account = { .name = "adubo", .share = 1 };
+	struct document d = { .revision = 1,
+			      .accounts = &account,
+			      .account_count = 1 };
+	struct limit_core *c = malloc(sizeof(*c));
+
+	limit_core_init(c, "e-1", 1);
+	limit_core_configure(c, &d, S);
+	return c;
+}
+
+START_TEST(more_pools_than_places_leave_the_windows_alone)
+{
+	struct limit_core *c = create_core();
+	struct limit_decisions out = { NULL, NULL };
+	struct admission calls[3 * LIMIT_POOLS_MAX];
+	int i;
+
+	report_pools(c, "m", 2 * LIMIT_POOLS_MAX, 4);
+	limit_core_tick(c, S, &out);
+	ck_assert_int_eq(find_pool(c, "m-0")->slots, 4);
+	ck_assert_int_eq(find_pool(c, "m-0")->window, 4);
+	/* Calls to a model without a place take no slot of another's. */
+	for (i = 0; i < 3 * LIMIT_POOLS_MAX; i++) {
+		calls[i] = make_call("m-120");
+		limit_core_admit(c, &calls[i], S, &out);
+		ck_assert_int_eq(calls[i].outcome, ADMIT_GRANTED);
+	}
+	ck_assert_int_eq(find_pool(c, "m-0")->running, 0);
+	for (i = 0; i < 3 * LIMIT_POOLS_MAX; i++)
+		limit_core_finish(c, &calls[i], 0, 2 * S, &out);
+	limit_core_destroy(c);
+	free(c);
+}
+END_TEST
+
+START_TEST(pools_without_calls_and_reports_give_way)
+{
+	struct limit_core *c = create_core();
+	struct limit_decisions out = { NULL, NULL };
+	struct admission call = make_call("old-3");
+
+	report_pools(c, "old", LIMIT_POOLS_MAX, 4);
+	limit_core_admit(c, &call, S, &out);
+	report_pools(c, "new", LIMIT_POOLS_MAX / 2, 8);
+	limit_core_tick(c, S, &out);
+	ck_assert_ptr_nonnull(find_pool(c, "new-0"));
+	ck_assert_ptr_nonnull(find_pool(c, "new-31"));
+	ck_assert_int_eq(find_pool(c, "new-31")->slots, 8 + 31);
+	/* The one with a call stays until the call ends. */
+	ck_assert_int_eq(find_pool(c, "old-3")->running, 1);
+	limit_core_finish(c, &call, 0, 2 * S, &out);
+	ck_assert_int_eq(find_pool(c, "old-3")->running, 0);
+	limit_core_destroy(c);
+	free(c);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("limits");
@@ -352,6 +454,8 @@
 	tcase_add_test(t, bucket_keeps_its_rate_and_depth);
 	tcase_add_test(t, queue_serves_by_weight_then_priority);
 	tcase_add_test(t, queue_serves_a_new_flow_next);
+	tcase_add_test(t, more_pools_than_places_leave_the_windows_alone);
+	tcase_add_test(t, pools_without_calls_and_reports_give_way);
 	tcase_add_test(t, breaker_is_not_opened_by_a_silent_connection);
 	tcase_add_test(t, breaker_allows_one_probe_at_a_time);
 	tcase_add_test(t, retries_stay_below_a_tenth_of_calls);
