net: keep messages of a forgotten sender from being replayed

What callers would see: nothing while nobody attacks. Whoever recorded control messages on the network could have a receiver take them again once 1024 other processes had sent to it, which restarts alone bring about in time: a "leaving" or a list of demands of the past.

Cause: a sender that left the table of 1024 started at 0 when it appeared again, so every number of its boot was new. The bound on the age of a message was the boot of the receiver alone.

Evidence: the unit test: 200 messages of an evicted sender were taken again.

Ruled out: a larger table (it bounds nothing); numbers from a clock (none is compared).

Change: the highest number of any evicted sender is the floor, and a sender that is not in the table must be above it. The reply to a replay carries the floor, and the sender goes on above it. The envelope is unchanged: a process from before the change ignores that body, and is refused by a receiver that evicted somebody until its own numbers are above the floor.

Test: t0003 (test-net) message_of_forgotten_sender_is_no_news failed before. rpc_newcomers_are_served_after_evictions guards the other side: it fails when the sender ignores the floor. t0001, t0003, t02, t03, t0702, t0903 pass.

--- a/net/rpc-client.c
+++ b/net/rpc-client.c
@@ -21,6 +21,7 @@
 #include "net/envelope.h"
 
 #define IDLE_PER_PEER_MAX 2
+#define ATTEMPTS_MAX 4 /* of one exchange */
 
 /* Maximum number of peers with a cached boot and idle connections. */
 #define PEERS_MAX 4096
@@ -240,6 +241,24 @@
 	return envelope_request_sign(req, c->self.keys.current, mac);
 }
 
+/*
+ * Continues above the numbers that a server no longer tells apart.  Its reply
+ * to a replay has them as its body.
+ */
+static void raise_sequence(struct rpc_client *c,
+			   const struct envelope_reply *rep)
+{
+	uint64_t floor = 0;
+
+	if (xdr_from_memory((xdrproc_t)xdr_u_int64_t, &floor,
+			    rep->body.body_val, rep->body.body_len))
+		return;
+	pthread_mutex_lock(&c->mutex);
+	if (floor > c->sequence)
+		c->sequence = floor;
+	pthread_mutex_unlock(&c->mutex);
+}
+
 static int status_to_error(enum envelope_status status, const char *step,
 			   const char *address, struct error *err)
 {
@@ -304,7 +323,8 @@
 
 /*
  * Sends one message and waits for its reply, about timeout_ms at most for
- * each attempt.  A restarted or unknown peer takes up to three attempts.
+ * each attempt.  A restarted or unknown peer takes up to ATTEMPTS_MAX attempts: on
+ * a dead connection, with its old boot, below its floor, and the one it serves.
  * reply is zeroed here; the caller frees it with xdr_free(kind->reply_xdr).
  */
 int rpc_exchange(struct rpc_client *c, const char *address, int port,
@@ -325,7 +345,7 @@
 			  &req.body.body_len))
 		return error_set(err, ERROR_INTERNAL, kind->name, address,
 				 "the request does not encode");
-	for (attempt = 0; attempt < 3; attempt++) {
+	for (attempt = 0; attempt < ATTEMPTS_MAX; attempt++) {
 		memset(&rep, 0, sizeof(rep));
 		ret = attempt_exchange(c, address, port, &req, &rep, timeout_ms,
 				       kind->name, err);
@@ -349,6 +369,8 @@
 			     req.body.body_len + rep.body.body_len + 320);
 		if (rep.status == ENVELOPE_BOOT)
 			set_peer_boot(c, address, port, rep.boot);
+		if (rep.status == ENVELOPE_REPLAY)
+			raise_sequence(c, &rep);
 		xdr_free((xdrproc_t)xdr_envelope_reply, &rep);
 		if (!ret || !err || err->code != ERROR_STALE)
 			break;
--- a/net/rpc-server.c
+++ b/net/rpc-server.c
@@ -94,8 +94,11 @@
 
 	if (req->target_boot != server.self.boot)
 		return ENVELOPE_BOOT;
-	if (replay_check(&server.replay, req->sender_boot, req->sequence))
+	if (replay_check(&server.replay, req->sender_boot, req->sequence)) {
+		xdr_to_memory((xdrproc_t)xdr_u_int64_t, &server.replay.floor,
+			      &rep->body.body_val, &rep->body.body_len);
 		return ENVELOPE_REPLAY;
+	}
 	k = find_kind(req->kind, &arg);
 	if (!k)
 		return ENVELOPE_KIND;
--- a/t/helper/test-net.c
+++ b/t/helper/test-net.c
@@ -12,6 +12,7 @@
 #include "net/envelope.h"
 #include "net/fetch.h"
 #include "net/httpd.h"
+#include "net/replay.h"
 #include "net/rpc.h"
 
 /*
@@ -424,6 +425,53 @@
 }
 END_TEST
 
+#define OTHER_SENDERS REPLAY_SENDERS
+
+START_TEST(message_of_forgotten_sender_is_no_news)
+{
+	struct replay *r = calloc(1, sizeof(*r));
+	uint64_t i;
+
+	for (i = 1; i <= 200; i++)
+		ck_assert_int_eq(replay_check(r, 5, i), 0);
+	for (i = 0; i < OTHER_SENDERS; i++)
+		ck_assert_int_eq(replay_check(r, 1000 + i, 201 + i), 0);
+	/* Sender 5 was evicted; its messages still count as seen. */
+	for (i = 1; i <= 200; i++)
+		ck_assert_int_eq(replay_check(r, 5, i), -1);
+	ck_assert_int_eq(replay_check(r, 5, 201), 0);
+	free(r);
+}
+END_TEST
+
+static void exchange_as(uint64_t boot, int count)
+{
+	struct rpc_identity me = { "client",
+				   boot,
+				   { "a-key-of-16-bytes", "" } };
+	struct rpc_client *c = rpc_client_new(address, &me);
+	struct error err = ERROR_INIT;
+	int i, in = 1, out = 0;
+
+	for (i = 0; i < count; i++)
+		ck_assert_msg(!rpc_exchange(c, address, RPC_PORT, kinds, &in,
+					    &out, 2000, &err),
+			      "boot %d: %s", (int)boot, err.text);
+	rpc_client_free(c);
+}
+
+/* The first sender gets far, is evicted, and newcomers begin at 1. */
+START_TEST(rpc_newcomers_are_served_after_evictions)
+{
+	int i;
+
+	exchange_as(5, 200);
+	for (i = 0; i < OTHER_SENDERS + 10; i++)
+		exchange_as(1000 + (uint64_t)i, 1);
+	ck_assert_int_eq(served, 200 + OTHER_SENDERS + 10);
+}
+END_TEST
+
 int main(int argc, char **argv)
 {
 	Suite *s = suite_create("net");
@@ -449,6 +497,8 @@
 	tcase_add_checked_fixture(rpc, start_rpc, stop_rpc);
 	tcase_add_test(rpc, rpc_answers_and_refuses);
 	tcase_add_test(rpc, rpc_with_wrong_key_is_rejected);
+	tcase_add_test(rpc, message_of_forgotten_sender_is_no_news);
+	tcase_add_test(rpc, rpc_newcomers_are_served_after_evictions);
 	tcase_add_test(rpc,
 		       rpc_serves_others_despite_malformed_and_stalled_peers);
 	suite_add_tcase(s, http);
