weights: take no calls after an order for a version that was replaced

What callers would see: an engine is ordered to load version 2, version 3 is named meanwhile, and the engine then runs 2. Its agent goes on to tell entries that it runs 1, and calls for 1 that reach it end as "answer-crossed", unknown, until the engine's state is read.

Cause: the end of an order that is still the wanted one makes the running version unknown until it is read back; the end of one whose version was replaced only cleared the mark that an order is under way. The order may take effect after the version it names is replaced, as nothing withdraws it.

Evidence: the unit test: activation_can_serve was 1 after such an order.

Ruled out: the users' platform: there a version is not replaced while its order is under way (activation_is_loaded_first).

Change: the running version is unknown after any order that was sent.

--- a/t/helper/test-engine-order.c
+++ b/t/helper/test-engine-order.c
@@ -159,6 +159,32 @@
 }
 END_TEST
 
+/* The engine may run the version of the order now, until it is read back. */
+START_TEST(no_calls_after_order_for_replaced_version)
+{
+	struct activation after;
+	struct model_row *m;
+	struct agent a;
+
+	start_agent(&a);
+	table_lock(&a.weights.models);
+	m = table_get(&a.weights.models, a.row);
+	activation_set_version(&m->activation, "new");
+	activation_record_running(&m->activation, "old", 1, 1, 0, clock_now());
+	table_unlock(&a.weights.models);
+	order(&a);
+	table_lock(&a.weights.models);
+	m->swarm_id++;
+	activation_set_version(&m->activation, "newest");
+	table_unlock(&a.weights.models);
+	wait_for_order(&a, &after);
+	ck_assert_int_eq(activation_can_serve(&after), 0);
+	activation_record_running(&after, "old", 1, 1, 0, clock_now());
+	ck_assert_int_eq(activation_can_serve(&after), 1);
+	stop_agent(&a);
+}
+END_TEST
+
 /* The order changed nothing, so the restart has another cause. */
 START_TEST(restart_after_refused_connection_is_no_crash)
 {
@@ -202,6 +228,7 @@
 	tcase_add_checked_fixture(t, start_engine, NULL);
 	tcase_add_test(t, order_reaches_engine);
 	tcase_add_test(t, order_that_waited_is_not_sent);
+	tcase_add_test(t, no_calls_after_order_for_replaced_version);
 	tcase_add_test(t, restart_after_refused_connection_is_no_crash);
 	suite_add_tcase(s, t);
 	srunner_run_all(sr, CK_NORMAL);
--- a/weights/activate.c
+++ b/weights/activate.c
@@ -186,6 +186,17 @@
 	a->not_before = now + ORDER_BACKOFF_US;
 }
 
+/*
+ * Records the end of an order to load a version that is not wanted any more.
+ * It may have taken effect, so no calls are taken until the running version is
+ * read back.
+ */
+void activation_record_replaced_order(struct activation *a)
+{
+	a->is_ordering = 0;
+	a->is_running_known = 0;
+}
+
 /*
  * Records the version of this model that the engine runs. rebooted is 1 when
  * the engine restarted since the last read.
--- a/weights/activate.h
+++ b/weights/activate.h
@@ -86,6 +86,7 @@
 enum activation_state activation_step(struct activation *a, apr_time_t now);
 void activation_record_order(struct activation *a, int done, apr_time_t now);
 void activation_record_unsent_order(struct activation *a, apr_time_t now);
+void activation_record_replaced_order(struct activation *a);
 void activation_record_running(struct activation *a, const char *version,
 			       int ready, uint64_t fence, int rebooted,
 			       apr_time_t now);
--- a/weights/engine.c
+++ b/weights/engine.c
@@ -183,10 +183,10 @@
 	table_lock(&w->models);
 	w->engine_query_at = 0;
 	m = table_get(&w->models, x->model);
-	if (m && m->swarm_id != x->swarm_id) {
-		m->activation.is_ordering = 0;
-	} else if (m && f->never_sent) {
+	if (m && f->never_sent) {
 		activation_record_unsent_order(&m->activation, now);
+	} else if (m && m->swarm_id != x->swarm_id) {
+		activation_record_replaced_order(&m->activation);
 	} else if (m) {
 		activation_record_order(&m->activation,
 					result == ORDER_ACCEPTED, now);
