net, calls: one check for callers that have left, at the HTTP server

The server's comes first, so the gate's and its function are never reached; they go, with the unit test of that function. t0510.7 (a call at a gate) and t1013.3 (a request at an entry) check the effect, each with a process that was stopped while its caller left. Dropped requests are counted in http_abandoned.

--- a/calls/gate.c
+++ b/calls/gate.c
@@ -191,20 +191,6 @@
 	stream_run_start(g, c, h, path);
 }
 
-/*
- * Drops a call whose entry has closed its connection: the call may have waited
- * on its way for longer than the time left that it names.  No row is changed,
- * as nobody is told that the call did not run.
- */
-static void drop_abandoned(struct http_call *c, const struct hop *h)
-{
-	struct refusal r;
-
-	refusal_set(&r, 499, OUTCOME_UNKNOWN, AGAIN_CHECK, "caller-gone",
-		    "gate", "the entry closed its connection");
-	gate_refuse(c, h, &r, 0);
-}
-
 static void handle_call(struct http_call *c, void *arg)
 {
 	struct gate *g = arg;
@@ -222,10 +208,6 @@
 		gate_refuse(c, NULL, &r, 0);
 		return;
 	}
-	if (http_call_has_hung_up(c)) {
-		drop_abandoned(c, &h);
-		return;
-	}
 	if (split_path(http_call_path(c), copy, sizeof(copy), &kind, &name,
 		       &action)) {
 		refusal_set(&r, 404, OUTCOME_NOT_RUN, AGAIN_NO, "no-such-path",
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "base/metric.h"
 #include "net/cut.h"
 
 #define CONNECTION_LIMIT 16384
@@ -174,20 +175,6 @@
 	MHD_suspend_connection(c->connection);
 }
 
-/*
- * Returns 1 when the caller has closed its connection already.  To be called
- * within the handler only; later, http_call_on_disconnect tells.
- */
-int http_call_has_hung_up(struct http_call *c)
-{
-	struct pollfd p = { .events = POLLRDHUP };
-
-	p.fd = MHD_get_connection_info(c->connection,
-				       MHD_CONNECTION_INFO_CONNECTION_FD)
-		       ->connect_fd;
-	return poll(&p, 1, 0) > 0;
-}
-
 /*
  * Queues the response, or suspends the connection until there is one.
  * libmicrohttpd locks a response while it reads a stream, so its functions
@@ -276,8 +263,10 @@
 		return queue_error_answer(con, MHD_HTTP_NOT_FOUND);
 	if (c->is_too_large)
 		return queue_error_answer(con, MHD_HTTP_CONTENT_TOO_LARGE);
-	if (is_hung_up(con))
+	if (is_hung_up(con)) {
+		metric_count("http_abandoned", NULL, 1);
 		return MHD_NO;
+	}
 	c->state = CALL_HANDLED;
 	call_ref(c);
 	c->route->handle(c, c->route->arg);
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -47,7 +47,6 @@
 const char *http_call_peer(struct http_call *c);
 apr_time_t http_call_started_at(const struct http_call *c);
 const void *http_call_body(struct http_call *c, size_t *size);
-int http_call_has_hung_up(struct http_call *c);
 
 void http_call_set(struct http_call *c, const char *name, const char *value);
 void http_call_reply(struct http_call *c, int status, const char *type,
--- a/t/helper/test-net.c
+++ b/t/helper/test-net.c
@@ -96,22 +96,7 @@
 	return __atomic_load_n(&held_call, __ATOMIC_ACQUIRE);
 }
 
-static int was_hung_up; /* atomic: 0 before the handler, else 1 or 2 */
-
-/* Gives the end of the connection time to arrive after the request. */
-static void record_hang_up(struct http_call *c, void *arg)
-{
-	int hung_up;
-
-	usleep(50000);
-	hung_up = http_call_has_hung_up(c);
-	http_call_reply(c, 200, "text/plain", hung_up ? "yes" : "no",
-			hung_up ? 3 : 2);
-	__atomic_store_n(&was_hung_up, 1 + hung_up, __ATOMIC_RELEASE);
-}
-
 static const struct http_route routes[] = {
-	{ "GET", "/hung-up", 0, record_hang_up, NULL },
 	{ "POST", "/echo", BIG_SIZE, echo, NULL },
 	{ "GET", "/later", 0, handle_later, NULL },
 	{ NULL, "/never", 0, handle_never, &held_call },
@@ -186,38 +171,6 @@
 }
 END_TEST
 
-static void send_and_close(const char *text)
-{
-	struct sockaddr_in sa = { .sin_family = AF_INET,
-				  .sin_port = htons(HTTP_PORT) };
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	inet_pton(AF_INET, address, &sa.sin_addr);
-	ck_assert_int_eq(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
-	ck_assert_int_eq(write(fd, text, strlen(text)), (ssize_t)strlen(text));
-	close(fd);
-}
-
-START_TEST(handler_sees_that_its_caller_hung_up)
-{
-	struct fetch f = { .url = make_url("/hung-up") };
-	char *body = NULL;
-	int tries;
-
-	ck_assert_int_eq(fetch_wait(fetcher, &f, &body, NULL), 200);
-	ck_assert_str_eq(body, "no");
-	free(body);
-	was_hung_up = 0;
-	send_and_close("GET /hung-up HTTP/1.1\r\nHost: a\r\n\r\n");
-	for (tries = 0; tries < 200; tries++) {
-		if (__atomic_load_n(&was_hung_up, __ATOMIC_ACQUIRE))
-			break;
-		usleep(10000);
-	}
-	ck_assert_int_eq(__atomic_load_n(&was_hung_up, __ATOMIC_ACQUIRE), 2);
-}
-END_TEST
-
 START_TEST(truncated_stream_is_detected)
 {
 	struct fetch f = { .url = make_url("/later?mode=2") };
@@ -504,7 +457,6 @@
 	tcase_add_test(http, body_and_headers_are_echoed);
 	tcase_add_test(http, oversized_body_and_unknown_path_are_refused);
 	tcase_add_test(http, late_answer_and_complete_stream_are_received);
-	tcase_add_test(http, handler_sees_that_its_caller_hung_up);
 	tcase_add_test(http, truncated_stream_is_detected);
 	tcase_add_test(http, refused_connection_sets_never_sent);
 	tcase_add_test(http, missing_answer_times_out_as_sent);
