calls: a home that was away for a lifetime refuses keys for another one

What callers would see: a call with a key alone runs twice within the key's lifetime, once at the agent that took the home's keys while the home was out of the platform's list or out of contact, and once at the home as soon as it is back.

Cause: an agent takes over the keys of one that left after the lifetime and 10 s. The one that left asked only whether it has contact and is in the view now, not whether it was all along: "followed the view without a gap" looked at pauses of the process alone.

Ruled out: the agent that took over goes on at the same time (it sees the home in its view and refuses); pauses (the gate counts its view anew after one).

Change: the view keeps the last gaps, in which this agent was not in it or did not hear from some other agent for more than 10 s. A gap as long as a key's lifetime refuses it until the lifetime and 10 s have passed since its end. Shorter gaps change nothing: with the default lifetime of 600 s, only one of ten minutes does. An agent whose contact the table forgets, as it moved, counts from the contact before.

Test: t0500.10 and .11 failed before; .12 keeps the gap from being counted too long. t0500 to t0530 and t0904 pass.

--- a/calls/home.c
+++ b/calls/home.c
@@ -100,20 +100,77 @@
 	return 0;
 }
 
+/*
+ * Records a gap.  One that ends soon after the last one is joined with it.
+ * Without room the oldest one is forgotten, and the view counts from its end.
+ */
+static void add_gap(struct home_view *v, apr_time_t start, apr_time_t end)
+{
+	struct home_gap *last =
+		v->gap_count ? &v->gaps[v->gap_count - 1] : NULL;
+
+	if (last && end - last->end <= HOME_CONTACT_MAX_AGE_US) {
+		last->end = end;
+		if (start < last->start)
+			last->start = start;
+		return;
+	}
+	if (v->gap_count == HOME_GAPS_MAX) {
+		if (v->tracked_since < v->gaps[0].end)
+			v->tracked_since = v->gaps[0].end;
+		memmove(v->gaps, v->gaps + 1,
+			(HOME_GAPS_MAX - 1) * sizeof(*v->gaps));
+		v->gap_count--;
+	}
+	v->gaps[v->gap_count++] = (struct home_gap){ start, end };
+}
+
+/* Records the gap that ends with an agent's being in the view again, if any. */
+static void find_gap(struct home_view *v, const struct home_agent *before,
+		     const struct home_agent *a, apr_time_t now)
+{
+	if (!strcmp(a->id, v->self)) {
+		if (before->last_present_at < v->updated_at)
+			add_gap(v, before->last_present_at, now);
+	} else if (a->last_contact - before->gap_since >
+		   HOME_CONTACT_MAX_AGE_US) {
+		add_gap(v, before->gap_since, now);
+	}
+}
+
+/* Returns 1 when others may have run the keys of this agent in their lifetime. */
+static int has_recent_gap(const struct home_view *v,
+			  apr_interval_time_t lifetime, apr_time_t now)
+{
+	const struct home_gap *g;
+
+	for (g = v->gaps; g < v->gaps + v->gap_count; g++)
+		if (g->end - g->start >= lifetime &&
+		    now - g->end < lifetime + HOME_CONTACT_MAX_AGE_US)
+			return 1;
+	return 0;
+}
+
 static void add_or_update_agent(struct home_view *v, const struct home_agent *a,
 				apr_time_t now)
 {
 	struct home_agent *to = find_agent(v, a->id);
+	apr_time_t gap_since = now;
 
 	if (!to && v->count == HOME_AGENTS_MAX && evict_absent_agent(v)) {
 		v->has_overflowed = 1;
 		return;
 	}
-	if (!to)
+	if (to) {
+		find_gap(v, to, a, now);
+		gap_since = to->gap_since;
+	} else {
 		to = &v->agents[v->count++];
+	}
 	*to = *a;
 	to->is_present = 1;
 	to->last_present_at = now;
+	to->gap_since = a->last_contact ? a->last_contact : gap_since;
 }
 
 /* Updates the view with the agents that the board lists at now. */
@@ -127,12 +184,14 @@
 	v->has_overflowed = 0;
 	for (i = 0; i < count; i++)
 		add_or_update_agent(v, &agents[i], now);
+	v->updated_at = now;
 }
 
 /*
  * Returns 1 when no other agent can have run the key within its lifetime (in
  * microseconds).  These conditions hold then: this agent is in the view; the
- * view was tracked for the lifetime; no other agent of equal or higher rank
+ * view was tracked for the lifetime; no gap as long as the lifetime ended within
+ * it and HOME_CONTACT_MAX_AGE_US; no other agent of equal or higher rank
  * was in it then or in the HOME_CONTACT_MAX_AGE_US before; and every other
  * agent in the view sent a message within HOME_CONTACT_MAX_AGE_US, so that
  * this agent is not partitioned while the others chose another home.
@@ -145,7 +204,8 @@
 	const struct home_agent *a;
 	int i, present = 0;
 
-	if (v->has_overflowed || v->tracked_since > now - lifetime)
+	if (v->has_overflowed || v->tracked_since > now - lifetime ||
+	    has_recent_gap(v, lifetime, now))
 		return 0;
 	for (i = 0; i < v->count; i++) {
 		a = &v->agents[i];
--- a/calls/home.h
+++ b/calls/home.h
@@ -25,15 +25,31 @@
 	int is_present;		    /* in the latest view */
 	apr_time_t last_present_at; /* last time in the view */
 	apr_time_t last_contact;    /* last message from it; 0: never */
+	/* the same, kept when the table forgets it; at first when it came */
+	apr_time_t gap_since;
 };
 
+/*
+ * A time in which this agent was not in the view, or had no contact with some
+ * other agent: others may have taken it for gone and run its keys.
+ */
+struct home_gap {
+	apr_time_t start;
+	apr_time_t end;
+};
+
+#define HOME_GAPS_MAX 8
+
 /* The agents of a service over time, as one of them has seen them. */
 struct home_view {
 	char self[SETTINGS_NAME_SIZE];
-	apr_time_t tracked_since; /* without a gap since then */
+	apr_time_t tracked_since; /* without a pause since then */
+	apr_time_t updated_at;
 	struct home_agent agents[HOME_AGENTS_MAX];
 	int count;
 	int has_overflowed; /* an agent did not fit: not exclusive */
+	struct home_gap gaps[HOME_GAPS_MAX]; /* by their ends, oldest first */
+	int gap_count;
 };
 
 /* Maximum age of the last message from another agent for home_is_exclusive. */
--- a/t/t0500-gate.sh
+++ b/t/t0500-gate.sh
@@ -252,6 +252,119 @@
 	test_decisions
 '
 
+# While a is away, or b is without contact, b may run the keys of a.
+test_expect_success 'a home that was away for a lifetime waits for another one' '
+	cat >script <<-EOF &&
+	now 100000
+	self a
+	view a b
+	now 109000
+	view a b
+	now 118000
+	view a b
+	now 121000
+	view a b
+	exclusive k1
+	view b
+	now 126000
+	view a b
+	exclusive k1
+	view b
+	now 135000
+	view b
+	now 144000
+	view b
+	now 148000
+	view a b
+	exclusive k1
+	now 157000
+	view a b
+	now 166000
+	view a b
+	now 167000
+	view a b
+	exclusive k1
+	now 169000
+	view a b
+	exclusive k1
+	EOF
+	cat >expect <<-EOF &&
+	k1: exclusive
+	k1: exclusive
+	k1: not-exclusive
+	k1: not-exclusive
+	k1: exclusive
+	EOF
+	test_decisions
+'
+
+test_expect_success 'a home without contact for a lifetime waits for another one' '
+	cat >script <<-EOF &&
+	now 100000
+	self a
+	view a b
+	now 109000
+	view a b
+	now 118000
+	view a b
+	now 121000
+	view a b
+	exclusive k1
+	now 141000
+	view a b@20000
+	exclusive k1
+	now 142000
+	view a b
+	exclusive k1
+	now 151000
+	view a b
+	now 160000
+	view a b
+	exclusive k1
+	now 163000
+	view a b
+	exclusive k1
+	EOF
+	cat >expect <<-EOF &&
+	k1: exclusive
+	k1: not-exclusive
+	k1: not-exclusive
+	k1: not-exclusive
+	k1: exclusive
+	EOF
+	test_decisions
+'
+
+# The table forgets the contact of an agent that moved.
+test_expect_success 'a home that another one moved from waits for its contact only' '
+	cat >script <<-EOF &&
+	now 100000
+	self a
+	view a b
+	now 109000
+	view a b
+	now 118000
+	view a b
+	now 121000
+	view a b@121000
+	exclusive k1
+	now 124000
+	view a b
+	exclusive k1
+	now 140000
+	view a b@140000
+	now 143000
+	view a b
+	exclusive k1
+	EOF
+	cat >expect <<-EOF &&
+	k1: not-exclusive
+	k1: exclusive
+	k1: not-exclusive
+	EOF
+	test_decisions
+'
+
 for seed in 1 2 3; do
 	test_expect_success "no identity runs twice with random requests, seed $seed" '
 		test-calls-gate '$seed'
