--- a/t/standin/lib-addresses.c
+++ b/t/standin/lib-addresses.c
@@ -6,14 +6,14 @@
 
 struct address_list addresses;
 
-/* Takes an option's text: one address or each of "first-last". */
-void addresses_option(int value, const char *text)
+/* Adds the address, or every address of the range "first-last", in text. */
+void addresses_add_option(int value, const char *text)
 {
 	uint32_t first;
 	uint32_t last;
 
 	if (!text || listen_parse_range(text, &first, &last))
-		options_fail("not an address", text);
+		options_fail("invalid address or range", text);
 	for (; first <= last; first++) {
 		if (addresses.count == ADDRESSES_MAX)
 			options_fail("too many addresses", text);
@@ -21,14 +21,14 @@
 	}
 }
 
-/* Stands in 127.0.0.1 when no address was given. */
-void addresses_default(void)
+/* Uses 127.0.0.1 if no address was given on the command line. */
+void addresses_set_default(void)
 {
 	if (!addresses.count)
-		addresses_option(0, "127.0.0.1");
+		addresses_add_option(0, "127.0.0.1");
 }
 
-/* Index of an address, or -1. */
+/* Returns the index of an address, or -1. */
 int addresses_find(const char *address)
 {
 	int i;
@@ -39,12 +39,12 @@
 	return -1;
 }
 
-/* Listens on every address. */
+/* Listens on every configured address. */
 int addresses_listen(struct web_server *server, int port)
 {
 	int i;
 
-	addresses_default();
+	addresses_set_default();
 	for (i = 0; i < addresses.count; i++)
 		if (web_listen(server, addresses.names[i], (unsigned)port))
 			return -1;
--- a/t/standin/lib-addresses.h
+++ b/t/standin/lib-addresses.h
@@ -1,5 +1,5 @@
 /*
- * The addresses given on a stand-in's command line.
+ * The list of listening addresses from the command line of a stand-in.
  */
 #ifndef STANDIN_LIB_ADDRESSES_H
 #define STANDIN_LIB_ADDRESSES_H
@@ -15,8 +15,8 @@
 
 extern struct address_list addresses;
 
-void addresses_option(int value, const char *text);
-void addresses_default(void);
+void addresses_add_option(int value, const char *text);
+void addresses_set_default(void);
 int addresses_find(const char *address);
 int addresses_listen(struct web_server *server, int port);
 
--- a/t/standin/lib-blob.c
+++ b/t/standin/lib-blob.c
@@ -14,18 +14,22 @@
 static struct {
 	pthread_mutex_t lock; /* protects the table and all reference counts */
 	struct blob *buckets[BUCKETS];
-	pthread_mutex_t digest_lock; /* held while a list is hashed */
-	json_t *digests;	     /* of lists of blobs */
+	/* Held while a list is hashed, so that it is hashed only once. */
+	pthread_mutex_t digest_lock;
+	json_t *digests; /* SHA-256 by cache key of a list of blobs */
 } blobs = { .lock = PTHREAD_MUTEX_INITIALIZER,
 	    .digest_lock = PTHREAD_MUTEX_INITIALIZER };
 
-/* Bucket of the table for a hash. */
+/* Returns the hash table bucket for a hash. */
 static struct blob **blob_bucket(XXH128_hash_t hash)
 {
 	return &blobs.buckets[hash.low64 % BUCKETS];
 }
 
-/* Takes over data and returns the blob with the same bytes, or NULL. */
+/*
+ * Returns a reference to the blob with the given contents, creating it if
+ * needed; NULL if out of memory.  Takes ownership of data.
+ */
 struct blob *blob_get(char *data, size_t len)
 {
 	XXH128_hash_t hash = XXH3_128bits(data, len);
@@ -53,7 +57,6 @@
 	return blob;
 }
 
-/* Adds a reference. */
 struct blob *blob_ref(struct blob *blob)
 {
 	pthread_mutex_lock(&blobs.lock);
@@ -62,7 +65,7 @@
 	return blob;
 }
 
-/* Drops a reference; the last one frees the bytes. */
+/* Drops a reference and frees the blob if it was the last one. */
 void blob_put(void *arg)
 {
 	struct blob *blob = arg;
@@ -84,7 +87,7 @@
 	}
 }
 
-/* Writes bytes in lower-case hex. */
+/* Formats n bytes as lower-case hex with a terminating NUL. */
 static void hex_format(const unsigned char *raw, size_t n, char *out)
 {
 	static const char digits[] = "0123456789abcdef";
@@ -97,7 +100,7 @@
 	out[2 * n] = '\0';
 }
 
-/* Writes the SHA-256 of some bytes in lower-case hex. */
+/* Formats the SHA-256 of a buffer as lower-case hex. */
 void blob_sha256_hex(const char *data, size_t len, char *out)
 {
 	unsigned char raw[SHA256_DIGEST_LENGTH];
@@ -106,8 +109,8 @@
 	hex_format(raw, sizeof(raw), out);
 }
 
-/* Hashes the bytes of a list of blobs one after another. */
-static int list_hash(struct blob **list, size_t n, char *out)
+/* Computes the SHA-256 of the concatenated contents of a list of blobs. */
+static int list_sha256(struct blob **list, size_t n, char *out)
 {
 	unsigned char raw[SHA256_DIGEST_LENGTH];
 	EVP_MD_CTX *ctx = EVP_MD_CTX_new();
@@ -128,8 +131,8 @@
 	return ret;
 }
 
-/* Names a list of blobs by the hashes of their bytes. */
-static void list_name(struct blob **list, size_t n, char *out)
+/* Derives the digest cache key of a list of blobs from their XXH3 hashes. */
+static void list_cache_key(struct blob **list, size_t n, char *out)
 {
 	XXH3_state_t *state = XXH3_createState();
 	XXH128_canonical_t canonical;
@@ -147,24 +150,24 @@
 }
 
 /*
- * Writes the SHA-256 of the concatenated bytes of a list.  Equal lists are
- * hashed once for all engines.
+ * Formats the SHA-256 of the concatenated contents of a list of blobs.  The
+ * result is cached, so that a list is hashed once for all engines.
  */
 int blob_list_digest(struct blob **list, size_t n, char *out)
 {
 	char name[CACHE_KEY_LEN];
-	const char *known;
+	const char *cached;
 	int ret = 0;
 
-	list_name(list, n, name);
+	list_cache_key(list, n, name);
 	pthread_mutex_lock(&blobs.digest_lock);
 	if (!blobs.digests)
 		blobs.digests = json_object();
-	known = json_string_value(json_object_get(blobs.digests, name));
-	if (known) {
-		memcpy(out, known, BLOB_HEX_LEN + 1);
+	cached = json_string_value(json_object_get(blobs.digests, name));
+	if (cached) {
+		memcpy(out, cached, BLOB_HEX_LEN + 1);
 	} else {
-		ret = list_hash(list, n, out);
+		ret = list_sha256(list, n, out);
 		if (!ret)
 			json_object_set_new(blobs.digests, name,
 					    json_string(out));
--- a/t/standin/lib-blob.h
+++ b/t/standin/lib-blob.h
@@ -1,6 +1,7 @@
 /*
- * Chunks kept once in memory for all engines of a process, by what their
- * bytes are and not by the name they were given.
+ * Reference-counted, deduplicated chunk storage shared by all engines of a
+ * process.  Chunks are identified by a hash of their contents, not by the
+ * digest the client gave, which may be wrong.
  */
 #ifndef STANDIN_LIB_BLOB_H
 #define STANDIN_LIB_BLOB_H
--- a/t/standin/lib-bucket.c
+++ b/t/standin/lib-bucket.c
@@ -6,28 +6,28 @@
 #define GRANT_BYTES (16 * 1024)
 #define BURST_US 20000
 
-/* Starts with an empty bucket. */
+/* Initializes an empty bucket. */
 void bucket_init(struct bucket *bucket, int64_t rate, int64_t now_us)
 {
 	memset(bucket, 0, sizeof(*bucket));
 	pthread_mutex_init(&bucket->lock, NULL);
 	bucket->rate = rate;
-	bucket->filled_us = now_us;
+	bucket->refilled_us = now_us;
 	bucket->last = &bucket->first;
 }
 
-/* Queues a stream unless it waits already. */
+/* Queues a stream unless it is queued already. */
 static void waiter_push(struct bucket *bucket, struct bucket_waiter *waiter)
 {
-	if (waiter->queued)
+	if (waiter->is_queued)
 		return;
-	waiter->queued = true;
+	waiter->is_queued = true;
 	waiter->next = NULL;
 	*bucket->last = waiter;
 	bucket->last = &waiter->next;
 }
 
-/* Takes the stream that has waited longest. */
+/* Dequeues the stream that has waited longest. */
 static struct bucket_waiter *waiter_pop(struct bucket *bucket)
 {
 	struct bucket_waiter *waiter = bucket->first;
@@ -35,13 +35,13 @@
 	bucket->first = waiter->next;
 	if (!bucket->first)
 		bucket->last = &bucket->first;
-	waiter->queued = false;
+	waiter->is_queued = false;
 	return waiter;
 }
 
 /*
- * Takes up to want bytes from what waiter was granted.  Returns 0 when it has
- * to wait; its wake function is called when there is a grant.
+ * Consumes up to want bytes of the grant of waiter.  Returns 0 and queues
+ * waiter if it has no grant; its wake function is called on the next grant.
  */
 size_t bucket_take(struct bucket *bucket, struct bucket_waiter *waiter,
 		   size_t want)
@@ -60,19 +60,19 @@
 	return n;
 }
 
-/* Fills the bucket up to now and grants its bytes to those who wait. */
-void bucket_tick(struct bucket *bucket, int64_t now_us)
+/* Refills the bucket and grants bytes to queued streams in FIFO order. */
+void bucket_refill(struct bucket *bucket, int64_t now_us)
 {
 	double burst = (double)bucket->rate * BURST_US / US_PER_S;
 	struct bucket_waiter *waiter;
 
 	pthread_mutex_lock(&bucket->lock);
 	bucket->level += (double)bucket->rate *
-			 (double)(now_us - bucket->filled_us) / US_PER_S;
-	bucket->filled_us = now_us;
+			 (double)(now_us - bucket->refilled_us) / US_PER_S;
+	bucket->refilled_us = now_us;
 	while (bucket->first && bucket->level > 0) {
 		waiter = waiter_pop(bucket);
-		/* A debt is paid back before the next grant. */
+		/* The level may go negative; then no grant until it is positive. */
 		waiter->granted = GRANT_BYTES;
 		bucket->level -= GRANT_BYTES;
 		waiter->wake(waiter);
@@ -82,8 +82,8 @@
 	pthread_mutex_unlock(&bucket->lock);
 }
 
-/* Returns the grant of a stream that ends and removes it from the queue. */
-void bucket_forget(struct bucket *bucket, struct bucket_waiter *waiter)
+/* Returns the unused grant of a closed stream and dequeues the stream. */
+void bucket_remove_waiter(struct bucket *bucket, struct bucket_waiter *waiter)
 {
 	struct bucket_waiter **link;
 
--- a/t/standin/lib-engine-batch.c
+++ b/t/standin/lib-engine-batch.c
@@ -8,21 +8,20 @@
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
-/* How often each request was run, over all engines of the process. */
+/* Number of runs by request ID, summed over all engines of the process. */
 static struct {
 	pthread_mutex_t lock;
 	json_t *counts;
 } runs = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
-/* Makes a ring of one. */
-static void ring_init(struct engine_call *head)
+/* Initializes an empty circular list. */
+static void call_list_init(struct engine_call *head)
 {
 	head->next = head;
 	head->prev = head;
 }
 
-/* Adds a call at the end of a ring. */
-static void ring_append(struct engine_call *head, struct engine_call *call)
+static void call_list_append(struct engine_call *head, struct engine_call *call)
 {
 	call->next = head;
 	call->prev = head->prev;
@@ -30,32 +29,31 @@
 	head->prev = call;
 }
 
-/* Takes a call out of its ring. */
-static void ring_remove(struct engine_call *call)
+static void call_list_remove(struct engine_call *call)
 {
 	call->next->prev = call->prev;
 	call->prev->next = call->next;
-	ring_init(call);
+	call_list_init(call);
 }
 
-/* Starts without calls. */
+/* Initializes an empty batch and empty queues. */
 void batch_init(struct engine *engine)
 {
 	int i;
 
-	ring_init(&engine->running);
+	call_list_init(&engine->running);
 	for (i = 0; i < ENGINE_PRIORITIES; i++)
-		ring_init(&engine->waiting[i]);
+		call_list_init(&engine->waiting[i]);
 }
 
-/* Puts a call at the end of the queue of its priority. */
+/* Appends a call to the queue of its priority. */
 void batch_add(struct engine_call *call)
 {
-	ring_append(&call->engine->waiting[call->priority], call);
+	call_list_append(&call->engine->waiting[call->priority], call);
 	call->engine->waiting_count++;
 }
 
-/* Takes a call out of the batch or the queue and gives it a final state. */
+/* Removes a call from the batch or its queue and sets its final state. */
 void batch_remove(struct engine_call *call, enum call_state state)
 {
 	if (call->state == CALL_RUNNING)
@@ -64,11 +62,11 @@
 		call->engine->waiting_count--;
 	else
 		return;
-	ring_remove(call);
+	call_list_remove(call);
 	call->state = state;
 }
 
-/* Ends every call; their connections are about to be dropped. */
+/* Cancels every call; the caller is about to drop their connections. */
 void batch_clear(struct engine *engine)
 {
 	int i;
@@ -80,7 +78,6 @@
 			batch_remove(engine->waiting[i].next, CALL_CANCELLED);
 }
 
-/* Counts a run of a request. */
 static void count_run(const char *id)
 {
 	json_int_t n;
@@ -93,7 +90,7 @@
 	pthread_mutex_unlock(&runs.lock);
 }
 
-/* Copy of the counts of runs by request identity. */
+/* Returns a copy of the number of runs by request ID. */
 json_t *batch_runs(void)
 {
 	json_t *copy;
@@ -104,22 +101,28 @@
 	return copy;
 }
 
-/* Starts a call that waits.  Returns -1 when its prompt makes it crash. */
+/*
+ * Moves a waiting call into the batch.  Returns -1 if its prompt is to crash
+ * the engine.
+ */
 static int call_start(struct engine_call *call, int64_t now_ms)
 {
 	struct engine *engine = call->engine;
 
-	ring_remove(call);
-	ring_append(&engine->running, call);
+	call_list_remove(call);
+	call_list_append(&engine->running, call);
 	engine->waiting_count--;
 	engine->running_count++;
 	call->state = CALL_RUNNING;
 	count_run(call->id);
-	call->prefilled_ms = now_ms + cache_use(engine, call, now_ms);
+	call->prefill_end_ms = now_ms + cache_lookup(engine, call, now_ms);
 	return strstr(call->prompt, CRASH_MARK) ? -1 : 0;
 }
 
-/* Fills free slots, highest priority first.  Returns -1 on a crash. */
+/*
+ * Fills free slots from the queues, lowest priority number first.  Returns -1
+ * if a call is to crash the engine.
+ */
 static int batch_admit(struct engine *engine, int64_t now_ms)
 {
 	int i;
@@ -132,22 +135,22 @@
 	return 0;
 }
 
-/* Makes up to n tokens of a running call, all that remain when n is 0. */
+/* Generates up to n tokens of a running call, or all if n is 0. */
 static void call_advance(struct engine_call *call, int n, int64_t now_ms)
 {
-	if (call->prefilled_ms > now_ms)
+	if (call->prefill_end_ms > now_ms)
 		return;
-	if (!n || n > call->end - call->made)
-		n = call->end - call->made;
-	call->made += n;
+	if (!n || n > call->end - call->generated)
+		n = call->end - call->generated;
+	call->generated += n;
 	engine_count(tokens, n);
-	if (call->made == call->end)
+	if (call->generated == call->end)
 		batch_remove(call, CALL_DONE);
-	if (call->stream || call->state == CALL_DONE)
-		web_release(call->req);
+	if (call->is_streamed || call->state == CALL_DONE)
+		web_resume(call->req);
 }
 
-/* Tokens that each running call makes now. */
+/* Returns the number of decoding steps that are due, at most STEPS_MAX. */
 static int steps_due(struct engine *engine, int step_ms, int64_t now_ms)
 {
 	int64_t n;
@@ -161,7 +164,7 @@
 	return n > STEPS_MAX ? STEPS_MAX : (int)n;
 }
 
-/* Runs the batch up to now. */
+/* Runs the decoding steps that are due and admits waiting calls. */
 void batch_step(struct engine *engine, int64_t now_ms)
 {
 	int step_ms = engine_settings.token_ms;
@@ -198,8 +201,9 @@
 	}
 }
 
-/* A call of a ring by its request identity, or NULL. */
-static struct engine_call *ring_find(struct engine_call *head, const char *id)
+/* Returns the call with a request ID in a circular list, or NULL. */
+static struct engine_call *call_list_find(struct engine_call *head,
+					  const char *id)
 {
 	struct engine_call *call;
 
@@ -209,18 +213,18 @@
 	return NULL;
 }
 
-/* A call of the batch or the queue by its request identity, or NULL. */
+/* Returns the running or waiting call with a request ID, or NULL. */
 struct engine_call *batch_find(struct engine *engine, const char *id)
 {
-	struct engine_call *call = ring_find(&engine->running, id);
+	struct engine_call *call = call_list_find(&engine->running, id);
 	int i;
 
 	for (i = 0; !call && i < ENGINE_PRIORITIES; i++)
-		call = ring_find(&engine->waiting[i], id);
+		call = call_list_find(&engine->waiting[i], id);
 	return call;
 }
 
-/* Remembers the load for the reports that lag. */
+/* Samples the load for delayed reports, every ENGINE_LOAD_SAMPLE_MS. */
 void batch_sample(struct engine *engine, int64_t now_ms)
 {
 	struct load_sample *sample;
@@ -237,7 +241,7 @@
 	sample->waiting = engine->waiting_count;
 }
 
-/* The load as it was some time ago. */
+/* Returns the load at a time in the past, zero if no sample is that old. */
 static struct load_sample load_before(struct engine *engine, int64_t at_ms)
 {
 	struct load_sample now = { .at_ms = at_ms,
@@ -259,8 +263,8 @@
 	return now;
 }
 
-/* Serves GET /load, with the time of the report in Unix milliseconds. */
-enum web_verdict load_handle(struct engine *engine, struct web_request *req)
+/* Serves GET /load; at_ms is the time of the sample in Unix milliseconds. */
+enum web_result load_handle(struct engine *engine, struct web_request *req)
 {
 	int64_t now_ms = web_now_ms();
 	struct load_sample sample;
--- a/t/standin/lib-engine-cache.c
+++ b/t/standin/lib-engine-cache.c
@@ -11,63 +11,64 @@
 #define US_PER_MS 1000
 #define KV_PATH "/kv/"
 
-/* Starts with an empty cache. */
+/* Initializes an empty cache. */
 void cache_init(struct engine *engine)
 {
-	engine->recent.next = &engine->recent;
-	engine->recent.prev = &engine->recent;
+	engine->lru.next = &engine->lru;
+	engine->lru.prev = &engine->lru;
 }
 
-/* Records a change of the cache for those who follow its events. */
-static void event_add(struct engine *engine, uint64_t hash, bool store,
-		      int64_t now_ms)
+/* Appends a store or evict event for readers of /cache-events. */
+static void cache_event_append(struct engine *engine, uint64_t hash, bool store,
+			       int64_t now_ms)
 {
 	struct cache_event *event;
 
 	event = &engine->events[engine->event_count++ % ENGINE_EVENTS];
 	event->at_ms = now_ms;
 	event->hash = hash;
-	event->store = store;
+	event->is_store = store;
 }
 
-/* Takes a block out of the order of use. */
-static void block_unlink(struct cache_block *block)
+/* Unlinks a block from the LRU list. */
+static void lru_unlink(struct cache_block *block)
 {
 	block->next->prev = block->prev;
 	block->prev->next = block->next;
 }
 
-/* Makes a block the latest used. */
-static void block_push(struct engine *engine, struct cache_block *block)
+/* Inserts a block as the most recently used one. */
+static void lru_insert(struct engine *engine, struct cache_block *block)
 {
-	block->next = engine->recent.next;
-	block->prev = &engine->recent;
+	block->next = engine->lru.next;
+	block->prev = &engine->lru;
 	block->next->prev = block;
-	engine->recent.next = block;
+	engine->lru.next = block;
 }
 
-/* Drops the block that was used longest ago. */
+/* Evicts the least recently used block. */
 static void block_evict(struct engine *engine, int64_t now_ms)
 {
-	struct cache_block *block = engine->recent.prev;
+	struct cache_block *block = engine->lru.prev;
 
-	engine->recent.prev = block->prev;
-	block->prev->next = &engine->recent;
+	engine->lru.prev = block->prev;
+	block->prev->next = &engine->lru;
 	apr_hash_set(engine->blocks, &block->hash, sizeof(block->hash), NULL);
 	engine->block_count--;
-	event_add(engine, block->hash, false, now_ms);
+	cache_event_append(engine, block->hash, false, now_ms);
 	free(block);
 }
 
-/* Uses or stores one block.  Returns 1 when it was in the cache. */
-static int block_use(struct engine *engine, uint64_t hash, int64_t now_ms)
+/* Looks up one block and stores it if absent.  Returns 1 on a hit. */
+static int cache_touch_block(struct engine *engine, uint64_t hash,
+			     int64_t now_ms)
 {
 	struct cache_block *block;
 
 	block = apr_hash_get(engine->blocks, &hash, sizeof(hash));
 	if (block) {
-		block_unlink(block);
-		block_push(engine, block);
+		lru_unlink(block);
+		lru_insert(engine, block);
 		return 1;
 	}
 	if (engine_settings.cache_blocks < 1)
@@ -78,14 +79,17 @@
 	if (!block)
 		return 0;
 	block->hash = hash;
-	block_push(engine, block);
+	lru_insert(engine, block);
 	apr_hash_set(engine->blocks, &block->hash, sizeof(block->hash), block);
 	engine->block_count++;
-	event_add(engine, hash, true, now_ms);
+	cache_event_append(engine, hash, true, now_ms);
 	return 0;
 }
 
-/* Hashes the first, the first two, ... blocks of a prompt. */
+/*
+ * Hashes each prefix of a prompt that is a whole number of blocks.  Returns
+ * the number of hashes.
+ */
 static int block_hashes(const char *model, const char *prompt, uint64_t *out)
 {
 	uint64_t seed = XXH3_64bits(model, strlen(model));
@@ -100,7 +104,7 @@
 	return (int)blocks;
 }
 
-/* Forgets the KV cache of a session. */
+/* Discards the KV cache of a session. */
 static void session_remove(struct engine *engine, struct kv_session *session)
 {
 	apr_hash_set(engine->sessions, session->name, APR_HASH_KEY_STRING,
@@ -109,7 +113,10 @@
 	free(session);
 }
 
-/* Remembers the KV cache of a session, in place of an older one. */
+/*
+ * Stores the KV cache of a session, replacing an older one.  When the table
+ * is full, an arbitrary session is discarded.
+ */
 static void session_store(struct engine *engine, const char *name,
 			  const char *content, const uint64_t *hashes, int n)
 {
@@ -133,11 +140,11 @@
 }
 
 /*
- * Looks a call's prompt up in the prefix cache and stores what was missing.
- * Returns the milliseconds that the missing blocks take to compute.
+ * Looks up a call's prompt in the prefix cache and stores the missing blocks.
+ * Returns their prefill time in milliseconds.
  */
-int cache_use(struct engine *engine, const struct engine_call *call,
-	      int64_t now_ms)
+int cache_lookup(struct engine *engine, const struct engine_call *call,
+		 int64_t now_ms)
 {
 	uint64_t hashes[BLOCKS_MAX];
 	int n = block_hashes(call->model, call->prompt, hashes);
@@ -145,13 +152,13 @@
 	int i;
 
 	for (i = 0; i < n; i++)
-		missing += !block_use(engine, hashes[i], now_ms);
+		missing += !cache_touch_block(engine, hashes[i], now_ms);
 	if (call->session)
 		session_store(engine, call->session, call->content, hashes, n);
 	return missing * engine_settings.prefill_us / US_PER_MS;
 }
 
-/* Forgets every block and session. */
+/* Discards all blocks and sessions. */
 void cache_clear(struct engine *engine)
 {
 	apr_hash_index_t *it;
@@ -162,7 +169,6 @@
 		session_remove(engine, apr_hash_this_val(it));
 }
 
-/* One event as JSON. */
 static json_t *event_json(const struct cache_event *event, long seq)
 {
 	char hash[17];
@@ -170,11 +176,11 @@
 	snprintf(hash, sizeof(hash), "%016llx",
 		 (unsigned long long)event->hash);
 	return json_pack("{s:I,s:s,s:s}", "seq", (json_int_t)seq, "op",
-			 event->store ? "store" : "evict", "prefix", hash);
+			 event->is_store ? "store" : "evict", "prefix", hash);
 }
 
-/* Serves GET /cache-events: late, and with events missing. */
-enum web_verdict events_handle(struct engine *engine, struct web_request *req)
+/* Serves GET /cache-events, with the configured delay and lost events. */
+enum web_result events_handle(struct engine *engine, struct web_request *req)
 {
 	int64_t limit_ms = web_now_ms() - engine_settings.event_lag_ms;
 	long seq = web_query_long(req, "after", 0) + 1;
@@ -204,7 +210,6 @@
 					"events", array));
 }
 
-/* The KV cache of a session as JSON. */
 static json_t *session_json(const struct kv_session *session)
 {
 	json_t *blocks = json_array();
@@ -221,8 +226,8 @@
 }
 
 /* Serves GET /kv/<session>. */
-static enum web_verdict kv_export(struct engine *engine,
-				  struct web_request *req, const char *name)
+static enum web_result kv_export(struct engine *engine, struct web_request *req,
+				 const char *name)
 {
 	struct kv_session *session;
 	json_t *obj = NULL;
@@ -237,8 +242,8 @@
 	return web_reply_json(req, MHD_HTTP_OK, obj);
 }
 
-/* Whether some loaded model has the content that a KV cache belongs to. */
-static bool content_is_loaded(struct engine *engine, const char *content)
+/* Returns whether the weights that a KV cache was computed with are loaded. */
+static bool is_content_loaded(struct engine *engine, const char *content)
 {
 	struct engine_model *model;
 	apr_hash_index_t *it;
@@ -253,8 +258,8 @@
 }
 
 /* Serves PUT /kv/<session>. */
-static enum web_verdict kv_import(struct engine *engine,
-				  struct web_request *req, const char *name)
+static enum web_result kv_import(struct engine *engine, struct web_request *req,
+				 const char *name)
 {
 	json_t *obj = web_body(req);
 	json_t *blocks = json_object_get(obj, "blocks");
@@ -271,12 +276,12 @@
 		hashes[n++] = strtoull(text, NULL, 16);
 	status = content ? MHD_HTTP_CREATED : MHD_HTTP_BAD_REQUEST;
 	pthread_mutex_lock(&engine->lock);
-	if (content && !content_is_loaded(engine, content)) {
+	if (content && !is_content_loaded(engine, content)) {
 		status = MHD_HTTP_CONFLICT;
 	} else if (content) {
 		session_store(engine, name, content, hashes, n);
 		while (n--)
-			block_use(engine, hashes[n], now_ms);
+			cache_touch_block(engine, hashes[n], now_ms);
 	}
 	pthread_mutex_unlock(&engine->lock);
 	json_decref(obj);
@@ -285,8 +290,8 @@
 	return web_reply_error(req, status, "import refused");
 }
 
-/* Serves the export and import of a session's KV cache. */
-enum web_verdict kv_handle(struct engine *engine, struct web_request *req)
+/* Serves export (GET) and import (PUT) of a session's KV cache. */
+enum web_result kv_handle(struct engine *engine, struct web_request *req)
 {
 	const char *name = req->path + strlen(KV_PATH);
 
--- a/t/standin/lib-engine-calls.c
+++ b/t/standin/lib-engine-calls.c
@@ -9,14 +9,18 @@
 #define TOKENS_MAX 100000
 #define DEFAULT_PRIORITY 5
 #define ID_MAX 256
-#define EVENT_ROOM (6 * ID_MAX + ENGINE_VERSION_MAX + 256)
-#define INDEX_ROOM 16
+#define EVENT_SIZE_MAX (6 * ID_MAX + ENGINE_VERSION_MAX + 256)
+#define INDEX_SIZE_MAX 16
 
-/* Writes token i of a call: it depends on the weights and the prompt. */
-static void token_make(const struct engine_call *call, int i, char *out)
+/*
+ * Computes token i of a call: the first characters of a hash of the content
+ * digest of the weights, the prompt and the index, so that a test can tell
+ * which weights generated it.
+ */
+static void token_compute(const struct engine_call *call, int i, char *out)
 {
 	char hex[BLOB_HEX_LEN + 1];
-	size_t size = BLOB_HEX_LEN + strlen(call->prompt) + INDEX_ROOM;
+	size_t size = BLOB_HEX_LEN + strlen(call->prompt) + INDEX_SIZE_MAX;
 	char *text = malloc(size);
 	int len;
 
@@ -29,22 +33,22 @@
 	out[TOKEN_LEN] = '\0';
 }
 
-/* Writes the next event of a stream to call->out.  Returns 0 when none. */
-static int stream_event(struct engine_call *call, int made,
-			enum call_state state)
+/* Formats the next stream event into call->out.  Returns 0 if there is none. */
+static int stream_next_event(struct engine_call *call, int generated,
+			     enum call_state state)
 {
 	char token[TOKEN_LEN + 1];
 	int len = 0;
 
-	if (call->sent < made) {
-		token_make(call, call->sent, token);
-		len = snprintf(call->out, EVENT_ROOM,
+	if (call->sent_tokens < generated) {
+		token_compute(call, call->sent_tokens, token);
+		len = snprintf(call->out, EVENT_SIZE_MAX,
 			       "data: {\"id\":%s,\"index\":%d,\"token\":"
 			       "\"%s\"}\n\n",
-			       call->id_json, call->sent++, token);
-	} else if (state == CALL_DONE && !call->closed) {
-		call->closed = true;
-		len = snprintf(call->out, EVENT_ROOM,
+			       call->id_json, call->sent_tokens++, token);
+	} else if (state == CALL_DONE && !call->has_sent_end) {
+		call->has_sent_end = true;
+		len = snprintf(call->out, EVENT_SIZE_MAX,
 			       "data: {\"id\":%s,\"done\":true,\"tokens\":%d,"
 			       "\"version\":\"%s\",\"content\":\"%s\"}\n\n",
 			       call->id_json, call->end, call->version,
@@ -55,22 +59,22 @@
 	return len;
 }
 
-/* Sends the tokens that were made since the last time. */
+/* Copies the events of newly generated tokens to the stream. */
 static ssize_t stream_read(void *arg, char *buf, size_t max)
 {
 	struct engine_call *call = arg;
 	enum call_state state;
 	size_t used = 0;
 	size_t n;
-	int made;
+	int generated;
 
 	pthread_mutex_lock(&call->engine->lock);
 	state = call->state;
-	made = call->made;
+	generated = call->generated;
 	pthread_mutex_unlock(&call->engine->lock);
 	while (used < max) {
 		if (call->out_sent == call->out_len &&
-		    !stream_event(call, made, state))
+		    !stream_next_event(call, generated, state))
 			break;
 		n = call->out_len - call->out_sent;
 		if (n > max - used)
@@ -82,8 +86,8 @@
 	if (used)
 		return (ssize_t)used;
 	if (state == CALL_CANCELLED)
-		return WEB_STREAM_FAIL;
-	return call->closed ? WEB_STREAM_END : WEB_STREAM_WAIT;
+		return WEB_STREAM_ERROR;
+	return call->has_sent_end ? WEB_STREAM_END : WEB_STREAM_WAIT;
 }
 
 static const struct web_stream_ops stream_ops = { stream_read, NULL };
@@ -100,7 +104,7 @@
 	free(call);
 }
 
-/* Ends the call of a request that is over. */
+/* Frees the call of a completed request, cancelling it if unfinished. */
 void call_close(struct web_request *req)
 {
 	struct engine_call *call = req->call;
@@ -115,14 +119,13 @@
 	req->call = NULL;
 }
 
-/* Copies a string that may be NULL. */
-static char *dup_string(const char *text)
+static char *strdup_or_null(const char *text)
 {
 	return text ? strdup(text) : NULL;
 }
 
-/* Quotes a request identity for JSON. */
-static char *quote(const char *text)
+/* Formats text as a JSON string literal. */
+static char *json_quote(const char *text)
 {
 	json_t *obj = json_string(text);
 	char *quoted = obj ? json_dumps(obj, JSON_ENCODE_ANY) : NULL;
@@ -131,8 +134,8 @@
 	return quoted;
 }
 
-/* Identity of a request that came without one. */
-static const char *id_make(char *out, size_t size)
+/* Generates an ID for a request that has none. */
+static const char *make_request_id(char *out, size_t size)
 {
 	static long last;
 
@@ -141,16 +144,16 @@
 	return out;
 }
 
-/* Reads the parameters of a call.  Returns NULL when they are wrong. */
-static struct engine_call *call_read(struct engine *engine,
-				     struct web_request *req, json_t *obj)
+/* Parses the parameters of a call.  Returns NULL if they are invalid. */
+static struct engine_call *call_parse(struct engine *engine,
+				      struct web_request *req, json_t *obj)
 {
 	struct engine_call *call = calloc(1, sizeof(*call));
 	const char *id = web_header(req, "X-Request-Id");
 	const char *model = NULL;
 	const char *prompt = NULL;
 	const char *session = NULL;
-	char made_id[32];
+	char id_buf[32];
 	int stream = 0;
 
 	if (!call)
@@ -168,15 +171,15 @@
 	    call->first > call->end || call->priority < 0 ||
 	    call->priority >= ENGINE_PRIORITIES || (id && strlen(id) > ID_MAX))
 		goto fail;
-	call->stream = stream;
-	call->made = call->first;
-	call->sent = call->first;
-	call->id = strdup(id ? id : id_make(made_id, sizeof(made_id)));
-	call->id_json = quote(call->id);
-	call->model = dup_string(model);
-	call->prompt = dup_string(prompt);
-	call->session = dup_string(session);
-	call->out = malloc(EVENT_ROOM);
+	call->is_streamed = stream;
+	call->generated = call->first;
+	call->sent_tokens = call->first;
+	call->id = strdup(id ? id : make_request_id(id_buf, sizeof(id_buf)));
+	call->id_json = json_quote(call->id);
+	call->model = strdup_or_null(model);
+	call->prompt = strdup_or_null(prompt);
+	call->session = strdup_or_null(session);
+	call->out = malloc(EVENT_SIZE_MAX);
 	if (call->id_json && call->prompt && call->out)
 		return call;
 fail:
@@ -184,10 +187,10 @@
 	return NULL;
 }
 
-/* Adds the headers that name the request and the version. */
-static enum web_verdict call_send(struct engine_call *call,
-				  struct web_request *req,
-				  struct MHD_Response *res, const char *type)
+/* Adds the request ID, version and type headers and sends the response. */
+static enum web_result call_send(struct engine_call *call,
+				 struct web_request *req,
+				 struct MHD_Response *res, const char *type)
 {
 	if (!res)
 		return WEB_CLOSE;
@@ -197,13 +200,13 @@
 	return web_send(req, MHD_HTTP_OK, res);
 }
 
-/* Replies to a call that isn't streamed, when it is done. */
-static enum web_verdict call_reply(struct engine_call *call,
-				   struct web_request *req)
+/* Replies to a completed call that isn't streamed. */
+static enum web_result call_reply(struct engine_call *call,
+				  struct web_request *req)
 {
-	size_t room = EVENT_ROOM +
+	size_t size = EVENT_SIZE_MAX +
 		      (size_t)(call->end - call->first) * (TOKEN_LEN + 3);
-	char *text = malloc(room);
+	char *text = malloc(size);
 	struct MHD_Response *res;
 	char token[TOKEN_LEN + 1];
 	size_t len;
@@ -211,14 +214,14 @@
 
 	if (!text)
 		return WEB_CLOSE;
-	len = (size_t)snprintf(text, room, "{\"id\":%s,\"tokens\":[",
+	len = (size_t)snprintf(text, size, "{\"id\":%s,\"tokens\":[",
 			       call->id_json);
 	for (i = call->first; i < call->end; i++) {
-		token_make(call, i, token);
-		len += (size_t)snprintf(text + len, room - len, "%s\"%s\"",
+		token_compute(call, i, token);
+		len += (size_t)snprintf(text + len, size - len, "%s\"%s\"",
 					i > call->first ? "," : "", token);
 	}
-	len += (size_t)snprintf(text + len, room - len,
+	len += (size_t)snprintf(text + len, size - len,
 				"],\"done\":true,\"version\":\"%s\","
 				"\"content\":\"%s\"}",
 				call->version, call->content);
@@ -226,15 +229,15 @@
 	return call_send(call, req, res, "application/json");
 }
 
-/* Queues a new call.  Returns the HTTP status, 0 when the engine is down. */
-static unsigned call_enter(struct engine *engine, struct engine_call *call,
-			   int64_t now_ms)
+/* Queues a new call.  Returns the HTTP status, or 0 if the engine is down. */
+static unsigned call_enqueue(struct engine *engine, struct engine_call *call,
+			     int64_t now_ms)
 {
 	const struct engine_model *model;
 
-	if (engine->back_ms)
+	if (engine->restart_ms)
 		return 0;
-	model = models_find(engine, call->model, now_ms);
+	model = models_find_ready(engine, call->model, now_ms);
 	if (!model)
 		return MHD_HTTP_NOT_FOUND;
 	memcpy(call->version, model->version, sizeof(call->version));
@@ -247,42 +250,42 @@
 	return MHD_HTTP_OK;
 }
 
-/* Reads and queues a request that is seen for the first time. */
-static enum web_verdict generate_start(struct engine *engine,
-				       struct web_request *req)
+/* Parses a new request and queues its call. */
+static enum web_result generate_start(struct engine *engine,
+				      struct web_request *req)
 {
 	json_t *obj = web_body(req);
-	struct engine_call *call = call_read(engine, req, obj);
+	struct engine_call *call = call_parse(engine, req, obj);
 	unsigned status;
 
 	json_decref(obj);
 	if (!call)
 		return web_reply_error(req, MHD_HTTP_BAD_REQUEST, "bad call");
 	pthread_mutex_lock(&engine->lock);
-	status = call_enter(engine, call, web_now_ms());
+	status = call_enqueue(engine, call, web_now_ms());
 	pthread_mutex_unlock(&engine->lock);
 	if (status == MHD_HTTP_OK)
-		return WEB_DONE;
+		return WEB_REPLIED;
 	call_free(call);
 	if (!status)
 		return WEB_CLOSE;
 	return web_reply_error(req, status, "model is not loaded");
 }
 
-/* Serves POST /v1/generate; entered again when the call is released. */
-enum web_verdict generate_handle(struct engine *engine, struct web_request *req)
+/* Serves POST /v1/generate; called again after web_resume(). */
+enum web_result generate_handle(struct engine *engine, struct web_request *req)
 {
 	struct engine_call *call;
 	enum call_state state;
-	enum web_verdict verdict;
+	enum web_result result;
 
 	if (!req->call) {
-		verdict = generate_start(engine, req);
+		result = generate_start(engine, req);
 		if (!req->call)
-			return verdict;
+			return result;
 	}
 	call = req->call;
-	if (call->stream)
+	if (call->is_streamed)
 		return call_send(
 			call, req,
 			web_stream(req, MHD_SIZE_UNKNOWN, &stream_ops, call),
@@ -292,11 +295,11 @@
 	pthread_mutex_unlock(&engine->lock);
 	if (state == CALL_CANCELLED)
 		return web_reply_error(req, 499, "cancelled");
-	return state == CALL_DONE ? call_reply(call, req) : WEB_HOLD;
+	return state == CALL_DONE ? call_reply(call, req) : WEB_SUSPEND;
 }
 
 /* Serves POST /v1/cancel. */
-enum web_verdict cancel_handle(struct engine *engine, struct web_request *req)
+enum web_result cancel_handle(struct engine *engine, struct web_request *req)
 {
 	json_t *obj = web_body(req);
 	const char *id = json_string_value(json_object_get(obj, "id"));
@@ -308,7 +311,7 @@
 	if (call) {
 		batch_remove(call, CALL_CANCELLED);
 		engine_count(cancelled, 1);
-		web_release(call->req);
+		web_resume(call->req);
 	}
 	pthread_mutex_unlock(&engine->lock);
 	json_decref(obj);
--- a/t/standin/lib-engine-orders.c
+++ b/t/standin/lib-engine-orders.c
@@ -6,7 +6,7 @@
 
 #define UNPROCESSABLE 422
 
-/* One order as it was read from the request's body. */
+/* An order as parsed from the request body, which obj keeps alive. */
 struct order {
 	json_t *obj;
 	const char *kind;
@@ -16,23 +16,22 @@
 	json_int_t fence;
 };
 
-/* A loaded model by its name, ready or not, or NULL. */
-static struct engine_model *model_get(struct engine *engine, const char *name)
+/* Returns a model by name, whether ready or still loading, or NULL. */
+static struct engine_model *model_find(struct engine *engine, const char *name)
 {
 	return apr_hash_get(engine->models, name, APR_HASH_KEY_STRING);
 }
 
-/* Frees a model that is not in the table. */
+/* Frees a model that is not in the hash table. */
 static void model_free(struct engine_model *model)
 {
 	free(model->name);
 	free(model);
 }
 
-/* Unloads a model if it is loaded. */
 static void model_remove(struct engine *engine, const char *name)
 {
-	struct engine_model *model = model_get(engine, name);
+	struct engine_model *model = model_find(engine, name);
 
 	if (!model)
 		return;
@@ -40,16 +39,15 @@
 	model_free(model);
 }
 
-/* A model that is loaded and ready to take calls, or NULL. */
-const struct engine_model *models_find(struct engine *engine, const char *name,
-				       int64_t now_ms)
+/* Returns a model by name if it is ready for calls, else NULL. */
+const struct engine_model *models_find_ready(struct engine *engine,
+					     const char *name, int64_t now_ms)
 {
-	const struct engine_model *model = model_get(engine, name);
+	const struct engine_model *model = model_find(engine, name);
 
 	return model && model->ready_ms <= now_ms ? model : NULL;
 }
 
-/* Unloads every model. */
 void models_clear(struct engine *engine)
 {
 	struct engine_model *model;
@@ -62,10 +60,11 @@
 }
 
 /*
- * Hashes the bytes that the engine has staged under an order's chunks.
+ * Computes the content digest of the staged chunks that an order lists.
  * Returns the HTTP status.
  */
-static unsigned assemble(struct engine *engine, json_t *chunks, char *content)
+static unsigned hash_chunks(struct engine *engine, json_t *chunks,
+			    char *content)
 {
 	size_t n = json_array_size(chunks);
 	struct blob **list = calloc(n + 1, sizeof(struct blob *));
@@ -94,7 +93,7 @@
 	return status;
 }
 
-/* Loads a version of a model from staging, in place of any other. */
+/* Loads a version of a model from staging, replacing any other version. */
 static unsigned order_load(struct engine *engine, const struct order *order,
 			   int64_t now_ms)
 {
@@ -106,8 +105,8 @@
 	model = calloc(1, sizeof(*model));
 	if (!model)
 		return MHD_HTTP_INTERNAL_SERVER_ERROR;
-	status = assemble(engine, json_object_get(order->obj, "chunks"),
-			  model->content);
+	status = hash_chunks(engine, json_object_get(order->obj, "chunks"),
+			     model->content);
 	model->name = strdup(order->model);
 	if (status != MHD_HTTP_OK || !model->name) {
 		model_free(model);
@@ -121,7 +120,6 @@
 	return MHD_HTTP_OK;
 }
 
-/* Unloads a model. */
 static unsigned order_unload(struct engine *engine, const struct order *order,
 			     int64_t now_ms)
 {
@@ -131,7 +129,6 @@
 	return MHD_HTTP_OK;
 }
 
-/* Changes the role of the engine. */
 static unsigned order_role(struct engine *engine, const struct order *order,
 			   int64_t now_ms)
 {
@@ -152,15 +149,15 @@
 	{ "role", order_role },
 };
 
-/* Whether the engine refuses an order because of its fencing number. */
-static bool order_is_fenced(struct engine *engine, const struct order *order)
+/* Returns whether an order must be refused because its fence is too low. */
+static bool is_order_fenced(struct engine *engine, const struct order *order)
 {
 	return engine_settings.fencing &&
 	       engine->fault != ENGINE_IGNORE_FENCE &&
 	       order->fence < engine->fence;
 }
 
-/* Carries out an order.  Returns the HTTP status, 0 when it crashed. */
+/* Executes an order.  Returns the HTTP status, or 0 if the engine crashed. */
 static unsigned order_run(struct engine *engine, const struct order *order,
 			  int64_t now_ms)
 {
@@ -169,7 +166,7 @@
 
 	if (engine->fault == ENGINE_REFUSE_ORDERS)
 		return MHD_HTTP_INTERNAL_SERVER_ERROR;
-	if (order_is_fenced(engine, order))
+	if (is_order_fenced(engine, order))
 		return MHD_HTTP_CONFLICT;
 	if (engine->fault == ENGINE_CRASH_ON_LOAD &&
 	    !strcmp(order->kind, "load")) {
@@ -185,7 +182,7 @@
 }
 
 /* Serves POST /orders. */
-enum web_verdict orders_handle(struct engine *engine, struct web_request *req)
+enum web_result orders_handle(struct engine *engine, struct web_request *req)
 {
 	struct order order = { 0 };
 	json_int_t highest;
@@ -220,7 +217,7 @@
 }
 
 /* Serves GET /running. */
-enum web_verdict running_handle(struct engine *engine, struct web_request *req)
+enum web_result running_handle(struct engine *engine, struct web_request *req)
 {
 	json_t *models = json_array();
 	int64_t now_ms = web_now_ms();
--- a/t/standin/lib-engine-staging.c
+++ b/t/standin/lib-engine-staging.c
@@ -6,14 +6,14 @@
 
 #define CHUNK_PATH "/staging/chunks/"
 
-/* A staged chunk by its digest, or NULL. */
+/* Returns the chunk staged under a digest, or NULL. */
 static struct staged_chunk *chunk_find(struct engine *engine,
 				       const char *digest)
 {
 	return apr_hash_get(engine->staged, digest, APR_HASH_KEY_STRING);
 }
 
-/* Forgets a staged chunk. */
+/* Removes a staged chunk and drops its reference to the blob. */
 static void chunk_remove(struct engine *engine, struct staged_chunk *chunk)
 {
 	apr_hash_set(engine->staged, chunk->digest, APR_HASH_KEY_STRING, NULL);
@@ -22,7 +22,6 @@
 	free(chunk);
 }
 
-/* Forgets every staged chunk. */
 void staging_clear(struct engine *engine)
 {
 	apr_hash_index_t *it;
@@ -31,7 +30,10 @@
 		chunk_remove(engine, apr_hash_this_val(it));
 }
 
-/* Stages a blob under a digest that its sender vouches for. */
+/*
+ * Stages a blob under the digest given by the client, which is not verified:
+ * tests stage wrong bytes on purpose.  Returns -1 if there is no space.
+ */
 static int chunk_stage(struct engine *engine, const char *digest,
 		       struct blob *blob)
 {
@@ -41,7 +43,7 @@
 
 	if (old)
 		after -= old->blob->len;
-	if (engine->back_ms)
+	if (engine->restart_ms)
 		return -1;
 	if (engine_settings.staging_bytes &&
 	    after > (size_t)engine_settings.staging_bytes)
@@ -58,9 +60,9 @@
 	return 0;
 }
 
-/* Serves PUT of a chunk. */
-static enum web_verdict chunk_put(struct engine *engine,
-				  struct web_request *req, const char *digest)
+/* Serves PUT /staging/chunks/<digest>. */
+static enum web_result chunk_put(struct engine *engine, struct web_request *req,
+				 const char *digest)
 {
 	char *data = req->body ? req->body : calloc(1, 1);
 	size_t len = req->body_len;
@@ -84,15 +86,15 @@
 	return web_reply_error(req, 507, "staging memory is full");
 }
 
-/* Called by libmicrohttpd when a chunk has been sent. */
-static void release_blob(void *blob)
+/* Called by libmicrohttpd once a chunk has been sent. */
+static void on_chunk_sent(void *blob)
 {
 	blob_put(blob);
 }
 
-/* Serves GET of a chunk. */
-static enum web_verdict chunk_get(struct engine *engine,
-				  struct web_request *req, const char *digest)
+/* Serves GET /staging/chunks/<digest>. */
+static enum web_result chunk_get(struct engine *engine, struct web_request *req,
+				 const char *digest)
 {
 	struct staged_chunk *chunk;
 	struct blob *blob = NULL;
@@ -107,15 +109,15 @@
 		return web_reply_error(req, MHD_HTTP_NOT_FOUND, "not staged");
 	engine_count(read_bytes, (long)blob->len);
 	res = MHD_create_response_from_buffer_with_free_callback_cls(
-		blob->len, blob->data, release_blob, blob);
+		blob->len, blob->data, on_chunk_sent, blob);
 	if (!res)
 		blob_put(blob);
 	return web_send(req, MHD_HTTP_OK, res);
 }
 
-/* Serves DELETE of a chunk. */
-static enum web_verdict
-chunk_delete(struct engine *engine, struct web_request *req, const char *digest)
+/* Serves DELETE /staging/chunks/<digest>. */
+static enum web_result chunk_delete(struct engine *engine,
+				    struct web_request *req, const char *digest)
 {
 	struct staged_chunk *chunk;
 
@@ -128,8 +130,8 @@
 }
 
 /* Serves GET /staging. */
-static enum web_verdict staging_list(struct engine *engine,
-				     struct web_request *req)
+static enum web_result staging_list(struct engine *engine,
+				    struct web_request *req)
 {
 	json_t *chunks = json_array();
 	struct staged_chunk *chunk;
@@ -151,8 +153,8 @@
 			  (json_int_t)engine_settings.staging_bytes));
 }
 
-/* Serves the staging memory. */
-enum web_verdict staging_handle(struct engine *engine, struct web_request *req)
+/* Serves /staging and /staging/chunks/<digest>. */
+enum web_result staging_handle(struct engine *engine, struct web_request *req)
 {
 	const char *digest = req->path + strlen(CHUNK_PATH);
 
--- a/t/standin/lib-engine.c
+++ b/t/standin/lib-engine.c
@@ -5,13 +5,13 @@
 
 #include "t/standin/lib-engine.h"
 
-#define REFUSE_MS 1000
+#define RESTART_DELAY_MS 1000
 
 struct engine_settings engine_settings;
 struct engine_counts engine_counts;
 
-/* Gives the engine a new boot identity. */
-static void engine_boot(struct engine *engine)
+/* Generates a new random boot ID. */
+static void engine_new_boot_id(struct engine *engine)
 {
 	unsigned char raw[ENGINE_BOOT_LEN / 2];
 	int i;
@@ -21,7 +21,7 @@
 		snprintf(engine->boot + (ptrdiff_t)2 * i, 3, "%02x", raw[i]);
 }
 
-/* Creates an engine without models; its address is not listened on yet. */
+/* Creates an engine without models; does not listen on its address yet. */
 struct engine *engine_create(struct web_server *server, const char *address)
 {
 	struct engine *engine = calloc(1, sizeof(*engine));
@@ -41,20 +41,20 @@
 	engine->sessions = apr_hash_make(engine->pool);
 	batch_init(engine);
 	cache_init(engine);
-	engine_boot(engine);
+	engine_new_boot_id(engine);
 	return engine;
 }
 
 /*
- * Drops every connection, forgets models and staging and refuses connections
- * until the engine starts again.
+ * Simulates a crash: drops all connections, models and staged chunks, and
+ * refuses connections until the engine restarts.
  */
 void engine_crash(struct engine *engine, int64_t now_ms)
 {
-	if (engine->back_ms)
+	if (engine->restart_ms)
 		return;
 	engine_count(crashes, 1);
-	engine->back_ms = now_ms + REFUSE_MS;
+	engine->restart_ms = now_ms + RESTART_DELAY_MS;
 	web_unlisten(engine->server, engine->address);
 	batch_clear(engine);
 	models_clear(engine);
@@ -64,36 +64,39 @@
 	engine->fence = 0;
 	free(engine->role);
 	engine->role = NULL;
-	web_drop(engine->server, engine->address);
+	web_drop_connections(engine->server, engine->address);
 }
 
-/* Starts a crashed engine again when its time has come. */
-static void engine_return(struct engine *engine, int64_t now_ms)
+/* Restarts a crashed engine once its restart time has passed. */
+static void engine_restart(struct engine *engine, int64_t now_ms)
 {
-	if (!engine->back_ms || engine->back_ms > now_ms)
+	if (!engine->restart_ms || engine->restart_ms > now_ms)
 		return;
-	engine_boot(engine);
+	engine_new_boot_id(engine);
 	if (!web_listen(engine->server, engine->address,
 			(unsigned)engine_settings.port))
-		engine->back_ms = 0;
+		engine->restart_ms = 0;
 }
 
-/* Does what is due: the next tokens, load samples, the end of a crash. */
+/* Runs periodic work: restart after a crash, decoding steps, load samples. */
 void engine_tick(struct engine *engine, int64_t now_ms)
 {
 	pthread_mutex_lock(&engine->lock);
-	engine_return(engine, now_ms);
+	engine_restart(engine, now_ms);
 	batch_step(engine, now_ms);
 	batch_sample(engine, now_ms);
 	pthread_mutex_unlock(&engine->lock);
 }
 
-/* Sets a fault; silence strikes the connections that are open now. */
+/*
+ * Sets the fault mode.  A blackhole is not a mode: it affects the connections
+ * that are open now and leaves the fault mode as it is.
+ */
 void engine_set_fault(struct engine *engine, enum engine_fault fault, int ms)
 {
 	pthread_mutex_lock(&engine->lock);
 	if (fault == ENGINE_BLACKHOLE) {
-		web_silence(engine->server, engine->address);
+		web_blackhole(engine->server, engine->address);
 	} else {
 		engine->fault = fault;
 		engine->fault_ms = ms;
--- a/t/standin/lib-engine.h
+++ b/t/standin/lib-engine.h
@@ -1,9 +1,9 @@
 /*
- * A model engine with simulated weights: staging memory, orders, calls in a
- * continuous batch, prefix cache and load reports.  One process runs many
- * engines, each on an address of its own.
+ * Stand-in of a model engine with simulated weights: staging memory, orders,
+ * continuous batching, prefix cache and load reports.  One process runs any
+ * number of engines, each on its own address.
  *
- * Lock order: engine, then everything of lib-web.h and lib-blob.h.
+ * Lock order: the engine's lock before any lock of lib-web.h and lib-blob.h.
  */
 #ifndef STANDIN_LIB_ENGINE_H
 #define STANDIN_LIB_ENGINE_H
@@ -38,11 +38,11 @@
 	int slots;
 	int token_ms;
 	int load_lag_ms;
-	int load_ms;	  /* time that a load order takes */
-	int prefill_us;	  /* for each block that is not cached */
-	int cache_blocks; /* size of the prefix cache */
+	int load_ms;	  /* duration of a load order */
+	int prefill_us;	  /* prefill time per uncached block */
+	int cache_blocks; /* capacity of the prefix cache */
 	int event_lag_ms;
-	int event_gap; /* each event with this step is lost, 0 for none */
+	int event_gap; /* every event_gap-th event is lost, 0 for none */
 	long long staging_bytes;
 };
 
@@ -75,21 +75,21 @@
 	struct web_request *req;
 	enum call_state state;
 	char *id;
-	char *id_json; /* quoted */
+	char *id_json; /* id as a JSON string */
 	char *model;
 	char *prompt;
 	char *session;
 	char version[ENGINE_VERSION_MAX + 1];
 	char content[BLOB_HEX_LEN + 1];
 	int priority;
-	bool stream;
-	int first; /* index of the first token to send */
-	int end;   /* index after the last token */
-	int made;  /* index of the next token to make */
-	int sent;  /* index of the next token to send */
-	bool closed;
-	int64_t prefilled_ms;
-	char *out; /* text of a stream that is not sent yet */
+	bool is_streamed;
+	int first;	 /* index of the first token to send */
+	int end;	 /* one past the index of the last token */
+	int generated;	 /* index of the next token to generate */
+	int sent_tokens; /* index of the next token to send */
+	bool has_sent_end;
+	int64_t prefill_end_ms;
+	char *out; /* formatted event, out_sent of out_len bytes sent */
 	size_t out_len;
 	size_t out_sent;
 };
@@ -103,7 +103,7 @@
 struct cache_event {
 	int64_t at_ms;
 	uint64_t hash;
-	bool store;
+	bool is_store; /* else an eviction */
 };
 
 struct kv_session {
@@ -125,7 +125,7 @@
 	pthread_mutex_t lock;
 	apr_pool_t *pool;
 	char boot[ENGINE_BOOT_LEN + 1];
-	int64_t back_ms; /* when it starts again after a crash, 0 when up */
+	int64_t restart_ms; /* restart time after a crash, 0 if not crashed */
 	enum engine_fault fault;
 	int fault_ms;
 
@@ -135,23 +135,23 @@
 	json_int_t fence;
 	char *role;
 
-	struct engine_call running; /* heads of rings */
+	struct engine_call running; /* heads of circular lists */
 	struct engine_call waiting[ENGINE_PRIORITIES];
 	int running_count;
 	int waiting_count;
-	int64_t step_ms; /* when the batch makes its next tokens */
+	int64_t step_ms; /* time of the next decoding step */
 	struct load_sample samples[ENGINE_LOAD_SAMPLES];
 	long sample_count;
 
 	apr_hash_t *blocks;
-	struct cache_block recent; /* head of a ring, latest used first */
+	struct cache_block lru; /* circular list, most recently used first */
 	int block_count;
 	struct cache_event events[ENGINE_EVENTS];
 	long event_count;
 	apr_hash_t *sessions;
 };
 
-/* Counts over all engines of the process, updated atomically. */
+/* Counters summed over all engines of the process, updated atomically. */
 struct engine_counts {
 	long calls;
 	long tokens;
@@ -172,23 +172,22 @@
 void engine_tick(struct engine *engine, int64_t now_ms);
 void engine_set_fault(struct engine *engine, enum engine_fault fault, int ms);
 
-/* The functions below, but for the handlers, need the engine's lock. */
+/* Callers of the functions below, except handlers, hold the engine's lock. */
 
 /* lib-engine-staging.c */
-enum web_verdict staging_handle(struct engine *engine, struct web_request *req);
+enum web_result staging_handle(struct engine *engine, struct web_request *req);
 void staging_clear(struct engine *engine);
 
 /* lib-engine-orders.c */
-enum web_verdict orders_handle(struct engine *engine, struct web_request *req);
-enum web_verdict running_handle(struct engine *engine, struct web_request *req);
-const struct engine_model *models_find(struct engine *engine, const char *name,
-				       int64_t now_ms);
+enum web_result orders_handle(struct engine *engine, struct web_request *req);
+enum web_result running_handle(struct engine *engine, struct web_request *req);
+const struct engine_model *models_find_ready(struct engine *engine,
+					     const char *name, int64_t now_ms);
 void models_clear(struct engine *engine);
 
 /* lib-engine-calls.c */
-enum web_verdict generate_handle(struct engine *engine,
-				 struct web_request *req);
-enum web_verdict cancel_handle(struct engine *engine, struct web_request *req);
+enum web_result generate_handle(struct engine *engine, struct web_request *req);
+enum web_result cancel_handle(struct engine *engine, struct web_request *req);
 void call_close(struct web_request *req);
 
 /* lib-engine-batch.c */
@@ -200,14 +199,14 @@
 struct engine_call *batch_find(struct engine *engine, const char *id);
 void batch_sample(struct engine *engine, int64_t now_ms);
 json_t *batch_runs(void);
-enum web_verdict load_handle(struct engine *engine, struct web_request *req);
+enum web_result load_handle(struct engine *engine, struct web_request *req);
 
 /* lib-engine-cache.c */
 void cache_init(struct engine *engine);
-int cache_use(struct engine *engine, const struct engine_call *call,
-	      int64_t now_ms);
+int cache_lookup(struct engine *engine, const struct engine_call *call,
+		 int64_t now_ms);
 void cache_clear(struct engine *engine);
-enum web_verdict events_handle(struct engine *engine, struct web_request *req);
-enum web_verdict kv_handle(struct engine *engine, struct web_request *req);
+enum web_result events_handle(struct engine *engine, struct web_request *req);
+enum web_result kv_handle(struct engine *engine, struct web_request *req);
 
 #endif
--- a/t/standin/lib-listen.c
+++ b/t/standin/lib-listen.c
@@ -26,12 +26,12 @@
 			 socklen_t len);
 	void *arg;
 	int epoll_fd;
-	pthread_mutex_t lock; /* protects the list and its descriptors */
+	pthread_mutex_t lock; /* protects the list and its file descriptors */
 	struct listener *listeners;
 };
 
-/* Accepts every connection that waits on a listener. */
-static void accept_all(struct listen_set *set, struct listener *lsn)
+/* Accepts all pending connections of a listener. */
+static void listener_accept(struct listen_set *set, struct listener *lsn)
 {
 	struct sockaddr_in sin;
 	socklen_t len;
@@ -52,7 +52,7 @@
 	}
 }
 
-/* Accepts for all listeners, on a thread of its own. */
+/* Thread that accepts connections of all listeners. */
 static void *accept_loop(void *arg)
 {
 	struct listen_set *set = arg;
@@ -65,11 +65,11 @@
 		if (n < 0 && errno != EINTR)
 			return NULL;
 		for (i = 0; i < n; i++)
-			accept_all(set, events[i].data.ptr);
+			listener_accept(set, events[i].data.ptr);
 	}
 }
 
-/* Starts the thread that accepts for listeners added later. */
+/* Starts the accepting thread; listen_add() adds listeners to it. */
 struct listen_set *listen_start(void (*accepted)(void *arg, int fd,
 						 const struct sockaddr *sa,
 						 socklen_t len),
@@ -97,7 +97,7 @@
 	return NULL;
 }
 
-/* Opens a non-blocking listening socket, or returns -1. */
+/* Opens a non-blocking listening socket.  Returns -1 on error. */
 static int listen_open(const char *address, unsigned port)
 {
 	struct sockaddr_in sin = { .sin_family = AF_INET,
@@ -119,7 +119,7 @@
 	return fd;
 }
 
-/* Finds or creates the listener of an address; the lock is held. */
+/* Finds or creates the listener of an address.  The caller holds the lock. */
 static struct listener *listener_get(struct listen_set *set,
 				     const char *address)
 {
@@ -138,7 +138,7 @@
 	return lsn;
 }
 
-/* Listens on address, which may have been removed before. */
+/* Listens on address; it may be added again after listen_remove(). */
 int listen_add(struct listen_set *set, const char *address, unsigned port)
 {
 	struct epoll_event event = { .events = EPOLLIN };
@@ -164,7 +164,7 @@
 	return ret;
 }
 
-/* Closes the listening socket of address: connections are refused. */
+/* Closes the listening socket of address, so that connections are refused. */
 void listen_remove(struct listen_set *set, const char *address)
 {
 	struct listener *lsn;
@@ -179,7 +179,10 @@
 	pthread_mutex_unlock(&set->lock);
 }
 
-/* Reads "A" or "A-B" into host-order addresses.  Returns -1 if malformed. */
+/*
+ * Parses "A" or "A-B" into addresses in host byte order.  Returns -1 if the
+ * range is malformed or too long.
+ */
 int listen_parse_range(const char *range, uint32_t *first, uint32_t *last)
 {
 	char text[2 * LISTEN_ADDRESS_MAX + 2];
@@ -203,7 +206,7 @@
 	return 0;
 }
 
-/* Writes a host-order address in dotted form. */
+/* Formats an address in host byte order as a dotted quad. */
 void listen_format(uint32_t ip, char *out)
 {
 	struct in_addr addr = { .s_addr = htonl(ip) };
--- a/t/standin/lib-listen.h
+++ b/t/standin/lib-listen.h
@@ -1,5 +1,5 @@
 /*
- * Listening sockets on many IPv4 addresses, accepted by one thread.
+ * Listening sockets on many IPv4 addresses, served by one accepting thread.
  */
 #ifndef STANDIN_LIB_LISTEN_H
 #define STANDIN_LIB_LISTEN_H
--- a/t/standin/lib-options.c
+++ b/t/standin/lib-options.c
@@ -3,7 +3,6 @@
 
 #include "t/standin/lib-options.h"
 
-/* Reports a wrong value of an option and exits. */
 void options_fail(const char *what, const char *text)
 {
 	fprintf(stderr, "%s: %s\n", what, text ? text : "");
@@ -11,11 +10,11 @@
 }
 
 /*
- * Options with a nonzero value in the table are passed to seen() with their
- * argument, each time they occur; popt stores the others itself.
+ * Calls on_option() with the argument of each option that has a nonzero value
+ * in the table; popt stores the others itself.
  */
-void options_read(int argc, const char **argv, const struct poptOption *table,
-		  void (*seen)(int value, const char *text))
+void options_parse(int argc, const char **argv, const struct poptOption *table,
+		   void (*on_option)(int value, const char *text))
 {
 	poptContext ctx = poptGetContext(NULL, argc, argv, table, 0);
 	char *text;
@@ -23,12 +22,13 @@
 
 	while ((value = poptGetNextOpt(ctx)) > 0) {
 		text = poptGetOptArg(ctx);
-		if (seen)
-			seen(value, text);
+		if (on_option)
+			on_option(value, text);
 		free(text);
 	}
 	if (value < -1 || poptPeekArg(ctx))
-		options_fail(value < -1 ? poptStrerror(value) : "not an option",
+		options_fail(value < -1 ? poptStrerror(value)
+					: "unexpected argument",
 			     poptBadOption(ctx, 0));
 	poptFreeContext(ctx);
 }
--- a/t/standin/lib-process.c
+++ b/t/standin/lib-process.c
@@ -18,7 +18,7 @@
 	void *arg;
 };
 
-/* Milliseconds of the monotonic clock. */
+/* Returns the time of the monotonic clock in milliseconds. */
 int64_t web_now_ms(void)
 {
 	struct timespec ts;
@@ -27,7 +27,7 @@
 	return (int64_t)ts.tv_sec * MS_PER_S + ts.tv_nsec / NS_PER_MS;
 }
 
-/* Calls a ticker for ever. */
+/* Thread that calls a ticker's function forever. */
 static void *ticker_loop(void *arg)
 {
 	struct ticker *ticker = arg;
@@ -43,9 +43,9 @@
 	return NULL;
 }
 
-/* Calls tick(arg, now) from a thread of its own after each period. */
-int web_ticker(long period_us, void (*tick)(void *arg, int64_t now_ms),
-	       void *arg)
+/* Starts a thread that calls tick(arg, now_ms) once per period. */
+int web_start_ticker(long period_us, void (*tick)(void *arg, int64_t now_ms),
+		     void *arg)
 {
 	struct ticker *ticker = calloc(1, sizeof(*ticker));
 	pthread_t thread;
@@ -63,7 +63,7 @@
 	return 0;
 }
 
-/* The signals that end a stand-in. */
+/* Initializes set with the signals that terminate a stand-in. */
 static void exit_signals(sigset_t *set)
 {
 	sigemptyset(set);
@@ -71,8 +71,11 @@
 	sigaddset(set, SIGINT);
 }
 
-/* Leaves the exit signals to web_wait_for_signal(); call before threads. */
-void web_block_signals(void)
+/*
+ * Blocks the exit signals for web_wait_for_exit_signal().  Must be called
+ * before any thread is started, as threads inherit the mask.
+ */
+void web_block_exit_signals(void)
 {
 	sigset_t set;
 
@@ -81,14 +84,14 @@
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 }
 
-/* Waits for SIGTERM or SIGINT and ends the process at once. */
-int web_wait_for_signal(void)
+/* Waits for SIGTERM or SIGINT and exits immediately. */
+int web_wait_for_exit_signal(void)
 {
 	sigset_t set;
 	int sig;
 
 	exit_signals(&set);
 	sigwait(&set, &sig);
-	/* Held connections make an orderly stop of the server impossible. */
+	/* MHD_stop_daemon() does not work while connections are suspended. */
 	_exit(0);
 }
--- a/t/standin/lib-web-reply.c
+++ b/t/standin/lib-web-reply.c
@@ -3,14 +3,14 @@
 
 #include "t/standin/lib-web.h"
 
-/* The request's body as JSON, or NULL. */
+/* Parses the request body as JSON.  Returns NULL if it is malformed. */
 json_t *web_body(const struct web_request *req)
 {
 	return json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
 }
 
-/* Index of a word (which may be NULL) among others, or -1. */
-int web_word(const char *const *words, int count, const char *word)
+/* Returns the index of word (which may be NULL) in words, or -1. */
+int web_find_word(const char *const *words, int count, const char *word)
 {
 	int i;
 
@@ -20,31 +20,31 @@
 	return -1;
 }
 
-/* Queues res as the reply and gives up the caller's reference to it. */
-enum web_verdict web_send(struct web_request *req, unsigned status,
-			  struct MHD_Response *res)
+/* Queues res as the response.  Takes over the caller's reference to it. */
+enum web_result web_send(struct web_request *req, unsigned status,
+			 struct MHD_Response *res)
 {
-	enum MHD_Result queued;
+	enum MHD_Result ret;
 
 	if (!res)
 		return WEB_CLOSE;
-	queued = MHD_queue_response(req->mhd, status, res);
+	ret = MHD_queue_response(req->mhd, status, res);
 	MHD_destroy_response(res);
-	return queued == MHD_YES ? WEB_DONE : WEB_CLOSE;
+	return ret == MHD_YES ? WEB_REPLIED : WEB_CLOSE;
 }
 
-/* Replies with a copy of body. */
-enum web_verdict web_reply(struct web_request *req, unsigned status,
-			   const char *body, size_t len)
+/* Sends a copy of body as the response. */
+enum web_result web_reply(struct web_request *req, unsigned status,
+			  const char *body, size_t len)
 {
 	return web_send(req, status,
 			MHD_create_response_from_buffer(len, (void *)body,
 							MHD_RESPMEM_MUST_COPY));
 }
 
-/* Replies with obj and drops the caller's reference to it. */
-enum web_verdict web_reply_json(struct web_request *req, unsigned status,
-				json_t *obj)
+/* Sends obj as the response.  Takes over the caller's reference to it. */
+enum web_result web_reply_json(struct web_request *req, unsigned status,
+			       json_t *obj)
 {
 	char *text = json_dumps(obj, JSON_COMPACT);
 	struct MHD_Response *res;
@@ -60,9 +60,9 @@
 	return web_send(req, status, res);
 }
 
-/* Replies with the reason of a failure. */
-enum web_verdict web_reply_error(struct web_request *req, unsigned status,
-				 const char *error)
+/* Sends an error response with a JSON body. */
+enum web_result web_reply_error(struct web_request *req, unsigned status,
+				const char *error)
 {
 	return web_reply_json(req, status, json_pack("{s:s}", "error", error));
 }
--- a/t/standin/lib-web.c
+++ b/t/standin/lib-web.c
@@ -23,10 +23,10 @@
 	struct web_conn **link;
 	pthread_mutex_t lock;
 	int fd;
-	bool held;
-	bool released; /* released before it was held */
-	bool silent;
-	bool dropped;
+	bool is_suspended;
+	bool has_pending_resume; /* resumed before it was suspended */
+	bool is_blackholed;
+	bool is_dropped;
 	char local[WEB_ADDRESS_MAX];
 	char peer[WEB_ADDRESS_MAX];
 };
@@ -46,31 +46,31 @@
 	void *arg;
 };
 
-/* Writes the IPv4 address of one end of socket fd to out. */
-static void conn_address(int (*end)(int, struct sockaddr *, socklen_t *),
+/* Formats the local or remote IPv4 address of socket fd. */
+static void conn_address(int (*get_name)(int, struct sockaddr *, socklen_t *),
 			 int fd, char *out)
 {
 	struct sockaddr_in sin;
 	socklen_t len = sizeof(sin);
 
 	out[0] = '\0';
-	if (!end(fd, (struct sockaddr *)&sin, &len))
+	if (!get_name(fd, (struct sockaddr *)&sin, &len))
 		inet_ntop(AF_INET, &sin.sin_addr, out, WEB_ADDRESS_MAX);
 }
 
-/* getpeername() with the plain type of an address. */
+/* getpeername() without the transparent union of glibc's prototype. */
 static int conn_peername(int fd, struct sockaddr *sa, socklen_t *len)
 {
 	return getpeername(fd, sa, len);
 }
 
-/* getsockname() with the plain type of an address. */
+/* getsockname() without the transparent union of glibc's prototype. */
 static int conn_sockname(int fd, struct sockaddr *sa, socklen_t *len)
 {
 	return getsockname(fd, sa, len);
 }
 
-/* Creates the record of a new connection and links it into its server. */
+/* Allocates a connection and adds it to the list of its server. */
 static struct web_conn *conn_open(struct web_server *server,
 				  struct MHD_Connection *mhd)
 {
@@ -96,7 +96,7 @@
 	return conn;
 }
 
-/* Unlinks and frees the record of a connection. */
+/* Removes a connection from the list of its server and frees it. */
 static void conn_close(struct web_conn *conn)
 {
 	struct web_server *server = conn->server;
@@ -110,7 +110,7 @@
 	free(conn);
 }
 
-/* Called by libmicrohttpd as a connection starts and ends. */
+/* Called by libmicrohttpd when a connection is opened or closed. */
 static void on_connection(void *arg, struct MHD_Connection *mhd, void **ctx,
 			  enum MHD_ConnectionNotificationCode code)
 {
@@ -121,77 +121,77 @@
 }
 
 /*
- * Suspends conn until it is released.  Returns 1 when it was released in the
- * meantime (the caller has to look again), 0 when it is suspended now and -1
- * when the connection was dropped.
+ * Suspends conn until it is resumed.  Returns 0 if it is suspended now, 1 if
+ * it was resumed in the meantime, so that the caller has to retry, and -1 if
+ * the connection was dropped.
  */
-static int conn_hold(struct web_conn *conn)
+static int conn_suspend(struct web_conn *conn)
 {
 	int ret = 0;
 
 	pthread_mutex_lock(&conn->lock);
-	if (conn->dropped) {
+	if (conn->is_dropped) {
 		ret = -1;
-	} else if (conn->released && !conn->silent) {
-		conn->released = false;
+	} else if (conn->has_pending_resume && !conn->is_blackholed) {
+		conn->has_pending_resume = false;
 		ret = 1;
 	} else {
-		conn->held = true;
+		conn->is_suspended = true;
 		MHD_suspend_connection(conn->mhd);
 	}
 	pthread_mutex_unlock(&conn->lock);
 	return ret;
 }
 
-/* Resumes a held connection.  The caller holds the connection's lock. */
+/* Resumes a suspended connection.  The caller holds the connection's lock. */
 static void conn_resume(struct web_conn *conn)
 {
-	if (conn->held) {
-		conn->held = false;
+	if (conn->is_suspended) {
+		conn->is_suspended = false;
 		MHD_resume_connection(conn->mhd);
 	} else {
-		conn->released = true;
+		conn->has_pending_resume = true;
 	}
 }
 
-/* Lets a held request go on; its handler or stream is called again. */
-void web_release(struct web_request *req)
+/* Resumes a suspended request; its handler or stream is called again. */
+void web_resume(struct web_request *req)
 {
 	struct web_conn *conn = req->conn;
 
 	pthread_mutex_lock(&conn->lock);
-	if (!conn->silent || conn->dropped)
+	if (!conn->is_blackholed || conn->is_dropped)
 		conn_resume(conn);
 	pthread_mutex_unlock(&conn->lock);
 }
 
-/* Tells whether conn takes part in a fault and shall not be served. */
-static bool conn_is_silent(struct web_conn *conn)
+/* Returns whether conn is blackholed and must not be served. */
+static bool conn_is_blackholed(struct web_conn *conn)
 {
-	bool silent;
+	bool is_blackholed;
 
 	pthread_mutex_lock(&conn->lock);
-	silent = conn->silent && !conn->dropped;
+	is_blackholed = conn->is_blackholed && !conn->is_dropped;
 	pthread_mutex_unlock(&conn->lock);
-	return silent;
+	return is_blackholed;
 }
 
-/* Tells whether conn was dropped and has to end. */
+/* Returns whether conn was dropped and must be closed. */
 static bool conn_is_dropped(struct web_conn *conn)
 {
-	bool dropped;
+	bool is_dropped;
 
 	pthread_mutex_lock(&conn->lock);
-	dropped = conn->dropped;
+	is_dropped = conn->is_dropped;
 	pthread_mutex_unlock(&conn->lock);
-	return dropped;
+	return is_dropped;
 }
 
 /*
- * Makes the connections that are open now to address (NULL: to every address)
- * never answer again; new connections work.
+ * Blackholes the connections that are open now to address (to any address if
+ * it is NULL): they are never served again.  New connections work.
  */
-void web_silence(struct web_server *server, const char *address)
+void web_blackhole(struct web_server *server, const char *address)
 {
 	struct web_conn *conn;
 
@@ -200,14 +200,17 @@
 		if (address && strcmp(conn->local, address) != 0)
 			continue;
 		pthread_mutex_lock(&conn->lock);
-		conn->silent = true;
+		conn->is_blackholed = true;
 		pthread_mutex_unlock(&conn->lock);
 	}
 	pthread_mutex_unlock(&server->lock);
 }
 
-/* Closes the connections that are open now to address, without a reply. */
-void web_drop(struct web_server *server, const char *address)
+/*
+ * Closes the connections that are open now to address (to any address if it
+ * is NULL) without a response.
+ */
+void web_drop_connections(struct web_server *server, const char *address)
 {
 	struct web_conn *conn;
 
@@ -216,7 +219,7 @@
 		if (address && strcmp(conn->local, address) != 0)
 			continue;
 		pthread_mutex_lock(&conn->lock);
-		conn->dropped = true;
+		conn->is_dropped = true;
 		shutdown(conn->fd, SHUT_RDWR);
 		conn_resume(conn);
 		pthread_mutex_unlock(&conn->lock);
@@ -224,7 +227,7 @@
 	pthread_mutex_unlock(&server->lock);
 }
 
-/* Creates the record of a request whose head has come. */
+/* Allocates a request whose headers have been received. */
 static struct web_request *request_open(struct MHD_Connection *mhd,
 					const char *path, const char *method)
 {
@@ -246,7 +249,7 @@
 	return req;
 }
 
-/* Called by libmicrohttpd when a request is over, in whatever way. */
+/* Called by libmicrohttpd when a request has completed or was aborted. */
 static void on_completed(void *arg, struct MHD_Connection *mhd, void **ctx,
 			 enum MHD_RequestTerminationCode code)
 {
@@ -263,8 +266,8 @@
 	*ctx = NULL;
 }
 
-/* Room to allocate for the body so far and len bytes more. */
-static size_t body_room(struct web_request *req, size_t len)
+/* Returns the size to allocate for the body so far and len more bytes. */
+static size_t body_alloc_size(struct web_request *req, size_t len)
 {
 	const char *length = web_header(req, "Content-Length");
 	size_t want = length ? strtoull(length, NULL, 10) : 0;
@@ -274,21 +277,21 @@
 	return 2 * (req->body_len + len) + BODY_BLOCK_BYTES;
 }
 
-/* Appends a piece of the request's body.  Returns -1 when it is too large. */
+/* Appends data to the request body.  Returns -1 if it gets too large. */
 static int body_append(struct web_request *req, const char *data, size_t len)
 {
-	size_t room;
+	size_t alloc;
 	char *body;
 
 	if (req->body_len + len > req->body_alloc) {
-		room = body_room(req, len);
-		if (room > BODY_MAX_BYTES)
+		alloc = body_alloc_size(req, len);
+		if (alloc > BODY_MAX_BYTES)
 			return -1;
-		body = realloc(req->body, room + 1);
+		body = realloc(req->body, alloc + 1);
 		if (!body)
 			return -1;
 		req->body = body;
-		req->body_alloc = room;
+		req->body_alloc = alloc;
 	}
 	memcpy(req->body + req->body_len, data, len);
 	req->body_len += len;
@@ -296,30 +299,33 @@
 	return 0;
 }
 
-/* Runs the handler of a whole request; called again after each hold. */
+/* Calls the handler of a complete request; called again after a resume. */
 static enum MHD_Result request_run(struct web_server *server,
 				   struct web_request *req)
 {
-	enum web_verdict verdict;
-	int held;
+	enum web_result result;
+	int suspended;
 
 	do {
 		if (conn_is_dropped(req->conn))
 			return MHD_NO;
-		if (conn_is_silent(req->conn))
-			verdict = WEB_HOLD;
+		if (conn_is_blackholed(req->conn))
+			result = WEB_SUSPEND;
 		else
-			verdict = server->ops->handle(req, server->arg);
-		if (verdict == WEB_DONE)
+			result = server->ops->handle(req, server->arg);
+		if (result == WEB_REPLIED)
 			return MHD_YES;
-		if (verdict == WEB_CLOSE)
+		if (result == WEB_CLOSE)
 			return MHD_NO;
-		held = conn_hold(req->conn);
-	} while (held > 0);
-	return held < 0 ? MHD_NO : MHD_YES;
+		suspended = conn_suspend(req->conn);
+	} while (suspended > 0);
+	return suspended < 0 ? MHD_NO : MHD_YES;
 }
 
-/* Called by libmicrohttpd for a request's head, body pieces and end. */
+/*
+ * Called by libmicrohttpd after the headers, for each piece of the body and
+ * at the end of a request.
+ */
 static enum MHD_Result on_request(void *arg, struct MHD_Connection *mhd,
 				  const char *path, const char *method,
 				  const char *version, const char *data,
@@ -340,17 +346,17 @@
 	return request_run(arg, req);
 }
 
-/* Hands an accepted connection to the thread pool. */
+/* Adds an accepted connection to the thread pool. */
 static void on_accept(void *arg, int fd, const struct sockaddr *sa,
 		      socklen_t len)
 {
 	struct web_server *server = arg;
 
-	/* libmicrohttpd closes fd itself when it refuses the connection. */
+	/* libmicrohttpd closes fd itself if it rejects the connection. */
 	MHD_add_connection(server->daemon, fd, sa, len);
 }
 
-/* Starts a server without addresses; web_listen() adds them. */
+/* Starts a server that does not listen yet; see web_listen(). */
 struct web_server *web_start(const struct web_ops *ops, void *arg,
 			     unsigned threads)
 {
@@ -383,73 +389,72 @@
 	return NULL;
 }
 
-/* Listens on one address. */
 int web_listen(struct web_server *server, const char *address, unsigned port)
 {
 	return listen_add(server->listeners, address, port);
 }
 
-/* Stops listening on address; its open connections stay. */
+/* Stops listening on address; its connections stay open. */
 void web_unlisten(struct web_server *server, const char *address)
 {
 	listen_remove(server->listeners, address);
 }
 
-/* Address that the request came to. */
-const char *web_local(const struct web_request *req)
+/* Returns the local address of the connection. */
+const char *web_local_address(const struct web_request *req)
 {
 	return req->conn->local;
 }
 
-/* Address that the request came from. */
-const char *web_peer(const struct web_request *req)
+/* Returns the remote address of the connection. */
+const char *web_peer_address(const struct web_request *req)
 {
 	return req->conn->peer;
 }
 
-/* A header's value, or NULL. */
+/* Returns the value of a request header, or NULL. */
 const char *web_header(const struct web_request *req, const char *name)
 {
 	return MHD_lookup_connection_value(req->mhd, MHD_HEADER_KIND, name);
 }
 
-/* A query parameter's value, or NULL. */
+/* Returns the value of a query parameter, or NULL. */
 const char *web_query(const struct web_request *req, const char *name)
 {
 	return MHD_lookup_connection_value(req->mhd, MHD_GET_ARGUMENT_KIND,
 					   name);
 }
 
-/* Value of a number in the query, or missing when it isn't there. */
+/* Returns a numeric query parameter, or default_value if it is absent. */
 long web_query_long(const struct web_request *req, const char *name,
-		    long missing)
+		    long default_value)
 {
 	const char *value = web_query(req, name);
 
-	return value ? strtol(value, NULL, 10) : missing;
+	return value ? strtol(value, NULL, 10) : default_value;
 }
 
-/* Called by libmicrohttpd when it can send more of a streamed reply. */
+/* Called by libmicrohttpd when it can send more of a streamed response. */
 static ssize_t stream_read(void *arg, uint64_t pos, char *buf, size_t max)
 {
 	struct web_stream_state *state = arg;
 	ssize_t n;
-	int held;
+	int suspended;
 
 	do {
 		if (conn_is_dropped(state->conn))
-			return WEB_STREAM_FAIL;
+			return WEB_STREAM_ERROR;
 		n = WEB_STREAM_WAIT;
-		if (!conn_is_silent(state->conn))
+		if (!conn_is_blackholed(state->conn))
 			n = state->ops->read(state->arg, buf, max);
 		if (n != WEB_STREAM_WAIT)
 			return n;
-		held = conn_hold(state->conn);
-	} while (held > 0);
-	return held < 0 ? WEB_STREAM_FAIL : 0;
+		suspended = conn_suspend(state->conn);
+	} while (suspended > 0);
+	return suspended < 0 ? WEB_STREAM_ERROR : 0;
 }
 
-/* Called by libmicrohttpd when a streamed reply is over. */
+/* Called by libmicrohttpd when a streamed response is freed. */
 static void stream_close(void *arg)
 {
 	struct web_stream_state *state = arg;
@@ -460,8 +465,9 @@
 }
 
 /*
- * Creates a reply whose body comes from ops->read(), chunked when size is
- * MHD_SIZE_UNKNOWN.  Read is called again after web_release().
+ * Creates a response whose body is read from ops->read(), with chunked
+ * encoding if size is MHD_SIZE_UNKNOWN.  After ops->read() returned
+ * WEB_STREAM_WAIT it is called again once web_resume() was called.
  */
 struct MHD_Response *web_stream(struct web_request *req, uint64_t size,
 				const struct web_stream_ops *ops, void *arg)
--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -1,18 +1,30 @@
-"""Stand-in of the users' metadata store, of one plain upstream and of the
-engine beside an agent, for the tests of platform/.
+"""Stand-ins of the users' metadata store and of an upstream, for the tests of
+platform/.
 
     metadata_store.py store ADDRESS:PORT
     metadata_store.py upstream ADDRESS:PORT ID [MODE]
 
-The store's test tree: PUT /test/KEY stores the body under KEY, DELETE removes
-it, POST /test/mode {"down": bool, "forget": bool} sets faults, GET /test/calls
-counts calls.  An upstream answers with what it received; MODE is ok, full
-(refuses as not run), error (its own 500), other (another instance), torn (a
-stream that breaks off after its second event; a resumed one is whole) or queue
-(paths that contain "begun" get the first event at once and the rest after POST
-/test/finish; other requests wait without a byte of an answer). GET
-/test/requests lists the ids of the requests, GET /test/withdrawn those that
-waited in mode queue when their connection was closed.
+The store serves /kv-range and /kv-watch, and paths for tests:
+    PUT /test/KEY      stores the body under KEY
+    DELETE /test/KEY   removes KEY
+    POST /test/mode    sets faults: {"down": bool} fails every call with 503,
+                       {"forget": true} discards the event history
+    GET /test/calls    returns the number of calls
+
+An upstream replies according to MODE:
+    ok      200 with a description of the request (the default)
+    full    503, marked as not run
+    error   500 of the upstream itself
+    other   421 with the ID of another instance
+    stream  an event stream
+    torn    an event stream that is cut within its third event; it is
+            complete when resumed after that event
+    queue   paths that contain "begun" get the first event at once and the
+            rest after POST /test/finish; other requests get no reply
+and serves
+    GET /test/requests   the IDs of the requests received
+    GET /test/withdrawn  in mode queue, the IDs of the requests whose
+                         connection was closed before a reply
 """
 import base64
 import json
@@ -31,7 +43,7 @@
         self.items = {}
         self.events = []
         self.revision = 1
-        self.forgotten = 0
+        self.forgotten = 0  # watches from before this revision fail
         self.calls = 0
         self.down = False
 
--- a/t/standin/standin-engine.c
+++ b/t/standin/standin-engine.c
@@ -20,7 +20,7 @@
 	"ignore-fence", "slow"
 };
 
-/* Does what is due at every engine. */
+/* Runs the periodic work of every engine. */
 static void on_tick(void *arg, int64_t now_ms)
 {
 	int i;
@@ -29,40 +29,40 @@
 		engine_tick(engines[i], now_ms);
 }
 
-/* Sets a fault at the engine that is named, or at all. */
-static enum web_verdict post_fault(struct engine *engine,
-				   struct web_request *req)
+/* Serves POST /standin/fault: sets a fault at one engine or at all. */
+static enum web_result post_fault(struct engine *engine,
+				  struct web_request *req)
 {
 	json_t *obj = web_body(req);
 	const char *mode = json_string_value(json_object_get(obj, "mode"));
 	const char *address =
 		json_string_value(json_object_get(obj, "address"));
 	int ms = (int)json_integer_value(json_object_get(obj, "ms"));
-	int only = address ? addresses_find(address) : -1;
-	int fault = web_word(fault_names, ENGINE_FAULT_COUNT, mode);
+	int target_index = address ? addresses_find(address) : -1;
+	int fault = web_find_word(fault_names, ENGINE_FAULT_COUNT, mode);
 	int i;
 
-	if (fault < 0 || (address && only < 0)) {
+	if (fault < 0 || (address && target_index < 0)) {
 		json_decref(obj);
 		return web_reply_error(req, MHD_HTTP_BAD_REQUEST, "bad fault");
 	}
 	for (i = 0; i < addresses.count; i++)
-		if (!address || i == only)
+		if (!address || i == target_index)
 			engine_set_fault(engines[i], fault, ms);
 	json_decref(obj);
 	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
 }
 
 /* Serves GET /standin/runs. */
-static enum web_verdict get_runs(struct engine *engine, struct web_request *req)
+static enum web_result get_runs(struct engine *engine, struct web_request *req)
 {
 	return web_reply_json(req, MHD_HTTP_OK,
 			      json_pack("{s:o}", "runs", batch_runs()));
 }
 
 /* Serves GET /standin/counts. */
-static enum web_verdict get_counts(struct engine *engine,
-				   struct web_request *req)
+static enum web_result get_counts(struct engine *engine,
+				  struct web_request *req)
 {
 	const struct engine_counts *counts = &engine_counts;
 
@@ -78,12 +78,12 @@
 			  (json_int_t)counts->read_bytes));
 }
 
-/* A path that ends in "/" stands for all paths below it. */
+/* A path that ends in "/" matches all paths below it. */
 static const struct {
 	const char *method; /* NULL for any */
 	const char *path;
-	enum web_verdict (*handle)(struct engine *engine,
-				   struct web_request *req);
+	enum web_result (*handle)(struct engine *engine,
+				  struct web_request *req);
 } routes[] = {
 	{ "POST", "/v1/generate", generate_handle },
 	{ "POST", "/v1/cancel", cancel_handle },
@@ -99,33 +99,32 @@
 	{ "GET", "/standin/counts", get_counts },
 };
 
-/* Whether a path of the routes stands for the one asked for. */
-static bool route_matches(const char *path, const char *asked)
+/* Returns whether a path of the route table matches a requested path. */
+static bool route_matches(const char *path, const char *requested)
 {
 	size_t len = strlen(path);
 
 	if (path[len - 1] == '/')
-		return !strncmp(path, asked, len);
-	return !strcmp(path, asked);
+		return !strncmp(path, requested, len);
+	return !strcmp(path, requested);
 }
 
-/* Serves a request at the engine of its address. */
-static enum web_verdict handle(struct web_request *req, void *arg)
+/* Dispatches a request to the engine of its local address. */
+static enum web_result handle(struct web_request *req, void *arg)
 {
-	int at = addresses_find(web_local(req));
+	int engine_index = addresses_find(web_local_address(req));
 	size_t i;
 
-	if (at < 0)
+	if (engine_index < 0)
 		return WEB_CLOSE;
 	for (i = 0; i < sizeof(routes) / sizeof(routes[0]); i++)
 		if (route_matches(routes[i].path, req->path) &&
 		    (!routes[i].method ||
 		     !strcmp(routes[i].method, req->method)))
-			return routes[i].handle(engines[at], req);
+			return routes[i].handle(engines[engine_index], req);
 	return web_reply_error(req, MHD_HTTP_NOT_FOUND, "no such path");
 }
 
-/* Ends the call of a request, if it made one. */
 static void request_end(struct web_request *req, void *arg)
 {
 	call_close(req);
@@ -133,13 +132,13 @@
 
 static const struct web_ops ops = { handle, request_end };
 
-/* Creates the engines and lets them be reached. */
+/* Creates the engines and starts listening on their addresses. */
 static int engines_start(void)
 {
 	struct web_server *server = web_start(&ops, NULL, SERVER_THREADS);
 	int i;
 
-	addresses_default();
+	addresses_set_default();
 	engines = calloc((size_t)addresses.count, sizeof(struct engine *));
 	if (!server || !engines)
 		return -1;
@@ -148,52 +147,52 @@
 		if (!engines[i])
 			return -1;
 	}
-	if (web_ticker(TICK_US, on_tick, NULL))
+	if (web_start_ticker(TICK_US, on_tick, NULL))
 		return -1;
 	return addresses_listen(server, engine_settings.port);
 }
 
-/* Runs engines on the addresses given. */
 int main(int argc, const char **argv)
 {
-	struct engine_settings *set = &engine_settings;
+	struct engine_settings *settings = &engine_settings;
 	const struct poptOption options[] = {
 		{ "address", 'a', POPT_ARG_STRING, NULL, 'a',
 		  "address of an engine, may be repeated", "ADDRESS" },
 		{ "addresses", 'A', POPT_ARG_STRING, NULL, 'a',
-		  "addresses of many engines", "FIRST-LAST" },
-		{ "port", 'p', POPT_ARG_INT, &set->port, 0, "TCP port",
+		  "range of addresses of engines, may be repeated",
+		  "FIRST-LAST" },
+		{ "port", 'p', POPT_ARG_INT, &settings->port, 0, "TCP port",
 		  "PORT" },
-		{ "fencing", 'f', POPT_ARG_NONE, &set->fencing, 0,
-		  "refuse an order with a lower fence", NULL },
-		{ "slots", 's', POPT_ARG_INT, &set->slots, 0,
-		  "calls in the batch at once", "N" },
-		{ "token-ms", 't', POPT_ARG_INT, &set->token_ms, 0,
-		  "time of one step of the batch", "MS" },
-		{ "staging", 'm', POPT_ARG_LONGLONG, &set->staging_bytes, 0,
-		  "size of the staging memory, 0 for no limit", "BYTES" },
-		{ "load-lag", 'l', POPT_ARG_INT, &set->load_lag_ms, 0,
-		  "age of the load reports", "MS" },
-		{ "load-ms", 'o', POPT_ARG_INT, &set->load_ms, 0,
+		{ "fencing", 'f', POPT_ARG_NONE, &settings->fencing, 0,
+		  "refuse orders with a lower fence", NULL },
+		{ "slots", 's', POPT_ARG_INT, &settings->slots, 0,
+		  "maximum number of calls in the batch", "N" },
+		{ "token-ms", 't', POPT_ARG_INT, &settings->token_ms, 0,
+		  "duration of one decoding step", "MS" },
+		{ "staging", 'm', POPT_ARG_LONGLONG, &settings->staging_bytes,
+		  0, "size of the staging memory, 0 for unlimited", "BYTES" },
+		{ "load-lag", 'l', POPT_ARG_INT, &settings->load_lag_ms, 0,
+		  "delay of load reports", "MS" },
+		{ "load-ms", 'o', POPT_ARG_INT, &settings->load_ms, 0,
 		  "time from a load order until the model is ready", "MS" },
-		{ "prefill-us", 'u', POPT_ARG_INT, &set->prefill_us, 0,
-		  "time for each block of a prompt that is not cached", "US" },
-		{ "cache", 'c', POPT_ARG_INT, &set->cache_blocks, 0,
-		  "blocks in the prefix cache", "N" },
-		{ "event-lag", 'e', POPT_ARG_INT, &set->event_lag_ms, 0,
-		  "age of the cache events", "MS" },
-		{ "event-gap", 'g', POPT_ARG_INT, &set->event_gap, 0,
-		  "every event with this step is lost", "N" },
+		{ "prefill-us", 'u', POPT_ARG_INT, &settings->prefill_us, 0,
+		  "prefill time per uncached block of a prompt", "US" },
+		{ "cache", 'c', POPT_ARG_INT, &settings->cache_blocks, 0,
+		  "capacity of the prefix cache in blocks", "N" },
+		{ "event-lag", 'e', POPT_ARG_INT, &settings->event_lag_ms, 0,
+		  "delay of cache events", "MS" },
+		{ "event-gap", 'g', POPT_ARG_INT, &settings->event_gap, 0,
+		  "lose every Nth cache event, 0 for none", "N" },
 		POPT_AUTOHELP POPT_TABLEEND
 	};
 
-	set->port = DEFAULT_PORT;
-	set->slots = DEFAULT_SLOTS;
-	set->token_ms = DEFAULT_TOKEN_MS;
-	set->cache_blocks = DEFAULT_CACHE_BLOCKS;
-	options_read(argc, argv, options, addresses_option);
-	web_block_signals();
+	settings->port = DEFAULT_PORT;
+	settings->slots = DEFAULT_SLOTS;
+	settings->token_ms = DEFAULT_TOKEN_MS;
+	settings->cache_blocks = DEFAULT_CACHE_BLOCKS;
+	options_parse(argc, argv, options, addresses_add_option);
+	web_block_exit_signals();
 	if (apr_initialize() || engines_start())
 		return 1;
-	return web_wait_for_signal();
+	return web_wait_for_exit_signal();
 }
--- a/t/standin/standin-plain.c
+++ b/t/standin/standin-plain.c
@@ -24,57 +24,60 @@
 static const char *const fault_names[FAULT_COUNT] = { "ok", "blackhole", "500",
 						      "crash", "hang" };
 
-/* A call that is being run. */
+/* A call in progress. */
 struct call {
 	struct call *next;
 	struct call *prev;
 	struct web_request *req;
-	json_t *answer;
+	json_t *reply;
 	int64_t due_ms;
-	bool hung;
-	bool crashes;
+	bool is_hung;
+	bool is_crashing;
 };
 
 static struct {
 	pthread_mutex_t lock;
 	enum fault_mode fault;
 	int64_t crash_ms;
-	json_t *runs;			/* by idempotency key */
-	json_t *requests;		/* by request identity */
-	struct call calls;		/* head of a ring */
-	int64_t back_ms[ADDRESSES_MAX]; /* when to listen again */
+	json_t *runs;			   /* by idempotency key */
+	json_t *requests;		   /* by request ID */
+	struct call calls;		   /* head of a circular list */
+	int64_t restart_ms[ADDRESSES_MAX]; /* 0 if not crashed */
 	struct web_server *server;
 } service = { .lock = PTHREAD_MUTEX_INITIALIZER, .crash_ms = CRASH_MS };
 
 static int port = DEFAULT_PORT;
 static int delay_ms;
 
-/* Drops the connections of an address and refuses new ones for a while. */
+/*
+ * Simulates a crash: drops the connections of an address and refuses new ones
+ * for crash_ms.
+ */
 static void service_crash(const char *address, int64_t now_ms)
 {
 	int i = addresses_find(address);
 
 	if (i < 0)
 		return;
-	service.back_ms[i] = now_ms + service.crash_ms;
+	service.restart_ms[i] = now_ms + service.crash_ms;
 	web_unlisten(service.server, address);
-	web_drop(service.server, address);
+	web_drop_connections(service.server, address);
 }
 
-/* Listens again on the addresses whose time has come. */
-static void service_return(int64_t now_ms)
+/* Listens again on the addresses whose restart time has passed. */
+static void service_restart(int64_t now_ms)
 {
 	int i;
 
 	for (i = 0; i < addresses.count; i++) {
-		if (!service.back_ms[i] || service.back_ms[i] > now_ms)
+		if (!service.restart_ms[i] || service.restart_ms[i] > now_ms)
 			continue;
-		service.back_ms[i] = 0;
+		service.restart_ms[i] = 0;
 		web_listen(service.server, addresses.names[i], (unsigned)port);
 	}
 }
 
-/* Releases the calls that are done. */
+/* Resumes the calls that are due. */
 static void on_tick(void *arg, int64_t now_ms)
 {
 	struct call *call;
@@ -82,14 +85,14 @@
 	pthread_mutex_lock(&service.lock);
 	for (call = service.calls.next; call != &service.calls;
 	     call = call->next)
-		if (!call->hung && call->due_ms <= now_ms)
-			web_release(call->req);
-	service_return(now_ms);
+		if (!call->is_hung && call->due_ms <= now_ms)
+			web_resume(call->req);
+	service_restart(now_ms);
 	pthread_mutex_unlock(&service.lock);
 }
 
-/* Adds one to a count and returns the new count. */
-static json_int_t count_up(json_t *counts, const char *name)
+/* Increments a counter and returns its new value. */
+static json_int_t counter_increment(json_t *counts, const char *name)
 {
 	json_int_t n = 1 + json_integer_value(json_object_get(counts, name));
 
@@ -97,7 +100,10 @@
 	return n;
 }
 
-/* Runs a call: counts it and prepares its answer.  The lock is held. */
+/*
+ * Starts a call: counts the run and prepares the reply.  The caller holds the
+ * lock.
+ */
 static struct call *call_open(struct web_request *req, int64_t now_ms)
 {
 	const char *id = web_header(req, "X-Request-Id");
@@ -111,18 +117,19 @@
 		key = id;
 	echo = json_loadb(req->body ? req->body : "", req->body_len,
 			  JSON_DECODE_ANY, NULL);
-	call->answer = json_pack("{s:s?,s:s,s:s?,s:o?}", "id", id, "operation",
-				 req->path + 1, "key", key, "echo", echo);
+	call->reply = json_pack("{s:s?,s:s,s:s?,s:o?}", "id", id, "operation",
+				req->path + 1, "key", key, "echo", echo);
 	if (id)
-		count_up(service.requests, id);
+		counter_increment(service.requests, id);
 	if (key)
-		json_object_set_new(call->answer, "run",
-				    json_integer(count_up(service.runs, key)));
+		json_object_set_new(
+			call->reply, "run",
+			json_integer(counter_increment(service.runs, key)));
 	call->req = req;
 	call->due_ms = now_ms + delay_ms;
-	call->hung = service.fault == FAULT_HANG;
-	call->crashes = service.fault == FAULT_CRASH ||
-			(req->body && strstr(req->body, CRASH_MARK));
+	call->is_hung = service.fault == FAULT_HANG;
+	call->is_crashing = service.fault == FAULT_CRASH ||
+			    (req->body && strstr(req->body, CRASH_MARK));
 	if (service.fault == FAULT_CRASH)
 		service.fault = FAULT_OK;
 	call->next = &service.calls;
@@ -133,7 +140,7 @@
 	return call;
 }
 
-/* Ends the call of a request that is over. */
+/* Frees the call of a completed request. */
 static void call_close(struct web_request *req, void *arg)
 {
 	struct call *call = req->call;
@@ -144,38 +151,38 @@
 	call->next->prev = call->prev;
 	call->prev->next = call->next;
 	pthread_mutex_unlock(&service.lock);
-	json_decref(call->answer);
+	json_decref(call->reply);
 	free(call);
 }
 
-/* Serves a caller's call; entered again when the call is released. */
-static enum web_verdict handle_call(struct web_request *req)
+/* Serves a call; called again after web_resume(). */
+static enum web_result handle_call(struct web_request *req)
 {
 	int64_t now_ms = web_now_ms();
-	enum web_verdict verdict = WEB_HOLD;
+	enum web_result result = WEB_SUSPEND;
 	struct call *call;
 
 	pthread_mutex_lock(&service.lock);
 	call = req->call;
 	if (!call && service.fault == FAULT_500)
-		verdict = web_reply_error(req, 500, "fault");
+		result = web_reply_error(req, 500, "fault");
 	else if (!call && !(call = call_open(req, now_ms)))
-		verdict = WEB_CLOSE;
-	else if (call->hung || call->due_ms > now_ms)
-		verdict = WEB_HOLD;
-	else if (call->crashes) {
-		service_crash(web_local(req), now_ms);
-		verdict = WEB_CLOSE;
+		result = WEB_CLOSE;
+	else if (call->is_hung || call->due_ms > now_ms)
+		result = WEB_SUSPEND;
+	else if (call->is_crashing) {
+		service_crash(web_local_address(req), now_ms);
+		result = WEB_CLOSE;
 	} else {
-		verdict = web_reply_json(req, MHD_HTTP_OK,
-					 json_incref(call->answer));
+		result = web_reply_json(req, MHD_HTTP_OK,
+					json_incref(call->reply));
 	}
 	pthread_mutex_unlock(&service.lock);
-	return verdict;
+	return result;
 }
 
 /* Serves GET /standin/runs. */
-static enum web_verdict get_runs(struct web_request *req)
+static enum web_result get_runs(struct web_request *req)
 {
 	json_t *obj;
 
@@ -187,12 +194,12 @@
 }
 
 /* Serves POST /standin/fault. */
-static enum web_verdict post_fault(struct web_request *req)
+static enum web_result post_fault(struct web_request *req)
 {
 	json_t *obj = web_body(req);
 	const char *name = json_string_value(json_object_get(obj, "mode"));
 	json_t *ms = json_object_get(obj, "ms");
-	int fault = web_word(fault_names, FAULT_COUNT, name);
+	int fault = web_find_word(fault_names, FAULT_COUNT, name);
 
 	if (fault < 0) {
 		json_decref(obj);
@@ -204,12 +211,11 @@
 	pthread_mutex_unlock(&service.lock);
 	json_decref(obj);
 	if (fault == FAULT_BLACKHOLE)
-		web_silence(service.server, NULL);
+		web_blackhole(service.server, NULL);
 	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
 }
 
-/* Serves every request. */
-static enum web_verdict handle(struct web_request *req, void *arg)
+static enum web_result handle(struct web_request *req, void *arg)
 {
 	if (!strcmp(req->path, "/standin/runs"))
 		return get_runs(req);
@@ -222,7 +228,7 @@
 
 static const struct web_ops ops = { handle, call_close };
 
-/* Runs the plain service. */
+/* Stand-in of a plain service, an upstream without a model. */
 int main(int argc, const char **argv)
 {
 	const struct poptOption options[] = {
@@ -230,20 +236,20 @@
 		  "address or range to listen on, may be repeated", "ADDRESS" },
 		{ "port", 'p', POPT_ARG_INT, &port, 0, "TCP port", "PORT" },
 		{ "delay-ms", 'd', POPT_ARG_INT, &delay_ms, 0,
-		  "time that each run takes", "MS" },
+		  "duration of each run", "MS" },
 		POPT_AUTOHELP POPT_TABLEEND
 	};
 
-	options_read(argc, argv, options, addresses_option);
-	web_block_signals();
+	options_parse(argc, argv, options, addresses_add_option);
+	web_block_exit_signals();
 	service.runs = json_object();
 	service.requests = json_object();
 	service.calls.next = &service.calls;
 	service.calls.prev = &service.calls;
 	service.server = web_start(&ops, NULL, SERVER_THREADS);
-	if (!service.server || web_ticker(TICK_US, on_tick, NULL))
+	if (!service.server || web_start_ticker(TICK_US, on_tick, NULL))
 		return 1;
 	if (addresses_listen(service.server, port))
 		return 1;
-	return web_wait_for_signal();
+	return web_wait_for_exit_signal();
 }
--- a/t/standin/standin-platform.c
+++ b/t/standin/standin-platform.c
@@ -40,12 +40,12 @@
 	int64_t at_ms;
 };
 
-/* A call that waits for something newer than it knows. */
+/* A long poll for a newer document or instance list. */
 struct watch {
 	struct watch *next;
 	struct web_request *req;
 	int64_t until_ms;
-	bool on_list;
+	bool is_list;
 };
 
 static struct {
@@ -57,29 +57,33 @@
 	enum fault_mode config_fault;
 	enum fault_mode list_fault;
 	int64_t list_lag_ms;
-	unsigned flap;
+	unsigned flap_count; /* calls to the configuration */
 	long calls;
-	long peak_second; /* most calls that came within one second */
-	long this_second;
-	int64_t second;
+	long peak_calls_per_second;
+	long calls_this_second;
+	int64_t current_second;
 	long config_calls;
 	long list_calls;
 	struct watch *watches;
 } platform = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
-/* The document that a reader sees under the present fault. */
-static const struct document *config_visible(void)
+/* Returns the document that readers see under the current fault. */
+static const struct document *visible_config(void)
 {
-	bool old = platform.config_fault == FAULT_STALE ||
-		   (platform.config_fault == FAULT_FLAP && platform.flap % 2);
+	bool is_stale = platform.config_fault == FAULT_STALE ||
+			(platform.config_fault == FAULT_FLAP &&
+			 platform.flap_count % 2);
 
-	if (old && platform.previous.text)
+	if (is_stale && platform.previous.text)
 		return &platform.previous;
 	return &platform.newest;
 }
 
-/* The list that a reader sees, some time after it was put there. */
-static const struct list_version *list_visible(int64_t now_ms)
+/*
+ * Returns the newest list that is at least list_lag_ms old, or NULL if there
+ * is none.
+ */
+static const struct list_version *visible_list(int64_t now_ms)
 {
 	long v = platform.list_version;
 	const struct list_version *list;
@@ -92,11 +96,11 @@
 	return NULL;
 }
 
-/* Whether a watch has to go on waiting. */
-static bool watch_waits(const struct watch *watch, int64_t now_ms)
+/* Returns whether a watch has to keep waiting. */
+static bool watch_is_pending(const struct watch *watch, int64_t now_ms)
 {
 	enum fault_mode fault =
-		watch->on_list ? platform.list_fault : platform.config_fault;
+		watch->is_list ? platform.list_fault : platform.config_fault;
 	long after = web_query_long(watch->req, "after", -1);
 	const struct list_version *list;
 
@@ -104,45 +108,45 @@
 		return true;
 	if (fault == FAULT_DOWN || now_ms >= watch->until_ms)
 		return false;
-	if (!watch->on_list)
-		return config_visible()->revision <= after;
-	list = list_visible(now_ms);
+	if (!watch->is_list)
+		return visible_config()->revision <= after;
+	list = visible_list(now_ms);
 	return (list ? list->version : 0) <= after;
 }
 
-/* Releases the watches that can be answered now. */
+/* Resumes the watches that can be answered now. */
 static void on_tick(void *arg, int64_t now_ms)
 {
 	struct watch *watch;
 
 	pthread_mutex_lock(&platform.lock);
 	for (watch = platform.watches; watch; watch = watch->next)
-		if (!watch_waits(watch, now_ms))
-			web_release(watch->req);
+		if (!watch_is_pending(watch, now_ms))
+			web_resume(watch->req);
 	pthread_mutex_unlock(&platform.lock);
 }
 
-/* Counts a call and the rate at which calls come. */
-static void count_call(bool on_list, int64_t now_ms)
+/* Counts a call and tracks the highest number of calls in one second. */
+static void count_call(bool is_list, int64_t now_ms)
 {
 	int64_t second = now_ms / MS_PER_S;
 
-	if (second != platform.second) {
-		platform.second = second;
-		platform.this_second = 0;
+	if (second != platform.current_second) {
+		platform.current_second = second;
+		platform.calls_this_second = 0;
 	}
-	platform.this_second++;
-	if (platform.this_second > platform.peak_second)
-		platform.peak_second = platform.this_second;
+	platform.calls_this_second++;
+	if (platform.calls_this_second > platform.peak_calls_per_second)
+		platform.peak_calls_per_second = platform.calls_this_second;
 	platform.calls++;
-	if (on_list)
+	if (is_list)
 		platform.list_calls++;
 	else
 		platform.config_calls++;
 }
 
-/* Opens the watch of a call that is seen for the first time and counts it. */
-static struct watch *watch_open(struct web_request *req, bool on_list,
+/* Creates the watch of a new request and counts the call. */
+static struct watch *watch_open(struct web_request *req, bool is_list,
 				int64_t now_ms)
 {
 	struct watch *watch = calloc(1, sizeof(*watch));
@@ -155,18 +159,18 @@
 	if (wait > WAIT_MAX_S)
 		wait = WAIT_MAX_S;
 	watch->req = req;
-	watch->on_list = on_list;
+	watch->is_list = is_list;
 	watch->until_ms = now_ms + wait * MS_PER_S;
 	watch->next = platform.watches;
 	platform.watches = watch;
 	req->call = watch;
-	count_call(on_list, now_ms);
-	if (!on_list)
-		platform.flap++;
+	count_call(is_list, now_ms);
+	if (!is_list)
+		platform.flap_count++;
 	return watch;
 }
 
-/* Ends the watch of a request that is over. */
+/* Frees the watch of a completed request. */
 static void watch_close(struct web_request *req, void *arg)
 {
 	struct watch **link;
@@ -185,10 +189,10 @@
 	free(watch);
 }
 
-/* Answers with the configuration document that is visible now. */
-static enum web_verdict config_reply(struct web_request *req)
+/* Replies with the configuration document that is visible now. */
+static enum web_result config_reply(struct web_request *req)
 {
-	const struct document *doc = config_visible();
+	const struct document *doc = visible_config();
 	struct MHD_Response *res;
 	char revision[24];
 	size_t len = doc->len;
@@ -209,10 +213,10 @@
 	return web_send(req, MHD_HTTP_OK, res);
 }
 
-/* Answers with the instance list that is visible now. */
-static enum web_verdict list_reply(struct web_request *req, int64_t now_ms)
+/* Replies with the instance list that is visible now. */
+static enum web_result list_reply(struct web_request *req, int64_t now_ms)
 {
-	const struct list_version *list = list_visible(now_ms);
+	const struct list_version *list = visible_list(now_ms);
 	long version = list ? list->version : 0;
 
 	if (version <= web_query_long(req, "after", -1))
@@ -224,33 +228,33 @@
 			  list ? json_incref(list->instances) : json_array()));
 }
 
-/* Serves a reader's call to the configuration or the instance list. */
-static enum web_verdict handle_read(struct web_request *req, bool on_list)
+/* Serves GET /config and GET /instances; called again after web_resume(). */
+static enum web_result handle_read(struct web_request *req, bool is_list)
 {
 	int64_t now_ms = web_now_ms();
-	enum web_verdict verdict;
+	enum web_result result;
 	enum fault_mode fault;
 
 	pthread_mutex_lock(&platform.lock);
-	if (!req->call && !watch_open(req, on_list, now_ms))
-		verdict = WEB_CLOSE;
-	else if (watch_waits(req->call, now_ms))
-		verdict = WEB_HOLD;
+	if (!req->call && !watch_open(req, is_list, now_ms))
+		result = WEB_CLOSE;
+	else if (watch_is_pending(req->call, now_ms))
+		result = WEB_SUSPEND;
 	else {
-		fault = on_list ? platform.list_fault : platform.config_fault;
+		fault = is_list ? platform.list_fault : platform.config_fault;
 		if (fault == FAULT_DOWN)
-			verdict = WEB_CLOSE;
-		else if (on_list)
-			verdict = list_reply(req, now_ms);
+			result = WEB_CLOSE;
+		else if (is_list)
+			result = list_reply(req, now_ms);
 		else
-			verdict = config_reply(req);
+			result = config_reply(req);
 	}
 	pthread_mutex_unlock(&platform.lock);
-	return verdict;
+	return result;
 }
 
-/* PUT /standin/config: the body becomes the newest document. */
-static enum web_verdict put_config(struct web_request *req)
+/* Serves PUT /standin/config: the body becomes the newest document. */
+static enum web_result put_config(struct web_request *req)
 {
 	struct document doc = { .len = req->body_len };
 	json_t *obj = web_body(req);
@@ -274,8 +278,8 @@
 	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
 }
 
-/* PUT /standin/instances: the body becomes the next version of the list. */
-static enum web_verdict put_instances(struct web_request *req)
+/* Serves PUT /standin/instances: the body becomes the newest list. */
+static enum web_result put_instances(struct web_request *req)
 {
 	json_t *array = web_body(req);
 	struct list_version *list;
@@ -297,11 +301,11 @@
 	return web_reply(req, MHD_HTTP_NO_CONTENT, "", 0);
 }
 
-/* Reads the fault named by a member; -1 when there is no such fault. */
+/* Parses the fault mode in a member of obj.  Returns -1 if it is unknown. */
 static int read_fault(json_t *obj, const char *member, enum fault_mode *mode)
 {
 	const char *name = json_string_value(json_object_get(obj, member));
-	int fault = web_word(fault_names, FAULT_COUNT, name);
+	int fault = web_find_word(fault_names, FAULT_COUNT, name);
 
 	if (!name)
 		return 0;
@@ -312,7 +316,7 @@
 }
 
 /* Serves POST /standin/fault. */
-static enum web_verdict post_fault(struct web_request *req)
+static enum web_result post_fault(struct web_request *req)
 {
 	json_t *obj = web_body(req);
 	json_t *lag = json_object_get(obj, "list_lag_ms");
@@ -331,14 +335,14 @@
 }
 
 /* Serves GET /standin/counts. */
-static enum web_verdict get_counts(struct web_request *req)
+static enum web_result get_counts(struct web_request *req)
 {
 	json_t *obj;
 
 	pthread_mutex_lock(&platform.lock);
 	obj = json_pack("{s:I,s:I,s:I,s:I}", "calls",
 			(json_int_t)platform.calls, "peak_second",
-			(json_int_t)platform.peak_second, "config",
+			(json_int_t)platform.peak_calls_per_second, "config",
 			(json_int_t)platform.config_calls, "instances",
 			(json_int_t)platform.list_calls);
 	pthread_mutex_unlock(&platform.lock);
@@ -348,7 +352,7 @@
 static const struct {
 	const char *method;
 	const char *path;
-	enum web_verdict (*handle)(struct web_request *req);
+	enum web_result (*handle)(struct web_request *req);
 } routes[] = {
 	{ "PUT", "/standin/config", put_config },
 	{ "PUT", "/standin/instances", put_instances },
@@ -356,8 +360,7 @@
 	{ "GET", "/standin/counts", get_counts },
 };
 
-/* Serves every request. */
-static enum web_verdict handle(struct web_request *req, void *arg)
+static enum web_result handle(struct web_request *req, void *arg)
 {
 	size_t i;
 
@@ -374,7 +377,7 @@
 
 static const struct web_ops ops = { handle, watch_close };
 
-/* Runs the configuration service and the instance list. */
+/* Stand-in of the platform: configuration service and instance list. */
 int main(int argc, const char **argv)
 {
 	int port = DEFAULT_PORT;
@@ -386,12 +389,12 @@
 	};
 	struct web_server *server;
 
-	options_read(argc, argv, options, addresses_option);
-	web_block_signals();
+	options_parse(argc, argv, options, addresses_add_option);
+	web_block_exit_signals();
 	server = web_start(&ops, NULL, SERVER_THREADS);
-	if (!server || web_ticker(TICK_US, on_tick, NULL))
+	if (!server || web_start_ticker(TICK_US, on_tick, NULL))
 		return 1;
 	if (addresses_listen(server, port))
 		return 1;
-	return web_wait_for_signal();
+	return web_wait_for_exit_signal();
 }
--- a/t/standin/standin-store.c
+++ b/t/standin/standin-store.c
@@ -33,14 +33,14 @@
 	"ok", "429", "500", "stall", "short", "corrupt", "down"
 };
 
-/* The body of one answer: a part of an open file. */
+/* The body of one response: a range of an open file. */
 struct transfer {
 	struct bucket_waiter waiter;
 	struct web_request *req;
 	int fd;
-	off_t origin_offset;
+	off_t offset;
 	off_t end;
-	off_t cut; /* where the fault strikes */
+	off_t fault_offset; /* where a stalled or short body stops, or 0 */
 	enum fault_mode fault;
 	char client[WEB_ADDRESS_MAX];
 };
@@ -48,32 +48,32 @@
 static struct {
 	pthread_mutex_t lock; /* taken before the bucket's */
 	enum fault_mode fault;
-	double share;
+	double fault_share; /* fraction of responses with the fault */
 	long retry_after_s;
-	unsigned seed;
+	unsigned fault_seed;
 	json_int_t bytes;
 	json_int_t requests;
 	json_t *by_client;
 	struct bucket bucket;
-} store = { .lock = PTHREAD_MUTEX_INITIALIZER, .share = 1, .seed = 1 };
+} store = { .lock = PTHREAD_MUTEX_INITIALIZER,
+	    .fault_share = 1,
+	    .fault_seed = 1 };
 
-static char *directory = ".";
+static char *store_directory = ".";
 
-/* Grants the bytes that the rate allows by now. */
 static void on_tick(void *arg, int64_t now_ms)
 {
-	bucket_tick(&store.bucket, now_ms * US_PER_MS);
+	bucket_refill(&store.bucket, now_ms * US_PER_MS);
 }
 
-/* Lets a transfer go on that has been granted bytes. */
-static void transfer_wake(struct bucket_waiter *waiter)
+/* Resumes a transfer that was granted bytes. */
+static void on_bucket_grant(struct bucket_waiter *waiter)
 {
 	struct transfer *tr = (struct transfer *)waiter;
 
-	web_release(tr->req);
+	web_resume(tr->req);
 }
 
-/* Counts bytes sent to a client. */
 static void count_bytes(const char *client, size_t n)
 {
 	json_t *old;
@@ -87,42 +87,42 @@
 	pthread_mutex_unlock(&store.lock);
 }
 
-/* Sends the next bytes of a transfer as the common rate allows. */
+/* Reads the next bytes of a transfer, limited by the shared token bucket. */
 static ssize_t transfer_read(void *arg, char *buf, size_t max)
 {
 	struct transfer *tr = arg;
-	off_t end = tr->cut ? tr->cut : tr->end;
+	off_t end = tr->fault_offset ? tr->fault_offset : tr->end;
 	size_t want = max;
 	ssize_t n;
 	ssize_t i;
 
-	if (tr->origin_offset >= end) {
+	if (tr->offset >= end) {
 		if (tr->fault == FAULT_STALL)
 			return WEB_STREAM_WAIT;
-		return tr->cut ? WEB_STREAM_FAIL : WEB_STREAM_END;
+		return tr->fault_offset ? WEB_STREAM_ERROR : WEB_STREAM_END;
 	}
-	if ((off_t)want > end - tr->origin_offset)
-		want = (size_t)(end - tr->origin_offset);
+	if ((off_t)want > end - tr->offset)
+		want = (size_t)(end - tr->offset);
 	want = bucket_take(&store.bucket, &tr->waiter, want);
 	if (!want)
 		return WEB_STREAM_WAIT;
-	n = pread(tr->fd, buf, want, tr->origin_offset);
+	n = pread(tr->fd, buf, want, tr->offset);
 	if (n <= 0)
-		return WEB_STREAM_FAIL;
+		return WEB_STREAM_ERROR;
 	if (tr->fault == FAULT_CORRUPT)
 		for (i = 0; i < n; i += CORRUPT_EVERY_BYTES)
 			buf[i] = (char)~buf[i];
-	tr->origin_offset += n;
+	tr->offset += n;
 	count_bytes(tr->client, (size_t)n);
 	return n;
 }
 
-/* Ends a transfer, whole or not. */
+/* Frees a transfer, whether complete or aborted. */
 static void transfer_close(void *arg)
 {
 	struct transfer *tr = arg;
 
-	bucket_forget(&store.bucket, &tr->waiter);
+	bucket_remove_waiter(&store.bucket, &tr->waiter);
 	close(tr->fd);
 	free(tr);
 }
@@ -130,8 +130,11 @@
 static const struct web_stream_ops transfer_ops = { transfer_read,
 						    transfer_close };
 
-/* Decides by the seed which answers are hit by the present fault. */
-static enum fault_mode draw_fault(long *retry_after_s)
+/*
+ * Counts a request and decides whether the current fault affects it, with
+ * probability fault_share.  The decisions depend on the seed only.
+ */
+static enum fault_mode choose_fault(long *retry_after_s)
 {
 	enum fault_mode fault = FAULT_OK;
 
@@ -139,15 +142,16 @@
 	store.requests++;
 	*retry_after_s = store.retry_after_s;
 	if (store.fault != FAULT_OK &&
-	    (double)rand_r(&store.seed) < store.share * (double)RAND_MAX)
+	    (double)rand_r(&store.fault_seed) <
+		    store.fault_share * (double)RAND_MAX)
 		fault = store.fault;
 	pthread_mutex_unlock(&store.lock);
 	return fault;
 }
 
 /*
- * Reads "bytes=a-b" for a file of the given size.  Returns 1 when a range was
- * asked for, 0 when not, -1 when it lies outside the file.
+ * Parses a "bytes=a-b" header for a file of the given size.  Returns 1 if it
+ * asks for a range, 0 if not, and -1 if the range cannot be satisfied.
  */
 static int read_range(const char *range, off_t size, off_t *first, off_t *end)
 {
@@ -170,8 +174,9 @@
 	return 1;
 }
 
-/* Replies that the client has to come back later. */
-static enum web_verdict reply_limited(struct web_request *req, long after_s)
+/* Sends a 429 response with a Retry-After header. */
+static enum web_result reply_too_many_requests(struct web_request *req,
+					       long after_s)
 {
 	struct MHD_Response *res =
 		MHD_create_response_from_buffer(0, "", MHD_RESPMEM_PERSISTENT);
@@ -184,7 +189,7 @@
 	return web_send(req, MHD_HTTP_TOO_MANY_REQUESTS, res);
 }
 
-/* Opens the file that a path names below the store's directory. */
+/* Opens the file at a request path below the store's directory. */
 static int open_file(const char *path, off_t *size)
 {
 	char name[4096];
@@ -192,7 +197,7 @@
 	int fd;
 
 	if (strstr(path, "..") ||
-	    snprintf(name, sizeof(name), "%s%s", directory, path) >=
+	    snprintf(name, sizeof(name), "%s%s", store_directory, path) >=
 		    (int)sizeof(name))
 		return -1;
 	fd = open(name, O_RDONLY | O_CLOEXEC);
@@ -206,58 +211,60 @@
 	return fd;
 }
 
-/* Replies with a part of an open file; fd is closed with the reply. */
-static enum web_verdict reply_file(struct web_request *req, int fd, off_t size,
-				   enum fault_mode fault)
+/* Replies with an open file or a range of it.  Takes ownership of fd. */
+static enum web_result reply_file(struct web_request *req, int fd, off_t size,
+				  enum fault_mode fault)
 {
 	struct transfer *tr;
 	struct MHD_Response *res;
 	char text[80];
 	off_t first;
 	off_t end;
-	int ranged = read_range(web_header(req, "Range"), size, &first, &end);
+	int range_status =
+		read_range(web_header(req, "Range"), size, &first, &end);
 
-	tr = ranged < 0 ? NULL : calloc(1, sizeof(*tr));
+	tr = range_status < 0 ? NULL : calloc(1, sizeof(*tr));
 	if (!tr) {
 		close(fd);
-		return ranged < 0 ? web_reply_error(req, 416, "range")
-				  : WEB_CLOSE;
+		return range_status < 0 ? web_reply_error(req, 416, "range")
+					: WEB_CLOSE;
 	}
-	tr->waiter.wake = transfer_wake;
+	tr->waiter.wake = on_bucket_grant;
 	tr->req = req;
 	tr->fd = fd;
-	tr->origin_offset = first;
+	tr->offset = first;
 	tr->end = end;
 	tr->fault = fault;
 	if (fault == FAULT_STALL || fault == FAULT_SHORT)
-		tr->cut = first + (end - first + 1) / 2;
-	snprintf(tr->client, sizeof(tr->client), "%s", web_peer(req));
+		tr->fault_offset = first + (end - first + 1) / 2;
+	snprintf(tr->client, sizeof(tr->client), "%s", web_peer_address(req));
 	res = web_stream(req, (uint64_t)(end - first), &transfer_ops, tr);
 	if (!res) {
 		transfer_close(tr);
 		return WEB_CLOSE;
 	}
-	if (ranged) {
+	if (range_status) {
 		snprintf(text, sizeof(text), "bytes %lld-%lld/%lld",
 			 (long long)first, (long long)end - 1, (long long)size);
 		MHD_add_response_header(res, "Content-Range", text);
 	}
-	return web_send(req, ranged ? MHD_HTTP_PARTIAL_CONTENT : MHD_HTTP_OK,
+	return web_send(req,
+			range_status ? MHD_HTTP_PARTIAL_CONTENT : MHD_HTTP_OK,
 			res);
 }
 
-/* Serves a file of weights or a manifest. */
-static enum web_verdict get_file(struct web_request *req)
+/* Serves GET /weights/<file> and GET /manifests/<digest>. */
+static enum web_result get_file(struct web_request *req)
 {
 	long retry_after_s;
-	enum fault_mode fault = draw_fault(&retry_after_s);
+	enum fault_mode fault = choose_fault(&retry_after_s);
 	off_t size;
 	int fd;
 
 	if (fault == FAULT_DOWN)
 		return WEB_CLOSE;
 	if (fault == FAULT_429)
-		return reply_limited(req, retry_after_s);
+		return reply_too_many_requests(req, retry_after_s);
 	if (fault == FAULT_500)
 		return web_reply_error(req, 500, "fault");
 	fd = open_file(req->path, &size);
@@ -271,13 +278,13 @@
 }
 
 /* Serves POST /standin/fault. */
-static enum web_verdict post_fault(struct web_request *req)
+static enum web_result post_fault(struct web_request *req)
 {
 	json_t *obj = web_body(req);
 	const char *name = json_string_value(json_object_get(obj, "mode"));
 	json_t *share = json_object_get(obj, "share");
 	json_t *after = json_object_get(obj, "retry_after");
-	int fault = web_word(fault_names, FAULT_COUNT, name);
+	int fault = web_find_word(fault_names, FAULT_COUNT, name);
 
 	if (fault < 0) {
 		json_decref(obj);
@@ -285,7 +292,7 @@
 	}
 	pthread_mutex_lock(&store.lock);
 	store.fault = fault;
-	store.share = share ? json_number_value(share) : 1;
+	store.fault_share = share ? json_number_value(share) : 1;
 	store.retry_after_s =
 		after ? (long)json_integer_value(after) : DEFAULT_RETRY_AFTER_S;
 	pthread_mutex_unlock(&store.lock);
@@ -294,7 +301,7 @@
 }
 
 /* Serves GET /standin/counts. */
-static enum web_verdict get_counts(struct web_request *req)
+static enum web_result get_counts(struct web_request *req)
 {
 	json_t *obj;
 
@@ -306,8 +313,7 @@
 	return web_reply_json(req, MHD_HTTP_OK, obj);
 }
 
-/* Serves every request. */
-static enum web_verdict handle(struct web_request *req, void *arg)
+static enum web_result handle(struct web_request *req, void *arg)
 {
 	if (!strcmp(req->path, "/standin/fault"))
 		return post_fault(req);
@@ -324,7 +330,7 @@
 
 static const struct web_ops ops = { handle, NULL };
 
-/* Runs the weight store. */
+/* Stand-in of the weight store. */
 int main(int argc, const char **argv)
 {
 	int port = DEFAULT_PORT;
@@ -334,25 +340,25 @@
 		{ "address", 'a', POPT_ARG_STRING, NULL, 'a',
 		  "address or range to listen on, may be repeated", "ADDRESS" },
 		{ "port", 'p', POPT_ARG_INT, &port, 0, "TCP port", "PORT" },
-		{ "directory", 'd', POPT_ARG_STRING, &directory, 0,
-		  "folder with weights/ and manifests/", "DIR" },
+		{ "directory", 'd', POPT_ARG_STRING, &store_directory, 0,
+		  "directory with weights/ and manifests/", "DIR" },
 		{ "rate", 'r', POPT_ARG_LONGLONG, &rate, 0,
-		  "bytes a second over all connections", "BYTES" },
+		  "total bytes per second of all connections", "BYTES" },
 		{ "seed", 's', POPT_ARG_INT, &seed, 0,
-		  "seed that decides which answers a fault hits", "N" },
+		  "seed that decides which responses have a fault", "N" },
 		POPT_AUTOHELP POPT_TABLEEND
 	};
 	struct web_server *server;
 
-	options_read(argc, argv, options, addresses_option);
-	web_block_signals();
-	store.seed = (unsigned)seed;
+	options_parse(argc, argv, options, addresses_add_option);
+	web_block_exit_signals();
+	store.fault_seed = (unsigned)seed;
 	store.by_client = json_object();
 	bucket_init(&store.bucket, rate, web_now_ms() * US_PER_MS);
 	server = web_start(&ops, NULL, SERVER_THREADS);
-	if (!server || web_ticker(TICK_US, on_tick, NULL))
+	if (!server || web_start_ticker(TICK_US, on_tick, NULL))
 		return 1;
 	if (addresses_listen(server, port))
 		return 1;
-	return web_wait_for_signal();
+	return web_wait_for_exit_signal();
 }
