--- a/t/helper/control-node.c
+++ b/t/helper/control-node.c
@@ -6,8 +6,10 @@
 #include "net/daemon.h"
 
 /*
- * A process with configuration and membership only, as an entry or as an
- * agent: "control-node entry|agent --settings FILE".
+ * Usage: control-node entry|agent --settings FILE
+ *
+ * An entry or agent that runs the configuration and membership components
+ * only.
  */
 
 static int control_start(struct node *n, struct error *err)
--- a/t/helper/fuzz-calls.c
+++ b/t/helper/fuzz-calls.c
@@ -9,41 +9,41 @@
 #include "t/helper/lib-fuzz.h"
 
 /*
- * What calls read from the other end.  FUZZ_TARGET says which: 1 tickets
- * (with a valid authentication code, so that the fields are read), 2 event
- * streams, 3 refusals.
+ * Fuzzes the parsers of data that calls receive from peers.  FUZZ_TARGET is 1
+ * for tickets, 2 for event streams, 3 for refusals.  Tickets get a valid
+ * message authentication code, as their fields are not parsed otherwise.
  */
 
 #ifndef FUZZ_TARGET
 #define FUZZ_TARGET 1
 #endif
 
-static void stream_read(const char *text, size_t size)
+static void fuzz_stream(const char *text, size_t size)
 {
-	size_t cut = size ? (unsigned char)text[0] % size : 0;
+	size_t first_size = size ? (unsigned char)text[0] % size : 0;
 	struct sse s;
 
 	sse_init(&s, "r1", 0, event_ignore, NULL);
-	if (!sse_feed(&s, text, cut))
-		sse_feed(&s, text + cut, size - cut);
+	if (!sse_feed(&s, text, first_size))
+		sse_feed(&s, text + first_size, size - first_size);
 	sse_destroy(&s);
 }
 
-static void ticket_read(const char *text, size_t size)
+static void fuzz_ticket(const char *text, size_t size)
 {
 	struct rpc_keys keys = { "a key of the fuzzer", "a former key" };
 	struct error err = ERROR_INIT;
-	char copy[TICKET_TEXT_SIZE + DIGEST_HEX_SIZE + 1];
+	char signed_text[TICKET_TEXT_SIZE + DIGEST_HEX_SIZE + 1];
 	struct digest mac;
 	struct ticket t;
 
 	if (size > TICKET_TEXT_SIZE)
 		size = TICKET_TEXT_SIZE;
-	memcpy(copy, text, size);
-	digest_hmac(keys.current, copy, size, &mac);
-	copy[size] = ':';
-	digest_hex(&mac, copy + size + 1);
-	ticket_verify(copy, &keys, &t, &err);
+	memcpy(signed_text, text, size);
+	digest_hmac(keys.current, signed_text, size, &mac);
+	signed_text[size] = ':';
+	digest_hex(&mac, signed_text + size + 1);
+	ticket_verify(signed_text, &keys, &t, &err);
 }
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
@@ -53,10 +53,10 @@
 
 	switch (FUZZ_TARGET) {
 	case 1:
-		ticket_read(text, size);
+		fuzz_ticket(text, size);
 		break;
 	case 2:
-		stream_read(text, size);
+		fuzz_stream(text, size);
 		break;
 	default:
 		refusal_parse(text, size, &r);
--- a/t/helper/fuzz-input.c
+++ b/t/helper/fuzz-input.c
@@ -17,14 +17,16 @@
 #include "weights/manifest.h"
 
 /*
- * libFuzzer target for everything that is read from outside.  FUZZ_TARGET
- * is the number of the parser; t/perf/fuzz.sh builds one program for each.
+ * Fuzzes the parsers of untrusted input.  FUZZ_TARGET is 1 for documents, 2
+ * for instance lists, 3 for settings files, 4 for account files, 5 for
+ * manifests, 6 for XDR messages, 7 for deltas; t/fuzz.sh builds one program
+ * for each.
  */
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
-/* What a parser accepts must also hold together. */
-static void document_try(const char *text, size_t size)
+/* Also checks that an accepted document is consistent. */
+static void fuzz_document(const char *text, size_t size)
 {
 	struct fault_list faults = { 0 };
 	struct document *d = document_parse(text, size, &faults);
@@ -43,7 +45,7 @@
 	document_unref(d);
 }
 
-static void list_try(const char *text, size_t size)
+static void fuzz_instance_list(const char *text, size_t size)
 {
 	struct fault_list faults = { 0 };
 	struct instance_list l;
@@ -53,7 +55,7 @@
 	fault_list_clear(&faults);
 }
 
-static void file_write(const char *name, const char *text, size_t size)
+static void write_file(const char *name, const char *text, size_t size)
 {
 	FILE *fp = fopen(name, "wb");
 
@@ -63,21 +65,21 @@
 	fclose(fp);
 }
 
-static void settings_try(const char *text, size_t size)
+static void fuzz_settings(const char *text, size_t size)
 {
 	struct fault_list faults = { 0 };
 	struct settings s;
 
-	file_write("fuzz-settings.json", text, size);
+	write_file("fuzz-settings.json", text, size);
 	settings_load("fuzz-settings.json", ROLE_AGENT, &s, &faults);
 	fault_list_clear(&faults);
 }
 
-static void account_try(const char *text, size_t size)
+static void fuzz_account(const char *text, size_t size)
 {
 	struct collection c = { 0 };
 
-	file_write("fuzz-account.json", text, size);
+	write_file("fuzz-account.json", text, size);
 	collection_add_file(&c, "fuzz-account.json");
 	collection_check(&c);
 	if (!c.faults.count)
@@ -85,19 +87,19 @@
 	collection_clear(&c);
 }
 
-static void manifest_try(const char *text, size_t size)
+static void fuzz_manifest(const char *text, size_t size)
 {
 	struct error err = ERROR_INIT;
-	struct digest want;
+	struct digest expected_digest;
 	struct manifest *m;
 
-	digest_of(text, size, &want);
-	m = manifest_parse(text, size, &want, &err);
+	digest_of(text, size, &expected_digest);
+	m = manifest_parse(text, size, &expected_digest, &err);
 	if (m)
 		manifest_free(m);
 }
 
-static void xdr_try(xdrproc_t xdr, const char *data, size_t size)
+static void fuzz_xdr(xdrproc_t xdr, const char *data, size_t size)
 {
 	char value[1024] = { 0 };
 
@@ -105,20 +107,20 @@
 		xdr_free(xdr, value);
 }
 
-static void delta_try(const char *data, size_t size)
+static void fuzz_delta(const char *data, size_t size)
 {
-	size_t half = size / 2, n, back_size;
-	char *d, *back;
+	size_t half = size / 2, n, decoded_size;
+	char *d, *decoded;
 
 	free(delta_apply(data, half, data + half, size - half, 1 << 20, &n));
 	d = delta_encode(data, half, data + half, size - half, &n);
 	if (!d)
 		return;
-	back = delta_apply(data, half, d, n, size - half, &back_size);
-	if (!back || back_size != size - half ||
-	    memcmp(back, data + half, back_size))
+	decoded = delta_apply(data, half, d, n, size - half, &decoded_size);
+	if (!decoded || decoded_size != size - half ||
+	    memcmp(decoded, data + half, decoded_size))
 		abort();
-	free(back);
+	free(decoded);
 	free(d);
 }
 
@@ -128,30 +130,30 @@
 
 	switch (FUZZ_TARGET) {
 	case 1:
-		document_try(text, size);
+		fuzz_document(text, size);
 		break;
 	case 2:
-		list_try(text, size);
+		fuzz_instance_list(text, size);
 		break;
 	case 3:
-		settings_try(text, size);
+		fuzz_settings(text, size);
 		break;
 	case 4:
-		account_try(text, size);
+		fuzz_account(text, size);
 		break;
 	case 5:
-		manifest_try(text, size);
+		fuzz_manifest(text, size);
 		break;
 	case 6:
-		xdr_try((xdrproc_t)xdr_envelope_request, text, size);
-		xdr_try((xdrproc_t)xdr_envelope_reply, text, size);
-		xdr_try((xdrproc_t)xdr_config_request, text, size);
-		xdr_try((xdrproc_t)xdr_config_reply, text, size);
-		xdr_try((xdrproc_t)xdr_member_hello, text, size);
-		xdr_try((xdrproc_t)xdr_member_report, text, size);
+		fuzz_xdr((xdrproc_t)xdr_envelope_request, text, size);
+		fuzz_xdr((xdrproc_t)xdr_envelope_reply, text, size);
+		fuzz_xdr((xdrproc_t)xdr_config_request, text, size);
+		fuzz_xdr((xdrproc_t)xdr_config_reply, text, size);
+		fuzz_xdr((xdrproc_t)xdr_member_hello, text, size);
+		fuzz_xdr((xdrproc_t)xdr_member_report, text, size);
 		break;
 	case 7:
-		delta_try(text, size);
+		fuzz_delta(text, size);
 		break;
 	}
 	return 0;
--- a/t/helper/lib-fuzz.h
+++ b/t/helper/lib-fuzz.h
@@ -4,11 +4,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* What the fuzz programs share. */
+/* Declarations shared by the fuzz targets. */
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
-/* Takes the events of a stream and does nothing with them. */
+/* Event callback that discards the event. */
 static inline int event_ignore(void *arg, const char *text, size_t size)
 {
 	(void)arg;
--- a/t/helper/tcp-relay.c
+++ b/t/helper/tcp-relay.c
@@ -10,83 +10,89 @@
 #include <unistd.h>
 
 /*
- * "tcp-relay ADDRESS PORT TO" forwards connections to ADDRESS:PORT on to
- * ADDRESS:TO.
- * On SIGUSR1 the connections open now go silent for good, in both
- * directions and without being closed; new ones work.
+ * Usage: tcp-relay ADDRESS PORT TARGET-PORT
+ *
+ * Forwards connections to ADDRESS:PORT to ADDRESS:TARGET-PORT.  On SIGUSR1,
+ * the connections that are open are blackholed: they stay open, but nothing
+ * is forwarded in either direction any more.  New connections work.
  */
 
 #define BACKLOG 64
 #define POLL_MS 50
 #define BUFFER_SIZE 65536
 
-static int generation; /* atomic */
-static struct sockaddr_in to;
+static int blackhole_count; /* SIGUSR1 signals received, atomic */
+static struct sockaddr_in target;
 
-static int generation_now(void)
+static int get_blackhole_count(void)
 {
-	return __atomic_load_n(&generation, __ATOMIC_RELAXED);
+	return __atomic_load_n(&blackhole_count, __ATOMIC_RELAXED);
 }
 
-/* Waits for the signal, which every thread has blocked. */
-static void *signal_main(void *arg)
+/* Counts the SIGUSR1 signals, which are blocked in all threads. */
+static void *signal_thread(void *arg)
 {
 	sigset_t *set = arg;
 	int sig;
 
 	for (;;) {
 		if (!sigwait(set, &sig))
-			__atomic_add_fetch(&generation, 1, __ATOMIC_RELAXED);
+			__atomic_add_fetch(&blackhole_count, 1,
+					   __ATOMIC_RELAXED);
 	}
 	return NULL;
 }
 
-static int forward(int from, int into)
+/* Forwards the data that is available.  Returns -1 at the end or on error. */
+static int forward(int from, int to)
 {
 	char buffer[BUFFER_SIZE];
-	ssize_t n = read(from, buffer, sizeof(buffer)), done = 0, k;
+	ssize_t n = read(from, buffer, sizeof(buffer)), written = 0, ret;
 
-	while (done < n) {
-		k = write(into, buffer + done, (size_t)(n - done));
-		if (k <= 0)
+	while (written < n) {
+		ret = write(to, buffer + written, (size_t)(n - written));
+		if (ret <= 0)
 			return -1;
-		done += k;
+		written += ret;
 	}
 	return n > 0 ? 0 : -1;
 }
 
-static void *connection_main(void *arg)
+static void *connection_thread(void *arg)
 {
-	int a = (int)(long)arg, born = generation_now();
-	int b = socket(AF_INET, SOCK_STREAM, 0);
-	struct pollfd p[2] = { { a, POLLIN, 0 }, { b, POLLIN, 0 } };
+	int client_fd = (int)(long)arg, initial_count = get_blackhole_count();
+	int server_fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct pollfd fds[2] = { { client_fd, POLLIN, 0 },
+				 { server_fd, POLLIN, 0 } };
 
-	if (connect(b, (struct sockaddr *)&to, sizeof(to)))
+	if (connect(server_fd, (struct sockaddr *)&target, sizeof(target)))
 		goto out;
 	for (;;) {
-		int n = poll(p, 2, POLL_MS);
+		int n = poll(fds, 2, POLL_MS);
 
-		while (born != generation_now())
+		while (initial_count != get_blackhole_count())
 			pause();
-		if (n > 0 && ((p[0].revents && forward(a, b)) ||
-			      (p[1].revents && forward(b, a))))
+		if (n > 0 &&
+		    ((fds[0].revents && forward(client_fd, server_fd)) ||
+		     (fds[1].revents && forward(server_fd, client_fd))))
 			break;
 	}
 out:
-	close(a);
-	close(b);
+	close(client_fd);
+	close(server_fd);
 	return NULL;
 }
 
 static int listen_on(const char *address, int port)
 {
-	struct sockaddr_in sa = { .sin_family = AF_INET };
-	int fd = socket(AF_INET, SOCK_STREAM, 0), on = 1;
+	struct sockaddr_in addr = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM, 0), one = 1;
 
-	sa.sin_port = htons((uint16_t)port);
-	inet_pton(AF_INET, address, &sa.sin_addr);
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) || listen(fd, BACKLOG))
+	addr.sin_port = htons((uint16_t)port);
+	inet_pton(AF_INET, address, &addr.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&addr, sizeof(addr)) ||
+	    listen(fd, BACKLOG))
 		return -1;
 	return fd;
 }
@@ -102,11 +108,11 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGUSR1);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	pthread_create(&thread, NULL, signal_main, &set);
+	pthread_create(&thread, NULL, signal_thread, &set);
 	signal(SIGPIPE, SIG_IGN);
-	to.sin_family = AF_INET;
-	to.sin_port = htons((uint16_t)strtol(argv[3], NULL, 10));
-	inet_pton(AF_INET, argv[1], &to.sin_addr);
+	target.sin_family = AF_INET;
+	target.sin_port = htons((uint16_t)strtol(argv[3], NULL, 10));
+	inet_pton(AF_INET, argv[1], &target.sin_addr);
 	listener = listen_on(argv[1], (int)strtol(argv[2], NULL, 10));
 	if (listener < 0) {
 		perror("tcp-relay");
@@ -116,7 +122,7 @@
 		fd = accept(listener, NULL, NULL);
 		if (fd < 0)
 			continue;
-		pthread_create(&thread, NULL, connection_main,
+		pthread_create(&thread, NULL, connection_thread,
 			       (void *)(long)fd);
 		pthread_detach(thread);
 	}
--- a/t/t0005-caller.sh
+++ b/t/t0005-caller.sh
@@ -61,7 +61,7 @@
 	jq -s -e "all(.[]; .reason == \"no-such-operation\" and
 		.scope == \"attempt\" and .status == 404)" refused &&
 	judge refused >rows &&
-	grep "^not run means that it did not run  *3  *0$" rows
+	grep "^a request reported as not run did not run  *3  *0$" rows
 '
 
 test_expect_success 'a call to an absent entry ends in an error' '
