t: reword the shell libraries and tests

Describe in the libraries what each function prints, starts or succeeds for. Rename sees*, never_lower and fleet_gone to member_state*, revisions_increase and fleet_has_exited, also in t0210 and t0310, and call the faults by their modes. Heads of tests name the failure that they guard against.

The checks of the tests are the same; titles, names of scratch files and variables changed. In t0902 the last case is titled after what it checks: that some attempts were refused or could not connect.

The header of fleet-lib.sh gave a formula for addresses that fleet_net does not use.

--- a/t/demo.sh
+++ b/t/demo.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Shows the whole path on this machine: stand-ins, 2 entries and 9 agents in
-# 3 data centres, a rollout, calls during a second rollout, a reservation
-# sent twice, a drain.  Prints a summary and exits 0 only if all held.
+# End-to-end demo on one machine: stand-ins, 2 entries and 9 agents in 3 data
+# centres; a rollout, calls during a second rollout, a reservation sent twice
+# and a drain.  Prints a summary and exits with 0 only if all checks passed.
 
 test_description='demo'
 . "$(dirname "$0")/test-lib.sh"
@@ -56,7 +56,7 @@
 			test $dc.$host = 2.13 || model_nets="$model_nets $net.$host"
 		done
 	done
-	# The one to be drained has a process, and so counts, of its own.
+	# Counts are per process, so the engine that is drained gets its own.
 	engines_start engines $(echo $model_nets | tr ' ' '\n' |
 		grep -vxF "$drain_address") &&
 	engines_start drained $drain_address &&
@@ -88,7 +88,7 @@
 	curl -s $STORE_URL/standin/counts | jq .bytes
 }
 
-# counter NAME LABEL: the sum of a metric over all agents.
+# counter NAME LABEL: prints the sum of a metric over all agents.
 counter () {
 	for a in $AGENTS; do
 		curl -s -m 2 http://$a:7102/status
@@ -119,7 +119,7 @@
 	test -n "$ticket" && test "$ticket" != null
 }
 
-drained_quiet () {
+drained_gets_no_calls () {
 	limpetctl drain "$drain_address" || return 1
 	sleep 2
 	curl -s "http://$drain_address:7200/standin/counts" >before.json
@@ -146,40 +146,40 @@
 
 step 'start stand-ins, 9 agents, 2 entries' fleet_start
 step 'check, collect and publish revision 1' account_files "$digest1" 1
-began=$(now_ms)
-step 'version 1 whole on 8 upstreams' rollout_wait "$digest1"
-seconds=$(($(now_ms) - began))
-drawn=$(origin_bytes)
-cross=$(counter weights_received_bytes cross)
+start_ms=$(now_ms)
+step 'version 1 complete on 8 upstreams' rollout_wait "$digest1"
+rollout_ms=$(($(now_ms) - start_ms))
+fetched_bytes=$(origin_bytes)
+cross_bytes=$(counter weights_received_bytes cross)
 step 'entries ready' entries_ready
 account_files "$digest2" 2 >/dev/null 2>&1 || exit 1
 step '400 streamed calls while version 2 is rolled out' calls_during
-step 'version 2 whole on 8 upstreams' rollout_wait "$digest2"
-step 'a ticket for a reservation' ticket_get
-step 'the reservation through entry 1' reserve 1 "$ENTRY1"
-step 'the same reservation and ticket through entry 2' reserve 2 "$ENTRY2"
+step 'version 2 complete on 8 upstreams' rollout_wait "$digest2"
+step 'get a ticket for a reservation' ticket_get
+step 'send the reservation through entry 1' reserve 1 "$ENTRY1"
+step 'send it again with the same ticket through entry 2' reserve 2 "$ENTRY2"
 runs=$(curl -s "http://$(fleet_net 2).13:7200/standin/runs" |
 	jq '.runs["watch-7"]')
-step 'a drained upstream gets nothing new' drained_quiet
+step 'a drained upstream gets no new calls' drained_gets_no_calls
 stop_all
 
 summary () {
 	printf '\n%-34s %s\n' 'seconds to 8 replicas' \
-		"$(echo "$seconds" | awk '{printf "%.1f", $1 / 1000}')"
-	printf '%-34s %s\n' 'copies drawn from the origin' \
-		"$(echo "$drawn $SIZE" | awk '{printf "%.2f", $1 / $2}')"
-	printf '%-34s %s\n' 'copies across, each of 2 links' \
-		"$(echo "$cross $SIZE" | awk '{printf "%.2f", $1 / $2 / 2}')"
+		"$(echo "$rollout_ms" | awk '{printf "%.1f", $1 / 1000}')"
+	printf '%-34s %s\n' 'copies fetched from the origin' \
+		"$(echo "$fetched_bytes $SIZE" | awk '{printf "%.2f", $1 / $2}')"
+	printf '%-34s %s\n' 'copies per cross-data-centre link' \
+		"$(echo "$cross_bytes $SIZE" | awk '{printf "%.2f", $1 / $2 / 2}')"
 	printf '%-34s %s\n' 'calls answered / not run / unknown' \
 		"$(jq -r '"\(.answers) / \(.not_run) / \(.unknown)"' calls.json)"
-	printf '%-34s %s\n' 'answers that were not whole' \
+	printf '%-34s %s\n' 'invalid answers' \
 		"$(jq .violations calls.json)"
 	printf '%-34s %s\n' 'runs of the reservation' "$runs"
 }
 summary
 failures=
 test "$runs" = 1 || failures="$failures the reservation ran $runs times;"
-test "$(jq .violations calls.json)" = 0 || failures="$failures broken answers;"
+test "$(jq .violations calls.json)" = 0 || failures="$failures invalid answers;"
 test "$(jq .unknown calls.json)" = 0 || failures="$failures unknown outcomes;"
 test -z "$failures" || { echo "FAILED:$failures"; exit 1; }
-echo 'all held'
+echo 'all checks passed'
--- a/t/fleet-lib.sh
+++ b/t/fleet-lib.sh
@@ -1,8 +1,7 @@
-# Sourced after t/test-lib.sh by tests, benches and the demo that need a
-# fleet of real processes.  Addresses: data centre k (1, 2, ...) has the
-# prefix $TEST_NET with its third byte raised by 0, and host numbers
-#   platform  $TEST_NET.1, store $TEST_NET.2
-# Data centre k uses the network $(fleet_net k): 127.(base+k).x.
+# Library for tests, benchmarks and the demo that run a fleet of real
+# processes; sourced after t/test-lib.sh.  The platform listens on $TEST_NET.1
+# and the store on $TEST_NET.2; the instances of data centre k (1, 2, ...) use
+# the network $(fleet_net k).
 
 FLEET_KEY=${FLEET_KEY:-test-key-of-the-fleet-0001}
 fleet_second=$(echo "$TEST_NET" | cut -d. -f2)
@@ -18,27 +17,28 @@
 ENTRIES=
 AGENTS=
 
-# The third byte is the test's, the second one more for each data centre
-# modulo the loopback range above 127.60, so that tests stay apart.
+# fleet_net K: prints the network of data centre K (the first three bytes of
+# an address).  The second byte moves by 60 per data centre and the third byte
+# stays that of $TEST_NET, so that tests don't share networks.
 fleet_net () {
 	echo "127.$(((fleet_second + 60 * $1) % 250 + 1)).$fleet_third"
 }
 
-# fleet_platform_start: the configuration service and instance list.
+# fleet_platform_start: starts the configuration service and instance list.
 fleet_platform_start () {
 	start platform standin-platform --address $PLATFORM --port 7001
 	wait_until 5 curl -s -o /dev/null $PLATFORM_URL/standin/counts
 }
 
-# fleet_store_start DIRECTORY
+# fleet_store_start DIRECTORY: starts the weight store.
 fleet_store_start () {
 	start store standin-store --address $STORE --port 7001 \
 		--directory "$1" --rate $STORE_RATE
 	wait_until 5 curl -s -o /dev/null $STORE_URL/standin/counts
 }
 
-# instance_add ID ROLE DATA_CENTER ADDRESS [UPSTREAM]: notes an instance for
-# the platform's list.
+# instance_add ID ROLE DATA_CENTER ADDRESS [UPSTREAM]: adds an instance to the
+# list that fleet_publish_instances sends to the platform.
 instance_add () {
 	printf '{"id":"%s","role":"%s","data_center":"%s","address":"%s","state":"live"%s}\n' \
 		"$1" "$2" "$3" "$4" "${5:+,\"upstream\":\"$5\"}" >>instances.rows
@@ -50,13 +50,13 @@
 		$PLATFORM_URL/standin/instances >/dev/null
 }
 
-# fleet_publish_config FILE: what the platform's publishing step would do.
+# fleet_publish_config FILE: makes FILE the newest configuration document.
 fleet_publish_config () {
 	curl -s -f -X PUT --data-binary "@$1" $PLATFORM_URL/standin/config \
 		>/dev/null
 }
 
-# entry_settings NAME DATA_CENTER ADDRESS >FILE
+# entry_settings NAME DATA_CENTER ADDRESS: prints the settings of an entry.
 entry_settings () {
 	cat <<-EOF
 	{"instance":"$1","data_center":"$2","address":"$3",
@@ -66,8 +66,8 @@
 	EOF
 }
 
-# agent_settings NAME DATA_CENTER ADDRESS KIND >FILE; the upstream listens
-# on the agent's own address, port 7200.
+# agent_settings NAME DATA_CENTER ADDRESS KIND: prints the settings of an
+# agent; its upstream listens on the agent's address, port 7200.
 agent_settings () {
 	cat <<-EOF
 	{"instance":"$1","data_center":"$2","address":"$3",
@@ -81,7 +81,7 @@
 	EOF
 }
 
-# entry_start NAME DATA_CENTER ADDRESS
+# entry_start NAME DATA_CENTER ADDRESS: starts and lists an entry.
 entry_start () {
 	entry_settings "$1" "$2" "$3" >"$1.json"
 	instance_add "$1" entry "$2" "$3"
@@ -89,7 +89,7 @@
 	ENTRIES="$ENTRIES $3"
 }
 
-# agent_start NAME DATA_CENTER ADDRESS [KIND]
+# agent_start NAME DATA_CENTER ADDRESS [KIND]: starts and lists an agent.
 agent_start () {
 	agent_settings "$1" "$2" "$3" "${4:-model}" >"$1.json"
 	instance_add "$1" agent "$2" "$3" "$1"
@@ -97,7 +97,8 @@
 	AGENTS="$AGENTS $3"
 }
 
-# engines_start NAME ADDRESS...: one process with an engine on each address.
+# engines_start NAME ADDRESS...: starts one process with an engine on each
+# address.
 engines_start () {
 	engines_name=$1
 	shift
@@ -109,7 +110,7 @@
 		$engines_args
 }
 
-# plain_start NAME ADDRESS: a plain service.
+# plain_start NAME ADDRESS: starts a plain service.
 plain_start () {
 	start "$1" standin-plain --address "$2" --port 7200
 }
@@ -128,15 +129,16 @@
 	done
 }
 
-# model_make FILE BYTES SEED: a file of random bytes, the same for a seed.
+# model_make FILE BYTES SEED: creates a file of pseudo-random bytes that depend
+# on the seed only.
 model_make () {
 	openssl enc -aes-128-ctr -nosalt -K "$(printf %032x "$3")" \
 		-iv 00000000000000000000000000000000 </dev/zero 2>/dev/null |
 		head -c "$2" >"$1"
 }
 
-# model_publish STORE_DIRECTORY MODEL VERSION FILE [CHUNK_SIZE]: puts the
-# file and its manifest into the store, prints the manifest's digest.
+# model_publish STORE_DIRECTORY MODEL VERSION FILE [CHUNK_SIZE]: adds a file
+# and its manifest to the store and prints the digest of the manifest.
 model_publish () {
 	mkdir -p "$1/weights" "$1/manifests"
 	cp "$4" "$1/weights/$2-$3.bin"
@@ -148,12 +150,13 @@
 	echo "$model_digest"
 }
 
-# key_digest KEY: what an account file carries of a bearer key.
+# key_digest KEY: prints the digest of a bearer key for an account file.
 key_digest () {
 	printf %s "$1" | sha256sum | cut -d' ' -f1
 }
 
-# serving_count MODEL VERSION ADDRESS...: agents that serve that version.
+# serving_count MODEL VERSION ADDRESS...: prints the number of agents that
+# serve a version.
 serving_count () {
 	serving_model=$1
 	serving_version=$2
@@ -165,31 +168,34 @@
 		.version == $v and .state == "serving")] | length'
 }
 
+# serving_all COUNT MODEL VERSION ADDRESS...: succeeds if exactly COUNT agents
+# serve a version.
 serving_all () {
-	serving_want=$1
+	serving_expected=$1
 	shift
-	test "$(serving_count "$@")" = "$serving_want"
+	test "$(serving_count "$@")" = "$serving_expected"
 }
 
-# fleet_signal NAME SIGNAL: sends it to the process that start began.
+# fleet_signal NAME SIGNAL: sends a signal to a process started with "start".
 fleet_signal () {
 	kill -"$2" "$(cat "$1.pid")"
 }
 
-# fleet_gone NAME: its process has ended, reaped or not.
-fleet_gone () {
+# fleet_has_exited NAME: succeeds if a process has exited, including a zombie.
+fleet_has_exited () {
 	! grep -q '^State:[[:space:]]*[^Z]' "/proc/$(cat "$1.pid")/status" \
 		2>/dev/null
 }
 
-# fleet_restart NAME PROGRAM SIGNAL: ends a process and starts it anew.
+# fleet_restart NAME PROGRAM SIGNAL: stops a process with a signal, waits for
+# its exit and starts it again.
 fleet_restart () {
 	fleet_signal "$1" "$3" &&
-	wait_until 30 fleet_gone "$1" &&
+	wait_until 30 fleet_has_exited "$1" &&
 	start "$1" "$2" --settings "$1.json"
 }
 
-# fleet_pause SECONDS NAME...: stops processes for a while.
+# fleet_pause SECONDS NAME...: suspends processes with SIGSTOP and resumes them.
 fleet_pause () {
 	pause_seconds=$1
 	shift
@@ -202,7 +208,8 @@
 	done
 }
 
-# fleet_cut ADDRESS [PREFIX...]: has a process exchange nothing with these.
+# fleet_cut ADDRESS [PREFIX...]: partitions the process at ADDRESS from all
+# addresses that start with a prefix; without a prefix, ends the partition.
 fleet_cut () {
 	cut_at=$1
 	shift
--- a/t/fuzz.sh
+++ b/t/fuzz.sh
@@ -1,19 +1,19 @@
 #!/bin/sh
-# Short libFuzzer runs with a fixed seed over every parser of outside input:
-#   t/fuzz.sh [RUNS]
-# Ends non-zero at the first crash; its input stays in build/fuzz.
+# Usage: t/fuzz.sh [RUNS]
+# Runs libFuzzer with a fixed seed on each parser of untrusted input.  Exits
+# with an error on the first crash and leaves the input in build/fuzz.
 
 cd "$(dirname "$0")/.." || exit 1
 runs=${1:-20000}
 packages="apr-1 apr-util-1 libmicrohttpd libcurl libtirpc popt jansson
 libxxhash zlib libcrypto"
-names="document list settings account manifest xdr delta"
-call_names="ticket stream refusal" # of t/helper/fuzz-calls.c
-# of t/helper/fuzz-platform.c
+# In the order of FUZZ_TARGET in fuzz-input.c, fuzz-calls.c, fuzz-platform.c.
+input_names="document list settings account manifest xdr delta"
+call_names="ticket stream refusal"
 platform_names="operator servers report origin events"
 flags="-std=gnu11 -g -O1 -fsanitize=fuzzer-no-link,address,undefined -I.
 -Wno-deprecated-declarations $(pkg-config --cflags $packages)"
-rm -rf build/fuzz/corpus # the same start every time
+rm -rf build/fuzz/corpus # runs must not depend on earlier ones
 mkdir -p build/fuzz
 
 sources=$(ls base/*.c net/*.c config/*.c member/*.c weights/manifest.c \
@@ -60,20 +60,20 @@
 	esac
 }
 
-number=0
-file=t/helper/fuzz-input.c
-for name in $names calls: $call_names platform: $platform_names; do
+# Names that end in ":" select the source file of the targets that follow.
+for name in input: $input_names calls: $call_names \
+	platform: $platform_names; do
 	case "$name" in
 	*:)
-		number=0
+		target=0
 		file=t/helper/fuzz-${name%:}.c
 		continue ;;
 	esac
-	number=$((number + 1))
+	target=$((target + 1))
 	mkdir -p "build/fuzz/corpus/$name"
 	seed_corpus "$name" >"build/fuzz/corpus/$name/seed"
 	clang $flags -fsanitize=fuzzer,address,undefined \
-		-DFUZZ_TARGET=$number -o "build/fuzz/$name" \
+		-DFUZZ_TARGET=$target -o "build/fuzz/$name" \
 		$file $objects \
 		$(pkg-config --libs $packages) -lm -lpthread || exit 1
 	(cd build/fuzz && ./$name -seed=1 -runs="$runs" -max_len=4096 \
@@ -84,5 +84,5 @@
 		echo "fuzz: $name failed"
 		exit 1
 	}
-	echo "fuzz: $name, $runs runs, no fault"
+	echo "fuzz: $name: $runs runs without a crash"
 done
--- a/t/lib-control.sh
+++ b/t/lib-control.sh
@@ -1,9 +1,9 @@
-# Sourced after t/test-lib.sh and t/fleet-lib.sh by the tests of
-# configuration and membership.  Their processes are control-node, which
-# carries these two components and nothing else.
+# Library for the tests of configuration and membership; sourced after
+# t/test-lib.sh and t/fleet-lib.sh.  Starts control-node processes, which run
+# only these two components.
 
-# Processes started inside a case belong to its subshell; their ids are
-# known by the files only.
+# control_stop_all: kills all processes by their pid files; the shell does not
+# know processes that were started in the subshell of a test case.
 control_stop_all () {
 	cat ./*.pid 2>/dev/null | while read -r control_pid; do
 		kill -CONT "$control_pid" 2>/dev/null
@@ -24,7 +24,8 @@
 	start "$1" control-node "$2" --settings "$1.json"
 }
 
-# control_add NAME ROLE DATA_CENTER ADDRESS: the same, and listed.
+# control_add NAME ROLE DATA_CENTER ADDRESS: like control_start, and adds the
+# instance to the instance list.
 control_add () {
 	if test "$2" = agent; then
 		instance_add "$1" agent "$3" "$4" "$1"
@@ -34,12 +35,12 @@
 	control_start "$@"
 }
 
-# control_kill NAME: kills it at once.
+# control_kill NAME: sends SIGKILL to a process.
 control_kill () {
 	kill -KILL "$(cat "$1.pid")"
 }
 
-# document REVISION [CONCURRENT]: a small valid document.
+# document REVISION [CONCURRENT]: prints a small valid document.
 document () {
 	printf '{"revision":%d,"fleet":{"budget":{"concurrent":%d}},"accounts":[{"account":"adubo","services":[{"name":"billing","upstreams":["*"],"operations":[{"name":"charge"}]}]}]}' \
 		"$1" "${2:-100}"
@@ -54,37 +55,40 @@
 	curl -s -m 2 "http://$1:7102/status"
 }
 
-# revision ADDRESS: the revision in force there, 0 for none.
+# revision ADDRESS: prints the revision in force at ADDRESS, 0 for none.
 revision () {
 	status "$1" | jq .config.revision
 }
 
-# revision_is N ADDRESS...
+# revision_is REVISION ADDRESS...: succeeds if REVISION is in force at each
+# address.
 revision_is () {
-	is_wanted=$1
+	is_revision=$1
 	shift
 	for is_address; do
-		test "$(revision "$is_address")" = "$is_wanted" || return 1
+		test "$(revision "$is_address")" = "$is_revision" || return 1
 	done
 }
 
-# sees ADDRESS ID: the state of ID as seen at ADDRESS.
-sees () {
+# member_state ADDRESS ID: prints the state of instance ID at ADDRESS.
+member_state () {
 	status "$1" | jq -r --arg id "$2" \
 		'.members.instances[] | select(.id == $id) | .state'
 }
 
-sees_is () {
-	test "$(sees "$1" "$2")" = "$3"
+# member_state_is ADDRESS ID STATE
+member_state_is () {
+	test "$(member_state "$1" "$2")" = "$3"
 }
 
-# sees_all STATE ID ADDRESS...
-sees_all () {
-	seen_state=$1
-	seen_id=$2
+# member_state_is_all STATE ID ADDRESS...: succeeds if instance ID has that
+# state at each address.
+member_state_is_all () {
+	all_state=$1
+	all_id=$2
 	shift 2
-	for seen_at; do
-		sees_is "$seen_at" "$seen_id" "$seen_state" || return 1
+	for all_address; do
+		member_state_is "$all_address" "$all_id" "$all_state" || return 1
 	done
 }
 
@@ -97,6 +101,8 @@
 	curl -s -f -X POST -d "$1" $PLATFORM_URL/standin/fault >/dev/null
 }
 
+# cut_off ADDRESS [PREFIX...]: partitions the process at ADDRESS from all
+# addresses that start with a prefix; without a prefix, ends the partition.
 cut_off () {
 	cut_address=$1
 	shift
@@ -105,10 +111,11 @@
 		"http://$cut_address:7102/cut" >/dev/null
 }
 
-# never_lower ADDRESS...: the changes that each process lists rise.
-never_lower () {
-	for lower_address; do
-		status "$lower_address" | jq -e '.config.changes |
+# revisions_increase ADDRESS...: succeeds if the revisions that each process
+# had in force are strictly increasing.
+revisions_increase () {
+	for increase_address; do
+		status "$increase_address" | jq -e '.config.changes |
 			map(.revision) | . == (sort | unique)' >/dev/null ||
 			return 1
 	done
--- a/t/run-tests.sh
+++ b/t/run-tests.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Runs every numbered test and sums up.  TESTS="t/t0100-*.sh" narrows the
-# run.  Prints each script's failures and one closing line.
+# Runs all numbered tests, or those named in TESTS (TESTS="t/t0100-*.sh").
+# Prints the result and the failures of each script and a total.
 
 cd "$(dirname "$0")/.." || exit 1
 FLAVOR=${FLAVOR:-release}
@@ -17,7 +17,7 @@
 	bad=$(grep -c '^not ok ' "t/output/$FLAVOR/$name.tap")
 	if test $bad = 0 && { test $status != 0 || test "$ok" = 0; }; then
 		bad=1
-		echo "not ok - $name ended with status $status" \
+		echo "not ok - $name exited with status $status" \
 			>>"t/output/$FLAVOR/$name.tap"
 	fi
 	red=$((red + $(grep -c '# KNOWN-RED' "t/output/$FLAVOR/$name.tap")))
@@ -27,6 +27,6 @@
 	grep -h '# KNOWN-RED' "t/output/$FLAVOR/$name.tap"
 	test $bad = 0 || grep -A40 '^not ok' "t/output/$FLAVOR/$name.tap"
 done
-test $red = 0 || echo "known red: $red (see KNOWN-RED.txt)"
+test $red = 0 || echo "$red known failures (see KNOWN-RED.txt)"
 echo "$passed passed, $failed failed"
 test $failed = 0
--- a/t/t0005-standin.sh
+++ b/t/t0005-standin.sh
@@ -31,7 +31,7 @@
 wait_until 5 curl -sf $third/standin/counts
 wait_until 5 curl -sf $plain/standin/runs
 
-# fetch CURL-ARGUMENT...: prints the status; the body goes to the file body.
+# fetch CURL-ARGUMENT...: prints the status and writes the body to file body.
 fetch () {
 	curl -s -o body -w '%{http_code}' "$@"
 }
@@ -41,11 +41,11 @@
 	test "$(fetch -d "$2" $1/standin/fault)" = 204
 }
 
-# elapsed_ms COMMAND...: runs it and prints the time that it took.
+# elapsed_ms COMMAND...: runs a command and prints its run time.
 elapsed_ms () {
-	elapsed_from=$(date +%s%N)
+	elapsed_start=$(date +%s%N)
 	"$@" >/dev/null
-	echo $((($(date +%s%N) - elapsed_from) / 1000000))
+	echo $((($(date +%s%N) - elapsed_start) / 1000000))
 }
 
 # stage URL CHUNK DIGEST
@@ -53,7 +53,7 @@
 	test "$(fetch -T $2 $1/staging/chunks/$3)" = 201
 }
 
-# order URL VERSION FENCE DIGEST...: prints the status of a load order.
+# order URL VERSION FENCE DIGEST...: sends a load order and prints the status.
 order () {
 	order_url=$1 order_version=$2 order_fence=$3
 	shift 3
@@ -63,18 +63,18 @@
 	fetch -d @order $order_url/orders
 }
 
-# token CONTENT PROMPT INDEX: the token that the contract names.
+# token CONTENT PROMPT INDEX: prints the token that an engine must generate.
 token () {
 	printf '%s|%s|%d' "$1" "$2" "$3" | sha256sum | cut -c1-8
 }
 
-# generate URL ID JSON: extra members of the request in JSON.
+# generate URL ID JSON: sends a generate request with the members in JSON.
 generate () {
 	curl -s -N -m ${limit:-20} -H "X-Request-Id: $2" $1/v1/generate -d "$(jq -nc \
 		--argjson e "$3" '{model: "quotes", prompt: "hi"} + $e')"
 }
 
-test_expect_success 'platform: a held call ends with a new revision' '
+test_expect_success 'platform: a long poll ends with a new revision' '
 	test $(fetch $platform/config) = 404 &&
 	echo "{\"revision\":3}" >config &&
 	test $(fetch -T config $platform/standin/config) = 204 &&
@@ -87,13 +87,13 @@
 	wait
 '
 
-test_expect_success 'platform: a held call ends when its time is over' '
-	took=$(elapsed_ms fetch "$platform/config?after=4&wait=1") &&
-	test $took -ge 1000 && test $took -lt 3000 &&
+test_expect_success 'platform: a long poll times out' '
+	time_ms=$(elapsed_ms fetch "$platform/config?after=4&wait=1") &&
+	test $time_ms -ge 1000 && test $time_ms -lt 3000 &&
 	test $(fetch "$platform/config?after=4&wait=0") = 304
 '
 
-test_expect_success 'platform: stale, half, flapping and down' '
+test_expect_success 'platform: faults stale, half, flap and down' '
 	fault $platform "{\"config\":\"stale\"}" &&
 	fetch $platform/config && test "$(jq .revision body)" = 3 &&
 	fault $platform "{\"config\":\"half\"}" &&
@@ -101,28 +101,28 @@
 	fault $platform "{\"config\":\"flap\"}" &&
 	for i in 1 2 3 4; do
 		fetch $platform/config >/dev/null && jq .revision body
-	done | sort | uniq -c | tr -s " " >seen &&
-	printf " 2 3\n 2 4\n" | test_cmp - seen &&
+	done | sort | uniq -c | tr -s " " >revisions &&
+	printf " 2 3\n 2 4\n" | test_cmp - revisions &&
 	fault $platform "{\"config\":\"down\"}" &&
 	test "$(fetch $platform/config || :)" = 000 &&
 	fault $platform "{\"config\":\"ok\"}" &&
 	test $(fetch $platform/config) = 200
 '
 
-test_expect_success 'platform: the list lags and calls are counted' '
+test_expect_success 'platform: list lag and call counts' '
 	fault $platform "{\"list_lag_ms\":500}" &&
 	echo "[{\"id\":\"agent-a1\"}]" >list &&
 	fetch -T list $platform/standin/instances &&
 	fetch $platform/instances && test "$(jq .version body)" = 0 &&
-	took=$(elapsed_ms fetch "$platform/instances?after=0&wait=9") &&
-	test $took -ge 300 && test $took -lt 3000 &&
+	time_ms=$(elapsed_ms fetch "$platform/instances?after=0&wait=9") &&
+	test $time_ms -ge 300 && test $time_ms -lt 3000 &&
 	test "$(jq -r ".instances[0].id" body)" = agent-a1 &&
 	fetch $platform/standin/counts &&
 	jq -e ".instances == 2 and .calls == .config + 2 and
 		.peak_second >= 2 and .peak_second <= .calls" body
 '
 
-test_expect_success 'store: ranges, whole files and a file that is replaced' '
+test_expect_success 'store: ranges, complete files and a replaced file' '
 	test $(fetch -H "Range: bytes=10-19" $store/weights/m.bin) = 206 &&
 	tail -c +11 files/weights/m.bin | head -c 10 | cmp - body &&
 	test $(fetch $store/manifests/d1) = 200 &&
@@ -133,43 +133,44 @@
 	test $(fetch $store/weights/../../order) = 404
 '
 
-test_expect_success 'store: one rate over all connections' '
-	both () {
+test_expect_success 'store: the rate limit covers all connections' '
+	fetch_twice () {
 		curl -s -o copy1 $store/weights/m.bin &
 		curl -s -o copy2 $store/weights/m.bin && wait
 	}
-	took=$(elapsed_ms both) &&
+	time_ms=$(elapsed_ms fetch_twice) &&
 	cmp copy1 files/weights/m.bin && cmp copy2 files/weights/m.bin &&
-	test $took -gt 700 && test $took -lt 2500
+	test $time_ms -gt 700 && test $time_ms -lt 2500
 '
 
-test_expect_success 'store: refuses, fails, cuts and corrupts' '
+test_expect_success 'store: faults 429, 500, short, stall and corrupt' '
 	url=$store/weights/m.bin range="Range: bytes=0-999" &&
 	fault $store "{\"mode\":\"429\",\"retry_after\":7}" &&
 	curl -s -D headers -o body $url && grep -i "^Retry-After: 7" headers &&
 	fault $store "{\"mode\":\"500\"}" && test $(fetch $url) = 500 &&
 	fault $store "{\"mode\":\"short\"}" &&
-	test "$(fetch -H "$range" $url || echo " cut")" = "206 cut" &&
+	test "$(fetch -H "$range" $url || echo " failed")" = "206 failed" &&
 	test $(wc -c <body) = 500 &&
 	fault $store "{\"mode\":\"stall\"}" &&
-	test "$(fetch -m 1 -H "$range" $url || echo " cut")" = "206 cut" &&
+	test "$(fetch -m 1 -H "$range" $url || echo " failed")" = "206 failed" &&
 	test $(wc -c <body) = 500 &&
 	fault $store "{\"mode\":\"corrupt\"}" &&
 	test $(fetch -H "$range" $url) = 206 && test $(wc -c <body) = 1000 &&
 	! head -c 1000 files/weights/m.bin | cmp -s - body
 '
 
-test_expect_success 'store: a fault hits its share of the answers' '
+test_expect_success 'store: a fault affects its share of the responses' '
 	fault $store "{\"mode\":\"500\",\"share\":0.25}" &&
 	for i in $(seq 200); do fetch $store/manifests/d1; echo; done >codes &&
-	hit=$(grep -c 500 codes) && test $hit -gt 25 && test $hit -lt 75 &&
+	failed=$(grep -c 500 codes) &&
+	test $failed -gt 25 && test $failed -lt 75 &&
 	fault $store "{\"mode\":\"ok\"}" &&
 	fetch --interface $TEST_NET.99 $store/manifests/d1 &&
 	fetch $store/standin/counts &&
 	jq -e ".by_client[\"$TEST_NET.99\"] == 8" body
 '
 
-test_expect_success 'engine: staging within its limit' '
+test_expect_success 'engine: staging memory is limited' '
 	stage $engine chunk1 $digest1 && stage $engine chunk2 $digest2 &&
 	fetch $engine/staging/chunks/$digest1 && cmp body chunk1 &&
 	test $(fetch $second/staging/chunks/$digest1) = 404 &&
@@ -179,7 +180,7 @@
 	       (.chunks | length) == 2" body
 '
 
-test_expect_success 'engine: orders, fences and what runs' '
+test_expect_success 'engine: orders, fencing and loaded models' '
 	test $(order $engine v1 5 $digest1 $digest2) = 200 &&
 	test $(order $engine v0 4 $digest1) = 409 &&
 	test $(order $second v1 5 $digest1) = 422 &&
@@ -195,7 +196,7 @@
 	fault $engine "{\"mode\":\"ok\"}"
 '
 
-test_expect_success 'engine: tokens come from the bytes it was given' '
+test_expect_success 'engine: tokens depend on the staged bytes' '
 	generate $engine r1 "{\"max_tokens\":2}" >answer &&
 	jq -e ".id == \"r1\" and .done and .version == \"v1\" and
 		.content == \"$content\" and .tokens ==
@@ -210,7 +211,7 @@
 		.tokens == [\"$(token $wrong hi 0)\"]" answer
 '
 
-test_expect_success 'engine: a stream, also from its middle' '
+test_expect_success 'engine: a stream resumed at an index' '
 	generate $engine r3 "{\"max_tokens\":3,\"stream\":true,
 		\"resume_from\":1}" >stream &&
 	cat >expected <<-EOT &&
@@ -224,16 +225,16 @@
 	test_cmp expected stream
 '
 
-test_expect_success 'engine: one slot goes to the highest priority' '
-	rm -f order-of-end &&
+test_expect_success 'engine: a free slot goes to the lowest priority number' '
+	rm -f completed &&
 	for p in 9 9 0 5; do
 		{ generate $engine p$p "{\"max_tokens\":30,\"priority\":$p}" \
-			>/dev/null; echo $p >>order-of-end; } &
+			>/dev/null; echo $p >>completed; } &
 		sleep 0.1
 	done &&
 	fetch $engine/load && jq -e ".waiting < 3 and .slots == 1" body &&
 	wait &&
-	test "$(echo $(cat order-of-end))" = "9 0 5 9"
+	test "$(echo $(cat completed))" = "9 0 5 9"
 '
 
 test_expect_success 'engine: load reports lag' '
@@ -244,13 +245,14 @@
 	wait
 '
 
-test_expect_success 'engine: a cancelled stream is cut' '
+test_expect_success 'engine: a cancelled stream is truncated' '
 	{ { generate $engine r5 "{\"max_tokens\":1000,\"stream\":true}" \
-		>stream || echo $? >cut; } & } &&
+		>stream || echo $? >curl-status; } & } &&
 	sleep 0.3 &&
 	fetch -d "{\"id\":\"r5\"}" $engine/v1/cancel &&
 	jq -e .cancelled body && wait &&
-	test $(cat cut) = 18 && ! grep done stream && grep "\"index\":1" stream
+	test $(cat curl-status) = 18 &&
+	! grep done stream && grep "\"index\":1" stream
 '
 
 test_expect_success 'engine: cache events with gaps, KV export and import' '
@@ -269,18 +271,18 @@
 	test $(fetch $engine/kv/absent) = 404
 '
 
-test_expect_success 'engine: silent connections, new ones work' '
+test_expect_success 'engine: open connections are blackholed, new ones work' '
 	{ { limit=2 generate $engine r7 "{\"max_tokens\":100,
-		\"stream\":true}" >stream || echo $? >ended; } & } &&
+		\"stream\":true}" >stream || echo $? >blackhole-status; } & } &&
 	sleep 0.3 &&
 	fault $second "{\"mode\":\"blackhole\",\"address\":\"$TEST_NET.11\"}" &&
 	sleep 0.1 && cp stream before && sleep 0.3 &&
-	cmp stream before && test -s before && ! test -f ended &&
+	cmp stream before && test -s before && ! test -f blackhole-status &&
 	test $(fetch $engine/running) = 200 &&
-	wait && test $(cat ended) = 28
+	wait && test $(cat blackhole-status) = 28
 '
 
-test_expect_success 'engine: a request that crashes it' '
+test_expect_success 'engine: a request crashes it' '
 	fetch $engine/running && jq -r .boot body >boot &&
 	{ generate $engine r8 "{\"prompt\":\"a @crash\"}" && return 1; }
 	test "$(fetch $engine/running || :)" = 000 &&
@@ -292,7 +294,7 @@
 	jq -e ".runs.r1 == 1 and .runs.r8 == 1 and .runs.p5 == 1" body
 '
 
-test_expect_success 'engine: a load that crashes it' '
+test_expect_success 'engine: a load order crashes it' '
 	fault $second "{\"mode\":\"crash-on-load\",
 		\"address\":\"$TEST_NET.12\"}" &&
 	test "$(order $second v3 20 $digest2 || :)" = 000 &&
@@ -302,9 +304,9 @@
 
 test_expect_success 'plain: runs are counted by key and by request' '
 	for id in a b; do
-		took=$(elapsed_ms curl -s -o body -H "X-Request-Id: $id" \
+		time_ms=$(elapsed_ms curl -s -o body -H "X-Request-Id: $id" \
 			-H "X-Idempotency-Key: k1" -d "{\"n\":1}" $plain/charge)
-		test $took -ge 100 || return 1
+		test $time_ms -ge 100 || return 1
 	done &&
 	jq -e ". == {id: \"b\", operation: \"charge\", key: \"k1\", run: 2,
 		echo: {n: 1}}" body &&
@@ -312,7 +314,7 @@
 	jq -e ". == {runs: {k1: 2}, requests: {a: 1, b: 1}}" body
 '
 
-test_expect_success 'plain: fails without a run, hangs and crashes with one' '
+test_expect_success 'plain: fault 500 counts no run, hang and crash count one' '
 	key="X-Idempotency-Key" &&
 	fault $plain "{\"mode\":\"500\"}" &&
 	test $(fetch -H "$key: k2" -d 1 $plain/charge) = 500 &&
@@ -326,7 +328,7 @@
 	jq -e ".runs == {k1: 2, k3: 1, k4: 1}" body
 '
 
-test_expect_success 'caller: whole answers of both kinds, judged by history' '
+test_expect_success 'caller: answers of both kinds pass the history check' '
 	for n in 12 13; do
 		stage http://$TEST_NET.$n:7200 chunk1 $digest1 &&
 		stage http://$TEST_NET.$n:7200 chunk2 $digest2 &&
@@ -346,16 +348,16 @@
 		--plain-runs plain-runs models.jsonl plain.jsonl
 '
 
-test_expect_success 'caller: finds an answer of other weights' '
-	caught=0 &&
+test_expect_success 'caller: detects answers of other weights' '
+	caller_status=0 &&
 	caller --direct --entry $TEST_NET.12 --calls 5 --tokens 3 --seed 9 \
 		--content v9=$digest1 --history bad.jsonl >summary ||
-		caught=$? &&
-	test $caught = 1 && jq -e ".violations == 5" summary &&
+		caller_status=$? &&
+	test $caller_status = 1 && jq -e ".violations == 5" summary &&
 	jq -e ".mixed and (.whole | not)" bad.jsonl
 '
 
-test_expect_success 'all end at once on SIGTERM' '
+test_expect_success 'all exit within 2 s of SIGTERM' '
 	for name in platform store engine plain; do
 		kill -TERM $(cat $name.pid) || return 1
 	done &&
--- a/t/t0210-config-spread.sh
+++ b/t/t0210-config-spread.sh
@@ -198,7 +198,7 @@
 	answering >survivors &&
 	test $(wc -l <survivors) = 6 &&
 	wait_until 6 revision_is 12 $(cat survivors) &&
-	never_lower $(cat survivors)
+	revisions_increase $(cat survivors)
 '
 
 test_expect_success 'other processes watch while the watchers are paused' '
@@ -212,7 +212,7 @@
 	wait_until 8 revision_is 13 $(cat running) &&
 	kill -CONT $(cat stopped) &&
 	wait_until 8 revision_is 13 $(cat survivors) &&
-	never_lower $(cat survivors)
+	revisions_increase $(cat survivors)
 '
 
 test_done
--- a/t/t0310-member-fleet.sh
+++ b/t/t0310-member-fleet.sh
@@ -83,26 +83,26 @@
 
 test_expect_success 'a crash is detected within 3 s in its data centre' '
 	control_kill a1 &&
-	wait_until 3 sees_all dead a1 $ENTRY_1 $ENTRY_2 $AGENT_2 $AGENT_3 &&
-	wait_until 5 sees_all dead a1 $FAR_ENTRY $FAR_AGENT &&
+	wait_until 3 member_state_is_all dead a1 $ENTRY_1 $ENTRY_2 $AGENT_2 $AGENT_3 &&
+	wait_until 5 member_state_is_all dead a1 $FAR_ENTRY $FAR_AGENT &&
 	! report $ENTRY_1 a1 .
 '
 
 test_expect_success 'a list with a dead instance as live changes nothing' '
 	instance_add late agent dc1 $N1.99 &&
 	fleet_publish_instances &&
-	wait_until 5 sees $ENTRY_1 late &&
+	wait_until 5 member_state $ENTRY_1 late &&
 	sleep 1 &&
-	sees_all dead a1 $ENTRY_1 $ENTRY_2
+	member_state_is_all dead a1 $ENTRY_1 $ENTRY_2
 '
 
 test_expect_success 'a listed instance that never started becomes dead' '
-	wait_until 5 sees_all dead late $ENTRY_1 $ENTRY_2
+	wait_until 5 member_state_is_all dead late $ENTRY_1 $ENTRY_2
 '
 
 test_expect_success 'a restarted instance is live with its new boot' '
 	control_start a1 agent dc1 $AGENT_1 &&
-	wait_until 5 sees_all live a1 $ENTRY_1 $ENTRY_2 $AGENT_2 &&
+	wait_until 5 member_state_is_all live a1 $ENTRY_1 $ENTRY_2 $AGENT_2 &&
 	wait_until 3 reported $ENTRY_1 a1
 '
 
@@ -115,7 +115,7 @@
 		\".members.instances[] | select(.id == \\\"a2\\\") |
 		.listed | not\"" &&
 	sleep 2 &&
-	sees_all live a2 $ENTRY_1 $ENTRY_2 &&
+	member_state_is_all live a2 $ENTRY_1 $ENTRY_2 &&
 	reported $ENTRY_1 a2 &&
 	cp all.rows instances.rows &&
 	fleet_publish_instances
@@ -127,25 +127,25 @@
 		curl -s \$e:7102/status; done | jq -s -e \
 		\"[.[].members.upstreams[] | select(.instance == \\\"a2\\\") |
 		.draining] | length <= 2 and all\"" &&
-	wait_until 2 sees_all leaving a2 $ENTRY_1 $ENTRY_2 $AGENT_1
+	wait_until 2 member_state_is_all leaving a2 $ENTRY_1 $ENTRY_2 $AGENT_1
 '
 
 test_expect_success 'draining takes precedence over live in the list' '
 	instance_add later agent dc2 $N2.99 &&
 	fleet_publish_instances &&
-	wait_until 5 sees $ENTRY_1 later &&
+	wait_until 5 member_state $ENTRY_1 later &&
 	sleep 1 &&
-	sees_all leaving a2 $ENTRY_1 $ENTRY_2
+	member_state_is_all leaving a2 $ENTRY_1 $ENTRY_2
 '
 
 test_expect_success 'another instance at the address of a dead one' '
 	control_kill a2 &&
-	wait_until 3 sees_all dead a2 $ENTRY_1 $ENTRY_2 &&
+	wait_until 3 member_state_is_all dead a2 $ENTRY_1 $ENTRY_2 &&
 	control_add c2 agent dc1 $AGENT_2 &&
 	fleet_publish_instances &&
-	wait_until 8 sees_all live c2 $ENTRY_1 $ENTRY_2 $AGENT_1 &&
+	wait_until 8 member_state_is_all live c2 $ENTRY_1 $ENTRY_2 $AGENT_1 &&
 	wait_until 5 reported $ENTRY_1 c2 &&
-	sees_all dead a2 $ENTRY_1 $ENTRY_2
+	member_state_is_all dead a2 $ENTRY_1 $ENTRY_2
 '
 
 test_expect_success 'processes paused for 5 s mark no instance dead' '
@@ -156,18 +156,18 @@
 	sleep 4 &&
 	deaths >after &&
 	test_cmp before after &&
-	sees_all live c2 $ENTRY_1 &&
-	sees_all live a1 $ENTRY_1 $ENTRY_2 &&
-	sees_all live e1 $ENTRY_2 $AGENT_1 &&
+	member_state_is_all live c2 $ENTRY_1 &&
+	member_state_is_all live a1 $ENTRY_1 $ENTRY_2 &&
+	member_state_is_all live e1 $ENTRY_2 $AGENT_1 &&
 	reported $ENTRY_1 c2
 '
 
 test_expect_success 'partitioned instances reconnect after the partition' '
 	cut_off $ENTRY_1 $AGENT_1 &&
 	cut_off $AGENT_1 $ENTRY_1 &&
-	wait_until 5 sees_is $ENTRY_1 a1 dead &&
+	wait_until 5 member_state_is $ENTRY_1 a1 dead &&
 	cut_off $ENTRY_1 "" && cut_off $AGENT_1 "" &&
-	wait_until 8 sees_all live a1 $ENTRY_1 $ENTRY_2 &&
+	wait_until 8 member_state_is_all live a1 $ENTRY_1 $ENTRY_2 &&
 	wait_until 3 reported $ENTRY_1 a1
 '
 
@@ -203,7 +203,7 @@
 		ASAN_OPTIONS=verify_asan_link_order=0 control-node agent --settings c2.json &&
 	publish 2 &&
 	wait_until 6 revision_is 2 $AGENT_2 $ENTRY_1 &&
-	wait_until 6 sees_all live c2 $ENTRY_1 $ENTRY_2 &&
+	wait_until 6 member_state_is_all live c2 $ENTRY_1 $ENTRY_2 &&
 	wait_until 3 reported $ENTRY_1 c2 &&
 	at=$(status $AGENT_2 | jq ".config.changes[-1].at_ms") &&
 	test $(($(date +%s000) - at)) -gt 3000000
--- a/t/t0901-silent-engine.sh
+++ b/t/t0901-silent-engine.sh
@@ -1,6 +1,9 @@
 #!/bin/sh
 
-test_description='an engine whose open connections went silent holds nobody up'
+test_description='an engine with blackholed connections does not block a rollout
+
+Guards against a rollout in which healthy agents wait for one whose engine
+has stopped answering on its open connections.'
 
 . "$(dirname "$0")/test-lib.sh"
 SIZE=2097152
@@ -36,18 +39,18 @@
 done
 fleet_publish_instances
 
-test_expect_success 'version 1 is whole on 3 upstreams' '
+test_expect_success '3 upstreams serve version 1' '
 	document 1 $digest1 &&
 	wait_until 30 serving_all 3 quotes $digest1 $AGENTS
 '
 
-test_expect_success 'the others load version 2 while one engine is silent' '
+test_expect_success 'the others load version 2 while one engine is blackholed' '
 	fault blackhole &&
 	document 2 $digest2 &&
 	wait_until 30 serving_all 2 quotes $digest2 $net.11 $net.13
 '
 
-test_expect_success 'the silent one follows once new connections work' '
+test_expect_success 'the blackholed one follows over new connections' '
 	fault ok &&
 	wait_until 30 serving_all 3 quotes $digest2 $AGENTS
 '
--- a/t/t0902-graceful-stop.sh
+++ b/t/t0902-graceful-stop.sh
@@ -1,6 +1,9 @@
 #!/bin/sh
 
-test_description='a graceful stop of every entry and agent in turn cuts nothing'
+test_description='a rolling restart of entries and agents interrupts no call
+
+Guards against calls that are in flight at an entry or agent being cut when
+it is stopped with SIGTERM.'
 . "$(dirname "$0")/test-lib.sh"
 ENGINE_OPTIONS='--fencing --slots 64 --token-ms 20'
 . "$TEST_DIR/fleet-lib.sh"
@@ -38,25 +41,26 @@
 	wait_until 30 routes_all
 '
 
-# turn NAME PROGRAM [NAME PROGRAM]: ends and starts these, then waits until
-# they take calls again.
-turn () {
+# restart NAME PROGRAM [NAME PROGRAM]: restarts one or two processes and waits
+# until all upstreams can be routed to again.
+restart () {
 	{ test $# -lt 3 || fleet_restart $3 $4 TERM; } &
-	turn_second=$!
+	restart_pid=$!
 	fleet_restart $1 $2 TERM
-	wait $turn_second
-	wait_until 30 routes_all || echo "$* did not come back"
+	wait $restart_pid
+	wait_until 30 routes_all || echo "not all routes are back after: $*"
 }
 
 rolling_restart () {
-	turn p-1 limpet-agent e-1 limpet-entry
-	turn m-1 limpet-agent e-2 limpet-entry
-	turn p-2 limpet-agent e-3 limpet-entry
-	turn m-2 limpet-agent
-	touch rolled
+	restart p-1 limpet-agent e-1 limpet-entry
+	restart m-1 limpet-agent e-2 limpet-entry
+	restart p-2 limpet-agent e-3 limpet-entry
+	restart m-2 limpet-agent
+	touch restarted
 }
 
-# The load goes on in rounds until the last one has come back.
+# load_rounds: runs the load in rounds of 3 s until the rolling restart is
+# complete, at most 20 times.
 load_rounds () {
 	content=$(sha256sum <m.bin | cut -d" " -f1)
 	for round in $(seq 1 20); do
@@ -69,16 +73,16 @@
 			--attempts 30 --repeat-ms 300 --repeat-not-run \
 			--timeout-ms 20000 --history round$round.jsonl \
 			>round$round.json
-		test ! -f rolled || break
+		test ! -f restarted || break
 	done
 }
 
-test_expect_success 'each is ended and started anew under load' '
-	rolling_restart >rolling.log 2>&1 &
+test_expect_success 'each process is restarted under load' '
+	rolling_restart >restart.log 2>&1 &
 	load_rounds
 	wait
-	cat rolling.log
-	test -f rolled && test ! -s rolling.log &&
+	cat restart.log
+	test -f restarted && test ! -s restart.log &&
 	cat round*.jsonl >history.jsonl &&
 	curl -s http://$CALLS_NET.31:7200/standin/runs >engine-runs.json &&
 	curl -s http://$CALLS_NET.41:7200/standin/runs >plain-runs.json &&
@@ -87,16 +91,17 @@
 		history.jsonl
 '
 
-# Refused, or never sent as nothing listened: neither was in flight.
-test_expect_success 'no call in flight was cut, each was answered' '
+# An attempt that was refused or could not connect was not in flight.
+test_expect_success 'no attempt in flight was interrupted, each call was answered' '
 	jq -c "select(.outcome != \"answer\" or any(.earlier[]?;
 		.outcome != \"not-run\" and
-		(.outcome != \"error\" or .status != 0)))" history.jsonl >cut &&
-	head -5 cut && test ! -s cut &&
+		(.outcome != \"error\" or .status != 0)))" history.jsonl \
+		>interrupted &&
+	head -5 interrupted && test ! -s interrupted &&
 	test "$(wc -l <history.jsonl)" -gt 300
 '
 
-test_expect_success 'and refused calls did not run there' '
+test_expect_success 'some attempts were refused or could not connect' '
 	jq -s -e "any(.[]; any(.earlier[]?; .outcome == \"not-run\" or
 		.status == 0))" history.jsonl
 '
--- a/t/t0903-leaving.sh
+++ b/t/t0903-leaving.sh
@@ -1,9 +1,10 @@
 #!/bin/sh
 
-test_description='a leaving upstream gets nothing new while the list lags
+test_description='a draining upstream gets no new calls while the list lags
 
-The instance list tells of the leaving 10 s late, and one entry sleeps
-through the announcement.'
+Guards against calls to an upstream that is draining.  The instance list
+shows it as leaving only after 10 s, and one entry is stopped while the
+agent announces the drain.'
 
 . "$(dirname "$0")/test-lib.sh"
 ENGINE_OPTIONS='--fencing --slots 64 --token-ms 10'
@@ -20,7 +21,7 @@
 	done
 }
 
-# Each upstream is a process of its own, so its counts are its own.
+# Counts are per process, so each upstream is a process of its own.
 test_expect_success 'a fleet of 3 entries and 4 agents starts' '
 	mkdir store &&
 	model_make m.bin 65536 1 &&
@@ -83,14 +84,14 @@
 	cat calls-1 runs-1
 '
 
-test_expect_success 'after 2 s nothing new reaches their upstreams' '
+test_expect_success 'their upstreams get no new calls after 2 s' '
 	test "$(cat calls-1)" -gt 0 &&
 	test "$(cat runs-1)" -gt 0 &&
 	test "$(calls_at $LEAVING)" = "$(cat calls-1)" &&
 	test "$(plain_runs_at $LEAVING_PLAIN)" = "$(cat runs-1)"
 '
 
-test_expect_success 'the others take it all and no call is lost' '
+test_expect_success 'the others serve the load and every call is answered' '
 	test "$(calls_at $CALLS_NET.32)" -gt $(($(cat calls-2) + 100)) &&
 	jq -e ".violations == 0 and .unknown == 0 and .answers == .calls" \
 		summary.json
--- a/t/t1100-soak.sh
+++ b/t/t1100-soak.sh
@@ -1,21 +1,21 @@
 #!/bin/sh
 
-test_description='a short soak of entries, faults from outside, fixed seeds'
+test_description='short soak test of entries with external faults, fixed seeds'
 
 . "$(dirname "$0")/test-lib.sh"
 
-# Promises with a bound on time are judged by hand runs (docs/testing.md).
+# Invariants with a time limit are checked in manual runs (docs/testing.md).
 soak () {
 	python3 "$TEST_DIR/soak/soak.py" --net "$1" --seed "$2" --seconds 12 \
 		--no-bounds
 }
 
-test_expect_success 'the schedule is the same for a seed' '
-	python3 "$TEST_DIR/soak/soak.py" --net $TEST_NET --seed 7 --print >one &&
-	python3 "$TEST_DIR/soak/soak.py" --net $TEST_NET --seed 7 --print >two &&
-	test -s one && test_cmp one two
+test_expect_success 'the same seed gives the same schedule' '
+	python3 "$TEST_DIR/soak/soak.py" --net $TEST_NET --seed 7 --print >first &&
+	python3 "$TEST_DIR/soak/soak.py" --net $TEST_NET --seed 7 --print >second &&
+	test -s first && test_cmp first second
 '
 
-test_expect_success 'seed 1 keeps its promises' 'soak $TEST_NET 1'
+test_expect_success 'a run with seed 1 has no violation' 'soak $TEST_NET 1'
 
 test_done
--- a/t/test-lib.sh
+++ b/t/test-lib.sh
@@ -1,7 +1,7 @@
-# Sourced by every numbered test.  A test script sets $test_description,
-# sources this file, runs test_expect_success for each case and ends with
-# test_done.  Each script gets a trash folder of its own and a loopback
-# network of its own, $TEST_NET (the first three bytes of an address).
+# Library for all numbered tests.  A test script sets $test_description,
+# sources this file, calls test_expect_success for each case and ends with
+# test_done.  Each script has its own trash directory and its own loopback
+# network $TEST_NET (the first three bytes of an address).
 
 TEST_DIR=$(cd "$(dirname "$0")" && pwd)
 TEST_DIR=${TEST_DIR%/perf}
@@ -13,7 +13,8 @@
 TEST_NAME=$(basename "$0" .sh)
 TRASH=$TOP/t/trash/$FLAVOR/$TEST_NAME
 test_number=$(expr "$TEST_NAME" : '[tp]0*\([0-9]*\)')
-# Checkouts whose tests run at once on one machine need an offset each.
+# Checkouts whose tests run on one machine at the same time need different
+# offsets, so that they don't share addresses.
 test_number=$((test_number + ${TEST_NET_OFFSET:-0}))
 case "$TEST_NAME" in p*) test_number=$((test_number + 20000)) ;; esac
 TEST_NET=127.$((10 + test_number / 250 % 240)).$((1 + test_number % 250))
@@ -26,7 +27,7 @@
 cd "$TRASH" || exit 1
 
 # start NAME COMMAND...: runs COMMAND in the background with its output in
-# NAME.out and NAME.err, remembers its process id in $NAME.pid.
+# NAME.out and NAME.err and its process ID in NAME.pid.
 start () {
 	start_name=$1
 	shift
@@ -34,7 +35,7 @@
 	echo $! >"$start_name.pid"
 }
 
-# pids_alive PID...: succeeds while one of them runs.
+# pids_alive PID...: succeeds if one of the processes exists.
 pids_alive () {
 	for alive_pid; do
 		kill -0 "$alive_pid" 2>/dev/null && return 0
@@ -42,8 +43,9 @@
 	return 1
 }
 
-# stop_all: ends every process that start began, politely at first.  Goes by
-# the files, as a case runs in a subshell, whose variables are lost.
+# stop_all: stops all processes started with "start", with SIGTERM and after
+# 5 s with SIGKILL.  Uses the pid files, as a case runs in a subshell, whose
+# variables are lost.
 stop_all () {
 	stop_pids=$(cat "$TRASH"/*.pid 2>/dev/null)
 	rm -f "$TRASH"/*.pid
@@ -59,7 +61,8 @@
 	wait 2>/dev/null
 }
 
-# wait_until SECONDS COMMAND...: polls COMMAND until it succeeds.
+# wait_until SECONDS COMMAND...: runs COMMAND every 0.1 s until it succeeds;
+# fails after 10 runs per second of time-out.
 wait_until () {
 	wait_tries=$(($1 * 10))
 	shift
@@ -74,7 +77,9 @@
 	diff -u "$1" "$2"
 }
 
-# test_expect_success DESCRIPTION SCRIPT: one case, reported as TAP.
+# test_expect_success DESCRIPTION SCRIPT: runs one test case and reports the
+# result as TAP.  A failure that is listed in KNOWN-RED.txt is reported as ok
+# with the comment KNOWN-RED.
 test_expect_success () {
 	test_count=$((test_count + 1))
 	if (eval "set -e
