t/model: name the model's variables after the gate

Attempts are in flight, reports are reported_not_run, the floor is generation_floor, and a row is marked_not_run, as in calls/gate-table.c. The comment says what NO_MARK, NO_FLOOR and NO_BOOT leave out.

--- a/t/model/run.sh
+++ b/t/model/run.sh
@@ -1,12 +1,12 @@
 #!/bin/sh
-# Checks t/model/ticket.pml, and that each part of the design is needed:
-# without it the checker must find a violation.
+# Checks t/model/ticket.pml with Spin: the complete model must have no
+# violation, and the model without one part of the design must have one.
 
 cd "$(dirname "$0")" || exit 1
 dir=$(mktemp -d) || exit 1
 trap 'rm -rf "$dir"' EXIT
 
-# violations DEFINE...: the number of errors that the checker finds.
+# violations [-DNAME...]: prints the number of errors that Spin finds.
 violations () {
 	(cd "$dir" && rm -f pan* ./*.trail &&
 	 spin "$@" -a "$OLDPWD/ticket.pml" >spin.out 2>&1 &&
@@ -15,13 +15,13 @@
 }
 
 failed=0
-found=$(violations)
+errors=$(violations)
 states=$(sed -n 's/ *\([0-9.e+]*\) states, stored.*/\1/p' "$dir/pan.out")
-echo "ticket: $found violations in $states states"
-test "$found" = 0 || failed=1
+echo "ticket: $errors violations in $states states"
+test "$errors" = 0 || failed=1
 for part in NO_MARK NO_FLOOR NO_BOOT; do
-	found=$(violations -D$part)
-	echo "ticket, $part: $found violations"
-	test "$found" != 0 && test -n "$found" || failed=1
+	errors=$(violations -D$part)
+	echo "ticket, $part: $errors violations"
+	test "$errors" != 0 && test -n "$errors" || failed=1
 done
 exit $failed
--- a/t/model/ticket.pml
+++ b/t/model/ticket.pml
@@ -1,46 +1,47 @@
 /*
- * The gate of one agent and the copies of one call that is bound to it by a
- * ticket.  Copies stay in flight for as long as they like (paused entries,
- * slow networks, a caller that repeats through other entries); the agent
- * may be reborn, evict rows and lose answers at any moment.
+ * Model of the gate of one agent and of the attempts of one call that is
+ * bound to the agent by a ticket.  An attempt may stay in flight for any time
+ * (paused entries, slow networks, a caller that retries through other
+ * entries).  The agent may restart, evict rows and lose answers at any time.
  *
- * Checked: the call runs at most once, and once the caller was told "not
- * run" about a ticket of some generation, no copy with that generation or
- * an earlier one runs.
+ * Checked: the call runs at most once, and after the caller was told "not
+ * run" for a ticket of some generation, no attempt with that generation or an
+ * earlier one runs.
  *
- * Leaving out a part of the design must break that: NO_MARK, NO_FLOOR and
- * NO_BOOT.
+ * With NO_MARK, NO_FLOOR or NO_BOOT defined, a part of the design is left out
+ * and the check must fail: rows are not marked as not run, there is no floor
+ * for the generations of evicted rows, or the boot in the ticket is ignored.
  */
 
 #define BOOTS 2
 #define GENERATIONS 3
-#define COPIES 3 /* in flight at once, for each boot and generation */
-#define SENDS 5	 /* by the caller, in all */
+#define IN_FLIGHT_MAX 3 /* attempts per boot and generation */
+#define ATTEMPTS_MAX 5	/* total, by the caller */
 
-mtype = { absent, running, sent, answered, lost, marked };
+mtype = { absent, running, sent, answered, lost, marked_not_run };
 
 mtype state = absent;
 byte boot = 0;
 byte generation;  /* of the row */
-byte floor_above; /* generations below it were evicted */
-byte flying[BOOTS * GENERATIONS];
+byte generation_floor; /* rows of lower generations were evicted */
+byte in_flight[BOOTS * GENERATIONS];
 byte runs;
 bool ran[GENERATIONS];
-bool told_not_run[GENERATIONS];
-byte ticket_boot, ticket_generation; /* the caller's */
-byte sends;
+bool reported_not_run[GENERATIONS];
+byte ticket_boot, ticket_generation; /* of the caller's ticket */
+byte attempts;
 
-inline tell_not_run(g)
+inline report_not_run(g)
 {
-	told_not_run[g] = true;
+	reported_not_run[g] = true;
 	if
 	:: ticket_generation == g && g + 1 < GENERATIONS ->
 		ticket_generation = g + 1
-	:: skip /* the answer was lost on its way */
+	:: skip /* the reply was lost */
 	fi
 }
 
-/* What gate_admit does with a copy; may_run is its other checks' result. */
+/* What the gate does with an attempt with boot b and generation g. */
 inline admit(b, g)
 {
 	if
@@ -53,16 +54,16 @@
 		if
 		:: state == running || state == sent -> skip /* join */
 		:: state == answered || state == lost -> skip
-		:: state == marked && g <= generation -> tell_not_run(g)
-		:: state == marked && g > generation ->
+		:: state == marked_not_run && g <= generation -> report_not_run(g)
+		:: state == marked_not_run && g > generation ->
 			generation = g;
 			if
 			:: state = running
-			:: tell_not_run(g)
+			:: report_not_run(g)
 			fi
 #ifndef NO_FLOOR
-		:: state == absent && g < floor_above -> skip /* unknown */
-		:: state == absent && g >= floor_above ->
+		:: state == absent && g < generation_floor -> skip /* unknown */
+		:: state == absent && g >= generation_floor ->
 #else
 		:: state == absent ->
 #endif
@@ -71,9 +72,9 @@
 			:: state = running
 			:: /* refused: no time left, draining, paused */
 #ifndef NO_MARK
-				state = marked;
+				state = marked_not_run;
 #endif
-				tell_not_run(g)
+				report_not_run(g)
 			fi
 		fi
 	fi
@@ -87,61 +88,61 @@
 	:: atomic {
 		select (i : 0 .. 5);
 		if
-		:: flying[i] > 0 ->
-			flying[i]--;
+		:: in_flight[i] > 0 ->
+			in_flight[i]--;
 			admit(i / GENERATIONS, i % GENERATIONS)
 		:: else -> skip
 		fi
 	   }
-	:: atomic { state == running -> /* the hand-over */
+	:: atomic { state == running -> /* sent to the upstream */
 		state = sent;
 		runs++;
 		ran[generation] = true
 	   }
-	:: atomic { state == running -> /* proved: never sent */
-		state = marked;
-		tell_not_run(generation)
+	:: atomic { state == running -> /* certainly not sent */
+		state = marked_not_run;
+		report_not_run(generation)
 	   }
 	:: atomic { state == sent -> state = answered }
 	:: atomic { state == sent -> state = lost }
-	:: atomic { state == answered || state == lost || state == marked ->
+	:: atomic { state == answered || state == lost || state == marked_not_run ->
 		if
-		:: generation + 1 > floor_above -> floor_above = generation + 1
+		:: generation + 1 > generation_floor -> generation_floor = generation + 1
 		:: else -> skip
 		fi;
 		state = absent
 	   }
-	:: atomic { boot + 1 < BOOTS -> /* reborn: it remembers nothing */
+	:: atomic { boot + 1 < BOOTS -> /* restart: all state is lost */
 		boot++;
 		state = absent;
 		generation = 0;
-		floor_above = 0
+		generation_floor = 0
 	   }
 	od
 }
 
-/* The caller repeats through any entry, whatever it was told. */
+/* The caller retries through any entry, whatever reply it got. */
 active proctype caller()
 {
 	byte i;
 
 	atomic { ticket_boot = boot }
 end:	do
-	:: atomic { sends < SENDS ->
+	:: atomic { attempts < ATTEMPTS_MAX ->
 		i = ticket_boot * GENERATIONS + ticket_generation;
 		if
-		:: flying[i] < COPIES -> flying[i]++; sends++
+		:: in_flight[i] < IN_FLIGHT_MAX -> in_flight[i]++; attempts++
 		:: else -> skip
 		fi
 	   }
-	:: sends == SENDS -> break
+	:: attempts == ATTEMPTS_MAX -> break
 	od
 }
 
-/* A told not-run must hold from then on. */
+/* A generation both ran and was reported as not run. */
 #define FALSE_NOT_RUN                                                          \
-	(told_not_run[0] && ran[0] || told_not_run[1] && ran[1] ||             \
-	 told_not_run[2] && ran[2])
+	(reported_not_run[0] && ran[0] || reported_not_run[1] && ran[1] ||     \
+	 reported_not_run[2] && ran[2])
 
 never {
 	do
