weights: a time limit for orders by kind of engine

What callers would see: an engine that keeps its old release, or none, for up to two minutes, when the answer to its order is lost. While an order waits for its answer the agent takes in no state and gives no other order.

Cause: one limit of 120 s for all engines. Engines of the product's own interface answer when they have loaded; those of the platform answer at once that they began.

Test: order_without_answer_ends (t0400.2). It can't be built on the code before, which has no such limit to set.

--- a/t/helper/test-engine-order.c
+++ b/t/helper/test-engine-order.c
@@ -13,7 +13,7 @@
 
 /*
  * Tests the order to load a version with an engine that answers each request
- * with 200.
+ * with 200, or none.
  */
 
 #define BLOCKED_US (600 * 1000) /* longer than an order may wait */
@@ -21,7 +21,8 @@
 #define SETTLE_US (100 * 1000)
 
 static int engine_fd, engine_port;
-static int order_count; /* atomic: orders that the engine received */
+static int is_engine_silent; /* atomic */
+static int order_count;	     /* atomic: orders that the engine received */
 
 static int listen_on_loopback(int *port)
 {
@@ -46,6 +47,9 @@
 	while ((fd = accept(engine_fd, NULL, NULL)) >= 0) {
 		if (read(fd, buffer, sizeof(buffer)) > 0) {
 			__atomic_add_fetch(&order_count, 1, __ATOMIC_SEQ_CST);
+			if (__atomic_load_n(&is_engine_silent,
+					    __ATOMIC_SEQ_CST))
+				continue;
 			if (write(fd, answer, sizeof(answer) - 1) < 0)
 				perror("write");
 		}
@@ -131,6 +135,26 @@
 }
 END_TEST
 
+/* The answer may be lost although the engine carries out the order. */
+START_TEST(order_without_answer_ends)
+{
+	struct engine_ops ops = engine_service_ops;
+	struct activation after;
+	struct agent a;
+
+	ops.order_timeout_ms = 200;
+	__atomic_store_n(&is_engine_silent, 1, __ATOMIC_SEQ_CST);
+	start_agent(&a);
+	a.weights.ops = &ops;
+	order(&a);
+	wait_for_order(&a, &after);
+	ck_assert_int_eq(__atomic_load_n(&order_count, __ATOMIC_SEQ_CST), 1);
+	ck_assert_int_eq(after.failures, 1);
+	ck_assert_int_eq(after.is_running_known, 0);
+	stop_agent(&a);
+}
+END_TEST
+
 static int is_blocked; /* atomic */
 
 static void block_event_thread(struct fetch *f)
@@ -227,6 +251,7 @@
 	apr_initialize();
 	tcase_add_checked_fixture(t, start_engine, NULL);
 	tcase_add_test(t, order_reaches_engine);
+	tcase_add_test(t, order_without_answer_ends);
 	tcase_add_test(t, order_that_waited_is_not_sent);
 	tcase_add_test(t, no_calls_after_order_for_replaced_version);
 	tcase_add_test(t, restart_after_refused_connection_is_no_crash);
--- a/weights/engine-ops.h
+++ b/weights/engine-ops.h
@@ -67,6 +67,11 @@
 	void (*make_write_path)(const struct chunk_location *c, char *out);
 
 	const char *order_path;
+	/*
+	 * Time limit of the answer to an order. An engine that answers when it
+	 * has loaded needs more than one that answers when it begins.
+	 */
+	long order_timeout_ms;
 	char *(*make_order_body)(const char *model, uint64_t release,
 				 const char *version, uint64_t fence,
 				 const struct manifest *m);
--- a/weights/engine-service.c
+++ b/weights/engine-service.c
@@ -106,6 +106,7 @@
 	.make_read_path = make_chunk_path,
 	.make_write_path = make_chunk_path,
 	.order_path = "/orders",
+	.order_timeout_ms = 120000,
 	.make_order_body = make_order_body,
 	.classify_order_status = classify_order_status,
 	.has_origin_ranges = 1,
--- a/weights/engine.c
+++ b/weights/engine.c
@@ -15,7 +15,6 @@
 #define STATE_PERIOD_UNLOADED_US (100 * 1000) /* a complete version waits */
 #define STATE_PERIOD_ORDERED_US (20 * 1000)   /* an order runs */
 #define STATE_TIMEOUT_MS 2000
-#define ORDER_TIMEOUT_MS 120000
 /*
  * Time from the decision to order until the first byte is sent.  An order that
  * waited longer, as the process was paused or no connection was made, is not
@@ -216,7 +215,7 @@
 	x->fetch.headers[0] = "Content-Type: application/json";
 	x->fetch.body = x->body;
 	x->fetch.body_size = strlen(x->body);
-	x->fetch.timeout_ms = ORDER_TIMEOUT_MS;
+	x->fetch.timeout_ms = w->ops->order_timeout_ms;
 	x->fetch.send_by = now + ORDER_SEND_TIMEOUT_US;
 	x->fetch.once = 1;
 	m->activation.is_ordering = 1;
