t/perf: reword the benchmarks

Headers say what is measured and what each field of the output means. Names and values in the JSON output are the same.

The header of p0001 named CALLS and SECOND, which the script does not read, and that of limits.py left out two of the columns that "watch" prints.

--- a/t/perf/capacity.py
+++ b/t/perf/capacity.py
@@ -1,8 +1,8 @@
 #!/usr/bin/env python3
-"""Turns the points of p0009-capacity.sh into slopes and the page's table.
+"""Fits lines to the output of p0009-capacity.sh and updates the capacity page.
 
 Usage: capacity.py POINTS.jsonl docs/CAPACITY.md
-Replaces what stands between the two markers of the page.
+Replaces the text between the two markers of the page.
 """
 
 import json
@@ -12,20 +12,20 @@
 BEGIN = "<!-- measured: begin -->"
 END = "<!-- measured: end -->"
 
-# The size named by the users.
+# The fleet size that the users asked for.
 DATA_CENTERS = 10
 ENTRIES = 370
 AGENTS = 600
-CALLS = 3000.0
-EVENTS = 1.3e6
-ANSWER_S = 20.0  # open time of a call: 400 tokens at 50 ms
+CALLS = 3000.0  # per second, in the fleet
+EVENTS = 1.3e6  # per second, in the fleet
+ANSWER_S = 20.0  # duration of a call: 400 tokens at 50 ms
 CPU_LIMIT = 2.4
 BYTES_LIMIT = 18000
 RSS_LIMIT = 256
 
 
 def line_fit(points):
-    """Least squares; returns intercept and slope."""
+    """Returns intercept and slope of a least-squares fit."""
     n = len(points)
     mx = sum(x for x, _ in points) / n
     my = sum(y for _, y in points) / n
@@ -46,9 +46,9 @@
     for (role, cause), points in sorted(rows.items()):
         cells = []
         for field in ("cpu_percent", "control_bytes_per_second", "rss_mb"):
-            a, b = line_fit([(p["x"], p[field]) for p in points])
-            fits[role, cause, field] = (a, b)
-            cells.append(f"{a:.3g} + {b:.3g} x")
+            intercept, slope = line_fit([(p["x"], p[field]) for p in points])
+            fits[role, cause, field] = (intercept, slope)
+            cells.append(f"{intercept:.3g} + {slope:.3g} x")
         xs = ", ".join(f"{p['x']:.4g}" for p in points)
         out.append(f"| {role} | {cause} | {xs} | " + " | ".join(cells) + " |")
     out += ["", *estimate(fits)]
@@ -60,14 +60,17 @@
         file.write(head + BEGIN + "\n" + "\n".join(out) + "\n" + END + tail)
 
 
-def at(fits, role, cause, field, x):
-    """The fit's value at x; a fit that falls says nothing beyond its points,
-    so its intercept stands for the bound."""
-    a, b = fits.get((role, cause, field), (0.0, 0.0))
-    return a + max(b, 0.0) * x
+def estimate_at(fits, role, cause, field, x):
+    """Returns the value of a fit at x.
 
+    A negative slope can't be extrapolated beyond the measured points; the
+    intercept is used as an upper bound instead.
+    """
+    intercept, slope = fits.get((role, cause, field), (0.0, 0.0))
+    return intercept + max(slope, 0.0) * x
 
-def slope(fits, role, cause, field):
+
+def slope_of(fits, role, cause, field):
     return fits.get((role, cause, field), (0.0, 0.0))[1]
 
 
@@ -76,15 +79,16 @@
     out = ["| role at that size | control CPU, % | control, bytes/s "
            "| data CPU, % | memory, MB |", "|---|---|---|---|---|"]
     for role, count in (("entry", ENTRIES), ("agent", AGENTS)):
-        cpu = at(fits, role, "processes", "cpu_percent", size)
-        control = at(fits, role, "processes", "control_bytes_per_second", size)
+        cpu = estimate_at(fits, role, "processes", "cpu_percent", size)
+        control = estimate_at(fits, role, "processes",
+                              "control_bytes_per_second", size)
         calls = CALLS / count
         events = EVENTS / count
-        data = (calls * slope(fits, role, "calls", "cpu_percent") +
-                events * slope(fits, role, "events", "cpu_percent"))
-        rss = (at(fits, role, "processes", "rss_mb", size) +
-               calls * ANSWER_S * max(0.0, slope(fits, role, "streams",
-                                                 "rss_mb")))
+        data = (calls * slope_of(fits, role, "calls", "cpu_percent") +
+                events * slope_of(fits, role, "events", "cpu_percent"))
+        rss = (estimate_at(fits, role, "processes", "rss_mb", size) +
+               calls * ANSWER_S * max(0.0, slope_of(fits, role, "streams",
+                                                    "rss_mb")))
         out.append(f"| {role} (limit) | {cpu:.2f} ({CPU_LIMIT}) "
                    f"| {control:.0f} ({BYTES_LIMIT}) | {data:.1f} "
                    f"| {rss:.0f} ({RSS_LIMIT}) |")
--- a/t/perf/config_spread.py
+++ b/t/perf/config_spread.py
@@ -1,6 +1,7 @@
-"""Measures how configuration spreads; see p0003-config.sh.
+"""Measures the distribution of the configuration; see p0003-config.sh.
 
-Run in the folder of the bench: NAME.json are settings, NAME.pid process ids.
+Runs in the trash directory of the benchmark, which has the settings of each
+instance in NAME.json and its process ID in NAME.pid.
 """
 
 import concurrent.futures
@@ -17,14 +18,16 @@
 PLATFORM = sys.argv[1]
 CHANGES = int(sys.argv[2])
 SECONDS = float(sys.argv[3])
-LONE_CHANGES = 20
-STATED_SECONDS = 2.0
-STATED_SECONDS_KILLED = 6.0
-STATED_CALLS = 30.0
-STATED_BYTES = 18000
-STATED_CPU = 2.4
-STATED_RSS_MB = 256
-TICKS = os.sysconf("SC_CLK_TCK")
+SINGLE_CHANGES = 20
+# Limits that the run must meet; calls and bytes are per second, and the CPU
+# time is in percent of a core.
+LIMIT_SECONDS = 2.0
+LIMIT_SECONDS_KILLED = 6.0
+LIMIT_CALLS = 30.0
+LIMIT_BYTES = 18000
+LIMIT_CPU_PERCENT = 2.4
+LIMIT_RSS_MB = 256
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 1e6
 pool = concurrent.futures.ThreadPoolExecutor(16)
 
@@ -46,11 +49,11 @@
             return r.read().decode()
 
     def usage(self):
-        """Processor seconds, resident MB and control bytes so far."""
+        """Returns CPU seconds, resident MB and control bytes so far."""
         with open("/proc/%d/stat" % self.pid) as f:
             fields = f.read().rsplit(")", 1)[1].split()
         text = self.get("/metrics")
-        moved = sum(
+        control_bytes = sum(
             float(v)
             for v in re.findall(
                 r"^\w*rpc_(?:sent|received)_bytes\S* (\d+)", text, re.M
@@ -62,14 +65,15 @@
                 r'^limpet_rpc_kind_bytes\{label="([^"]+)"\} (\d+)', text, re.M
             )
         }
-        cpu = (int(fields[11]) + int(fields[12])) / TICKS
-        return cpu, int(fields[21]) * PAGE_MB, moved
+        cpu = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+        return cpu, int(fields[21]) * PAGE_MB, control_bytes
 
     def fetch_changes(self):
         self.changes = json.loads(self.get("/config/changes"))
 
 
-def each(processes, method):
+def call_each(processes, method):
+    """Calls a method of all processes in parallel and returns the results."""
     return list(pool.map(lambda p: getattr(p, method)(), processes))
 
 
@@ -95,7 +99,7 @@
         return json.load(r)["calls"]
 
 
-published = {}
+published = {}  # time by revision
 
 
 def publish(revision):
@@ -104,73 +108,84 @@
 
 
 def delays(processes, revisions):
-    """Seconds until each process had each revision or a later one."""
+    """Returns how long each process took to apply each revision.
+
+    Processes may skip a revision for a later one.  Also returns how many of
+    these times are missing, because no such revision was applied.
+    """
     out, missing = [], 0
     for p in processes:
         for revision in revisions:
-            at = [c["at_ms"] for c in p.changes if c["revision"] >= revision]
-            if at:
-                out.append(max(0.0, min(at) / 1e3 - published[revision]))
+            times = [
+                c["at_ms"] for c in p.changes if c["revision"] >= revision
+            ]
+            if times:
+                out.append(max(0.0, min(times) / 1e3 - published[revision]))
             else:
                 missing += 1
     return out, missing
 
 
-def went_back(processes):
-    """Processes whose revisions in force did not rise."""
-    bad = 0
+def count_non_increasing(processes):
+    """Counts the processes whose revisions were not strictly increasing."""
+    count = 0
     for p in processes:
-        seen = [c["revision"] for c in p.changes]
-        bad += seen != sorted(set(seen))
-    return bad
+        revisions = [c["revision"] for c in p.changes]
+        count += revisions != sorted(set(revisions))
+    return count
 
 
-class Window:
-    """What the processes use from its making to its end."""
+class UsageWindow:
+    """Measures the resources that processes use, until end() is called."""
 
     def __init__(self, processes):
         self.processes = processes
-        self.before = each(processes, "usage")
+        self.before = call_each(processes, "usage")
         self.kinds = [p.kinds for p in processes]
         self.calls = platform_calls()
-        self.began = time.time()
+        self.start = time.time()
 
     def end(self):
-        took = time.time() - self.began
-        calls = (platform_calls() - self.calls) / took
-        after = each(self.processes, "usage")
-        cpu = [100 * (b[0] - a[0]) / took for a, b in zip(self.before, after)]
-        moved = [(b[2] - a[2]) / took for a, b in zip(self.before, after)]
+        """Returns platform calls/s and, by process, bytes/s, CPU % and MB."""
+        seconds = time.time() - self.start
+        calls = (platform_calls() - self.calls) / seconds
+        after = call_each(self.processes, "usage")
+        cpu = [
+            100 * (b[0] - a[0]) / seconds for a, b in zip(self.before, after)
+        ]
+        control_bytes = [
+            (b[2] - a[2]) / seconds for a, b in zip(self.before, after)
+        ]
         rss = [b[1] for b in after]
-        top = moved.index(max(moved))
-        then = self.kinds[top]
+        top = control_bytes.index(max(control_bytes))
+        before = self.kinds[top]
         print(
-            "most bytes at %s:" % self.processes[top].name,
+            "most control bytes: %s:" % self.processes[top].name,
             ", ".join(
-                "%s %.0f/s" % (k, (v - then.get(k, 0)) / took)
+                "%s %.0f/s" % (k, (v - before.get(k, 0)) / seconds)
                 for k, v in sorted(self.processes[top].kinds.items())
             ),
             file=sys.stderr,
         )
-        return calls, moved, cpu, rss
+        return calls, control_bytes, cpu, rss
 
 
-def report(label, processes, took, missing, window):
-    calls, moved, cpu, rss = window
+def report(label, processes, seconds, missing, usage):
+    calls, control_bytes, cpu, rss = usage
     line = {
         "bench": "config",
         "run": label,
         "processes": len(processes),
-        "seconds_p50": round(statistics.median(took), 3),
-        "seconds_max": round(max(took), 3),
+        "seconds_p50": round(statistics.median(seconds), 3),
+        "seconds_max": round(max(seconds), 3),
         "platform_calls_per_second": round(calls, 1),
-        "control_bytes_per_second": round(max(moved)),
-        "control_bytes_per_second_mean": round(statistics.mean(moved)),
+        "control_bytes_per_second": round(max(control_bytes)),
+        "control_bytes_per_second_mean": round(statistics.mean(control_bytes)),
         "cpu_percent": round(max(cpu), 2),
         "cpu_percent_mean": round(statistics.mean(cpu), 2),
         "rss_mb": round(max(rss), 1),
         "missing": missing,
-        "went_back": went_back(processes),
+        "went_back": count_non_increasing(processes),
     }
     print(json.dumps(line), flush=True)
 
@@ -178,7 +193,7 @@
 def wait_for(processes, revision, seconds):
     end = time.time() + seconds
     while time.time() < end:
-        each(processes, "fetch_changes")
+        call_each(processes, "fetch_changes")
         if all(
             p.changes and p.changes[-1]["revision"] >= revision
             for p in processes
@@ -188,61 +203,67 @@
     return False
 
 
-def lone(processes):
-    window = Window(processes)
-    for i in range(LONE_CHANGES):
+def run_single_changes(processes):
+    window = UsageWindow(processes)
+    for i in range(SINGLE_CHANGES):
         publish(2 + i)
         time.sleep(2.5)
-    used = window.end()
-    each(processes, "fetch_changes")
-    took, missing = delays(processes, range(2, 2 + LONE_CHANGES))
-    report("lone", processes, took, missing, used)
+    usage = window.end()
+    call_each(processes, "fetch_changes")
+    seconds, missing = delays(processes, range(2, 2 + SINGLE_CHANGES))
+    report("lone", processes, seconds, missing, usage)
     return (
-        max(took) <= STATED_SECONDS
+        max(seconds) <= LIMIT_SECONDS
         and not missing
-        and not went_back(processes)
-        and used[0] < STATED_CALLS
-        and max(used[1]) < STATED_BYTES
-        and max(used[2]) < STATED_CPU
-        and max(used[3]) < STATED_RSS_MB
+        and not count_non_increasing(processes)
+        and usage[0] < LIMIT_CALLS
+        and max(usage[1]) < LIMIT_BYTES
+        and max(usage[2]) < LIMIT_CPU_PERCENT
+        and max(usage[3]) < LIMIT_RSS_MB
     )
 
 
-def killed(processes, revision):
+def run_killed_watchers(processes, revision):
+    """Publishes a revision and kills the watchers of rank 0."""
     status = list(
         pool.map(lambda p: json.loads(p.get("/status"))["config"], processes)
     )
-    dead = [
+    killed = [
         p for p, s in zip(processes, status) if s["watches"] and not s["watch_rank"]
     ]
-    left = [p for p in processes if p not in dead]
-    window = Window(left)
+    alive = [p for p in processes if p not in killed]
+    window = UsageWindow(alive)
     publish(revision)
-    for p in dead:
+    for p in killed:
         os.kill(p.pid, signal.SIGKILL)
-    time.sleep(STATED_SECONDS_KILLED + 1)
-    used = window.end()
-    each(left, "fetch_changes")
-    took, missing = delays(left, [revision])
-    report("%d watchers killed" % len(dead), left, took, missing, used)
-    return left, max(took) <= STATED_SECONDS_KILLED and not missing
-
-
-def spread_out(processes, first):
-    window = Window(processes)
-    began = time.time()
+    time.sleep(LIMIT_SECONDS_KILLED + 1)
+    usage = window.end()
+    call_each(alive, "fetch_changes")
+    seconds, missing = delays(alive, [revision])
+    report("%d watchers killed" % len(killed), alive, seconds, missing, usage)
+    return max(seconds) <= LIMIT_SECONDS_KILLED and not missing
+
+
+def run_continuous_changes(processes, first):
+    """Publishes CHANGES revisions evenly over SECONDS."""
+    window = UsageWindow(processes)
+    start = time.time()
     for i in range(CHANGES):
-        wait = began + i * SECONDS / CHANGES - time.time()
+        wait = start + i * SECONDS / CHANGES - time.time()
         if wait > 0:
             time.sleep(wait)
         publish(first + i)
     time.sleep(3)
-    used = window.end()
-    each(processes, "fetch_changes")
-    took, missing = delays(processes, range(first, first + CHANGES))
+    usage = window.end()
+    call_each(processes, "fetch_changes")
+    seconds, missing = delays(processes, range(first, first + CHANGES))
     label = "%d changes in %.0f s" % (CHANGES, SECONDS)
-    report(label, processes, took, missing, used)
-    return not missing and not went_back(processes) and used[0] < STATED_CALLS
+    report(label, processes, seconds, missing, usage)
+    return (
+        not missing
+        and not count_non_increasing(processes)
+        and usage[0] < LIMIT_CALLS
+    )
 
 
 def main():
@@ -250,14 +271,17 @@
     processes = [Process(n) for n in names]
     publish(1)
     if not wait_for(processes, 1, 60):
-        print("not every process has the first revision", file=sys.stderr)
+        print(
+            "some processes did not apply revision 1 within 60 s",
+            file=sys.stderr,
+        )
         return 1
     time.sleep(5)
-    ok = lone(processes)
+    ok = run_single_changes(processes)
     if CHANGES:
-        ok = spread_out(processes, 100) and ok
-    left, fine = killed(processes, 100 + CHANGES)
-    return 0 if ok and fine else 1
+        ok = run_continuous_changes(processes, 100) and ok
+    ok = run_killed_watchers(processes, 100 + CHANGES) and ok
+    return 0 if ok else 1
 
 
 sys.exit(main())
--- a/t/perf/limits.py
+++ b/t/perf/limits.py
@@ -1,9 +1,11 @@
 #!/usr/bin/env python3
 """Evaluates p0004-limits.sh: histories of callers and slices over time.
 
-watch SECONDS ADDRESS...: polls /status and prints, for each
-turn, the time and the sum of the first account's slices over the entries.
-report BUDGET: reads the histories in the folder and prints the result.
+watch SECONDS ADDRESS...: polls the /status of the entries and prints on each
+line the time, the number of entries that replied, and for each of the first
+two accounts the sum of its slices over the entries.
+report BUDGET: reads the histories in the current directory and prints the
+result as JSON.
 """
 
 import concurrent.futures
@@ -17,13 +19,13 @@
 ACCOUNTS = ["a%d" % i for i in range(1, 11)]
 SMALL = ACCOUNTS[2:]
 ENTRIES = 8
-CUT_OFF = 0.1
+CUT_OFF_SHARE = 0.1  # "cut_off_share" of the document
 WINDOW_S = 10.0
-SETTLED = 0.05  # of the due
+SETTLED_ERROR = 0.05  # relative to the fair share
 
 
 def slices(address):
-    """Returns the slices of all accounts at one entry; None if it is gone."""
+    """Returns the slices of all accounts at one entry, or None on error."""
     url = "http://%s:7102/status" % address
     try:
         with urllib.request.urlopen(url, timeout=0.5) as answer:
@@ -37,15 +39,15 @@
     end = time.time() + seconds
     with concurrent.futures.ThreadPoolExecutor(len(addresses)) as pool:
         while time.time() < end:
-            at = time.time()
+            now = time.time()
             rows = [r for r in pool.map(slices, addresses) if r]
             sums = [sum(r.get(a, 0) for r in rows) for a in ACCOUNTS[:2]]
-            print(at, len(rows), *sums, flush=True)
+            print(now, len(rows), *sums, flush=True)
             time.sleep(POLL_S)
 
 
 def histories(name):
-    """Returns the calls of each account in a load."""
+    """Returns the calls of a load by account."""
     out = {}
     for path in glob.glob("%s-a*.history" % name):
         account = path.split("-")[-1].split(".")[0]
@@ -54,35 +56,39 @@
     return out
 
 
-def admitted(call):
+def is_admitted(call):
     return call["outcome"] == "answer"
 
 
 def window(calls, skip_s, length_s=WINDOW_S):
-    """Calls that came in a window that starts skip_s after the first one."""
-    first = min(c["start_ms"] for a in calls.values() for c in a)
-    low = first + skip_s * 1000
-    high = low + length_s * 1000
+    """Returns the calls of a window, skip_s after the first call."""
+    first_ms = min(c["start_ms"] for a in calls.values() for c in a)
+    start_ms = first_ms + skip_s * 1000
+    end_ms = start_ms + length_s * 1000
     return {
-        a: [c for c in rows if low <= c["start_ms"] < high]
+        a: [c for c in rows if start_ms <= c["start_ms"] < end_ms]
         for a, rows in calls.items()
     }
 
 
-def dues(offered, budget):
-    """Max-min fair dues at equal shares."""
-    due, left, open_accounts = {}, budget, sorted(offered, key=offered.get)
-    while open_accounts:
-        part = left / len(open_accounts)
-        account = open_accounts.pop(0)
-        due[account] = min(offered[account], part)
-        left -= due[account]
-    return due
+def fair_rates(offered, budget):
+    """Returns the max-min fair rate of each account at equal shares."""
+    fair, left, accounts = {}, budget, sorted(offered, key=offered.get)
+    while accounts:
+        part = left / len(accounts)
+        account = accounts.pop(0)
+        fair[account] = min(offered[account], part)
+        left -= fair[account]
+    return fair
 
 
 def p99(calls):
-    took = sorted(c["end_ms"] - c["start_ms"] for c in calls if admitted(c))
-    return took[int((len(took) - 1) * 0.99)] if took else float("nan")
+    latencies = sorted(
+        c["end_ms"] - c["start_ms"] for c in calls if is_admitted(c)
+    )
+    if not latencies:
+        return float("nan")
+    return latencies[int((len(latencies) - 1) * 0.99)]
 
 
 def rates(calls, test=lambda c: True):
@@ -92,8 +98,12 @@
     }
 
 
-def settle_time(name, due):
-    """Time from the event until each second's mean stays within 5% of due."""
+def settle_time(name, fair_rate):
+    """Returns the time from the event until the slices have settled.
+
+    They have when the mean over each second from then on is within 5% of the
+    fair rate.  Returns None if they never do.
+    """
     with open(name + ".at") as f:
         event = float(f.read())
     with open(name + ".times") as lines:
@@ -107,31 +117,31 @@
         means = [
             sum(r[k] for r in second) / len(second) for k in (2, 3)
         ]
-        if any(abs(m / due - 1) > SETTLED for m in means):
+        if any(abs(m / fair_rate - 1) > SETTLED_ERROR for m in means):
             settled = None
         elif settled is None:
             settled = row[0] - event
     return settled
 
 
-def over(name, budget):
+def over_admission(name, budget):
     calls = window(histories(name), 4)
-    return sum(rates(calls, admitted).values()) / budget
+    return sum(rates(calls, is_admitted).values()) / budget
 
 
 def report(budget):
     together = window(histories("together"), 5)
     offered = rates(together)
-    got = rates(together, admitted)
-    due = dues(offered, budget)
-    errors = {a: got[a] / due[a] - 1 for a in due}
+    admitted = rates(together, is_admitted)
+    fair = fair_rates(offered, budget)
+    errors = {a: admitted[a] / fair[a] - 1 for a in fair}
     alone = histories("alone")
     ratios = {a: p99(together[a]) / p99(alone[a]) for a in SMALL}
-    late = [
+    refused_ms = [
         c["end_ms"] - c["start_ms"]
         for rows in together.values()
         for c in rows
-        if not admitted(c)
+        if not is_admitted(c)
     ]
     times = [settle_time(n, budget / 2) for n in ("died", "came")]
     result = {
@@ -139,10 +149,14 @@
         "accounts": len(ACCOUNTS),
         "worst_share_error": max(abs(e) for e in errors.values()),
         "small_p99_ratio": max(ratios.values()),
-        "over_admission": max(over("apart", budget), over("parted", budget)),
-        "over_admission_bound": 1 + CUT_OFF * (ENTRIES // 2),
+        "over_admission": max(
+            over_admission("apart", budget), over_admission("parted", budget)
+        ),
+        "over_admission_bound": 1 + CUT_OFF_SHARE * (ENTRIES // 2),
         "converge_seconds": None if None in times else max(times),
-        "refused_p99_ms": sorted(late)[int((len(late) - 1) * 0.99)],
+        "refused_p99_ms": sorted(refused_ms)[
+            int((len(refused_ms) - 1) * 0.99)
+        ],
         "attempts_per_call": sum(
             c["attempts"] for rows in together.values() for c in rows
         )
--- a/t/perf/p0001-rollout.sh
+++ b/t/perf/p0001-rollout.sh
@@ -1,13 +1,15 @@
 #!/bin/sh
-# Rolls a version out to N instances in three data centres, real processes on
-# loopback, and prints what it took.  Usage: p0001-rollout.sh [N]
+# Usage: p0001-rollout.sh [N]
+# Measures a rollout to N instances in three data centres, real processes on
+# loopback.  Prints a JSON line.
 #
-# In T = 20 s the origin's link carries 4 copies, each machine's link 2 and
-# each link between data centres CROSS_COPIES.  The bound is the slowest of
-# one copy over a machine's link, over the link between data centres and over
-# the origin's.  Knobs, by environment: SIZE, CHUNK, T, CROSS_COPIES, SHARE,
-# TIME_WEIGHT, FAULTS=1, CALLS=1, SECOND=1, NAIVE=N (instances of the naive
-# version, 0 for none).
+# In T = 20 s the origin's link carries 4 copies, the link of each machine 2
+# and each link between data centres CROSS_COPIES.  The lower bound of the
+# rollout time is that of one copy over the slowest of these links.
+#
+# Environment: SIZE, CHUNK, T, CROSS_COPIES, SHARE, TIME_WEIGHT, FAULTS=1, and
+# NAIVE, the number of instances that each fetch the file from the store for
+# comparison (0 for none).
 
 test_description='rollout'
 N=${1:-10}
@@ -31,7 +33,8 @@
 	date +%s%3N
 }
 
-# agent_settings of the fleet library with the share of the link set.
+# agent_settings_share NAME DATA_CENTER ADDRESS KIND: like agent_settings, with
+# the share of the machine's link for transfers.
 agent_settings_share () {
 	agent_settings "$@" | sed "s/\"machine_rate\"/\"transfer_share\":$SHARE,&/"
 }
@@ -47,7 +50,7 @@
 	sed -n 's/.*"address":"\([0-9.]*\)".*/\1/p' "$1.json"
 }
 
-# addresses DC COUNT: of that data centre's machines.
+# addresses DC COUNT: prints the addresses of a data centre's machines.
 addresses () {
 	addresses_net=$(fleet_net "$1")
 	seq 11 $((10 + $2)) | sed "s/^/$addresses_net./"
@@ -96,31 +99,33 @@
 	fleet_publish_config document.json
 }
 
-# whole_count VERSION CONTENT: engines that run exactly these bytes.
-whole_count () {
+# ready_count VERSION CONTENT: prints the number of engines that are ready with
+# a version and content digest.
+ready_count () {
 	curl -s -m 5 --parallel --parallel-max 40 -K running.urls 2>/dev/null |
 		grep -o "\"version\":\"$1\",\"content\":\"$2\",\"fence\":[0-9]*,\"state\":\"ready\"" |
 		wc -l
 }
 
-# rollout_wait VERSION CONTENT COUNT SECONDS: sets $took (milliseconds).
+# rollout_wait VERSION CONTENT COUNT SECONDS: waits until COUNT engines are
+# ready and sets $rollout_ms.
 rollout_wait () {
 	wait_end=$(($(now_ms) + $4 * 1000))
-	while test "$(whole_count "$1" "$2")" -lt "$3"; do
+	while test "$(ready_count "$1" "$2")" -lt "$3"; do
 		if test "$(now_ms)" -gt $wait_end; then
-			echo "only $(whole_count "$1" "$2") of $3 are whole" >&2
+			echo "only $(ready_count "$1" "$2") of $3 engines are ready" >&2
 			return 1
 		fi
 		sleep 0.1
 	done
-	took=$(($(now_ms) - rollout_began))
+	rollout_ms=$(($(now_ms) - rollout_start))
 }
 
 status_all () {
 	curl -s -m 5 --parallel --parallel-max 40 -K status.urls 2>/dev/null >"$1"
 }
 
-# metric_sum FILE NAME [LABEL]: a counter's sum over agents.
+# metric_sum FILE NAME [LABEL]: prints the sum of a counter over all agents.
 metric_sum () {
 	jq -s --arg n "$2" --arg l "${3:-}" '[.[] | .metrics[$n] // 0 |
 		if type == "object" then (.[$l] // 0) else . end] | add // 0' "$1"
@@ -142,13 +147,15 @@
 	curl -s $STORE_URL/standin/counts
 }
 
-# origin_bytes_of DC: drawn from the store by that data centre's machines.
+# origin_bytes_of DC FILE: prints the bytes that the machines of a data centre
+# fetched from the store, from the store's counts in FILE.
 origin_bytes_of () {
 	jq --arg p "$(fleet_net "$1")." '[.by_client | to_entries[] |
 		select(.key | startswith($p)) | .value] | add // 0' "$2"
 }
 
-# cross_copies DC: what crossed into a data centre; the store is in the first.
+# cross_copies DC: prints the number of copies received by a data centre from
+# others.  The store counts as part of the first.
 cross_copies () {
 	cross_bytes=0
 	for id in $AGENT_IDS; do
@@ -183,8 +190,8 @@
 		printf \"%d\", 1000 * (b > o ? b : o)}"
 }
 
-# faults_run COUNT: kills a tenth of the agents and cuts the third data centre
-# off for T/3; the store corrupts a hundredth of its answers meanwhile.
+# faults_run: kills every tenth agent and partitions the third data centre for
+# T/3; the store corrupts 1% of its responses.
 faults_run () {
 	curl -s -d '{"mode":"corrupt","share":0.01}' $STORE_URL/standin/fault \
 		>/dev/null
@@ -203,7 +210,7 @@
 	cut_set '[]' "$(fleet_net 1)" "$(fleet_net 2)" "$(fleet_net 3)"
 }
 
-# cut_set PREFIXES NET...: on every agent of those networks.
+# cut_set PREFIXES NET...: sets the partition of every agent in the networks.
 cut_set () {
 	cut_body=$1
 	shift
@@ -220,11 +227,11 @@
 	curl -s -m 3 --parallel --parallel-max 40 -K cut.urls >/dev/null 2>&1
 }
 
-# naive_run: each of NAIVE instances draws the whole file from the store.
+# naive_run: each of NAIVE instances fetches the whole file from the store.
 naive_run () {
 	curl -s -d '{"mode":"ok"}' $STORE_URL/standin/fault >/dev/null
 	naive_before=$(store_counts | jq .bytes)
-	naive_began=$(now_ms)
+	naive_start=$(now_ms)
 	naive_pids=
 	for i in $(seq 1 "$NAIVE"); do
 		curl -s --limit-rate $LINK_RATE -o /dev/null \
@@ -233,45 +240,46 @@
 		naive_pids="$naive_pids $!"
 	done
 	wait $naive_pids
-	naive_took=$(($(now_ms) - naive_began))
+	naive_ms=$(($(now_ms) - naive_start))
 	naive_bytes=$(($(store_counts | jq .bytes) - naive_before))
 }
 
-# measure LABEL VERSION REVISION FILE: publishes a version and prints a line.
+# measure LABEL VERSION REVISION FILE: publishes a version, waits for it and
+# prints a JSON line.
 measure () {
 	content=$(sha256sum <"$4" | cut -d' ' -f1)
 	store_counts >store.before
 	status_all status.before
 	cpu_before=$(agents_cpu_ticks)
-	rollout_began=$(now_ms)
+	rollout_start=$(now_ms)
 	document_publish "$2" "$3"
-	want=$N
+	replicas=$N
 	if test "$1" = faults; then
 		faults_run
-		want=$((N - $(wc -l <killed.ids)))
+		replicas=$((N - $(wc -l <killed.ids)))
 	fi
-	rollout_wait "$2" "$content" "$want" $((T * 6)) || failed=1
+	rollout_wait "$2" "$content" "$replicas" $((T * 6)) || failed=1
 	cpu_after=$(agents_cpu_ticks)
 	store_counts >store.after
 	status_split
-	b=$(bound_ms)
+	bound=$(bound_ms)
 	control=$(($(metric_sum status.after rpc_sent_bytes) +
 		$(metric_sum status.after rpc_received_bytes) -
 		$(metric_sum status.before rpc_sent_bytes) -
 		$(metric_sum status.before rpc_received_bytes)))
 	jq -cn --arg bench rollout --arg run "$1" \
-		--argjson replicas "$want" --argjson size_bytes "$SIZE" \
-		--argjson seconds "$(ratio $took 1000)" \
-		--argjson bound_seconds "$(ratio $b 1000)" \
-		--argjson ratio "$(ratio $took $b)" \
+		--argjson replicas "$replicas" --argjson size_bytes "$SIZE" \
+		--argjson seconds "$(ratio $rollout_ms 1000)" \
+		--argjson bound_seconds "$(ratio $bound 1000)" \
+		--argjson ratio "$(ratio $rollout_ms $bound)" \
 		--argjson origin_copies "$(ratio "$(jq .bytes store.after) - $(jq .bytes store.before)" $SIZE)" \
 		--argjson cross_copies "[$(cross_copies 1),$(cross_copies 2),$(cross_copies 3)]" \
 		--argjson naive_replicas "$NAIVE" \
-		--argjson naive_seconds "$(ratio ${naive_took:-0} 1000)" \
+		--argjson naive_seconds "$(ratio ${naive_ms:-0} 1000)" \
 		--argjson naive_origin_copies "$(ratio ${naive_bytes:-0} $SIZE)" \
 		--argjson agent_rss_mb "$(ratio "$(agents_rss_kb)" 1024 1)" \
-		--argjson agent_cpu_percent "$(ratio "($cpu_after - $cpu_before) * 1000" "$N * $took")" \
-		--argjson control_bytes_per_second "$(ratio "$control * 1000" "$N * $took" 0)" \
+		--argjson agent_cpu_percent "$(ratio "($cpu_after - $cpu_before) * 1000" "$N * $rollout_ms")" \
+		--argjson control_bytes_per_second "$(ratio "$control * 1000" "$N * $rollout_ms" 0)" \
 		'$ARGS.named'
 }
 
--- a/t/perf/p0002-calls.sh
+++ b/t/perf/p0002-calls.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# What an entry and an agent add to a call, against direct calls to the same
-# engines in the same run, and what one entry holds.  Prints one JSON line:
-# added_p50_ms and added_p99_ms at RATE calls a second, calls_per_second and
-# events_per_second of one entry, its cpu_percent (100: one core) and rss_mb
-# meanwhile.
+# Measures the latency that an entry and an agent add to a call, compared with
+# direct calls to the same engines in the same run, and the throughput of one
+# entry.  Prints one JSON line: added_p50_ms and added_p99_ms at RATE calls per
+# second; calls_per_second and events_per_second of one entry; and its
+# cpu_percent (100 is one core) and rss_mb during the event load.
 
 test_description='calls'
 . "$(dirname "$0")/../test-lib.sh"
@@ -35,7 +35,7 @@
 	direct="$direct --entry $m:7200"
 done
 
-# load NAME ARGUMENT...: one load whose summary goes to NAME.json.
+# load NAME ARGUMENT...: runs a load and writes its summary to NAME.json.
 load () {
 	load_name=$1
 	shift
@@ -60,18 +60,18 @@
 load calls --entry $ENTRY1 --concurrency 48 --tokens 2 --threads 4 \
 	--seconds "$SECONDS_EACH"
 ticks=$(cpu_ticks)
-began=$(date +%s%N)
+start_ns=$(date +%s%N)
 load events --entry $ENTRY1 --concurrency 48 --tokens 32 --threads 4 \
 	--seconds "$SECONDS_EACH"
-ended=$(date +%s%N)
+end_ns=$(date +%s%N)
 ticks=$(($(cpu_ticks) - ticks))
 rss=$(awk '/VmRSS/ {print $2}' "/proc/$(cat e-1.pid)/status")
 
-# Medians over the rounds; the rounds alternate, so that other work on the
-# machine meets both kinds alike.
+# Medians over the rounds.  Direct and indirect rounds alternate, so that other
+# load on the machine affects both alike.
 jq -n -c --slurpfile d1 direct-1.json --slurpfile c calls.json \
 	--slurpfile e events.json --argjson ticks "$ticks" \
-	--argjson ns $((ended - began)) --argjson rss "$rss" \
+	--argjson ns $((end_ns - start_ns)) --argjson rss "$rss" \
 	--argjson hz "$(getconf CLK_TCK)" \
 	--argjson direct "$(jq -s . direct-*.json)" \
 	--argjson through "$(jq -s . through-*.json)" '
--- a/t/perf/p0003-config.sh
+++ b/t/perf/p0003-config.sh
@@ -1,11 +1,11 @@
 #!/bin/sh
-# Spread of the configuration over real processes in three data centres:
-#   p0003-config.sh [PROCESSES] [CHANGES] [SECONDS]
-# A sixth of them are entries, the rest agents beside one engine process.
-# Prints one line for lone changes, one for a change at whose moment half
-# the watchers are killed, and one for CHANGES spread over SECONDS.
+# Usage: p0003-config.sh [PROCESSES] [CHANGES] [SECONDS]
+# Measures the distribution of the configuration to real processes in three
+# data centres.  A sixth of them are entries, the others agents; one process
+# runs all engines.  Prints a JSON line for single changes, one for CHANGES
+# over SECONDS, and one for a change while half of the watchers are killed.
 
-test_description='spread of the configuration'
+test_description='distribution of the configuration'
 
 . "$(dirname "$0")/../test-lib.sh"
 . "$TOP/t/fleet-lib.sh"
--- a/t/perf/p0004-limits.sh
+++ b/t/perf/p0004-limits.sh
@@ -1,10 +1,11 @@
 #!/bin/sh
-# One budget over 8 real entries: 10 accounts with equal shares, of which 2
-# offer 10 times theirs.  Prints one JSON line: worst_share_error (of the
-# due over 10 s), small_p99_ratio (against the same account alone),
-# over_admission (of the budget, while entries are cut off from each other),
-# over_admission_bound (as stated), converge_seconds (slices after an entry
-# died and after it came back, the longer of the two).
+# Measures one budget shared by 8 real entries: 10 accounts with equal shares,
+# of which 2 offer 10 times theirs.  Prints one JSON line: worst_share_error
+# (relative to the fair share over 10 s), small_p99_ratio (to the same account
+# alone), over_admission (relative to the budget, while entries are partitioned
+# from each other), over_admission_bound (the limit of that), converge_seconds
+# (until the slices settle after an entry died or after it restarted, the
+# longer of the two).
 
 test_description='limits'
 . "$(dirname "$0")/../test-lib.sh"
@@ -13,7 +14,7 @@
 . "$TEST_DIR/calls-lib.sh"
 ENTRY_COUNT=8
 UPSTREAMS=4
-BUDGET=${BUDGET:-200}  # calls a second
+BUDGET=${BUDGET:-200}  # calls per second
 SMALL_RATE=${SMALL_RATE:-15}
 ALONE_SECONDS=${ALONE_SECONDS:-8}
 LARGE="a1 a2"
@@ -43,8 +44,8 @@
 	fleet_publish_config document.json
 }
 
-# load ACCOUNT RATE SECONDS NAME ENTRY...: calls of one account; history in
-# NAME.history.
+# load ACCOUNT RATE SECONDS NAME ENTRY...: sends calls of one account and
+# writes the history to NAME.history.
 load () {
 	load_account=$1
 	load_rate=$2
@@ -63,7 +64,8 @@
 		>$load_name.json || fail "$load_name: $(cat $load_name.json)"
 }
 
-# load_all SECONDS NAME ENTRY...: the accounts in $active at once.
+# load_all SECONDS NAME ENTRY...: runs the load of all accounts in $active in
+# parallel and sets $all_pids.
 active="$LARGE $SMALL"
 load_all () {
 	all_seconds=$1
@@ -78,7 +80,7 @@
 	done
 }
 
-# entry_cut ENTRY ENTRY...: the entry exchanges nothing with those.
+# entry_cut ENTRY [ENTRY...]: partitions an entry from others, or from none.
 entry_cut () {
 	cut_entry=$1
 	shift
@@ -104,18 +106,19 @@
 for i in $(seq $ENTRY_COUNT); do
 	wait_until 30 routes_are $(entry_address $i) $UPSTREAMS ||
 		fail "no upstreams at entry $i"
-	wait_until 10 in_contact $i $ENTRY_COUNT || fail "entry $i is alone"
+	wait_until 10 in_contact $i $ENTRY_COUNT ||
+		fail "entry $i is not in contact with the others"
 done
 every=$(seq $ENTRY_COUNT)
 
-# Each small account alone, then all together.
+# Each small account alone, then all accounts together.
 for a in $SMALL; do
 	load $a $SMALL_RATE $ALONE_SECONDS alone-$a $every
 done
 load_all 15 together $every
 wait $all_pids
 
-# All cut off from each other; then three apart from five.
+# All entries partitioned from each other, then three from the other five.
 for i in $every; do
 	entry_cut $i $(seq $ENTRY_COUNT | grep -vx $i)
 done
@@ -133,11 +136,12 @@
 	entry_cut $i
 done
 for i in $every; do
-	wait_until 10 in_contact $i $ENTRY_COUNT || fail "entry $i stays alone"
+	wait_until 10 in_contact $i $ENTRY_COUNT ||
+		fail "entry $i is not in contact again"
 done
 
-# One entry dies and comes back while the others are called.  Only the large
-# accounts call: their due is half of the budget, whatever chance does.
+# One entry is killed and restarted under load.  Only the large accounts send
+# calls, so that the fair share of each is exactly half of the budget.
 active=$LARGE
 load_all 24 dying $every
 sleep 6
--- a/t/perf/p0005-soak.sh
+++ b/t/perf/p0005-soak.sh
@@ -1,8 +1,9 @@
 #!/bin/sh
 # Usage: p0005-soak.sh [SECONDS] [SEED]
-# Everything at once: rollouts, calls of both kinds from 10 accounts,
-# configuration changes, and faults drawn from the seed.  Judges each
-# promise at the end; exits 1 on any violation.  The last line is JSON.
+# Soak test: rollouts, calls of both kinds from 10 accounts, configuration
+# changes, and faults chosen with the seed, all at the same time.  Checks the
+# invariants at the end and exits with 1 on a violation.  The last line of the
+# output is JSON.
 
 test_description='soak'
 . "$(dirname "$0")/../test-lib.sh"
@@ -38,7 +39,7 @@
 fleet_platform_start && fleet_store_start store || exit 1
 for dc in 1 2 3; do
 	net=$(fleet_net $dc)
-	# A process for each engine, so that its counts are the engine's own.
+	# Counts are per process, so each engine is a process of its own.
 	for host in 11 12 13; do
 		engines_start engine-$dc-$host $net.$host
 	done
@@ -114,7 +115,7 @@
 cat check.out soak.out
 tail -5 soak.err >&2
 jq -cn --argjson seconds "$SECONDS_LONG" --argjson seed "$SEED" \
-	--argjson drawn "$((end_bytes - start_bytes))" \
+	--argjson origin_bytes "$((end_bytes - start_bytes))" \
 	--argjson violations "$((check_status + soak_status))" \
 	--slurpfile c caller-quotes.out --slurpfile a caller-appraise.out \
 	--slurpfile p caller-plain.out \
@@ -123,5 +124,5 @@
 	  answers: ($c[0].answers + $a[0].answers + $p[0].answers),
 	  not_run: ($c[0].not_run + $a[0].not_run + $p[0].not_run),
 	  unknown: ($c[0].unknown + $a[0].unknown + $p[0].unknown),
-	  origin_bytes: $drawn, failed_checks: $violations}'
+	  origin_bytes: $origin_bytes, failed_checks: $violations}'
 test $((check_status + soak_status)) = 0
--- a/t/perf/p0006-overload.sh
+++ b/t/perf/p0006-overload.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# Real entries at 1, 2 and 5 times the capacity of their engines.  Prints one
-# JSON line: goodput_2x and goodput_5x (answers within the deadline, against
-# the same at capacity), refused_p99_ms of all refusals, attempts_per_call
-# (runs in the engines for each call that was answered).
+# Measures real entries at 1, 2 and 5 times the capacity of their engines.
+# Prints one JSON line: goodput_2x and goodput_5x (answers within the deadline,
+# relative to those at capacity), refused_p99_ms of all refusals, and
+# attempts_per_call (runs per call that ran).
 
 test_description='overload'
 . "$(dirname "$0")/../test-lib.sh"
@@ -33,7 +33,7 @@
 		fail "no upstreams at entry $i"
 done
 
-# load NAME TIMES SECONDS
+# load NAME FACTOR SECONDS: sends calls at FACTOR times the capacity.
 load () {
 	caller --account adubo=$KEY_ADUBO --content "$digest=$content" \
 		$entries --rate $((CAPACITY * $2)) --seconds $3 \
@@ -43,20 +43,20 @@
 		fail "$1: $(cat $1.json)"
 }
 
-for times in 1 2 5; do
-	load warm-$times $times 4
-	load load-$times $times $SECONDS_EACH
+for factor in 1 2 5; do
+	load warm-$factor $factor 4
+	load load-$factor $factor $SECONDS_EACH
 done
 
-# good NAME: answers within the deadline, a second.
-good () {
+# goodput NAME: prints the answers within the deadline per second.
+goodput () {
 	jq -s --argjson d $DEADLINE_MS --argjson s $SECONDS_EACH \
 		'[.[] | select(.outcome == "answer" and
 		.end_ms - .start_ms <= $d)] | length / $s' $1.history
 }
 
-for times in 1 2 5; do
-	good load-$times
+for factor in 1 2 5; do
+	goodput load-$factor
 done | jq -s . >goodput.json
 cat load-2.history load-5.history |
 	jq -s '[.[] | select(.outcome != "answer") | .end_ms - .start_ms] |
--- a/t/perf/p0007-history.sh
+++ b/t/perf/p0007-history.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
-# The history check of t0530 at length: CALLS calls under ROUNDS rounds of
-# faults (agents and entries killed, stopped and cut off, upstreams crashed,
-# silenced and failing).  Prints the checker's table; fails on a violation.
+# Long run of the history check of t0530: CALLS calls under ROUNDS rounds of
+# faults (agents and entries killed, stopped and partitioned, upstreams
+# crashed, blackholed and failing).  Prints the output of the checker and fails
+# on a violation.
 
 top=$(cd "$(dirname "$0")/../.." && pwd)
 CALLS=${CALLS:-125000} RATE=${RATE:-1200} ROUNDS=${ROUNDS:-7} \
--- a/t/perf/p0009-capacity.sh
+++ b/t/perf/p0009-capacity.sh
@@ -1,8 +1,9 @@
 #!/bin/sh
 # Usage: p0009-capacity.sh [PROCESSES...]
-# What one instance spends, at three sizes of each cause: processes of the
-# fleet (control), calls a second, events a second, open streams.  Prints a
-# JSON line for each point; capacity.py turns them into slopes.
+# Measures the resources that one instance uses, at three values of each cause:
+# processes of the fleet (control traffic), calls per second, events per second
+# and open streams.  Prints a JSON line per measurement; capacity.py fits lines
+# to them.
 
 test_description='capacity'
 . "$(dirname "$0")/../test-lib.sh"
@@ -28,7 +29,7 @@
 	fleet_publish_config document.json
 }
 
-# ticks PID, rss_kb PID
+# ticks PID: prints the CPU time of a process in clock ticks.
 ticks () {
 	sed 's/.*) //' "/proc/$1/stat" | awk '{print $12 + $13}'
 }
@@ -37,19 +38,21 @@
 	awk '/^VmRSS/ {print $2}' "/proc/$1/status"
 }
 
-# control_bytes ADDRESS
+# control_bytes ADDRESS: prints the RPC bytes sent and received by an instance.
 control_bytes () {
 	curl -s -m 5 "http://$1:7102/status" |
 		jq '.metrics.rpc_sent_bytes + .metrics.rpc_received_bytes'
 }
 
-# usage ROLE NAME ADDRESS SECONDS: mean use of one instance over a while.
+# usage_begin NAME ADDRESS: starts a measurement of one instance.
 usage_begin () {
 	usage_ticks=$(ticks "$(cat "$1.pid")")
 	usage_bytes=$(control_bytes "$2")
 	usage_ns=$(date +%s%N)
 }
 
+# usage_end NAME ADDRESS: ends it and sets $usage_cpu, $usage_bps (means) and
+# $usage_rss.
 usage_end () {
 	usage_s=$(echo "$(date +%s%N) $usage_ns" | awk '{print ($1 - $2) / 1e9}')
 	usage_cpu=$(echo "$(ticks "$(cat "$1.pid")") $usage_ticks $usage_s $HZ" |
@@ -59,6 +62,7 @@
 	usage_rss=$(rss_kb "$(cat "$1.pid")" | awk '{print $1 / 1024}')
 }
 
+# usage_print ROLE CAUSE X: prints the measurement as a JSON line.
 usage_print () {
 	jq -cn --arg role "$1" --arg cause "$2" --argjson x "$3" \
 		--argjson cpu "$usage_cpu" --argjson bps "$usage_bps" \
@@ -94,11 +98,11 @@
 	sleep 2
 }
 
-# measure_idle N: an entry and an agent of a fleet at rest.
+# measure_idle N: measures an entry and an agent of an idle fleet of N.
 measure_idle () {
-	for who in "entry entry-0 $(fleet_net 1).11" \
+	for instance in "entry entry-0 $(fleet_net 1).11" \
 		"agent agent-18 $(fleet_net 1).17"; do
-		set -- "$1" $who
+		set -- "$1" $instance
 		test -f "$3.pid" || set -- "$1" agent agent-3 "$(fleet_net 1).12"
 		usage_begin "$3" "$4"
 		sleep "$IDLE_SECONDS"
@@ -107,7 +111,8 @@
 	done
 }
 
-# measure_load CAUSE X ARGUMENTS...: entry-0 alone takes the load.
+# measure_load CAUSE X ARGUMENTS...: measures entry-0, which gets all calls,
+# and agent-3, assuming that the agents of their data centre get equal parts.
 measure_load () {
 	load_cause=$1
 	load_x=$2
@@ -124,7 +129,7 @@
 		awk '{print 100 * ($1 - $2) / $4 / $3}')
 	usage_end entry-0 "$entry"
 	wait_until 40 sh -c "! kill -0 $(cat load.pid) 2>/dev/null"
-	jq -e '.violations == 0' load.out >/dev/null || fail "broken answers"
+	jq -e '.violations == 0' load.out >/dev/null || fail "invalid answers"
 	case "$load_cause" in
 	calls) load_x=$(jq .calls_per_second load.out) ;;
 	events) load_x=$(jq .events_per_second load.out) ;;
@@ -142,7 +147,7 @@
 model_make m.bin 1048576 1
 digest=$(model_publish store quotes 1 m.bin 65536) || fail "no manifest"
 for n in $PROCESSES; do
-	fleet_launch "$n" || fail "a fleet of $n did not come up"
+	fleet_launch "$n" || fail "a fleet of $n did not start"
 	measure_idle "$n"
 	if test "$n" = 18; then
 		for rate in 200 400 800; do
--- a/t/perf/plot.sh
+++ b/t/perf/plot.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Usage: plot.sh [OUTPUT-DIRECTORY]
-# Draws the runs kept in docs/measurements as PNG files; needs gnuplot, jq.
+# Plots the measurements in docs/measurements as PNG files.  Needs gnuplot and
+# jq.
 
 cd "$(dirname "$0")/../.." || exit 1
 out=${1:-build/plots}
@@ -23,15 +24,15 @@
 set ylabel "seconds"
 set yrange [0:*]
 plot "$out/rollout.tsv" using 1:2 with linespoints title "time to N", \
-	"" using 1:3 with lines title "bound of the links"
+	"" using 1:3 with lines title "lower bound"
 set output "$out/origin-copies.png"
 set ylabel "copies from the origin"
 set yrange [0:4]
-plot "$out/rollout.tsv" using 1:4 with linespoints title "drawn", \
+plot "$out/rollout.tsv" using 1:4 with linespoints title "fetched", \
 	1 with lines title "one copy"
 set output "$out/config-spread.png"
 set xlabel "processes"
-set ylabel "seconds until in force everywhere"
+set ylabel "seconds until in force in all processes"
 set yrange [0:*]
 plot "$out/config.tsv" using 1:2 with linespoints title "slowest change"
 EOF
