--- a/config/exchange.c
+++ b/config/exchange.c
@@ -472,6 +472,12 @@
 		finish_watch(w, 0, 0);
 }
 
+/* Records that the answer to a read begins to arrive. */
+void platform_read_record_answer(struct platform_read *r)
+{
+	r->answered_at = clock_now();
+}
+
 /* Finishes a read.  Takes ownership of text, which may be NULL. */
 void platform_read_finish(struct platform_read *r, enum platform_answer answer,
 			  char *text, size_t size)
--- a/config/platform-service.c
+++ b/config/platform-service.c
@@ -2,7 +2,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/clock.h"
 #include "config/component.h"
 
 /*
@@ -31,7 +30,7 @@
 {
 	struct service_read *x = f->arg;
 
-	x->read->answered_at = clock_now();
+	platform_read_record_answer(x->read);
 }
 
 static void finish_service_read(struct fetch *f)
