t0310: wait until a listed member is known

Two cases waited for member_state, which succeeds for any status, so they did not wait for the member at all and relied on the second that they sleep. has_member asks for it. Stricter: the case fails when the member does not appear.

--- a/t/lib-control.sh
+++ b/t/lib-control.sh
@@ -76,6 +76,11 @@
 		'.members.instances[] | select(.id == $id) | .state'
 }
 
+# has_member ADDRESS ID: the process knows the member, in whatever state.
+has_member () {
+	test -n "$(member_state "$1" "$2")"
+}
+
 # member_state_is ADDRESS ID STATE
 member_state_is () {
 	test "$(member_state "$1" "$2")" = "$3"
--- a/t/t0310-member-fleet.sh
+++ b/t/t0310-member-fleet.sh
@@ -91,7 +91,7 @@
 test_expect_success 'a list with a dead instance as live changes nothing' '
 	instance_add late agent dc1 $N1.99 &&
 	fleet_publish_instances &&
-	wait_until 5 member_state $ENTRY_1 late &&
+	wait_until 5 has_member $ENTRY_1 late &&
 	sleep 1 &&
 	member_state_is_all dead a1 $ENTRY_1 $ENTRY_2
 '
@@ -133,7 +133,7 @@
 test_expect_success 'draining takes precedence over live in the list' '
 	instance_add later agent dc2 $N2.99 &&
 	fleet_publish_instances &&
-	wait_until 5 member_state $ENTRY_1 later &&
+	wait_until 5 has_member $ENTRY_1 later &&
 	sleep 1 &&
 	member_state_is_all leaving a2 $ENTRY_1 $ENTRY_2
 '
