soak: engines that queue requests and change releases

Three upstreams of a service with an engine queue requests behind relays, and tell entries of their load as agents do; the schedule declares releases, also two within 2 s, and has the engines load them in turn, late or not at all, run slowly or tell nothing. New promise, with a bound on time: what an entry sent that nothing disturbed begins on an older release no later than its limit.

--- a/t/soak/faults.py
+++ b/t/soak/faults.py
@@ -113,18 +113,41 @@
     ("upstream", 3, "upstream", LINK_MODES, 2.0),
     ("cut", 4, "upstream", ("reset",), 0.1),  # what is under way
     ("drain", 2, "upstream", ("drain",), 3.0),
+    ("slow", 3, "engine", ("slow",), 4.0),
+    ("mute", 1, "engine", ("mute",), 2.0),  # no reports of its load
     ("config", 4, "store", ("keys", "route"), 0.0),
 )
 
 
-def schedule(seed, seconds, entries, upstreams):
+def declarations(r, seconds, engines, limit_s):
+    """Draws releases, sometimes two in short order, and when each engine loads
+    them: in turn, some about the limit or after it, some not at all."""
+    out, at, release = [], r.uniform(1, 2.5), 1
+    while at < seconds - limit_s - 2:
+        release += 1
+        out.append(Fault(at, "declare", "store", str(release), 0.0))
+        order = r.sample(engines, len(engines))
+        for i, engine in enumerate(order):
+            turn = 0.3 + 0.4 * i / len(order) + r.uniform(0, 0.1)
+            if r.random() < 0.35:
+                turn = r.uniform(0.8, 1.4)
+            if r.random() < 0.85:
+                out.append(Fault(at + turn * limit_s, "load", engine,
+                                 str(release), r.uniform(0.1, 0.6)))
+        at += r.choice((r.uniform(0.3, 2), r.uniform(4, 6)))
+    return out
+
+
+def schedule(seed, seconds, entries, upstreams, engines, limit_s):
     """Draws faults that come in series and overlap."""
     r = random.Random(seed)
-    targets = {"entry": entries, "upstream": upstreams, "store": ["store"]}
+    targets = {"entry": entries, "upstream": upstreams + engines,
+               "engine": engines, "store": ["store"]}
     out, at = [], 1.0
     while at < seconds - 2:
         kind = r.choices(KINDS, [k[1] for k in KINDS])[0]
         out.append(Fault(at, kind[0], r.choice(targets[kind[2]]),
                          r.choice(kind[3]), r.uniform(0.2, 1) * kind[4]))
         at += r.choice((0.05, 0.3, 0.8, 1.5)) * r.uniform(0.5, 1.5)
-    return out
+    out += declarations(r, seconds, engines, limit_s)
+    return sorted(out, key=lambda fault: fault.at)
--- a/t/soak/soak.py
+++ b/t/soak/soak.py
@@ -23,6 +23,8 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path[:0] = [HERE, os.path.join(HERE, "..", "standin")]
+from engine import (EVENT_S, SLOTS, SLOW_EVENT_S, Engine,  # noqa: E402
+                    EngineHandler)
 from faults import Relay, schedule  # noqa: E402
 from metadata_store import (Store, StoreHandler,  # noqa: E402
                             UpstreamHandler)
@@ -32,11 +34,24 @@
 DRAIN_S = 2.0  # a draining upstream gets nothing later than that
 BACK_S = 0.25  # a request sent so long after a newer one was seen in force
 GRACE_S = 8.0  # TERM until the end
+RELEASE_S = 3.5  # no request begins on an older release later than that
 RECOVER_S = 12.0
 WORKERS = 6  # callers an entry
+ENGINE_WORKERS = 8  # the same, of the service with engines
 WORK_S = 0.06  # of an upstream, so that faults meet requests that run
 EVENTS = 5
+KEY = "0123456789abcdef"
 NOT_RUN = (408, 421, 429, 503)
+PLAIN = ("read", "once", "tell", "probe", "key")
+ENTRIES = ["e1", "e2", "e3"]
+UPSTREAMS = ["w1", "w2", "w3", "v1", "v2"]
+ENGINES = ["g1", "g2", "g3"]
+SERVICES = {"w": "web", "v": "voice", "g": "llm"}
+DEADLINES_MS = {"gen": 6000}
+ENGINE_SPEC = {
+    "Slots": SLOTS, "KvTokens": 685000, "Stride": 6, "Models": [{"Name": "m"}],
+    "step_ms": 7.4, "per_seq_ms": 0.04, "context_per_k": 0.02,
+    "read_per_s": 31900, "usual": {"prompt": 970, "answer": 106}}
 
 
 class Upstream(UpstreamHandler):
@@ -78,6 +93,7 @@
         self.relay = Relay((f"{net}.{10 + number}", 7001), soak.store_address)
         self.incarnation = 0
         self.disturbed = 0.0  # until then
+        self.disturbances = []  # (from, until)
         self.stopping = 0.0  # since TERM, 0: not
         self.lock = threading.Lock()
         settings = {
@@ -86,10 +102,11 @@
             "platform_url": f"http://{net}.{10 + number}:7001",
             "listen": {"callers": f"{self.ip}:8000",
                        "ready": f"{self.ip}:8001"},
-            "key": "0123456789abcdef",
+            "key": KEY,
             "seeds": [f"{net}.{i}:7700" for i in (1, 2, 3)],
             "forward": {"stop_grace_s": int(GRACE_S), "retry_ratio": 0.2,
-                        "retry_window_s": 10, "retry_slack": 100},
+                        "retry_window_s": 10, "retry_slack": 100,
+                        "release_ms": int(RELEASE_S * 1000)},
         }
         with open(f"{self.name}.json", "w", encoding="utf-8") as file:
             json.dump(settings, file)
@@ -104,39 +121,47 @@
         self.stopping = 0.0
 
     def disturb(self, until):
+        self.disturbances.append((time.monotonic(), until + CALM_S))
         self.disturbed = max(self.disturbed, until + CALM_S)
 
 
 class Soak:
     def __init__(self, o):
         self.o, self.net = o, o.net
-        self.entries, self.upstreams = ["e1", "e2", "e3"], []
         self.store_address = (f"{self.net}.9", 7001)
         self.store = Store()
         serve(self.store_address, StoreHandler, store=self.store)
         self.servers, self.relays, self.states = {}, {}, {}
-        for i, (name, service) in enumerate(
-                (("w1", "web"), ("w2", "web"), ("w3", "web"),
-                 ("v1", "voice"), ("v2", "voice"))):
+        self.engines = {name: Engine() for name in ENGINES}
+        for i, name in enumerate(UPSTREAMS + ENGINES):
             own, listed = (f"{self.net}.{21 + i}", 80), f"{self.net}.{31 + i}"
-            self.servers[name] = serve(own, Upstream, id=name, mode="ok",
-                                       requests=[], runs=[])
+            engine = self.engines.get(name)
+            self.servers[name] = serve(
+                own, EngineHandler if engine else Upstream, id=name,
+                mode="ok", requests=[], runs=[], engine=engine)
             self.relays[name] = Relay((listed, 80), own)
-            self.states[name] = (service, f"{listed}:80")
-            self.upstreams.append(name)
+            self.states[name] = ["ready", f"{listed}:80"]
+            if engine:
+                threading.Thread(target=engine.report, daemon=True, args=(
+                    KEY, f"{listed}:80", own[0],
+                    [(f"{self.net}.{n}", 7703) for n in (1, 2, 3)])).start()
         self.records, self.broken, self.checked = {}, [], {}
-        self.lock = threading.Lock()
+        self.lock, self.listing = threading.Lock(), threading.Lock()
         self.number = 0
         self.version = 0
         self.keys = ["k0"]
         self.revoked = {}  # key: when the store had it
         self.drains = []  # (upstream, when, until)
         self.store_disturbed = 0.0
+        self.store_disturbances = []
+        self.silences = []  # (engine, from, until): its link
+        self.declared = []  # (release, when)
         self.stop = False
         self.config("route")
-        for name in self.upstreams:
+        self.declare(1)
+        for name in UPSTREAMS + ENGINES:
             self.list(name, "ready")
-        self.processes = [Entry(self, i + 1) for i in range(3)]
+        self.processes = [Entry(self, i + 1) for i in range(len(ENTRIES))]
         self.by_name = {e.name: e for e in self.processes}
 
     # what the operator and the servers write
@@ -152,16 +177,20 @@
         self.version += 1
         routes = [
             {"Name": n, "Host": "a.example", "Prefix": f"/{n}/", "Kind": kind,
-             "TimeoutMs": 2000, "SloMs": 300, "Service": service,
-             "Attempts": 2, "Resumable": n == "tell"}
+             "TimeoutMs": DEADLINES_MS.get(n, 2000),
+             "SloMs": 3000 if n == "gen" else 300, "Service": service,
+             "Attempts": 2, "Resumable": kind == "streaming"}
             for n, kind, service in
             [("read", "idempotent", "web"), ("once", "non_idempotent", "web"),
-             ("tell", "streaming", "voice")] +
+             ("tell", "streaming", "voice"), ("gen", "streaming", "llm")] +
             [(f"n{v}", "idempotent", "web")
              for v in range(1, self.version + 1)]]
         self.put("op/config", {
             "Version": self.version, "Routes": routes,
-            "Services": [{"Name": "web"}, {"Name": "voice"}],
+            "Services": [{"Name": "web"}, {"Name": "voice"},
+                         {"Name": "llm", "MaxConns": 99,
+                          "Engine": ENGINE_SPEC},
+                         {"Name": "store", "Origin": "127.0.0.1:1"}],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100000,
                        "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
             "Tenants": [{"Name": "acme", "ApiKeys": list(self.keys)}]})
@@ -169,11 +198,23 @@
     def put(self, key, value):
         self.store.write(key, json.dumps(value).encode())
 
-    def list(self, name, state):
-        service, address = self.states[name]
-        self.put(f"servers/{name}", {
-            "Service": service, "Addr": address, "Zone": "d1", "Slots": 8,
-            "Version": "v1", "State": state, "ColdLeftMs": 0, "Seq": 1})
+    def declare(self, release):
+        self.put("op/version/m", {"Model": "m", "Version": release})
+        self.declared.append((release, time.monotonic()))
+
+    def list(self, name, state=None):
+        """Lists an upstream, in the state that it has unless one is given."""
+        mine, engine = self.states[name], self.engines.get(name)
+        with self.listing:
+            mine[0] = state or mine[0]
+            value = {"Service": SERVICES[name[0]], "Addr": mine[1],
+                     "Zone": "d1", "Slots": SLOTS if engine else 8,
+                     "Version": "v1", "State": mine[0], "ColdLeftMs": 0,
+                     "Seq": 1}
+            if engine:
+                value["Models"] = [] if engine.is_loading else [
+                    {"Name": "m", "Version": engine.release, "Adapters": []}]
+            self.put(f"servers/{name}", value)
 
     # faults
 
@@ -235,6 +276,7 @@
 
     def fault_down(self, fault, e, now, end):
         self.store_disturbed = max(self.store_disturbed, end + CALM_S)
+        self.store_disturbances.append((now, end + CALM_S))
         if fault.how == "forget":
             self.store.forgotten = self.store.revision
             self.store.events = []
@@ -243,11 +285,32 @@
         self.later(fault.for_s, setattr, self.store, "down", False)
 
     def fault_upstream(self, fault, e, now, end):
+        if fault.how == "silent":
+            self.silences.append((fault.target, now, end + BACK_S))
         self.relays[fault.target].set(fault.how)
         self.later(fault.for_s, self.relays[fault.target].set, "ok")
 
     fault_cut = fault_upstream
 
+    def fault_declare(self, fault, e, now, end):
+        self.declare(int(fault.how))
+
+    def fault_load(self, fault, e, now, end):
+        self.later(0, self.load, fault.target, int(fault.how), fault.for_s)
+
+    def fault_slow(self, fault, e, now, end):
+        engine = self.engines[fault.target]
+        engine.event_s = SLOW_EVENT_S
+        self.later(fault.for_s, setattr, engine, "event_s", EVENT_S)
+
+    def fault_mute(self, fault, e, now, end):
+        engine = self.engines[fault.target]
+        engine.is_mute = True
+        self.later(fault.for_s, setattr, engine, "is_mute", False)
+
+    def load(self, name, release, for_s):
+        self.engines[name].load(release, for_s, lambda: self.list(name))
+
     def fault_drain(self, fault, e, now, end):
         if any(until > now for _, _, until in self.drains):
             return  # the others have to serve
@@ -260,13 +323,13 @@
 
     # callers
 
-    def caller(self, e, seed):
+    def caller(self, e, seed, kinds):
         r = random.Random(seed)
         connection = None
         while not self.stop:
             if connection is None:
-                connection = http.client.HTTPConnection(e.ip, 8000, timeout=4)
-            kind = r.choice(("read", "once", "tell", "probe", "key"))
+                connection = http.client.HTTPConnection(e.ip, 8000, timeout=8)
+            kind = r.choice(kinds)
             if not self.ask(e, connection, kind, r):
                 connection.close()
                 connection = None
@@ -290,7 +353,8 @@
         try:
             connection.request("GET", path, headers={
                 "Host": "a.example", "X-Limpetflow-Request-Id": id,
-                "X-Limpetflow-Deadline-Ms": "2000",
+                "X-Limpetflow-Deadline-Ms": str(DEADLINES_MS.get(kind, 2000)),
+                "X-Limpetflow-Model": "m",
                 "Authorization": f"Bearer {key}"})
             answer = connection.getresponse()
             record["status"] = answer.status
@@ -307,7 +371,7 @@
     def answer_check(self, id, record, answer, body):
         if answer.status != 200:
             return
-        if record["kind"] == "tell":
+        if record["kind"] in ("tell", "gen"):
             ids = [line[4:] for line in body.decode().split("\n")
                    if line.startswith("id: ")]
             self.check("whole streams", ids == [str(i) for i in
@@ -334,6 +398,9 @@
         for name, server in self.servers.items():
             for at, id in server.runs:
                 runs.setdefault(id, []).append((at, name))
+        for name, engine in self.engines.items():
+            for at, id, _ in engine.begun:
+                runs.setdefault(id, []).append((at, name))
         for id, rec in self.records.items():
             ran = runs.get(id, [])
             if rec["kind"] == "once":
@@ -343,6 +410,8 @@
             if not self.o.no_bounds:
                 self.judge_bounds(id, rec, ran)
         self.judge_versions()
+        if not self.o.no_bounds:
+            self.judge_releases()
 
     def judge_bounds(self, id, rec, ran):
         sent = rec["sent"]
@@ -374,10 +443,29 @@
                 self.check("configuration never goes back",
                            rec["version"] > known, id)
 
+    def judge_releases(self):
+        """What begins on an older release does so before its limit."""
+        for name, engine in self.engines.items():
+            for at, id, release in engine.begun:
+                newer = [t for r, t in self.declared if r > release and t < at]
+                if not newer:
+                    continue
+                first, rec = min(newer), self.records[id]
+                faults = self.by_name[rec["entry"]].disturbances + \
+                    self.store_disturbances + \
+                    [s[1:] for s in self.silences if s[0] == name]
+                if any(a < at and b > first for a, b in faults):
+                    continue
+                late = at - first - RELEASE_S
+                self.check("releases end at their limit", late <= 0,
+                           f"{id} from {rec['entry']} sent "
+                           f"{rec['sent'] - first:.2f} s after it on {name}, "
+                           f"release {release}: {late:.3f} s late")
+
     def recovered(self, e):
         record = {}
-        for kind in ("read", "once", "tell"):
-            connection = http.client.HTTPConnection(e.ip, 8000, timeout=4)
+        for kind in ("read", "once", "tell", "gen"):
+            connection = http.client.HTTPConnection(e.ip, 8000, timeout=8)
             before = self.number
             self.ask(e, connection, kind, random.Random(1))
             record = self.records[f"r{before + 1}"]
@@ -398,9 +486,11 @@
 
     def run(self, faults):
         self.recover(60)
-        threads = [threading.Thread(target=self.caller,
-                                    args=(e, self.o.seed * 1000 + i))
-                   for e in self.processes for i in range(WORKERS)]
+        threads = [threading.Thread(target=self.caller, args=(
+                       e, self.o.seed * 1000 + i,
+                       PLAIN if i < WORKERS else ("gen",)))
+                   for e in self.processes
+                   for i in range(WORKERS + ENGINE_WORKERS)]
         for t in threads:
             t.start()
         began = time.monotonic()
@@ -417,6 +507,8 @@
             t.join()
         while any(e.stopping for e in self.processes):
             time.sleep(0.1)
+        for name in ENGINES:
+            self.load(name, self.declared[-1][0], 0)
         self.recover(60 if self.o.no_bounds else RECOVER_S)
         self.judge()
         for e in self.processes:
@@ -433,8 +525,8 @@
     p.add_argument("--no-bounds", action="store_true")
     p.add_argument("--print", action="store_true", help="only the schedule")
     o = p.parse_args()
-    faults = schedule(o.seed, o.seconds, ["e1", "e2", "e3"],
-                      ["w1", "w2", "w3", "v1", "v2"])
+    faults = schedule(o.seed, o.seconds, ENTRIES, UPSTREAMS, ENGINES,
+                      RELEASE_S)
     for fault in faults:
         print(fault)
     if o.print:
@@ -450,6 +542,7 @@
     for rec in soak.records.values():
         statuses[rec["status"]] = statuses.get(rec["status"], 0) + 1
     print(f"seed {o.seed}: {len(soak.records)} requests, {statuses}, "
+          f"{sum(e.withdrawn for e in soak.engines.values())} left a queue, "
           f"{len(faults)} faults, {len(soak.broken)} broken")
     return 1 if soak.broken else 0
 
--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -170,7 +170,7 @@
             time.sleep(0.05)
         self.close_connection = True
 
-    def stream(self, common):
+    def stream(self, common, pause_s=0):
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
         self.send_response(200)
         for name, value in common:
@@ -190,6 +190,7 @@
                 return
             self.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
             self.wfile.flush()
+            time.sleep(pause_s)
         self.wfile.write(b"0\r\n\r\n")
 
     do_GET = do_POST = do_PUT = do_DELETE = handle_any
