--- a/t/soak/engine.py
+++ b/t/soak/engine.py
@@ -23,7 +23,9 @@
 
 
 def is_closed(connection):
-    if not select.select([connection], [], [], 0)[0]:
+    poll = select.poll()  # select() takes no descriptor above 1023
+    poll.register(connection, select.POLLIN)
+    if not poll.poll(0):
         return False
     try:
         return not connection.recv(1, socket.MSG_PEEK)
--- a/t/soak/faults.py
+++ b/t/soak/faults.py
@@ -121,7 +121,7 @@
 
 def declarations(r, seconds, engines, limit_s):
     """Draws releases, sometimes two in short order, and when each engine loads
-    them: in turn, some about the limit or after it, some not at all."""
+    them: in turn, slow ones about the limit, after it or not at all."""
     out, at, release = [], r.uniform(1, 2.5), 1
     while at < seconds - limit_s - 2:
         release += 1
@@ -129,9 +129,11 @@
         order = r.sample(engines, len(engines))
         for i, engine in enumerate(order):
             turn = 0.3 + 0.4 * i / len(order) + r.uniform(0, 0.1)
-            if r.random() < 0.35:
-                turn = r.uniform(0.8, 1.4)
-            if r.random() < 0.85:
+            if r.random() < 0.4:
+                out.append(Fault(at - 0.8, "slow", engine, "slow",
+                                 r.uniform(0.8, 1.2) * limit_s))
+                turn = r.choice((None, r.uniform(0.9, 1.6)))
+            if turn:
                 out.append(Fault(at + turn * limit_s, "load", engine,
                                  str(release), r.uniform(0.1, 0.6)))
         at += r.choice((r.uniform(0.3, 2), r.uniform(4, 6)))
--- a/t/soak/soak.py
+++ b/t/soak/soak.py
@@ -72,8 +72,12 @@
 
 
 class Server(ThreadingHTTPServer):
+    errors = []  # faults of the soak itself
+
     def handle_error(self, request, client_address):
-        pass  # relays reset connections on purpose
+        if not isinstance(sys.exc_info()[1], OSError):  # relays reset some
+            self.errors.append(repr(sys.exc_info()[1]))
+            super().handle_error(request, client_address)
 
 
 def serve(address, handler, **fields):
@@ -261,7 +265,7 @@
             e.process.wait()
             late = e.disturbed < now
         self.check("stop within the grace", not late or self.o.no_bounds,
-                   f"{e.name} at {now:.2f}")
+                   f"{e.name} after {time.monotonic() - now:.2f} s")
         e.disturb(time.monotonic())
         e.start()
 
@@ -544,7 +548,7 @@
     print(f"seed {o.seed}: {len(soak.records)} requests, {statuses}, "
           f"{sum(e.withdrawn for e in soak.engines.values())} left a queue, "
           f"{len(faults)} faults, {len(soak.broken)} broken")
-    return 1 if soak.broken else 0
+    return 2 if Server.errors else 1 if soak.broken else 0
 
 
 if __name__ == "__main__":
