--- a/t/t1100-soak.sh
+++ b/t/t1100-soak.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 
-test_description='a short soak of entries, faults from outside, fixed seeds'
+test_description='a short soak of entries and engines, faults from outside, fixed seeds'
 
 . "$(dirname "$0")/test-lib.sh"
 
@@ -16,6 +16,11 @@
 	test -s one && test_cmp one two
 '
 
+test_expect_success 'it declares releases that engines load' '
+	grep "declare *store" one &&
+	grep "load *g[123]" one
+'
+
 test_expect_success 'seed 1 keeps its promises' 'soak $TEST_NET 1'
 
 test_done
