--- a/t/t1100-soak.sh
+++ b/t/t1100-soak.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 
-test_description='short soak test of entries with external faults, fixed seeds'
+test_description='short soak test of entries and engines, external faults, fixed seeds'
 
 . "$(dirname "$0")/test-lib.sh"
 
@@ -16,6 +16,11 @@
 	test -s first && test_cmp first second
 '
 
+test_expect_success 'the schedule declares releases that engines load' '
+	grep "declare *store" first &&
+	grep "load *g[123]" first
+'
+
 test_expect_success 'a run with seed 1 has no violation' 'soak $TEST_NET 1'
 
 test_done
