--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -28,6 +28,7 @@
     GET /test/requests   the IDs of the requests received
     GET /test/withdrawn  in mode queue, the IDs of the requests whose
                          connection was closed before a reply
+    GET /test/connections  the number of other open connections
 """
 import base64
 import json
@@ -148,6 +149,8 @@
         request = self.headers.get("X-Limpetflow-Request-Id", "")
         if self.path == "/test/requests":
             return self.answer(200, s.requests)
+        if self.path == "/test/connections":
+            return self.answer(200, s.connections - 1)
         if self.path == "/test/withdrawn":
             return self.answer(200, s.withdrawn)
         if self.path == "/test/finish":
@@ -217,11 +220,31 @@
     do_GET = do_POST = do_PUT = do_DELETE = handle_any
 
 
+class CountingServer(ThreadingHTTPServer):
+    """Counts the open connections."""
+    daemon_threads = True
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.lock = threading.Lock()
+        self.connections = 0
+
+    def count(self, change):
+        with self.lock:
+            self.connections += change
+
+    def process_request_thread(self, request, client_address):
+        self.count(1)
+        try:
+            super().process_request_thread(request, client_address)
+        finally:
+            self.count(-1)
+
+
 def main():
     host, port = sys.argv[2].split(":")
     handler = StoreHandler if sys.argv[1] == "store" else UpstreamHandler
-    server = ThreadingHTTPServer((host, int(port)), handler)
-    server.daemon_threads = True
+    server = CountingServer((host, int(port)), handler)
     if sys.argv[1] == "store":
         server.store = Store()
     else:
