forward: log how the end of an upstream's answer was marked

The lines of a request did not tell whether the answer had a length, chunks or neither, nor whether its stream ended inside an event, so that an answer ended by its connection could not be told from a complete one. Nothing is decided by it yet.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -343,17 +343,19 @@
 {
 	struct log_place at = { "answer", f->upstream,
 				*f->head.id ? f->head.id : "-" };
+	const char *framing = framing_name(f->fetch.framing);
 	int is_expected =
 		!strcmp(outcome, "answer") || !strcmp(outcome, "gone");
 	enum log_severity sev = is_expected ? LOG_SEV_INFO : LOG_SEV_WARNING;
 
 	metric_count("forward_outcome", outcome, 1);
+	metric_count("forward_framing", framing, 1);
 	record_times(f, now);
 	if (!log_is_enabled(sev, 1))
 		return;
 	log_fields(sev, &at,
 		   json_pack("{s:s,s:i,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,"
-			     "s:i,s:I,s:I,s:I,s:s}",
+			     "s:i,s:I,s:I,s:I,s:s,s:I,s:s}",
 			     "outcome", outcome, "status", status, "route",
 			     f->route->name, "account",
 			     f->account ? f->account : "", "admitted",
@@ -366,7 +368,9 @@
 			     "revision", (json_int_t)f->document->revision,
 			     "release", (json_int_t)f->release,
 			     "release_left_ms", forward_release_left_ms(f),
-			     "error", f->fetch.error.text),
+			     "framing", framing, "open_event_bytes",
+			     (json_int_t)f->events.size, "error",
+			     f->fetch.error.text),
 		   "request finished");
 }
 
@@ -413,18 +417,20 @@
 
 	if (!log_is_enabled(LOG_SEV_NOTICE, 1))
 		return;
-	log_fields(
-		LOG_SEV_NOTICE, &at,
-		json_pack("{s:i,s:b,s:b,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:s}",
-			  "status", e->status, "not_run", e->is_not_run,
-			  "never_sent", e->is_unsent, "too_late",
-			  e->is_too_late, "silent", e->is_unresponsive,
-			  "withdrawn", is_withdrawn(f), "tries", f->attempts,
-			  "runs", f->runs, "sent_ms", sent_ms(f), "release",
-			  (json_int_t)f->release, "release_left_ms",
-			  forward_release_left_ms(f), "error",
-			  f->fetch.error.text),
-		"attempt did not succeed; trying another upstream");
+	log_fields(LOG_SEV_NOTICE, &at,
+		   json_pack("{s:i,s:b,s:b,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:s,"
+			     "s:I,s:s}",
+			     "status", e->status, "not_run", e->is_not_run,
+			     "never_sent", e->is_unsent, "too_late",
+			     e->is_too_late, "silent", e->is_unresponsive,
+			     "withdrawn", is_withdrawn(f), "tries", f->attempts,
+			     "runs", f->runs, "sent_ms", sent_ms(f), "release",
+			     (json_int_t)f->release, "release_left_ms",
+			     forward_release_left_ms(f), "framing",
+			     framing_name(f->fetch.framing), "open_event_bytes",
+			     (json_int_t)f->events.size, "error",
+			     f->fetch.error.text),
+		   "attempt did not succeed; trying another upstream");
 }
 
 static void retry_request(struct forward *f, const struct attempt_result *e,
--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -1,5 +1,6 @@
 #include "net/fetch-internal.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,6 +12,58 @@
 
 #define HEADER_LINE_MAX 16384
 
+#define HTTP_OK 200
+#define HTTP_NO_CONTENT 204
+#define HTTP_NOT_MODIFIED 304
+
+/* Clears what an earlier head of the response set. */
+void fetch_reset_head(struct fetch *f)
+{
+	f->framing = FRAMING_NONE;
+	f->content_length = -1;
+	f->is_chunked = 0;
+}
+
+static int has_no_body(int status)
+{
+	return status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED;
+}
+
+/*
+ * Sets the framing at the end of a head. Chunked coding overrides a length
+ * (RFC 9112, 6.3).
+ */
+static void set_framing(struct fetch *f)
+{
+	if (f->status < HTTP_OK || f->framing != FRAMING_NONE)
+		return;
+	if (has_no_body(f->status))
+		f->framing = FRAMING_LENGTH;
+	else if (f->is_chunked)
+		f->framing = FRAMING_CHUNKED;
+	else if (f->content_length >= 0)
+		f->framing = FRAMING_LENGTH;
+	else
+		f->framing = FRAMING_CLOSE;
+}
+
+static void parse_framing_header(struct fetch *f, const char *name,
+				 const char *value)
+{
+	char *end;
+	long long n;
+
+	if (!strcasecmp(name, "Transfer-Encoding")) {
+		if (strcasestr(value, "chunked"))
+			f->is_chunked = 1;
+	} else if (!strcasecmp(name, "Content-Length")) {
+		errno = 0;
+		n = strtoll(value, &end, 10);
+		if (end != value && !errno && n >= 0)
+			f->content_length = n;
+	}
+}
+
 static size_t receive_header(char *data, size_t size, size_t n, void *userp)
 {
 	struct fetch *f = userp;
@@ -19,9 +72,16 @@
 	char *value, *end;
 	long status = 0;
 
-	if (length > 5 && !memcmp(data, "HTTP/", 5) && f->ops->status_line)
-		f->ops->status_line(f);
-	if (!f->ops->header || length >= sizeof(line))
+	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
+	f->status = (int)status;
+	if (length > 5 && !memcmp(data, "HTTP/", 5)) {
+		fetch_reset_head(f);
+		if (f->ops->status_line)
+			f->ops->status_line(f);
+	}
+	if (length && (*data == '\r' || *data == '\n'))
+		set_framing(f);
+	if (length >= sizeof(line))
 		return length;
 	memcpy(line, data, length);
 	line[length] = '\0';
@@ -32,9 +92,10 @@
 	value += strspn(value, " \t");
 	end = value + strcspn(value, "\r\n");
 	*end = '\0';
-	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
-	f->status = (int)status;
-	f->ops->header(f, line, value);
+	if (f->framing == FRAMING_NONE)
+		parse_framing_header(f, line, value);
+	if (f->ops->header)
+		f->ops->header(f, line, value);
 	return length;
 }
 
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 
 #include "base/error.h"
+#include "net/framing.h"
 
 /*
  * HTTP client on libcurl's multi interface: one event thread runs all
@@ -58,7 +59,10 @@
 	int once; /* never sent twice: new connection, no library retry */
 
 	/* filled in by the library */
-	int status; /* of HTTP, 0 before a response */
+	int status;		  /* of HTTP, 0 before a response */
+	enum framing framing;	  /* of the response */
+	long long content_length; /* of the response, -1: none */
+	int is_chunked;		  /* the response has chunked coding */
 	apr_time_t submitted_at;
 	int never_sent;	 /* no byte of the request left this process */
 	int is_too_late; /* given up when it was to be sent after send_by */
