t1016: a broken-off answer must not reach its caller as complete

Where the route has another attempt, the stream is not resumed. Answers that close after their last byte get a last chunk as well, which their upstream never claimed.

--- /dev/null
+++ b/t/standin/raw_server.py
@@ -0,0 +1,207 @@
+"""An upstream whose answers end in every way that TCP and HTTP allow.
+
+    raw_server.py ADDRESS:PORT
+
+The last element of the path names the form of the answer, or two forms joined
+by '+': the second is used for requests with Last-Event-Id. Forms of streams,
+which have five events, and go on after Last-Event-Id:
+    EVENTS-FRAMING[-END]
+        EVENTS   "events"; "inside": the third event breaks off; "part": the
+                 stream ends after the second event
+        FRAMING  "chunked", "length" or "close"
+        END      "open": without the last chunk, or short of the length;
+                 "reset": with a reset of the connection
+Forms of plain bodies: the same with "plain" (whole) or "half" for EVENTS.
+Further forms:
+    head-open     the connection closes inside the head
+    head-reset    the same with a reset
+    head-whole    a head without a body that ends with its connection
+    forever-WHAT  bytes without end: "noise" (no answer), "line" (a header
+                  line), "head" (header lines), "interim" (heads of status
+                  100), "status" (a status line), "body", "event" (one event),
+                  "comment" (comments of a stream), "chunk" (the size of a
+                  chunk), "trailer" (lines after the last chunk), "slow" (a
+                  byte of a header line every 0.2 s)
+and for tests:
+    GET /test/ended   the number of answers without end that the peer closed
+    GET /test/sent    the largest number of bytes sent in one of them
+"""
+import json
+import socket
+import struct
+import sys
+import threading
+import time
+
+PIECE = 16 * 1024
+FOREVER_MAX_BYTES = 256 * 1024 * 1024
+FOREVER_MAX_S = 30
+PLAIN = b'{"whole":"%s"}' % (b"x" * 600)
+
+state = {"lock": threading.Lock(), "ended": 0, "sent": 0}
+
+
+def event(number):
+    return b"id: %d\ndata: event %d\n\n" % (number, number)
+
+
+def stream_bytes(kind, first):
+    """Returns the bytes of a stream from event `first` on."""
+    if kind == "events":
+        return b"".join(event(i) for i in range(first, 6))
+    whole = b"".join(event(i) for i in range(first, 3))
+    return whole + event(3)[:9] if kind == "inside" else whole
+
+
+def plain_bytes(kind):
+    return PLAIN if kind == "plain" else PLAIN[:len(PLAIN) // 2]
+
+
+def head(request_id, lines, status=b"200 OK"):
+    return (b"HTTP/1.1 " + status + b"\r\nX-Limpetflow-Request-Id: " +
+            request_id + b"\r\nX-Limpetflow-Response-Stamp: stamp\r\n" +
+            b"".join(line + b"\r\n" for line in lines) + b"\r\n")
+
+
+def frame(framing, end, body, type_line):
+    """Returns the header lines and the bytes of a body."""
+    lines = [b"Content-Type: " + type_line]
+    if framing == "length":
+        size = len(body) + (10 if end == "open" else 0)
+        return lines + [b"Content-Length: %d" % size], body
+    if framing == "close":
+        return lines, body
+    coded = b"%x\r\n%s\r\n" % (len(body), body)
+    if not end:
+        coded += b"0\r\n\r\n"
+    return lines + [b"Transfer-Encoding: chunked"], coded
+
+
+def forever(what, request_id):
+    """Returns the first bytes and the piece to repeat without end."""
+    stream = [b"Content-Type: text/event-stream"]
+    chunked = stream + [b"Transfer-Encoding: chunked"]
+    start = head(request_id, [])[:-2]
+    return {
+        "noise": (b"", b"\x07noise" * (PIECE // 6)),
+        "status": (b"HTTP/1.1 200 ", b"OK" * (PIECE // 2)),
+        "line": (start + b"X-Long: ", b"x" * PIECE),
+        "head": (start, b"X-Line: abcdefgh\r\n" * (PIECE // 18)),
+        "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * (PIECE // 25)),
+        "slow": (start + b"X-Slow: ", b"x"),
+        "body": (head(request_id, [b"Content-Type: text/plain"]),
+                 b"x" * PIECE),
+        "event": (head(request_id, stream), b"data: more\n" * (PIECE // 11)),
+        "comment": (head(request_id, stream), b":\n" * (PIECE // 2)),
+        "chunk": (head(request_id, chunked) + b"5;", b"x" * PIECE),
+        "trailer": (head(request_id, chunked) + b"0\r\n",
+                    b"X-Line: abcdefgh\r\n" * (PIECE // 18)),
+    }[what]
+
+
+def send_forever(connection, what, request_id):
+    first, piece = forever(what, request_id)
+    pause_s = 0.2 if what == "slow" else 0
+    end = time.monotonic() + FOREVER_MAX_S
+    sent, is_closed = 0, False
+    connection.settimeout(FOREVER_MAX_S)
+    try:
+        connection.sendall(first)
+        while sent < FOREVER_MAX_BYTES and time.monotonic() < end:
+            connection.sendall(piece)
+            sent += len(piece)
+            time.sleep(pause_s)
+    except TimeoutError:
+        pass
+    except OSError:
+        is_closed = True
+    with state["lock"]:
+        state["ended"] += is_closed
+        state["sent"] = max(state["sent"], sent)
+
+
+def reset(connection):
+    time.sleep(0.05)  # the peer reads what was sent before the reset
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                          struct.pack("ii", 1, 0))
+
+
+def answer(connection, form, request_id, first):
+    """Sends one answer. Returns False when the connection has to close."""
+    if form.startswith("forever-"):
+        send_forever(connection, form[len("forever-"):], request_id)
+        return False
+    if form.startswith("head-"):
+        text = head(request_id, [b"Content-Type: text/plain"])
+        connection.sendall(text if form == "head-whole" else text[:-12])
+        if form == "head-reset":
+            reset(connection)
+        return False
+    kind, framing, end = (form.split("-") + [""])[:3]
+    if kind in ("plain", "half"):
+        lines, body = frame(framing, end, plain_bytes(kind),
+                            b"application/json")
+    else:
+        lines, body = frame(framing, end, stream_bytes(kind, first),
+                            b"text/event-stream")
+    connection.sendall(head(request_id, lines) + body)
+    if end == "reset":
+        reset(connection)
+    return framing != "close" and not end
+
+
+def read_request(file):
+    """Returns the path and the headers, or None at the end."""
+    line = file.readline().split()
+    headers = {}
+    if len(line) < 2:
+        return None
+    while True:
+        text = file.readline().strip()
+        if not text:
+            break
+        name, _, value = text.partition(b":")
+        headers[name.lower()] = value.strip()
+    file.read(int(headers.get(b"content-length", 0)))
+    return line[1].decode(), headers
+
+
+def serve(connection):
+    file = connection.makefile("rb")
+    try:
+        while True:
+            request = read_request(file)
+            if not request:
+                break
+            path, headers = request
+            name = path.rsplit("/", 1)[-1]
+            if path.startswith("/test/"):
+                body = json.dumps(state[name]).encode()
+                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d"
+                                   b"\r\n\r\n%s" % (len(body), body))
+                continue
+            forms = name.split("+")
+            last = int(headers.get(b"last-event-id") or 0)
+            if not answer(connection, forms[-1 if last else 0],
+                          headers.get(b"x-limpetflow-request-id", b""),
+                          last + 1):
+                break
+    except OSError:
+        pass
+    finally:
+        file.close()
+        connection.close()
+
+
+def main():
+    host, port = sys.argv[1].split(":")
+    listener = socket.create_server((host, int(port)), backlog=128)
+    while True:
+        connection, _ = listener.accept()
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        threading.Thread(target=serve, args=(connection,),
+                         daemon=True).start()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/t/t1016-answer-ends.sh
@@ -0,0 +1,107 @@
+#!/bin/sh
+
+test_description='an answer that was broken off does not reach its caller as complete'
+
+. "$(dirname "$0")/test-lib.sh"
+
+STORE=$TEST_NET.9:7001
+ENTRY=$TEST_NET.1:8000
+READY=$TEST_NET.1:8001
+
+put () {
+	curl -sf -X PUT --data-binary @- "http://$STORE/test/$1" >/dev/null
+}
+
+# route NAME KIND ATTEMPTS [MEMBERS]: a route of the prefix /NAME/.
+route () {
+	printf '{"Name":"%s","Host":"a.example","Prefix":"/%s/","Kind":"%s","TimeoutMs":3000,"SloMs":1000,"Service":"web","Attempts":%s%s}' \
+		"$1" "$1" "$2" "$3" "$4"
+}
+
+config () {
+	printf '{"Version":1,"Routes":[%s,%s,%s,%s],"Services":[{"Name":"web","MaxConns":90}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]}' \
+		"$(route one streaming 1 ',"Resumable":true')" \
+		"$(route two streaming 2 ',"Resumable":true')" \
+		"$(route lone streaming 1)" \
+		"$(route plain non_idempotent 1)" | put op/config
+}
+
+# server ID ADDRESS
+server () {
+	printf '{"Service":"web","Addr":"%s","Zone":"d1","Version":"v1","Slots":20,"State":"ready","ColdLeftMs":0,"Seq":1}' \
+		"$2" | put "servers/$1"
+}
+
+# ends PATH...: prints how the caller sees the answer to each path.
+ends () {
+	for path; do
+		echo "$path: $(python3 "$TEST_DIR/helper/read-answer.py" \
+			$ENTRY "/$path" "X-Limpetflow-Request-Id:r-$$-$path" \
+			X-Limpetflow-Deadline-Ms:2500)"
+	done
+}
+
+is_served () {
+	ends one/events-length | grep "whole events 12345"
+}
+
+cat >entry.json <<EOF
+{"instance":"e1","data_center":"d1","address":"$TEST_NET.1",
+ "ports":{"first":7700},"listen":{"callers":"$ENTRY","ready":"$READY"},
+ "platform":"store","platform_url":"http://$STORE",
+ "key":"0123456789abcdef","seeds":["$TEST_NET.1:1"],
+ "forward":{"stop_grace_s":8,"retry_ratio":0.2,"retry_window_s":10,
+  "retry_slack":1000}}
+EOF
+start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
+start up1 python3 "$TEST_DIR/standin/raw_server.py" $TEST_NET.2:80
+start up2 python3 "$TEST_DIR/standin/raw_server.py" $TEST_NET.3:80
+
+test_expect_success 'answers with a length or chunks reach the caller whole' '
+	wait_until 10 curl -sf http://$STORE/test/calls &&
+	config && server i-1 $TEST_NET.2:80 && server i-2 $TEST_NET.3:80 &&
+	start entry limpet-entry --settings entry.json &&
+	wait_until 10 curl -sf http://$READY/readyz &&
+	wait_until 10 is_served &&
+	ends one/events-chunked plain/plain-length plain/plain-chunked >actual &&
+	cat >expect <<-\EOF &&
+	one/events-chunked: 200 chunked whole events 12345
+	plain/plain-length: 200 length whole 612 bytes
+	plain/plain-chunked: 200 chunked whole 612 bytes
+	EOF
+	test_cmp expect actual
+'
+
+# An upstream that closes its connection inside an event has broken the stream
+# off; the caller got the last chunk, as after a whole stream.
+test_expect_success 'a stream that closes inside an event is cut' '
+	ends one/inside-close lone/inside-close >actual &&
+	cat >expect <<-\EOF &&
+	one/inside-close: 200 close cut events 12
+	lone/inside-close: 200 close cut events 12
+	EOF
+	test_cmp expect actual
+'
+
+# The same where an attempt is left, so that the stream can go on elsewhere.
+test_expect_success 'a stream that closes inside an event is resumed' '
+	ends two/inside-close+events-close two/inside-close+events-chunked >actual &&
+	cat >expect <<-\EOF &&
+	two/inside-close+events-close: 200 close closed events 12345
+	two/inside-close+events-chunked: 200 close closed events 12345
+	EOF
+	test_cmp expect actual
+'
+
+# A close claims less than a last chunk, which the caller must not get then.
+test_expect_success 'an answer that ends with its connection is passed on as such' '
+	ends one/events-close lone/events-close plain/plain-close >actual &&
+	cat >expect <<-\EOF &&
+	one/events-close: 200 close closed events 12345
+	lone/events-close: 200 close closed events 12345
+	plain/plain-close: 200 close closed 612 bytes
+	EOF
+	test_cmp expect actual
+'
+
+test_done
