forward: pass on the end of an answer as its upstream marked it

Cause: an upstream may answer with neither a length nor chunks and end the body with its connection. libcurl reports such a transfer as complete when the connection closes, finish_attempt() took that for the end of the answer, and the caller's answer, always in chunks, got its last chunk, after the partial event that was still held back. A close that was meant as an end and one of a process that is gone look the same.

Class of fault: an answer was passed on with a stronger proof of its end than it came with.

Ruled out: a last chunk of the upstream's own (t1016 shows the fault without one), and an end after an error (the lines of both requests have none).

Change: the caller gets the framing that came in. An answer that ends with its connection closes the caller's connection, and resets it when it was broken off, as nothing else would show that. A stream that ends inside an event was broken off whatever its framing: it is resumed, or cut. A stream that began in chunks is not completed by a close; one that has events without an id is not resumed, as they would come twice. The length of a stream of events is not passed on, since a resumed part has another one.

--- a/calls/gate-stream.c
+++ b/calls/gate-stream.c
@@ -261,7 +261,7 @@
 	http_call_stream_begin(run->call, run->fetch.status,
 			       *run->content_type ? run->content_type
 						  : "application/json",
-			       -1);
+			       FRAMING_CHUNKED, 0);
 	return 0;
 }
 
--- a/calls/relay-answer.c
+++ b/calls/relay-answer.c
@@ -106,7 +106,8 @@
 	if (!r->has_started_stream) {
 		r->has_started_stream = 1;
 		set_caller_headers(r);
-		http_call_stream_begin(r->call, 200, "text/event-stream", -1);
+		http_call_stream_begin(r->call, 200, "text/event-stream",
+				       FRAMING_CHUNKED, 0);
 	}
 	return http_call_stream_write(r->call, text, size);
 }
--- a/forward/answer.c
+++ b/forward/answer.c
@@ -22,6 +22,8 @@
 /* Time without new requests after an upstream answered that it is full. */
 #define FULL_BACKOFF_US (150 * 1000)
 
+#define EVENT_STREAM_TYPE "text/event-stream"
+
 #define STATUS_OK 200
 #define STATUS_MISDIRECTED 421
 #define STATUS_SERVER_ERROR 500
@@ -33,16 +35,22 @@
 {
 	header_list_clear(&f->answer_headers);
 	memset(&f->answer, 0, sizeof(f->answer));
-	f->answer_size = -1;
+	f->is_event_answer = 0;
 	f->has_answer = 0;
 	free(f->held_body);
 	f->held_body = NULL;
 	f->held_size = 0;
 }
 
-static int is_event_stream(const struct forward *f)
+/*
+ * Returns 1 while the request can be completed by another upstream: no part of
+ * the answer was passed on, or whole events with an id to continue after.
+ */
+static int is_resumable(const struct forward *f)
 {
-	return f->route->kind == ROUTE_STREAM && f->route->is_resumable;
+	if (f->route->kind != ROUTE_STREAM || !f->route->is_resumable)
+		return 0;
+	return !f->is_answer_started || events_has_position(&f->events);
 }
 
 /*
@@ -82,15 +90,21 @@
 	struct forward *x = f->arg;
 
 	x->w->wire->parse_answer_header(name, value, &x->answer);
-	if (!strcasecmp(name, "Content-Length"))
-		x->answer_size = atoll(value);
+	if (!strcasecmp(name, "Content-Type"))
+		x->is_event_answer = f->status == STATUS_OK &&
+				     !strncasecmp(value, EVENT_STREAM_TYPE,
+						  strlen(EVENT_STREAM_TYPE));
 	if (!header_is_hop_by_hop(name) && strcasecmp(name, "Date"))
 		header_add(&x->answer_headers, name, value);
 }
 
 static void receive_status_line(struct fetch *f)
 {
-	forward_answer_clear(f->arg);
+	struct forward *x = f->arg;
+
+	forward_answer_clear(x);
+	x->is_event_answer =
+		x->route->kind == ROUTE_STREAM && f->status == STATUS_OK;
 }
 
 /* Returns 1 for an answer that a later attempt may replace by a better one. */
@@ -121,7 +135,13 @@
 	f->answer_started_at = clock_now();
 	f->answer_status = status;
 	copy_answer_headers(f);
-	http_call_stream_begin(f->call, status, NULL, f->answer_size);
+	f->is_event_reply = f->is_event_answer;
+	f->reply_framing = f->fetch.framing;
+	/* The length is of one upstream's part of the stream only. */
+	if (f->is_event_answer && f->reply_framing == FRAMING_LENGTH)
+		f->reply_framing = FRAMING_CHUNKED;
+	http_call_stream_begin(f->call, status, NULL, f->reply_framing,
+			       f->fetch.content_length);
 }
 
 static int append_held_body(struct forward *f, const void *data, size_t size)
@@ -192,6 +212,17 @@
 	pthread_mutex_unlock(&f->w->mutex);
 }
 
+/*
+ * Returns 1 unless the caller has the start of an answer that this one can't
+ * continue: a resumed stream must have the same status and type.
+ */
+static int continues_answer(const struct forward *f)
+{
+	return !f->is_answer_started ||
+	       (f->answer_status == f->fetch.status &&
+		f->is_event_reply == f->is_event_answer);
+}
+
 static int receive_body(struct fetch *x, const void *data, size_t size)
 {
 	struct forward *f = x->arg;
@@ -199,16 +230,15 @@
 	record_contact(f, clock_now());
 	if (is_mismatched_answer(f))
 		return -1;
-	if (f->is_answer_started && f->answer_status == STATUS_OK &&
-	    x->status != STATUS_OK)
-		return -1; /* a resumed stream must have the same status */
+	if (!continues_answer(f))
+		return -1;
 	if (is_replaceable_answer(f, x->status))
 		return append_held_body(f, data, size);
 	if (http_call_stream_pending(f->call) > PENDING_MAX_BYTES)
 		return FETCH_PAUSE;
 	if (!f->is_answer_started)
 		start_reply(f, x->status);
-	if (is_event_stream(f) && x->status == STATUS_OK)
+	if (f->is_event_answer)
 		return events_feed(&f->events, data, size, write_event, f);
 	return http_call_stream_write(f->call, data, size);
 }
@@ -220,13 +250,27 @@
 	       CANCEL_WITHDRAWN;
 }
 
+/*
+ * Returns 1 for a stream that was broken off although its transfer ended
+ * without an error: inside an event, or before the first one if nothing but the
+ * connection marked its end.
+ */
+static int is_broken_stream(const struct forward *f)
+{
+	if (!f->is_event_answer)
+		return 0;
+	return events_is_open(&f->events) ||
+	       (!f->is_answer_started && f->fetch.framing == FRAMING_CLOSE);
+}
+
 static void fill_attempt_result(struct forward *f, struct attempt_result *e)
 {
 	const struct fetch *x = &f->fetch;
 
 	memset(e, 0, sizeof(*e));
 	e->status = x->status;
-	e->is_complete = !x->error.code && x->status;
+	e->is_complete = !x->error.code && x->status && !is_broken_stream(f);
+	e->is_end_marked = x->framing != FRAMING_CLOSE;
 	e->is_unsent = x->never_sent;
 	e->is_too_late = x->is_too_late;
 	e->is_not_run = f->answer.is_not_run && x->status;
@@ -242,9 +286,7 @@
 	e->is_answer_started = f->is_answer_started;
 	e->is_timed_out = !e->is_complete && !e->is_canceled &&
 			  clock_now() >= f->expires_at - TIME_LEFT_MIN_US;
-	/* The answer to a resumed stream must have the same status. */
-	if (f->is_answer_started && e->is_complete &&
-	    f->answer_status != x->status)
+	if (!continues_answer(f))
 		e->is_complete = 0;
 }
 
@@ -252,7 +294,8 @@
 				 apr_time_t now)
 {
 	s->is_repeatable = is_route_repeatable(f->route);
-	s->is_resumable = is_event_stream(f);
+	s->is_resumable = is_resumable(f);
+	s->is_end_promised = f->reply_framing != FRAMING_CLOSE;
 	s->may_have_run = f->may_have_run;
 	s->runs = f->runs;
 	s->runs_max = f->route->max_attempts;
@@ -374,11 +417,18 @@
 		   "request finished");
 }
 
-/* Sends the rest of a complete answer to the caller. */
+/*
+ * Sends the rest of a complete answer to the caller. Its end is not marked
+ * better than the upstream marked it.
+ */
 void forward_finish_complete(struct forward *f, apr_time_t now)
 {
 	log_request_end(f, "answer", f->fetch.status, now);
-	if (!f->is_answer_started) {
+	if (!f->is_answer_started && f->fetch.framing == FRAMING_CLOSE) {
+		start_reply(f, f->fetch.status);
+		http_call_stream_write(f->call, f->held_body, f->held_size);
+		http_call_stream_end(f->call, 1);
+	} else if (!f->is_answer_started) {
 		copy_answer_headers(f);
 		http_call_reply(f->call, f->fetch.status, NULL,
 				f->held_body ? f->held_body : "", f->held_size);
--- a/forward/decide.c
+++ b/forward/decide.c
@@ -42,7 +42,8 @@
 	if (s->is_caller_disconnected)
 		return NEXT_DISCONNECTED;
 	if (e->is_answer_started) {
-		if (e->is_complete && !e->is_mismatched)
+		if (e->is_complete && !e->is_mismatched &&
+		    (e->is_end_marked || !s->is_end_promised))
 			return NEXT_DONE;
 		if (s->is_resumable && !e->is_timed_out && can_retry(e, s))
 			return NEXT_RESUME;
--- a/forward/events.c
+++ b/forward/events.c
@@ -87,6 +87,41 @@
 	return 0;
 }
 
+/* Returns 1 for text of whole lines that are all empty or comments. */
+static int is_comment(const char *text, size_t size)
+{
+	size_t at = 0;
+
+	while (at < size) {
+		const char *end = memchr(text + at, '\n', size - at);
+
+		if (!end)
+			return 0;
+		if (text[at] != ':' && text[at] != '\n' && text[at] != '\r')
+			return 0;
+		at = (size_t)(end - text) + 1;
+	}
+	return 1;
+}
+
+/*
+ * Returns 1 when the bytes so far end inside an event, so that a stream that
+ * ends here was broken off.
+ */
+int events_is_open(const struct event_splitter *e)
+{
+	return !is_comment(e->buffer, e->size);
+}
+
+/*
+ * Returns 1 when another upstream can continue the stream: the last event that
+ * was passed on had an id.
+ */
+int events_has_position(const struct event_splitter *e)
+{
+	return *e->last_id && !e->has_unnumbered;
+}
+
 /* Returns 1 for an event that was passed on before the stream was resumed. */
 static int is_duplicate(struct event_splitter *e, const char *text, size_t size)
 {
@@ -96,8 +131,10 @@
 	long long number;
 	char *end;
 
-	if (!n || n >= sizeof(copy))
+	if (!n || n >= sizeof(copy)) {
+		e->has_unnumbered |= !is_comment(text, size);
 		return 0;
+	}
 	memcpy(copy, id, n);
 	copy[n] = '\0';
 	number = strtoll(copy, &end, 10);
@@ -105,6 +142,7 @@
 		number = -1;
 	if (e->is_resumed && number >= 0 && number <= e->last_number)
 		return 1;
+	e->has_unnumbered = 0;
 	snprintf(e->last_id, sizeof(e->last_id), "%s", copy);
 	e->last_number = number;
 	return 0;
--- a/forward/events.h
+++ b/forward/events.h
@@ -17,7 +17,8 @@
 	size_t capacity;
 	char last_id[EVENT_ID_SIZE]; /* of the last complete event with an id */
 	long long last_number;	     /* last_id as a number, -1: none */
-	int is_resumed; /* events up to last_number are duplicates */
+	int is_resumed;	    /* events up to last_number are duplicates */
+	int has_unnumbered; /* an event without id followed the last one */
 };
 
 /* Receives complete events; a non-zero result stops the splitting. */
@@ -28,5 +29,7 @@
 int events_feed(struct event_splitter *e, const char *data, size_t size,
 		event_sink sink, void *arg);
 void events_resume(struct event_splitter *e);
+int events_is_open(const struct event_splitter *e);
+int events_has_position(const struct event_splitter *e);
 
 #endif
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -112,7 +112,9 @@
 	/* The answer. */
 	struct header_list answer_headers;
 	struct answer_head answer;
-	long long answer_size;	      /* from Content-Length, -1: unknown */
+	int is_event_answer;	      /* its body is a stream of events */
+	int is_event_reply;	      /* the answer that the caller gets is */
+	enum framing reply_framing;   /* of the answer that the caller gets */
 	int is_answer_started;	      /* atomic: the caller has its status */
 	apr_time_t answer_started_at; /* 0: not yet */
 	int answer_status;	      /* sent to the caller */
--- a/net/httpd-answer.c
+++ b/net/httpd-answer.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "net/cut.h"
 
@@ -61,6 +62,20 @@
 	json_decref(body);
 }
 
+/*
+ * Resets the caller's connection. libmicrohttpd closes it in the same way after
+ * a complete and a truncated answer, which shows in nothing else when only the
+ * connection marks the answer's end.
+ */
+static void reset_connection(struct http_call *c)
+{
+	struct sockaddr unspecified = { .sa_family = AF_UNSPEC };
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		c->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	connect(info->connect_fd, &unspecified, sizeof(unspecified));
+}
+
 static ssize_t read_stream(void *cls, uint64_t pos, char *buf, size_t max)
 {
 	struct http_call *c = cls;
@@ -82,6 +97,8 @@
 		}
 		ret = (ssize_t)n;
 	} else if (c->is_ended) {
+		if (!c->is_complete && c->ends_with_connection)
+			reset_connection(c);
 		ret = c->is_complete ? MHD_CONTENT_READER_END_OF_STREAM
 				     : MHD_CONTENT_READER_END_WITH_ERROR;
 	} else {
@@ -93,16 +110,23 @@
 }
 
 /*
- * Starts a streamed answer.  A size of -1 selects chunked coding, whose end
- * marker lets the caller detect a truncated stream.
+ * Starts a streamed answer with that framing; size counts for FRAMING_LENGTH
+ * only.  With FRAMING_CLOSE, a complete answer closes the connection and a
+ * truncated one resets it.
  */
 void http_call_stream_begin(struct http_call *c, int status, const char *type,
-			    long long size)
+			    enum framing framing, long long size)
 {
 	struct MHD_Response *r = MHD_create_response_from_callback(
-		size < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)size,
+		framing == FRAMING_LENGTH ? (uint64_t)size : MHD_SIZE_UNKNOWN,
 		STREAM_BLOCK_BYTES, read_stream, c, NULL);
 
+	if (framing == FRAMING_CLOSE)
+		MHD_set_response_options(r, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT,
+					 MHD_RO_END);
+	c->ends_with_connection =
+		framing == FRAMING_CLOSE ||
+		(framing == FRAMING_CHUNKED && c->is_http_1_0);
 	set_response(c, status, type, r);
 }
 
--- a/net/httpd-internal.h
+++ b/net/httpd-internal.h
@@ -40,6 +40,7 @@
 	size_t body_size;
 	size_t body_capacity;
 	int is_too_large;
+	int is_http_1_0;
 
 	int refs; /* atomic; one for the server, one for the handler */
 
@@ -59,7 +60,8 @@
 
 	int is_ended;
 	int is_complete;
-	char *out; /* stream bytes not yet sent */
+	int ends_with_connection; /* nothing else marks the answer's end */
+	char *out;		  /* stream bytes not yet sent */
 	size_t out_start;
 	size_t out_size;
 	size_t out_capacity;
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -81,11 +81,12 @@
 
 static void init_call(struct httpd *h, struct http_call *c,
 		      struct MHD_Connection *con, const char *method,
-		      const char *path)
+		      const char *path, const char *version)
 {
 	const union MHD_ConnectionInfo *info;
 
 	c->state = CALL_READING;
+	c->is_http_1_0 = !strcmp(version, MHD_HTTP_VERSION_1_0);
 	c->method = strdup(method);
 	c->path = strdup(path);
 	c->route = find_route(h, method, path);
@@ -247,7 +248,7 @@
 	if (!c)
 		return MHD_NO;
 	if (c->state == CALL_NEW) {
-		init_call(h, c, con, method, url);
+		init_call(h, c, con, method, url, version);
 		return is_address_partitioned(c->peer) || is_ambiguous(con)
 			       ? MHD_NO
 			       : MHD_YES;
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -6,6 +6,7 @@
 #include <stddef.h>
 
 #include "base/error.h"
+#include "net/framing.h"
 
 /*
  * HTTP server on libmicrohttpd.  A handler gets the complete request body
@@ -53,9 +54,8 @@
 		     const void *body, size_t size);
 void http_call_reply_json(struct http_call *c, int status, json_t *body);
 
-/* A size of -1 means unknown; the answer is then sent chunked. */
 void http_call_stream_begin(struct http_call *c, int status, const char *type,
-			    long long size);
+			    enum framing framing, long long size);
 int http_call_stream_write(struct http_call *c, const void *data, size_t size);
 size_t http_call_stream_pending(struct http_call *c);
 void http_call_stream_end(struct http_call *c, int is_complete);
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -106,6 +106,27 @@
 }
 END_TEST
 
+/*
+ * A close ends an answer only where the caller was promised nothing better: it
+ * is no proof for the last chunk of a stream that began in chunks.
+ */
+START_TEST(close_does_not_complete_a_stream_in_chunks)
+{
+	struct attempt_result e = { .status = 200,
+				    .is_answer_started = 1,
+				    .is_complete = 1 };
+	struct attempt_context s = repeatable;
+
+	ck_assert_int_eq(attempt_decide_next(&e, &s), NEXT_DONE);
+	s.is_end_promised = 1;
+	ck_assert_int_eq(attempt_decide_next(&e, &s), NEXT_TRUNCATED);
+	s.is_resumable = 1;
+	ck_assert_int_eq(attempt_decide_next(&e, &s), NEXT_RESUME);
+	e.is_end_marked = 1;
+	ck_assert_int_eq(attempt_decide_next(&e, &s), NEXT_DONE);
+}
+END_TEST
+
 START_TEST(moved_stream_is_resumed_after_refusal)
 {
 	struct attempt_result moved = { .status = 200,
@@ -164,6 +185,67 @@
 }
 END_TEST
 
+static void feed_text(struct event_splitter *e, const char *text)
+{
+	char out[256] = "";
+
+	events_init(e);
+	ck_assert_int_eq(events_feed(e, text, strlen(text), collect, out), 0);
+}
+
+START_TEST(stream_is_open_inside_an_event_only)
+{
+	static const char *const open[] = { "id: 1",
+					    "id: 1\n",
+					    "data: a\n\nid",
+					    "data: a\n\nid: 2\ndata: b\n",
+					    ":com",
+					    "data: a\n\n:com",
+					    NULL };
+	static const char *const ended[] = { "",
+					     "data: a\n\n",
+					     "data: a\r\n\r\n",
+					     ":com\n",
+					     "data: a\n\n:com\n",
+					     "data: a\n\n\n",
+					     ":a\n:b\n\n",
+					     NULL };
+	struct event_splitter e;
+	int i;
+
+	for (i = 0; open[i]; i++) {
+		feed_text(&e, open[i]);
+		ck_assert_msg(events_is_open(&e), "%s", open[i]);
+		events_destroy(&e);
+	}
+	for (i = 0; ended[i]; i++) {
+		feed_text(&e, ended[i]);
+		ck_assert_msg(!events_is_open(&e), "%s", ended[i]);
+		events_destroy(&e);
+	}
+}
+END_TEST
+
+/* A stream that goes on without one would repeat events. */
+START_TEST(stream_has_a_position_after_events_with_ids)
+{
+	struct event_splitter e;
+
+	feed_text(&e, "id: 1\ndata: a\n\n:com\n\n");
+	ck_assert(events_has_position(&e));
+	events_destroy(&e);
+	feed_text(&e, "id: 1\ndata: a\n\ndata: b\n\n");
+	ck_assert(!events_has_position(&e));
+	events_destroy(&e);
+	feed_text(&e, "data: a\n\nid: 1\ndata: b\n\n");
+	ck_assert(events_has_position(&e));
+	events_destroy(&e);
+	feed_text(&e, "data: a\n\n");
+	ck_assert(!events_has_position(&e));
+	events_destroy(&e);
+}
+END_TEST
+
 START_TEST(resumed_stream_drops_incomplete_and_duplicate_events)
 {
 	struct event_splitter e;
@@ -556,6 +638,9 @@
 		non_repeatable_request_is_not_retried_after_unknown_outcome);
 	tcase_add_test(tc, retries_stop_at_run_limit_and_budget);
 	tcase_add_test(tc, stream_is_resumed_or_truncated);
+	tcase_add_test(tc, close_does_not_complete_a_stream_in_chunks);
+	tcase_add_test(tc, stream_is_open_inside_an_event_only);
+	tcase_add_test(tc, stream_has_a_position_after_events_with_ids);
 	tcase_add_test(tc, moved_stream_is_resumed_after_refusal);
 	tcase_add_test(tc, events_are_complete_for_any_split_of_bytes);
 	tcase_add_test(tc,
--- a/t/helper/test-net.c
+++ b/t/helper/test-net.c
@@ -59,7 +59,8 @@
 	if (l->mode == 0) {
 		http_call_reply(l->call, 200, "text/plain", "late", 4);
 	} else {
-		http_call_stream_begin(l->call, 200, "text/plain", -1);
+		http_call_stream_begin(l->call, 200, "text/plain",
+				       FRAMING_CHUNKED, 0);
 		for (i = 0; i < 100; i++) {
 			http_call_stream_write(l->call, "0123456789", 10);
 			if (i % 10 == 0)
--- a/weights/upload.c
+++ b/weights/upload.c
@@ -260,7 +260,7 @@
 			w->sent_at = now;
 			http_call_stream_begin(
 				w->sending->call, HTTP_OK,
-				"application/octet-stream",
+				"application/octet-stream", FRAMING_LENGTH,
 				(long long)w->sending->blob->size);
 		}
 		/* A receiver that stopped reading must not block the queue. */
