net: an answer that ends inside its head is an error

What callers would see: an upstream whose process ends while it writes the head of an answer gave them its status with an empty body, as a complete answer; for an order, a report or a listing, an empty 200.

Cause: libcurl reports a transfer as complete when the connection closes cleanly after the status line, with the header lines so far. Evidence: t1017, form head-open, 'whole' before and 'corrupt' after; a reset in the same place was an error before as well.

Change: without the empty line that ends a head there is no framing, and finish_fetch() makes that an error.

--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -101,10 +101,11 @@
 
 static int append_text(struct fetch *f, const char *data, size_t n)
 {
+	size_t max = f->text_max ? f->text_max : FETCH_TEXT_MAX;
 	size_t want = f->text_size + n + 1;
 	char *p;
 
-	if (want > FETCH_TEXT_MAX)
+	if (want > max)
 		return -1;
 	if (want > f->text_capacity) {
 		size_t to = f->text_capacity ? f->text_capacity * 2 : 4096;
@@ -259,6 +260,8 @@
 	case CURLE_PARTIAL_FILE:
 	case CURLE_RECV_ERROR:
 	case CURLE_GOT_NOTHING:
+	case CURLE_UNSUPPORTED_PROTOCOL: /* no HTTP version in the answer */
+	case CURLE_WEIRD_SERVER_REPLY:
 		kind = ERROR_CORRUPT;
 		break;
 	default:
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -172,6 +172,9 @@
 	f->never_sent = !sent;
 	record_if_unanswered(r, f, sent, code);
 	fetch_error_from_curl(f, code);
+	if (code == CURLE_OK && f->framing == FRAMING_NONE)
+		error_set(&f->error, ERROR_CORRUPT, "fetch", f->url,
+			  "the answer ended inside its head");
 	remove_pending_requests(r, f);
 	/* done may take ownership of f->text by clearing it, or free f. */
 	f->ops->done(f);
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -27,7 +27,11 @@
 	 * transfer.
 	 */
 	int (*data)(struct fetch *f, const void *data, size_t size);
-	/* The transfer ended; f->error.code is 0 for a complete answer. */
+	/*
+	 * The transfer ended; f->error.code is 0 for an answer that is complete
+	 * as far as its framing tells. With FRAMING_CLOSE that is little: the
+	 * body itself has to prove it, by a digest or as a whole document.
+	 */
 	void (*done)(struct fetch *f);
 	/* Optional: a status line; earlier headers are to be discarded. */
 	void (*status_line)(struct fetch *f);
@@ -57,6 +61,7 @@
 	 */
 	apr_time_t send_by;
 	int once; /* never sent twice: new connection, no library retry */
+	size_t text_max; /* of the body when ops->data is NULL, 0: FETCH_TEXT_MAX */
 
 	/* filled in by the library */
 	int status;		  /* of HTTP, 0 before a response */
--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -34,7 +34,7 @@
 import time
 
 PIECE = 16 * 1024
-FOREVER_MAX_BYTES = 256 * 1024 * 1024
+FOREVER_MAX_BYTES = 16 * 1024 * 1024 * 1024
 FOREVER_MAX_S = 30
 PLAIN = b'{"whole":"%s"}' % (b"x" * 600)
 
@@ -67,7 +67,7 @@
     """Returns the header lines and the bytes of a body."""
     lines = [b"Content-Type: " + type_line]
     if framing == "length":
-        size = len(body) + (10 if end == "open" else 0)
+        size = len(body) + (10 if end else 0)
         return lines + [b"Content-Length: %d" % size], body
     if framing == "close":
         return lines, body
