net: bound the bytes of heads and trailers

What callers would see: an entry or agent that runs out of memory, as an upstream sends trailer lines after its last chunk without end.

Cause: libcurl keeps the lines of trailers; it limits a line and a head but not their number. Evidence: t1017, form forever-trailer, a fetch of 1.5 s took 290 MB on; heads and interim responses stay below 13 MB there, by libcurl's own limits.

Change: a fetch counts the bytes of all heads and trailers that it receives and ends above FETCH_HEAD_MAX.

--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -72,6 +72,9 @@
 	char *value, *end;
 	long status = 0;
 
+	f->head_size += length;
+	if (f->head_size > FETCH_HEAD_MAX)
+		return 0;
 	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
 	f->status = (int)status;
 	if (length > 5 && !memcmp(data, "HTTP/", 5)) {
@@ -265,7 +268,9 @@
 		kind = ERROR_CORRUPT;
 		break;
 	default:
-		kind = f->is_aborted_by_data ? ERROR_REFUSED : ERROR_INTERNAL;
+		kind = f->head_size > FETCH_HEAD_MAX ? ERROR_CORRUPT
+		       : f->is_aborted_by_data	     ? ERROR_REFUSED
+						     : ERROR_INTERNAL;
 	}
 	error_set(&f->error, kind, "fetch", f->url, "%s",
 		  curl_easy_strerror(code));
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -425,6 +425,7 @@
 	f->fetcher = r;
 	f->status = 0;
 	fetch_reset_head(f);
+	f->head_size = 0;
 	f->never_sent = 1;
 	f->submitted_at = clock_now();
 	f->link = NULL;
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -67,6 +67,7 @@
 	int status;		  /* of HTTP, 0 before a response */
 	enum framing framing;	  /* of the response */
 	long long content_length; /* of the response, -1: none */
+	size_t head_size;	  /* bytes of all its heads and trailers */
 	int is_chunked;		  /* the response has chunked coding */
 	apr_time_t submitted_at;
 	int never_sent;	 /* no byte of the request left this process */
@@ -88,6 +89,8 @@
 
 #define FETCH_CONNECT_MS 1000
 #define FETCH_TEXT_MAX (4 * 1024 * 1024)
+/* Bytes of interim responses, head and trailers together. */
+#define FETCH_HEAD_MAX (64 * 1024)
 
 struct fetcher *fetcher_start(const char *local_address, struct error *err);
 void fetcher_stop(struct fetcher *r);
--- a/t/t1017-fetch-ends.sh
+++ b/t/t1017-fetch-ends.sh
@@ -65,6 +65,20 @@
 	test_cmp expect actual
 '
 
+test_expect_success 'heads and trailers without end are closed in bounded memory' '
+	fetch_forever noise status line head interim trailer >actual &&
+	cat >expect <<-\EOF &&
+	forever-noise: 0 none corrupt some bytes
+	forever-status: 0 none internal some bytes
+	forever-line: 200 none internal some bytes
+	forever-head: 200 none corrupt some bytes
+	forever-interim: 100 none corrupt some bytes
+	forever-trailer: 200 chunked corrupt some bytes
+	EOF
+	test_cmp expect actual &&
+	wait_until 5 closed 6
+'
+
 test_expect_success 'bodies without end are closed in bounded memory' '
 	fetch_forever body event comment chunk >actual &&
 	cat >expect <<-\EOF &&
@@ -74,7 +88,7 @@
 	forever-chunk: 200 chunked timeout some bytes
 	EOF
 	test_cmp expect actual &&
-	wait_until 5 closed 4
+	wait_until 5 closed 10
 '
 
 test_expect_success 'a head that comes byte by byte is closed at the time-out' '
@@ -83,7 +97,7 @@
 	forever-slow: 200 none timeout some bytes
 	EOF
 	test_cmp expect actual &&
-	wait_until 5 closed 5
+	wait_until 5 closed 11
 '
 
 test_done
