calls: pass on the end of a plain answer as its service marked it

What callers saw: the answer of a plain service that ended with its connection arrived with a length, at first and in each replay, so that one whose service had closed in the middle looked whole.

Cause: the same as of the entry's streams: agent and entry collect a plain answer and send it with a length of their own.

The answer of a model needs none, as its last event has the number of tokens.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -424,14 +424,11 @@
 void forward_finish_complete(struct forward *f, apr_time_t now)
 {
 	log_request_end(f, "answer", f->fetch.status, now);
-	if (!f->is_answer_started && f->fetch.framing == FRAMING_CLOSE) {
-		start_reply(f, f->fetch.status);
-		http_call_stream_write(f->call, f->held_body, f->held_size);
-		http_call_stream_end(f->call, 1);
-	} else if (!f->is_answer_started) {
+	if (!f->is_answer_started) {
 		copy_answer_headers(f);
-		http_call_reply(f->call, f->fetch.status, NULL,
-				f->held_body ? f->held_body : "", f->held_size);
+		http_call_reply_framed(
+			f->call, f->fetch.status, NULL, f->fetch.framing,
+			f->held_body ? f->held_body : "", f->held_size);
 	} else {
 		if (f->events.size)
 			http_call_stream_write(f->call, f->events.buffer,
--- a/net/httpd-answer.c
+++ b/net/httpd-answer.c
@@ -176,6 +176,22 @@
 	return n;
 }
 
+/*
+ * Answers with a body that was received whole.  The end is not marked if it was
+ * not when the body was received (FRAMING_CLOSE).
+ */
+void http_call_reply_framed(struct http_call *c, int status, const char *type,
+			    enum framing framing, const void *body, size_t size)
+{
+	if (framing != FRAMING_CLOSE) {
+		http_call_reply(c, status, type, body, size);
+		return;
+	}
+	http_call_stream_begin(c, status, type, FRAMING_CLOSE, 0);
+	http_call_stream_write(c, body, size);
+	http_call_stream_end(c, 1);
+}
+
 /* Ends the stream; is_complete 0 makes it visibly truncated. */
 void http_call_stream_end(struct http_call *c, int is_complete)
 {
--- a/t/helper/read-answer.py
+++ b/t/helper/read-answer.py
@@ -1,6 +1,8 @@
 """Reads an answer from a socket and reports how it was framed and how it ended.
 
-    read-answer.py ADDRESS:PORT PATH [NAME:VALUE...]
+    read-answer.py ADDRESS:PORT PATH [NAME:VALUE...] [body=TEXT]
+
+With a body the request is a POST.
 
 Prints one line: status, framing, end, and the ids of the whole events or the
 size of the body. The end is
@@ -81,12 +83,21 @@
 
 def main():
     host, port = sys.argv[1].split(":")
-    lines = ["GET %s HTTP/1.1" % sys.argv[2], "Host: a.example"]
-    lines += [line.replace(":", ": ", 1) for line in sys.argv[3:]]
+    body = None
+    lines = ["Host: a.example"]
+    for word in sys.argv[3:]:
+        if word.startswith("body="):
+            body = word[len("body="):]
+            lines.append("Content-Length: %d" % len(body))
+        else:
+            lines.append(word.replace(":", ": ", 1))
+    method = "GET" if body is None else "POST"
+    lines.insert(0, "%s %s HTTP/1.1" % (method, sys.argv[2]))
     answer = Answer()
     with socket.create_connection((host, int(port)), TIMEOUT_S) as s:
         s.settimeout(TIMEOUT_S)
-        s.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
+        s.sendall(("\r\n".join(lines) + "\r\n\r\n" +
+                   (body or "")).encode())
         answer.parse()
         while not answer.is_whole:
             try:
--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -22,7 +22,7 @@
                   "comment" (comments of a stream), "chunk" (the size of a
                   chunk), "trailer" (lines after the last chunk), "slow" (a
                   byte of a header line every 0.2 s)
-and for tests:
+A name without '-' gets "plain-length". For tests:
     GET /test/ended   the number of answers without end that the peer closed
     GET /test/sent    the largest number of bytes sent in one of them
 """
@@ -137,6 +137,8 @@
         if form == "head-reset":
             reset(connection)
         return False
+    if "-" not in form:
+        form = "plain-length"
     kind, framing, end = (form.split("-") + [""])[:3]
     if kind in ("plain", "half"):
         lines, body = frame(framing, end, plain_bytes(kind),
