t1016: every way in which an upstream's answer can end

Streams and plain answers with a length, chunks or neither that end early, by a close or a reset, with and without an attempt left, and eleven forms of bytes that never end, in heads and bodies, from a server of the test's own. The buffer of an incomplete event is limited to 256 KB, like the body of an answer that is held back: at 1 MB, the connections of one service would be allowed more memory than a machine has.

--- a/forward/events.h
+++ b/forward/events.h
@@ -9,7 +9,7 @@
  */
 
 #define EVENT_ID_SIZE 32
-#define EVENT_BYTES_MAX (1024 * 1024)
+#define EVENT_BYTES_MAX (256 * 1024)
 
 struct event_splitter {
 	char *buffer; /* incomplete event */
--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -7,7 +7,7 @@
 which have five events, and go on after Last-Event-Id:
     EVENTS-FRAMING[-END]
         EVENTS   "events"; "inside": the third event breaks off; "part": the
-                 stream ends after the second event
+                 stream ends after the second event; "none": no event
         FRAMING  "chunked", "length" or "close"
         END      "open": without the last chunk, or short of the length;
                  "reset": with a reset of the connection
@@ -47,6 +47,8 @@
 
 def stream_bytes(kind, first):
     """Returns the bytes of a stream from event `first` on."""
+    if kind == "none":
+        return b""
     if kind == "events":
         return b"".join(event(i) for i in range(first, 6))
     whole = b"".join(event(i) for i in range(first, 3))
--- a/t/t1016-answer-ends.sh
+++ b/t/t1016-answer-ends.sh
@@ -7,6 +7,7 @@
 STORE=$TEST_NET.9:7001
 ENTRY=$TEST_NET.1:8000
 READY=$TEST_NET.1:8001
+PEAK_MAX_KB=131072
 
 put () {
 	curl -sf -X PUT --data-binary @- "http://$STORE/test/$1" >/dev/null
@@ -104,4 +105,73 @@
 	test_cmp expect actual
 '
 
+# The mark itself is missing or claims more than the events.
+test_expect_success 'a stream that breaks off is cut or resumed, whatever its framing' '
+	ends one/inside-chunked one/inside-length one/part-chunked-open \
+		one/part-length-open one/part-close-reset one/part-chunked-reset \
+		two/inside-chunked+events-chunked two/part-close-reset+events-close \
+		two/part-chunked-open+events-length >actual &&
+	cat >expect <<-\EOF &&
+	one/inside-chunked: 200 chunked cut events 12
+	one/inside-length: 200 chunked cut events 12
+	one/part-chunked-open: 200 chunked cut events 12
+	one/part-length-open: 200 chunked cut events 12
+	one/part-close-reset: 200 close cut events 12
+	one/part-chunked-reset: 200 chunked cut events 12
+	two/inside-chunked+events-chunked: 200 chunked whole events 12345
+	two/part-close-reset+events-close: 200 close closed events 12345
+	two/part-chunked-open+events-length: 200 chunked whole events 12345
+	EOF
+	test_cmp expect actual
+'
+
+# The caller was promised a last chunk, which a close does not prove.
+test_expect_success 'a stream in chunks is not completed by a close' '
+	ends two/part-chunked-open+events-close >actual &&
+	echo "two/part-chunked-open+events-close: 200 chunked cut events 12345" >expect &&
+	test_cmp expect actual
+'
+
+test_expect_success 'a stream that closes before its first event is no answer' '
+	ends one/none-close lone/none-close >actual &&
+	cat >expect <<-\EOF &&
+	one/none-close: 502 length whole 0 bytes
+	lone/none-close: 502 length whole 0 bytes
+	EOF
+	sed "s/whole [0-9]* bytes/whole 0 bytes/" actual >statuses &&
+	test_cmp expect statuses
+'
+
+test_expect_success 'a plain answer that breaks off is cut' '
+	ends plain/half-length-open plain/half-chunked-open \
+		plain/half-close-reset plain/head-open >actual &&
+	cat >expect <<-\EOF &&
+	plain/half-length-open: 200 length cut 306 bytes
+	plain/half-chunked-open: 200 chunked cut 306 bytes
+	plain/half-close-reset: 200 close cut 306 bytes
+	EOF
+	grep -v head-open actual >answers &&
+	test_cmp expect answers &&
+	grep "^plain/head-open: 502 length whole" actual
+'
+
+# ended_at COUNT: the upstreams have seen that many answers without end closed.
+ended_at () {
+	test $(($(curl -s http://$TEST_NET.2:80/test/ended) + \
+		$(curl -s http://$TEST_NET.3:80/test/ended))) = "$1"
+}
+
+# The entry may hold PENDING_MAX_BYTES of an answer, and a head.
+test_expect_success 'answers without end are closed in bounded memory' '
+	for what in noise status line head interim trailer slow body event \
+		comment chunk; do
+		ends plain/forever-$what lone/forever-$what || return 1
+	done | sed "s/[0-9]* bytes/some bytes/" >actual &&
+	test "$(wc -l <actual)" = 22 &&
+	! grep whole actual | grep ": 200" &&
+	wait_until 5 ended_at 22 &&
+	peak=$(awk "/^VmHWM/ { print \$2 }" /proc/$(cat entry.pid)/status) &&
+	echo "peak $peak kB" && test "$peak" -le $PEAK_MAX_KB
+'
+
 test_done
