gate: do not join the plain answers of two runs

What callers saw: half of a plain answer followed by all of another one, as one answer with a length.

Cause: when a kept connection to a plain service falls silent, the agent asks again over a new one. It did so after the answer had begun, too, and went on writing; a model's answer goes on after its last token, a plain one can't.

Change: a plain answer that has begun is not asked for again; it is cut.

--- a/calls/gate-stream.c
+++ b/calls/gate-stream.c
@@ -178,6 +178,16 @@
 		fetch_cancel(&run->fetch);
 }
 
+/*
+ * A plain answer has no position to continue from: once it has started, another
+ * run's bytes must not follow.
+ */
+static int can_resume(const struct stream_run *run)
+{
+	return run->resume_count < RESUMES_MAX &&
+	       (run->is_model || !run->has_started);
+}
+
 static void on_done(struct fetch *f)
 {
 	struct stream_run *run = f->arg;
@@ -188,8 +198,7 @@
 	int is_broken = f->error.code && !f->never_sent && !reason &&
 			f->error.code != ERROR_TIMEOUT;
 
-	if (!is_complete && reason == CANCEL_SILENT &&
-	    run->resume_count < RESUMES_MAX) {
+	if (!is_complete && reason == CANCEL_SILENT && can_resume(run)) {
 		run->resume_count++;
 		metric_count("gate_resumed", "silent", 1);
 		if (run->is_model)
--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -10,7 +10,8 @@
                  stream ends after the second event; "none": no event
         FRAMING  "chunked", "length" or "close"
         END      "open": without the last chunk, or short of the length;
-                 "reset": with a reset of the connection
+                 "reset": with a reset of the connection; "hang": the first
+                 such answer stays unfinished, the next ones are whole
 Forms of plain bodies: the same with "plain" (whole) or "half" for EVENTS.
 Further forms:
     head-open     the connection closes inside the head
@@ -24,6 +25,7 @@
                   byte of a header line every 0.2 s)
 A name without '-' gets "plain-length". For tests:
     GET /test/ended   the number of answers without end that the peer closed
+    GET /test/hung    the number of answers of a form with "hang"
     GET /test/sent    the largest number of bytes sent in one of them
 """
 import json
@@ -36,9 +38,10 @@
 PIECE = 16 * 1024
 FOREVER_MAX_BYTES = 16 * 1024 * 1024 * 1024
 FOREVER_MAX_S = 30
+HANG_S = 10
 PLAIN = b'{"whole":"%s"}' % (b"x" * 600)
 
-state = {"lock": threading.Lock(), "ended": 0, "sent": 0}
+state = {"lock": threading.Lock(), "ended": 0, "sent": 0, "hung": 0}
 
 
 def event(number):
@@ -128,6 +131,12 @@
                           struct.pack("ii", 1, 0))
 
 
+def is_first_hang():
+    with state["lock"]:
+        state["hung"] += 1
+        return state["hung"] == 1
+
+
 def answer(connection, form, request_id, first):
     """Sends one answer. Returns False when the connection has to close."""
     if form.startswith("forever-"):
@@ -142,6 +151,9 @@
     if "-" not in form:
         form = "plain-length"
     kind, framing, end = (form.split("-") + [""])[:3]
+    if end == "hang":
+        is_first = is_first_hang()
+        kind, end = (kind, "open") if is_first else ("plain", "")
     if kind in ("plain", "half"):
         lines, body = frame(framing, end, plain_bytes(kind),
                             b"application/json")
@@ -149,6 +161,8 @@
         lines, body = frame(framing, end, stream_bytes(kind, first),
                             b"text/event-stream")
     connection.sendall(head(request_id, lines) + body)
+    if form.endswith("-hang") and end:
+        time.sleep(HANG_S)
     if end == "reset":
         reset(connection)
     return framing != "close" and not end
--- a/t/t0515-plain-ends.sh
+++ b/t/t0515-plain-ends.sh
@@ -7,7 +7,7 @@
 . "$TEST_DIR/calls-lib.sh"
 
 P1=$CALLS_NET.31
-FORMS="plain-length plain-chunked plain-close half-length-open half-chunked-open half-close-reset head-open"
+FORMS="half-length-hang plain-length plain-chunked plain-close half-length-open half-chunked-open half-close-reset head-open"
 
 # operations REPEATABLE PREFIX: one operation for each form.
 operations () {
@@ -81,6 +81,20 @@
 	test_cmp expect actual
 '
 
+# The agent asks again over a new connection when a kept one falls silent. The
+# bytes of two runs must not be joined, here half of 612 and all of them.
+test_expect_success 'a plain answer that falls silent is not continued by another run' '
+	wait_until 10 is_served &&
+	call $ENTRY1 /v1/services/again/half-length-hang -d "{}" >out &&
+	test "$(curl -s http://$P1:7200/test/hung)" -ge 1 &&
+	if test "$(status_of)" = 200
+	then
+		test "$(wc -c <out)" = 612
+	else
+		test "$(header_of X-Outcome)" = unknown
+	fi
+'
+
 # The call has run, so that its outcome is unknown.
 test_expect_success 'a broken-off answer leaves the outcome of its call unknown' '
 	for service in once again; do
