gate: an exported KV cache must have a marked end

The bytes of an export are opaque to the agents. One that its engine ended with its connection, perhaps in the middle, was handed to the other agent with a length, and imported. It now counts as absent, and the session's prompt is read again. No test plays this; t1017 shows how the framing of an answer is told.

--- a/calls/gate-cache.c
+++ b/calls/gate-cache.c
@@ -147,13 +147,20 @@
 								  : "failed");
 }
 
+/* The bytes are opaque, so that only their framing proves that they are whole. */
+static int is_whole_export(const struct fetch *f)
+{
+	return !f->error.code && f->status == 200 && f->text &&
+	       f->framing != FRAMING_CLOSE;
+}
+
 static void on_fetched(struct fetch *f)
 {
 	static const struct fetch_ops ops = { NULL, NULL, on_imported };
 	struct kv_transfer *k = f->arg;
 	size_t size = f->text_size;
 
-	if (f->error.code || f->status != 200 || !f->text) {
+	if (!is_whole_export(f)) {
 		finish_transfer(k, "absent");
 		return;
 	}
@@ -203,11 +210,10 @@
 static void on_exported(struct fetch *f)
 {
 	struct kv_transfer *k = f->arg;
-	int ok = !f->error.code && f->status == 200;
+	int ok = is_whole_export(f);
 
 	http_call_reply(k->call, ok ? 200 : 404, "application/json",
-			ok && f->text ? f->text : "{}",
-			ok && f->text ? f->text_size : 2);
+			ok ? f->text : "{}", ok ? f->text_size : 2);
 	finish_transfer(k, ok ? "exported" : "absent");
 }
 
