weights, calls: bounds on the answers that agents read

What could happen: an engine's report, list of staged chunks or answer to an order may be bytes that are no answer. A report without models counted as one of an engine that serves none and a list without its member as an empty one, so that all chunks were fetched again; a range of the origin's file had no limit on its whole time, only on silence, and one byte a second passed for hours; each small answer might grow to 4 MB in an agent of 128 MB.

Change: reports and lists need their member, or are no news; ranges have 60 s; small answers have 256 KB (64 KB for a staged chunk, 16 KB for a probe).

--- a/calls/gate-crash.c
+++ b/calls/gate-crash.c
@@ -148,6 +148,7 @@
 	k->fetch.arg = k;
 	k->fetch.url = k->url;
 	k->fetch.timeout_ms = BOOT_CHECK_TIMEOUT_MS;
+	k->fetch.text_max = GATE_TEXT_MAX;
 	k->fetch.once = 1;
 	fetch_submit(g->n->fetcher, &k->fetch);
 }
--- a/calls/gate-internal.h
+++ b/calls/gate-internal.h
@@ -24,6 +24,8 @@
 #define GATE_BODY_MAX_BYTES (1024 * 1024)
 #define GATE_HEADERS_MAX 6
 #define GATE_HEADER_SIZE 320
+/* Maximum size of the answers of an upstream to the questions of its agent. */
+#define GATE_TEXT_MAX (256 * 1024)
 
 /*
  * Steps of the gate's controller that are further apart show that the process
--- a/calls/gate-watch.c
+++ b/calls/gate-watch.c
@@ -126,6 +126,7 @@
 	p->fetch.arg = p;
 	p->fetch.url = p->url;
 	p->fetch.timeout_ms = POLL_TIMEOUT_MS;
+	p->fetch.text_max = GATE_TEXT_MAX;
 	p->fetch.once = 1;
 	fetch_submit(g->n->fetcher, &p->fetch);
 }
@@ -267,6 +268,7 @@
 	k->fetch.body = k->body;
 	k->fetch.body_size = strlen(k->body);
 	k->fetch.timeout_ms = CANCEL_TIMEOUT_MS;
+	k->fetch.text_max = GATE_TEXT_MAX;
 	k->fetch.once = 1;
 	fetch_submit(g->n->fetcher, &k->fetch);
 }
--- a/calls/relay-watch.c
+++ b/calls/relay-watch.c
@@ -15,6 +15,7 @@
 /* Time without a received byte after which an attempt is probed. */
 #define SILENCE_MIN_US (1000 * 1000)
 #define PROBE_TIMEOUT_MS 800
+#define PROBE_TEXT_MAX (16 * 1024)
 /* Consecutive failed probes after which the attempt is cancelled. */
 #define PROBE_FAILURES_MAX 2
 
@@ -97,6 +98,7 @@
 	p->fetch.arg = p;
 	p->fetch.url = p->url;
 	p->fetch.timeout_ms = PROBE_TIMEOUT_MS;
+	p->fetch.text_max = PROBE_TEXT_MAX;
 	p->fetch.once = 1;
 	return p;
 }
--- a/weights/engine-service.c
+++ b/weights/engine-service.c
@@ -14,7 +14,7 @@
 	size_t i;
 
 	memset(out, 0, sizeof(*out));
-	if (!json_is_object(o))
+	if (!json_is_array(json_object_get(o, "models")))
 		return -1;
 	snprintf(out->boot, sizeof(out->boot), "%s",
 		 schema_string(o, "boot", ""));
--- a/weights/engine.c
+++ b/weights/engine.c
@@ -22,6 +22,9 @@
  */
 #define ORDER_SEND_TIMEOUT_US (250 * 1000)
 
+/* Maximum size of the engine's answers other than lists and chunks. */
+#define ENGINE_TEXT_MAX (256 * 1024)
+
 #define HTTP_OK 200
 
 /* Prepares a request to the engine; done gets it as the arg of the fetch. */
@@ -37,6 +40,7 @@
 	x->fetch.ops = &x->ops;
 	x->fetch.arg = x;
 	x->fetch.url = x->url;
+	x->fetch.text_max = ENGINE_TEXT_MAX;
 	snprintf(x->url, sizeof(x->url), "%s%s", w->node->settings.upstream_url,
 		 path);
 	return x;
--- a/weights/staging.c
+++ b/weights/staging.c
@@ -226,6 +226,7 @@
 	struct weights *w = x->w;
 	int was_full =
 		__atomic_exchange_n(&w->is_staging_full, 0, __ATOMIC_RELAXED);
+	const json_t *chunks;
 	struct model_row *m;
 	json_t *o = NULL;
 
@@ -233,14 +234,15 @@
 		o = json_loadb(f->text, f->text_size, 0, NULL);
 	table_lock(&w->models);
 	w->is_staging_query_in_flight = 0;
-	if (json_is_object(o) && w->ops->has_digest_staging)
-		merge_staged_digests(w, w->ops->get_staged_chunks(o),
-				     w->is_cleanup_due || was_full);
-	else if (json_is_object(o) && (m = table_get(&w->models, x->model)) &&
+	chunks = w->ops->get_staged_chunks(o);
+	if (json_is_array(chunks) && w->ops->has_digest_staging)
+		merge_staged_digests(w, chunks, w->is_cleanup_due || was_full);
+	else if (json_is_array(chunks) &&
+		 (m = table_get(&w->models, x->model)) &&
 		 m->swarm_id == x->swarm_id && m->swarm &&
 		 !m->is_staging_listed)
-		merge_staged_positions(m, w->ops->get_staged_chunks(o));
-	if (json_is_object(o))
+		merge_staged_positions(m, chunks);
+	if (json_is_array(chunks))
 		w->is_cleanup_due = 0;
 	table_unlock(&w->models);
 	json_decref(o);
@@ -258,6 +260,7 @@
 	x = engine_call_new(w, path, staging_list_done);
 	x->model = h;
 	x->swarm_id = m->swarm_id;
+	x->fetch.text_max = FETCH_TEXT_MAX;
 	x->fetch.timeout_ms = STAGING_TIMEOUT_MS;
 	fetch_submit(w->node->fetcher, &x->fetch);
 }
--- a/weights/transfer.c
+++ b/weights/transfer.c
@@ -20,7 +20,10 @@
 #define TRANSFER_TIMEOUT_FACTOR 8 /* times the duration at link rate */
 #define TRANSFER_IDLE_TIMEOUT_S 3
 #define ORIGIN_TIMEOUT_MS 4000 /* for a complete chunk */
-#define ORIGIN_ATTEMPTS_MAX 3  /* requests per chunk */
+/* For a range of the origin's file, whose link the whole fleet shares. */
+#define ORIGIN_RANGE_TIMEOUT_MS 60000
+#define STAGE_TEXT_MAX (64 * 1024) /* of the engine's answer to a chunk */
+#define ORIGIN_ATTEMPTS_MAX 3	   /* requests per chunk */
 #define STAGE_TIMEOUT_MS 5000
 #define STAGE_FULL_ATTEMPTS_MAX 20 /* engine has no room */
 #define STAGE_FULL_WAIT_US (500 * 1000)
@@ -202,6 +205,7 @@
 	f->body = t->blob->data;
 	f->body_size = t->blob->size;
 	f->timeout_ms = STAGE_TIMEOUT_MS;
+	f->text_max = STAGE_TEXT_MAX;
 	f->headers[0] = "Content-Type: application/octet-stream";
 	fetch_submit(t->w->node->fetcher, f);
 }
@@ -410,6 +414,7 @@
 		snprintf(t->range_header, sizeof(t->range_header),
 			 "Range: bytes=%llu-%llu", first, last);
 		f->headers[0] = t->range_header;
+		f->timeout_ms = ORIGIN_RANGE_TIMEOUT_MS;
 	} else {
 		f->timeout_ms = transfer_timeout_ms(t);
 		f->headers[0] = t->held_header;
