platform: order what the store publishes across its eras

What callers would see after the store returned from a copy some seconds old: new configurations, upstreams and keys refused for as long as the revisions, which start again, stay below those before; a server that left or drains used again; and a change missed for good where its revision had been given out before.

Cause: documents and lists were ordered by the store's revision alone, and a watch from a revision of an earlier era can succeed.

Change: the era is read from each answer; another era than that of the items leads to a new listing.

--- a/config/config.c
+++ b/config/config.c
@@ -145,19 +145,27 @@
 	return n > 0 ? (uint64_t)n : 0;
 }
 
-/* Sets when the releases that the document names were declared. */
-static void set_declared(struct config *c, struct document *d,
-			 const struct text_source *source)
+/*
+ * Completes a document with what the current one has: releases that are later,
+ * and when each was declared.  Returns -1 when the current one is newer.
+ */
+static int merge_with_current(struct config *c, struct document *d,
+			      const struct text_source *source)
 {
 	struct document *old = board_document(&c->node->board);
+	int ret = -1;
 
-	if (old && old->revision >= d->revision)
+	if (old &&
+	    (old->revision >= d->revision || old->generation > d->generation))
 		goto out;
+	ret = 0;
+	document_keep_releases(d, old);
 	if (document_copy_declared(d, old) && source->peer)
 		config_fetch_ages(c, d, source->peer);
 	document_set_unknown_declared(d, old, source->earliest_change_at);
 out:
 	document_unref(old);
+	return ret;
 }
 
 static enum value_verdict apply_document(void *arg, const char *text,
@@ -176,8 +184,8 @@
 	}
 	fault_list_clear(&faults);
 	*version = d->revision;
-	set_declared(c, d, source);
-	if (board_document_set(&c->node->board, d)) {
+	if (merge_with_current(c, d, source) ||
+	    board_document_set(&c->node->board, d)) {
 		document_unref(d);
 		return VALUE_OLD;
 	}
--- a/config/declared.c
+++ b/config/declared.c
@@ -12,6 +12,26 @@
 	return old && old->release == m->release ? old : NULL;
 }
 
+/*
+ * Keeps the releases of the old document, which may be NULL, that are later
+ * than those of the new one.  Releases only rise, but a document from an older
+ * copy of the platform's store may name earlier ones.
+ */
+void document_keep_releases(struct document *d, const struct document *old)
+{
+	int i;
+
+	for (i = 0; old && i < d->model_count; i++) {
+		struct model_spec *m = &d->models[i];
+		const struct model_spec *o = document_find_model(old, m->name);
+
+		if (!o || o->release <= m->release)
+			continue;
+		m->release = o->release;
+		memcpy(m->version, o->version, sizeof(m->version));
+	}
+}
+
 /*
  * Copies the times of the releases that the old document, which may be NULL,
  * names as well.  Returns the number of the other releases.
--- a/config/declared.h
+++ b/config/declared.h
@@ -11,6 +11,7 @@
  * times, as clocks differ between machines: processes tell each other ages.
  */
 
+void document_keep_releases(struct document *d, const struct document *old);
 int document_copy_declared(struct document *d, const struct document *old);
 void document_set_ages(struct document *d, const config_ages_reply *rep,
 		       apr_time_t asked_at);
--- a/config/document-bind.c
+++ b/config/document-bind.c
@@ -216,6 +216,7 @@
 	const json_t *accounts = json_object_get(root, "accounts");
 
 	d->revision = (uint64_t)schema_integer(root, "revision", 0);
+	d->generation = (uint64_t)schema_integer(root, "generation", 0);
 	fleet_bind(&d->fleet, json_object_get(root, "fleet"));
 	set_counts(d, accounts);
 	d->accounts = array_new((size_t)d->account_count, sizeof(*d->accounts));
--- a/config/document.h
+++ b/config/document.h
@@ -92,6 +92,8 @@
 /* Models and services are ordered by name. */
 struct document {
 	uint64_t revision;
+	/* The operator's own number of accounts and routes, 0: none. */
+	uint64_t generation;
 	struct digest digest; /* of text */
 	char *text;	      /* as published */
 	size_t size;
--- a/config/schema-tables.c
+++ b/config/schema-tables.c
@@ -134,6 +134,7 @@
 
 const struct schema_field document_fields[] = {
 	{ "revision", SCHEMA_INTEGER, SCHEMA_REQUIRED, 1, REVISION_MAX, NULL },
+	{ "generation", SCHEMA_INTEGER, 0, 0, REVISION_MAX, NULL },
 	{ "fleet", SCHEMA_OBJECT, 0, 0, 0, NULL, fleet_fields },
 	{ "accounts", SCHEMA_ARRAY, SCHEMA_REQUIRED, 0, LIST_MAX, NULL,
 	  account_fields, NULL, "the account files" },
--- a/forward/listing.c
+++ b/forward/listing.c
@@ -5,8 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "config/value.h"
+#include "forward/listing-memory.h"
 
 #define VERSION_MAX 9007199254740991.0
 #define LIST_MAX 8192
@@ -28,12 +30,14 @@
 	{ "leaving", SCHEMA_BOOLEAN },
 	{ "slots", SCHEMA_INTEGER },
 	{ "born_ms", SCHEMA_INTEGER },
+	{ "sequence", SCHEMA_INTEGER, 0, 0, VERSION_MAX },
 	{ "models", SCHEMA_ARRAY, 0, 0, LIST_MAX, NULL, model_fields },
 	SCHEMA_END
 };
 
 static const struct schema_field list_fields[] = {
 	{ "version", SCHEMA_INTEGER, SCHEMA_REQUIRED, 1, VERSION_MAX },
+	{ "epoch", SCHEMA_INTEGER, 0, 0, VERSION_MAX },
 	{ "upstreams", SCHEMA_ARRAY, SCHEMA_REQUIRED, 0, LIST_MAX, NULL,
 	  item_fields },
 	SCHEMA_END
@@ -41,6 +45,7 @@
 
 static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER; /* innermost lock */
 static struct listing *current;
+static struct listing_memory memory;
 
 static void copy_text(char *to, size_t size, const json_t *o, const char *name)
 {
@@ -73,6 +78,7 @@
 	u->slots = (int)schema_integer(o, "slots", 1);
 	u->is_draining = schema_boolean(o, "leaving", 0);
 	u->started_ms = schema_integer(o, "born_ms", 0);
+	u->sequence = (uint64_t)schema_integer(o, "sequence", 0);
 	parse_models(u, json_object_get(o, "models"));
 }
 
@@ -102,6 +108,7 @@
 		abort();
 	l->refs = 1;
 	l->version = (uint64_t)schema_integer(root, "version", 0);
+	l->epoch = (uint64_t)schema_integer(root, "epoch", 0);
 	l->count = (int)json_array_size(list);
 	l->items = calloc((size_t)l->count + 1, sizeof(*l->items));
 	if (!l->items)
@@ -176,6 +183,7 @@
 	*version = l->version;
 	pthread_mutex_lock(&mutex);
 	if (!current || current->version < l->version) {
+		listing_memory_apply(&memory, l, clock_now());
 		old = current;
 		current = l;
 		is_newer = 1;
--- a/forward/listing.h
+++ b/forward/listing.h
@@ -26,12 +26,14 @@
 	int slots;
 	int is_draining;
 	int64_t started_ms; /* start of its process, Unix time */
+	uint64_t sequence;  /* rises with each entry that the process writes */
 	struct listed_model models[LISTED_MODELS_MAX];
 	int model_count;
 };
 
 struct listing {
 	uint64_t version;
+	uint64_t epoch; /* rises when the store returns from an older copy */
 	struct listed_upstream *items; /* ordered by id */
 	int count;
 	int refs; /* atomic */
--- a/forward/target.c
+++ b/forward/target.c
@@ -153,11 +153,11 @@
 
 /*
  * Entries of running servers expire together while the platform's store is
- * unavailable and are listed again soon after. Until then these servers are
- * still used.
+ * unavailable, or are missing in the older copy that it returns from, and are
+ * listed again soon after. Until then these servers are still used.
  */
 static void grant_listing_grace(struct target_table *t, const char *was_listed,
-				apr_time_t now)
+				int is_new_epoch, apr_time_t now)
 {
 	int i, j;
 
@@ -175,8 +175,8 @@
 			expired_count += is_newly_unlisted(u, was_listed[j]);
 			listed_count += was_listed[j];
 		}
-		if (expired_count >= MASS_EXPIRY_MIN &&
-		    expired_count > listed_count / 2)
+		if (is_new_epoch || (expired_count >= MASS_EXPIRY_MIN &&
+				     expired_count > listed_count / 2))
 			t->rows[i].grace_until = now + MASS_EXPIRY_GRACE_US;
 	}
 }
@@ -209,7 +209,8 @@
 			apply_listed_upstream(u, &l->items[i], data_center,
 					      now);
 	}
-	grant_listing_grace(t, was_listed, now);
+	grant_listing_grace(t, was_listed, l->epoch > t->listing_epoch, now);
+	t->listing_epoch = l->epoch;
 	for (i = 0; i < t->count; i++)
 		if (!is_listed_or_in_grace(&t->rows[i], now) &&
 		    !t->rows[i].in_flight)
--- a/forward/target.h
+++ b/forward/target.h
@@ -76,6 +76,7 @@
 struct target_table {
 	struct target *rows;
 	int count;
+	uint64_t listing_epoch; /* of the list applied last */
 	int entry_count; /* entries that send to the same upstreams, 0: one */
 };
 
--- a/t/helper/fuzz-platform.c
+++ b/t/helper/fuzz-platform.c
@@ -49,9 +49,9 @@
 		return;
 	}
 	if (FUZZ_TARGET == 1)
-		json_decref(platform_make_document(o, 7));
+		json_decref(platform_make_document(o, 1, 7));
 	else if (FUZZ_TARGET == 2)
-		json_decref(platform_make_upstreams(o, 7));
+		json_decref(platform_make_upstreams(o, 1, 7));
 	else
 		platform_engine_ops.parse_state(o, &state);
 	json_decref(o);
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config/declared.h"
 #include "config/document.h"
 #include "forward/admit.h"
 #include "forward/decide.h"
@@ -185,6 +186,27 @@
 }
 END_TEST
 
+static struct document *document_of(uint64_t revision, uint64_t release);
+
+/* A store that returns from an older copy names an earlier release. */
+START_TEST(releases_of_a_newer_document_do_not_step_back)
+{
+	struct document *old = document_of(5, 4), *d = document_of(6, 3);
+	struct document *later = document_of(7, 6);
+
+	document_keep_releases(d, NULL);
+	ck_assert_int_eq(d->models[0].release, 3);
+	document_keep_releases(d, old);
+	ck_assert_int_eq(d->models[0].release, 4);
+	ck_assert_str_eq(d->models[0].version, old->models[0].version);
+	document_keep_releases(later, d);
+	ck_assert_int_eq(later->models[0].release, 6);
+	document_unref(old);
+	document_unref(d);
+	document_unref(later);
+}
+END_TEST
+
 static void feed_text(struct event_splitter *e, const char *text)
 {
 	char out[256] = "";
@@ -640,6 +662,7 @@
 	tcase_add_test(tc, stream_is_resumed_or_truncated);
 	tcase_add_test(tc, close_does_not_complete_a_stream_in_chunks);
 	tcase_add_test(tc, stream_is_open_inside_an_event_only);
+	tcase_add_test(tc, releases_of_a_newer_document_do_not_step_back);
 	tcase_add_test(tc, stream_has_a_position_after_events_with_ids);
 	tcase_add_test(tc, moved_stream_is_resumed_after_refusal);
 	tcase_add_test(tc, events_are_complete_for_any_split_of_bytes);
--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -8,7 +8,9 @@
     PUT /test/KEY      stores the body under KEY
     DELETE /test/KEY   removes KEY
     POST /test/mode    sets faults: {"down": bool} fails every call with 503,
-                       {"forget": true} discards the event history
+                       {"forget": true} discards the event history,
+                       {"copy": true} copies the items, and {"restore": true}
+                       returns to that copy, in the next era
     GET /test/calls    returns the number of calls
 
 An upstream replies according to MODE:
@@ -48,6 +50,8 @@
         self.events = []
         self.revision = 1
         self.forgotten = 0  # watches from before this revision fail
+        self.era = 1
+        self.copy = None
         self.calls = 0
         self.down = False
 
@@ -66,6 +70,14 @@
             self.events.append(event)
             self.lock.notify_all()
 
+    def restore(self):
+        with self.lock:
+            self.items, self.revision = dict(self.copy[0]), self.copy[1]
+            self.events = []
+            self.forgotten = self.revision
+            self.era += 1
+            self.lock.notify_all()
+
     def range(self, prefix, after):
         with self.lock:
             found = [self.items[k] for k in sorted(self.items)
@@ -76,15 +88,17 @@
     def watch(self, prefix, after, wait_ms):
         end = time.monotonic() + wait_ms / 1000
         with self.lock:
-            if after < self.forgotten:
+            era = self.era
+            if after < self.forgotten or after > self.revision:
                 return None
-            while True:
+            while era == self.era:
                 events = [e for e in self.events if e["Rev"] > after
                           and e["Key"].startswith(prefix)]
                 left = end - time.monotonic()
                 if events or left <= 0:
                     return {"events": events, "At": self.revision}
                 self.lock.wait(left)
+        return None
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -99,6 +113,9 @@
     def answer(self, status, body, headers=()):
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
         self.send_response(status)
+        store = getattr(self.server, "store", None)
+        if store:
+            self.send_header("Store-Era", str(store.era))
         for name, value in headers:
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(data)))
@@ -118,6 +135,10 @@
     def do_POST(self):
         store, mode = self.server.store, json.loads(self.body())
         store.down = mode.get("down", False)
+        if mode.get("copy"):
+            store.copy = (dict(store.items), store.revision)
+        if mode.get("restore"):
+            store.restore()
         if mode.get("forget"):
             store.forgotten = store.revision
             store.events = []
