--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -9,9 +9,13 @@
     DELETE /test/KEY   removes KEY
     POST /test/mode    sets faults: {"down": bool} fails every call with 503,
                        {"forget": true} discards the event history,
+                       {"broken": KIND} breaks each answer to the
+                       entry: "half" of it, without a length; "empty", an
+                       object without members; "endless",
                        {"copy": true} copies the items, and {"restore": true}
                        returns to that copy, in the next era
-    GET /test/calls    returns the number of calls
+    GET /test/calls    returns the number of calls, and of broken answers in
+                       the current mode
 
 An upstream replies according to MODE:
     ok      200 with a description of the request (the default)
@@ -54,6 +58,8 @@
         self.copy = None
         self.calls = 0
         self.down = False
+        self.broken_kind = None
+        self.broken = 0
 
     def write(self, key, value):
         with self.lock:
@@ -124,6 +130,23 @@
 
 
 class StoreHandler(Handler):
+    def answer_broken(self, store):
+        store.broken += 1
+        if store.broken_kind == "empty":
+            return self.answer(200, {})
+        text = json.dumps(store.range("", "")).encode()
+        self.send_response(200)
+        self.send_header("Store-Era", str(store.era))
+        self.end_headers()
+        self.close_connection = True
+        self.wfile.write(text[:len(text) // 2])
+        try:
+            while store.broken_kind == "endless":
+                self.wfile.write(b" " * 65536)
+        except OSError:
+            pass
+        return None
+
     def do_PUT(self):
         self.server.store.write(self.path[len("/test/"):], self.body())
         self.answer(200, {})
@@ -135,6 +158,7 @@
     def do_POST(self):
         store, mode = self.server.store, json.loads(self.body())
         store.down = mode.get("down", False)
+        store.broken_kind, store.broken = mode.get("broken"), 0
         if mode.get("copy"):
             store.copy = (dict(store.items), store.revision)
         if mode.get("restore"):
@@ -149,10 +173,13 @@
         url = urllib.parse.urlsplit(self.path)
         args = dict(urllib.parse.parse_qsl(url.query))
         if url.path == "/test/calls":
-            return self.answer(200, {"calls": store.calls})
+            return self.answer(200, {"calls": store.calls,
+                                     "broken": store.broken})
         store.calls += 1
         if store.down:
             return self.answer(503, {})
+        if store.broken_kind:
+            return self.answer_broken(store)
         if url.path == "/kv-range":
             return self.answer(200, store.range(args["Prefix"],
                                                 args.get("After", "")))
