net: wake the threads that watch for hang-ups at a stop

Cause: node_destroy() stops three HTTP servers, one after the other, each of which joins a thread that noticed the stop up to 200 ms later.

Change: the threads wait without a time-out and are woken by an eventfd, which also saves an entry 15 wakes a second.

--- a/net/hangup.c
+++ b/net/hangup.c
@@ -3,10 +3,12 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <unistd.h>
 
 #define EVENTS_MAX 256
-#define WAIT_MS 200 /* epoll time-out; bounds the delay of a stop */
+/* Id of the event that wakes the thread for a stop; generations start at 1. */
+#define WAKEUP_ID 0
 
 /* One watched connection; an id is its slot and the slot's generation. */
 struct slot {
@@ -18,6 +20,7 @@
 struct hangup_watch {
 	const struct hangup_ops *ops;
 	int epoll;
+	int wakeup; /* eventfd */
 	int stopping;
 	pthread_t thread;
 	pthread_mutex_t mutex; /* innermost; guards the slots */
@@ -49,8 +52,10 @@
 	int i, n;
 
 	while (!__atomic_load_n(&w->stopping, __ATOMIC_ACQUIRE)) {
-		n = epoll_wait(w->epoll, events, EVENTS_MAX, WAIT_MS);
+		n = epoll_wait(w->epoll, events, EVENTS_MAX, -1);
 		for (i = 0; i < n; i++) {
+			if (events[i].data.u64 == WAKEUP_ID)
+				continue;
 			arg = ref_slot_arg(w, events[i].data.u64);
 			if (arg)
 				w->ops->hung_up(arg);
@@ -62,6 +67,8 @@
 /* Starts the watch and its thread. */
 struct hangup_watch *hangup_start(const struct hangup_ops *ops)
 {
+	struct epoll_event e = { .events = EPOLLIN,
+				 .data = { .u64 = WAKEUP_ID } };
 	struct hangup_watch *w = calloc(1, sizeof(*w));
 
 	if (!w)
@@ -69,7 +76,10 @@
 	w->ops = ops;
 	pthread_mutex_init(&w->mutex, NULL);
 	w->epoll = epoll_create1(EPOLL_CLOEXEC);
-	if (w->epoll < 0 || pthread_create(&w->thread, NULL, watch_main, w))
+	w->wakeup = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	if (w->epoll < 0 || w->wakeup < 0 ||
+	    epoll_ctl(w->epoll, EPOLL_CTL_ADD, w->wakeup, &e) ||
+	    pthread_create(&w->thread, NULL, watch_main, w))
 		abort();
 	return w;
 }
@@ -78,7 +88,10 @@
 void hangup_stop(struct hangup_watch *w)
 {
 	__atomic_store_n(&w->stopping, 1, __ATOMIC_RELEASE);
+	if (eventfd_write(w->wakeup, 1))
+		abort();
 	pthread_join(w->thread, NULL);
+	close(w->wakeup);
 	close(w->epoll);
 	pthread_mutex_destroy(&w->mutex);
 	free(w->slots);
