forward: divide the slack of retries before the other entries are known

Cause: each entry takes its share of the fleet's slack by the number of entries that it knows, which is one at its start; 33 of them started at once.

Change: for 5 s from its start an entry divides the slack among at least 64.

The unit test fails without the change.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -145,7 +145,8 @@
 		n += row->role == ROLE_ENTRY;
 	table_unlock(t);
 	pthread_mutex_lock(&w->mutex);
-	w->retry_budget.entry_count = n;
+	w->retry_budget.entry_count =
+		retry_budget_assume_entries(n, w->node->started, now);
 	w->targets.entry_count = n;
 	pthread_mutex_unlock(&w->mutex);
 }
@@ -342,7 +343,8 @@
 	w->retry_budget.ratio = n->settings.retry_ratio;
 	w->retry_budget.window_s = n->settings.retry_window_s;
 	w->retry_budget.slack = n->settings.retry_slack;
-	w->retry_budget.entry_count = 1;
+	w->retry_budget.entry_count =
+		retry_budget_assume_entries(1, n->started, n->started);
 	w->releases.started_at = clock_now();
 	node_add_route(n, NULL, "/", BODY_MAX_BYTES, forward_serve, w);
 	node_add_controller(n, "forward", STEP_US, forward_step, w);
--- a/forward/repeats.c
+++ b/forward/repeats.c
@@ -9,6 +9,14 @@
  */
 #define BUDGET_SHARE 0.75
 
+/*
+ * Time from the start of a process in which it may not know the other entries,
+ * and the number of them that is assumed then. All entries may start at once,
+ * and none of them may take the whole slack.
+ */
+#define ENTRIES_UNKNOWN_US (5 * APR_USEC_PER_SEC)
+#define ENTRIES_ASSUMED 64
+
 static struct retry_service *find_or_add_service(struct service_retry_budget *b,
 						 const char *name)
 {
@@ -46,6 +54,15 @@
 	find_bucket(find_or_add_service(b, service), now)->requests++;
 }
 
+/* Returns the number of entries among which the slack is divided. */
+int retry_budget_assume_entries(int known, apr_time_t started_at,
+				apr_time_t now)
+{
+	if (now - started_at < ENTRIES_UNKNOWN_US && known < ENTRIES_ASSUMED)
+		return ENTRIES_ASSUMED;
+	return known;
+}
+
 /* Returns how many retries are left in the current window. */
 int retry_budget_remaining(const struct service_retry_budget *b,
 			   const char *service, apr_time_t now)
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -186,6 +186,26 @@
 }
 END_TEST
 
+/*
+ * Entries that start at once, before they know of each other, exceeded the
+ * fleet's budget of retries, as each took the whole slack.
+ */
+START_TEST(entry_that_starts_has_a_small_share_of_the_slack)
+{
+	struct service_retry_budget b = { .slack = 128, .window_s = 10 };
+	apr_time_t start = 100 * SECOND;
+
+	b.entry_count = retry_budget_assume_entries(1, start, start + SECOND);
+	ck_assert_int_eq(retry_budget_remaining(&b, "s", start + SECOND), 1);
+	b.entry_count = retry_budget_assume_entries(200, start, start + SECOND);
+	ck_assert_int_eq(b.entry_count, 200);
+	b.entry_count =
+		retry_budget_assume_entries(2, start, start + 6 * SECOND);
+	ck_assert_int_eq(retry_budget_remaining(&b, "s", start + 6 * SECOND),
+			 48);
+}
+END_TEST
+
 static struct document *document_of(uint64_t revision, uint64_t release);
 
 /* A store that returns from an older copy names an earlier release. */
@@ -662,6 +682,7 @@
 	tcase_add_test(tc, stream_is_resumed_or_truncated);
 	tcase_add_test(tc, close_does_not_complete_a_stream_in_chunks);
 	tcase_add_test(tc, stream_is_open_inside_an_event_only);
+	tcase_add_test(tc, entry_that_starts_has_a_small_share_of_the_slack);
 	tcase_add_test(tc, releases_of_a_newer_document_do_not_step_back);
 	tcase_add_test(tc, stream_has_a_position_after_events_with_ids);
 	tcase_add_test(tc, moved_stream_is_resumed_after_refusal);
