forward: resume a stream that breaks off inside its first event

What callers saw since: a stream whose upstream broke off inside the first event was cut, though another attempt was left. Its position was taken for unknown, as no event had an id yet; before any event the position is the start.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -42,15 +42,12 @@
 	f->held_size = 0;
 }
 
-/*
- * Returns 1 while the request can be completed by another upstream: no part of
- * the answer was passed on, or whole events with an id to continue after.
- */
+/* Returns 1 when another upstream can continue the answer. */
 static int is_resumable(const struct forward *f)
 {
-	if (f->route->kind != ROUTE_STREAM || !f->route->is_resumable)
-		return 0;
-	return !f->is_answer_started || events_has_position(&f->events);
+	return f->route->kind == ROUTE_STREAM && f->route->is_resumable &&
+	       (!f->is_answer_started ||
+		(f->is_event_reply && events_has_position(&f->events)));
 }
 
 /*
--- a/forward/events.c
+++ b/forward/events.c
@@ -114,12 +114,12 @@
 }
 
 /*
- * Returns 1 when another upstream can continue the stream: the last event that
- * was passed on had an id.
+ * Returns 1 when another upstream can continue the stream: no event was passed
+ * on, or the last one had an id.
  */
 int events_has_position(const struct event_splitter *e)
 {
-	return *e->last_id && !e->has_unnumbered;
+	return !e->has_unnumbered;
 }
 
 /* Returns 1 for an event that was passed on before the stream was resumed. */
--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -75,9 +75,9 @@
 	f->head_size += length;
 	if (f->head_size > FETCH_HEAD_MAX)
 		return 0;
-	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
-	f->status = (int)status;
 	if (length > 5 && !memcmp(data, "HTTP/", 5)) {
+		curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
+		f->status = (int)status;
 		fetch_reset_head(f);
 		if (f->ops->status_line)
 			f->ops->status_line(f);
--- a/net/httpd-answer.c
+++ b/net/httpd-answer.c
@@ -188,7 +188,8 @@
 		return;
 	}
 	http_call_stream_begin(c, status, type, FRAMING_CLOSE, 0);
-	http_call_stream_write(c, body, size);
+	if (size)
+		http_call_stream_write(c, body, size);
 	http_call_stream_end(c, 1);
 }
 
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -285,6 +285,9 @@
 	feed_text(&e, "data: a\n\n");
 	ck_assert(!events_has_position(&e));
 	events_destroy(&e);
+	feed_text(&e, "id: 1\nda");
+	ck_assert(events_has_position(&e));
+	events_destroy(&e);
 }
 END_TEST
 
--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -1,13 +1,14 @@
 """An upstream whose answers end in every way that TCP and HTTP allow.
 
-    raw_server.py ADDRESS:PORT
+    raw_server.py ADDRESS:PORT...
 
 The last element of the path names the form of the answer, or two forms joined
-by '+': the second is used for requests with Last-Event-Id. Forms of streams,
+by '+': the second is used for a request that comes again. Forms of streams,
 which have five events, and go on after Last-Event-Id:
     EVENTS-FRAMING[-END]
         EVENTS   "events"; "inside": the third event breaks off; "part": the
-                 stream ends after the second event; "none": no event
+                 stream ends after the second event; "none": no event;
+                 "first": the first event breaks off
         FRAMING  "chunked", "length" or "close"
         END      "open": without the last chunk, or short of the length;
                  "reset": with a reset of the connection; "hang": the first
@@ -41,7 +42,8 @@
 HANG_S = 10
 PLAIN = b'{"whole":"%s"}' % (b"x" * 600)
 
-state = {"lock": threading.Lock(), "ended": 0, "sent": 0, "hung": 0}
+state = {"lock": threading.Lock(), "ended": 0, "sent": 0, "hung": 0,
+         "requests": set()}
 
 
 def event(number):
@@ -50,6 +52,8 @@
 
 def stream_bytes(kind, first):
     """Returns the bytes of a stream from event `first` on."""
+    if kind == "first":
+        return event(first)[:9]
     if kind == "none":
         return b""
     if kind == "events":
@@ -131,6 +135,14 @@
                           struct.pack("ii", 1, 0))
 
 
+def has_come(request_id):
+    """Returns whether the request has come before, and notes it."""
+    with state["lock"]:
+        is_repeat = request_id in state["requests"]
+        state["requests"].add(request_id)
+    return is_repeat
+
+
 def is_first_hang():
     with state["lock"]:
         state["hung"] += 1
@@ -200,9 +212,9 @@
                 continue
             forms = name.split("+")
             last = int(headers.get(b"last-event-id") or 0)
-            if not answer(connection, forms[-1 if last else 0],
-                          headers.get(b"x-limpetflow-request-id", b""),
-                          last + 1):
+            request_id = headers.get(b"x-limpetflow-request-id", b"")
+            if not answer(connection, forms[-1 if has_come(request_id) else 0],
+                          request_id, last + 1):
                 break
     except OSError:
         pass
@@ -211,8 +223,8 @@
         connection.close()
 
 
-def main():
-    host, port = sys.argv[1].split(":")
+def listen(address):
+    host, port = address.split(":")
     listener = socket.create_server((host, int(port)), backlog=128)
     while True:
         connection, _ = listener.accept()
@@ -221,5 +233,11 @@
                          daemon=True).start()
 
 
+def main():
+    for address in sys.argv[2:]:
+        threading.Thread(target=listen, args=(address,), daemon=True).start()
+    listen(sys.argv[1])
+
+
 if __name__ == "__main__":
     main()
--- a/t/t1016-answer-ends.sh
+++ b/t/t1016-answer-ends.sh
@@ -33,11 +33,14 @@
 		"$2" | put "servers/$1"
 }
 
+request_count=0
+
 # ends PATH...: prints how the caller sees the answer to each path.
 ends () {
 	for path; do
+		request_count=$((request_count + 1))
 		echo "$path: $(python3 "$TEST_DIR/helper/read-answer.py" \
-			$ENTRY "/$path" "X-Limpetflow-Request-Id:r-$$-$path" \
+			$ENTRY "/$path" "X-Limpetflow-Request-Id:r-$request_count-$path" \
 			X-Limpetflow-Deadline-Ms:2500)"
 	done
 }
@@ -55,8 +58,7 @@
   "retry_slack":1000}}
 EOF
 start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
-start up1 python3 "$TEST_DIR/standin/raw_server.py" $TEST_NET.2:80
-start up2 python3 "$TEST_DIR/standin/raw_server.py" $TEST_NET.3:80
+start upstreams python3 "$TEST_DIR/standin/raw_server.py" $TEST_NET.2:80 $TEST_NET.3:80
 
 test_expect_success 'answers with a length or chunks reach the caller whole' '
 	wait_until 10 curl -sf http://$STORE/test/calls &&
@@ -86,21 +88,25 @@
 
 # The same where an attempt is left, so that the stream can go on elsewhere.
 test_expect_success 'a stream that closes inside an event is resumed' '
-	ends two/inside-close+events-close two/inside-close+events-chunked >actual &&
+	ends two/inside-close+events-close two/inside-close+events-chunked \
+		two/first-close+events-close >actual &&
 	cat >expect <<-\EOF &&
 	two/inside-close+events-close: 200 close closed events 12345
 	two/inside-close+events-chunked: 200 close closed events 12345
+	two/first-close+events-close: 200 close closed events 12345
 	EOF
 	test_cmp expect actual
 '
 
 # A close claims less than a last chunk, which the caller must not get then.
 test_expect_success 'an answer that ends with its connection is passed on as such' '
-	ends one/events-close lone/events-close plain/plain-close >actual &&
+	ends one/events-close lone/events-close plain/plain-close \
+		plain/head-whole >actual &&
 	cat >expect <<-\EOF &&
 	one/events-close: 200 close closed events 12345
 	lone/events-close: 200 close closed events 12345
 	plain/plain-close: 200 close closed 612 bytes
+	plain/head-whole: 200 close closed 0 bytes
 	EOF
 	test_cmp expect actual
 '
@@ -157,8 +163,7 @@
 
 # ended_at COUNT: the upstreams have seen that many answers without end closed.
 ended_at () {
-	test $(($(curl -s http://$TEST_NET.2:80/test/ended) + \
-		$(curl -s http://$TEST_NET.3:80/test/ended))) = "$1"
+	test "$(curl -s http://$TEST_NET.2:80/test/ended)" = "$1"
 }
 
 # The entry may hold PENDING_MAX_BYTES of an answer, and a head.
