forward: leave a stream that is cut inside an event

What callers would see where a network turns resets into closes, or refuses them: a stream without length and chunks that was broken off closed after a whole event, since the entry holds back the part of the next one, and looked complete.

Change: the part of the event goes to the caller before the end, or the start of a comment where there is none; callers discard either. A refused reset is counted in http_reset_failures.

Test: t1016 .3, through a relay that loses resets.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -23,6 +23,8 @@
 #define FULL_BACKOFF_US (150 * 1000)
 
 #define EVENT_STREAM_TYPE "text/event-stream"
+/* The start of a comment line. */
+#define OPEN_COMMENT ":"
 
 #define STATUS_OK 200
 #define STATUS_MISDIRECTED 421
@@ -435,6 +437,23 @@
 	forward_free(f);
 }
 
+/*
+ * Leaves a stream of events, whose end only the connection marks, inside an
+ * event: callers discard it, and see that the stream was broken off even where
+ * the network turns the reset of their connection into a close.
+ */
+static void write_open_event(struct forward *f)
+{
+	if (!f->is_event_reply || f->reply_framing != FRAMING_CLOSE)
+		return;
+	if (events_is_open(&f->events))
+		http_call_stream_write(f->call, f->events.buffer,
+				       f->events.size);
+	else
+		http_call_stream_write(f->call, OPEN_COMMENT,
+				       strlen(OPEN_COMMENT));
+}
+
 /*
  * Ends a request whose answer can't be completed, so that the caller sees it as
  * truncated.
@@ -443,13 +462,15 @@
 			      apr_time_t now)
 {
 	log_request_end(f, outcome, f->answer_status, now);
-	if (f->is_answer_started)
+	if (f->is_answer_started) {
+		write_open_event(f);
 		http_call_stream_end(f->call, 0);
-	else
+	} else {
 		http_call_reply(f->call,
 				f->may_have_run ? STATUS_BAD_GATEWAY
 						: STATUS_UNAVAILABLE,
 				NULL, "", 0);
+	}
 	forward_free(f);
 }
 
--- a/forward/decide.h
+++ b/forward/decide.h
@@ -11,7 +11,7 @@
 struct attempt_result {
 	int status;	       /* HTTP status of the answer, 0: none started */
 	int is_complete;       /* the answer ended, unbroken as far as seen */
-	int is_end_marked;     /* by its length or last chunk, not a close */
+	int is_end_marked;     /* by a length or the last chunk */
 	int is_unsent;	       /* no byte of the request left this process */
 	int is_too_late;       /* not sent, or not sent again, in time */
 	int is_not_run;	       /* the upstream states that it did not run it */
@@ -27,7 +27,7 @@
 struct attempt_context {
 	int is_repeatable; /* may run more than once */
 	int is_resumable;  /* a stream that can continue at another upstream */
-	int is_end_promised; /* the answer that has started is to be marked so */
+	int is_end_promised; /* the caller expects a length or a last chunk */
 	int may_have_run;    /* an earlier attempt may have run */
 	int runs;	     /* attempts so far that may have run */
 	int runs_max;	     /* the route's bound on runs */
--- a/forward/listing-memory.c
+++ b/forward/listing-memory.c
@@ -94,20 +94,20 @@
 void listing_memory_apply(struct listing_memory *m, struct listing *l,
 			  apr_time_t now)
 {
-	int i, kept = 0, holds_old;
+	int i, kept = 0, is_copy_recent;
 
 	if (l->epoch > m->epoch && m->count)
 		m->epoch_began_at = now;
 	if (l->epoch > m->epoch)
 		m->epoch = l->epoch;
-	holds_old = m->epoch_began_at &&
-		    now - m->epoch_began_at < OLD_ENTRIES_MAX_US;
+	is_copy_recent = m->epoch_began_at &&
+			 now - m->epoch_began_at < OLD_ENTRIES_MAX_US;
 	remove_expired_rows(m, now);
 	for (i = 0; i < l->count; i++) {
 		struct listed_upstream *u = &l->items[i];
 		struct known_upstream *k = find_row(m, u->id);
 
-		if (!k || !holds_old || !is_old_entry(k, u))
+		if (!k || !is_copy_recent || !is_old_entry(k, u))
 			record_entry(m, k, u);
 		else if (k->gone_at)
 			continue;
--- a/net/httpd-answer.c
+++ b/net/httpd-answer.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/metric.h"
 #include "net/cut.h"
 
 #define STREAM_BLOCK_BYTES (32 * 1024)
@@ -73,7 +74,9 @@
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 		c->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
 
-	connect(info->connect_fd, &unspecified, sizeof(unspecified));
+	/* On Linux, this resets a connection and keeps its descriptor. */
+	if (connect(info->connect_fd, &unspecified, sizeof(unspecified)))
+		metric_count("http_reset_failures", NULL, 1);
 }
 
 static ssize_t read_stream(void *cls, uint64_t pos, char *buf, size_t max)
--- a/t/t1016-answer-ends.sh
+++ b/t/t1016-answer-ends.sh
@@ -86,6 +86,20 @@
 	test_cmp expect actual
 '
 
+# A relay turns the reset of its connection to the entry into a close.
+test_expect_success 'a stream that is cut ends inside an event, where resets are lost' '
+	start relay tcp-relay $TEST_NET.1 8100 8000 &&
+	wait_until 5 curl -s -o /dev/null http://$TEST_NET.1:8100/ &&
+	ENTRY=$TEST_NET.1:8100 &&
+	ends one/inside-close lone/inside-close one/part-close-reset >actual &&
+	cat >expect <<-\EOF &&
+	one/inside-close: 200 close inside events 12
+	lone/inside-close: 200 close inside events 12
+	one/part-close-reset: 200 close inside events 12
+	EOF
+	test_cmp expect actual
+'
+
 # The same where an attempt is left, so that the stream can go on elsewhere.
 test_expect_success 'a stream that closes inside an event is resumed' '
 	ends two/inside-close+events-close two/inside-close+events-chunked \
