--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -7,7 +7,6 @@
 #include "config/document.h"
 #include "forward/admit.h"
 #include "forward/decide.h"
-#include "forward/events.h"
 #include "forward/health.h"
 #include "forward/release.h"
 #include "forward/repeats.h"
@@ -151,162 +150,6 @@
 }
 END_TEST
 
-/* events.c */
-
-static int collect(void *arg, const char *text, size_t size)
-{
-	char *out = arg;
-	size_t n = strlen(out);
-
-	memcpy(out + n, text, size);
-	out[n + size] = '\0';
-	return 0;
-}
-
-START_TEST(events_are_complete_for_any_split_of_bytes)
-{
-	static const char text[] = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
-				   "data: no id\n\nid: 3\ndata: c\n\n";
-	size_t cut;
-
-	for (cut = 0; cut < sizeof(text) - 1; cut++) {
-		struct event_splitter e;
-		char out[256] = "";
-
-		events_init(&e);
-		ck_assert_int_eq(events_feed(&e, text, cut, collect, out), 0);
-		ck_assert_int_eq(events_feed(&e, text + cut,
-					     sizeof(text) - 1 - cut, collect,
-					     out),
-				 0);
-		ck_assert_str_eq(out, text);
-		ck_assert_str_eq(e.last_id, "3");
-		events_destroy(&e);
-	}
-}
-END_TEST
-
-/*
- * Entries that start at once, before they know of each other, exceeded the
- * fleet's budget of retries, as each took the whole slack.
- */
-START_TEST(entry_that_starts_has_a_small_share_of_the_slack)
-{
-	struct service_retry_budget b = { .slack = 128, .window_s = 10 };
-	apr_time_t start = 100 * SECOND;
-
-	b.entry_count = retry_budget_assume_entries(1, start, start + SECOND);
-	ck_assert_int_eq(retry_budget_remaining(&b, "s", start + SECOND), 1);
-	b.entry_count = retry_budget_assume_entries(200, start, start + SECOND);
-	ck_assert_int_eq(b.entry_count, 200);
-	b.entry_count =
-		retry_budget_assume_entries(2, start, start + 6 * SECOND);
-	ck_assert_int_eq(retry_budget_remaining(&b, "s", start + 6 * SECOND),
-			 48);
-}
-END_TEST
-
-static struct document *document_of(uint64_t revision, uint64_t release);
-
-/* A store that returns from an older copy names an earlier release. */
-START_TEST(releases_of_a_newer_document_do_not_step_back)
-{
-	struct document *old = document_of(5, 4), *d = document_of(6, 3);
-	struct document *later = document_of(7, 6);
-
-	document_keep_releases(d, NULL);
-	ck_assert_int_eq(d->models[0].release, 3);
-	document_keep_releases(d, old);
-	ck_assert_int_eq(d->models[0].release, 4);
-	ck_assert_str_eq(d->models[0].version, old->models[0].version);
-	document_keep_releases(later, d);
-	ck_assert_int_eq(later->models[0].release, 6);
-	document_unref(old);
-	document_unref(d);
-	document_unref(later);
-}
-END_TEST
-
-static void feed_text(struct event_splitter *e, const char *text)
-{
-	char out[256] = "";
-
-	events_init(e);
-	ck_assert_int_eq(events_feed(e, text, strlen(text), collect, out), 0);
-}
-
-START_TEST(stream_is_open_inside_an_event_only)
-{
-	static const char *const open[] = { "id: 1",
-					    "id: 1\n",
-					    "data: a\n\nid",
-					    "data: a\n\nid: 2\ndata: b\n",
-					    ":com",
-					    "data: a\n\n:com",
-					    NULL };
-	static const char *const ended[] = { "",
-					     "data: a\n\n",
-					     "data: a\r\n\r\n",
-					     ":com\n",
-					     "data: a\n\n:com\n",
-					     "data: a\n\n\n",
-					     ":a\n:b\n\n",
-					     NULL };
-	struct event_splitter e;
-	int i;
-
-	for (i = 0; open[i]; i++) {
-		feed_text(&e, open[i]);
-		ck_assert_msg(events_is_open(&e), "%s", open[i]);
-		events_destroy(&e);
-	}
-	for (i = 0; ended[i]; i++) {
-		feed_text(&e, ended[i]);
-		ck_assert_msg(!events_is_open(&e), "%s", ended[i]);
-		events_destroy(&e);
-	}
-}
-END_TEST
-
-/* A stream that goes on without one would repeat events. */
-START_TEST(stream_has_a_position_after_events_with_ids)
-{
-	struct event_splitter e;
-
-	feed_text(&e, "id: 1\ndata: a\n\n:com\n\n");
-	ck_assert(events_has_position(&e));
-	events_destroy(&e);
-	feed_text(&e, "id: 1\ndata: a\n\ndata: b\n\n");
-	ck_assert(!events_has_position(&e));
-	events_destroy(&e);
-	feed_text(&e, "data: a\n\nid: 1\ndata: b\n\n");
-	ck_assert(events_has_position(&e));
-	events_destroy(&e);
-	feed_text(&e, "data: a\n\n");
-	ck_assert(!events_has_position(&e));
-	events_destroy(&e);
-	feed_text(&e, "id: 1\nda");
-	ck_assert(events_has_position(&e));
-	events_destroy(&e);
-}
-END_TEST
-
-START_TEST(resumed_stream_drops_incomplete_and_duplicate_events)
-{
-	struct event_splitter e;
-	char out[256] = "";
-
-	events_init(&e);
-	events_feed(&e, "id: 4\ndata: a\n\nid: 5\nda", 22, collect, out);
-	ck_assert_str_eq(e.last_id, "4");
-	events_resume(&e);
-	events_feed(&e, "id: 4\ndata: a\n\nid: 5\ndata: b\n\n", 30, collect,
-		    out);
-	ck_assert_str_eq(out, "id: 4\ndata: a\n\nid: 5\ndata: b\n\n");
-	events_destroy(&e);
-}
-END_TEST
-
 /* health.c */
 
 START_TEST(partly_failing_upstream_is_ejected_and_readmitted)
@@ -365,6 +208,26 @@
 
 /* repeats.c */
 
+/*
+ * Entries that start at once, before they know of each other, exceeded the
+ * fleet's budget of retries, as each took the whole slack.
+ */
+START_TEST(entry_that_starts_has_a_small_share_of_the_slack)
+{
+	struct service_retry_budget b = { .slack = 128, .window_s = 10 };
+	apr_time_t start = 100 * SECOND;
+
+	b.entry_count = retry_budget_assume_entries(1, start, start + SECOND);
+	ck_assert_int_eq(retry_budget_remaining(&b, "s", start + SECOND), 1);
+	b.entry_count = retry_budget_assume_entries(200, start, start + SECOND);
+	ck_assert_int_eq(b.entry_count, 200);
+	b.entry_count =
+		retry_budget_assume_entries(2, start, start + 6 * SECOND);
+	ck_assert_int_eq(retry_budget_remaining(&b, "s", start + 6 * SECOND),
+			 48);
+}
+END_TEST
+
 START_TEST(entries_together_keep_retry_budget_in_any_window)
 {
 	enum { ENTRIES = 7, SPAN = 40 };
@@ -424,6 +287,25 @@
 	return d;
 }
 
+/* A store that returns from an older copy names an earlier release. */
+START_TEST(releases_of_a_newer_document_do_not_step_back)
+{
+	struct document *old = document_of(5, 4), *d = document_of(6, 3);
+	struct document *later = document_of(7, 6);
+
+	document_keep_releases(d, NULL);
+	ck_assert_int_eq(d->models[0].release, 3);
+	document_keep_releases(d, old);
+	ck_assert_int_eq(d->models[0].release, 4);
+	ck_assert_str_eq(d->models[0].version, old->models[0].version);
+	document_keep_releases(later, d);
+	ck_assert_int_eq(later->models[0].release, 6);
+	document_unref(old);
+	document_unref(d);
+	document_unref(later);
+}
+END_TEST
+
 /* Applies a document with a release at now; declared_at is 0 if not known. */
 static void declare(struct releases *r, uint64_t release,
 		    apr_time_t declared_at, apr_time_t now)
@@ -684,14 +566,9 @@
 	tcase_add_test(tc, retries_stop_at_run_limit_and_budget);
 	tcase_add_test(tc, stream_is_resumed_or_truncated);
 	tcase_add_test(tc, close_does_not_complete_a_stream_in_chunks);
-	tcase_add_test(tc, stream_is_open_inside_an_event_only);
 	tcase_add_test(tc, entry_that_starts_has_a_small_share_of_the_slack);
 	tcase_add_test(tc, releases_of_a_newer_document_do_not_step_back);
-	tcase_add_test(tc, stream_has_a_position_after_events_with_ids);
 	tcase_add_test(tc, moved_stream_is_resumed_after_refusal);
-	tcase_add_test(tc, events_are_complete_for_any_split_of_bytes);
-	tcase_add_test(tc,
-		       resumed_stream_drops_incomplete_and_duplicate_events);
 	tcase_add_test(tc, partly_failing_upstream_is_ejected_and_readmitted);
 	tcase_add_test(tc, rare_failures_do_not_eject);
 	tcase_add_test(tc,
--- a/t/t1000-forward-unit.sh
+++ b/t/t1000-forward-unit.sh
@@ -6,6 +6,8 @@
 
 test_expect_success 'unit tests of forward' 'test-forward'
 
+test_expect_success 'unit tests of streams of events' 'test-events'
+
 test_expect_success 'unit tests of the choice of an upstream' 'test-target'
 
 test_done
