forward: an entry without seeds has the slack of retries for itself

Cause: the slack was divided among 64 entries that are assumed at a start.

Change: an entry whose settings name no other process to learn members from assumes none. On the users' machines, which have seeds, nothing changes.

--- a/forward/repeats.c
+++ b/forward/repeats.c
@@ -54,11 +54,15 @@
 	find_bucket(find_or_add_service(b, service), now)->requests++;
 }
 
-/* Returns the number of entries among which the slack is divided. */
-int retry_budget_assume_entries(int known, apr_time_t started_at,
+/*
+ * Returns the number of entries among which the slack is divided; has_seeds is 0
+ * for a process that was given no other one to learn members from.
+ */
+int retry_budget_assume_entries(int known, int has_seeds, apr_time_t started_at,
 				apr_time_t now)
 {
-	if (now - started_at < ENTRIES_UNKNOWN_US && known < ENTRIES_ASSUMED)
+	if (has_seeds && now - started_at < ENTRIES_UNKNOWN_US &&
+	    known < ENTRIES_ASSUMED)
 		return ENTRIES_ASSUMED;
 	return known;
 }
--- a/t/helper/test-answer-proof.c
+++ b/t/helper/test-answer-proof.c
@@ -6,6 +6,7 @@
 #include "calls/sse.h"
 #include "config/document.h"
 #include "forward/listing.h"
+#include "platform/names.h"
 #include "platform/platform.h"
 #include "weights/manifest.h"
 
@@ -19,7 +20,8 @@
 	"{\"Stage\":\"mixed\",\"Models\":[{\"Name\":\"m\",\"Version\":2}],"
 	"\"Busy\":false,\"Seq\":2,\"Queued\":1,\"Active\":12,\"born\":5}";
 static const char origin_manifest[] =
-	"{\"Model\":\"m\",\"Version\":2,\"ChunkBytes\":4,\"layers\":1,"
+	"{\"Model\":\"m\",\"Version\":2,\"" FIELD_CHUNK_BYTES
+	"\":4,\"layers\":1,"
 	"\"Digests\":["
 	"\"9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08\""
 	"]}";
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -217,14 +217,20 @@
 	struct service_retry_budget b = { .slack = 128, .window_s = 10 };
 	apr_time_t start = 100 * SECOND;
 
-	b.entry_count = retry_budget_assume_entries(1, start, start + SECOND);
+	b.entry_count =
+		retry_budget_assume_entries(1, 1, start, start + SECOND);
 	ck_assert_int_eq(retry_budget_remaining(&b, "s", start + SECOND), 1);
-	b.entry_count = retry_budget_assume_entries(200, start, start + SECOND);
+	b.entry_count =
+		retry_budget_assume_entries(200, 1, start, start + SECOND);
 	ck_assert_int_eq(b.entry_count, 200);
 	b.entry_count =
-		retry_budget_assume_entries(2, start, start + 6 * SECOND);
+		retry_budget_assume_entries(2, 1, start, start + 6 * SECOND);
 	ck_assert_int_eq(retry_budget_remaining(&b, "s", start + 6 * SECOND),
 			 48);
+	/* There are no others to learn of. */
+	b.entry_count =
+		retry_budget_assume_entries(1, 0, start, start + SECOND);
+	ck_assert_int_eq(b.entry_count, 1);
 }
 END_TEST
 
