t1020: an expired release begins no request although its entry is late

The upstream of the test keeps requests whose connection is closed. An entry that is stopped before it can withdraw a request leaves it in the upstream's queue, and the upstream begins it 1 s after the limit (.2, .3). An upstream that runs an older release than it reported begins what is sent to it (.4).

--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -30,10 +30,17 @@
     queue   paths that contain "begun" get the first event at once, the rest
             after a request for /test/finish, and comments until then if they
             also contain "alive"; other requests get no reply
+    keep    requests wait for a request for /test/finish, and then get an event
+            stream although their connection may be closed; one whose deadline
+            is over before gets 503, marked as not run
 and serves
     GET /test/requests   the IDs of the requests received
     GET /test/withdrawn  in mode queue, the IDs of the requests whose
                          connection was closed before a reply
+    GET /test/begun      in mode keep, the IDs of the requests that got a stream
+    GET /test/deadlines  the deadlines in ms of the requests received, by ID
+    PUT /test/release    sets the release of the weights; requests that expect
+                         another one get 421
     GET /test/connections  the number of other open connections
 """
 import base64
@@ -201,13 +208,30 @@
             return self.answer(200, s.connections - 1)
         if self.path == "/test/withdrawn":
             return self.answer(200, s.withdrawn)
+        if self.path == "/test/begun":
+            return self.answer(200, s.begun)
+        if self.path == "/test/deadlines":
+            return self.answer(200, s.deadlines)
         if self.path == "/test/finish":
             s.finish.set()
             return self.answer(200, {})
+        if self.path == "/test/release":
+            s.release = body.decode()
+            return self.answer(200, {})
         s.requests.append(request)
+        s.deadlines[request] = int(
+            self.headers.get("X-Limpetflow-Deadline-Ms") or 0)
         common = [("X-Limpetflow-Request-Id", request),
                   ("X-Limpetflow-Response-Stamp", "stamp-" + s.id),
                   ("X-Limpetflow-Instance-Id", s.id)]
+        expected = self.headers.get("X-Limpetflow-Expect-Version")
+        if s.release and expected and expected != s.release:
+            return self.answer(421, {}, common)
+        if s.mode == "keep" and not s.finish.wait(
+                s.deadlines[request] / 1000):
+            return self.answer(503, {}, common + [("X-Limpetflow-Not-Run", "1")])
+        if s.mode == "keep":
+            s.begun.append(request)
         if s.mode == "full":
             return self.answer(503, {}, common + [("X-Limpetflow-Not-Run", "1")])
         if s.mode == "error":
@@ -222,7 +246,7 @@
             self.wait_for_close()
             s.withdrawn.append(request)
             return None
-        if s.mode in ("torn", "stream", "queue"):
+        if s.mode in ("torn", "stream", "queue", "keep"):
             return self.stream(common)
         return self.answer(200, {
             "by": s.id, "method": self.command, "target": self.path,
@@ -300,6 +324,9 @@
         server.mode = sys.argv[4] if len(sys.argv) > 4 else "ok"
         server.requests = []
         server.withdrawn = []
+        server.begun = []
+        server.deadlines = {}
+        server.release = None
         server.finish = threading.Event()
     server.serve_forever()
 
