forward: hand the limit of a release to the upstream as the deadline

Callers got answers of an older release of a model more than its limit after a newer one was declared. Requests that wait at an upstream were kept from beginning late by one act of one process, their withdrawal. An entry that stands still, is cut off or is busy does not act, and an upstream that keeps requests whose connection is closed does not heed it: in t1020 it begins the request 1 s after the limit.

An upstream drops a request by itself when the deadline is over that it received, and marks it as not run. An attempt at an older release now has a deadline that ends 1.0 s before the limit, whatever the caller's is; requests are sent there until 1.6 s before the limit (1.2 s before), so that each has 0.6 s at least. The withdrawal stays for requests that were sent before the declaration and may last longer than the limit, and for upstreams that give no answer.

What this costs: an answer that has begun is ended at that deadline too, and goes on at another upstream where the route and the budget allow it. Weighed: never queueing at an older release (the entries fill the same free slot together, so that "free" is no bound), an earlier end of sending (no bound on the wait either).

The health of an upstream does not count attempts that it ended at this deadline.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -309,6 +309,15 @@
 	pthread_mutex_unlock(&f->w->mutex);
 }
 
+/*
+ * Returns 1 for an attempt that its upstream ended at the limit of its release.
+ */
+static int is_ended_by_release(const struct forward *f, apr_time_t now)
+{
+	return f->attempt_expires_at < f->expires_at &&
+	       now >= f->attempt_expires_at;
+}
+
 /* Updates the upstream's health from the end of an attempt. */
 static void record_target_outcome(struct forward *f,
 				  const struct attempt_result *e,
@@ -335,6 +344,9 @@
 		event = HEALTH_UNRESPONSIVE;
 	else if (e->is_canceled)
 		event = 0;
+	else if (is_ended_by_release(f, now) &&
+		 (!e->is_complete || e->status >= STATUS_SERVER_ERROR))
+		event = 0;
 	else if (e->is_complete && e->status < STATUS_SERVER_ERROR)
 		event = HEALTH_ANSWERED;
 	else if (!e->is_not_run && !e->is_other_instance &&
@@ -553,8 +565,9 @@
 		break;
 	case NEXT_UNKNOWN:
 		forward_refuse(f, 502, AGAIN_CHECK, 0,
-			       is_withdrawn(f) ? "release-expired"
-					       : "upstream-failed");
+			       is_withdrawn(f) || is_ended_by_release(f, now)
+				       ? "release-expired"
+				       : "upstream-failed");
 		break;
 	case NEXT_TIMEOUT:
 		forward_refuse(f, 504, AGAIN_CHECK, 0, "deadline");
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -27,6 +27,12 @@
 /* Time limit of plain services, as a multiple of their objective. */
 #define PLAIN_TIMEOUT_OBJECTIVES 2
 
+/*
+ * Time for the answer of an upstream that dropped a request at its deadline. It
+ * may have arrived while this process was paused.
+ */
+#define OVERDUE_ANSWER_US (80 * 1000)
+
 /* Retries that moving streams leaves in the budget for failures. */
 #define MOVE_RESERVED_RETRIES 5
 
@@ -215,18 +221,26 @@
 
 /*
  * Returns 1 for a request that waits at an upstream on whose release no request
- * may begin soon. How long it waits there is not bounded otherwise. Called with
- * the mutex held.
+ * may begin soon. The upstream drops it by itself at its deadline if that is
+ * the release's limit, and its answer proves that it did not run the request,
+ * so it is withdrawn only if no answer was there on an earlier step either.
+ * Called with the mutex held.
  */
-static int should_withdraw(struct forwarder *w, const struct forward *f,
+static int should_withdraw(struct forwarder *w, struct forward *f,
 			   apr_time_t now)
 {
 	const struct target *u = target_find(&w->targets, f->upstream);
 	uint64_t runs_now = u ? target_find_release(u, f->head.model) : 0;
 
-	return f->is_unanswered &&
-	       release_must_withdraw(&w->releases, f->head.model, f->release,
-				     runs_now, now);
+	if (!f->is_unanswered ||
+	    !release_must_withdraw(&w->releases, f->head.model, f->release,
+				   runs_now, now))
+		return 0;
+	if (f->attempt_expires_at == f->expires_at)
+		return 1;
+	if (!f->overdue_since)
+		f->overdue_since = now;
+	return now - f->overdue_since >= OVERDUE_ANSWER_US;
 }
 
 static void cancel_attempt(struct forward *f, enum cancel_reason why,
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -109,6 +109,9 @@
 	*is_probe = u->health.is_probing;
 	health_record_start(&u->health, now);
 	f->release = target_find_release(u, f->head.model);
+	f->attempt_expires_at = release_limit_deadline(
+		&w->releases, f->head.model, f->release, f->expires_at);
+	f->overdue_since = 0;
 	snprintf(f->upstream, sizeof(f->upstream), "%s", u->id);
 	snprintf(f->url, sizeof(f->url), "http://%s", u->address);
 	record_attempt_start(f, u, now);
@@ -122,7 +125,7 @@
 
 	h.upstream = f->upstream;
 	h.account = f->account;
-	h.left_ms = (long)((f->expires_at - now) / 1000);
+	h.left_ms = (long)((f->attempt_expires_at - now) / 1000);
 	h.last_event = f->is_answer_started && *f->events.last_id
 			       ? f->events.last_id
 			       : f->head.last_event;
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -95,6 +95,10 @@
 	/* Of the model at the chosen upstream, 0: unknown or no model. */
 	uint64_t release;
 	apr_time_t sent_at;
+	/* Of the attempt: expires_at, or earlier as the release expires. */
+	apr_time_t attempt_expires_at;
+	/* First seen after attempt_expires_at without an answer, 0: not yet. */
+	apr_time_t overdue_since;
 	/* Atomic: time of the last byte of the answer, 0: none. */
 	apr_time_t last_contact;
 	int is_in_flight; /* guarded by the forwarder's mutex */
--- a/forward/release.c
+++ b/forward/release.c
@@ -142,3 +142,20 @@
 			return row->changes[i].required_at;
 	return 0;
 }
+
+/*
+ * Returns the time until which an upstream that runs the release may work on a
+ * request whose own deadline is given: no request begins on an expired release
+ * then, even if this process acts late or the upstream keeps a request whose
+ * connection was closed. What began before is ended as well.
+ */
+apr_time_t release_limit_deadline(const struct releases *r, const char *model,
+				  uint64_t release, apr_time_t deadline)
+{
+	apr_time_t expiry =
+		release ? release_find_expiry(r, model, release) : 0;
+
+	if (!expiry || deadline <= expiry - RELEASE_DEADLINE_MARGIN_US)
+		return deadline;
+	return expiry - RELEASE_DEADLINE_MARGIN_US;
+}
--- a/forward/release.h
+++ b/forward/release.h
@@ -18,15 +18,23 @@
 
 /*
  * Requests are no longer sent to older releases this long before these may no
- * longer begin them, as a request may queue in the network and in an upstream
- * before it begins.
+ * longer begin them: a request that has less time at its upstream would hardly
+ * complete there.
  */
-#define RELEASE_SEND_MARGIN_US (1200 * 1000LL)
+#define RELEASE_SEND_MARGIN_US (1600 * 1000LL)
+
+/*
+ * The deadline that an upstream of an older release receives ends this long
+ * before the limit, so that the upstream drops what it has not begun by itself.
+ * The margin covers the time until the request is sent, the link, and a
+ * declaration that this process learned of late.
+ */
+#define RELEASE_DEADLINE_MARGIN_US (1000 * 1000LL)
 
 /*
  * Requests that have not begun are withdrawn from older releases this long
- * before the limit, as the cancellation takes time to reach the upstream and
- * this process learns of a release later than it was declared.
+ * before the limit: those that were sent before the newer release was declared
+ * have a deadline that does not know it.
  */
 #define RELEASE_WITHDRAW_MARGIN_US (800 * 1000LL)
 
@@ -66,5 +74,7 @@
 			  uint64_t sent_to, uint64_t runs_now, apr_time_t now);
 apr_time_t release_find_expiry(const struct releases *r, const char *model,
 			       uint64_t release);
+apr_time_t release_limit_deadline(const struct releases *r, const char *model,
+				  uint64_t release, apr_time_t deadline);
 
 #endif
--- a/forward/wire.h
+++ b/forward/wire.h
@@ -35,7 +35,7 @@
 struct upstream_head {
 	const char *upstream;	/* id of the intended instance */
 	const char *account;	/* NULL: none */
-	long left_ms;		/* until the caller times out */
+	long left_ms;		/* for the upstream's work on the request */
 	const char *last_event; /* resume the stream after it; or NULL */
 	int priority;		/* from 0 (first) to 9, -1: not given */
 };
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -368,6 +368,37 @@
 }
 END_TEST
 
+/*
+ * Guards against requests that an upstream begins after the limit of its
+ * release, as nobody withdrew them in time.
+ */
+START_TEST(deadline_of_attempt_ends_before_limit_of_release)
+{
+	static struct releases r;
+	apr_time_t limit = 18 * SECOND - RELEASE_DEADLINE_MARGIN_US;
+
+	memset(&r, 0, sizeof(r));
+	declare(&r, 1, 0, 0);
+	ck_assert_int_eq(release_limit_deadline(&r, "m", 1, 30 * SECOND),
+			 30 * SECOND);
+	declare(&r, 2, 10 * SECOND, 0);
+	declare(&r, 3, 13 * SECOND, 0);
+	ck_assert_int_eq(release_limit_deadline(&r, "m", 1, 16 * SECOND),
+			 16 * SECOND);
+	ck_assert_int_eq(release_limit_deadline(&r, "m", 1, 30 * SECOND),
+			 limit);
+	ck_assert_int_eq(release_limit_deadline(&r, "m", 2, 30 * SECOND),
+			 limit + 3 * SECOND);
+	ck_assert_int_eq(release_limit_deadline(&r, "m", 3, 30 * SECOND),
+			 30 * SECOND);
+	/* Its release is not known. */
+	ck_assert_int_eq(release_limit_deadline(&r, "m", 0, 30 * SECOND),
+			 30 * SECOND);
+	/* What is sent at the last moment has time to begin. */
+	ck_assert_int_lt(RELEASE_DEADLINE_MARGIN_US, RELEASE_SEND_MARGIN_US);
+}
+END_TEST
+
 START_TEST(limit_of_release_counts_from_declaration)
 {
 	static struct releases late, started;
@@ -583,6 +614,7 @@
 	tcase_add_test(tc, second_release_keeps_minimum_of_first);
 	tcase_add_test(tc,
 		       waiting_request_is_withdrawn_before_limit_of_release);
+	tcase_add_test(tc, deadline_of_attempt_ends_before_limit_of_release);
 	tcase_add_test(tc, limit_of_release_counts_from_declaration);
 	tcase_add_test(tc, late_request_leaves_slots_to_requests_in_time);
 	tcase_add_test(tc, retry_delays_are_spread_within_time_left);
