forward: an upstream refuses requests if it runs another release than reported

What an entry knows of an upstream's release is a report: of a process that may have been restarted since, whose agent may have loaded an older release as it was cut off from newer documents. Such an upstream began what it was sent, whatever the limit of its release.

Each attempt at an upstream that is known to run the newest release now names that release, and an upstream that runs another one answers 421 and does not begin it. Attempts at older releases have the limit in their deadline instead; naming these as well would turn every change of a release into refusals.

--- a/forward/handover.c
+++ b/forward/handover.c
@@ -109,6 +109,9 @@
 	*is_probe = u->health.is_probing;
 	health_record_start(&u->health, now);
 	f->release = target_find_release(u, f->head.model);
+	f->is_newest_release =
+		f->release &&
+		!release_find_expiry(&w->releases, f->head.model, f->release);
 	f->attempt_expires_at = release_limit_deadline(
 		&w->releases, f->head.model, f->release, f->expires_at);
 	f->overdue_since = 0;
@@ -126,6 +129,11 @@
 	h.upstream = f->upstream;
 	h.account = f->account;
 	h.left_ms = (long)((f->attempt_expires_at - now) / 1000);
+	/*
+	 * The limit of the older releases is not in the deadline, so the
+	 * upstream must refuse the request if it runs one of them after all.
+	 */
+	h.release = f->is_newest_release ? f->release : 0;
 	h.last_event = f->is_answer_started && *f->events.last_id
 			       ? f->events.last_id
 			       : f->head.last_event;
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -94,6 +94,7 @@
 	int slots;
 	/* Of the model at the chosen upstream, 0: unknown or no model. */
 	uint64_t release;
+	int is_newest_release; /* no newer one is known */
 	apr_time_t sent_at;
 	/* Of the attempt: expires_at, or earlier as the release expires. */
 	apr_time_t attempt_expires_at;
--- a/forward/wire.h
+++ b/forward/wire.h
@@ -36,6 +36,7 @@
 	const char *upstream;	/* id of the intended instance */
 	const char *account;	/* NULL: none */
 	long left_ms;		/* for the upstream's work on the request */
+	uint64_t release;	/* the only one that may serve it, 0: any */
 	const char *last_event; /* resume the stream after it; or NULL */
 	int priority;		/* from 0 (first) to 9, -1: not given */
 };
