forward: log the deadline that the upstream received

The lines of a request did not tell whether its upstream knew the limit of its release, and so not whether a late beginning was the upstream's or the entry's.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -409,7 +409,7 @@
 		return;
 	log_fields(sev, &at,
 		   json_pack("{s:s,s:i,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,"
-			     "s:i,s:I,s:I,s:I,s:s,s:I,s:s}",
+			     "s:i,s:I,s:I,s:I,s:I,s:s,s:I,s:s}",
 			     "outcome", outcome, "status", status, "route",
 			     f->route->name, "account",
 			     f->account ? f->account : "", "admitted",
@@ -422,7 +422,8 @@
 			     "revision", (json_int_t)f->document->revision,
 			     "release", (json_int_t)f->release,
 			     "release_left_ms", forward_release_left_ms(f),
-			     "framing", framing, "open_event_bytes",
+			     "deadline_ms", forward_deadline_ms(f), "framing",
+			     framing, "open_event_bytes",
 			     (json_int_t)f->events.size, "error",
 			     f->fetch.error.text),
 		   "request finished");
@@ -495,15 +496,16 @@
 	if (!log_is_enabled(LOG_SEV_NOTICE, 1))
 		return;
 	log_fields(LOG_SEV_NOTICE, &at,
-		   json_pack("{s:i,s:b,s:b,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:s,"
-			     "s:I,s:s}",
+		   json_pack("{s:i,s:b,s:b,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:I,"
+			     "s:s,s:I,s:s}",
 			     "status", e->status, "not_run", e->is_not_run,
 			     "never_sent", e->is_unsent, "too_late",
 			     e->is_too_late, "silent", e->is_unresponsive,
 			     "withdrawn", is_withdrawn(f), "tries", f->attempts,
 			     "runs", f->runs, "sent_ms", sent_ms(f), "release",
 			     (json_int_t)f->release, "release_left_ms",
-			     forward_release_left_ms(f), "framing",
+			     forward_release_left_ms(f), "deadline_ms",
+			     forward_deadline_ms(f), "framing",
 			     framing_name(f->fetch.framing), "open_event_bytes",
 			     (json_int_t)f->events.size, "error",
 			     f->fetch.error.text),
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -90,6 +90,17 @@
 	return expiry ? (json_int_t)(expiry - f->sent_at) / 1000 : -1;
 }
 
+/*
+ * Returns for log lines the deadline in ms that the upstream of the last attempt
+ * received, 0 when there was none.
+ */
+json_int_t forward_deadline_ms(const struct forward *f)
+{
+	return f->attempts
+		       ? (json_int_t)(f->attempt_expires_at - f->sent_at) / 1000
+		       : 0;
+}
+
 /* Logs the releases that were declared by the document applied at `now`. */
 static void log_new_releases(const struct releases *r, apr_time_t now)
 {
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -41,7 +41,7 @@
 		f->document ? (json_int_t)f->document->revision : 0;
 
 	return json_pack("{s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i,"
-			 "s:I,s:I}",
+			 "s:I,s:I,s:I}",
 			 "account", f->account ? f->account : "", "upstream",
 			 f->upstream, "error", f->fetch.error.text, "tries",
 			 f->attempts, "runs", f->runs, "ms",
@@ -51,7 +51,8 @@
 			 forward_wait_ms(f), "load", f->load, "slots", f->slots,
 			 "elapsed_ms", f->elapsed_ms, "release",
 			 (json_int_t)f->release, "release_left_ms",
-			 forward_release_left_ms(f));
+			 forward_release_left_ms(f), "deadline_ms",
+			 forward_deadline_ms(f));
 }
 
 /*
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -160,6 +160,7 @@
 json_int_t forward_wait_ms(const struct forward *f);
 apr_time_t forward_release_expiry(struct forward *f);
 json_int_t forward_release_left_ms(struct forward *f);
+json_int_t forward_deadline_ms(const struct forward *f);
 int forward_retry_after_ms(struct forward *f, apr_time_t now);
 
 #endif
