t: say what a wait was for when it was in vain

t0210 .16 failed once with an empty log, so that nobody knows which of its steps it was. wait_until now names what it waited for, and the case prints the processes that it stopped and those that answer.

--- a/t/t0210-config-spread.sh
+++ b/t/t0210-config-spread.sh
@@ -208,6 +208,7 @@
 	kill -STOP $(cat stopped) &&
 	publish 13 &&
 	answering >running &&
+	cat stopped running &&
 	test $(wc -l <running) = 3 &&
 	wait_until 8 revision_is 13 $(cat running) &&
 	kill -CONT $(cat stopped) &&
--- a/t/test-lib.sh
+++ b/t/test-lib.sh
@@ -62,13 +62,16 @@
 }
 
 # wait_until SECONDS COMMAND...: runs COMMAND every 0.1 s until it succeeds;
-# fails after 10 runs per second of time-out.
+# fails after 10 runs per second of time-out, and says what it waited for.
 wait_until () {
 	wait_tries=$(($1 * 10))
 	shift
 	while ! "$@" >/dev/null 2>&1; do
 		wait_tries=$((wait_tries - 1))
-		test $wait_tries -gt 0 || return 1
+		if test $wait_tries -le 0; then
+			echo "waited in vain: $*" >&2
+			return 1
+		fi
 		sleep 0.1
 	done
 }
