--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -12,7 +12,9 @@
         FRAMING  "chunked", "length" or "close"
         END      "open": without the last chunk, or short of the length;
                  "reset": with a reset of the connection; "hang": the first
-                 such answer stays unfinished, the next ones are whole
+                 such answer stays unfinished, the next ones are whole;
+                 "deadline": as "open", after comments until the deadline of
+                 the request
 Forms of plain bodies: the same with "plain" (whole) or "half" for EVENTS.
 Further forms:
     head-open     the connection closes inside the head
@@ -37,6 +39,8 @@
 import time
 
 PIECE = 16 * 1024
+COMMENT = b":\n\n"
+COMMENT_PERIOD_S = 0.1
 FOREVER_MAX_BYTES = 16 * 1024 * 1024 * 1024
 FOREVER_MAX_S = 30
 HANG_S = 10
@@ -149,7 +153,17 @@
         return state["hung"] == 1
 
 
-def answer(connection, form, request_id, first):
+def send_comments(connection, framing, until):
+    text = COMMENT
+    if framing == "chunked":
+        text = b"%x\r\n%s\r\n" % (len(COMMENT), COMMENT)
+    while time.monotonic() + COMMENT_PERIOD_S < until:
+        time.sleep(COMMENT_PERIOD_S)
+        connection.sendall(text)
+    time.sleep(max(0, until - time.monotonic()))
+
+
+def answer(connection, form, request_id, first, until):
     """Sends one answer. Returns False when the connection has to close."""
     if form.startswith("forever-"):
         send_forever(connection, form[len("forever-"):], request_id)
@@ -175,6 +189,8 @@
     connection.sendall(head(request_id, lines) + body)
     if form.endswith("-hang") and end:
         time.sleep(HANG_S)
+    if end == "deadline":
+        send_comments(connection, framing, until)
     if end == "reset":
         reset(connection)
     return framing != "close" and not end
@@ -213,8 +229,10 @@
             forms = name.split("+")
             last = int(headers.get(b"last-event-id") or 0)
             request_id = headers.get(b"x-limpetflow-request-id", b"")
+            left_ms = int(headers.get(b"x-limpetflow-deadline-ms") or 0)
             if not answer(connection, forms[-1 if has_come(request_id) else 0],
-                          request_id, last + 1):
+                          request_id, last + 1,
+                          time.monotonic() + left_ms / 1000):
                 break
     except OSError:
         pass
