forward: an answer that ends at the deadline of its release is broken off

Callers got a stream as whole that its upstream had ended midway. An upstream stops at the deadline that it received, which an entry now sets at the limit of a release, and where neither a length nor chunks mark the end of an answer that looks like its end. The caller's own deadline never showed this: nobody reads the answer after it.

One that was whole by then is cut as well; the two can't be told apart. The deadline is sent in whole milliseconds, so that the end may come before it by our clock; the same 20 ms as for the caller's deadline allow for that, also in the upstream's health.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -250,25 +250,40 @@
 }
 
 /*
- * Returns 1 for a stream that was broken off although its transfer ended
- * without an error: inside an event, or before the first one if nothing but the
- * connection marked its end.
+ * Returns 1 for an attempt that its upstream ended at the limit of its release.
+ * The deadline that the upstream received is in whole milliseconds.
+ */
+static int is_ended_by_release(const struct forward *f, apr_time_t now)
+{
+	return f->attempt_expires_at < f->expires_at &&
+	       now >= f->attempt_expires_at - TIME_LEFT_MIN_US;
+}
+
+/*
+ * Returns 1 for an answer that was broken off although its transfer ended
+ * without an error: a stream inside an event, or, where nothing but the
+ * connection marked its end, a stream before its first event and any answer
+ * whose upstream stopped at the deadline that this entry set.
  */
-static int is_broken_stream(const struct forward *f)
+static int is_broken_answer(const struct forward *f, apr_time_t now)
 {
+	if (f->fetch.framing == FRAMING_CLOSE && is_ended_by_release(f, now))
+		return 1;
 	if (!f->is_event_answer)
 		return 0;
 	return events_is_open(&f->events) ||
 	       (!f->is_answer_started && f->fetch.framing == FRAMING_CLOSE);
 }
 
-static void fill_attempt_result(struct forward *f, struct attempt_result *e)
+static void fill_attempt_result(struct forward *f, struct attempt_result *e,
+				apr_time_t now)
 {
 	const struct fetch *x = &f->fetch;
 
 	memset(e, 0, sizeof(*e));
 	e->status = x->status;
-	e->is_complete = !x->error.code && x->status && !is_broken_stream(f);
+	e->is_complete =
+		!x->error.code && x->status && !is_broken_answer(f, now);
 	e->is_end_marked = x->framing != FRAMING_CLOSE;
 	e->is_unsent = x->never_sent;
 	e->is_too_late = x->is_too_late;
@@ -284,7 +299,7 @@
 		CANCEL_UNRESPONSIVE;
 	e->is_answer_started = f->is_answer_started;
 	e->is_timed_out = !e->is_complete && !e->is_canceled &&
-			  clock_now() >= f->expires_at - TIME_LEFT_MIN_US;
+			  now >= f->expires_at - TIME_LEFT_MIN_US;
 	if (!continues_answer(f))
 		e->is_complete = 0;
 }
@@ -309,15 +324,6 @@
 	pthread_mutex_unlock(&f->w->mutex);
 }
 
-/*
- * Returns 1 for an attempt that its upstream ended at the limit of its release.
- */
-static int is_ended_by_release(const struct forward *f, apr_time_t now)
-{
-	return f->attempt_expires_at < f->expires_at &&
-	       now >= f->attempt_expires_at;
-}
-
 /* Updates the upstream's health from the end of an attempt. */
 static void record_target_outcome(struct forward *f,
 				  const struct attempt_result *e,
@@ -535,7 +541,7 @@
 	struct attempt_context s;
 	apr_time_t now = clock_now();
 
-	fill_attempt_result(f, &e);
+	fill_attempt_result(f, &e, now);
 	pthread_mutex_lock(&f->w->mutex);
 	f->runs = attempt_count_runs(f->runs, &e);
 	pthread_mutex_unlock(&f->w->mutex);
