forward: pause at an upstream that refused the release that it reported

An upstream that runs another release than it reported refuses what names the reported one. Its refusals may not say that the request did not run, so that the pause of a full upstream did not apply.

Such an upstream gets no request for 1 s. Weighed: to forget its releases until the next report; where reports are lost only the platform's list would bring them back, and the list may be what is wrong.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -21,6 +21,11 @@
 #define CONTACT_PERIOD_US (20 * 1000)
 /* Time without new requests after an upstream answered that it is full. */
 #define FULL_BACKOFF_US (150 * 1000)
+/*
+ * The same after it refused the release that it had reported. Its next report
+ * may be as wrong as the last one.
+ */
+#define RELEASE_BACKOFF_US APR_USEC_PER_SEC
 
 #define EVENT_STREAM_TYPE "text/event-stream"
 /* The start of a comment line. */
@@ -343,6 +348,8 @@
 		u->is_replaced = 1;
 	if (e->is_not_run)
 		u->full_until = now + FULL_BACKOFF_US;
+	if (e->is_other_instance && f->is_newest_release)
+		u->full_until = now + RELEASE_BACKOFF_US;
 	if (e->is_unsent && e->is_too_late)
 		event = 0; /* this process was delayed, not the upstream */
 	else if (e->is_unresponsive ||
