--- a/t/t1021-release-end.sh
+++ b/t/t1021-release-end.sh
@@ -10,6 +10,7 @@
 OLD=$TEST_NET.2:80
 NEW=$TEST_NET.3:80
 WRONG=$TEST_NET.4:80
+PLAIN=$TEST_NET.5:80
 
 put () {
 	curl -sf -X PUT --data-binary @- "http://$STORE/test/$1" >/dev/null
@@ -34,8 +35,10 @@
 config () {
 	cat <<-EOT | put op/config
 	{"Version":1,"Routes":[$(route one llm 1 true),$(route lone llm 1 false),
-	  $(route two llm 2 true),$(route ask misread 1 true)],
+	  $(route two llm 2 true),$(route ask misread 1 true),
+	  {"Name":"plain","Host":"a.example","Prefix":"/plain/","Kind":"idempotent","TimeoutMs":5000,"SloMs":400,"Service":"web","Attempts":1}],
 	 "Services":[$(engine_service llm m),$(engine_service misread n),
+	  {"Name":"web","MaxConns":90},
 	  {"Name":"store","Origin":"127.0.0.1:1"}],
 	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
 	 "Tenants":[]}
@@ -71,11 +74,13 @@
 start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
 start old python3 "$TEST_DIR/standin/raw_server.py" $OLD $NEW
 start wrong python3 "$TEST_DIR/standin/metadata_store.py" upstream $WRONG i-wrong stream
+start plain python3 "$TEST_DIR/standin/metadata_store.py" upstream $PLAIN i-plain ok
 
 test_expect_success 'the entry serves release 1' '
 	wait_until 10 curl -sf http://$STORE/test/calls &&
 	config && declare_release m 1 && declare_release n 2 &&
 	engine i-old llm $OLD m 1 && engine i-wrong misread $WRONG n 2 &&
+	engine i-plain web $PLAIN m 1 &&
 	start entry limpet-entry --settings entry.json &&
 	wait_until 10 curl -sf http://$READY/readyz &&
 	wait_until 10 is_served 1
@@ -126,4 +131,15 @@
 	test_cmp expect moved.out
 '
 
+# Guards against a deadline that was over before the request was sent: upstreams
+# of a service without engines are chosen whatever models they list.
+test_expect_success 'a service without engines has no limit of a release' '
+	read_answer p1 plain/any m >actual &&
+	cat actual &&
+	grep "^200" actual &&
+	curl -s http://$PLAIN/test/deadlines >deadlines &&
+	cat deadlines &&
+	jq -e ".p1 > 4000" deadlines
+'
+
 test_done
