forward: limits of releases hold for engines only

A service without engines chooses its upstreams whatever models they list.

The release of an attempt is now read only where the choice heeds it.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -243,7 +243,7 @@
 	const struct target *u = target_find(&w->targets, f->upstream);
 	uint64_t runs_now = u ? target_find_release(u, f->head.model) : 0;
 
-	if (!f->is_unanswered ||
+	if (!f->is_unanswered || !f->service || !f->service->has_engine ||
 	    !release_must_withdraw(&w->releases, f->head.model, f->release,
 				   runs_now, now))
 		return 0;
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -108,7 +108,8 @@
 	}
 	*is_probe = u->health.is_probing;
 	health_record_start(&u->health, now);
-	f->release = target_find_release(u, f->head.model);
+	/* The choice heeds releases only where there are engines. */
+	f->release = q->engine ? target_find_release(u, f->head.model) : 0;
 	f->is_newest_release =
 		f->release &&
 		!release_find_expiry(&w->releases, f->head.model, f->release);
