forward: the limit of a release does not wait for the step that applies documents

Routes come from the current document, limits of releases from a step of 40 ms on the thread that also applies large documents. Where that thread is late, an attempt was decided with the new document's routes and without its limit. The releases of a request's own document are now applied before its upstream is chosen.

A release counts as the newest only if its model is declared: a request without a model, where several are declared, named the largest release of any.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -122,6 +122,21 @@
 	}
 }
 
+/*
+ * Applies the releases of a document unless a later one was applied. Called with
+ * the mutex held.
+ */
+void forward_apply_releases(struct forwarder *w, const struct document *d,
+			    apr_time_t now)
+{
+	if (d->revision <= w->document_revision)
+		return;
+	w->document_revision = d->revision;
+	releases_apply_document(&w->releases, d, w->node->settings.release_ms,
+				now);
+	log_new_releases(&w->releases, now);
+}
+
 /* Applies the current list of upstreams and the current document. */
 static void apply_current_values(struct forwarder *w, apr_time_t now)
 {
@@ -135,12 +150,8 @@
 				     w->node->settings.data_center, now);
 		w->has_targets = l->count > 0;
 	}
-	if (d && d->revision > w->document_revision) {
-		w->document_revision = d->revision;
-		releases_apply_document(&w->releases, d,
-					w->node->settings.release_ms, now);
-		log_new_releases(&w->releases, now);
-	}
+	if (d)
+		forward_apply_releases(w, d, now);
 	pthread_mutex_unlock(&w->mutex);
 	document_unref(d);
 	listing_release(l);
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -90,6 +90,8 @@
 	struct forwarder *w = f->w;
 	struct target *u;
 
+	/* The step that applies documents may be late. */
+	forward_apply_releases(w, f->document, now);
 	fill_query(f, q, now);
 	f->list_version = w->list_version;
 	target_choose(&w->targets, q, now, &w->random, &choice);
@@ -111,8 +113,7 @@
 	/* The choice heeds releases only where there are engines. */
 	f->release = q->engine ? target_find_release(u, f->head.model) : 0;
 	f->is_newest_release =
-		f->release &&
-		!release_find_expiry(&w->releases, f->head.model, f->release);
+		release_is_newest(&w->releases, f->head.model, f->release);
 	f->attempt_expires_at = release_limit_deadline(
 		&w->releases, f->head.model, f->release, f->expires_at);
 	f->overdue_since = 0;
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -157,6 +157,9 @@
 /* handover.c */
 void forward_send(struct forward *f, apr_time_t now);
 
+/* forward.c */
+void forward_apply_releases(struct forwarder *w, const struct document *d,
+			    apr_time_t now);
 json_int_t forward_wait_ms(const struct forward *f);
 apr_time_t forward_release_expiry(struct forward *f);
 json_int_t forward_release_left_ms(struct forward *f);
--- a/forward/release.c
+++ b/forward/release.c
@@ -143,6 +143,16 @@
 	return 0;
 }
 
+/*
+ * Returns 1 for a release of a declared model to which no newer one is known.
+ */
+int release_is_newest(const struct releases *r, const char *model,
+		      uint64_t release)
+{
+	return release && find_row(r, model) &&
+	       !release_find_expiry(r, model, release);
+}
+
 /*
  * Returns the time until which an upstream that runs the release may work on a
  * request whose own deadline is given: no request begins on an expired release
--- a/forward/release.h
+++ b/forward/release.h
@@ -72,6 +72,8 @@
 			       apr_time_t now);
 int release_must_withdraw(const struct releases *r, const char *model,
 			  uint64_t sent_to, uint64_t runs_now, apr_time_t now);
+int release_is_newest(const struct releases *r, const char *model,
+		      uint64_t release);
 apr_time_t release_find_expiry(const struct releases *r, const char *model,
 			       uint64_t release);
 apr_time_t release_limit_deadline(const struct releases *r, const char *model,
