forward: a release that is learned after a newer one limits older ones

The table of releases ignored a release that arrived after a newer one, so that its earlier limit was never set: release 1 was allowed until the limit that release 3 gives, not that of release 2.

Releases are now kept in the order of their numbers, and a second time for the same release counts if it is earlier. When the table is full, the two neighbours whose limits differ least are merged with the earlier limit. So a limit that was set is never extended, and a full table costs a release the difference of the two (0.1 s each time in the test), none while one of the limits is over. Merging the two oldest was tried first: the limit from the start of the process then came back for the release that the upstreams still run.

--- a/forward/release.c
+++ b/forward/release.c
@@ -20,23 +20,58 @@
 	return row;
 }
 
+/*
+ * Makes room for a change: merges two neighbours whose limits still to come
+ * differ least. The earlier limit stays, so that no release is allowed for
+ * longer.
+ */
+static void merge_two_changes(struct release_row *row, apr_time_t now)
+{
+	struct release_change *c = row->changes;
+	apr_interval_time_t least = 0;
+	int at = 0, i;
+
+	for (i = 0; i + 1 < row->count; i++) {
+		apr_time_t first = c[i].required_at;
+		apr_time_t next = c[i + 1].required_at;
+		apr_interval_time_t cost =
+			(next > now ? next : now) - (first > now ? first : now);
+
+		if (!i || cost < least) {
+			least = cost;
+			at = i;
+		}
+	}
+	if (c[at + 1].required_at > c[at].required_at)
+		c[at + 1].required_at = c[at].required_at;
+	row->count--;
+	memmove(&c[at], &c[at + 1], (size_t)(row->count - at) * sizeof(c[at]));
+}
+
+/* Adds a release, or applies an earlier limit to one that is known. */
 static void add_change(struct release_row *row, uint64_t release,
 		       apr_time_t now, apr_time_t required_at)
 {
-	if (row->count && row->changes[row->count - 1].release >= release)
+	struct release_change *c;
+	int i;
+
+	for (i = 0; i < row->count; i++) {
+		c = &row->changes[i];
+		if (c->release != release)
+			continue;
+		if (required_at < c->required_at)
+			c->required_at = required_at;
 		return;
-	if (row->count == RELEASE_CHANGES_MAX) {
-		/*
-		 * Drop the change that is due first; the next one supersedes
-		 * it.
-		 */
-		memmove(&row->changes[0], &row->changes[1],
-			(RELEASE_CHANGES_MAX - 1) * sizeof(row->changes[0]));
-		row->count--;
 	}
-	row->changes[row->count].release = release;
-	row->changes[row->count].learned_at = now;
-	row->changes[row->count].required_at = required_at;
+	if (row->count == RELEASE_CHANGES_MAX)
+		merge_two_changes(row, now);
+	for (i = row->count; i > 0 && row->changes[i - 1].release > release;
+	     i--)
+		row->changes[i] = row->changes[i - 1];
+	c = &row->changes[i];
+	c->release = release;
+	c->learned_at = now;
+	c->required_at = required_at;
 	row->count++;
 }
 
@@ -135,12 +170,17 @@
 			       uint64_t release)
 {
 	const struct release_row *row = find_row(r, model);
+	apr_time_t expiry = 0;
 	int i;
 
-	for (i = 0; row && i < row->count; i++)
-		if (row->changes[i].release > release)
-			return row->changes[i].required_at;
-	return 0;
+	for (i = 0; row && i < row->count; i++) {
+		const struct release_change *c = &row->changes[i];
+
+		if (c->release > release &&
+		    (!expiry || c->required_at < expiry))
+			expiry = c->required_at;
+	}
+	return expiry;
 }
 
 /*
