config, forward: processes tell each other when superseded releases were declared

Callers got answers of release 1 of a model up to 2 s after its limit. Releases 2 and 3 were declared 2 s apart; an entry that did not see the document with release 2 (it stood still, was cut off, or started in between) set the limit of release 1 from the declaration of release 3, the only one whose age its peers told.

A process now keeps the last eight superseded releases of each model with their times beside the newest one, through later documents and older copies of the store, and tells them in the same reply, after the ages of the newest ones, as far as that holds 64. Each time says that no release between this and the one before it was declared earlier, so that numbers that rise by more than one cost nothing when the peer names the release that the asker had, or an older one. Otherwise a release may have been missed that nobody saw: what came before counts from the last moment at which the asker knew its release to be the newest.

Mixed versions work: the message's form is the same. Older builds ignore the ages of releases that their document does not name; newer ones treat the reply of an older build, which names the newest only, as above.

--- a/config/config_proto.x
+++ b/config/config_proto.x
@@ -45,7 +45,10 @@
 	unsigned hyper revision;	/* of the requester's document */
 };
 
-/* Releases whose age is not known are left out. */
+/*
+ * The releases of the current document whose age is known, then superseded
+ * ones.  Builds that don't know of these ignore them.
+ */
 struct config_ages_reply {
 	config_release_age ages<CONFIG_MODELS_MAX>;
 };
--- a/config/declared.h
+++ b/config/declared.h
@@ -9,6 +9,9 @@
  * of this process.  A limit on a release counts from there, not from when a
  * process happens to learn of it.  The text of a document can't hold these
  * times, as clocks differ between machines: processes tell each other ages.
+ *
+ * The superseded releases are told as well, since each limits the ones before
+ * it, and a process may miss the documents in between.
  */
 
 void document_keep_releases(struct document *d, const struct document *old);
--- a/config/document.h
+++ b/config/document.h
@@ -20,6 +20,18 @@
 
 #define PRIORITY_NONE (-1)
 
+/* Superseded releases of a model whose times are kept. */
+#define RELEASES_SUPERSEDED_MAX 8
+
+/*
+ * A release in a row of them. No release between the one before in the row and
+ * this one was declared earlier than declared_at, which is 0 if not known.
+ */
+struct release_time {
+	uint64_t release;
+	apr_time_t declared_at;
+};
+
 /* A model that an account wants on a set of upstreams. */
 struct model_spec {
 	char name[DOCUMENT_NAME_SIZE];
@@ -38,6 +50,8 @@
 	uint64_t release;	  /* origin's number of the version, 0: none */
 	/* When the release was declared (declared.h), 0: not known. */
 	apr_time_t declared_at;
+	struct release_time superseded[RELEASES_SUPERSEDED_MAX]; /* rising */
+	int superseded_count;
 	char *origin; /* URL; NULL: origin from the settings */
 };
 
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -90,24 +90,28 @@
 	return expiry ? (json_int_t)(expiry - f->sent_at) / 1000 : -1;
 }
 
-/* Logs the releases that were declared by the document applied at `now`. */
+static void log_new_release(const struct release_row *row,
+			    const struct release_change *c, apr_time_t now)
+{
+	log_info("release", row->model,
+		 "release %llu declared; requests may begin on older "
+		 "ones for %lld ms",
+		 (unsigned long long)c->release,
+		 c->required_at > now ? (long long)(c->required_at - now) / 1000
+				      : 0LL);
+}
+
+/* Logs the releases that the document applied at `now` made known. */
 static void log_new_releases(const struct releases *r, apr_time_t now)
 {
-	int i;
+	int i, j;
 
 	for (i = 0; i < r->count; i++) {
 		const struct release_row *row = &r->rows[i];
-		const struct release_change *c = &row->changes[row->count - 1];
 
-		if (!row->count || c->learned_at != now)
-			continue;
-		log_info("release", row->model,
-			 "release %llu declared; requests may begin on older "
-			 "ones for %lld ms",
-			 (unsigned long long)c->release,
-			 c->required_at > now
-				 ? (long long)(c->required_at - now) / 1000
-				 : 0LL);
+		for (j = 0; j < row->count; j++)
+			if (row->changes[j].learned_at == now)
+				log_new_release(row, &row->changes[j], now);
 	}
 }
 
--- a/forward/release.c
+++ b/forward/release.c
@@ -75,6 +75,21 @@
 	row->count++;
 }
 
+/*
+ * Returns the time from which no request begins on releases before one that was
+ * declared at declared_at, 0 if not known.
+ */
+static apr_time_t compute_required_at(const struct releases *r,
+				      apr_time_t declared_at,
+				      apr_interval_time_t grace, apr_time_t now)
+{
+	if (declared_at)
+		return declared_at + grace;
+	if (now + grace < r->started_at + RELEASE_STARTUP_LIMIT_US)
+		return now + grace;
+	return r->started_at + RELEASE_STARTUP_LIMIT_US;
+}
+
 /*
  * Applies the models of the document that became current at `now`. Older
  * releases may begin requests for release_ms after the declaration.
@@ -83,21 +98,23 @@
 			     int release_ms, apr_time_t now)
 {
 	apr_interval_time_t grace = release_ms * 1000LL;
-	apr_time_t required_at;
-	int i;
+	int i, j;
 
 	for (i = 0; i < d->model_count; i++) {
 		const struct model_spec *m = &d->models[i];
 		struct release_row *row = find_or_add_row(r, m->name);
 
-		if (m->declared_at)
-			required_at = m->declared_at + grace;
-		else if (now + grace < r->started_at + RELEASE_STARTUP_LIMIT_US)
-			required_at = now + grace;
-		else
-			required_at = r->started_at + RELEASE_STARTUP_LIMIT_US;
+		for (j = 0; row && j < m->superseded_count; j++) {
+			const struct release_time *t = &m->superseded[j];
+
+			add_change(row, t->release, now,
+				   compute_required_at(r, t->declared_at, grace,
+						       now));
+		}
 		if (row)
-			add_change(row, m->release, now, required_at);
+			add_change(row, m->release, now,
+				   compute_required_at(r, m->declared_at, grace,
+						       now));
 	}
 }
 
--- a/t/helper/test-release.c
+++ b/t/helper/test-release.c
@@ -195,12 +195,12 @@
 END_TEST
 
 /*
- * Guards against a limit that counts from the last release alone when nobody
- * knows those in between: older ones count from when the process last knew.
+ * Applies a release that was declared at 20 s, after release 1, from a peer that
+ * tells the newest one only. Release 1 was known to be the newest until 17 s.
  */
-START_TEST(release_that_nobody_saw_counts_from_the_last_known_moment)
+static void apply_from_older_build(uint64_t release)
 {
-	struct document *peer = document_of(7, 4);
+	struct document *peer = document_of(7, release);
 	struct document *d = learn(NULL, 1, 0);
 
 	peer->models[0].declared_at = 20 * SECOND;
@@ -208,28 +208,28 @@
 	apply(d, 0);
 	d = pull(d, peer, 17 * SECOND, 21 * SECOND);
 	apply(d, 21 * SECOND);
+	document_unref(peer);
+	document_unref(d);
+}
+
+/*
+ * Guards against a limit that counts from the last release alone when nobody
+ * knows those in between: older ones count from when the process last knew.
+ */
+START_TEST(release_that_nobody_saw_counts_from_the_last_known_moment)
+{
+	apply_from_older_build(4);
 	ck_assert_int_eq(expiry_ms(1), 25000);
 	ck_assert_int_le(expiry_ms(2), 25000);
 	ck_assert_int_eq(expiry_ms(3), 28000);
-	document_unref(peer);
-	document_unref(d);
 }
 END_TEST
 
 /* The next number needs nobody to know what was in between. */
 START_TEST(next_number_leaves_no_gap)
 {
-	struct document *peer = document_of(7, 2);
-	struct document *d = learn(NULL, 1, 0);
-
-	peer->models[0].declared_at = 20 * SECOND;
-	clear_table();
-	apply(d, 0);
-	d = pull(d, peer, 17 * SECOND, 21 * SECOND);
-	apply(d, 21 * SECOND);
+	apply_from_older_build(2);
 	ck_assert_int_eq(expiry_ms(1), 28000);
-	document_unref(peer);
-	document_unref(d);
 }
 END_TEST
 
