--- a/t/t1021-release-ages.sh
+++ b/t/t1021-release-ages.sh
@@ -13,6 +13,10 @@
 	curl -sf -X PUT --data-binary @- "http://$STORE/test/$1" >/dev/null
 }
 
+store_mode () {
+	curl -sf -X POST -d "$1" http://$STORE/test/mode
+}
+
 declare_release () {
 	printf '{"Model":"m","Version":%s}' $1 | put op/version/m
 }
@@ -89,37 +93,49 @@
 	test "$(left_ms 1 2)" -le $((RELEASE_MS - 2500))
 '
 
+# Guards against a limit that counts from a read that failed.
+test_expect_success 'an entry that the store turned away counts from its last read' '
+	store_mode "{\"down\":true}" &&
+	sleep 3 && # the last read that it holds ends
+	declare_release 3 &&
+	sleep 5 &&
+	store_mode "{}" &&
+	wait_until 20 learned 1 3 &&
+	left_ms 1 3 &&
+	test "$(left_ms 1 3)" -le $((RELEASE_MS - 4500))
+'
+
 # Guards against requests that are sent to a release for too long: the entry
 # stood still while the next one was declared, and saw only the one after.
 test_expect_success 'an entry that stood still over a release learns its limit with the next one' '
 	start entry2 limpet-entry --settings entry2.json &&
-	wait_until 20 learned 2 2 &&
+	wait_until 20 learned 2 3 &&
 	kill -STOP $(cat entry2.pid) &&
-	declare_release 3 &&
-	wait_until 10 learned 1 3 &&
-	sleep 3 &&
 	declare_release 4 &&
 	wait_until 10 learned 1 4 &&
+	sleep 3 &&
+	declare_release 5 &&
+	wait_until 10 learned 1 5 &&
 	kill -CONT $(cat entry2.pid) &&
-	wait_until 20 learned 2 4 &&
-	wait_until 10 learned 2 3 &&
-	test "$(left_ms 2 3)" -le $(($(left_ms 2 4) - 2500))
+	wait_until 20 learned 2 5 &&
+	wait_until 10 learned 2 4 &&
+	test "$(left_ms 2 4)" -le $(($(left_ms 2 5) - 2500))
 '
 
 test_expect_success 'an entry that starts then learns both limits' '
 	start entry3 limpet-entry --settings entry3.json &&
-	wait_until 20 learned 3 4 &&
-	wait_until 10 learned 3 3 &&
-	test "$(left_ms 3 3)" -le $(($(left_ms 3 4) - 2500))
+	wait_until 20 learned 3 5 &&
+	wait_until 10 learned 3 4 &&
+	test "$(left_ms 3 4)" -le $(($(left_ms 3 5) - 2500))
 '
 
 # Guards against a limit that counts from the start of the process although the
 # other entries know the declaration.
 test_expect_success 'an entry that starts and reads the store learns them as well' '
 	start entry4 limpet-entry --settings entry4.json &&
-	wait_until 20 learned 4 4 &&
-	wait_until 10 learned 4 3 &&
-	test "$(left_ms 4 3)" -le $(($(left_ms 4 4) - 2500))
+	wait_until 20 learned 4 5 &&
+	wait_until 10 learned 4 4 &&
+	test "$(left_ms 4 4)" -le $(($(left_ms 4 5) - 2500))
 '
 
 test_done
