config: an answer that waited for a process that stood still counts from before

The platform's answer to a held read counts as the declaration of the release that it brings, at the time at which it is read.

A controller that runs every 50 ms notices a pause of 250 ms or more. A controller that is late on a busy machine makes a limit early by as much.

--- a/config/component.h
+++ b/config/component.h
@@ -3,6 +3,7 @@
 
 #include <pthread.h>
 
+#include "base/pause.h"
 #include "base/pool.h"
 #include "config/document.h"
 #include "config/spread.h"
@@ -63,6 +64,7 @@
 	pthread_mutex_t mutex;
 	struct spread spread;
 	struct random random;
+	struct pause_watch pauses;
 	struct value_state values[SPREAD_VALUE_COUNT];
 	struct fault_list faults; /* of the last rejected document */
 	uint64_t rejected_revision;
--- a/config/config.c
+++ b/config/config.c
@@ -273,6 +273,9 @@
 {
 	struct config *c = arg;
 
+	pthread_mutex_lock(&c->mutex);
+	pause_record_step(&c->pauses, now);
+	pthread_mutex_unlock(&c->mutex);
 	if (now >= c->next_members_update_at)
 		config_update_members(c, now);
 	config_run_decisions(c);
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -501,25 +501,38 @@
 	finish_watch(w, r->answer != PLATFORM_FAILED, changed);
 }
 
+static struct watch_job *watch_job_of(struct platform_read *r)
+{
+	return (struct watch_job *)((char *)r -
+				    offsetof(struct watch_job, read));
+}
+
+/*
+ * Records that the answer to a read begins to arrive, or when it may have arrived
+ * if the process stood still.
+ */
+void platform_read_record_answer(struct platform_read *r)
+{
+	struct watch_job *w = watch_job_of(r);
+	apr_time_t now = clock_now();
+
+	pthread_mutex_lock(&w->config->mutex);
+	r->answered_at =
+		pause_find_earliest(&w->config->pauses, w->started_at, now);
+	pthread_mutex_unlock(&w->config->mutex);
+}
+
 static void submit_watch_answer(struct platform_read *r)
 {
-	struct watch_job *w =
-		(struct watch_job *)((char *)r -
-				     offsetof(struct watch_job, read));
+	struct watch_job *w = watch_job_of(r);
 
 	if (!r->answered_at)
-		r->answered_at = clock_now();
+		platform_read_record_answer(r);
 	w->job.run = apply_watch_answer;
 	if (submit_job(w->config, &w->job))
 		finish_watch(w, 0, 0);
 }
 
-/* Records that the answer to a read begins to arrive. */
-void platform_read_record_answer(struct platform_read *r)
-{
-	r->answered_at = clock_now();
-}
-
 /* Finishes a read.  Takes ownership of text, which may be NULL. */
 void platform_read_finish(struct platform_read *r, enum platform_answer answer,
 			  char *text, size_t size)
--- a/config/value.h
+++ b/config/value.h
@@ -36,7 +36,8 @@
 	void (*on_finish)(struct platform_read *r);
 
 	/* the answer */
-	apr_time_t answered_at; /* when it began to arrive, or failed */
+	/* when it began to arrive, or failed; early rather than late */
+	apr_time_t answered_at;
 	enum platform_answer answer;
 	char *text; /* freed by the caller that started the read */
 	size_t size;
--- a/t/helper/test-config.c
+++ b/t/helper/test-config.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/pause.h"
 #include "config/declared.h"
 #include "config/delta.h"
 #include "config/diff.h"
@@ -536,6 +537,35 @@
 }
 END_TEST
 
+/*
+ * Guards against an answer that counts from when a process that stood still reads
+ * it.
+ */
+START_TEST(answer_may_have_arrived_during_a_pause)
+{
+	struct pause_watch p = { 0 };
+	apr_time_t ms = 1000;
+
+	ck_assert_int_eq(pause_find_earliest(&p, SECOND, 2 * SECOND),
+			 2 * SECOND);
+	pause_record_step(&p, 2 * SECOND);
+	pause_record_step(&p, 2 * SECOND + 50 * ms);
+	ck_assert_int_eq(pause_find_earliest(&p, SECOND, 2 * SECOND + 99 * ms),
+			 2 * SECOND + 99 * ms);
+	/* The process wakes at 5 s; the answer is read before a step, after. */
+	ck_assert_int_eq(pause_find_earliest(&p, SECOND, 5 * SECOND),
+			 2 * SECOND + 50 * ms);
+	pause_record_step(&p, 5 * SECOND);
+	pause_record_step(&p, 5 * SECOND + 50 * ms);
+	ck_assert_int_eq(pause_find_earliest(&p, SECOND, 5 * SECOND + 60 * ms),
+			 2 * SECOND + 50 * ms);
+	/* The next read begins after the pause. */
+	ck_assert_int_eq(pause_find_earliest(&p, 5 * SECOND + 60 * ms,
+					     5 * SECOND + 99 * ms),
+			 5 * SECOND + 99 * ms);
+}
+END_TEST
+
 /* The peer that sent a document does not answer the question for ages. */
 START_TEST(other_peers_are_asked_instead_of_one)
 {
@@ -639,6 +669,7 @@
 	tcase_add_test(t, failed_pull_is_retried_from_next_source);
 	tcase_add_test(
 		t, peers_tell_until_when_the_current_version_was_the_newest);
+	tcase_add_test(t, answer_may_have_arrived_during_a_pause);
 	tcase_add_test(t, other_peers_are_asked_instead_of_one);
 	tcase_add_test(t, release_age_from_peer_gives_time_of_declaration);
 	tcase_add_test(t, time_of_declaration_is_kept_or_unknown);
