--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -12,6 +12,8 @@
                        {"broken": KIND} breaks each answer to the
                        entry: "half" of it, without a length; "empty", an
                        object without members; "endless",
+                       {"slow_s": S} sends the answers to watches S seconds
+                       late,
                        {"copy": true} copies the items, and {"restore": true}
                        returns to that copy, in the next era
     GET /test/calls    returns the number of calls, and of broken answers in
@@ -65,6 +67,7 @@
         self.copy = None
         self.calls = 0
         self.down = False
+        self.slow_s = 0
         self.broken_kind = None
         self.broken = 0
 
@@ -165,6 +168,7 @@
     def do_POST(self):
         store, mode = self.server.store, json.loads(self.body())
         store.down = mode.get("down", False)
+        store.slow_s = mode.get("slow_s", 0)
         store.broken_kind, store.broken = mode.get("broken"), 0
         if mode.get("copy"):
             store.copy = (dict(store.items), store.revision)
@@ -193,6 +197,7 @@
         if url.path == "/kv-watch":
             found = store.watch(args["Prefix"], int(args["After"]),
                                 int(args["WaitMs"]))
+            time.sleep(store.slow_s)
             return self.answer(410 if found is None else 200, found or {})
         return self.answer(404, {})
 
--- a/t/t1021-release-ages.sh
+++ b/t/t1021-release-ages.sh
@@ -105,37 +105,48 @@
 	test "$(left_ms 1 3)" -le $((RELEASE_MS - 4500))
 '
 
+# Guards against a limit that counts from the late answer of a slow store.
+test_expect_success 'an entry counts from before the delay of a slow store' '
+	store_mode "{\"slow_s\":1.2}" &&
+	sleep 7 && # reads without a change show the delay
+	declare_release 4 &&
+	wait_until 20 learned 1 4 &&
+	store_mode "{}" &&
+	left_ms 1 4 &&
+	test "$(left_ms 1 4)" -le $((RELEASE_MS - 1000))
+'
+
 # Guards against requests that are sent to a release for too long: the entry
 # stood still while the next one was declared, and saw only the one after.
 test_expect_success 'an entry that stood still over a release learns its limit with the next one' '
 	start entry2 limpet-entry --settings entry2.json &&
-	wait_until 20 learned 2 3 &&
+	wait_until 20 learned 2 4 &&
 	kill -STOP $(cat entry2.pid) &&
-	declare_release 4 &&
-	wait_until 10 learned 1 4 &&
-	sleep 3 &&
 	declare_release 5 &&
 	wait_until 10 learned 1 5 &&
+	sleep 3 &&
+	declare_release 6 &&
+	wait_until 10 learned 1 6 &&
 	kill -CONT $(cat entry2.pid) &&
-	wait_until 20 learned 2 5 &&
-	wait_until 10 learned 2 4 &&
-	test "$(left_ms 2 4)" -le $(($(left_ms 2 5) - 2500))
+	wait_until 20 learned 2 6 &&
+	wait_until 10 learned 2 5 &&
+	test "$(left_ms 2 5)" -le $(($(left_ms 2 6) - 2500))
 '
 
 test_expect_success 'an entry that starts then learns both limits' '
 	start entry3 limpet-entry --settings entry3.json &&
-	wait_until 20 learned 3 5 &&
-	wait_until 10 learned 3 4 &&
-	test "$(left_ms 3 4)" -le $(($(left_ms 3 5) - 2500))
+	wait_until 20 learned 3 6 &&
+	wait_until 10 learned 3 5 &&
+	test "$(left_ms 3 5)" -le $(($(left_ms 3 6) - 2500))
 '
 
 # Guards against a limit that counts from the start of the process although the
 # other entries know the declaration.
 test_expect_success 'an entry that starts and reads the store learns them as well' '
 	start entry4 limpet-entry --settings entry4.json &&
-	wait_until 20 learned 4 5 &&
-	wait_until 10 learned 4 4 &&
-	test "$(left_ms 4 4)" -le $(($(left_ms 4 5) - 2500))
+	wait_until 20 learned 4 6 &&
+	wait_until 10 learned 4 5 &&
+	test "$(left_ms 4 5)" -le $(($(left_ms 4 6) - 2500))
 '
 
 test_done
