config: count a release from before the delay of the platform's answer

The answer to a held read counts as the moment of the change that it brings. While the store is slow it comes later: with answers delayed by 1.2 s, older releases were allowed for 29.96 s of 30 s after the answer.

A read that is held until its end without a change shows the delay: what it took beyond the hold. Without a delay this is the time of the way to the store. Delays that begin with the very answer that brings the release are not seen; the margin of the deadlines that upstreams receive covers 1 s.

--- a/config/component.h
+++ b/config/component.h
@@ -51,6 +51,8 @@
 	unsigned invalid_count;	 /* texts rejected */
 	unsigned old_count;	 /* texts ignored as not newer */
 	int is_platform_failing; /* the last read failed */
+	/* By how much the platform answered its last full hold too late. */
+	apr_interval_time_t answer_delay;
 };
 
 struct config {
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -484,6 +484,25 @@
 	return known_current_at(w->config, r->value);
 }
 
+/*
+ * Counts an answer from when the platform gave it.  The delay since then is not
+ * known; a read that it held until the end shows one, and the next ones are taken
+ * to have the same.
+ */
+static void subtract_answer_delay(struct watch_job *w)
+{
+	struct platform_read *r = &w->read;
+	struct value_state *v = &w->config->values[r->value];
+	apr_interval_time_t delay =
+		r->answered_at - w->started_at - r->hold_s * APR_USEC_PER_SEC;
+
+	pthread_mutex_lock(&w->config->mutex);
+	if (r->answer == PLATFORM_UNCHANGED && r->hold_s && delay >= 0)
+		v->answer_delay = delay;
+	r->answered_at -= v->answer_delay;
+	pthread_mutex_unlock(&w->config->mutex);
+}
+
 /* Applies the platform's answer, on a worker: checking takes time. */
 static void apply_watch_answer(struct job *job)
 {
@@ -492,6 +511,7 @@
 	struct text_source source = { .name = "platform" };
 	int changed = 0;
 
+	subtract_answer_delay(w);
 	source.earliest_change_at = earliest_change_at(w);
 	if (r->answer == PLATFORM_TEXT)
 		changed = config_apply_text(w->config, r->value, r->text,
