forward: models that are gone make room in the table of releases

The table held 32 models and kept those that no document names any more. Once it was full, further models had no limit at all: every release of theirs could be used for ever. Found while reading; the unit test fails on the code before with the 33rd name.

The row of a model that the document does not name is reused when the table is full, and the table holds 64 models, as many as processes tell each other ages of. A document with more than that has models without a limit still.

--- a/forward/release.c
+++ b/forward/release.c
@@ -3,8 +3,22 @@
 #include <stdio.h>
 #include <string.h>
 
-static struct release_row *find_or_add_row(struct releases *r,
-					   const char *model)
+/* Returns a row for a new model: a free one, or that of a model now gone. */
+static struct release_row *take_row(struct releases *r,
+				    const struct document *d)
+{
+	int i;
+
+	if (r->count < RELEASE_MODELS_MAX)
+		return &r->rows[r->count++];
+	for (i = 0; i < r->count; i++)
+		if (!document_find_model(d, r->rows[i].model))
+			return &r->rows[i];
+	return NULL;
+}
+
+static struct release_row *
+find_or_add_row(struct releases *r, const struct document *d, const char *model)
 {
 	struct release_row *row;
 	int i;
@@ -12,9 +26,9 @@
 	for (i = 0; i < r->count; i++)
 		if (!strcmp(r->rows[i].model, model))
 			return &r->rows[i];
-	if (r->count == RELEASE_MODELS_MAX)
+	row = take_row(r, d);
+	if (!row)
 		return NULL;
-	row = &r->rows[r->count++];
 	memset(row, 0, sizeof(*row));
 	snprintf(row->model, sizeof(row->model), "%s", model);
 	return row;
@@ -102,7 +116,7 @@
 
 	for (i = 0; i < d->model_count; i++) {
 		const struct model_spec *m = &d->models[i];
-		struct release_row *row = find_or_add_row(r, m->name);
+		struct release_row *row = find_or_add_row(r, d, m->name);
 
 		for (j = 0; row && j < m->superseded_count; j++) {
 			const struct release_time *t = &m->superseded[j];
--- a/forward/release.h
+++ b/forward/release.h
@@ -12,7 +12,8 @@
  * ones are excluded. Several may be declared within that time.
  */
 
-#define RELEASE_MODELS_MAX 32
+/* Models of a document with limits; those of further ones are not kept. */
+#define RELEASE_MODELS_MAX 64
 /* Declared releases of one model whose older ones may still serve. */
 #define RELEASE_CHANGES_MAX 8
 
--- a/t/helper/test-release.c
+++ b/t/helper/test-release.c
@@ -23,9 +23,9 @@
 	memset(&table, 0, sizeof(table));
 }
 
-/* Returns a document with `count` models, m0 first, at the release. */
-static struct document *document_with_models(uint64_t revision,
-					     uint64_t release, int count)
+/* Returns a document with `count` models, the first named m<first>. */
+static struct document *document_from(uint64_t revision, uint64_t release,
+				      int first, int count)
 {
 	struct fault_list faults = { 0 };
 	char hex[DIGEST_HEX_SIZE], *text = malloc(32768);
@@ -40,7 +40,7 @@
 	for (i = 0; i < count; i++) {
 		char name[16];
 
-		snprintf(name, sizeof(name), "m%d", i);
+		snprintf(name, sizeof(name), "m%d", first + i);
 		compute_release_version(name, release, hex);
 		n += sprintf(text + n,
 			     "%s{\"name\":\"%s\",\"manifest\":\"%s\","
@@ -55,6 +55,12 @@
 	return d;
 }
 
+static struct document *document_with_models(uint64_t revision,
+					     uint64_t release, int count)
+{
+	return document_from(revision, release, 0, count);
+}
+
 static struct document *document_of(uint64_t revision, uint64_t release)
 {
 	return document_with_models(revision, release, 1);
@@ -312,6 +318,28 @@
 }
 END_TEST
 
+/* Guards against models without a limit, as others before them are gone. */
+START_TEST(models_that_are_gone_make_room)
+{
+	int i;
+
+	clear_table();
+	for (i = 0; i < 3 * RELEASE_MODELS_MAX; i++) {
+		struct document *d = document_from((uint64_t)i + 1, 2, i, 2);
+		int j;
+
+		for (j = 0; j < 2; j++)
+			d->models[j].declared_at = (10 + i) * SECOND;
+		apply(d, (10 + i) * SECOND);
+		for (j = 0; j < 2; j++)
+			ck_assert_int_gt(release_find_expiry(
+						 &table, d->models[j].name, 1),
+					 0);
+		document_unref(d);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("release");
@@ -331,6 +359,7 @@
 		t, release_that_arrives_after_a_newer_one_limits_older_ones);
 	tcase_add_test(t, many_releases_within_the_limit_do_not_extend_it);
 	tcase_add_test(t, ages_of_many_models_fit_into_a_reply);
+	tcase_add_test(t, models_that_are_gone_make_room);
 	suite_add_tcase(s, t);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
