--- a/config/component.h
+++ b/config/component.h
@@ -3,6 +3,7 @@
 
 #include <pthread.h>
 
+#include "base/pause.h"
 #include "base/pool.h"
 #include "config/document.h"
 #include "config/spread.h"
@@ -50,7 +51,8 @@
 	unsigned invalid_count;	 /* texts rejected */
 	unsigned old_count;	 /* texts ignored as not newer */
 	int is_platform_failing; /* the last read failed */
-	apr_time_t last_read_at; /* answer of the last read, 0: none yet */
+	/* By how much the platform answered its last full hold too late. */
+	apr_interval_time_t answer_delay;
 };
 
 struct config {
@@ -64,6 +66,7 @@
 	pthread_mutex_t mutex;
 	struct spread spread;
 	struct random random;
+	struct pause_watch pauses;
 	struct value_state values[SPREAD_VALUE_COUNT];
 	struct fault_list faults; /* of the last rejected document */
 	uint64_t rejected_revision;
@@ -78,7 +81,8 @@
 void config_start_actions(struct config *c, const struct spread_actions *list);
 int config_apply_text(struct config *c, int value, const char *text,
 		      size_t size, const struct text_source *source);
-void config_fetch_ages(struct config *c, struct document *d, const char *peer);
+void config_fetch_ages(struct config *c, struct document *d,
+		       const char *sender);
 json_t *config_status(void *arg);
 void config_serve_changes(struct http_call *h, void *arg);
 void config_update_members(struct config *c, apr_time_t now);
--- a/config/config.c
+++ b/config/config.c
@@ -160,7 +160,7 @@
 		goto out;
 	ret = 0;
 	document_keep_releases(d, old);
-	if (document_copy_declared(d, old) && source->peer)
+	if (document_copy_declared(d, old) && (source->peer || !old))
 		config_fetch_ages(c, d, source->peer);
 	document_set_unknown_declared(d, old, source->earliest_change_at);
 out:
@@ -273,6 +273,9 @@
 {
 	struct config *c = arg;
 
+	pthread_mutex_lock(&c->mutex);
+	pause_record_step(&c->pauses, now);
+	pthread_mutex_unlock(&c->mutex);
 	if (now >= c->next_members_update_at)
 		config_update_members(c, now);
 	config_run_decisions(c);
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -26,6 +26,9 @@
 /* Timeout of a request for the ages of releases. */
 #define AGES_TIMEOUT_MS 250
 
+/* Peers that are asked for them until one answers, beside the sender. */
+#define AGES_PEERS_MAX 2
+
 /*
  * A read that is answered later was held by the platform until a change was
  * made.  What a faster one returns may be as old as the read before it.
@@ -180,6 +183,21 @@
 				  rep->text.text_len, source);
 }
 
+/*
+ * Returns the latest time at which the current version of a value is known to
+ * have been the newest: any change that it does not contain was made later.  0
+ * if there is none.
+ */
+static apr_time_t known_current_at(struct config *c, int value)
+{
+	apr_time_t at;
+
+	pthread_mutex_lock(&c->mutex);
+	at = c->spread.values[value].known_current_at;
+	pthread_mutex_unlock(&c->mutex);
+	return at;
+}
+
 static void run_exchange(struct job *job)
 {
 	struct exchange_job *j = (struct exchange_job *)job;
@@ -189,10 +207,13 @@
 	config_reply rep;
 	apr_time_t now;
 	struct text_source source = { .name = j->action.address,
-				      .peer = j->action.address,
-				      .earliest_change_at = clock_now() };
+				      .peer = j->action.address };
+	apr_time_t asked_at = clock_now();
 	int ok, count;
 
+	if (j->action.wanted_value >= 0)
+		source.earliest_change_at =
+			known_current_at(c, j->action.wanted_value);
 	ok = !send_exchange(c, j, &rep, &err);
 	if (ok && j->action.wanted_value >= 0 && rep.text.text_len &&
 	    !inflate_reply(&rep))
@@ -209,6 +230,7 @@
 				       versions);
 		spread_merge_versions(&c->spread, j->action.address, versions,
 				      count, now);
+		spread_confirm_versions(&c->spread, versions, count, asked_at);
 	}
 	pthread_mutex_unlock(&c->mutex);
 	if (ok)
@@ -372,10 +394,10 @@
 };
 
 /*
- * Asks a peer how long ago the releases of a document were declared.  A peer
- * of an older build does not know the question; the times then stay unknown.
+ * Asks a peer how long ago the releases of a document were declared.  Returns
+ * -1 if it does not answer; a peer of an older build does not know the question.
  */
-void config_fetch_ages(struct config *c, struct document *d, const char *peer)
+static int ask_ages(struct config *c, struct document *d, const char *peer)
 {
 	config_ages_request req = { d->revision };
 	struct error err = ERROR_INIT;
@@ -385,10 +407,32 @@
 	if (rpc_exchange(c->node->rpc, peer, c->node->settings.rpc_port,
 			 &config_kinds[1], &req, &rep, AGES_TIMEOUT_MS, &err)) {
 		metric_count("config_ages_failures", NULL, 1);
-		return;
+		return -1;
 	}
 	document_set_ages(d, &rep, asked_at);
 	xdr_free((xdrproc_t)xdr_config_ages_reply, &rep);
+	return 0;
+}
+
+/*
+ * Completes a document with the times that a peer tells.  The one that sent it
+ * is asked first; NULL if it comes from the platform.  Others are asked until
+ * one answers.
+ */
+void config_fetch_ages(struct config *c, struct document *d, const char *sender)
+{
+	char peers[AGES_PEERS_MAX][SETTINGS_ADDRESS_SIZE];
+	int count, i;
+
+	if (sender && !ask_ages(c, d, sender))
+		return;
+	pthread_mutex_lock(&c->mutex);
+	count = spread_pick_peers(&c->spread, sender, peers, AGES_PEERS_MAX,
+				  &c->random);
+	pthread_mutex_unlock(&c->mutex);
+	for (i = 0; i < count; i++)
+		if (!ask_ages(c, d, peers[i]))
+			return;
 }
 
 static void finish_watch(struct watch_job *w, int ok, int changed)
@@ -396,7 +440,10 @@
 	struct config *c = w->config;
 
 	pthread_mutex_lock(&c->mutex);
-	c->values[w->read.value].last_read_at = w->read.answered_at;
+	/* A text that was not applied may be that of an older copy. */
+	if (changed || w->read.answer == PLATFORM_UNCHANGED)
+		spread_record_current(&c->spread, w->read.value,
+				      w->read.answered_at);
 	spread_finish_watch(&c->spread, w->read.value, ok, changed,
 			    w->started_at, clock_now(), &c->random);
 	pthread_mutex_unlock(&c->mutex);
@@ -431,15 +478,29 @@
 static apr_time_t earliest_change_at(const struct watch_job *w)
 {
 	const struct platform_read *r = &w->read;
-	struct config *c = w->config;
-	apr_time_t last_read_at;
 
 	if (r->hold_s && r->answered_at - w->started_at >= READ_HELD_MIN_US)
 		return r->answered_at;
-	pthread_mutex_lock(&c->mutex);
-	last_read_at = c->values[r->value].last_read_at;
-	pthread_mutex_unlock(&c->mutex);
-	return last_read_at;
+	return known_current_at(w->config, r->value);
+}
+
+/*
+ * Counts an answer from when the platform gave it.  The delay since then is not
+ * known; a read that it held until the end shows one, and the next ones are taken
+ * to have the same.
+ */
+static void subtract_answer_delay(struct watch_job *w)
+{
+	struct platform_read *r = &w->read;
+	struct value_state *v = &w->config->values[r->value];
+	apr_interval_time_t delay =
+		r->answered_at - w->started_at - r->hold_s * APR_USEC_PER_SEC;
+
+	pthread_mutex_lock(&w->config->mutex);
+	if (r->answer == PLATFORM_UNCHANGED && r->hold_s && delay >= 0)
+		v->answer_delay = delay;
+	r->answered_at -= v->answer_delay;
+	pthread_mutex_unlock(&w->config->mutex);
 }
 
 /* Applies the platform's answer, on a worker: checking takes time. */
@@ -450,6 +511,7 @@
 	struct text_source source = { .name = "platform" };
 	int changed = 0;
 
+	subtract_answer_delay(w);
 	source.earliest_change_at = earliest_change_at(w);
 	if (r->answer == PLATFORM_TEXT)
 		changed = config_apply_text(w->config, r->value, r->text,
@@ -459,25 +521,38 @@
 	finish_watch(w, r->answer != PLATFORM_FAILED, changed);
 }
 
+static struct watch_job *watch_job_of(struct platform_read *r)
+{
+	return (struct watch_job *)((char *)r -
+				    offsetof(struct watch_job, read));
+}
+
+/*
+ * Records that the answer to a read begins to arrive, or when it may have arrived
+ * if the process stood still.
+ */
+void platform_read_record_answer(struct platform_read *r)
+{
+	struct watch_job *w = watch_job_of(r);
+	apr_time_t now = clock_now();
+
+	pthread_mutex_lock(&w->config->mutex);
+	r->answered_at =
+		pause_find_earliest(&w->config->pauses, w->started_at, now);
+	pthread_mutex_unlock(&w->config->mutex);
+}
+
 static void submit_watch_answer(struct platform_read *r)
 {
-	struct watch_job *w =
-		(struct watch_job *)((char *)r -
-				     offsetof(struct watch_job, read));
+	struct watch_job *w = watch_job_of(r);
 
 	if (!r->answered_at)
-		r->answered_at = clock_now();
+		platform_read_record_answer(r);
 	w->job.run = apply_watch_answer;
 	if (submit_job(w->config, &w->job))
 		finish_watch(w, 0, 0);
 }
 
-/* Records that the answer to a read begins to arrive. */
-void platform_read_record_answer(struct platform_read *r)
-{
-	r->answered_at = clock_now();
-}
-
 /* Finishes a read.  Takes ownership of text, which may be NULL. */
 void platform_read_finish(struct platform_read *r, enum platform_answer answer,
 			  char *text, size_t size)
--- a/t/helper/test-config.c
+++ b/t/helper/test-config.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/pause.h"
 #include "config/declared.h"
 #include "config/delta.h"
 #include "config/diff.h"
@@ -498,6 +499,97 @@
 }
 END_TEST
 
+/*
+ * Guards against a release that counts as declared when this process heard of it,
+ * as nobody told when that was.
+ */
+START_TEST(peers_tell_until_when_the_current_version_was_the_newest)
+{
+	struct spread_version v[SPREAD_VALUE_COUNT];
+	struct fixture g;
+
+	init_fixture(&g);
+	set_version(v, 5, 5);
+	spread_record_applied(&g.s, 0, 5, &v[0].digest, SECOND);
+	spread_confirm_versions(&g.s, v, SPREAD_VALUE_COUNT, 2 * SECOND);
+	ck_assert_int_eq(g.s.values[0].known_current_at, 0);
+	v[0].platform_age_ms = 1500;
+	spread_confirm_versions(&g.s, v, SPREAD_VALUE_COUNT, 4 * SECOND);
+	ck_assert_int_eq(g.s.values[0].known_current_at, 2500 * 1000);
+	spread_record_current(&g.s, 0, 2 * SECOND);
+	ck_assert_int_eq(g.s.values[0].known_current_at, 2500 * 1000);
+	/* A peer with a newer version proves nothing about this one. */
+	set_version(v, 6, 6);
+	v[0].platform_age_ms = 100;
+	spread_merge_versions(&g.s, "127.0.0.2", v, SPREAD_VALUE_COUNT,
+			      8 * SECOND);
+	spread_confirm_versions(&g.s, v, SPREAD_VALUE_COUNT, 8 * SECOND);
+	ck_assert_int_eq(g.s.values[0].known_current_at, 2500 * 1000);
+	/* Nor does this process to others, before it has that version. */
+	spread_get_versions(&g.s, v, 9 * SECOND);
+	ck_assert_uint_eq(v[0].version, 5);
+	ck_assert_uint_eq(v[0].platform_age_ms, UINT32_MAX);
+	set_version(v, 6, 6);
+	spread_record_applied(&g.s, 0, 6, &v[0].digest, 9 * SECOND);
+	spread_get_versions(&g.s, v, 9 * SECOND);
+	ck_assert_uint_eq(v[0].platform_age_ms, 1100);
+	spread_destroy(&g.s);
+}
+END_TEST
+
+/*
+ * Guards against an answer that counts from when a process that stood still reads
+ * it.
+ */
+START_TEST(answer_may_have_arrived_during_a_pause)
+{
+	struct pause_watch p = { 0 };
+	apr_time_t ms = 1000;
+
+	ck_assert_int_eq(pause_find_earliest(&p, SECOND, 2 * SECOND),
+			 2 * SECOND);
+	pause_record_step(&p, 2 * SECOND);
+	pause_record_step(&p, 2 * SECOND + 50 * ms);
+	ck_assert_int_eq(pause_find_earliest(&p, SECOND, 2 * SECOND + 99 * ms),
+			 2 * SECOND + 99 * ms);
+	/* The process wakes at 5 s; the answer is read before a step, after. */
+	ck_assert_int_eq(pause_find_earliest(&p, SECOND, 5 * SECOND),
+			 2 * SECOND + 50 * ms);
+	pause_record_step(&p, 5 * SECOND);
+	pause_record_step(&p, 5 * SECOND + 50 * ms);
+	ck_assert_int_eq(pause_find_earliest(&p, SECOND, 5 * SECOND + 60 * ms),
+			 2 * SECOND + 50 * ms);
+	/* The next read begins after the pause. */
+	ck_assert_int_eq(pause_find_earliest(&p, 5 * SECOND + 60 * ms,
+					     5 * SECOND + 99 * ms),
+			 5 * SECOND + 99 * ms);
+}
+END_TEST
+
+/* The peer that sent a document does not answer the question for ages. */
+START_TEST(other_peers_are_asked_instead_of_one)
+{
+	char peers[2][SETTINGS_ADDRESS_SIZE];
+	struct fixture g;
+
+	init_fixture(&g);
+	ck_assert_int_eq(spread_pick_peers(&g.s, NULL, peers, 2, &g.r), 2);
+	ck_assert_str_ne(peers[0], peers[1]);
+	ck_assert_int_eq(spread_pick_peers(&g.s, NULL, peers, 1, &g.r), 1);
+	ck_assert_int_eq(spread_pick_peers(&g.s, "127.0.0.2", peers, 2, &g.r),
+			 1);
+	ck_assert_str_eq(peers[0], "127.0.0.3");
+	/* Without neighbours, those that it was started with. */
+	g.s.peer_count = 0;
+	g.s.start_count = 0;
+	ck_assert_int_eq(spread_pick_peers(&g.s, NULL, peers, 2, &g.r), 0);
+	spread_add_start_peer(&g.s, "127.0.0.9");
+	ck_assert_int_eq(spread_pick_peers(&g.s, NULL, peers, 2, &g.r), 1);
+	ck_assert_str_eq(peers[0], "127.0.0.9");
+	spread_destroy(&g.s);
+}
+END_TEST
+
 START_TEST(silent_watchers_are_substituted_by_few_in_turn)
 {
 	int ranks = 40, rank, watching, watch_counts[40] = { 0 }, covered = 0;
@@ -575,6 +667,10 @@
 	tcase_add_test(t, older_and_rejected_versions_are_not_pulled);
 	tcase_add_test(t, not_ready_before_all_start_exchanges_finish);
 	tcase_add_test(t, failed_pull_is_retried_from_next_source);
+	tcase_add_test(
+		t, peers_tell_until_when_the_current_version_was_the_newest);
+	tcase_add_test(t, answer_may_have_arrived_during_a_pause);
+	tcase_add_test(t, other_peers_are_asked_instead_of_one);
 	tcase_add_test(t, release_age_from_peer_gives_time_of_declaration);
 	tcase_add_test(t, time_of_declaration_is_kept_or_unknown);
 	tcase_add_test(t, silent_watchers_are_substituted_by_few_in_turn);
