config: older releases have some time left after an outage of the platform

Where nobody knows when a release was declared it counts from the last read that is known to have been current. After an outage for all processes that is before the outage, so that a release that is declared just before the first read that succeeds would exclude all older ones at once, before any new one can be loaded. Older releases now have 3.7 s at least in that case, as after a start.

--- a/config/config.c
+++ b/config/config.c
@@ -162,7 +162,11 @@
 	document_keep_releases(d, old);
 	if (document_copy_declared(d, old) && (source->peer || !old))
 		config_fetch_ages(c, d, source->peer);
-	document_set_unknown_declared(d, old, source->earliest_change_at);
+	document_set_unknown_declared(
+		d, old,
+		document_bound_unknown(source->earliest_change_at,
+				       c->node->settings.release_ms,
+				       clock_now()));
 out:
 	document_unref(old);
 	return ret;
--- a/config/declared.c
+++ b/config/declared.c
@@ -167,6 +167,21 @@
 			set_model_ages(&d->models[i], rep, asked_at);
 }
 
+/*
+ * Returns when a release is taken to have been declared of which only the
+ * earliest possible time is known, 0 if not even that.  After an outage of the
+ * platform for all processes that time may be long past; older releases are
+ * still allowed for DECLARED_UNKNOWN_LEFT_US then, so that new ones can be loaded.
+ */
+apr_time_t document_bound_unknown(apr_time_t earliest_at, int release_ms,
+				  apr_time_t now)
+{
+	apr_time_t bound = now - release_ms * 1000LL + DECLARED_UNKNOWN_LEFT_US;
+
+	return earliest_at && earliest_at < bound && bound < now ? bound
+								 : earliest_at;
+}
+
 /*
  * Sets the times that no peer told: a release that the old document does not
  * name was declared at earliest_at or later.  Without an old document the times
--- a/config/declared.h
+++ b/config/declared.h
@@ -18,6 +18,14 @@
 int document_copy_declared(struct document *d, const struct document *old);
 void document_set_ages(struct document *d, const config_ages_reply *rep,
 		       apr_time_t asked_at);
+/*
+ * Least time for which older releases may still begin requests when it is not
+ * known when a newer one was declared.
+ */
+#define DECLARED_UNKNOWN_LEFT_US (3700 * 1000LL)
+
+apr_time_t document_bound_unknown(apr_time_t earliest_at, int release_ms,
+				  apr_time_t now);
 void document_set_unknown_declared(struct document *d,
 				   const struct document *old,
 				   apr_time_t earliest_at);
--- a/t/helper/test-config.c
+++ b/t/helper/test-config.c
@@ -541,6 +541,26 @@
  * Guards against an answer that counts from when a process that stood still reads
  * it.
  */
+/*
+ * Guards against an entry that refuses everything when the platform is back after
+ * an outage, as a new release may have been declared at its beginning.
+ */
+START_TEST(outage_of_the_platform_leaves_time_to_load)
+{
+	apr_time_t now = 100 * SECOND;
+
+	ck_assert_int_eq(document_bound_unknown(99 * SECOND, 8000, now),
+			 99 * SECOND);
+	ck_assert_int_eq(document_bound_unknown(80 * SECOND, 8000, now) +
+				 8 * SECOND,
+			 now + DECLARED_UNKNOWN_LEFT_US);
+	ck_assert_int_eq(document_bound_unknown(0, 8000, now), 0);
+	/* The limit is shorter than what is left otherwise. */
+	ck_assert_int_eq(document_bound_unknown(80 * SECOND, 2000, now),
+			 80 * SECOND);
+}
+END_TEST
+
 START_TEST(answer_may_have_arrived_during_a_pause)
 {
 	struct pause_watch p = { 0 };
@@ -669,6 +689,7 @@
 	tcase_add_test(t, failed_pull_is_retried_from_next_source);
 	tcase_add_test(
 		t, peers_tell_until_when_the_current_version_was_the_newest);
+	tcase_add_test(t, outage_of_the_platform_leaves_time_to_load);
 	tcase_add_test(t, answer_may_have_arrived_during_a_pause);
 	tcase_add_test(t, other_peers_are_asked_instead_of_one);
 	tcase_add_test(t, release_age_from_peer_gives_time_of_declaration);
