t0401, t1021: a superseded release is neither fetched on nor loaded

t0401 gets simulated engines that load in turn within a time limit, and the naming of a newer release. t1021 runs an agent with a model server that keeps staging by position and loads what is staged when it takes the order. Two cases show faults beside the one looked for: chunks of a superseded release are written after newer ones at the same place, and newer chunks are staged while an order for the release before is on its way, so that the engine loads a mixture.

--- a/t/helper/lib-weights-run.c
+++ b/t/helper/lib-weights-run.c
@@ -11,8 +11,10 @@
 #define QUEUE_MAX 4
 #define ACTIONS_MAX 16
 #define NEVER INT64_MAX
+/* Time limit that the default intervals of a distribution suit. */
+#define RUN_DEFAULT_LIMIT_US (20.0 * APR_USEC_PER_SEC)
 
-static struct manifest *create_fake_manifest(const struct run *r)
+static struct manifest *create_fake_manifest(const struct run *r, int release)
 {
 	struct manifest *m = calloc(1, sizeof(*m));
 	int i;
@@ -24,18 +26,37 @@
 	for (i = 0; i < r->chunks; i++) {
 		uint64_t in[2] = { r->seed, (uint64_t)i };
 
+		in[1] |= (uint64_t)(release - 1) << 32;
 		digest_of(in, sizeof(in), &m->chunks[i]);
 	}
 	digest_of(m->chunks, sizeof(*m->chunks), &m->id);
 	return m;
 }
 
+static struct swarm *create_swarm(struct run *r, int release)
+{
+	struct swarm_policy policy = { r->time_weight, PLACE_PERMITS_MAX,
+				       0.4 * (double)r->load_time_limit /
+					       RUN_DEFAULT_LIMIT_US };
+
+	return swarm_new(create_fake_manifest(r, release), &policy,
+			 random_next(&r->random), r->now);
+}
+
+static void set_activation(struct run *r, struct run_node *n)
+{
+	char version[16];
+
+	snprintf(version, sizeof(version), "%d", n->release);
+	activation_set_version(&n->activation, version);
+	n->activation.declared_at = r->named_at[n->release];
+}
+
 /*
  * Creates the instances of a fleet. The caller sets its sizes and rates first.
  */
 void run_begin(struct run *r)
 {
-	struct swarm_policy policy = { r->time_weight, PLACE_PERMITS_MAX };
 	int i;
 
 	random_seed(&r->random, r->seed);
@@ -43,6 +64,8 @@
 	r->origin_fetches =
 		calloc((size_t)r->chunks, sizeof(*r->origin_fetches));
 	r->now = APR_USEC_PER_SEC;
+	r->release = 1;
+	r->named_at[1] = r->now;
 	for (i = 0; i < r->count; i++) {
 		struct run_node *n = &r->nodes[i];
 		int carriers = r->nodes_per_dc < PLACE_CARRIERS_MAX
@@ -52,8 +75,14 @@
 		n->dc = i / r->nodes_per_dc;
 		snprintf(n->id, sizeof(n->id), "dc%d-%d", n->dc,
 			 i % r->nodes_per_dc);
-		n->swarm = swarm_new(create_fake_manifest(r), &policy,
-				     random_next(&r->random), r->now);
+		n->release = 1;
+		n->swarm = create_swarm(r, 1);
+		n->activation.loader_bit = ACTIVATE_NOT_LOADER;
+		n->activation.loader_rank = i;
+		n->activation.live_count = r->count;
+		n->activation.load_time_limit = r->load_time_limit;
+		set_activation(r, n);
+		activation_record_running(&n->activation, "0", 1, 0, 0, r->now);
 		n->view.self = -1;
 		pace_init(&n->receive, r->link_rate, r->link_rate / 4, r->now);
 		pace_init(&n->cross, r->cross_rate / carriers, RUN_CHUNK_BYTES,
@@ -127,7 +156,7 @@
 	struct weights_have h;
 
 	memset(&h, 0, sizeof(h));
-	if (!p || !q)
+	if (!p || !q || r->nodes[from].release != r->nodes[to].release)
 		return;
 	swarm_make_have(sf, p, &h, r->now);
 	swarm_merge_have(st, q, &h, r->now);
@@ -145,7 +174,7 @@
 	char text[HINT_SIZE];
 
 	memset(&h, 0, sizeof(h));
-	if (!p || !q)
+	if (!p || !q || r->nodes[from].release != r->nodes[to].release)
 		return;
 	swarm_make_have(sf, p, &h, r->now);
 	hint_format(&h, text);
@@ -184,6 +213,8 @@
 		t++;
 	t->is_used = 1;
 	t->node = node;
+	t->release = r->nodes[node].release;
+	r->superseded_starts += t->release < r->release;
 	t->peer = -1;
 	t->action = *a;
 	t->result = RESULT_DONE;
@@ -223,7 +254,8 @@
 		t->result = RESULT_FAILED;
 		return;
 	}
-	if (from->swarm->chunks[t->action.chunk].status != CHUNK_HELD ||
+	if (from->release != t->release ||
+	    from->swarm->chunks[t->action.chunk].status != CHUNK_HELD ||
 	    from->queued >= (t->action.kind == TRANSFER_CARRY ? RUN_QUEUE_MAX
 							      : QUEUE_MAX)) {
 		t->end = r->now + REFUSAL_DELAY_US;
@@ -327,7 +359,7 @@
 	if (t->peer >= 0 &&
 	    (r->nodes[t->peer].dead || !is_reachable(r, t->node, t->peer)))
 		t->result = RESULT_FAILED;
-	if (n->dead)
+	if (n->dead || t->release != n->release)
 		return;
 	if (t->result != RESULT_DONE) {
 		pace_charge(&n->receive, -RUN_CHUNK_BYTES, r->now);
@@ -378,6 +410,79 @@
 	}
 }
 
+static void set_release(struct run *r, int node, int release)
+{
+	struct run_node *n = &r->nodes[node];
+
+	n->release = release;
+	n->next_release = 0;
+	swarm_free(n->swarm);
+	n->swarm = create_swarm(r, release);
+	set_activation(r, n);
+	place_node(r, node);
+}
+
+static int is_loaded_first(const struct run *r, const struct run_node *n)
+{
+	return activation_is_loaded_first(
+		&n->activation, (double)n->swarm->held_count / r->chunks,
+		r->now);
+}
+
+/* Names the next release. All instances hear of it at once. */
+void run_name_release(struct run *r)
+{
+	int i;
+
+	r->named_at[++r->release] = r->now;
+	for (i = 0; i < r->count; i++) {
+		if (is_loaded_first(r, &r->nodes[i]))
+			r->nodes[i].next_release = r->release;
+		else
+			set_release(r, i, r->release);
+	}
+}
+
+static void finish_load(struct run *r, struct run_node *n)
+{
+	char version[16];
+
+	n->loaded_at = 0;
+	n->running_release = n->loading_release;
+	n->activation.is_engine_busy = 0;
+	snprintf(version, sizeof(version), "%d", n->running_release);
+	activation_record_running(&n->activation, version, 1, 0, 0, r->now);
+}
+
+/* Loads the release when its turn has come. */
+static void load_release(struct run *r, int node)
+{
+	struct run_node *n = &r->nodes[node];
+
+	if (n->loaded_at && n->loaded_at <= r->now)
+		finish_load(r, n);
+	if (n->next_release && !is_loaded_first(r, n))
+		set_release(r, node, n->next_release);
+	n->activation.is_complete = swarm_is_complete(n->swarm);
+	if (activation_step(&n->activation, r->now) == ACTIVATION_READY) {
+		n->loading_release = n->release;
+		n->loaded_at = r->now + RUN_LOAD_US;
+		n->activation.is_engine_busy = 1;
+		r->superseded_loads += n->release < r->release;
+	}
+	r->expired_steps += n->running_release < r->release &&
+			    r->now - r->named_at[n->running_release + 1] >=
+				    r->load_time_limit;
+}
+
+static int is_finished(const struct run *r)
+{
+	int count = r->load_time_limit ? run_count_loaded(r)
+				       : run_count_complete(r);
+
+	return count == run_count_live(r);
+}
+
 /* Advances the simulation by RUN_STEP_US. */
 void run_step(struct run *r)
 {
@@ -402,8 +507,10 @@
 			place_node(r, i);
 		exchange_node(r, i);
 		start_transfers(r, i);
+		if (r->load_time_limit)
+			load_release(r, i);
 	}
-	if (!r->finished_at && run_count_complete(r) == run_count_live(r))
+	if (!r->finished_at && is_finished(r))
 		r->finished_at = r->now;
 }
 
@@ -417,6 +524,17 @@
 	return n;
 }
 
+/* Returns how many live instances run the newest release. */
+int run_count_loaded(const struct run *r)
+{
+	int i, n = 0;
+
+	for (i = 0; i < r->count; i++)
+		n += !r->nodes[i].dead &&
+		     r->nodes[i].running_release == r->release;
+	return n;
+}
+
 /* Returns how many instances are live. */
 int run_count_live(const struct run *r)
 {
--- a/t/helper/lib-weights-run.h
+++ b/t/helper/lib-weights-run.h
@@ -1,6 +1,7 @@
 #ifndef T_HELPER_LIB_WEIGHTS_RUN_H
 #define T_HELPER_LIB_WEIGHTS_RUN_H
 
+#include "weights/activate.h"
 #include "weights/swarm.h"
 
 /*
@@ -16,6 +17,9 @@
 #define RUN_QUEUE_MAX 16
 /* time until a crash or a partition is detected */
 #define RUN_DETECTION_US (2 * APR_USEC_PER_SEC)
+#define RUN_RELEASES_MAX 8
+/* time for which an engine loads a release */
+#define RUN_LOAD_US (300 * 1000)
 
 enum run_origin { ORIGIN_OK, ORIGIN_429, ORIGIN_DOWN };
 
@@ -29,6 +33,13 @@
 	apr_time_t dead_at;
 	apr_time_t paused_until;
 	struct swarm *swarm;
+	int release; /* the one that the swarm distributes */
+	/* the following apply to a run with a time limit */
+	int next_release;    /* named, but not distributed yet; 0: none */
+	int running_release; /* of the engine */
+	int loading_release;
+	apr_time_t loaded_at; /* end of the load in progress, 0: none */
+	struct activation activation;
 	struct place_view view;
 	struct pace receive, cross;
 	apr_time_t send_free_at;
@@ -41,6 +52,7 @@
 struct run_transfer {
 	int is_used;
 	int node;
+	int release;
 	int peer; /* index of the sending node, -1 for the origin */
 	struct swarm_action action;
 	apr_time_t end;
@@ -54,6 +66,17 @@
 	double link_rate, cross_rate, origin_rate; /* bytes per second */
 	double time_weight;
 	int naive; /* every instance fetches every chunk from the origin */
+	/*
+	 * Time limit of a release. Engines that run release 0 load the named
+	 * ones in turn within it. 0: chunks are distributed only.
+	 */
+	apr_interval_time_t load_time_limit;
+	int release; /* the newest one, named at named_at[release] */
+	apr_time_t named_at[RUN_RELEASES_MAX];
+	long superseded_starts; /* transfers of a release that is superseded */
+	long superseded_loads;
+	/* steps of an engine whose release was superseded too long ago */
+	long expired_steps;
 	apr_time_t now;
 	apr_time_t origin_free_at;
 	enum run_origin origin_mode;
@@ -77,6 +100,8 @@
 int run_count_complete(const struct run *r);
 int run_count_live(const struct run *r);
 int run_find_node(const struct run *r, const char *id);
+int run_count_loaded(const struct run *r);
+void run_name_release(struct run *r);
 void run_kill(struct run *r, int node);
 void run_end(struct run *r);
 
--- a/t/helper/test-weights-run.c
+++ b/t/helper/test-weights-run.c
@@ -11,11 +11,17 @@
  *   fleet DATA_CENTERS EACH CHUNKS SEED
  *   rates MACHINE CROSS ORIGIN       bytes per second
  *   weight W                         weight of time
+ *   limit MS                         time limit within which engines load
  *   at MS EVENT ARG [MS]
  *   run SECONDS
  *   expect whole | copies MAX | draws MAX | cross MAX | bound MAX |
  *          honest | not-above-naive
- * EVENT is kill, owner-kill, owner-pause, carriers-kill, pause, cut, heal,
+ *   expect superseded-starts | superseded-loads | expired | newest MAX_MS
+ *                                    with a time limit: transfers and loads of
+ *                                    a superseded release, engines whose
+ *                                    release expired, and the time from the
+ *                                    last naming until all run the newest
+ * EVENT is name (of a newer release; ARG is not used), kill, owner-kill, owner-pause, carriers-kill, pause, cut, heal,
  * corrupt, origin or origin-corrupt. owner-kill and owner-pause act on the
  * instance with rank ARG for chunk 0 in the data centre that fetches this
  * chunk from the origin.
@@ -82,6 +88,8 @@
 
 	if (!strcmp(e->what, "kill"))
 		run_kill(&run, node);
+	else if (!strcmp(e->what, "name"))
+		run_name_release(&run);
 	else if (!strcmp(e->what, "owner-kill"))
 		run_kill(&run, find_owner(atoi(e->arg)));
 	else if (!strcmp(e->what, "owner-pause"))
@@ -205,7 +213,17 @@
 		*seen = count_above_naive();
 		return !count_above_naive();
 	}
-	if (!strcmp(what, "copies"))
+	if (!strcmp(what, "superseded-starts"))
+		*seen = (double)run.superseded_starts;
+	else if (!strcmp(what, "superseded-loads"))
+		*seen = (double)run.superseded_loads;
+	else if (!strcmp(what, "expired"))
+		*seen = (double)run.expired_steps;
+	else if (!strcmp(what, "newest"))
+		*seen = (double)(run.named_at[1] + run.finished_at -
+				 run.named_at[run.release]) /
+			1e3;
+	else if (!strcmp(what, "copies"))
 		*seen = (double)run.origin_chunks / run.chunks;
 	else if (!strcmp(what, "draws"))
 		*seen = max_origin_fetches();
@@ -265,6 +283,8 @@
 		run.origin_rate = c;
 	} else if (sscanf(line, "weight %lf", &a) == 1) {
 		run.time_weight = a;
+	} else if (sscanf(line, "limit %ld", &ms) == 1) {
+		run.load_time_limit = ms * 1000;
 	} else if (sscanf(line, "at %ld %31s %31s %ld", &ms, what, arg,
 			  &length) >= 3) {
 		add_event(ms, what, arg, length);
--- /dev/null
+++ b/t/standin/model_server.py
@@ -0,0 +1,150 @@
+"""Stand-in of a model server of the platform and of the origin of its weights,
+for the tests of weights/.
+
+    model_server.py ADDRESS:PORT
+
+It starts with release 1 of the model m loaded and staged. Each release has
+CHUNKS chunks, and a piece takes PIECE_S to arrive.
+    GET /test/events       the events so far, oldest first: [NAME, RELEASE],
+                           where NAME is manifest, piece (the requests), write
+                           (a chunk to stage arrives), written, ordered (an
+                           order arrives), order (it is accepted; -1: the
+                           staged chunks are not all of its release) or loaded
+    GET /test/release      the release that runs
+    PUT /test/hold-writes  with RELEASE: writes of its chunks take HOLD_S
+    PUT /test/hold-orders  with RELEASE: an order for it is accepted after
+                           HOLD_S
+"""
+import hashlib
+import json
+import sys
+import threading
+import time
+import urllib.parse
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+CHUNKS = 32
+CHUNK_BYTES = 4096
+PIECE_S = 0.1
+HOLD_S = 1.5
+LOAD_S = 0.2
+
+
+def chunk(release, number):
+    return (b"release %d chunk %d " % (release, number)).ljust(CHUNK_BYTES)
+
+
+class State:
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.events = []
+        self.staged = {i: chunk(1, i) for i in range(CHUNKS)}
+        self.release = 1
+        self.busy = False
+        self.held_writes = self.held_orders = 0
+
+    def add(self, name, release):
+        with self.lock:
+            self.events.append([name, release])
+
+    def staged_release(self):
+        releases = {int(c.split()[1]) for c in self.staged.values()}
+        return releases.pop() if len(releases) == 1 else -1
+
+    def load(self, release):
+        time.sleep(LOAD_S)
+        with self.lock:
+            self.release, self.busy = release, False
+            self.events.append(["loaded", release])
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        pass
+
+    def answer(self, status, body):
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def do_GET(self):
+        s = self.server.state
+        url = urllib.parse.urlsplit(self.path)
+        args = dict(urllib.parse.parse_qsl(url.query))
+        if url.path == "/test/events":
+            return self.answer(200, s.events)
+        if url.path == "/test/release":
+            return self.answer(200, s.release)
+        if url.path == "/report":
+            return self.answer(200, {
+                "Stage": "mixed", "Busy": s.busy, "Seq": 1, "Queued": 0,
+                "Active": 0, "KvUsed": 0, "KvTotal": 90000, "Sessions": 0,
+                "Models": [{"Name": "m", "Version": s.release,
+                            "Adapters": []}]})
+        if url.path == "/manifest/m":
+            release = int(args["Version"])
+            s.add("manifest", release)
+            return self.answer(200, {
+                "Model": "m", "Version": release, "ChunkBytes": CHUNK_BYTES,
+                "layers": 16, "Digests": [
+                    hashlib.sha256(chunk(release, i)).hexdigest()
+                    for i in range(CHUNKS)]})
+        if url.path == "/piece/m":
+            release = int(args["Version"])
+            s.add("piece", release)
+            time.sleep(PIECE_S)
+            return self.answer(200, chunk(release, int(args["Num"])))
+        if url.path == "/stage-get/m" and "Num" in args:
+            return self.answer(200, s.staged[int(args["Num"])])
+        if url.path == "/stage-get/m":
+            return self.answer(200, {"held": sorted(s.staged)})
+        return self.answer(404, {})
+
+    def do_PUT(self):
+        s = self.server.state
+        url = urllib.parse.urlsplit(self.path)
+        body = self.rfile.read(int(self.headers["Content-Length"]))
+        if url.path == "/test/hold-writes":
+            s.held_writes = int(body)
+            return self.answer(200, {})
+        if url.path == "/test/hold-orders":
+            s.held_orders = int(body)
+            return self.answer(200, {})
+        release = int(body.split()[1])
+        s.add("write", release)
+        if release == s.held_writes:
+            time.sleep(HOLD_S)
+        with s.lock:
+            s.staged[int(url.query.split("=")[1])] = body
+            s.events.append(["written", release])
+        return self.answer(200, {})
+
+    def do_POST(self):
+        s = self.server.state
+        o = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+        release = o["Version"]
+        s.add("ordered", release)
+        if release == s.held_orders:
+            time.sleep(HOLD_S)
+        with s.lock:
+            is_whole = s.staged_release() == release
+            s.events.append(["order", release if is_whole else -1])
+            s.busy = True
+        threading.Thread(target=s.load, args=(release,), daemon=True).start()
+        return self.answer(202, {})
+
+
+def main():
+    host, port = sys.argv[1].split(":")
+    server = ThreadingHTTPServer((host, int(port)), Handler)
+    server.daemon_threads = True
+    server.state = State()
+    server.serve_forever()
+
+
+if __name__ == "__main__":
+    main()
