weights: keep chunks of two versions apart where staging is by position

An engine that stages by position can load a mixture of two releases as one of them.

- A newer release was named while chunks of the one before were being written.
These writes went on, and so did transfers of older chunks that were written later, to the places of newer ones.
Reading back before the order finds them; each costs another transfer, at a time when the limit is near.
- A newer release was named while the order for the one before was on its way and its time limit over.
Newer chunks were staged, and the engine, which loads what is staged when it takes the order, took it with chunks of both there.
Nothing reads back after an order is sent.

Transfers of a version that is not wanted any more are now cancelled, and their chunks dropped instead of written; queued uploads of it are refused. Writes of it that are in flight are not cancelled, as the engine may or may not have them; chunks of the wanted version wait for their end, and for the engine's answer to an order for another version or, without one, for its next state.

Engines that stage by digest keep what arrives, as it may be of the newer version as well.

--- a/weights/engine.c
+++ b/weights/engine.c
@@ -102,6 +102,7 @@
 
 		if (m->activation.is_ordering)
 			continue;
+		m->open_order = 0;
 		m->activation.is_engine_busy = e->is_order_running;
 		activation_record_running(&m->activation, r ? r->version : "",
 					  r && r->is_ready, r ? r->fence : 0,
@@ -186,6 +187,9 @@
 	table_lock(&w->models);
 	w->engine_query_at = 0;
 	m = table_get(&w->models, x->model);
+	/* Without an answer the engine may accept it yet. */
+	if (m && (f->never_sent || f->status))
+		m->open_order = 0;
 	if (m && f->never_sent) {
 		activation_record_unsent_order(&m->activation, now);
 	} else if (m && m->swarm_id != x->swarm_id) {
@@ -223,6 +227,7 @@
 	x->fetch.send_by = now + ORDER_SEND_TIMEOUT_US;
 	x->fetch.once = 1;
 	m->activation.is_ordering = 1;
+	m->open_order = m->swarm_id;
 	log_info("engine-order", m->name, "load version %.12s, fence %llu",
 		 m->version_hex, (unsigned long long)m->activation.fence);
 	fetch_submit(w->node->fetcher, &x->fetch);
--- a/weights/internal.h
+++ b/weights/internal.h
@@ -60,6 +60,11 @@
 	apr_time_t manifest_started_at; /* time of the first attempt */
 	/* the engine's staging was listed for this version */
 	int is_staging_listed;
+	/* chunk writes in flight, of the wanted version and of earlier ones */
+	int writes;
+	int superseded_writes;
+	/* swarm_id of an order that the engine may still accept, 0: none */
+	uint64_t open_order;
 	/* a change is to be sent to the neighbours at once */
 	int is_exchange_urgent;
 	apr_time_t completed_at;
@@ -90,6 +95,8 @@
 	struct transfer_window window;
 	struct throttle throttle;
 	size_t buffer_bytes; /* bytes in the buffers of transfers */
+	/* transfers that receive a chunk */
+	struct transfer *receiving;
 	/* verified chunks that wait for room in staging */
 	struct transfer *parked;
 	/* set at shutdown: no further chunk is parked */
@@ -132,6 +139,7 @@
 				       const struct digest *d);
 int weights_find_held_chunk(struct weights *w, const struct digest *d,
 			    char path[ENGINE_PATH_SIZE], int *is_unsent);
+int weights_is_chunk_sendable(struct weights *w, const struct digest *d);
 void weights_mark_corrupt(struct weights *w, const struct digest *d);
 void weights_locate_chunk(const struct model_row *m, uint32_t chunk,
 			  struct chunk_location *out);
@@ -142,6 +150,7 @@
 /* transfer.c: receives chunks */
 void transfers_start(struct weights *w, apr_time_t now);
 void transfers_unpark(struct weights *w, apr_time_t now);
+void transfers_end_superseded(struct weights *w);
 void transfers_stop(void *arg);
 
 /* manifest-fetch.c */
--- a/weights/staging.c
+++ b/weights/staging.c
@@ -274,6 +274,7 @@
 	while (!w->is_staging_query_in_flight &&
 	       (m = table_next(&w->models, &h)))
 		if (w->ops->has_digest_staging ||
-		    (m->swarm && !m->is_staging_listed))
+		    (m->swarm && !m->is_staging_listed &&
+		     !m->superseded_writes))
 			request_staging_list(w, h, m);
 }
--- a/weights/transfer.c
+++ b/weights/transfer.c
@@ -29,6 +29,8 @@
 #define STAGE_FULL_WAIT_US (500 * 1000)
 #define STAGE_DOWN_ATTEMPTS_MAX 80 /* engine is unreachable */
 #define STAGE_DOWN_WAIT_US (100 * 1000)
+#define STAGE_BLOCKED_WAIT_US (10 * 1000) /* until the next step */
+#define STAGE_UNPARK_MAX 4 /* writes in flight when a parked one starts */
 #define BUSY_WAIT_US (100 * 1000)
 #define MISSING_WAIT_US (500 * 1000)
 #define IN_FLIGHT_MEMORY_DIVISOR 8 /* buffers: memory limit divided by this */
@@ -59,6 +61,8 @@
 	int is_parked;		     /* not counted as in flight */
 	apr_time_t stage_not_before; /* next attempt of a parked chunk */
 	struct transfer *next;
+	/* in the list of receiving transfers */
+	struct transfer *next_receiving, **link;
 	apr_interval_time_t
 		requested_wait; /* delay that the sender asked for */
 	EVP_MD_CTX *sha;
@@ -73,6 +77,48 @@
 static const char *const kind_names[TRANSFER_KIND_COUNT] = { "peer", "cross",
 							     "origin" };
 
+/* Adds a transfer whose request was submitted to the receiving ones. */
+static void list_receiving(struct transfer *t)
+{
+	struct weights *w = t->w;
+
+	t->next_receiving = w->receiving;
+	t->link = &w->receiving;
+	if (w->receiving)
+		w->receiving->link = &t->next_receiving;
+	w->receiving = t;
+}
+
+static void unlist_receiving(struct transfer *t)
+{
+	*t->link = t->next_receiving;
+	if (t->next_receiving)
+		t->next_receiving->link = t->link;
+}
+
+/*
+ * Returns 1 when another version is wanted now. A chunk for an engine that
+ * stages by digest may be one of that version as well.
+ */
+static int is_superseded(const struct transfer *t, const struct model_row *m)
+{
+	return !t->w->ops->has_digest_staging &&
+	       (!m || m->swarm_id != t->swarm_id);
+}
+
+/*
+ * Ends the transfers of versions that are not wanted any more. Chunk writes
+ * end by themselves. The caller holds the lock of the models.
+ */
+void transfers_end_superseded(struct weights *w)
+{
+	struct transfer *t;
+
+	for (t = w->receiving; t; t = t->next_receiving)
+		if (is_superseded(t, table_get(&w->models, t->model)))
+			fetch_cancel(&t->fetch);
+}
+
 static void transfer_free(struct transfer *t)
 {
 	EVP_MD_CTX_free(t->sha);
@@ -124,37 +170,44 @@
 }
 
 /*
- * Parks a verified chunk until the engine has room for it or is reachable. The
- * chunk must not be lost, since its fetch may have used an origin permit.
- * Returns -1 at shutdown or after attempts_max attempts.
+ * Parks a verified chunk. Returns -1 at shutdown. The caller holds the lock of
+ * the models.
  */
-static int transfer_park(struct transfer *t, apr_interval_time_t wait,
-			 int attempts_max)
+static int park(struct transfer *t, apr_interval_time_t wait, apr_time_t now)
 {
 	struct weights *w = t->w;
-	apr_time_t now = clock_now();
-	struct model_row *m;
-	int is_stopping_now;
+	struct model_row *m = table_get(&w->models, t->model);
 
-	if (t->stage_attempts++ >= attempts_max)
+	if (w->is_stopping)
 		return -1;
-	table_lock(&w->models);
-	is_stopping_now = w->is_stopping;
-	m = table_get(&w->models, t->model);
-	if (!is_stopping_now && !t->is_parked && m && m->swarm &&
-	    m->swarm_id == t->swarm_id) {
+	if (!t->is_parked && m && m->swarm && m->swarm_id == t->swarm_id) {
 		/* Other chunks may be transferred meanwhile. */
 		swarm_record_result(m->swarm, &t->action, RESULT_PARKED, 0,
 				    now);
 		t->is_parked = 1;
 	}
-	if (!is_stopping_now) {
-		t->stage_not_before = now + wait;
-		t->next = w->parked;
-		w->parked = t;
-	}
-	table_unlock(&w->models);
-	return is_stopping_now ? -1 : 0;
+	t->stage_not_before = now + wait;
+	t->next = w->parked;
+	w->parked = t;
+	return 0;
+}
+
+/*
+ * Parks a verified chunk until the engine has room for it or is reachable. The
+ * chunk must not be lost, since its fetch may have used an origin permit.
+ * Returns -1 at shutdown or after attempts_max attempts.
+ */
+static int transfer_park(struct transfer *t, apr_interval_time_t wait,
+			 int attempts_max)
+{
+	int ret;
+
+	if (t->stage_attempts++ >= attempts_max)
+		return -1;
+	table_lock(&t->w->models);
+	ret = park(t, wait, clock_now());
+	table_unlock(&t->w->models);
+	return ret;
 }
 
 static int transfer_park_for_engine(struct transfer *t, const struct fetch *f)
@@ -170,6 +223,19 @@
 	return -1;
 }
 
+static void record_write_end(struct transfer *t)
+{
+	struct model_row *m;
+
+	table_lock(&t->w->models);
+	m = table_get(&t->w->models, t->model);
+	if (m && m->swarm_id == t->swarm_id)
+		m->writes--;
+	else if (m)
+		m->superseded_writes--;
+	table_unlock(&t->w->models);
+}
+
 static void stage_done(struct fetch *f)
 {
 	struct transfer *t = f->arg;
@@ -178,6 +244,7 @@
 		  f->status == HTTP_NO_CONTENT);
 
 	free(f->text);
+	record_write_end(t);
 	if (ok) {
 		blob_cache_add(&t->w->cache, t->blob);
 	} else {
@@ -190,11 +257,39 @@
 
 static const struct fetch_ops stage_ops = { NULL, NULL, stage_done };
 
-/* Puts a verified chunk into the engine's staging memory. */
-static void transfer_stage(struct transfer *t)
+/*
+ * Returns 1 while a chunk must not be written to staging by position: one of
+ * an earlier version may still arrive there after it, or the engine may still
+ * load the staged chunks as that version. Many that waited for this are
+ * written a few at a time.
+ */
+static int is_staging_blocked(const struct transfer *t,
+			      const struct model_row *m)
+{
+	if (t->w->ops->has_digest_staging)
+		return 0;
+	return m->superseded_writes ||
+	       (m->open_order && m->open_order != m->swarm_id) ||
+	       (t->is_parked && m->writes >= STAGE_UNPARK_MAX);
+}
+
+/*
+ * Puts a verified chunk into the engine's staging memory, or parks it. Returns
+ * -1 when the chunk is to be dropped. The caller holds the lock of the models.
+ */
+static int transfer_stage(struct transfer *t)
 {
+	struct model_row *m = table_get(&t->w->models, t->model);
 	struct fetch *f = &t->fetch;
 
+	if (is_superseded(t, m))
+		return -1;
+	if (m && is_staging_blocked(t, m))
+		return park(t, STAGE_BLOCKED_WAIT_US, clock_now());
+	if (m && m->swarm_id == t->swarm_id)
+		m->writes++;
+	else if (m)
+		m->superseded_writes++;
 	snprintf(t->url, sizeof(t->url), "%s%s",
 		 t->w->node->settings.upstream_url, t->stage_path);
 	memset(f, 0, sizeof(*f));
@@ -208,6 +303,7 @@
 	f->text_max = STAGE_TEXT_MAX;
 	f->headers[0] = "Content-Type: application/octet-stream";
 	fetch_submit(t->w->node->fetcher, f);
+	return 0;
 }
 
 /* Retries the parked chunks that are due. The caller holds the lock. */
@@ -222,7 +318,10 @@
 			continue;
 		}
 		*link = t->next;
-		transfer_stage(t);
+		if (transfer_stage(t)) {
+			w->buffer_bytes -= t->blob->size;
+			transfer_free(t);
+		}
 	}
 }
 
@@ -317,7 +416,9 @@
 	    t->received_bytes >= t->blob->size ||
 	    t->origin_attempts >= ORIGIN_ATTEMPTS_MAX)
 		return 0;
+	table_lock(&t->w->models);
 	transfer_request(t);
+	table_unlock(&t->w->models);
 	return 1;
 }
 
@@ -352,17 +453,45 @@
 			 t->origin_attempts);
 }
 
+/* Returns 1 when the transfer is to end as its version is not wanted. */
+static int record_receive_end(struct transfer *t)
+{
+	struct weights *w = t->w;
+	int ret;
+
+	table_lock(&w->models);
+	unlist_receiving(t);
+	ret = is_superseded(t, table_get(&w->models, t->model));
+	table_unlock(&w->models);
+	return ret;
+}
+
+static void stage_received(struct transfer *t)
+{
+	int ret;
+
+	table_lock(&t->w->models);
+	ret = transfer_stage(t);
+	table_unlock(&t->w->models);
+	if (ret)
+		transfer_end(t, RESULT_FAILED);
+}
+
 static void receive_done(struct fetch *f)
 {
 	struct transfer *t = f->arg;
 	int status = f->status;
 
 	free(f->text);
+	if (record_receive_end(t)) {
+		transfer_end(t, RESULT_FAILED);
+		return;
+	}
 	if (status == HTTP_OK || status == HTTP_PARTIAL) {
 		if (!f->error.code && has_matching_digest(t)) {
 			record_arrival(t, clock_now());
 			log_origin_fetch(t, clock_now());
-			transfer_stage(t);
+			stage_received(t);
 			return;
 		}
 		if (f->is_aborted_by_data ||
@@ -395,6 +524,7 @@
 		      rate);
 }
 
+/* Sends the request for a chunk. The caller holds the lock of the models. */
 static void transfer_request(struct transfer *t)
 {
 	struct fetch *f = &t->fetch;
@@ -424,6 +554,7 @@
 			f->headers[3] = "X-Limpet-Purpose: carry";
 	}
 	fetch_submit(t->w->node->fetcher, f);
+	list_receiving(t);
 }
 
 static void transfer_set_url(struct transfer *t, struct model_row *m)
--- a/weights/upload.c
+++ b/weights/upload.c
@@ -252,7 +252,9 @@
 			w->sending = upload_take_next(w);
 			if (!w->sending)
 				return;
-			if (w->sending->has_failed) {
+			if (w->sending->has_failed ||
+			    !weights_is_chunk_sendable(w,
+						       &w->sending->digest)) {
 				upload_end(w, 0);
 				continue;
 			}
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -85,6 +85,22 @@
 	return length;
 }
 
+/* Returns 1 while a chunk whose upload was requested may be sent. */
+int weights_is_chunk_sendable(struct weights *w, const struct digest *d)
+{
+	struct handle h = HANDLE_NONE;
+	struct model_row *m;
+	int at, is_held = w->ops->has_digest_staging;
+
+	table_lock(&w->models);
+	while (!is_held && (m = table_next(&w->models, &h))) {
+		at = m->swarm ? swarm_find_chunk(m->swarm, d) : -1;
+		is_held = at >= 0 && m->swarm->chunks[at].status == CHUNK_HELD;
+	}
+	table_unlock(&w->models);
+	return is_held;
+}
+
 /* Marks a staged chunk that no longer matches its digest as missing. */
 void weights_mark_corrupt(struct weights *w, const struct digest *d)
 {
@@ -120,6 +136,8 @@
 	if (!strcmp(m->version_hex, version) ||
 	    digest_parse(version, &m->version))
 		return;
+	m->superseded_writes += m->writes;
+	m->writes = 0;
 	snprintf(m->version_hex, sizeof(m->version_hex), "%s", version);
 	m->swarm_id = ++w->next_swarm_id;
 	if (m->swarm) {
@@ -147,6 +165,7 @@
 	w->has_unplaced_version = 1;
 	activation_set_version(&m->activation, version);
 	m->activation.declared_at = declared_at;
+	transfers_end_superseded(w);
 }
 
 /*
@@ -249,7 +268,8 @@
 	struct model_row *m;
 
 	while ((m = table_next(&w->models, &h))) {
-		if (m->is_wanted || m->activation.is_ordering)
+		if (m->is_wanted || m->activation.is_ordering || m->writes ||
+		    m->superseded_writes)
 			continue;
 		swarm_free(m->swarm);
 		swarm_free(m->previous_swarm);
@@ -329,7 +349,8 @@
 	state = activation_step(a, now);
 	if (state == ACTIVATION_READY &&
 	    (w->ops->has_digest_staging ||
-	     weights_is_staging_verified(w, h, m, now)))
+	     (!m->superseded_writes &&
+	      weights_is_staging_verified(w, h, m, now))))
 		engine_load(w, h, m, now);
 	m->state = state;
 	if (state != before && state == ACTIVATION_SERVING) {
