weights: go straight to the newest release

Callers were refused for seconds when two releases of a model were named 2.3 s apart during a burst. All 52 upstreams took the superseded release whole before they began with the newest one, and had that only after the limit of what the others ran was over; at the limit nothing was there that may begin work.

Cause: an agent that held 0.3 of the chunks of a release, or had it complete or ordered, finished and loaded it before it looked at a newer one, as that might not be available from the origin in time. With the chunks came the turn: the newest release's transfers began when the one before was loaded, 2.6 s to 5.1 s after the naming.

A newer release now replaces the one under way at once, without exception. An order on its way can't be taken back; the newest release is ordered after it. The engine serves what it runs until its turn.

- Turns: what an engine runs expires with the limit of the first release after it, superseded or not.
The last turns count from that declaration, the first ones from the newest one's.
- Staging by position is not listed and read back for the newest release when that can't be staged: it was listed before, and no release of that number or a higher one was wanted.
- Left out: loading the superseded release if it is complete and the engine's turn is near.

The simulation drops transfers like the agent now.

activation_loads_nearly_complete_version_first asserted the old order and is replaced by activation_drops_superseded_version (with and without a running version), activation_turns_end_before_running_version_expires (three releases in a row) and activation_orders_newest_after_superseded_order. The case of turns sets its version with the time of its declaration, as activation_set_version now takes it; its times are the same.

--- a/t/helper/lib-weights-run.c
+++ b/t/helper/lib-weights-run.c
@@ -48,8 +48,8 @@
 	char version[16];
 
 	snprintf(version, sizeof(version), "%d", n->release);
-	activation_set_version(&n->activation, version);
-	n->activation.declared_at = r->named_at[n->release];
+	activation_set_version(&n->activation, version,
+			       r->named_at[n->release]);
 }
 
 /*
@@ -410,37 +410,59 @@
 	}
 }
 
+static void drop_request(struct run_node *n, const struct run_transfer *t)
+{
+	int i;
+
+	for (i = 0; i < n->queued; i++)
+		if (n->queue[i] == t)
+			n->queue[i--] = n->queue[--n->queued];
+}
+
+/* Ends the transfers of an instance that have not begun to arrive. */
+static void cancel_transfers(struct run *r, int node)
+{
+	apr_interval_time_t time =
+		(apr_interval_time_t)(RUN_CHUNK_BYTES * 1e6 / r->origin_rate);
+	int i;
+
+	for (i = 0; i < RUN_TRANSFERS_MAX; i++) {
+		struct run_transfer *t = &r->transfers[i];
+
+		if (!t->is_used || t->node != node)
+			continue;
+		if (t->action.kind == TRANSFER_ORIGIN_FETCH &&
+		    t->result == RESULT_DONE && t->end - time > r->now) {
+			r->origin_free_at -= time;
+			r->origin_chunks--;
+			t->is_used = 0;
+		} else if (t->peer >= 0 && t->end == NEVER) {
+			drop_request(&r->nodes[t->peer], t);
+			t->is_used = 0;
+		}
+	}
+}
+
 static void set_release(struct run *r, int node, int release)
 {
 	struct run_node *n = &r->nodes[node];
 
+	cancel_transfers(r, node);
 	n->release = release;
-	n->next_release = 0;
 	swarm_free(n->swarm);
 	n->swarm = create_swarm(r, release);
 	set_activation(r, n);
 	place_node(r, node);
 }
 
-static int is_loaded_first(const struct run *r, const struct run_node *n)
-{
-	return activation_is_loaded_first(
-		&n->activation, (double)n->swarm->held_count / r->chunks,
-		r->now);
-}
-
 /* Names the next release. All instances hear of it at once. */
 void run_name_release(struct run *r)
 {
 	int i;
 
 	r->named_at[++r->release] = r->now;
-	for (i = 0; i < r->count; i++) {
-		if (is_loaded_first(r, &r->nodes[i]))
-			r->nodes[i].next_release = r->release;
-		else
-			set_release(r, i, r->release);
-	}
+	for (i = 0; i < r->count; i++)
+		set_release(r, i, r->release);
 }
 
 static void finish_load(struct run *r, struct run_node *n)
@@ -461,8 +483,6 @@
 
 	if (n->loaded_at && n->loaded_at <= r->now)
 		finish_load(r, n);
-	if (n->next_release && !is_loaded_first(r, n))
-		set_release(r, node, n->next_release);
 	n->activation.is_complete = swarm_is_complete(n->swarm);
 	if (activation_step(&n->activation, r->now) == ACTIVATION_READY) {
 		n->loading_release = n->release;
--- a/t/helper/lib-weights-run.h
+++ b/t/helper/lib-weights-run.h
@@ -35,7 +35,6 @@
 	struct swarm *swarm;
 	int release; /* the one that the swarm distributes */
 	/* the following apply to a run with a time limit */
-	int next_release;    /* named, but not distributed yet; 0: none */
 	int running_release; /* of the engine */
 	int loading_release;
 	apr_time_t loaded_at; /* end of the load in progress, 0: none */
--- a/t/helper/test-engine-order.c
+++ b/t/helper/test-engine-order.c
@@ -193,13 +193,13 @@
 	start_agent(&a);
 	table_lock(&a.weights.models);
 	m = table_get(&a.weights.models, a.row);
-	activation_set_version(&m->activation, "new");
+	activation_set_version(&m->activation, "new", 0);
 	activation_record_running(&m->activation, "old", 1, 1, 0, clock_now());
 	table_unlock(&a.weights.models);
 	order(&a);
 	table_lock(&a.weights.models);
 	m->swarm_id++;
-	activation_set_version(&m->activation, "newest");
+	activation_set_version(&m->activation, "newest", 0);
 	table_unlock(&a.weights.models);
 	wait_for_order(&a, &after);
 	ck_assert_int_eq(activation_can_serve(&after), 0);
--- a/t/helper/test-weights.c
+++ b/t/helper/test-weights.c
@@ -232,7 +232,7 @@
 	a->loader_bit = ACTIVATE_NOT_LOADER;
 	a->loader_rank = 5;
 	a->fence = 7;
-	activation_set_version(a, "new");
+	activation_set_version(a, "new", 0);
 	activation_record_running(a, "old", 1, 6, 0, SECOND_US);
 }
 
@@ -330,31 +330,99 @@
 			 ACTIVATION_HALTED);
 	ck_assert_int_eq(activation_step(&a, 34 * SECOND_US), ACTIVATION_READY);
 	/* The halt does not apply to another version. */
-	activation_set_version(&a, "newest");
+	activation_set_version(&a, "newest", 0);
 	a.is_complete = 1;
 	ck_assert_int_eq(activation_step(&a, 3 * SECOND_US), ACTIVATION_READY);
 }
 END_TEST
 
-START_TEST(activation_loads_nearly_complete_version_first)
+/* Engine that runs "old" while "new" is named at 10 s, "newest" at 12 s. */
+static void init_superseded(struct activation *a)
+{
+	init_activation(a);
+	activation_record_running(a, "new", 1, 6, 0, SECOND_US);
+	activation_step(a, SECOND_US);
+	activation_set_version(a, "superseded", 10 * SECOND_US);
+	a->load_time_limit = 8 * SECOND_US;
+	a->live_count = 3;
+	a->is_complete = 1;
+	a->completed_at = 11 * SECOND_US;
+	activation_set_version(a, "newest", 12 * SECOND_US);
+}
+
+/* Guards against engines that load a release that another one superseded. */
+START_TEST(activation_drops_superseded_version)
 {
 	struct activation a;
 
-	init_activation(&a);
-	a.declared_at = 10 * SECOND_US;
-	ck_assert_int_eq(activation_is_loaded_first(&a, 0.9, 13 * SECOND_US),
-			 0);
-	a.load_time_limit = 8 * SECOND_US;
-	ck_assert_int_eq(activation_is_loaded_first(&a, 0.9, 13 * SECOND_US),
-			 1);
-	ck_assert_int_eq(activation_is_loaded_first(&a, 0.2, 13 * SECOND_US),
-			 0);
-	/* After the time limit only the newer version is loaded. */
-	ck_assert_int_eq(activation_is_loaded_first(&a, 0.9, 18 * SECOND_US),
-			 0);
-	activation_record_running(&a, "new", 1, 7, 0, 13 * SECOND_US);
-	ck_assert_int_eq(activation_is_loaded_first(&a, 1.0, 13 * SECOND_US),
-			 0);
+	init_superseded(&a);
+	/* Nothing that was staged counts for the newest version. */
+	ck_assert_int_eq(a.is_complete, 0);
+	ck_assert_int_eq(activation_step(&a, 13 * SECOND_US),
+			 ACTIVATION_FETCHING);
+	ck_assert_int_eq(activation_step(&a, 30 * SECOND_US),
+			 ACTIVATION_FETCHING);
+	ck_assert_int_eq(activation_can_serve(&a), 1);
+	/* An engine that runs nothing does not load it either. */
+	activation_record_running(&a, "", 0, 0, 0, 13 * SECOND_US);
+	ck_assert_int_eq(activation_step(&a, 13 * SECOND_US),
+			 ACTIVATION_FETCHING);
+	a.is_complete = 1;
+	ck_assert_int_eq(activation_step(&a, 13 * SECOND_US), ACTIVATION_READY);
+}
+END_TEST
+
+/*
+ * What an engine runs expires with the limit of the version after it, also if
+ * that one was superseded.
+ */
+START_TEST(activation_turns_end_before_running_version_expires)
+{
+	struct activation a;
+
+	init_superseded(&a);
+	a.is_complete = 1;
+	a.loader_rank = 0; /* turns from 15.36 s to 16.4 s */
+	ck_assert_int_eq(activation_step(&a, 15 * SECOND_US),
+			 ACTIVATION_WAITING);
+	ck_assert_int_eq(activation_step(&a, 15400 * 1000), ACTIVATION_READY);
+	a.loader_rank = 2;
+	ck_assert_int_eq(activation_step(&a, 16300 * 1000), ACTIVATION_WAITING);
+	ck_assert_int_eq(activation_step(&a, 16500 * 1000), ACTIVATION_READY);
+
+	/* A third one in a row, after the last turn. */
+	activation_set_version(&a, "third", 17 * SECOND_US);
+	a.is_complete = 1;
+	ck_assert_int_eq(activation_step(&a, 17500 * 1000), ACTIVATION_READY);
+
+	/* After a load the limit counts from the next version. */
+	activation_record_running(&a, "third", 1, 7, 0, 18 * SECOND_US);
+	activation_step(&a, 18 * SECOND_US);
+	activation_set_version(&a, "fourth", 20 * SECOND_US);
+	a.is_complete = 1;
+	a.loader_rank = 0;
+	ck_assert_int_eq(activation_step(&a, 23 * SECOND_US),
+			 ACTIVATION_WAITING);
+	ck_assert_int_eq(activation_step(&a, 23400 * 1000), ACTIVATION_READY);
+}
+END_TEST
+
+/* An order can't be taken back: the newest version is ordered after it. */
+START_TEST(activation_orders_newest_after_superseded_order)
+{
+	struct activation a;
+
+	init_superseded(&a);
+	a.is_ordering = 1;
+	a.is_complete = 1;
+	a.loader_rank = 0;
+	ck_assert_int_eq(activation_step(&a, 16 * SECOND_US),
+			 ACTIVATION_ORDERED);
+	activation_record_replaced_order(&a);
+	ck_assert_int_eq(activation_step(&a, 16 * SECOND_US),
+			 ACTIVATION_ORDERED);
+	activation_record_running(&a, "superseded", 1, 7, 0, 16 * SECOND_US);
+	ck_assert_int_eq(activation_step(&a, 16 * SECOND_US), ACTIVATION_READY);
 }
 END_TEST
 
@@ -363,9 +431,11 @@
 	struct activation a;
 
 	init_activation(&a);
+	activation_record_running(&a, "new", 1, 6, 0, SECOND_US);
+	activation_step(&a, SECOND_US);
+	activation_set_version(&a, "newer", 10 * SECOND_US);
 	a.is_complete = 1;
-	a.load_time_limit = 8 * SECOND_US;
-	a.declared_at = 10 * SECOND_US; /* turns from 13.36 s to 16.4 s */
+	a.load_time_limit = 8 * SECOND_US; /* turns from 13.36 s to 16.4 s */
 	a.live_count = 3;
 	a.loader_rank = 0;
 	ck_assert_int_eq(activation_step(&a, 13 * SECOND_US),
@@ -540,7 +610,9 @@
 	tcase_add_test(tc, activation_checks_view_after_pause);
 	tcase_add_test(tc, activation_does_not_serve_version_of_old_order);
 	tcase_add_test(tc, activation_loads_in_turn_within_time_limit);
-	tcase_add_test(tc, activation_loads_nearly_complete_version_first);
+	tcase_add_test(tc, activation_drops_superseded_version);
+	tcase_add_test(tc, activation_turns_end_before_running_version_expires);
+	tcase_add_test(tc, activation_orders_newest_after_superseded_order);
 	tcase_add_test(tc, activation_halts_after_first_loader_crash);
 	tcase_add_test(tc, activation_skips_first_loader_that_does_not_load);
 	tcase_add_test(tc, pace_keeps_the_rate);
--- a/weights/activate.c
+++ b/weights/activate.c
@@ -18,12 +18,6 @@
  */
 #define HALT_US (30 * APR_USEC_PER_SEC)
 
-/*
- * Share of the chunks that must be held for a version to be loaded although
- * another one was named.
- */
-#define FINISH_MIN_SHARE 0.3
-
 /*
  * Shares of the time limit between which engines load in turn. Before
  * TURN_FIRST_SHARE, chunks are still being transferred. After TURN_LAST_SHARE,
@@ -36,10 +30,14 @@
  * Sets the version that the configuration names, and resets the state of the
  * one before it.
  */
-void activation_set_version(struct activation *a, const char *version)
+void activation_set_version(struct activation *a, const char *version,
+			    apr_time_t declared_at)
 {
 	if (!strcmp(a->wanted_version, version))
 		return;
+	if (!strcmp(a->wanted_version, a->confirmed_version))
+		a->outdated_at = declared_at;
+	a->declared_at = declared_at;
 	snprintf(a->wanted_version, sizeof(a->wanted_version), "%s", version);
 	a->is_complete = 0;
 	a->completed_at = 0;
@@ -72,19 +70,23 @@
 /*
  * Returns 1 when the turn of this instance to load under a time limit has
  * come. Engines that run nothing load at once, the others in the order of
- * their ranks, so that few are unavailable at the same time.
+ * their ranks, so that few are unavailable at the same time. The limit of an
+ * engine that did not load the version before counts from that one.
  */
 static int is_timed_turn(const struct activation *a, apr_time_t now)
 {
-	double at = TURN_FIRST_SHARE;
+	double limit = (double)a->load_time_limit;
+	double first = (double)(a->declared_at - a->outdated_at) +
+		       TURN_FIRST_SHARE * limit;
+	double last = TURN_LAST_SHARE * limit;
 
 	if (!*a->running_version)
 		return 1;
+	if (first > last)
+		first = last;
 	if (a->live_count > 1)
-		at += (TURN_LAST_SHARE - TURN_FIRST_SHARE) * a->loader_rank /
-		      (a->live_count - 1);
-	return now - a->declared_at >=
-	       (apr_interval_time_t)(at * (double)a->load_time_limit);
+		first += (last - first) * a->loader_rank / (a->live_count - 1);
+	return now - a->outdated_at >= (apr_interval_time_t)first;
 }
 
 /* Returns 1 while a crash caused by this version prevents its loading. */
@@ -240,21 +242,3 @@
 
 	return names[s];
 }
-
-/*
- * Called when another version was named. Returns 1 while the previous version,
- * of which the share held of the chunks is staged, is to be loaded first: it
- * needs little more, whereas the newer one may not be available from the
- * origin in time.
- */
-int activation_is_loaded_first(const struct activation *a, double held,
-			       apr_time_t now)
-{
-	if (!a->load_time_limit || !*a->wanted_version || is_running_wanted(a))
-		return 0;
-	if (now - a->declared_at >= a->load_time_limit || a->crashed_mask ||
-	    a->has_crashed_here)
-		return 0;
-	return a->is_ordering || a->is_engine_busy || a->is_complete ||
-	       held >= FINISH_MIN_SHARE;
-}
--- a/weights/activate.h
+++ b/weights/activate.h
@@ -53,6 +53,8 @@
 	int live_count; /* live instances that are to load the version */
 	/* When the version was declared, or first seen if that is not known. */
 	apr_time_t declared_at;
+	/* declaration of the first version after the one that the engine ran */
+	apr_time_t outdated_at;
 	/*
 	 * Time limit from declared_at until all instances run the version.
 	 * When it is set, they load one after the other over that time instead
@@ -80,9 +82,8 @@
 	ACTIVATION_SERVING
 };
 
-int activation_is_loaded_first(const struct activation *a, double held,
-			       apr_time_t now);
-void activation_set_version(struct activation *a, const char *version);
+void activation_set_version(struct activation *a, const char *version,
+			    apr_time_t declared_at);
 enum activation_state activation_step(struct activation *a, apr_time_t now);
 void activation_record_order(struct activation *a, int done, apr_time_t now);
 void activation_record_unsent_order(struct activation *a, apr_time_t now);
--- a/weights/internal.h
+++ b/weights/internal.h
@@ -37,13 +37,8 @@
 	/* number that the origin gives to the version, 0: none */
 	uint64_t release;
 	char origin[SETTINGS_URL_SIZE];
-	/*
-	 * Version that was named while the one above was about to be loaded,
-	 * or "".
-	 */
-	char next_version_hex[DIGEST_HEX_SIZE];
-	uint64_t next_release;
-	apr_time_t next_declared_at;
+	/* highest release that was wanted, and may be staged in part */
+	uint64_t release_max;
 
 	uint64_t swarm_id;   /* changes when the wanted version changes */
 	struct swarm *swarm; /* NULL until the manifest is fetched */
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -129,13 +129,55 @@
 	return NULL;
 }
 
-/* Switches to another version; the old swarm stays for its chunks. */
+/*
+ * Returns 1 when the engine's staging need not be listed for a version that
+ * becomes wanted: it stages by position and is known to hold nothing but
+ * chunks of other versions.
+ */
+static int is_staging_foreign(const struct weights *w,
+			      const struct model_row *m,
+			      const struct digest *version, uint64_t release)
+{
+	const struct swarm *s = m->swarm ? m->swarm : m->previous_swarm;
+
+	if (w->ops->has_digest_staging)
+		return 0;
+	if (m->is_staging_listed && release > m->release_max)
+		return 1;
+	return s && swarm_is_complete(s) &&
+	       !digest_equal(&s->manifest->id, version);
+}
+
+static void log_superseded_version(const struct model_row *m,
+				   const char *version)
+{
+	if (*m->version_hex && m->state != ACTIVATION_SERVING)
+		log_info("weights", m->name,
+			 "document names version %.12s; dropping %.12s, of "
+			 "which %u chunks are here",
+			 version, m->version_hex,
+			 m->swarm ? m->swarm->held_count : 0);
+}
+
+/*
+ * Switches to another version at once, whatever is under way for the one
+ * before; the old swarm stays for its chunks. An order that the engine may
+ * still accept and chunk writes in flight cannot be taken back.
+ */
 static void model_set_version(struct weights *w, struct model_row *m,
-			      const char *version, apr_time_t declared_at)
+			      const char *version, uint64_t release,
+			      apr_time_t declared_at)
 {
-	if (!strcmp(m->version_hex, version) ||
-	    digest_parse(version, &m->version))
+	struct digest digest;
+
+	if (!strcmp(m->version_hex, version) || digest_parse(version, &digest))
 		return;
+	log_superseded_version(m, version);
+	m->is_staging_listed = is_staging_foreign(w, m, &digest, release);
+	m->version = digest;
+	m->release = release;
+	if (release > m->release_max)
+		m->release_max = release;
 	m->superseded_writes += m->writes;
 	m->writes = 0;
 	snprintf(m->version_hex, sizeof(m->version_hex), "%s", version);
@@ -151,20 +193,12 @@
 	m->manifest_started_at = 0;
 	free(m->manifest_unconfirmed);
 	m->manifest_unconfirmed = NULL;
-	/*
-	 * An engine that stages by position has one copy of each model. It
-	 * still holds the chunks of the previous version.
-	 */
-	m->is_staging_listed = !w->ops->has_digest_staging &&
-			       m->previous_swarm &&
-			       swarm_is_complete(m->previous_swarm);
 	m->is_exchange_urgent = 0;
 	m->completed_at = 0;
 	m->view_signature = 0;
 	memset(&m->verify, 0, sizeof(m->verify));
 	w->has_unplaced_version = 1;
-	activation_set_version(&m->activation, version);
-	m->activation.declared_at = declared_at;
+	activation_set_version(&m->activation, version, declared_at);
 	transfers_end_superseded(w);
 }
 
@@ -178,56 +212,6 @@
 	return s->platform == PLATFORM_STORE ? 0.4 * s->release_ms / 20000 : 1;
 }
 
-/* Returns 1 if the current version is to be loaded before a newer one. */
-static int is_current_loaded_first(const struct model_row *m, apr_time_t now)
-{
-	double held =
-		m->swarm ? (double)m->swarm->held_count / m->swarm->chunk_count
-			 : 0;
-
-	return activation_is_loaded_first(&m->activation, held, now);
-}
-
-/* Applies the version that the document names. */
-static void model_apply_named_version(struct weights *w, struct model_row *m,
-				      const struct model_spec *spec,
-				      apr_time_t now)
-{
-	apr_time_t declared_at = spec->declared_at ? spec->declared_at : now;
-
-	if (!strcmp(m->version_hex, spec->version)) {
-		*m->next_version_hex = '\0';
-		return;
-	}
-	if (is_current_loaded_first(m, now)) {
-		log_info("weights", m->name,
-			 "document names version %.12s; loading %.12s first",
-			 spec->version, m->version_hex);
-		snprintf(m->next_version_hex, sizeof(m->next_version_hex), "%s",
-			 spec->version);
-		m->next_release = spec->release;
-		m->next_declared_at = declared_at;
-		return;
-	}
-	*m->next_version_hex = '\0';
-	m->release = spec->release;
-	model_set_version(w, m, spec->version, declared_at);
-}
-
-/* Starts the next version once the current one need not be loaded. */
-static void model_start_next_version(struct weights *w, struct model_row *m,
-				     apr_time_t now)
-{
-	char next[DIGEST_HEX_SIZE];
-
-	if (!*m->next_version_hex || is_current_loaded_first(m, now))
-		return;
-	memcpy(next, m->next_version_hex, sizeof(next));
-	*m->next_version_hex = '\0';
-	m->release = m->next_release;
-	model_set_version(w, m, next, m->next_declared_at);
-}
-
 static void model_apply_spec(struct weights *w, const struct model_spec *spec,
 			     uint64_t revision, apr_time_t now)
 {
@@ -258,7 +242,8 @@
 	snprintf(m->origin, sizeof(m->origin), "%s",
 		 spec->origin ? spec->origin : w->node->settings.store_url);
 	m->activation.fence = revision;
-	model_apply_named_version(w, m, spec, now);
+	model_set_version(w, m, spec->version, spec->release,
+			  spec->declared_at ? spec->declared_at : now);
 }
 
 /* Frees the models that no document names and that have no order running. */
@@ -379,7 +364,6 @@
 {
 	if (!m->is_wanted)
 		return;
-	model_start_next_version(w, m, now);
 	manifest_fetch_step(w, h, m, now);
 	if (!m->swarm)
 		return;
