--- a/weights/internal.h
+++ b/weights/internal.h
@@ -37,13 +37,8 @@
 	/* number that the origin gives to the version, 0: none */
 	uint64_t release;
 	char origin[SETTINGS_URL_SIZE];
-	/*
-	 * Version that was named while the one above was about to be loaded,
-	 * or "".
-	 */
-	char next_version_hex[DIGEST_HEX_SIZE];
-	uint64_t next_release;
-	apr_time_t next_declared_at;
+	/* highest release that was wanted, and may be staged in part */
+	uint64_t release_max;
 
 	uint64_t swarm_id;   /* changes when the wanted version changes */
 	struct swarm *swarm; /* NULL until the manifest is fetched */
@@ -60,6 +55,11 @@
 	apr_time_t manifest_started_at; /* time of the first attempt */
 	/* the engine's staging was listed for this version */
 	int is_staging_listed;
+	/* chunk writes in flight, of the wanted version and of earlier ones */
+	int writes;
+	int superseded_writes;
+	/* swarm_id of an order that the engine may still accept, 0: none */
+	uint64_t open_order;
 	/* a change is to be sent to the neighbours at once */
 	int is_exchange_urgent;
 	apr_time_t completed_at;
@@ -90,6 +90,8 @@
 	struct transfer_window window;
 	struct throttle throttle;
 	size_t buffer_bytes; /* bytes in the buffers of transfers */
+	/* transfers that receive a chunk */
+	struct transfer *receiving;
 	/* verified chunks that wait for room in staging */
 	struct transfer *parked;
 	/* set at shutdown: no further chunk is parked */
@@ -132,6 +134,7 @@
 				       const struct digest *d);
 int weights_find_held_chunk(struct weights *w, const struct digest *d,
 			    char path[ENGINE_PATH_SIZE], int *is_unsent);
+int weights_is_chunk_sendable(struct weights *w, const struct digest *d);
 void weights_mark_corrupt(struct weights *w, const struct digest *d);
 void weights_locate_chunk(const struct model_row *m, uint32_t chunk,
 			  struct chunk_location *out);
@@ -142,6 +145,7 @@
 /* transfer.c: receives chunks */
 void transfers_start(struct weights *w, apr_time_t now);
 void transfers_unpark(struct weights *w, apr_time_t now);
+void transfers_end_superseded(struct weights *w);
 void transfers_stop(void *arg);
 
 /* manifest-fetch.c */
