--- a/calls/crash.h
+++ b/calls/crash.h
@@ -38,7 +38,49 @@
 	CRASH_QUARANTINED /* refused: not run */
 };
 
+/* Items of a request: itself and the parts that it shares with others. */
+#define CRASH_ITEMS_MAX 16
+
+enum crash_item_kind { CRASH_ITEM_REQUEST = 1, CRASH_ITEM_PART };
+
+struct crash_items {
+	struct digest keys[CRASH_ITEMS_MAX];
+	enum crash_item_kind kinds[CRASH_ITEMS_MAX];
+	int count;
+	uint64_t account; /* hash, 0: none */
+};
+
+/* A run that its upstream's death ended. */
+struct crash_run {
+	struct crash_items items;
+	apr_time_t sent_at;
+};
+
+/* Why a request was found suspect or refused. */
+struct crash_finding {
+	enum crash_item_kind kind;
+	struct digest key;
+	int retry_after_ms;
+	int is_trial; /* may run here to find out whether it still crashes */
+};
+
 int crash_start(struct node *n, struct crash_list **out, struct error *err);
+int crash_start_entries(struct node *n, struct crash_list **out,
+			struct error *err);
+
+void crash_items_init(struct crash_items *s, const char *account);
+void crash_items_add_request(struct crash_items *s, const char *account,
+			     const char *path, const void *body, size_t size);
+void crash_items_add_part(struct crash_items *s, const char *part, size_t size);
+enum crash_verdict crash_check_items(struct crash_list *c,
+				     const struct crash_items *s,
+				     apr_time_t now,
+				     struct crash_finding *out);
+void crash_record_runs(struct crash_list *c, const char *upstream,
+		       uint64_t boot, const struct crash_run *runs, int count,
+		       apr_time_t now);
+void crash_record_sound(struct crash_list *c, const struct crash_items *s,
+			apr_time_t now);
 
 void crash_fingerprint(const char *account, const char *path, const void *body,
 		       size_t size, struct digest *out);
