net: tell a closed port from other failures to connect

connect_is_refused asks whether anybody listens at an address, and fetch says so of its own connection. The code that opens a connection from the process's address moves from rpc-client.c to connect.c for that.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -2,6 +2,7 @@
 
 #include <apr_poll.h>
 #include <apr_portable.h>
+#include <errno.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -151,7 +152,7 @@
 /* Finishes a fetch: unlinks it, frees its easy handle and calls done. */
 static void finish_fetch(struct fetcher *r, struct fetch *f, CURLcode code)
 {
-	long status = 0, sent = 0;
+	long status = 0, sent = 0, os_error = 0;
 
 	if (f->link) {
 		*f->link = f->next;
@@ -162,6 +163,7 @@
 	if (f->easy) {
 		curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
 		curl_easy_getinfo(f->easy, CURLINFO_REQUEST_SIZE, &sent);
+		curl_easy_getinfo(f->easy, CURLINFO_OS_ERRNO, &os_error);
 		curl_multi_remove_handle(r->multi, f->easy);
 		curl_easy_cleanup(f->easy);
 		f->easy = NULL;
@@ -170,6 +172,8 @@
 	f->header_list = NULL;
 	f->status = (int)status;
 	f->never_sent = !sent;
+	f->is_refused =
+		code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
 	record_if_unanswered(r, f, sent, code);
 	fetch_error_from_curl(f, code);
 	if (code == CURLE_OK && f->framing == FRAMING_NONE)
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -71,6 +71,7 @@
 	int is_chunked;		  /* the response has chunked coding */
 	apr_time_t submitted_at;
 	int never_sent;	 /* no byte of the request left this process */
+	int is_refused;	 /* nobody listens at the address */
 	int is_too_late; /* given up when it was to be sent after send_by */
 	int reused;	 /* atomic: went over a connection used before */
 	struct error error;
--- a/net/rpc-client.c
+++ b/net/rpc-client.c
@@ -7,8 +7,6 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -17,6 +15,7 @@
 #include <unistd.h>
 
 #include "base/metric.h"
+#include "net/connect.h"
 #include "net/cut.h"
 #include "net/envelope.h"
 
@@ -117,48 +116,6 @@
 	pthread_mutex_unlock(&c->mutex);
 }
 
-static int connect_with_timeout(int fd, const struct sockaddr_in *sa,
-				int timeout_ms)
-{
-	struct pollfd p = { .fd = fd, .events = POLLOUT };
-	socklen_t size = sizeof(int);
-	int failure = 0;
-
-	if (!connect(fd, (const struct sockaddr *)sa, sizeof(*sa)))
-		return 0;
-	if (errno != EINPROGRESS || poll(&p, 1, timeout_ms) != 1)
-		return -1;
-	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &failure, &size) || failure)
-		return -1;
-	return 0;
-}
-
-static int open_socket(const struct rpc_client *c, const struct sockaddr_in *sa,
-		       int timeout_ms)
-{
-	struct sockaddr_in from = { .sin_family = AF_INET };
-	int fd, on = 1;
-
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	if (*c->local_address &&
-	    inet_pton(AF_INET, c->local_address, &from.sin_addr) == 1) {
-		setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on,
-			   sizeof(on));
-		if (bind(fd, (struct sockaddr *)&from, sizeof(from)))
-			goto fail;
-	}
-	if (connect_with_timeout(fd, sa, timeout_ms))
-		goto fail;
-	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK);
-	return fd;
-fail:
-	close(fd);
-	return -1;
-}
-
 static CLIENT *open_connection(const struct rpc_client *c, const char *address,
 			       int port, int timeout_ms)
 {
@@ -170,9 +127,10 @@
 	sa.sin_port = htons((uint16_t)port);
 	if (inet_pton(AF_INET, address, &sa.sin_addr) != 1)
 		return NULL;
-	fd = open_socket(c, &sa, timeout_ms);
+	fd = connect_open(c->local_address, &sa, timeout_ms);
 	if (fd < 0)
 		return NULL;
+	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK);
 	conn = clnt_vc_create(fd, &to, LIMPET_PROGRAM, LIMPET_VERSION, 0, 0);
 	if (!conn) {
 		close(fd);
