--- /dev/null
+++ b/calls/crash-infer.c
@@ -0,0 +1,282 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "calls/crash-table.h"
+
+/*
+ * Finds the items that crash upstreams.  An upstream dies with all that is in
+ * flight there, nearly all of it sound.  An item is to blame if it was in
+ * flight at several deaths one after another, if no sound answer came since,
+ * and if no other item explains these deaths as well.
+ *
+ * Deaths that an item already blamed explains say nothing about the others.
+ * The functions read no clock and do no I/O.
+ */
+
+/* Which deaths of a row count. */
+enum death_filter {
+	DEATHS_ALL = 0,
+	DEATHS_UNEXPLAINED = 1,
+	DEATHS_SETTLED = 2 /* other entries' items have arrived */
+};
+
+static int does_death_count(const struct crash_seen_death *d, int filter,
+			    apr_time_t now)
+{
+	if (d->is_cleared || now - d->died_at > CRASH_SUSPICION_US)
+		return 0;
+	if ((filter & DEATHS_UNEXPLAINED) && d->is_explained)
+		return 0;
+	return !(filter & DEATHS_SETTLED) ||
+	       now - d->learned_at >= CRASH_SETTLE_US;
+}
+
+static int count_deaths(const struct crash_row *r, int filter, apr_time_t now)
+{
+	int i, count = 0;
+
+	for (i = 0; i < r->death_count; i++)
+		count += does_death_count(&r->deaths[i], filter, now);
+	return count;
+}
+
+/*
+ * Counts the deaths one after another: those whose runs were all sent before
+ * the death counted last are left out.  Upstreams that die together, as by a
+ * loss of power, count once.
+ */
+static int count_serial(const struct crash_row *r, int filter, apr_time_t now)
+{
+	const struct crash_seen_death *sorted[CRASH_DEATHS_MAX], *d;
+	apr_time_t last = 0;
+	int i, j, n = 0, count = 0;
+
+	for (i = 0; i < r->death_count; i++) {
+		d = &r->deaths[i];
+		if (!does_death_count(d, filter, now))
+			continue;
+		for (j = n++; j && sorted[j - 1]->died_at > d->died_at; j--)
+			sorted[j] = sorted[j - 1];
+		sorted[j] = d;
+	}
+	for (i = 0; i < n; i++) {
+		if (count && sorted[i]->died_at - sorted[i]->run <= last)
+			continue;
+		last = sorted[i]->died_at;
+		count++;
+	}
+	return count;
+}
+
+/* Returns 1 if an item may be the cause of deaths that nothing explains yet. */
+int crash_is_suspect(const struct crash_row *r, apr_time_t now)
+{
+	return !crash_is_blamed(r) && r->death_count >= CRASH_SUSPECT_MIN &&
+	       count_serial(r, DEATHS_UNEXPLAINED, now) >= CRASH_SUSPECT_MIN;
+}
+
+static int is_same_death(const struct crash_seen_death *a,
+			 const struct crash_seen_death *b)
+{
+	return a->upstream == b->upstream && a->boot == b->boot;
+}
+
+static int shares_unexplained(const struct crash_row *a,
+			      const struct crash_row *b, apr_time_t now)
+{
+	int i, j;
+
+	for (i = 0; i < a->death_count; i++) {
+		if (!does_death_count(&a->deaths[i], DEATHS_UNEXPLAINED, now))
+			continue;
+		for (j = 0; j < b->death_count; j++)
+			if (is_same_death(&a->deaths[i], &b->deaths[j]))
+				return 1;
+	}
+	return 0;
+}
+
+static uint64_t death_id(const struct crash_seen_death *d)
+{
+	uint64_t pair[2] = { d->upstream, d->boot };
+
+	return place_hash(pair, sizeof(pair), 0);
+}
+
+static int compare_ids(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* Marks the deaths of all rows that a blamed item explains. */
+static void mark_explained(struct crash_row *const *rows, int count)
+{
+	uint64_t *ids, id;
+	struct crash_row *r;
+	size_t n = 0;
+	int i, j, blamed = 0;
+
+	for (i = 0; i < count; i++)
+		blamed += crash_is_blamed(rows[i]);
+	if (!blamed)
+		return;
+	ids = calloc((size_t)blamed * CRASH_DEATHS_MAX, sizeof(*ids));
+	if (!ids)
+		abort();
+	for (i = 0; i < count; i++)
+		for (j = 0;
+		     crash_is_blamed(rows[i]) && j < rows[i]->death_count; j++)
+			ids[n++] = death_id(&rows[i]->deaths[j]);
+	qsort(ids, n, sizeof(*ids), compare_ids);
+	for (i = 0; i < count; i++) {
+		r = rows[i];
+		for (j = 0; j < r->death_count; j++) {
+			id = death_id(&r->deaths[j]);
+			if (!r->deaths[j].is_explained &&
+			    bsearch(&id, ids, n, sizeof(*ids), compare_ids))
+				r->deaths[j].is_explained = 1;
+		}
+	}
+	free(ids);
+}
+
+/* Marks the deaths that this row explains as well. */
+static void mark_explained_by(struct crash_row *const *rows, int count,
+			      const struct crash_row *by)
+{
+	int i, j, k;
+
+	for (i = 0; i < count; i++)
+		for (j = 0; j < rows[i]->death_count; j++)
+			for (k = 0; k < by->death_count; k++)
+				if (is_same_death(&rows[i]->deaths[j],
+						  &by->deaths[k]))
+					rows[i]->deaths[j].is_explained = 1;
+}
+
+struct candidate {
+	struct crash_row *row;
+	int settled; /* unexplained deaths */
+	int all;     /* also those that are not settled */
+};
+
+/*
+ * Orders candidates: the most deaths first.  Among equal ones those that never
+ * had a sound answer, then the narrowest: the request, then its last parts.
+ */
+static int compare_candidates(const void *a, const void *b)
+{
+	const struct candidate *x = a, *y = b;
+
+	if (x->all != y->all)
+		return y->all - x->all;
+	if (x->row->was_sound != y->row->was_sound)
+		return x->row->was_sound - y->row->was_sound;
+	if (!x->row->place != !y->row->place)
+		return !y->row->place - !x->row->place;
+	if (x->row->place != y->row->place)
+		return y->row->place - x->row->place;
+	return memcmp(x->row->key, y->row->key, sizeof(x->row->key));
+}
+
+/*
+ * Returns 1 if another item may as well be the cause.  An item that had sound
+ * answers once yields to one that never had, also if the latter lacks a death
+ * whose news may be under way.
+ */
+static int has_rival(struct crash_row *const *rows, int count,
+		     const struct candidate *of, apr_time_t now)
+{
+	struct crash_row *r;
+	int i, n, yields;
+
+	for (i = 0; i < count; i++) {
+		r = rows[i];
+		if (r == of->row || crash_is_blamed(r))
+			continue;
+		yields = of->row->was_sound && !r->was_sound;
+		if (!yields && of->settled >= CRASH_CERTAIN_MIN)
+			continue;
+		n = count_deaths(r, DEATHS_UNEXPLAINED, now);
+		if (n && n + yields >= of->settled &&
+		    shares_unexplained(of->row, r, now))
+			return 1;
+	}
+	return 0;
+}
+
+/* Returns 1 if the row was in enough deaths to be the cause. */
+static int can_be_cause(const struct crash_row *r, apr_time_t now)
+{
+	int filter = DEATHS_SETTLED | DEATHS_UNEXPLAINED;
+
+	if (crash_is_blamed(r) || r->death_count < CRASH_SERIAL_MIN)
+		return 0;
+	return count_serial(r, filter, now) >= CRASH_SERIAL_MIN;
+}
+
+/* Returns 1 if the row never had a sound answer and was in too many deaths. */
+static int is_certain(const struct crash_row *r, apr_time_t now)
+{
+	return !crash_is_blamed(r) && !r->was_sound &&
+	       count_deaths(r, DEATHS_SETTLED | DEATHS_UNEXPLAINED, now) &&
+	       count_deaths(r, DEATHS_SETTLED, now) >= CRASH_CERTAIN_MIN &&
+	       count_serial(r, DEATHS_SETTLED, now) >= CRASH_CERTAIN_SERIAL_MIN;
+}
+
+/*
+ * Lists the rows that may be the cause, the most likely one first.  Returns
+ * their number.
+ */
+static int list_candidates(struct crash_row *const *rows, int count,
+			   apr_time_t now, struct candidate *out)
+{
+	int i, n = 0;
+
+	for (i = 0; i < count; i++) {
+		if (!can_be_cause(rows[i], now) && !is_certain(rows[i], now))
+			continue;
+		out[n].row = rows[i];
+		out[n].settled = count_deaths(
+			rows[i], DEATHS_SETTLED | DEATHS_UNEXPLAINED, now);
+		out[n].all = count_deaths(rows[i], DEATHS_UNEXPLAINED, now);
+		n++;
+	}
+	qsort(out, n, sizeof(*out), compare_candidates);
+	return n;
+}
+
+/*
+ * Finds the rows to blame as of now, each with the deaths that those before it
+ * leave unexplained, and marks explained deaths.  rows are all rows; out has
+ * room for as many.  Returns the number of rows to blame.
+ */
+int crash_infer(struct crash_row *const *rows, int count, apr_time_t now,
+		struct crash_row **out)
+{
+	struct candidate *list;
+	int i, n, found = 0, again = 1;
+
+	if (!count)
+		return 0;
+	list = calloc(count, sizeof(*list));
+	if (!list)
+		abort();
+	mark_explained(rows, count);
+	while (again) {
+		again = 0;
+		n = list_candidates(rows, count, now, list);
+		for (i = 0; i < n && !again; i++) {
+			if (!is_certain(list[i].row, now) &&
+			    has_rival(rows, count, &list[i], now))
+				continue;
+			out[found++] = list[i].row;
+			mark_explained_by(rows, count, list[i].row);
+			again = 1;
+		}
+	}
+	free(list);
+	return found;
+}
--- /dev/null
+++ b/calls/crash-items.c
@@ -0,0 +1,777 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/metric.h"
+#include "calls/crash-table.h"
+
+/*
+ * Blame of items: of a request itself and of the parts of its prompt.
+ *
+ * A death adds one row for each item in flight at it.  A sound answer clears
+ * the deaths of its items so far; the cleared deaths are told to the other
+ * entries by name, so that their clocks and the delay of messages don't
+ * matter.  Blames and acquittals of a row are counted (turns), and the higher
+ * count wins.
+ */
+
+#define US_PER_MS 1000
+/* Two entries' times of sending may differ by this without a message. */
+#define RUN_STEP_US (20 * US_PER_MS)
+#define IDLE_STEP_US (10 * APR_USEC_PER_SEC)
+#define SOUND_UNIT_US (16 * US_PER_MS)
+
+void crash_items_init(struct crash_items *s, const char *account)
+{
+	s->count = 0;
+	s->account = account ? place_hash_string(account, 0) : 0;
+}
+
+static void add_item(struct crash_items *s, enum crash_item_kind kind,
+		     const struct digest *key)
+{
+	int i;
+
+	if (s->count == CRASH_ITEMS_MAX)
+		return;
+	for (i = 0; i < s->count; i++)
+		if (digest_equal(&s->keys[i], key))
+			return;
+	s->kinds[s->count] = kind;
+	s->keys[s->count++] = *key;
+}
+
+/* Adds the request itself: all with the same account, path and body. */
+void crash_items_add_request(struct crash_items *s, const char *account,
+			     const char *path, const void *body, size_t size)
+{
+	struct digest key;
+
+	crash_fingerprint(account, path, body, size, &key);
+	add_item(s, CRASH_ITEM_REQUEST, &key);
+}
+
+/*
+ * Adds a part that the request shares with others.  Items beyond
+ * CRASH_ITEMS_MAX are left out.
+ */
+void crash_items_add_part(struct crash_items *s, const char *part, size_t size)
+{
+	static const char tag[] = "prompt part";
+	struct digest pair[2], key;
+
+	digest_of(tag, sizeof(tag), &pair[0]);
+	digest_of(part, size, &pair[1]);
+	digest_of(pair, sizeof(pair), &key);
+	add_item(s, CRASH_ITEM_PART, &key);
+}
+
+static uint64_t *find_sound_slot(struct crash_list *c, const unsigned char *key,
+				 uint32_t *tag)
+{
+	uint32_t index;
+
+	memcpy(&index, key + 4, sizeof(index));
+	memcpy(tag, key + 8, sizeof(*tag));
+	return &c->sound[index % CRASH_SOUND_SLOTS];
+}
+
+static void remember_sound(struct crash_list *c, const unsigned char *key,
+			   apr_time_t now)
+{
+	uint32_t tag, time = (uint32_t)(now / SOUND_UNIT_US);
+	uint64_t *slot = find_sound_slot(c, key, &tag);
+
+	__atomic_store_n(slot, (uint64_t)tag << 32 | time, __ATOMIC_RELAXED);
+}
+
+/* Returns the time of the last sound answer remembered here, or 0. */
+static apr_time_t recall_sound(struct crash_list *c, const unsigned char *key)
+{
+	uint32_t tag;
+	uint64_t *slot = find_sound_slot(c, key, &tag);
+	uint64_t value = __atomic_load_n(slot, __ATOMIC_RELAXED);
+
+	if (value >> 32 != tag)
+		return 0;
+	return (apr_time_t)(uint32_t)value * SOUND_UNIT_US;
+}
+
+static int is_item_expired(const struct crash_row *r, apr_time_t now)
+{
+	apr_time_t last = crash_last_death(r);
+
+	if (!crash_is_blamed(r))
+		return now - last > CRASH_SUSPICION_US;
+	if (r->refused_at > last)
+		last = r->refused_at;
+	return now >= r->refused_until && now - last > CRASH_BLAME_IDLE_US;
+}
+
+static int count_open_deaths(const struct crash_row *r)
+{
+	int i, count = 0;
+
+	for (i = 0; i < r->death_count; i++)
+		count += !r->deaths[i].is_cleared;
+	return count;
+}
+
+/*
+ * Returns 1 if a should go rather than b: those cleared, then those with one
+ * death, then the oldest.
+ */
+static int is_better_to_drop(const struct crash_row *a,
+			     const struct crash_row *b)
+{
+	int x = count_open_deaths(a), y = count_open_deaths(b);
+
+	x = x < CRASH_SUSPECT_MIN ? x : CRASH_SUSPECT_MIN;
+	y = y < CRASH_SUSPECT_MIN ? y : CRASH_SUSPECT_MIN;
+	if (x != y)
+		return x < y;
+	return crash_last_death(a) < crash_last_death(b);
+}
+
+/* Returns the row to drop among those of the account, or of any if 0. */
+static struct handle choose_drop(struct crash_list *c, const uint64_t *account,
+				 int count_blamed, int *count)
+{
+	struct handle h = HANDLE_NONE, drop = HANDLE_NONE;
+	struct crash_row *r, *best = NULL;
+
+	*count = 0;
+	while ((r = table_next(&c->rows, &h))) {
+		if (account && r->account != *account)
+			continue;
+		(*count)++;
+		if (crash_is_blamed(r) && !count_blamed)
+			continue;
+		if (best && !is_better_to_drop(r, best))
+			continue;
+		best = r;
+		drop = h;
+	}
+	return drop;
+}
+
+/*
+ * An account that fills its share loses its own rows, a full table any rows.
+ * Blamed items go last, and only for those of other accounts.
+ */
+static int make_item_room(struct crash_list *c, uint64_t account,
+			  apr_time_t now)
+{
+	struct handle drop;
+	int count;
+
+	(void)now;
+	if (c->rows.count < CRASH_ACCOUNT_ROWS_MAX)
+		return 1;
+	drop = choose_drop(c, &account, 0, &count);
+	if (count >= CRASH_ACCOUNT_ROWS_MAX) {
+		crash_remove(c, drop);
+		return !handle_is_none(drop);
+	}
+	if (c->rows.count < CRASH_SUSPECTS_MAX)
+		return 1;
+	drop = choose_drop(c, NULL, 0, &count);
+	if (handle_is_none(drop))
+		drop = choose_drop(c, NULL, 1, &count);
+	crash_remove(c, drop);
+	return 1;
+}
+
+/* Returns the item's row, added if need be, or NULL if there is no room. */
+static struct crash_row *get_row(struct crash_list *c, const unsigned char *key,
+				 uint64_t account, int place, apr_time_t now)
+{
+	struct handle h;
+	struct crash_row *r = crash_find(c, key, &h);
+
+	if (r)
+		return r;
+	r = crash_add(c, key, account, now);
+	if (!r)
+		return NULL;
+	r->place = place;
+	r->sound_at = recall_sound(c, key);
+	r->was_sound = r->sound_at != 0;
+	return r;
+}
+
+/* Returns the slot for one more death, or NULL if older ones are kept. */
+static struct crash_seen_death *
+choose_death_slot(struct crash_row *r, int is_cleared, apr_time_t died_at)
+{
+	struct crash_seen_death *d, *best = NULL;
+
+	if (r->death_count < CRASH_DEATHS_MAX)
+		return &r->deaths[r->death_count++];
+	if (is_cleared)
+		return NULL;
+	for (d = r->deaths; d < r->deaths + r->death_count; d++)
+		if (!best || d->is_cleared > best->is_cleared ||
+		    (d->is_cleared == best->is_cleared &&
+		     d->died_at < best->died_at))
+			best = d;
+	return best->is_cleared || best->died_at < died_at ? best : NULL;
+}
+
+/* Adds a death or what is new about it.  Returns 1 if anything was. */
+static int merge_death(struct crash_row *r, const struct crash_seen_death *in)
+{
+	struct crash_seen_death *d;
+	int is_new = 0;
+
+	for (d = r->deaths; d < r->deaths + r->death_count; d++) {
+		if (d->upstream != in->upstream || d->boot != in->boot)
+			continue;
+		if (in->died_at < d->died_at)
+			d->died_at = in->died_at;
+		if (in->run + RUN_STEP_US <= d->run) {
+			d->run = in->run;
+			is_new = 1;
+		}
+		if (in->is_cleared && !d->is_cleared)
+			d->is_cleared = is_new = 1;
+		return is_new;
+	}
+	d = choose_death_slot(r, in->is_cleared, in->died_at);
+	if (!d)
+		return 0;
+	*d = *in;
+	if (r->sound_at && in->died_at <= r->sound_at)
+		d->is_cleared = 1;
+	return 1;
+}
+
+/* Makes the list judge until the news of now are settled. */
+static void expect_judgement(struct crash_list *c, apr_time_t now)
+{
+	c->judge_until = now + 2 * CRASH_SETTLE_US;
+}
+
+static void blame(struct crash_list *c, struct crash_row *r,
+		  apr_interval_time_t length, apr_time_t now)
+{
+	r->turns += crash_is_blamed(r) ? 2 : 1;
+	r->refused_until = now + length;
+	r->trial_at = 0;
+	crash_publish(c, r);
+	__atomic_add_fetch(&c->blames, 1, __ATOMIC_RELAXED);
+	metric_count("crash_blamed", NULL, 1);
+}
+
+/* Forgets which deaths blamed items explain; the next judgement finds out. */
+static void forget_explained(struct crash_list *c, apr_time_t now)
+{
+	struct handle h = HANDLE_NONE;
+	struct crash_row *r;
+	int i;
+
+	while ((r = table_next(&c->rows, &h)))
+		for (i = 0; i < r->death_count; i++)
+			r->deaths[i].is_explained = 0;
+	expect_judgement(c, now);
+}
+
+static void end_blame(struct crash_list *c, struct crash_row *r, apr_time_t now)
+{
+	r->refused_until = r->trial_at = 0;
+	r->failed_trials = 0;
+	forget_explained(c, now);
+	metric_count("crash_acquitted", NULL, 1);
+}
+
+/* Clears what a sound answer at now clears. */
+static void clear_row(struct crash_list *c, struct crash_row *r, apr_time_t now)
+{
+	int i, is_new = !r->was_sound, was_suspect = r->was_suspect;
+
+	r->sound_at = now;
+	r->was_sound = 1;
+	r->was_suspect = 0;
+	for (i = 0; i < r->death_count; i++) {
+		if (r->deaths[i].is_cleared)
+			continue;
+		r->deaths[i].is_cleared = is_new = 1;
+	}
+	if (crash_is_blamed(r)) {
+		r->turns++;
+		end_blame(c, r, now);
+		is_new = 1;
+	} else if (was_suspect) {
+		metric_count("crash_acquitted", NULL, 1);
+	}
+	if (is_new)
+		crash_publish(c, r);
+}
+
+/* Records a complete, sound answer to a request with these items. */
+void crash_record_sound(struct crash_list *c, const struct crash_items *s,
+			apr_time_t now)
+{
+	struct crash_row *r;
+	struct handle h;
+	int i;
+
+	for (i = 0; i < s->count; i++)
+		remember_sound(c, s->keys[i].bytes, now);
+	if (!__atomic_load_n(&c->row_count, __ATOMIC_RELAXED))
+		return;
+	table_lock(&c->rows);
+	for (i = 0; i < s->count; i++) {
+		r = crash_find(c, s->keys[i].bytes, &h);
+		if (r)
+			clear_row(c, r, now);
+	}
+	table_unlock(&c->rows);
+}
+
+static int is_trial_due(const struct crash_row *r, apr_time_t now)
+{
+	return crash_is_blamed(r) && now >= r->refused_until &&
+	       r->failed_trials < CRASH_TRIALS_MAX;
+}
+
+static apr_time_t choose_death_time(const struct crash_run *run, apr_time_t now)
+{
+	return run->broken_at >= run->sent_at && run->broken_at &&
+			       run->broken_at <= now
+		       ? run->broken_at
+		       : now;
+}
+
+/*
+ * Records the runs that the death of an upstream ended here.  boot identifies
+ * the process that died; all entries must pass the same.
+ */
+void crash_record_runs(struct crash_list *c, const char *upstream,
+		       uint64_t boot, const struct crash_run *runs, int count,
+		       apr_time_t now)
+{
+	struct crash_seen_death d;
+	const struct crash_items *s;
+	struct crash_row *r;
+	int i, j;
+
+	memset(&d, 0, sizeof(d));
+	d.upstream = place_hash_string(upstream, 0);
+	d.boot = boot;
+	d.learned_at = now;
+	if (!count)
+		return;
+	metric_count("crash_deaths", NULL, 1);
+	table_lock(&c->rows);
+	for (i = 0; i < count; i++) {
+		s = &runs[i].items;
+		d.died_at = choose_death_time(&runs[i], now);
+		d.run = d.died_at - runs[i].sent_at;
+		for (j = 0; j < s->count; j++) {
+			r = get_row(c, s->keys[j].bytes, s->account,
+				    s->kinds[j] == CRASH_ITEM_REQUEST ? 0
+								      : j + 1,
+				    now);
+			if (!r)
+				continue;
+			if (merge_death(r, &d))
+				crash_publish(c, r);
+			if (is_trial_due(r, now) &&
+			    runs[i].sent_at >= r->refused_until) {
+				r->failed_trials++;
+				blame(c, r,
+				      CRASH_QUARANTINE_US << r->failed_trials,
+				      now);
+			}
+		}
+	}
+	expect_judgement(c, now);
+	table_unlock(&c->rows);
+}
+
+/* Returns 1 if this entry is the one that may try the item again. */
+static int is_trial_entry(const struct crash_list *c, const unsigned char *key)
+{
+	uint64_t own = place_hash(key, CRASH_KEY_SIZE, c->self);
+	int i;
+
+	for (i = 0; i < c->entry_count; i++)
+		if (c->entries[i] != c->self &&
+		    place_hash(key, CRASH_KEY_SIZE, c->entries[i]) > own)
+			return 0;
+	return 1;
+}
+
+static int can_try(const struct crash_list *c, const struct crash_row *r,
+		   apr_time_t now)
+{
+	return is_trial_due(r, now) && is_trial_entry(c, r->key) &&
+	       (!r->trial_at || now - r->trial_at > CRASH_TRIAL_US);
+}
+
+static int compute_retry_after_ms(const struct crash_row *r, apr_time_t now)
+{
+	apr_interval_time_t left = r->refused_until - now;
+
+	if (r->failed_trials >= CRASH_TRIALS_MAX && left < CRASH_QUARANTINE_US)
+		left = CRASH_QUARANTINE_US;
+	if (left < CRASH_TRIAL_US)
+		left = CRASH_TRIAL_US;
+	return (int)(left / US_PER_MS);
+}
+
+static void describe(struct crash_finding *out, const struct crash_items *s,
+		     int i)
+{
+	memset(out, 0, sizeof(*out));
+	out->kind = s->kinds[i];
+	out->key = s->keys[i];
+}
+
+/*
+ * Returns whether a request with these items may run now, and why not, or what
+ * it is suspected of, in *out.  After the end of a blame one run in the fleet
+ * is let through as a trial: the result is then CRASH_SUSPECT with is_trial,
+ * and the caller must run it at most once.  Without out no trial is given.
+ */
+enum crash_verdict crash_check_items(struct crash_list *c,
+				     const struct crash_items *s,
+				     apr_time_t now, struct crash_finding *out)
+{
+	struct crash_row *rows[CRASH_ITEMS_MAX], *r;
+	enum crash_verdict v = CRASH_CLEAR;
+	struct handle h;
+	int i, trial = 0;
+
+	if (out)
+		memset(out, 0, sizeof(*out));
+	if (!__atomic_load_n(&c->row_count, __ATOMIC_RELAXED))
+		return CRASH_CLEAR;
+	table_lock(&c->rows);
+	for (i = 0; i < s->count; i++) {
+		r = rows[i] = crash_find(c, s->keys[i].bytes, &h);
+		if (!r)
+			continue;
+		if (crash_is_blamed(r) && !(out && can_try(c, r, now))) {
+			v = CRASH_QUARANTINED;
+			r->refused_at = now;
+			if (out) {
+				describe(out, s, i);
+				out->retry_after_ms =
+					compute_retry_after_ms(r, now);
+			}
+			metric_count("crash_refused", NULL, 1);
+			break;
+		}
+		trial |= crash_is_blamed(r);
+		if (v == CRASH_CLEAR &&
+		    (crash_is_blamed(r) || crash_is_suspect(r, now))) {
+			v = CRASH_SUSPECT;
+			if (out)
+				describe(out, s, i);
+		}
+	}
+	if (v == CRASH_SUSPECT && trial) {
+		out->is_trial = 1;
+		for (i = 0; i < s->count; i++)
+			if (rows[i] && crash_is_blamed(rows[i]))
+				rows[i]->trial_at = now;
+	}
+	table_unlock(&c->rows);
+	return v;
+}
+
+/*
+ * Returns 1 if a run with these items that is under way must end: one of them
+ * was blamed since.  A trial goes on.
+ */
+int crash_is_refused(struct crash_list *c, const struct crash_items *s,
+		     apr_time_t now)
+{
+	struct crash_row *r;
+	struct handle h;
+	int i, refused = 0;
+
+	if (!__atomic_load_n(&c->row_count, __ATOMIC_RELAXED))
+		return 0;
+	table_lock(&c->rows);
+	for (i = 0; i < s->count && !refused; i++) {
+		r = crash_find(c, s->keys[i].bytes, &h);
+		refused = r && crash_is_blamed(r) && now < r->refused_until;
+	}
+	table_unlock(&c->rows);
+	return refused;
+}
+
+/*
+ * Returns a number that grows with each blame, so that a caller can tell when
+ * to ask crash_is_refused for its runs.  Takes no lock.
+ */
+uint32_t crash_count_blames(struct crash_list *c)
+{
+	return __atomic_load_n(&c->blames, __ATOMIC_RELAXED);
+}
+
+/* Takes over a later blame or acquittal.  Returns 1 if it was later. */
+static int merge_turns(struct crash_list *c, struct crash_row *r,
+		       const struct crash_record *in, apr_time_t now)
+{
+	int was_blamed = crash_is_blamed(r);
+
+	if (in->turns <= r->turns)
+		return 0;
+	r->turns = in->turns;
+	r->failed_trials = in->failed_trials;
+	r->trial_at = 0;
+	r->refused_until = now + (apr_time_t)in->refused_ms * US_PER_MS;
+	if (crash_is_blamed(r)) {
+		__atomic_add_fetch(&c->blames, 1, __ATOMIC_RELAXED);
+		expect_judgement(c, now);
+	} else if (was_blamed) {
+		end_blame(c, r, now);
+	}
+	return 1;
+}
+
+/*
+ * Returns 1 if the sender lacks what this row has and must be told: an
+ * acquittal, a later turn, or that it was sound once.
+ */
+static int knows_more(const struct crash_row *r, const struct crash_record *in)
+{
+	const struct crash_death *d;
+	u_int i;
+	int j;
+
+	if (r->turns > in->turns || (r->was_sound && !in->was_sound))
+		return 1;
+	for (i = 0; i < in->deaths.deaths_len; i++) {
+		d = &in->deaths.deaths_val[i];
+		if (d->is_cleared)
+			continue;
+		for (j = 0; j < r->death_count; j++)
+			if (r->deaths[j].is_cleared &&
+			    r->deaths[j].upstream == d->upstream &&
+			    r->deaths[j].boot == d->boot)
+				return 1;
+	}
+	return 0;
+}
+
+static int merge_deaths(struct crash_row *r, const struct crash_record *in,
+			apr_time_t now)
+{
+	const struct crash_death *from;
+	struct crash_seen_death d;
+	int is_new = 0;
+	u_int i;
+
+	for (i = 0; i < in->deaths.deaths_len; i++) {
+		from = &in->deaths.deaths_val[i];
+		memset(&d, 0, sizeof(d));
+		d.upstream = from->upstream;
+		d.boot = from->boot;
+		d.died_at = now - (apr_time_t)from->age_ms * US_PER_MS;
+		d.learned_at = now;
+		d.run = (apr_interval_time_t)from->run_ms * US_PER_MS;
+		d.is_cleared = from->is_cleared;
+		is_new |= merge_death(r, &d);
+	}
+	return is_new;
+}
+
+/* Merges the record of an item.  Returns 1 if it contained anything new. */
+static int merge_item(struct crash_list *c, const struct crash_record *in,
+		      apr_time_t now)
+{
+	apr_time_t idle = (apr_time_t)in->idle_ms * US_PER_MS;
+	const unsigned char *key = (const unsigned char *)in->key;
+	struct crash_row *r;
+	struct handle h;
+	int is_new;
+
+	if (!crash_find(c, key, &h) &&
+	    (!in->deaths.deaths_len ||
+	     idle > (in->turns & 1 ? CRASH_BLAME_IDLE_US : CRASH_SUSPICION_US)))
+		return 0;
+	r = get_row(c, key, in->account, in->place, now);
+	if (!r)
+		return 0;
+	is_new = merge_deaths(r, in, now);
+	if (is_new)
+		expect_judgement(c, now);
+	if (in->was_sound && !r->was_sound)
+		r->was_sound = is_new = 1;
+	if (now - idle > r->refused_at + IDLE_STEP_US)
+		r->refused_at = now - idle;
+	is_new |= merge_turns(c, r, in, now);
+	if (is_new)
+		crash_publish(c, r);
+	else if (!r->rounds_left && knows_more(r, in))
+		r->rounds_left = 1;
+	return is_new;
+}
+
+static void update_suspects(struct crash_row **rows, int count, apr_time_t now)
+{
+	int i, is_suspect;
+
+	for (i = 0; i < count; i++) {
+		is_suspect = crash_is_suspect(rows[i], now);
+		if (is_suspect && !rows[i]->was_suspect)
+			metric_count("crash_suspects", NULL, 1);
+		rows[i]->was_suspect = is_suspect;
+	}
+}
+
+/*
+ * Blames items as of now.  To be called at each step; does nothing unless
+ * there were news of late.
+ */
+void crash_judge(struct crash_list *c, apr_time_t now)
+{
+	struct crash_row *rows[CRASH_SUSPECTS_MAX], *out[CRASH_SUSPECTS_MAX];
+	struct handle h = HANDLE_NONE;
+	struct crash_row *r;
+	int i, found, count = 0;
+
+	if (!__atomic_load_n(&c->row_count, __ATOMIC_RELAXED))
+		return;
+	table_lock(&c->rows);
+	while (c->judge_until && (r = table_next(&c->rows, &h)))
+		rows[count++] = r;
+	found = crash_infer(rows, count, now, out);
+	for (i = 0; i < found; i++) {
+		out[i]->failed_trials = 0;
+		blame(c, out[i], CRASH_QUARANTINE_US, now);
+	}
+	update_suspects(rows, count, now);
+	if (now > c->judge_until)
+		c->judge_until = 0;
+	table_unlock(&c->rows);
+}
+
+/* Removes expired rows. */
+void crash_purge(struct crash_list *c, apr_time_t now)
+{
+	table_lock(&c->rows);
+	crash_remove_expired(c, now);
+	table_unlock(&c->rows);
+}
+
+/* Writes a key as 2 * CRASH_KEY_SIZE digits and a NUL. */
+void crash_format_key(const unsigned char *key, char *hex)
+{
+	static const char digits[] = "0123456789abcdef";
+	int i;
+
+	for (i = 0; i < CRASH_KEY_SIZE; i++) {
+		hex[2 * i] = digits[key[i] >> 4];
+		hex[2 * i + 1] = digits[key[i] & 15];
+	}
+	hex[2 * CRASH_KEY_SIZE] = 0;
+}
+
+/*
+ * Returns how often a change is sent on by each entry: so many times that with
+ * CRASH_FANOUT receivers each, e^-(log2(n) + 4) of the entries miss it.
+ */
+static int compute_rounds(int entries)
+{
+	int sends = 4;
+
+	if (entries - 1 <= CRASH_FANOUT_ALL)
+		return CRASH_ROUNDS_MIN;
+	while (entries >>= 1)
+		sends++;
+	return (sends + CRASH_FANOUT - 1) / CRASH_FANOUT;
+}
+
+/*
+ * Sets the live entries, by the hashes of their ids, of which one is chosen
+ * for each trial, and the number of all that changes are sent to.
+ */
+void crash_set_entries(struct crash_list *c, uint64_t self,
+		       const uint64_t *live, int count, int total)
+{
+	table_lock(&c->rows);
+	c->self = self;
+	c->entry_count = count < CRASH_ENTRIES_MAX ? count : CRASH_ENTRIES_MAX;
+	memcpy(c->entries, live, c->entry_count * sizeof(*live));
+	c->rounds = compute_rounds(total);
+	table_unlock(&c->rows);
+}
+
+/* Chooses up to max of those whose locals[i] is is_local.  Returns the count. */
+static int choose_some(const int *locals, int count, int is_local, int max,
+		       struct random *random, int *out)
+{
+	int i, at, seen = 0, n = 0;
+
+	for (i = 0; i < count; i++) {
+		if (locals[i] != is_local)
+			continue;
+		seen++;
+		at = n < max ? n++ : (int)random_below(random, seen);
+		if (at < max)
+			out[at] = i;
+	}
+	return n;
+}
+
+/*
+ * Chooses whom to send changes to, as indexes into locals: all if they are
+ * few, else CRASH_FANOUT at random, most of them local.  Returns the count.
+ */
+int crash_choose_targets(const int *locals, int count, struct random *random,
+			 int *out)
+{
+	int i, n, local_count = 0, remote;
+
+	if (count <= CRASH_FANOUT_ALL) {
+		for (i = 0; i < count; i++)
+			out[i] = i;
+		return count;
+	}
+	for (i = 0; i < count; i++)
+		local_count += locals[i];
+	remote = CRASH_FANOUT_REMOTE;
+	if (count == local_count)
+		remote = 0;
+	if (local_count < CRASH_FANOUT - remote)
+		remote = CRASH_FANOUT - local_count;
+	n = choose_some(locals, count, 1, CRASH_FANOUT - remote, random, out);
+	return n + choose_some(locals, count, 0, remote, random, out + n);
+}
+
+/* Returns a hash of the blames and deaths of all rows, in any order. */
+uint64_t crash_summary(struct crash_list *c, apr_time_t now)
+{
+	struct handle h = HANDLE_NONE;
+	struct crash_row *r;
+	uint64_t sum = 0, state[3];
+	int i;
+
+	table_lock(&c->rows);
+	while ((r = table_next(&c->rows, &h))) {
+		if (is_item_expired(r, now))
+			continue;
+		state[0] = r->turns * 2 + r->was_sound;
+		state[1] = 0;
+		for (i = 0; i < r->death_count; i++)
+			state[1] += place_hash(&r->deaths[i].upstream,
+					       2 * sizeof(uint64_t),
+					       r->deaths[i].is_cleared);
+		memcpy(&state[2], r->key, sizeof(state[2]));
+		sum += place_hash(state, sizeof(state), 0);
+	}
+	table_unlock(&c->rows);
+	return sum;
+}
+
+const struct crash_rules crash_item_rules = {
+	.deaths_max = CRASH_DEATHS_MAX,
+	.is_expired = is_item_expired,
+	.make_room = make_item_room,
+	.merge = merge_item,
+};
--- a/calls/crash.c
+++ b/calls/crash.c
@@ -5,44 +5,100 @@
 
 #define US_PER_MS 1000
 
-void crash_init(struct crash_list *c)
+static const struct crash_rules request_rules;
+
+static void init_list(struct crash_list *c, const struct crash_rules *rules)
 {
 	memset(c, 0, sizeof(*c));
 	table_init(&c->rows, "crash suspects", RANK_CRASH,
 		   sizeof(struct crash_row), CRASH_SUSPECTS_MAX);
+	c->rules = rules;
+	c->rounds = 1;
+}
+
+/* Initializes a list of requests, for the processes of a data center. */
+void crash_init(struct crash_list *c)
+{
+	init_list(c, &request_rules);
+}
+
+/* Initializes a list of items, for all entries.  Aborts when out of memory. */
+void crash_init_items(struct crash_list *c)
+{
+	init_list(c, &crash_item_rules);
+	c->rounds = CRASH_ROUNDS_DEFAULT;
+	c->sound = calloc(CRASH_SOUND_SLOTS, sizeof(*c->sound));
+	if (!c->sound)
+		abort();
 }
 
 void crash_destroy(struct crash_list *c)
 {
 	table_destroy(&c->rows);
+	free(c->sound);
 }
 
-static struct crash_row *find_row(struct crash_list *c, const struct digest *fp,
-				  struct handle *h)
+static struct handle *find_bucket(struct crash_list *c,
+				  const unsigned char *key)
+{
+	uint32_t hash;
+
+	memcpy(&hash, key, sizeof(hash));
+	return &c->buckets[hash % CRASH_BUCKETS];
+}
+
+struct crash_row *crash_find(struct crash_list *c, const unsigned char *key,
+			     struct handle *h)
 {
 	struct crash_row *r;
 
-	*h = HANDLE_NONE;
-	while ((r = table_next(&c->rows, h)))
-		if (digest_equal(&r->fp, fp))
+	*h = *find_bucket(c, key);
+	while ((r = table_get(&c->rows, *h))) {
+		if (!memcmp(r->key, key, sizeof(r->key)))
 			return r;
+		*h = r->next;
+	}
 	return NULL;
 }
 
-static apr_time_t last_death_time(const struct crash_row *r)
+static struct crash_row *find_row(struct crash_list *c, const struct digest *fp,
+				  struct handle *h)
+{
+	return crash_find(c, fp->bytes, h);
+}
+
+/* Removes a row; any other handle stays valid. */
+void crash_remove(struct crash_list *c, struct handle h)
+{
+	struct crash_row *r = table_get(&c->rows, h), *before;
+	struct handle *link;
+
+	if (!r)
+		return;
+	link = find_bucket(c, r->key);
+	while (!handle_equal(*link, h)) {
+		before = table_get(&c->rows, *link);
+		link = &before->next;
+	}
+	*link = r->next;
+	table_remove(&c->rows, h);
+	__atomic_store_n(&c->row_count, (int)c->rows.count, __ATOMIC_RELAXED);
+}
+
+apr_time_t crash_last_death(const struct crash_row *r)
 {
 	apr_time_t last = 0;
 	int i;
 
 	for (i = 0; i < r->death_count; i++)
-		if (r->died_at[i] > last)
-			last = r->died_at[i];
+		if (r->deaths[i].died_at > last)
+			last = r->deaths[i].died_at;
 	return last;
 }
 
-static int is_row_expired(const struct crash_row *r, apr_time_t now)
+static int is_request_expired(const struct crash_row *r, apr_time_t now)
 {
-	return now - last_death_time(r) > CRASH_SUSPICION_US &&
+	return now - crash_last_death(r) > CRASH_SUSPICION_US &&
 	       now > r->refused_until;
 }
 
@@ -58,44 +114,80 @@
 
 	if (a_refused != b_refused)
 		return b_refused;
-	return last_death_time(a) < last_death_time(b);
+	return crash_last_death(a) < crash_last_death(b);
 }
 
 /*
- * Removes expired rows; if the table is still full, the row that
- * is_better_to_evict chooses.  Rows of requests that run here stay.
+ * Removes the row that is_better_to_evict prefers, if the table is full.  Rows
+ * of requests that run here stay.
  */
-static void make_room(struct crash_list *c, apr_time_t now)
+static int make_request_room(struct crash_list *c, uint64_t account,
+			     apr_time_t now)
 {
 	struct handle h = HANDLE_NONE, victim = HANDLE_NONE;
 	struct crash_row *r, *current;
 
+	(void)account;
+	if (c->rows.count < CRASH_SUSPECTS_MAX)
+		return 1;
 	while ((r = table_next(&c->rows, &h))) {
 		if (r->running_count)
 			continue;
-		if (is_row_expired(r, now)) {
-			table_remove(&c->rows, h);
-			continue;
-		}
 		current = table_get(&c->rows, victim);
 		if (!current || is_better_to_evict(r, current, now))
 			victim = h;
 	}
-	if (c->rows.count >= CRASH_SUSPECTS_MAX)
-		table_remove(&c->rows, victim);
+	crash_remove(c, victim);
+	return c->rows.count < CRASH_SUSPECTS_MAX;
 }
 
-static struct crash_row *add_row(struct crash_list *c, const struct digest *fp,
-				 apr_time_t now)
+/* Removes the rows that are expired; the table is locked. */
+void crash_remove_expired(struct crash_list *c, apr_time_t now)
 {
+	struct handle h = HANDLE_NONE;
+	struct crash_row *r;
+
+	while ((r = table_next(&c->rows, &h)))
+		if (!r->running_count && c->rules->is_expired(r, now))
+			crash_remove(c, h);
+}
+
+/* Adds a row, if need be in place of another.  Returns NULL if it is refused. */
+struct crash_row *crash_add(struct crash_list *c, const unsigned char *key,
+			    uint64_t account, apr_time_t now)
+{
+	struct handle *bucket = find_bucket(c, key);
 	struct crash_row row;
+	struct handle h;
 
 	if (c->rows.count >= CRASH_SUSPECTS_MAX)
-		make_room(c, now);
+		crash_remove_expired(c, now);
+	if (!c->rules->make_room(c, account, now))
+		return NULL;
 	memset(&row, 0, sizeof(row));
-	row.fp = *fp;
+	memcpy(row.key, key, sizeof(row.key));
+	row.account = account;
 	row.is_judged = 1;
-	return table_get(&c->rows, table_add(&c->rows, &row));
+	row.rounds_left = c->rounds;
+	row.next = *bucket;
+	h = table_add(&c->rows, &row);
+	if (handle_is_none(h))
+		return NULL;
+	*bucket = h;
+	__atomic_store_n(&c->row_count, (int)c->rows.count, __ATOMIC_RELAXED);
+	return table_get(&c->rows, h);
+}
+
+static struct crash_row *add_row(struct crash_list *c, const struct digest *fp,
+				 apr_time_t now)
+{
+	return crash_add(c, fp->bytes, 0, now);
+}
+
+/* Marks a row as changed, to be sent to others. */
+void crash_publish(struct crash_list *c, struct crash_row *r)
+{
+	r->rounds_left = c->rounds;
 }
 
 static void extend_quarantine(struct crash_row *r, apr_interval_time_t length,
@@ -109,21 +201,21 @@
  * Adds a death unless the row has it.  Returns 1 if it was added.  When the
  * row is full the newest death replaces the last one.
  */
-static int add_death(struct crash_row *r, uint64_t upstream, uint64_t boot,
-		     apr_time_t at)
+static int add_death(struct crash_list *c, struct crash_row *r,
+		     uint64_t upstream, uint64_t boot, apr_time_t at)
 {
-	int i;
+	int i, max = c->rules->deaths_max;
 
 	for (i = 0; i < r->death_count; i++)
 		if (r->deaths[i].upstream == upstream &&
 		    r->deaths[i].boot == boot)
 			return 0;
-	i = r->death_count < CRASH_DEATHS_MAX ? r->death_count++
-					      : CRASH_DEATHS_MAX - 1;
+	i = r->death_count < max ? r->death_count++ : max - 1;
+	memset(&r->deaths[i], 0, sizeof(r->deaths[i]));
 	r->deaths[i].upstream = upstream;
 	r->deaths[i].boot = boot;
-	r->died_at[i] = at;
-	r->is_published = 0;
+	r->deaths[i].died_at = at;
+	crash_publish(c, r);
 	return 1;
 }
 
@@ -156,7 +248,7 @@
 
 static int is_suspect(const struct crash_row *r, apr_time_t now)
 {
-	return !r->is_cleared && now - last_death_time(r) < CRASH_SUSPICION_US;
+	return !r->is_cleared && now - crash_last_death(r) < CRASH_SUSPICION_US;
 }
 
 static enum crash_verdict compute_verdict(struct crash_row *r, apr_time_t now,
@@ -200,7 +292,7 @@
 			   apr_time_t now, int *retry_after_s)
 {
 	if (!has_death_at(r, place_hash_string(upstream, 0)) &&
-	    now - last_death_time(r) >= CRASH_PROPAGATION_US)
+	    now - crash_last_death(r) >= CRASH_PROPAGATION_US)
 		return 1;
 	if (retry_after_s)
 		*retry_after_s = 1;
@@ -240,7 +332,7 @@
 
 	while ((r = table_next(&c->rows, &h)))
 		if (r->running_count && is_suspect(r, now) &&
-		    now - last_death_time(r) < CRASH_ISOLATION_US)
+		    now - crash_last_death(r) < CRASH_ISOLATION_US)
 			return 1;
 	return 0;
 }
@@ -294,12 +386,13 @@
 		r->running_count--;
 	if (r && finished && r->death_count == 1 && is_suspect(r, now)) {
 		r->is_cleared = 1;
-		r->is_published = 0;
+		crash_publish(c, r);
 	}
 	table_unlock(&c->rows);
 }
 
-static int has_death(const struct crash_row *r, const struct crash_death *d)
+static int has_death(const struct crash_row *r,
+		     const struct crash_seen_death *d)
 {
 	int i;
 
@@ -314,7 +407,8 @@
  * Returns how many requests that were in flight at this death were in flight
  * at another death too.
  */
-static int count_suspects(struct crash_list *c, const struct crash_death *d)
+static int count_suspects(struct crash_list *c,
+			  const struct crash_seen_death *d)
 {
 	struct handle h = HANDLE_NONE;
 	struct crash_row *r;
@@ -380,81 +474,157 @@
 			continue;
 		if (r->is_cleared)
 			r->is_cleared = r->death_count = 0;
-		r->is_judged &= !add_death(r, hash, boot, now);
+		r->is_judged &= !add_death(c, r, hash, boot, now);
 	}
 	judge_rows(c, now);
 	table_unlock(&c->rows);
 }
 
+static u_int to_ms(apr_interval_time_t t)
+{
+	apr_interval_time_t ms = t / US_PER_MS;
+
+	if (ms < 0)
+		return 0;
+	return ms > UINT32_MAX ? UINT32_MAX : (u_int)ms;
+}
+
+static void write_death(const struct crash_seen_death *d,
+			struct crash_death *out, apr_time_t now)
+{
+	out->upstream = d->upstream;
+	out->boot = d->boot;
+	out->age_ms = to_ms(now - d->died_at);
+	out->run_ms = to_ms(d->run);
+	out->is_cleared = d->is_cleared;
+}
+
 static void write_record(const struct crash_row *r, struct crash_record *out,
 			 apr_time_t now)
 {
+	apr_time_t last = crash_last_death(r);
 	int i;
 
-	memcpy(out->fingerprint, r->fp.bytes, sizeof(r->fp.bytes));
+	memcpy(out->key, r->key, sizeof(r->key));
 	out->deaths.deaths_val =
-		calloc(CRASH_DEATHS_MAX, sizeof(struct crash_death));
+		calloc(r->death_count + 1, sizeof(struct crash_death));
 	if (!out->deaths.deaths_val)
 		abort();
 	out->deaths.deaths_len = r->death_count;
-	for (i = 0; i < r->death_count; i++) {
-		out->deaths.deaths_val[i] = r->deaths[i];
-		out->deaths.deaths_val[i].age_ms =
-			(u_int)((now - r->died_at[i]) / US_PER_MS);
-	}
+	for (i = 0; i < r->death_count; i++)
+		write_death(&r->deaths[i], &out->deaths.deaths_val[i], now);
 	if (now < r->refused_until)
-		out->refused_ms = (u_int)((r->refused_until - now) / US_PER_MS);
+		out->refused_ms = to_ms(r->refused_until - now);
 	out->is_certain = r->is_certain;
 	out->is_cleared = r->is_cleared;
+	out->place = r->place;
+	out->account = r->account;
+	out->turns = r->turns;
+	out->failed_trials = r->failed_trials;
+	out->was_sound = r->was_sound;
+	out->idle_ms =
+		to_ms(now - (r->refused_at > last ? r->refused_at : last));
+}
+
+static void init_message(struct crash_message *m)
+{
+	memset(m, 0, sizeof(*m));
+	m->records.records_val =
+		calloc(CRASH_RECORDS_MAX, sizeof(struct crash_record));
+	if (!m->records.records_val)
+		abort();
+}
+
+static void write_row(struct crash_message *m, const struct crash_row *r,
+		      apr_time_t now)
+{
+	write_record(r, &m->records.records_val[m->records.records_len++], now);
+}
+
+static int has_weight(const struct crash_row *r)
+{
+	return r->turns || r->death_count > 1;
 }
 
 /*
  * Writes the rows that changed since they were last published, or with all the
- * whole table, up to CRASH_RECORDS_MAX.  Returns the number of records.  The
- * caller frees the message with xdr_free.
+ * whole table, up to CRASH_RECORDS_MAX; first those that have been judged or
+ * may be soon.  Returns the number of records.  The caller frees the message
+ * with xdr_free.
  */
 int crash_collect_updates(struct crash_list *c, struct crash_message *m,
 			  int all, apr_time_t now)
+{
+	struct crash_row *r;
+	struct handle h;
+	int weight;
+
+	init_message(m);
+	table_lock(&c->rows);
+	for (weight = 1; weight >= 0; weight--) {
+		h = HANDLE_NONE;
+		while ((r = table_next(&c->rows, &h)) &&
+		       m->records.records_len < CRASH_RECORDS_MAX) {
+			if (has_weight(r) != weight ||
+			    c->rules->is_expired(r, now) ||
+			    (!r->rounds_left && !all))
+				continue;
+			write_row(m, r, now);
+			if (!all)
+				r->rounds_left--;
+		}
+	}
+	table_unlock(&c->rows);
+	return (int)m->records.records_len;
+}
+
+/*
+ * Writes a page of the table: all rows that were judged, and then others from
+ * where the page before ended.  The caller frees the message with xdr_free.
+ */
+void crash_collect_page(struct crash_list *c, struct crash_message *m,
+			apr_time_t now)
 {
 	struct handle h = HANDLE_NONE;
 	struct crash_row *r;
+	uint32_t left;
 
-	memset(m, 0, sizeof(*m));
-	m->records.records_val =
-		calloc(CRASH_RECORDS_MAX, sizeof(struct crash_record));
-	if (!m->records.records_val)
-		abort();
+	init_message(m);
 	table_lock(&c->rows);
 	while ((r = table_next(&c->rows, &h)) &&
-	       m->records.records_len < CRASH_RECORDS_MAX) {
-		if (is_row_expired(r, now) || (r->is_published && !all))
-			continue;
-		write_record(r,
-			     &m->records.records_val[m->records.records_len++],
-			     now);
-		if (!all)
-			r->is_published = 1;
+	       m->records.records_len < CRASH_RECORDS_MAX)
+		if (r->turns && !c->rules->is_expired(r, now))
+			write_row(m, r, now);
+	h = HANDLE_NONE;
+	h.index = c->cursor;
+	left = c->rows.count;
+	while (left-- && m->records.records_len < CRASH_RECORDS_MAX) {
+		r = table_next(&c->rows, &h);
+		if (!r) {
+			h = HANDLE_NONE;
+			r = table_next(&c->rows, &h);
+		}
+		if (r && !r->turns && !c->rules->is_expired(r, now))
+			write_row(m, r, now);
 	}
+	c->cursor = h.index;
 	table_unlock(&c->rows);
-	return (int)m->records.records_len;
 }
 
 /*
  * Merges one record into the table.  Returns 1 if it contained a new death,
  * certainty or clearance.
  */
-static int merge_record(struct crash_list *c, const struct crash_record *in,
-			apr_time_t now)
+static int merge_request(struct crash_list *c, const struct crash_record *in,
+			 apr_time_t now)
 {
 	const struct crash_death *d;
-	struct digest fp;
 	struct crash_row *r;
 	struct handle h;
-	int is_new = 0, was_published;
+	int is_new = 0, rounds;
 	u_int i;
 
-	memcpy(fp.bytes, in->fingerprint, sizeof(fp.bytes));
-	r = find_row(c, &fp, &h);
+	r = crash_find(c, (const unsigned char *)in->key, &h);
 	if (in->is_cleared) {
 		if (!r || r->death_count != 1 || r->is_cleared ||
 		    in->deaths.deaths_len != 1 ||
@@ -464,15 +634,15 @@
 		return 1;
 	}
 	if (!r)
-		r = add_row(c, &fp, now);
+		r = crash_add(c, (const unsigned char *)in->key, 0, now);
 	if (!r)
 		return 0;
-	was_published = !r->death_count || r->is_published;
+	rounds = r->death_count ? r->rounds_left : 0;
 	for (i = 0; i < in->deaths.deaths_len; i++) {
 		d = &in->deaths.deaths_val[i];
 		if (r->is_cleared && r->deaths[0].boot == d->boot)
 			continue;
-		is_new |= add_death(r, d->upstream, d->boot,
+		is_new |= add_death(c, r, d->upstream, d->boot,
 				    now - (apr_time_t)d->age_ms * US_PER_MS);
 	}
 	if (in->is_certain && !r->is_certain) {
@@ -482,7 +652,7 @@
 	if (is_new)
 		r->is_judged = r->is_cleared = 0;
 	/* The process that saw the death notifies all others. */
-	r->is_published = was_published;
+	r->rounds_left = rounds;
 	if (in->refused_ms)
 		extend_quarantine(
 			r, (apr_interval_time_t)in->refused_ms * US_PER_MS,
@@ -502,8 +672,18 @@
 
 	table_lock(&c->rows);
 	for (i = 0; i < m->records.records_len; i++)
-		new_count += merge_record(c, &m->records.records_val[i], now);
-	judge_rows(c, now);
+		new_count +=
+			c->rules->merge(c, &m->records.records_val[i], now);
+	if (c->rules->judge_merged)
+		c->rules->judge_merged(c, now);
 	table_unlock(&c->rows);
 	return new_count;
 }
+
+static const struct crash_rules request_rules = {
+	.deaths_max = 2,
+	.is_expired = is_request_expired,
+	.make_room = make_request_room,
+	.merge = merge_request,
+	.judge_merged = judge_rows,
+};
--- a/calls/crash.h
+++ b/calls/crash.h
@@ -54,6 +54,7 @@
 struct crash_run {
 	struct crash_items items;
 	apr_time_t sent_at;
+	apr_time_t broken_at; /* 0: at the time it is recorded */
 };
 
 /* Why a request was found suspect or refused. */
@@ -74,13 +75,15 @@
 void crash_items_add_part(struct crash_items *s, const char *part, size_t size);
 enum crash_verdict crash_check_items(struct crash_list *c,
 				     const struct crash_items *s,
-				     apr_time_t now,
-				     struct crash_finding *out);
+				     apr_time_t now, struct crash_finding *out);
 void crash_record_runs(struct crash_list *c, const char *upstream,
 		       uint64_t boot, const struct crash_run *runs, int count,
 		       apr_time_t now);
 void crash_record_sound(struct crash_list *c, const struct crash_items *s,
 			apr_time_t now);
+uint32_t crash_count_blames(struct crash_list *c);
+int crash_is_refused(struct crash_list *c, const struct crash_items *s,
+		     apr_time_t now);
 
 void crash_fingerprint(const char *account, const char *path, const void *body,
 		       size_t size, struct digest *out);
--- a/calls/crash_proto.h
+++ b/calls/crash_proto.h
@@ -14,18 +14,20 @@
 #endif
 
 #define CRASH_RECORDS_MAX 256
-#define CRASH_DEATHS_MAX 2
-#define CRASH_FINGERPRINT_SIZE 32
+#define CRASH_DEATHS_MAX 16
+#define CRASH_KEY_SIZE 16
 
 struct crash_death {
 	u_quad_t upstream;
 	u_quad_t boot;
 	u_int age_ms;
+	u_int run_ms;
+	int is_cleared;
 };
 typedef struct crash_death crash_death;
 
 struct crash_record {
-	char fingerprint[CRASH_FINGERPRINT_SIZE];
+	char key[CRASH_KEY_SIZE];
 	struct {
 		u_int deaths_len;
 		crash_death *deaths_val;
@@ -33,10 +35,17 @@
 	u_int refused_ms;
 	int is_certain;
 	int is_cleared;
+	int place;
+	u_quad_t account;
+	u_int turns;
+	int failed_trials;
+	int was_sound;
+	u_int idle_ms;
 };
 typedef struct crash_record crash_record;
 
 struct crash_message {
+	u_quad_t summary;
 	struct {
 		u_int records_len;
 		crash_record *records_val;
--- a/calls/crash_proto_xdr.c
+++ b/calls/crash_proto_xdr.c
@@ -16,6 +16,10 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run_ms))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->is_cleared))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -25,7 +29,94 @@
 	register int32_t *buf;
 
 	int i;
-	 if (!xdr_opaque (xdrs, objp->fingerprint, CRASH_FINGERPRINT_SIZE))
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_opaque (xdrs, objp->key, CRASH_KEY_SIZE))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->deaths.deaths_val, (u_int *) &objp->deaths.deaths_len, CRASH_DEATHS_MAX,
+			sizeof (crash_death), (xdrproc_t) xdr_crash_death))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->refused_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->is_certain))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->is_cleared))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->place))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->refused_ms);
+		IXDR_PUT_LONG(buf, objp->is_certain);
+		IXDR_PUT_LONG(buf, objp->is_cleared);
+		IXDR_PUT_LONG(buf, objp->place);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->account))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->turns))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->failed_trials))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->was_sound))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->idle_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->turns);
+			IXDR_PUT_LONG(buf, objp->failed_trials);
+			IXDR_PUT_LONG(buf, objp->was_sound);
+			IXDR_PUT_U_LONG(buf, objp->idle_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_opaque (xdrs, objp->key, CRASH_KEY_SIZE))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->deaths.deaths_val, (u_int *) &objp->deaths.deaths_len, CRASH_DEATHS_MAX,
+			sizeof (crash_death), (xdrproc_t) xdr_crash_death))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->refused_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->is_certain))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->is_cleared))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->place))
+				 return FALSE;
+
+		} else {
+		objp->refused_ms = IXDR_GET_U_LONG(buf);
+		objp->is_certain = IXDR_GET_LONG(buf);
+		objp->is_cleared = IXDR_GET_LONG(buf);
+		objp->place = IXDR_GET_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->account))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->turns))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->failed_trials))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->was_sound))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->idle_ms))
+				 return FALSE;
+		} else {
+			objp->turns = IXDR_GET_U_LONG(buf);
+			objp->failed_trials = IXDR_GET_LONG(buf);
+			objp->was_sound = IXDR_GET_LONG(buf);
+			objp->idle_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_opaque (xdrs, objp->key, CRASH_KEY_SIZE))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->deaths.deaths_val, (u_int *) &objp->deaths.deaths_len, CRASH_DEATHS_MAX,
 		sizeof (crash_death), (xdrproc_t) xdr_crash_death))
@@ -36,6 +127,18 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->is_cleared))
 		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->place))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->account))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->turns))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->failed_trials))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->was_sound))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->idle_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -44,6 +147,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->summary))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, CRASH_RECORDS_MAX,
 		sizeof (crash_record), (xdrproc_t) xdr_crash_record))
 		 return FALSE;
