forward: keep requests that crash upstreams from them

Each of them ran at as many upstreams as the route allows, and was then answered 502.

Cause: on the platform's path nothing remembered crashes, and the list of parts was not read.

An entry now reads the parts of a prompt but the last, and uses the list of crash items, which all entries share. The end of an attempt tells it what happened: a complete 2xx answer is sound. An attempt whose connection broke belongs to a death if nobody listens at the upstream's address then or a later process is there (crash-watch.c, pure). Resets by a sound upstream, timeouts and attempts that this entry canceled are no deaths. An answer whose end only its connection marked may have ended with its upstream, so it counts as sound only if the same process sent bytes for others later.

A request with a blamed item is refused before each attempt, 503 with Retry-After or 502 if one may have run; attempts under way are canceled. A suspect goes to one of two upstreams, which all entries derive from the item, and is not sent again after its connection broke.

Without deaths this costs the digests of the request, and a lock at each step.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -249,6 +249,12 @@
 	       CANCEL_WITHDRAWN;
 }
 
+static int is_canceled_as_blamed(const struct forward *f)
+{
+	return __atomic_load_n(&f->cancel_reason, __ATOMIC_ACQUIRE) ==
+	       CANCEL_BLAMED;
+}
+
 /*
  * Returns 1 for a stream that was broken off although its transfer ended
  * without an error: inside an event, or before the first one if nothing but the
@@ -285,6 +291,9 @@
 	e->is_answer_started = f->is_answer_started;
 	e->is_timed_out = !e->is_complete && !e->is_canceled &&
 			  clock_now() >= f->expires_at - TIME_LEFT_MIN_US;
+	e->is_cut = !e->is_complete && !e->is_unsent && !e->is_canceled &&
+		    !e->is_timed_out && !x->is_aborted_by_data &&
+		    x->error.code != ERROR_TIMEOUT;
 	if (!continues_answer(f))
 		e->is_complete = 0;
 }
@@ -300,6 +309,7 @@
 	s->runs_max = f->route->max_attempts;
 	s->attempts = f->attempts;
 	s->has_time = f->expires_at - now > TIME_LEFT_MIN_US;
+	s->is_suspect = forward_is_suspect(f) || forward_is_blamed(f);
 	s->is_caller_disconnected =
 		__atomic_load_n(&f->is_caller_disconnected, __ATOMIC_ACQUIRE);
 	pthread_mutex_lock(&f->w->mutex);
@@ -407,25 +417,25 @@
 	record_times(f, now);
 	if (!log_is_enabled(sev, 1))
 		return;
-	log_fields(sev, &at,
-		   json_pack("{s:s,s:i,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,"
-			     "s:i,s:I,s:I,s:I,s:s,s:I,s:s}",
-			     "outcome", outcome, "status", status, "route",
-			     f->route->name, "account",
-			     f->account ? f->account : "", "admitted",
-			     admit_class_name(f->admitted), "tries",
-			     f->attempts, "runs", f->runs, "ms",
-			     (json_int_t)((now - f->received_at) / 1000),
-			     "sent_ms", sent_ms(f), "first_ms",
-			     first_byte_ms(f), "wait_ms", forward_wait_ms(f),
-			     "load", f->load, "elapsed_ms", f->elapsed_ms,
-			     "revision", (json_int_t)f->document->revision,
-			     "release", (json_int_t)f->release,
-			     "release_left_ms", forward_release_left_ms(f),
-			     "framing", framing, "open_event_bytes",
-			     (json_int_t)f->events.size, "error",
-			     f->fetch.error.text),
-		   "request finished");
+	log_fields(
+		sev, &at,
+		json_pack(
+			"{s:s,s:i,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,"
+			"s:i,s:I,s:I,s:I,s:s,s:I,s:s,s:s}",
+			"outcome", outcome, "status", status, "route",
+			f->route->name, "account", f->account ? f->account : "",
+			"admitted", admit_class_name(f->admitted), "tries",
+			f->attempts, "runs", f->runs, "ms",
+			(json_int_t)((now - f->received_at) / 1000), "sent_ms",
+			sent_ms(f), "first_ms", first_byte_ms(f), "wait_ms",
+			forward_wait_ms(f), "load", f->load, "elapsed_ms",
+			f->elapsed_ms, "revision",
+			(json_int_t)f->document->revision, "release",
+			(json_int_t)f->release, "release_left_ms",
+			forward_release_left_ms(f), "framing", framing,
+			"open_event_bytes", (json_int_t)f->events.size, "error",
+			f->fetch.error.text, "crash", forward_verdict_name(f)),
+		"request finished");
 }
 
 /*
@@ -496,7 +506,7 @@
 		return;
 	log_fields(LOG_SEV_NOTICE, &at,
 		   json_pack("{s:i,s:b,s:b,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:s,"
-			     "s:I,s:s}",
+			     "s:I,s:s,s:s}",
 			     "status", e->status, "not_run", e->is_not_run,
 			     "never_sent", e->is_unsent, "too_late",
 			     e->is_too_late, "silent", e->is_unresponsive,
@@ -506,13 +516,16 @@
 			     forward_release_left_ms(f), "framing",
 			     framing_name(f->fetch.framing), "open_event_bytes",
 			     (json_int_t)f->events.size, "error",
-			     f->fetch.error.text),
+			     f->fetch.error.text, "crash",
+			     forward_verdict_name(f)),
 		   "attempt did not succeed; trying another upstream");
 }
 
 static void retry_request(struct forward *f, const struct attempt_result *e,
 			  int resume, apr_time_t now)
 {
+	if (forward_refuse_blamed(f, now))
+		return;
 	log_retry(f, e, resume ? "resume" : "retry");
 	pthread_mutex_lock(&f->w->mutex);
 	if (!e->is_unsent && !f->has_reserved_retry)
@@ -526,6 +539,20 @@
 	forward_send(f, now);
 }
 
+/* Returns why a request that may have run gets no other attempt. */
+static const char *unknown_reason(const struct forward *f,
+				  const struct attempt_result *e,
+				  apr_time_t now)
+{
+	if (forward_is_blamed(f))
+		return forward_verdict_name(f);
+	if (is_withdrawn(f) || is_ended_by_release(f, now))
+		return "release-expired";
+	if (e->is_cut && forward_is_suspect(f))
+		return "crash-suspect";
+	return "upstream-failed";
+}
+
 static void finish_attempt(struct fetch *x)
 {
 	struct forward *f = x->arg;
@@ -537,8 +564,11 @@
 	pthread_mutex_lock(&f->w->mutex);
 	f->runs = attempt_count_runs(f->runs, &e);
 	pthread_mutex_unlock(&f->w->mutex);
+	if (e.is_cut || is_canceled_as_blamed(f))
+		forward_look_up_verdict(f, now);
 	fill_attempt_context(f, &s, now);
 	record_target_outcome(f, &e, s.is_caller_disconnected, now);
+	forward_record_end(f, &e, s.is_caller_disconnected, now);
 	f->may_have_run |= attempt_may_have_run(&e);
 	f->has_answer =
 		e.is_complete && !e.is_mismatched && attempt_may_have_run(&e);
@@ -565,9 +595,7 @@
 		break;
 	case NEXT_UNKNOWN:
 		forward_refuse(f, 502, AGAIN_CHECK, 0,
-			       is_withdrawn(f) || is_ended_by_release(f, now)
-				       ? "release-expired"
-				       : "upstream-failed");
+			       unknown_reason(f, &e, now));
 		break;
 	case NEXT_TIMEOUT:
 		forward_refuse(f, 504, AGAIN_CHECK, 0, "deadline");
--- a/forward/decide.c
+++ b/forward/decide.c
@@ -24,6 +24,8 @@
 		return 0;
 	if (e->is_unsent)
 		return 1;
+	if (e->is_cut && s->is_suspect)
+		return 0;
 	return s->runs < s->runs_max && s->has_budget;
 }
 
--- a/forward/decide.h
+++ b/forward/decide.h
@@ -21,6 +21,7 @@
 	int is_canceled;       /* ended by this entry for another upstream */
 	int is_unresponsive;   /* canceled as the upstream sent nothing */
 	int is_answer_started; /* the caller received a part of the answer */
+	int is_cut;	       /* its connection ended before the answer */
 };
 
 /* State of the request to which the attempt belongs. */
@@ -34,6 +35,7 @@
 	int attempts;	     /* all attempts so far */
 	int has_budget;	     /* the retry budget allows one more */
 	int has_time;	     /* enough time is left for a retry */
+	int is_suspect;	     /* it may crash the upstreams that run it */
 	int is_caller_disconnected;
 };
 
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -33,6 +33,9 @@
  */
 #define OVERDUE_ANSWER_US (80 * 1000)
 
+/* Time for a request that was checked before a blame to be sent. */
+#define BLAME_CHECK_US (500 * 1000)
+
 /* Retries that moving streams leaves in the budget for failures. */
 #define MOVE_RESERVED_RETRIES 5
 
@@ -243,6 +246,20 @@
 	return now - f->overdue_since >= OVERDUE_ANSWER_US;
 }
 
+/*
+ * Returns 1 after an item was blamed: long enough to find the requests that
+ * were sent while this was decided.
+ */
+static int must_check_blames(struct forwarder *w, apr_time_t now)
+{
+	uint32_t count = crash_count_blames(w->crashes);
+
+	if (count != w->blame_count)
+		w->blame_check_until = now + BLAME_CHECK_US;
+	w->blame_count = count;
+	return now < w->blame_check_until;
+}
+
 static void cancel_attempt(struct forward *f, enum cancel_reason why,
 			   const char *metric)
 {
@@ -252,11 +269,13 @@
 }
 
 /*
- * Cancels attempts whose caller has disconnected, whose upstream's release
- * expires, whose upstream is unresponsive, or whose stream is to be moved.
+ * Cancels attempts whose caller has disconnected, whose request crashes
+ * upstreams, whose upstream's release expires, whose upstream is unresponsive,
+ * or whose stream is to be moved.
  */
 static void check_active_requests(struct forwarder *w, apr_time_t now)
 {
+	int must_check = must_check_blames(w, now);
 	struct forward *f;
 
 	pthread_mutex_lock(&w->mutex);
@@ -266,6 +285,9 @@
 			fetch_cancel(&f->fetch);
 		else if (__atomic_load_n(&f->cancel_reason, __ATOMIC_ACQUIRE))
 			continue;
+		else if (must_check &&
+			 crash_is_refused(w->crashes, &f->items, now))
+			cancel_attempt(f, CANCEL_BLAMED, "forward_blamed");
 		else if (should_withdraw(w, f, now))
 			cancel_attempt(f, CANCEL_WITHDRAWN,
 				       "forward_withdrawn");
@@ -284,6 +306,7 @@
 
 	apply_current_values(w, now);
 	count_entries(w, now);
+	forward_step_crashes(w, now);
 	check_active_requests(w, now);
 }
 
@@ -363,6 +386,8 @@
 	w->node = n;
 	w->wire = wire;
 	pthread_mutex_init(&w->mutex, NULL);
+	pthread_mutex_init(&w->watch_mutex, NULL);
+	crash_watch_init(&w->watch);
 	random_seed(&w->random, random_next(&n->random));
 	target_table_init(&w->targets);
 	w->retry_budget.ratio = n->settings.retry_ratio;
@@ -376,5 +401,7 @@
 	node_add_status(n, "forward", forward_status, w);
 	node_add_ready(n, "upstreams", is_forward_ready, w);
 	node_add_drain(n, "forward", count_active_calls, w);
+	if (crash_start_entries(n, &w->crashes, err))
+		return -1;
 	return report_receive_start(n, merge_report, w, err);
 }
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -79,6 +79,25 @@
 	return admit_decide(&in);
 }
 
+/*
+ * Chooses an upstream. A suspect may go to few of them; it goes to any rather
+ * than being refused as these have no free slot. Called with the mutex held.
+ */
+static void choose_target(struct forward *f, struct target_query *q,
+			  struct target_choice *out, apr_time_t now)
+{
+	struct target_table *t = &f->w->targets;
+
+	if (forward_is_suspect(f))
+		target_restrict(t, q, &f->finding.key, now);
+	target_choose(t, q, now, &f->w->random, out);
+	if (!q->allowed_count || out->index < 0 ||
+	    out->load < t->rows[out->index].slots)
+		return;
+	q->allowed_count = 0;
+	target_choose(t, q, now, &f->w->random, out);
+}
+
 /*
  * Chooses an upstream and counts the request there. Returns NULL, or the reason
  * why no upstream can serve it. Called with the mutex held.
@@ -92,7 +111,7 @@
 
 	fill_query(f, q, now);
 	f->list_version = w->list_version;
-	target_choose(&w->targets, q, now, &w->random, &choice);
+	choose_target(f, q, &choice, now);
 	f->wait_us = choice.wait_us;
 	if (choice.is_unservable)
 		f->wait_us = ADMIT_WAIT_UNKNOWN_US;
@@ -117,6 +136,8 @@
 	f->overdue_since = 0;
 	snprintf(f->upstream, sizeof(f->upstream), "%s", u->id);
 	snprintf(f->url, sizeof(f->url), "http://%s", u->address);
+	memcpy(f->address, u->address, sizeof(f->address));
+	f->upstream_started_ms = u->started_ms;
 	record_attempt_start(f, u, now);
 	return NULL;
 }
@@ -164,11 +185,11 @@
 }
 
 /*
- * Ends a request that no upstream can serve. The status reflects whether it may
- * have run.
+ * Ends a request for which there is no attempt. The status reflects whether it
+ * may have run.
  */
-static void finish_without_upstream(struct forward *f, const char *reason,
-				    apr_time_t now)
+void forward_finish_unsent(struct forward *f, const char *reason,
+			   int retry_after_ms, apr_time_t now)
 {
 	if (f->has_answer && !f->is_answer_started)
 		forward_finish_complete(f, now);
@@ -177,8 +198,7 @@
 	else if (f->may_have_run)
 		forward_refuse(f, 502, AGAIN_CHECK, 0, reason);
 	else
-		forward_refuse(f, 503, AGAIN_SAME,
-			       forward_retry_after_ms(f, now), reason);
+		forward_refuse(f, 503, AGAIN_SAME, retry_after_ms, reason);
 }
 
 static void fill_fetch(struct forward *f, int is_probe, apr_time_t now)
@@ -248,5 +268,6 @@
 	const char *reason = submit_attempt(f, now);
 
 	if (reason)
-		finish_without_upstream(f, reason, now);
+		forward_finish_unsent(f, reason, forward_retry_after_ms(f, now),
+				      now);
 }
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -41,7 +41,7 @@
 		f->document ? (json_int_t)f->document->revision : 0;
 
 	return json_pack("{s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i,"
-			 "s:I,s:I}",
+			 "s:I,s:I,s:s,s:o}",
 			 "account", f->account ? f->account : "", "upstream",
 			 f->upstream, "error", f->fetch.error.text, "tries",
 			 f->attempts, "runs", f->runs, "ms",
@@ -51,7 +51,8 @@
 			 forward_wait_ms(f), "load", f->load, "slots", f->slots,
 			 "elapsed_ms", f->elapsed_ms, "release",
 			 (json_int_t)f->release, "release_left_ms",
-			 forward_release_left_ms(f));
+			 forward_release_left_ms(f), "crash",
+			 forward_verdict_name(f), "item", forward_item_json(f));
 }
 
 /*
@@ -78,7 +79,8 @@
 				    json_integer(retry_after_ms));
 		log_fields(LOG_SEV_WARNING, &at, fields, "request refused");
 	}
-	if (status == 503) {
+	/* Nothing about the load follows from a request that crashes. */
+	if (status == 503 && !forward_is_blamed(f)) {
 		pthread_mutex_lock(&f->w->mutex);
 		f->w->deadline_table.refused_at = clock_now();
 		pthread_mutex_unlock(&f->w->mutex);
@@ -261,8 +263,13 @@
 		return;
 	}
 	set_service(f);
+	forward_set_items(f, http_call_body(c, &body_size), body_size);
 	pthread_mutex_lock(&w->mutex);
 	retry_budget_count_request(&w->retry_budget, f->service_name, now);
+	pthread_mutex_unlock(&w->mutex);
+	if (forward_refuse_blamed(f, now))
+		return;
+	pthread_mutex_lock(&w->mutex);
 	f->elapsed_ms = deadline_table_elapsed_ms(
 		&w->deadline_table, f->route->name, f->head.deadline_ms, now);
 	pthread_mutex_unlock(&w->mutex);
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -9,6 +9,7 @@
 #include "forward/events.h"
 #include "forward/forward.h"
 #include "calls/problem.h"
+#include "forward/crash-watch.h"
 #include "forward/release.h"
 #include "forward/repeats.h"
 #include "forward/target.h"
@@ -33,7 +34,16 @@
 struct forwarder {
 	struct node *node;
 	const struct wire_ops *wire;
-	/* Guards the members below. No table is locked while it is held. */
+	struct crash_list *crashes;
+	/* Blames seen so far; used by the controller's thread only. */
+	uint32_t blame_count;
+	apr_time_t blame_check_until;
+	pthread_mutex_t watch_mutex; /* guards watch; no other lock under it */
+	struct crash_watch watch;
+	/*
+	 * Guards the members below. No table is locked while it is held, except
+	 * that of crash items, which locks nothing else.
+	 */
 	pthread_mutex_t mutex;
 	struct target_table targets;
 	struct service_retry_budget retry_budget;
@@ -53,7 +63,8 @@
 	CANCEL_NONE = 0,
 	CANCEL_UNRESPONSIVE, /* the upstream sends nothing: try another */
 	CANCEL_MOVE, /* the stream keeps an engine from its order: move it */
-	CANCEL_WITHDRAWN /* not begun, and the upstream's release expires */
+	CANCEL_WITHDRAWN, /* not begun, and the upstream's release expires */
+	CANCEL_BLAMED	  /* the request crashes upstreams */
 };
 
 /*
@@ -81,6 +92,10 @@
 	struct header_list headers; /* of the request, for the upstream */
 	char *target;
 	char *method;
+	struct crash_items items;
+	/* Before the last attempt, or after one that failed. */
+	enum crash_verdict verdict;
+	struct crash_finding finding; /* unless the verdict is CRASH_CLEAR */
 
 	/* Attempts. */
 	char attempted_upstreams[FORWARD_ATTEMPTS_MAX][SETTINGS_NAME_SIZE];
@@ -89,6 +104,8 @@
 	int runs;
 	int may_have_run;
 	char upstream[SETTINGS_NAME_SIZE]; /* id, of the current attempt */
+	char address[SETTINGS_ADDRESS_SIZE];
+	int64_t upstream_started_ms;
 	double wait_us; /* estimated at the last attempt or refusal */
 	int load;	/* at the chosen upstream, same time as wait_us */
 	int slots;
@@ -156,6 +173,20 @@
 
 /* handover.c */
 void forward_send(struct forward *f, apr_time_t now);
+void forward_finish_unsent(struct forward *f, const char *reason,
+			   int retry_after_ms, apr_time_t now);
+
+/* crash-guard.c */
+void forward_set_items(struct forward *f, const void *body, size_t size);
+void forward_look_up_verdict(struct forward *f, apr_time_t now);
+int forward_refuse_blamed(struct forward *f, apr_time_t now);
+int forward_is_blamed(const struct forward *f);
+int forward_is_suspect(const struct forward *f);
+const char *forward_verdict_name(const struct forward *f);
+json_t *forward_item_json(const struct forward *f);
+void forward_record_end(struct forward *f, const struct attempt_result *e,
+			int is_caller_disconnected, apr_time_t now);
+void forward_step_crashes(struct forwarder *w, apr_time_t now);
 
 json_int_t forward_wait_ms(const struct forward *f);
 apr_time_t forward_release_expiry(struct forward *f);
--- a/forward/target.c
+++ b/forward/target.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "calls/crash.h"
+
 /* Age from which a report is no longer used to estimate the load. */
 #define REPORT_VALID_US (1500 * 1000)
 
@@ -287,6 +289,34 @@
 	return changed;
 }
 
+/*
+ * Returns 1 when another process, or a later start of the same, is at the
+ * address than the upstream that started then.
+ */
+int target_is_replaced(const struct target_table *t, const char *id,
+		       const char *address, int64_t started_ms)
+{
+	int is_listed = 0, is_other_listed = 0;
+	int i;
+
+	for (i = 0; i < t->count; i++) {
+		const struct target *u = &t->rows[i];
+
+		if (!u->is_used || strcmp(u->address, address))
+			continue;
+		if (!strcmp(u->id, id)) {
+			if (u->is_replaced || u->started_ms > started_ms)
+				return 1;
+			is_listed = u->is_listed;
+		} else if (u->is_listed) {
+			if (u->started_ms > started_ms)
+				return 1;
+			is_other_listed = 1;
+		}
+	}
+	return is_other_listed && !is_listed;
+}
+
 /* Records that a request was sent to the upstream. */
 void target_record_start(struct target *u, apr_time_t now)
 {
@@ -516,6 +546,41 @@
 	return EXCLUSION_NONE;
 }
 
+static int is_allowed(const struct target_query *q, int row)
+{
+	int i;
+
+	for (i = 0; i < q->allowed_count; i++)
+		if (q->allowed[i] == row)
+			return 1;
+	return !q->allowed_count;
+}
+
+/*
+ * Allows only two upstreams, which all entries with the same list derive from
+ * the key in the same way. Allows all where none can be chosen now.
+ */
+void target_restrict(const struct target_table *t, struct target_query *q,
+		     const struct digest *key, apr_time_t now)
+{
+	const char *ids[TARGETS_MAX];
+	int rows[TARGETS_MAX];
+	int pair[TARGET_ALLOWED_MAX];
+	int i, count = 0;
+
+	for (i = 0; i < t->count; i++) {
+		if (find_exclusion(t, &t->rows[i], q, now) != EXCLUSION_NONE)
+			continue;
+		ids[count] = t->rows[i].id;
+		rows[count++] = i;
+	}
+	crash_choose_pair(key, ids, count, pair);
+	q->allowed_count = 0;
+	for (i = 0; i < TARGET_ALLOWED_MAX; i++)
+		if (pair[i] >= 0)
+			q->allowed[q->allowed_count++] = rows[pair[i]];
+}
+
 /* Returns 1 when requests and answers wait in a network queue on the way. */
 int target_is_congested(const struct target *u)
 {
@@ -612,6 +677,8 @@
 	for (i = 0; i < t->count; i++) {
 		const struct target *u = &t->rows[i];
 
+		if (!is_allowed(q, i))
+			continue;
 		m = find_exclusion(t, u, q, now);
 		if (m > nearest)
 			nearest = m;
--- a/forward/target.h
+++ b/forward/target.h
@@ -3,6 +3,7 @@
 
 #include <apr_time.h>
 
+#include "base/digest.h"
 #include "base/random.h"
 #include "calls/recent.h"
 #include "config/routing.h"
@@ -18,6 +19,8 @@
 
 #define TARGETS_MAX 2048
 #define TARGET_EXCLUDED_MAX 8
+/* Upstreams at which a request that may crash them may run. */
+#define TARGET_ALLOWED_MAX 2
 
 /* Load report of an agent about its upstream at one moment. */
 struct target_report {
@@ -92,6 +95,8 @@
 	int prompt_tokens;
 	const char *excluded[TARGET_EXCLUDED_MAX]; /* ids */
 	int excluded_count;
+	int allowed[TARGET_ALLOWED_MAX]; /* rows; unless the count is 0 */
+	int allowed_count;
 };
 
 struct target_choice {
@@ -121,6 +126,10 @@
 uint64_t target_find_release(const struct target *u, const char *model);
 int target_is_congested(const struct target *u);
 int target_has_blocked_order(const struct target *u, apr_time_t now);
+int target_is_replaced(const struct target_table *t, const char *id,
+		       const char *address, int64_t started_ms);
+void target_restrict(const struct target_table *t, struct target_query *q,
+		     const struct digest *key, apr_time_t now);
 void target_choose(struct target_table *t, const struct target_query *q,
 		   apr_time_t now, struct random *r, struct target_choice *out);
 
--- a/forward/wire.h
+++ b/forward/wire.h
@@ -17,6 +17,13 @@
 #define WIRE_EVENT_SIZE 32
 #define WIRE_LINE_SIZE 320
 #define WIRE_LINES_MAX 8
+#define WIRE_PARTS_MAX 15
+
+/* A part of a prompt. Its text is the call's. */
+struct wire_part {
+	const char *text;
+	size_t size;
+};
 
 struct request_head {
 	char id[WIRE_ID_SIZE]; /* of this attempt of the caller, or "" */
@@ -29,6 +36,9 @@
 	int answer_hint;	 /* the caller's estimate, 0: not given */
 	/* Id of the last event that the caller received, or "". */
 	char last_event[WIRE_EVENT_SIZE];
+	/* First parts of the prompt that other requests may share. */
+	struct wire_part parts[WIRE_PARTS_MAX];
+	int part_count;
 };
 
 /* Headers that an entry adds when it sends a request to an upstream. */
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -51,6 +51,28 @@
 }
 END_TEST
 
+START_TEST(suspect_is_not_retried_after_its_connection_broke)
+{
+	struct attempt_result cut = { .is_cut = 1 };
+	struct attempt_result refused = { .status = 503,
+					  .is_complete = 1,
+					  .is_not_run = 1 };
+	struct attempt_result unsent = { .is_unsent = 1 };
+	struct attempt_context s = repeatable;
+
+	ck_assert_int_eq(attempt_decide_next(&cut, &s), NEXT_RETRY);
+	s.is_suspect = 1;
+	ck_assert_int_eq(attempt_decide_next(&cut, &s), NEXT_UNKNOWN);
+	ck_assert_int_eq(attempt_decide_next(&refused, &s), NEXT_RETRY);
+	ck_assert_int_eq(attempt_decide_next(&unsent, &s), NEXT_RETRY);
+	cut.is_answer_started = 1;
+	s.is_resumable = 1;
+	ck_assert_int_eq(attempt_decide_next(&cut, &s), NEXT_TRUNCATED);
+	s.is_suspect = 0;
+	ck_assert_int_eq(attempt_decide_next(&cut, &s), NEXT_RESUME);
+}
+END_TEST
+
 START_TEST(non_repeatable_request_is_not_retried_after_unknown_outcome)
 {
 	struct attempt_result e = { .status = 0 };
@@ -597,6 +619,7 @@
 
 	suite_add_tcase(s, tc);
 	tcase_add_test(tc, request_that_may_have_run_is_never_reported_not_run);
+	tcase_add_test(tc, suspect_is_not_retried_after_its_connection_broke);
 	tcase_add_test(
 		tc,
 		non_repeatable_request_is_not_retried_after_unknown_outcome);
--- a/t/helper/test-target.c
+++ b/t/helper/test-target.c
@@ -488,6 +488,93 @@
 }
 END_TEST
 
+START_TEST(a_suspect_goes_to_two_upstreams_that_are_the_same_for_all)
+{
+	struct target_query q = query_of();
+	struct target_table t, other;
+	struct target_choice c;
+	struct digest key;
+	struct random r;
+	int used[8] = { 0 };
+	int i, count = 0;
+
+	random_seed(&r, 1);
+	create_table(&t, 8, RUNS_ONE);
+	create_table(&other, 8, RUNS_ONE);
+	digest_of("part", 4, &key);
+	for (i = 0; i < 100; i++) {
+		struct target_table *table = i % 2 ? &t : &other;
+
+		q = query_of();
+		target_restrict(table, &q, &key, SECOND);
+		target_choose(table, &q, SECOND, &r, &c);
+		ck_assert_int_ge(c.index, 0);
+		used[c.index]++;
+	}
+	for (i = 0; i < 8; i++)
+		count += used[i] > 0;
+	ck_assert_int_le(count, 2);
+	ck_assert_int_eq(q.allowed_count, 2);
+	ck_assert_int_eq(used[q.allowed[0]] + used[q.allowed[1]], 100);
+	target_table_destroy(&t);
+	target_table_destroy(&other);
+}
+END_TEST
+
+START_TEST(a_suspect_is_never_left_without_an_upstream)
+{
+	struct target_query q = query_of();
+	struct target_table t;
+	struct target_choice c;
+	struct digest key;
+	struct random r;
+	int i, left;
+
+	random_seed(&r, 1);
+	create_table(&t, 5, RUNS_ONE);
+	digest_of("part", 4, &key);
+	/* The upstream that it chose goes each time. */
+	for (left = 5; left; left--) {
+		q = query_of();
+		target_restrict(&t, &q, &key, SECOND);
+		ck_assert_int_eq(q.allowed_count, left < 2 ? left : 2);
+		target_choose(&t, &q, SECOND, &r, &c);
+		ck_assert_int_ge(c.index, 0);
+		t.rows[c.index].is_draining = 1;
+	}
+	/* Ejected ones are chosen when there is no other. */
+	for (i = 0; i < 5; i++) {
+		t.rows[i].is_draining = 0;
+		t.rows[i].health.ejected_until = 2 * SECOND;
+	}
+	target_restrict(&t, &q, &key, SECOND);
+	ck_assert_int_eq(q.allowed_count, 0);
+	target_choose(&t, &q, SECOND, &r, &c);
+	ck_assert(c.index >= 0 && c.is_ejected);
+	target_table_destroy(&t);
+}
+END_TEST
+
+START_TEST(a_later_process_at_the_address_proves_the_end_of_one)
+{
+	struct target_table t;
+
+	create_table(&t, 2, RUNS_ONE);
+	ck_assert(!target_is_replaced(&t, "u0", "10.0.0.1:80", 1));
+	ck_assert(!target_is_replaced(&t, "gone", "10.0.0.9:80", 1));
+	/* The row of another id is at the address, this one has none. */
+	ck_assert(target_is_replaced(&t, "gone", "10.0.0.1:80", 1));
+	/* Started again under the same id. */
+	t.rows[0].started_ms = 2;
+	ck_assert(target_is_replaced(&t, "u0", "10.0.0.1:80", 1));
+	ck_assert(!target_is_replaced(&t, "u0", "10.0.0.1:80", 2));
+	/* An answer or a report came from another process. */
+	t.rows[1].is_replaced = 1;
+	ck_assert(target_is_replaced(&t, "u1", "10.0.0.2:80", 1));
+	target_table_destroy(&t);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("target");
@@ -514,6 +601,11 @@
 	tcase_add_test(tc, entries_are_held_back_for_seconds_only);
 	tcase_add_test(
 		tc, upstreams_missing_in_a_new_epoch_are_used_for_two_seconds);
+	tcase_add_test(
+		tc, a_suspect_goes_to_two_upstreams_that_are_the_same_for_all);
+	tcase_add_test(tc, a_suspect_is_never_left_without_an_upstream);
+	tcase_add_test(tc,
+		       a_later_process_at_the_address_proves_the_end_of_one);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
--- a/t/standin/crash_engine.py
+++ b/t/standin/crash_engine.py
@@ -7,7 +7,8 @@
 events. A request whose prompt contains the part PART, or whose body contains
 TEXT, crashes its engine shortly after its answer has begun: all connections of
 the engine are reset and its port is closed. One to two seconds later the engine
-is back with another id.
+is back with another id. Half of the engines mark the end of an answer with its
+connection only, and close their connections cleanly when they crash.
 
 Prints a JSON line with the monotonic time for each event: "arrive" and "begin"
 (of a request), "crash" and "up" (of an engine). "marked" tells whether the
@@ -61,7 +62,8 @@
 
 
 class Engine:
-    def __init__(self, options, address, zone):
+    def __init__(self, options, address, zone, is_marking_end):
+        self.is_marking_end = is_marking_end
         self.store, self.part, self.text = options
         self.address, self.zone = address, zone
         self.starts = 0
@@ -90,8 +92,10 @@
         log("crash", engine=self.id, request=request)
         self.server.close()
         for writer in list(self.connections):
-            writer.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            if self.is_marking_end:
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER,
+                    struct.pack("ii", 1, 0))
             writer.transport.abort()
         self.connections.clear()
         await asyncio.sleep(random.uniform(*DOWN_S))
@@ -106,7 +110,8 @@
         try:
             while True:
                 headers, body = await read_request(reader)
-                await self.answer(writer, headers, body)
+                if not await self.answer(writer, headers, body):
+                    break
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -114,6 +119,7 @@
             writer.close()
 
     async def answer(self, writer, headers, body):
+        """Sends one answer. Returns False when the connection has to close."""
         engine = self.id
         request = headers.get("x-limpetflow-request-id", "")
         marked = self.is_marked(headers, body)
@@ -125,14 +131,14 @@
         if headers.get("x-limpetflow-expect-instance", engine) != engine:
             writer.write(f"HTTP/1.1 421 Other\r\n{common}"
                          "Content-Length: 0\r\n\r\n".encode())
-            return
+            return True
         await asyncio.sleep(FIRST_EVENT_S)
         if engine != self.id or writer.is_closing():
-            return
+            return False
         log("begin", **about)
         writer.write(f"HTTP/1.1 200 OK\r\n{common}"
                      "Content-Type: text/event-stream\r\n"
-                     "Transfer-Encoding: chunked\r\n\r\n".encode())
+                     f"{self.framing_line()}\r\n".encode())
         if marked:
             asyncio.get_running_loop().call_later(
                 random.uniform(*CRASH_DELAY_S), self.crash_once, engine,
@@ -140,11 +146,21 @@
         first = int(headers.get("last-event-id") or 0) + 1
         for i in range(first, EVENTS + 1):
             text = f"id: {i}\ndata: event {i}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(text), text))
+            writer.write(self.frame(text))
             await writer.drain()
             await asyncio.sleep(EVENT_GAP_S)
-        writer.write(b"0\r\n\r\n")
+        if self.is_marking_end:
+            writer.write(self.frame(b""))
         await writer.drain()
+        return self.is_marking_end
+
+    def framing_line(self):
+        return "Transfer-Encoding: chunked\r\n" if self.is_marking_end else ""
+
+    def frame(self, text):
+        if not self.is_marking_end:
+            return text
+        return b"%x\r\n%s\r\n" % (len(text), text)
 
     def crash_once(self, engine, request):
         """Crashes the engine unless another request has done so."""
@@ -154,9 +170,9 @@
 
 async def main():
     engines = []
-    for place in sys.argv[4:]:
+    for i, place in enumerate(sys.argv[4:]):
         address, _, zone = place.partition("=")
-        engines.append(Engine(sys.argv[1:4], address, zone))
+        engines.append(Engine(sys.argv[1:4], address, zone, i % 4 < 2))
     await asyncio.gather(*(engine.start() for engine in engines))
     await asyncio.Event().wait()
 
--- a/t/t1000-forward-unit.sh
+++ b/t/t1000-forward-unit.sh
@@ -10,4 +10,6 @@
 
 test_expect_success 'unit tests of the choice of an upstream' 'test-target'
 
+test_expect_success 'unit tests of the watch for upstreams that died' 'test-crash-watch'
+
 test_done
