forward: use the evidence of answers without an end mark soon

An answer whose end only its connection marks was kept for a second before it counted as sound. Now it counts at the first step after the same process has sent bytes for another request. Found by reading; test-crash-watch has the cases.

--- a/forward/crash-guard.c
+++ b/forward/crash-guard.c
@@ -14,8 +14,8 @@
  */
 
 #define PORT_CHECK_TIMEOUT_MS 300
-/* Runs of a death that are recorded at a time. */
-#define RUNS_MAX 16
+/* Runs that are recorded at a time. */
+#define RUNS_MAX 64
 /* Upstreams of broken attempts that are looked up in a step. */
 #define UNPROVED_MAX 32
 
@@ -25,8 +25,6 @@
  */
 #define RESET_DELAY_US (2 * 1000)
 
-/* Bytes of other requests may arrive for this time after a death. */
-#define CONTACT_DELAY_US (50 * 1000)
 /* Digits of an item's key in log lines. */
 #define ITEM_DIGITS 32
 
@@ -258,35 +256,29 @@
 	}
 }
 
-/* Returns 1 if the process has sent bytes for other requests since. */
-static int is_alive_after(struct forwarder *w, const struct ended_attempt *a)
+/* Called with both mutexes held. */
+static apr_time_t get_contact(void *arg, const struct incarnation *at)
 {
-	const struct target *u;
-	int is_alive;
+	struct forwarder *w = arg;
+	const struct target *u = target_find(&w->targets, at->upstream);
 
-	pthread_mutex_lock(&w->mutex);
-	u = target_find(&w->targets, a->at.upstream);
-	is_alive = u && u->started_ms == a->at.started_ms &&
-		   u->last_contact > a->run.broken_at + CONTACT_DELAY_US;
-	pthread_mutex_unlock(&w->mutex);
-	return is_alive;
+	return u && u->started_ms == at->started_ms ? u->last_contact : 0;
 }
 
 static void record_unmarked_answers(struct forwarder *w, apr_time_t now)
 {
-	struct ended_attempt a;
-	int found;
+	struct crash_run runs[RUNS_MAX];
+	int i, count;
 
-	for (;;) {
-		pthread_mutex_lock(&w->watch_mutex);
-		found = crash_watch_take_sound(&w->watch, now, &a);
-		pthread_mutex_unlock(&w->watch_mutex);
-		if (!found)
-			break;
-		if (is_alive_after(w, &a))
-			crash_record_sound(w->crashes, &a.run.items,
-					   a.run.broken_at);
-	}
+	pthread_mutex_lock(&w->mutex);
+	pthread_mutex_lock(&w->watch_mutex);
+	count = crash_watch_take_sound(&w->watch, get_contact, w, now, runs,
+				       RUNS_MAX);
+	pthread_mutex_unlock(&w->watch_mutex);
+	pthread_mutex_unlock(&w->mutex);
+	for (i = 0; i < count; i++)
+		crash_record_sound(w->crashes, &runs[i].items,
+				   runs[i].broken_at);
 }
 
 /* Checks upstreams whose connections broke, and records deaths. */
--- a/forward/crash-watch.c
+++ b/forward/crash-watch.c
@@ -169,25 +169,30 @@
 }
 
 /*
- * Takes an answer whose upstream is not known to have died within the time after
- * its end. Returns 0 when there is none.
+ * Takes up to max answers whose upstream was alive after their end, as
+ * get_contact tells when the last byte of that process arrived. Returns their
+ * number. Answers of which this is not known in time are dropped.
  */
-int crash_watch_take_sound(struct crash_watch *w, apr_time_t now,
-			   struct ended_attempt *out)
+int crash_watch_take_sound(struct crash_watch *w,
+			   crash_watch_contact get_contact, void *arg,
+			   apr_time_t now, struct crash_run *out, int max)
 {
-	int i;
+	int i, count = 0;
 
-	for (i = 0; i < CRASH_WATCH_ATTEMPTS_MAX; i++) {
+	for (i = 0; i < CRASH_WATCH_ATTEMPTS_MAX && count < max; i++) {
 		struct ended_attempt *a = &w->unmarked.items[i];
+		int is_alive;
 
-		if (!*a->at.upstream ||
-		    now - a->run.broken_at <= CRASH_WATCH_AFTER_US)
+		if (!*a->at.upstream)
 			continue;
-		*out = *a;
-		a->at.upstream[0] = '\0';
-		return 1;
+		is_alive = get_contact(arg, &a->at) >
+			   a->run.broken_at + CRASH_WATCH_CONTACT_US;
+		if (is_alive)
+			out[count++] = a->run;
+		if (is_alive || now - a->run.broken_at > CRASH_WATCH_AFTER_US)
+			a->at.upstream[0] = '\0';
 	}
-	return 0;
+	return count;
 }
 
 /*
--- a/forward/crash-watch.h
+++ b/forward/crash-watch.h
@@ -25,6 +25,8 @@
 #define CRASH_WATCH_BEFORE_US (2 * APR_USEC_PER_SEC)
 /* Same after a proof. */
 #define CRASH_WATCH_AFTER_US APR_USEC_PER_SEC
+/* Bytes that are on the way at a death arrive within this time. */
+#define CRASH_WATCH_CONTACT_US (50 * 1000)
 
 /* One start of an upstream's process. */
 struct incarnation {
@@ -70,6 +72,10 @@
 	apr_time_t last_ended_at; /* of an attempt in a ring, 0: none */
 };
 
+/* Returns when the last byte of the process arrived, 0: never. */
+typedef apr_time_t (*crash_watch_contact)(void *arg,
+					  const struct incarnation *at);
+
 void crash_watch_init(struct crash_watch *w);
 void crash_watch_destroy(struct crash_watch *w);
 int crash_watch_is_idle(const struct crash_watch *w, apr_time_t now);
@@ -82,8 +88,9 @@
 int crash_watch_take_death(struct crash_watch *w, apr_time_t now,
 			   struct proved_death *out, struct crash_run *runs,
 			   int max);
-int crash_watch_take_sound(struct crash_watch *w, apr_time_t now,
-			   struct ended_attempt *out);
+int crash_watch_take_sound(struct crash_watch *w,
+			   crash_watch_contact get_contact, void *arg,
+			   apr_time_t now, struct crash_run *out, int max);
 int crash_watch_list_unproved(const struct crash_watch *w, apr_time_t now,
 			      struct incarnation *out, int max);
 int crash_watch_next_check(struct crash_watch *w, apr_time_t now);
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -38,7 +38,8 @@
 	/* Blames seen so far; used by the controller's thread only. */
 	uint32_t blame_count;
 	apr_time_t blame_check_until;
-	pthread_mutex_t watch_mutex; /* guards watch; no other lock under it */
+	/* Guards watch; taken last. */
+	pthread_mutex_t watch_mutex;
 	struct crash_watch watch;
 	/*
 	 * Guards the members below. No table is locked while it is held, except
--- a/t/helper/test-crash-watch.c
+++ b/t/helper/test-crash-watch.c
@@ -167,23 +167,52 @@
 }
 END_TEST
 
-START_TEST(unmarked_end_counts_as_sound_unless_the_upstream_died)
+/* Tells the time at arg as that of the last byte of "u2", none of others. */
+static apr_time_t contact_of_u2(void *arg, const struct incarnation *at)
+{
+	return strcmp(at->upstream, "u2") ? 0 : *(apr_time_t *)arg;
+}
+
+START_TEST(unmarked_end_counts_as_sound_if_the_upstream_is_alive_later)
 {
 	struct ended_attempt a = attempt_of("u1", 1, 10 * SECOND);
 	struct ended_attempt b = attempt_of("u2", 1, 10 * SECOND);
-	struct ended_attempt out;
+	apr_time_t contact = 10 * SECOND + 50 * MS;
 	struct crash_watch w;
+	struct crash_run run;
 
 	crash_watch_init(&w);
 	crash_watch_add_unmarked(&w, &a);
 	crash_watch_add_unmarked(&w, &b);
 	ck_assert_int_eq(crash_watch_next_check(&w, 10 * SECOND), -1);
+	ck_assert(!crash_watch_take_sound(&w, contact_of_u2, &contact,
+					  10 * SECOND + 60 * MS, &run, 1));
+	contact++;
+	ck_assert(crash_watch_take_sound(&w, contact_of_u2, &contact,
+					 10 * SECOND + 60 * MS, &run, 1));
+	ck_assert_int_eq(run.broken_at, 10 * SECOND);
+	ck_assert(!crash_watch_take_sound(&w, contact_of_u2, &contact,
+					  10 * SECOND + 60 * MS, &run, 1));
+	crash_watch_destroy(&w);
+}
+END_TEST
+
+START_TEST(unmarked_end_belongs_to_a_death_that_is_proved)
+{
+	struct ended_attempt a = attempt_of("u1", 1, 10 * SECOND);
+	apr_time_t contact = 0;
+	struct crash_watch w;
+	struct crash_run run;
+
+	crash_watch_init(&w);
+	crash_watch_add_unmarked(&w, &a);
 	prove(&w, "u1", 1, 10 * SECOND + 50 * MS);
 	ck_assert_int_eq(take(&w, 10 * SECOND + 50 * MS), 1);
-	ck_assert(!crash_watch_take_sound(&w, 11 * SECOND, &out));
-	ck_assert(crash_watch_take_sound(&w, 11 * SECOND + 1, &out));
-	ck_assert_str_eq(out.at.upstream, "u2");
-	ck_assert(!crash_watch_take_sound(&w, 11 * SECOND + 1, &out));
+	/* Neither sound nor part of a death when nothing was known in time. */
+	crash_watch_add_unmarked(&w, &a);
+	ck_assert(!crash_watch_take_sound(&w, contact_of_u2, &contact,
+					  11 * SECOND + 1, &run, 1));
+	ck_assert_int_eq(take(&w, 11 * SECOND + 1), 0);
 	crash_watch_destroy(&w);
 }
 END_TEST
@@ -266,8 +295,10 @@
 	tcase_add_test(tc,
 		       an_upstream_is_checked_three_times_but_once_at_a_time);
 	tcase_add_test(tc, a_refused_connection_proves_a_death_once);
-	tcase_add_test(tc,
-		       unmarked_end_counts_as_sound_unless_the_upstream_died);
+	tcase_add_test(
+		tc,
+		unmarked_end_counts_as_sound_if_the_upstream_is_alive_later);
+	tcase_add_test(tc, unmarked_end_belongs_to_a_death_that_is_proved);
 	tcase_add_test(tc, the_last_part_of_a_prompt_is_left_out);
 	tcase_add_test(tc, a_long_list_of_parts_is_cut);
 	srunner_run_all(r, CK_NORMAL);
