calls: an entry that starts waits for others before it serves

An entry that was started again was ready before it had the list of crash items: it waits for the lists of others, but took itself to be alone after 250 ms without a member, and in the run that showed it heard of the others after 300 ms. A request with a part that all others refuse crashed an engine then. It waits for up to a second for the first member now, if its settings name others. Without other seeds it does not wait at all.

--- a/base/settings.c
+++ b/base/settings.c
@@ -259,3 +259,14 @@
 	json_decref(o);
 	return faults->count ? -1 : 0;
 }
+
+/* Returns 1 if the settings name another process to learn members from. */
+int settings_has_seeds(const struct settings *s)
+{
+	int i;
+
+	for (i = 0; i < s->seed_count; i++)
+		if (strcmp(s->seeds[i], s->address))
+			return 1;
+	return 0;
+}
--- a/base/settings.h
+++ b/base/settings.h
@@ -75,5 +75,6 @@
 
 int settings_load(const char *file, enum role role, struct settings *s,
 		  struct fault_list *faults);
+int settings_has_seeds(const struct settings *s);
 
 #endif
--- a/calls/crash-spread.c
+++ b/calls/crash-spread.c
@@ -26,10 +26,11 @@
 #define CRASH_GOSSIP_INTERVAL_US (100 * 1000)
 #define CRASH_PULL_INTERVAL_US APR_USEC_PER_SEC
 #define CRASH_TARGETS_MAX CRASH_ENTRIES_MAX
-/* Longest wait of a process that starts for the lists of others. */
+/*
+ * Longest wait of a process that starts for the lists of others; as long
+ * before that to hear of any other entry.
+ */
 #define CRASH_READY_US APR_USEC_PER_SEC
-/* How long it waits to hear of any other entry. */
-#define CRASH_ALONE_US (250 * 1000)
 #define CRASH_TIMEOUT_MS 300
 #define CRASH_SEND_ATTEMPTS_MAX 2
 
@@ -376,8 +377,9 @@
 
 	if (__atomic_load_n(&c->has_compared, __ATOMIC_RELAXED))
 		return 1;
-	return since ? now - since >= CRASH_READY_US
-		     : now - c->started_at >= CRASH_ALONE_US;
+	if (!since && !settings_has_seeds(&c->node->settings))
+		return 1;
+	return now - (since ? since : c->started_at) >= CRASH_READY_US;
 }
 
 static json_t *items_status(void *arg)
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -138,17 +138,6 @@
 	listing_release(l);
 }
 
-/* Returns 1 if the settings name another process to learn members from. */
-static int has_seeds(const struct settings *s)
-{
-	int i;
-
-	for (i = 0; i < s->seed_count; i++)
-		if (strcmp(s->seeds[i], s->address))
-			return 1;
-	return 0;
-}
-
 /* Counts the entries, which share the retry budget. */
 static void count_entries(struct forwarder *w, apr_time_t now)
 {
@@ -166,7 +155,8 @@
 	table_unlock(t);
 	pthread_mutex_lock(&w->mutex);
 	w->retry_budget.entry_count = retry_budget_assume_entries(
-		n, has_seeds(&w->node->settings), w->node->started, now);
+		n, settings_has_seeds(&w->node->settings), w->node->started,
+		now);
 	w->targets.entry_count = n;
 	pthread_mutex_unlock(&w->mutex);
 }
@@ -394,7 +384,7 @@
 	w->retry_budget.window_s = n->settings.retry_window_s;
 	w->retry_budget.slack = n->settings.retry_slack;
 	w->retry_budget.entry_count = retry_budget_assume_entries(
-		1, has_seeds(&n->settings), n->started, n->started);
+		1, settings_has_seeds(&n->settings), n->started, n->started);
 	w->releases.started_at = clock_now();
 	node_add_route(n, NULL, "/", BODY_MAX_BYTES, forward_serve, w);
 	node_add_controller(n, "forward", STEP_US, forward_step, w);
--- a/t/t1021-crashing-parts.sh
+++ b/t/t1021-crashing-parts.sh
@@ -2,10 +2,10 @@
 
 test_description='requests that crash their upstreams, at several entries
 
-Four entries in two data centres send to eight engines. Requests of two kinds
-crash each engine that begins to answer them: those with one part in their
-prompts, no two alike, and one request that comes again. Sound requests share
-account, route and first part with them.'
+Four entries in two data centres send to eight engines. Requests of several
+kinds crash each engine that begins to answer them: those with one part in their
+prompts, no two alike; one request that comes again; and some that have nothing
+in common. Sound requests share account, route and other parts with them.'
 
 . "$(dirname "$0")/test-lib.sh"
 
@@ -60,6 +60,20 @@
 	done
 }
 
+crash_count () {
+	grep -c '"crash"' engines.out
+}
+
+# refusal PART: prints status and reason of a request at entry 1.
+refusal () {
+	curl -s -m 5 -o body -w '%{http_code} ' -H "Host: a.example" \
+		-H "X-Limpetflow-Request-Id: r-$1" -H "Authorization: Bearer k1" \
+		-H "X-Limpetflow-Model: m" -H "X-Limpetflow-Deadline-Ms: 4000" \
+		-H "X-Limpetflow-Prompt-Prefix: 5c1e07a2:100,$1:100,9:100" \
+		-d x http://$TEST_NET.1:8000/ask/x
+	jq -r .reason body
+}
+
 all_ready () {
 	for host in $HOSTS; do
 		curl -sf http://$TEST_NET.$host:8001/readyz || return 1
@@ -133,4 +147,15 @@
 	holds request ".refused >= 20 and .odd_refusals == 0"
 '
 
+# Guards against a process that starts and has to learn by crashes.
+test_expect_success 'a restarted entry refuses the part from the start' '
+	kill -TERM $(cat entry1.pid) &&
+	wait_until 15 sh -c "! kill -0 $(cat entry1.pid)" &&
+	before=$(crash_count) &&
+	start entry1 limpet-entry --settings entry1.json &&
+	wait_until 10 curl -sf http://$TEST_NET.1:8001/readyz &&
+	test "$(refusal $PART)" = "503 crashing-part" &&
+	test "$(crash_count)" = "$before"
+'
+
 test_done
