t1021: crashes that have nothing in common blame no shared part

Sound requests have one of 40 second parts now, which the crashing ones share. The new kind of crashing requests, one a second, has no part and no request in common.

--- a/t/helper/crash-traffic.py
+++ b/t/helper/crash-traffic.py
@@ -6,7 +6,9 @@
 send first sends sound requests only, then also requests that crash engines, to
 entries drawn by chance. KIND "part": the latter share the part PART in the
 middle of their prompts and nothing else; "request": they are one request with
-TEXT in its body. Both share account, route and first part with the sound ones.
+TEXT in its body; "other": requests with TEXT in their bodies, but each another
+one, and less often. All share account, route, first part and one of a few
+second parts with the sound ones.
 Prints a JSON line for each request.
 
 judge reads the output of send, and that of crash_engine.py, and prints figures
@@ -29,10 +31,11 @@
 import time
 
 SOUND_PER_S = 40
-CRASHING_PER_S = 4
+CRASHING_PER_S = {"part": 4, "request": 4, "other": 1}
 STABLE_S = 3
 TIMEOUT_S = 5
-FIRST_PART, SECOND_PART = "5c1e07a2", "91bd3f06"
+FIRST_PART = "5c1e07a2"
+SECOND_PARTS = ["91bd%04x" % i for i in range(40)]
 
 
 def new_id():
@@ -45,11 +48,13 @@
 
 def make_request(kind, part, text):
     """Returns the prompt and the body of a request."""
-    if kind == "part":
-        return prompt([FIRST_PART, part, SECOND_PART]), new_id()
     if kind == "request":
         return FIRST_PART + ":100,91:100", text
-    return prompt([FIRST_PART, SECOND_PART]), new_id()
+    second = random.choice(SECOND_PARTS)
+    if kind == "part":
+        return prompt([FIRST_PART, part, second]), new_id()
+    return (prompt([FIRST_PART, second]),
+            (text if kind == "other" else "") + new_id())
 
 
 def parse_answer(data):
@@ -108,7 +113,7 @@
             max(0, start + i / SOUND_PER_S - time.monotonic()))
         kinds = ["sound"]
         if (i >= sound_s * SOUND_PER_S
-                and i % (SOUND_PER_S // CRASHING_PER_S) == 0):
+                and i % (SOUND_PER_S // CRASHING_PER_S[kind]) == 0):
             kinds.append(kind)
         for k in kinds:
             task = asyncio.create_task(
--- a/t/t1021-crashing-parts.sh
+++ b/t/t1021-crashing-parts.sh
@@ -158,4 +158,10 @@
 	test "$(crash_count)" = "$before"
 '
 
+test_expect_success 'crashes of other causes do not blame what sound requests share' '
+	traffic other && judge other 5 &&
+	holds other ".crashes >= 5 and .blamed_sound == 0" &&
+	holds other ".sound_after >= 20 and .begun_after >= .begun_before / 2"
+'
+
 test_done
