forward: check ports of upstreams at a bounded rate, few at a time

Three checks followed the first broken attempt at fixed times. One that broke just before the last check got none of its own, although a port may be closed a little later than the connections. Each break now extends the checks, which are 150 ms apart at least. Two run at a time: each may hold one of the four workers, which also carry the exchange of deaths, for 300 ms. Found by reading; test-crash-watch has the cases.

--- a/forward/crash-watch.c
+++ b/forward/crash-watch.c
@@ -3,10 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* When the checks of a port begin, after the attempt broke. */
-static const apr_interval_time_t check_delays_us[CRASH_WATCH_TRIES] = {
-	0, 100 * 1000, 300 * 1000
-};
+/* Time between two checks of a port. */
+#define CHECK_INTERVAL_US (150 * 1000)
 
 static int is_same(const struct incarnation *a, const struct incarnation *b)
 {
@@ -73,7 +71,10 @@
 	       a->run.broken_at <= d->proved_at + CRASH_WATCH_AFTER_US;
 }
 
-/* Has the upstream's port checked, unless this is under way. */
+/*
+ * Has the upstream's port checked, several times after each break: it may be
+ * closed a little later than the connections.
+ */
 static void start_check(struct crash_watch *w, const struct ended_attempt *a)
 {
 	struct port_check *c, *unused = NULL;
@@ -81,8 +82,10 @@
 
 	for (i = 0; i < CRASH_WATCH_CHECKS_MAX; i++) {
 		c = &w->checks[i];
-		if (*c->at.upstream && is_same(&c->at, &a->at))
+		if (*c->at.upstream && is_same(&c->at, &a->at)) {
+			c->tries_left = CRASH_WATCH_TRIES;
 			return;
+		}
 		if (!*c->at.upstream && !unused)
 			unused = c;
 	}
@@ -90,7 +93,8 @@
 		return;
 	memset(unused, 0, sizeof(*unused));
 	unused->at = a->at;
-	unused->broken_at = a->run.broken_at;
+	unused->next_at = a->run.broken_at;
+	unused->tries_left = CRASH_WATCH_TRIES;
 	w->checks_used++;
 }
 
@@ -220,20 +224,23 @@
 
 /*
  * Returns the index of a check that is due, and marks it as running; -1 when
- * none is.
+ * none is or enough are running.
  */
 int crash_watch_next_check(struct crash_watch *w, apr_time_t now)
 {
-	int i;
+	int i, running = 0;
 
+	for (i = 0; i < CRASH_WATCH_CHECKS_MAX; i++)
+		running += w->checks[i].is_running;
+	if (running >= CRASH_WATCH_RUNNING_MAX)
+		return -1;
 	for (i = 0; i < CRASH_WATCH_CHECKS_MAX; i++) {
 		struct port_check *c = &w->checks[i];
 
-		if (!*c->at.upstream || c->is_running ||
-		    now < c->broken_at + check_delays_us[c->tries])
+		if (!*c->at.upstream || c->is_running || now < c->next_at)
 			continue;
 		c->is_running = 1;
-		c->tries++;
+		c->tries_left--;
 		return i;
 	}
 	return -1;
@@ -246,9 +253,10 @@
 	struct port_check *c = &w->checks[check];
 
 	c->is_running = 0;
+	c->next_at = now + CHECK_INTERVAL_US;
 	if (is_refused)
 		crash_watch_prove(w, &c->at, now);
-	if (!is_refused && c->tries < CRASH_WATCH_TRIES)
+	else if (c->tries_left > 0)
 		return;
 	c->at.upstream[0] = '\0';
 	w->checks_used--;
--- a/forward/crash-watch.h
+++ b/forward/crash-watch.h
@@ -20,6 +20,8 @@
 #define CRASH_WATCH_CHECKS_MAX 32
 /* Checks of an upstream's port after an attempt broke. */
 #define CRASH_WATCH_TRIES 3
+/* Checks at a time, each of which may hold a worker for its time limit. */
+#define CRASH_WATCH_RUNNING_MAX 2
 
 /* Attempts that broke this long before a proof belong to the death. */
 #define CRASH_WATCH_BEFORE_US (2 * APR_USEC_PER_SEC)
@@ -53,8 +55,8 @@
 
 struct port_check {
 	struct incarnation at; /* upstream "": free */
-	apr_time_t broken_at;  /* first break since the last check began */
-	int tries;	       /* begun since broken_at */
+	apr_time_t next_at;
+	int tries_left;
 	int is_running;
 };
 
--- a/t/helper/test-crash-watch.c
+++ b/t/helper/test-crash-watch.c
@@ -120,6 +120,16 @@
 }
 END_TEST
 
+/* Runs the check that is due, if any. Returns 1 if one was. */
+static int run_check(struct crash_watch *w, int is_refused, apr_time_t now)
+{
+	int check = crash_watch_next_check(w, now);
+
+	if (check >= 0)
+		crash_watch_end_check(w, check, is_refused, now);
+	return check >= 0;
+}
+
 START_TEST(an_upstream_is_checked_three_times_but_once_at_a_time)
 {
 	apr_time_t now = 10 * SECOND;
@@ -127,19 +137,17 @@
 	int check;
 
 	crash_watch_init(&w);
-	ck_assert_int_eq(crash_watch_next_check(&w, now), -1);
+	ck_assert(!run_check(&w, 0, now));
 	add_broken(&w, "u1", 1, now);
 	add_broken(&w, "u1", 1, now);
 	check = crash_watch_next_check(&w, now);
 	ck_assert_int_ge(check, 0);
-	ck_assert_int_eq(crash_watch_next_check(&w, now + SECOND), -1);
+	ck_assert(!run_check(&w, 0, now + SECOND));
 	crash_watch_end_check(&w, check, 0, now);
-	ck_assert_int_eq(crash_watch_next_check(&w, now + 99 * MS), -1);
-	ck_assert_int_eq(crash_watch_next_check(&w, now + 100 * MS), check);
-	crash_watch_end_check(&w, check, 0, now + 101 * MS);
-	ck_assert_int_eq(crash_watch_next_check(&w, now + 300 * MS), check);
-	crash_watch_end_check(&w, check, 0, now + 301 * MS);
-	ck_assert_int_eq(crash_watch_next_check(&w, now + SECOND), -1);
+	ck_assert(!run_check(&w, 0, now + 149 * MS));
+	ck_assert(run_check(&w, 0, now + 150 * MS));
+	ck_assert(run_check(&w, 0, now + 300 * MS));
+	ck_assert(!run_check(&w, 0, now + SECOND));
 	ck_assert_int_eq(take(&w, now + SECOND), 0);
 	ck_assert(!crash_watch_is_idle(&w, now + SECOND));
 	ck_assert(crash_watch_is_idle(&w, now + 4 * SECOND));
@@ -147,6 +155,45 @@
 }
 END_TEST
 
+START_TEST(another_break_extends_the_checks_but_not_their_rate)
+{
+	apr_time_t now = 10 * SECOND;
+	struct crash_watch w;
+	int i, count = 0;
+
+	crash_watch_init(&w);
+	/* A sound upstream that resets a connection every 10 ms for 1 s. */
+	for (i = 0; i < 200; i++, now += 10 * MS) {
+		if (i < 100)
+			add_broken(&w, "u1", 1, now);
+		count += run_check(&w, 0, now);
+	}
+	ck_assert_int_ge(count, 7);
+	ck_assert_int_le(count, 10);
+	ck_assert_int_eq(w.checks_used, 0);
+	crash_watch_destroy(&w);
+}
+END_TEST
+
+START_TEST(few_upstreams_are_checked_at_a_time)
+{
+	struct crash_watch w;
+	int i, running = 0;
+
+	crash_watch_init(&w);
+	for (i = 0; i < 20; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "u%d", i);
+		add_broken(&w, id, 1, 10 * SECOND);
+	}
+	while (crash_watch_next_check(&w, 10 * SECOND) >= 0)
+		running++;
+	ck_assert_int_eq(running, CRASH_WATCH_RUNNING_MAX);
+	crash_watch_destroy(&w);
+}
+END_TEST
+
 START_TEST(a_refused_connection_proves_a_death_once)
 {
 	apr_time_t now = 10 * SECOND;
@@ -294,6 +341,8 @@
 	tcase_add_test(tc, rings_are_bounded_and_keep_the_newest);
 	tcase_add_test(tc,
 		       an_upstream_is_checked_three_times_but_once_at_a_time);
+	tcase_add_test(tc, another_break_extends_the_checks_but_not_their_rate);
+	tcase_add_test(tc, few_upstreams_are_checked_at_a_time);
 	tcase_add_test(tc, a_refused_connection_proves_a_death_once);
 	tcase_add_test(
 		tc,
