calls: judge items on named deaths and sound answers

Times are sent as ages and became later with each message, so that a death that a sound answer had cleared came back as a later one, and again; rows kept 16 deaths, so that a bad part with more didn't explain them all.

Deaths and sound answers are named now and keep the earliest time that each was told with, cleared deaths are dropped, rows keep 64, and items that had sound answers are judged 1 s after a death rather than 0.4 s.

--- a/calls/crash-infer.c
+++ b/calls/crash-infer.c
@@ -20,15 +20,18 @@
 	DEATHS_SETTLED = 2 /* other entries' items have arrived */
 };
 
-static int does_death_count(const struct crash_seen_death *d, int filter,
+static int does_death_count(const struct crash_row *r, int i, int filter,
 			    apr_time_t now)
 {
-	if (d->is_cleared || now - d->died_at > CRASH_SUSPICION_US)
+	const struct crash_seen_death *d = &r->deaths[i];
+
+	if (now - d->died_at > CRASH_SUSPICION_US)
 		return 0;
 	if ((filter & DEATHS_UNEXPLAINED) && d->is_explained)
 		return 0;
 	return !(filter & DEATHS_SETTLED) ||
-	       now - d->learned_at >= CRASH_SETTLE_US;
+	       now - d->learned_at >=
+		       (r->sound ? CRASH_SETTLE_SOUND_US : CRASH_SETTLE_US);
 }
 
 static int count_deaths(const struct crash_row *r, int filter, apr_time_t now)
@@ -36,7 +39,7 @@
 	int i, count = 0;
 
 	for (i = 0; i < r->death_count; i++)
-		count += does_death_count(&r->deaths[i], filter, now);
+		count += does_death_count(r, i, filter, now);
 	return count;
 }
 
@@ -53,14 +56,14 @@
 
 	for (i = 0; i < r->death_count; i++) {
 		d = &r->deaths[i];
-		if (!does_death_count(d, filter, now))
+		if (!does_death_count(r, i, filter, now))
 			continue;
 		for (j = n++; j && sorted[j - 1]->died_at > d->died_at; j--)
 			sorted[j] = sorted[j - 1];
 		sorted[j] = d;
 	}
 	for (i = 0; i < n; i++) {
-		if (count && sorted[i]->died_at - sorted[i]->run <= last)
+		if (count && sorted[i]->died_at - sorted[i]->run < last)
 			continue;
 		last = sorted[i]->died_at;
 		count++;
@@ -81,19 +84,18 @@
 	return a->upstream == b->upstream && a->boot == b->boot;
 }
 
-static int shares_unexplained(const struct crash_row *a,
-			      const struct crash_row *b, apr_time_t now)
+static int count_shared(const struct crash_row *a, const struct crash_row *b,
+			apr_time_t now)
 {
-	int i, j;
+	int i, j, count = 0;
 
 	for (i = 0; i < a->death_count; i++) {
-		if (!does_death_count(&a->deaths[i], DEATHS_UNEXPLAINED, now))
+		if (!does_death_count(a, i, DEATHS_UNEXPLAINED, now))
 			continue;
 		for (j = 0; j < b->death_count; j++)
-			if (is_same_death(&a->deaths[i], &b->deaths[j]))
-				return 1;
+			count += is_same_death(&a->deaths[i], &b->deaths[j]);
 	}
-	return 0;
+	return count;
 }
 
 static uint64_t death_id(const struct crash_seen_death *d)
@@ -172,8 +174,8 @@
 
 	if (x->all != y->all)
 		return y->all - x->all;
-	if (x->row->was_sound != y->row->was_sound)
-		return x->row->was_sound - y->row->was_sound;
+	if (!x->row->sound != !y->row->sound)
+		return !y->row->sound - !x->row->sound;
 	if (!x->row->place != !y->row->place)
 		return !y->row->place - !x->row->place;
 	if (x->row->place != y->row->place)
@@ -182,26 +184,29 @@
 }
 
 /*
- * Returns 1 if another item may as well be the cause.  An item that had sound
- * answers once yields to one that never had, also if the latter lacks a death
- * whose news may be under way.
+ * Returns 1 if another item may as well be the cause: it was in as many deaths
+ * and shares them, or shares one and was in more.  Two that share one death
+ * only may both be a cause.  An item that had sound answers once yields to one
+ * that never had, also if the latter lacks a death whose news may be under way.
  */
 static int has_rival(struct crash_row *const *rows, int count,
 		     const struct candidate *of, apr_time_t now)
 {
 	struct crash_row *r;
-	int i, n, yields;
+	int i, n, shared, yields;
 
 	for (i = 0; i < count; i++) {
 		r = rows[i];
 		if (r == of->row || crash_is_blamed(r))
 			continue;
-		yields = of->row->was_sound && !r->was_sound;
+		yields = of->row->sound && !r->sound;
 		if (!yields && of->settled >= CRASH_CERTAIN_MIN)
 			continue;
-		n = count_deaths(r, DEATHS_UNEXPLAINED, now);
-		if (n && n + yields >= of->settled &&
-		    shares_unexplained(of->row, r, now))
+		n = count_deaths(r, DEATHS_UNEXPLAINED, now) + yields;
+		if (n < of->settled)
+			continue;
+		shared = count_shared(of->row, r, now);
+		if (shared > 1 || (shared && n > of->settled))
 			return 1;
 	}
 	return 0;
@@ -220,7 +225,7 @@
 /* Returns 1 if the row never had a sound answer and was in too many deaths. */
 static int is_certain(const struct crash_row *r, apr_time_t now)
 {
-	return !crash_is_blamed(r) && !r->was_sound &&
+	return !crash_is_blamed(r) && !r->sound &&
 	       count_deaths(r, DEATHS_SETTLED | DEATHS_UNEXPLAINED, now) &&
 	       count_deaths(r, DEATHS_SETTLED, now) >= CRASH_CERTAIN_MIN &&
 	       count_serial(r, DEATHS_SETTLED, now) >= CRASH_CERTAIN_SERIAL_MIN;
--- a/calls/crash-items.c
+++ b/calls/crash-items.c
@@ -8,15 +8,19 @@
  * Blame of items: of a request itself and of the parts of its prompt.
  *
  * A death adds one row for each item in flight at it.  A sound answer clears
- * the deaths of its items so far; the cleared deaths are told to the other
- * entries by name, so that their clocks and the delay of messages don't
- * matter.  Blames and acquittals of a row are counted (turns), and the higher
- * count wins.
+ * the deaths of its items so far.  Entries tell each other of sound answers only
+ * if these cleared a death.  Blames and acquittals are counted (turns), and the
+ * higher count wins.
+ *
+ * Times are sent as ages and so become later with each message.  Deaths and
+ * sound answers are therefore named, and keep the earliest time that each was
+ * told with.
  */
 
 #define US_PER_MS 1000
 /* Two entries' times of sending may differ by this without a message. */
 #define RUN_STEP_US (20 * US_PER_MS)
+#define DEATH_STEP_US APR_USEC_PER_SEC
 #define IDLE_STEP_US (10 * APR_USEC_PER_SEC)
 #define SOUND_UNIT_US (16 * US_PER_MS)
 
@@ -100,6 +104,10 @@
 {
 	apr_time_t last = crash_last_death(r);
 
+	if (r->changed_at > last)
+		last = r->changed_at;
+	if (!r->turns && !r->death_count)
+		return now - last > CRASH_EMPTY_US;
 	if (!crash_is_blamed(r))
 		return now - last > CRASH_SUSPICION_US;
 	if (r->refused_at > last)
@@ -107,23 +115,21 @@
 	return now >= r->refused_until && now - last > CRASH_BLAME_IDLE_US;
 }
 
-static int count_open_deaths(const struct crash_row *r)
+static void publish_item(struct crash_list *c, struct crash_row *r,
+			 apr_time_t now)
 {
-	int i, count = 0;
-
-	for (i = 0; i < r->death_count; i++)
-		count += !r->deaths[i].is_cleared;
-	return count;
+	r->changed_at = now;
+	crash_publish(c, r);
 }
 
 /*
- * Returns 1 if a should go rather than b: those cleared, then those with one
- * death, then the oldest.
+ * Returns 1 if a should go rather than b: those without deaths, then those with
+ * one, then the oldest.
  */
 static int is_better_to_drop(const struct crash_row *a,
 			     const struct crash_row *b)
 {
-	int x = count_open_deaths(a), y = count_open_deaths(b);
+	int x = a->death_count, y = b->death_count;
 
 	x = x < CRASH_SUSPECT_MIN ? x : CRASH_SUSPECT_MIN;
 	y = y < CRASH_SUSPECT_MIN ? y : CRASH_SUSPECT_MIN;
@@ -181,12 +187,25 @@
 	return 1;
 }
 
+/* Notes a sound answer at this entry, of which the others don't know. */
+static void note_own_sound(struct crash_list *c, struct crash_row *r,
+			   apr_time_t at)
+{
+	uint64_t id[3] = { c->self, at, 0 };
+
+	memcpy(&id[2], r->key, sizeof(id[2]));
+	r->sound = place_hash(id, sizeof(id), 0) | 1;
+	r->sound_at = r->own_sound_at = at;
+	r->is_sound_told = 0;
+}
+
 /* Returns the item's row, added if need be, or NULL if there is no room. */
 static struct crash_row *get_row(struct crash_list *c, const unsigned char *key,
 				 uint64_t account, int place, apr_time_t now)
 {
 	struct handle h;
 	struct crash_row *r = crash_find(c, key, &h);
+	apr_time_t sound_at;
 
 	if (r)
 		return r;
@@ -194,61 +213,87 @@
 	if (!r)
 		return NULL;
 	r->place = place;
-	r->sound_at = recall_sound(c, key);
-	r->was_sound = r->sound_at != 0;
+	r->changed_at = now;
+	sound_at = recall_sound(c, key);
+	if (sound_at)
+		note_own_sound(c, r, sound_at);
 	return r;
 }
 
-/* Returns the slot for one more death, or NULL if older ones are kept. */
-static struct crash_seen_death *
-choose_death_slot(struct crash_row *r, int is_cleared, apr_time_t died_at)
+/* Returns the earliest time that this event was told with. */
+static apr_time_t correct_time(struct crash_list *c, uint64_t id, apr_time_t at)
+{
+	struct crash_event *e = &c->events[id % CRASH_EVENT_SLOTS];
+
+	if (e->id == id && e->at < at)
+		return e->at;
+	e->id = id;
+	e->at = at;
+	return at;
+}
+
+static apr_time_t correct_death_time(struct crash_list *c, uint64_t upstream,
+				     uint64_t boot, apr_time_t died_at)
+{
+	uint64_t pair[2] = { upstream, boot };
+
+	return correct_time(c, place_hash(pair, sizeof(pair), 0), died_at);
+}
+
+/* Returns the slot for one more death, or NULL if the row keeps its own. */
+static struct crash_seen_death *choose_death_slot(struct crash_row *r,
+						  apr_time_t died_at)
 {
-	struct crash_seen_death *d, *best = NULL;
+	struct crash_seen_death *d, *oldest = r->deaths;
 
 	if (r->death_count < CRASH_DEATHS_MAX)
 		return &r->deaths[r->death_count++];
-	if (is_cleared)
-		return NULL;
 	for (d = r->deaths; d < r->deaths + r->death_count; d++)
-		if (!best || d->is_cleared > best->is_cleared ||
-		    (d->is_cleared == best->is_cleared &&
-		     d->died_at < best->died_at))
-			best = d;
-	return best->is_cleared || best->died_at < died_at ? best : NULL;
+		if (d->died_at < oldest->died_at)
+			oldest = d;
+	/* Others send a death again that was dropped; it seems later then. */
+	return oldest->died_at + DEATH_STEP_US < died_at ? oldest : NULL;
 }
 
 /* Adds a death or what is new about it.  Returns 1 if anything was. */
 static int merge_death(struct crash_row *r, const struct crash_seen_death *in)
 {
 	struct crash_seen_death *d;
-	int is_new = 0;
 
 	for (d = r->deaths; d < r->deaths + r->death_count; d++) {
 		if (d->upstream != in->upstream || d->boot != in->boot)
 			continue;
 		if (in->died_at < d->died_at)
 			d->died_at = in->died_at;
-		if (in->run + RUN_STEP_US <= d->run) {
-			d->run = in->run;
-			is_new = 1;
-		}
-		if (in->is_cleared && !d->is_cleared)
-			d->is_cleared = is_new = 1;
-		return is_new;
+		if (in->run + RUN_STEP_US > d->run)
+			return 0;
+		d->run = in->run;
+		return 1;
 	}
-	d = choose_death_slot(r, in->is_cleared, in->died_at);
+	d = choose_death_slot(r, in->died_at);
 	if (!d)
 		return 0;
 	*d = *in;
-	if (r->sound_at && in->died_at <= r->sound_at)
-		d->is_cleared = 1;
 	return 1;
 }
 
+/* Drops the deaths up to this time.  Returns their number. */
+static int drop_deaths(struct crash_row *r, apr_time_t until)
+{
+	int i, kept = 0, dropped;
+
+	for (i = 0; i < r->death_count; i++)
+		if (r->deaths[i].died_at > until)
+			r->deaths[kept++] = r->deaths[i];
+	dropped = r->death_count - kept;
+	r->death_count = kept;
+	return dropped;
+}
+
 /* Makes the list judge until the news of now are settled. */
 static void expect_judgement(struct crash_list *c, apr_time_t now)
 {
-	c->judge_until = now + 2 * CRASH_SETTLE_US;
+	c->judge_until = now + 2 * CRASH_SETTLE_SOUND_US;
 }
 
 static void blame(struct crash_list *c, struct crash_row *r,
@@ -257,7 +302,7 @@
 	r->turns += crash_is_blamed(r) ? 2 : 1;
 	r->refused_until = now + length;
 	r->trial_at = 0;
-	crash_publish(c, r);
+	publish_item(c, r, now);
 	__atomic_add_fetch(&c->blames, 1, __ATOMIC_RELAXED);
 	metric_count("crash_blamed", NULL, 1);
 }
@@ -275,10 +320,12 @@
 	expect_judgement(c, now);
 }
 
+/* Ends a blame, or a later turn of another entry that did. */
 static void end_blame(struct crash_list *c, struct crash_row *r, apr_time_t now)
 {
+	r->turns += crash_is_blamed(r);
 	r->refused_until = r->trial_at = 0;
-	r->failed_trials = 0;
+	r->failed_trials = r->death_count = 0;
 	forget_explained(c, now);
 	metric_count("crash_acquitted", NULL, 1);
 }
@@ -286,25 +333,20 @@
 /* Clears what a sound answer at now clears. */
 static void clear_row(struct crash_list *c, struct crash_row *r, apr_time_t now)
 {
-	int i, is_new = !r->was_sound, was_suspect = r->was_suspect;
+	int is_new = !r->sound;
 
-	r->sound_at = now;
-	r->was_sound = 1;
-	r->was_suspect = 0;
-	for (i = 0; i < r->death_count; i++) {
-		if (r->deaths[i].is_cleared)
-			continue;
-		r->deaths[i].is_cleared = is_new = 1;
-	}
+	note_own_sound(c, r, now);
 	if (crash_is_blamed(r)) {
-		r->turns++;
 		end_blame(c, r, now);
 		is_new = 1;
-	} else if (was_suspect) {
+	} else if (r->was_suspect) {
 		metric_count("crash_acquitted", NULL, 1);
 	}
-	if (is_new)
-		crash_publish(c, r);
+	r->was_suspect = 0;
+	if (!drop_deaths(r, now) && !is_new)
+		return;
+	r->is_sound_told = 1;
+	publish_item(c, r, now);
 }
 
 /* Records a complete, sound answer to a request with these items. */
@@ -365,8 +407,9 @@
 	table_lock(&c->rows);
 	for (i = 0; i < count; i++) {
 		s = &runs[i].items;
-		d.died_at = choose_death_time(&runs[i], now);
-		d.run = d.died_at - runs[i].sent_at;
+		d.run = choose_death_time(&runs[i], now) - runs[i].sent_at;
+		d.died_at = correct_death_time(c, d.upstream, boot,
+					       runs[i].sent_at + d.run);
 		for (j = 0; j < s->count; j++) {
 			r = get_row(c, s->keys[j].bytes, s->account,
 				    s->kinds[j] == CRASH_ITEM_REQUEST ? 0
@@ -375,7 +418,7 @@
 			if (!r)
 				continue;
 			if (merge_death(r, &d))
-				crash_publish(c, r);
+				publish_item(c, r, now);
 			if (is_trial_due(r, now) &&
 			    runs[i].sent_at >= r->refused_until) {
 				r->failed_trials++;
@@ -533,62 +576,78 @@
 	return 1;
 }
 
-/*
- * Returns 1 if the sender lacks what this row has and must be told: an
- * acquittal, a later turn, or that it was sound once.
- */
-static int knows_more(const struct crash_row *r, const struct crash_record *in)
+/* Returns 1 if the row has no death after its last sound answer here. */
+static int is_acquitted_here(const struct crash_row *r)
 {
-	const struct crash_death *d;
-	u_int i;
-	int j;
-
-	if (r->turns > in->turns || (r->was_sound && !in->was_sound))
-		return 1;
-	for (i = 0; i < in->deaths.deaths_len; i++) {
-		d = &in->deaths.deaths_val[i];
-		if (d->is_cleared)
-			continue;
-		for (j = 0; j < r->death_count; j++)
-			if (r->deaths[j].is_cleared &&
-			    r->deaths[j].upstream == d->upstream &&
-			    r->deaths[j].boot == d->boot)
-				return 1;
-	}
-	return 0;
+	return r->own_sound_at && crash_last_death(r) <= r->own_sound_at;
 }
 
-static int merge_deaths(struct crash_row *r, const struct crash_record *in,
-			apr_time_t now)
+/*
+ * Merges the deaths after the last sound answer.  Sets *is_cleared if a sound
+ * answer that the sender doesn't know of clears any.  Returns 1 if anything was
+ * new.
+ */
+static int merge_deaths(struct crash_list *c, struct crash_row *r,
+			const struct crash_record *in, apr_time_t now,
+			int *is_cleared)
 {
 	const struct crash_death *from;
 	struct crash_seen_death d;
 	int is_new = 0;
 	u_int i;
 
+	*is_cleared = 0;
 	for (i = 0; i < in->deaths.deaths_len; i++) {
 		from = &in->deaths.deaths_val[i];
 		memset(&d, 0, sizeof(d));
 		d.upstream = from->upstream;
 		d.boot = from->boot;
-		d.died_at = now - (apr_time_t)from->age_ms * US_PER_MS;
+		d.died_at = correct_death_time(c, d.upstream, d.boot,
+					       now - (apr_time_t)from->age_ms *
+							       US_PER_MS);
 		d.learned_at = now;
 		d.run = (apr_interval_time_t)from->run_ms * US_PER_MS;
-		d.is_cleared = from->is_cleared;
-		is_new |= merge_death(r, &d);
+		if (d.died_at <= r->sound_at)
+			*is_cleared = 1;
+		else if (!r->sound_at ||
+			 d.died_at > r->sound_at + CRASH_DELAY_US)
+			is_new |= merge_death(r, &d);
 	}
 	return is_new;
 }
 
+/*
+ * Takes over a later sound answer that others had.  It doesn't end a blame: the
+ * turns of the entry that had it do.
+ */
+static int merge_sound(struct crash_list *c, struct crash_row *r,
+		       const struct crash_record *in, apr_time_t now)
+{
+	apr_time_t at;
+	int is_first;
+
+	if (!in->sound || in->sound == r->sound)
+		return 0;
+	at = correct_time(c, in->sound,
+			  now - (apr_time_t)in->sound_ms * US_PER_MS);
+	if (at <= r->sound_at)
+		return 0;
+	is_first = !r->sound;
+	r->sound = in->sound;
+	r->sound_at = at;
+	r->is_sound_told = 1;
+	return (!crash_is_blamed(r) && drop_deaths(r, at)) || is_first;
+}
+
 /* Merges the record of an item.  Returns 1 if it contained anything new. */
 static int merge_item(struct crash_list *c, const struct crash_record *in,
 		      apr_time_t now)
 {
 	apr_time_t idle = (apr_time_t)in->idle_ms * US_PER_MS;
 	const unsigned char *key = (const unsigned char *)in->key;
+	int is_new, is_cleared, knows_more;
 	struct crash_row *r;
 	struct handle h;
-	int is_new;
 
 	if (!crash_find(c, key, &h) &&
 	    (!in->deaths.deaths_len ||
@@ -597,17 +656,25 @@
 	r = get_row(c, key, in->account, in->place, now);
 	if (!r)
 		return 0;
-	is_new = merge_deaths(r, in, now);
-	if (is_new)
+	is_new = merge_sound(c, r, in, now);
+	is_new |= merge_turns(c, r, in, now);
+	if (merge_deaths(c, r, in, now, &is_cleared)) {
 		expect_judgement(c, now);
-	if (in->was_sound && !r->was_sound)
-		r->was_sound = is_new = 1;
+		is_new = 1;
+	}
+	if (crash_is_blamed(r) && is_acquitted_here(r)) {
+		end_blame(c, r, now);
+		is_new = 1;
+	}
+	knows_more =
+		r->turns > in->turns || (r->sound && !in->sound) || is_cleared;
+	if (knows_more && !r->is_sound_told)
+		r->is_sound_told = is_new = 1;
 	if (now - idle > r->refused_at + IDLE_STEP_US)
 		r->refused_at = now - idle;
-	is_new |= merge_turns(c, r, in, now);
 	if (is_new)
-		crash_publish(c, r);
-	else if (!r->rounds_left && knows_more(r, in))
+		publish_item(c, r, now);
+	else if (knows_more && !r->rounds_left)
 		r->rounds_left = 1;
 	return is_new;
 }
@@ -756,12 +823,13 @@
 	while ((r = table_next(&c->rows, &h))) {
 		if (is_item_expired(r, now))
 			continue;
-		state[0] = r->turns * 2 + r->was_sound;
+		if (!r->turns && !r->death_count)
+			continue;
+		state[0] = r->turns;
 		state[1] = 0;
 		for (i = 0; i < r->death_count; i++)
 			state[1] += place_hash(&r->deaths[i].upstream,
-					       2 * sizeof(uint64_t),
-					       r->deaths[i].is_cleared);
+					       2 * sizeof(uint64_t), 0);
 		memcpy(&state[2], r->key, sizeof(state[2]));
 		sum += place_hash(state, sizeof(state), 0);
 	}
--- a/calls/crash-table.h
+++ b/calls/crash-table.h
@@ -29,6 +29,12 @@
  * the death counts.
  */
 #define CRASH_SETTLE_US (400 * 1000)
+/* The same for an item that had sound answers, of which others may know more. */
+#define CRASH_SETTLE_SOUND_US APR_USEC_PER_SEC
+/* Times told by others are later than the events by up to so much. */
+#define CRASH_DELAY_US (250 * 1000)
+/* A row without deaths and blames is kept for so long. */
+#define CRASH_EMPTY_US (30 * APR_USEC_PER_SEC)
 /* Deaths at which a blame is decided: of one row, and beyond any doubt. */
 #define CRASH_SERIAL_MIN 3
 #define CRASH_CERTAIN_MIN 5
@@ -44,6 +50,7 @@
 #define CRASH_ACCOUNT_ROWS_MAX (CRASH_SUSPECTS_MAX / 4)
 #define CRASH_BUCKETS 1024
 #define CRASH_SOUND_SLOTS 16384
+#define CRASH_EVENT_SLOTS 4096
 #define CRASH_ENTRIES_MAX 512
 #define CRASH_ROUNDS_DEFAULT 4
 #define CRASH_ROUNDS_MIN 2
@@ -59,10 +66,15 @@
 	apr_time_t died_at;
 	apr_time_t learned_at;	 /* by this process */
 	apr_interval_time_t run; /* of the youngest run in it */
-	int is_cleared;		 /* a sound answer came later */
 	int is_explained;	 /* a blamed item was in it too */
 };
 
+/* When a death or sound answer was, as far as is known here. */
+struct crash_event {
+	uint64_t id;
+	apr_time_t at;
+};
+
 struct crash_row {
 	unsigned char key[CRASH_KEY_SIZE];
 	struct handle next; /* row of the same bucket */
@@ -80,12 +92,15 @@
 	uint64_t account;
 	uint32_t turns; /* blames and acquittals; odd: blamed */
 	uint32_t logged_turns;
+	apr_time_t changed_at;
 	int failed_trials;
-	int was_sound;	       /* anyone had a sound answer once */
-	int was_suspect;       /* at the last judgement */
-	apr_time_t sound_at;   /* last sound answer here; 0: none */
-	apr_time_t trial_at;   /* start of the trial run here; 0: none */
-	apr_time_t refused_at; /* last refusal here; 0: none */
+	uint64_t sound;	   /* names the last sound answer known; 0: none ever */
+	int is_sound_told; /* the others have been told of it */
+	apr_time_t sound_at;	 /* its time; deaths before don't count */
+	int was_suspect;	 /* at the last judgement */
+	apr_time_t own_sound_at; /* last one here; 0: none */
+	apr_time_t trial_at;	 /* start of the trial run here; 0: none */
+	apr_time_t refused_at;	 /* last refusal here; 0: none */
 };
 
 struct crash_list;
@@ -116,7 +131,8 @@
 
 	/* Members below are those of a list of items. */
 	uint64_t *sound; /* recent sound answers, CRASH_SOUND_SLOTS, atomic */
-	uint32_t blames; /* atomic; counts new blames */
+	struct crash_event *events; /* CRASH_EVENT_SLOTS */
+	uint32_t blames;	    /* atomic; counts new blames */
 	apr_time_t judge_until; /* the last news are settled then; 0: judged */
 	uint64_t self;		/* hash of this entry's id */
 	uint64_t entries[CRASH_ENTRIES_MAX]; /* of the live ones */
@@ -136,6 +152,7 @@
 		apr_time_t now);
 void crash_judge(struct crash_list *c, apr_time_t now);
 uint64_t crash_summary(struct crash_list *c, apr_time_t now);
+int crash_is_worth_telling(const struct crash_row *r);
 void crash_collect_page(struct crash_list *c, struct crash_message *m,
 			apr_time_t now);
 void crash_set_entries(struct crash_list *c, uint64_t self,
--- a/calls/crash.c
+++ b/calls/crash.c
@@ -28,7 +28,8 @@
 	init_list(c, &crash_item_rules);
 	c->rounds = CRASH_ROUNDS_DEFAULT;
 	c->sound = calloc(CRASH_SOUND_SLOTS, sizeof(*c->sound));
-	if (!c->sound)
+	c->events = calloc(CRASH_EVENT_SLOTS, sizeof(*c->events));
+	if (!c->sound || !c->events)
 		abort();
 }
 
@@ -36,6 +37,7 @@
 {
 	table_destroy(&c->rows);
 	free(c->sound);
+	free(c->events);
 }
 
 static struct handle *find_bucket(struct crash_list *c,
@@ -496,7 +498,6 @@
 	out->boot = d->boot;
 	out->age_ms = to_ms(now - d->died_at);
 	out->run_ms = to_ms(d->run);
-	out->is_cleared = d->is_cleared;
 }
 
 static void write_record(const struct crash_row *r, struct crash_record *out,
@@ -521,7 +522,8 @@
 	out->account = r->account;
 	out->turns = r->turns;
 	out->failed_trials = r->failed_trials;
-	out->was_sound = r->was_sound;
+	out->sound = r->sound;
+	out->sound_ms = to_ms(now - r->sound_at);
 	out->idle_ms =
 		to_ms(now - (r->refused_at > last ? r->refused_at : last));
 }
@@ -604,7 +606,8 @@
 			h = HANDLE_NONE;
 			r = table_next(&c->rows, &h);
 		}
-		if (r && !r->turns && !c->rules->is_expired(r, now))
+		if (r && !r->turns && r->death_count &&
+		    !c->rules->is_expired(r, now))
 			write_row(m, r, now);
 	}
 	c->cursor = h.index;
--- a/calls/crash_proto.h
+++ b/calls/crash_proto.h
@@ -14,7 +14,7 @@
 #endif
 
 #define CRASH_RECORDS_MAX 256
-#define CRASH_DEATHS_MAX 16
+#define CRASH_DEATHS_MAX 64
 #define CRASH_KEY_SIZE 16
 
 struct crash_death {
@@ -22,7 +22,6 @@
 	u_quad_t boot;
 	u_int age_ms;
 	u_int run_ms;
-	int is_cleared;
 };
 typedef struct crash_death crash_death;
 
@@ -39,7 +38,8 @@
 	u_quad_t account;
 	u_int turns;
 	int failed_trials;
-	int was_sound;
+	u_quad_t sound;
+	u_int sound_ms;
 	u_int idle_ms;
 };
 typedef struct crash_record crash_record;
--- a/calls/crash_proto.x
+++ b/calls/crash_proto.x
@@ -4,7 +4,7 @@
  */
 
 const CRASH_RECORDS_MAX = 256;
-const CRASH_DEATHS_MAX = 16;
+const CRASH_DEATHS_MAX = 64;
 const CRASH_KEY_SIZE = 16;
 
 struct crash_death {
@@ -12,7 +12,6 @@
 	unsigned hyper boot;
 	unsigned int age_ms;
 	unsigned int run_ms;		/* of the youngest run in it */
-	int is_cleared;			/* a sound answer came later */
 };
 
 struct crash_record {
@@ -27,7 +26,8 @@
 	unsigned hyper account;
 	unsigned int turns;		/* odd: blamed */
 	int failed_trials;
-	int was_sound;			/* it had a sound answer once */
+	unsigned hyper sound;		/* names the last sound answer, or 0 */
+	unsigned int sound_ms;		/* since then */
 	unsigned int idle_ms;		/* since the last death or refusal */
 };
 
--- a/calls/crash_proto_xdr.c
+++ b/calls/crash_proto_xdr.c
@@ -18,8 +18,6 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->run_ms))
 		 return FALSE;
-	 if (!xdr_int (xdrs, &objp->is_cleared))
-		 return FALSE;
 	return TRUE;
 }
 
@@ -55,22 +53,16 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->account))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->turns))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->failed_trials))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->was_sound))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->idle_ms))
-				 return FALSE;
-		} else {
-			IXDR_PUT_U_LONG(buf, objp->turns);
-			IXDR_PUT_LONG(buf, objp->failed_trials);
-			IXDR_PUT_LONG(buf, objp->was_sound);
-			IXDR_PUT_U_LONG(buf, objp->idle_ms);
-		}
+		 if (!xdr_u_int (xdrs, &objp->turns))
+			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->failed_trials))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sound))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->sound_ms))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->idle_ms))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_opaque (xdrs, objp->key, CRASH_KEY_SIZE))
@@ -97,22 +89,16 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->account))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->turns))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->failed_trials))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->was_sound))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->idle_ms))
-				 return FALSE;
-		} else {
-			objp->turns = IXDR_GET_U_LONG(buf);
-			objp->failed_trials = IXDR_GET_LONG(buf);
-			objp->was_sound = IXDR_GET_LONG(buf);
-			objp->idle_ms = IXDR_GET_U_LONG(buf);
-		}
+		 if (!xdr_u_int (xdrs, &objp->turns))
+			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->failed_trials))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sound))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->sound_ms))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->idle_ms))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -135,7 +121,9 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->failed_trials))
 		 return FALSE;
-	 if (!xdr_int (xdrs, &objp->was_sound))
+	 if (!xdr_u_quad_t (xdrs, &objp->sound))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sound_ms))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->idle_ms))
 		 return FALSE;
