--- a/forward/crash-watch.c
+++ b/forward/crash-watch.c
@@ -175,7 +175,9 @@
 /*
  * Takes up to max answers whose upstream was alive after their end, as
  * get_contact tells when the last byte of that process arrived. Returns their
- * number. Answers of which this is not known in time are dropped.
+ * number. Answers of which this is not known in time are dropped. A process
+ * that dies and is back under its id within that time is not noticed, unless a
+ * connection of another request broke.
  */
 int crash_watch_take_sound(struct crash_watch *w,
 			   crash_watch_contact get_contact, void *arg,
