--- a/t/helper/test-crash-items.c
+++ b/t/helper/test-crash-items.c
@@ -24,7 +24,7 @@
 #define BROKEN_MAX 512
 #define CLOCK_MS 4096
 #define WARM_UP_MS 5000
-#define END_MS 20000
+#define END_MS 14000
 #define STABLE_MS 3000
 #define RESTART_MS 3000
 #define STEP_MS 100
