calls: an answer found sound late clears no later deaths

An answer whose end is not marked is found to be sound some time after it. It ended a blame for deaths after its end, and in a message an item's own former sound answer could do so too.

--- a/calls/crash-items.c
+++ b/calls/crash-items.c
@@ -94,8 +94,11 @@
 {
 	uint32_t tag, time = (uint32_t)(now / SOUND_UNIT_US);
 	uint64_t *slot = find_sound_slot(c, key, &tag);
+	uint64_t value = (uint64_t)tag << 32 | time;
+	uint64_t old = __atomic_load_n(slot, __ATOMIC_RELAXED);
 
-	__atomic_store_n(slot, (uint64_t)tag << 32 | time, __ATOMIC_RELAXED);
+	if (old >> 32 != tag || old < value)
+		__atomic_store_n(slot, value, __ATOMIC_RELAXED);
 }
 
 /* Returns the time of the last sound answer remembered here, or 0. */
@@ -303,7 +306,8 @@
 /* Makes the list judge until the news of now are settled. */
 static void expect_judgement(struct crash_list *c, apr_time_t now)
 {
-	c->judge_until = now + 2 * CRASH_SETTLE_SOUND_US;
+	if (c->judge_until < now + 2 * CRASH_SETTLE_SOUND_US)
+		c->judge_until = now + 2 * CRASH_SETTLE_SOUND_US;
 }
 
 static void blame(struct crash_list *c, struct crash_row *r,
@@ -340,26 +344,32 @@
 	metric_count("crash_acquitted", NULL, 1);
 }
 
-/* Clears what a sound answer at now clears. */
-static void clear_row(struct crash_list *c, struct crash_row *r, apr_time_t now)
+/* Clears the deaths up to a sound answer here. */
+static void clear_row(struct crash_list *c, struct crash_row *r,
+		      apr_time_t ended_at, apr_time_t now)
 {
 	int is_new = !r->sound;
 
-	note_own_sound(c, r, now);
-	if (crash_is_blamed(r)) {
+	if (ended_at > r->sound_at)
+		note_own_sound(c, r, ended_at);
+	is_new |= drop_deaths(r, ended_at) > 0;
+	if (crash_is_blamed(r) && !r->death_count) {
 		end_blame(c, r, now);
 		is_new = 1;
-	} else if (r->was_suspect) {
+	} else if (r->was_suspect && !r->death_count) {
 		metric_count("crash_acquitted", NULL, 1);
 	}
-	r->was_suspect = 0;
-	if (!drop_deaths(r, now) && !is_new)
+	r->was_suspect &= r->death_count > 0;
+	if (!is_new)
 		return;
 	r->is_sound_told = 1;
 	publish_item(c, r, now);
 }
 
-/* Records a complete, sound answer to a request with these items. */
+/*
+ * Records a complete, sound answer to a request with these items, which ended
+ * at now or, if that was found out late, before.
+ */
 void crash_record_sound(struct crash_list *c, const struct crash_items *s,
 			apr_time_t now)
 {
@@ -375,7 +385,7 @@
 	for (i = 0; i < s->count; i++) {
 		r = crash_find(c, s->keys[i].bytes, &h);
 		if (r)
-			clear_row(c, r, now);
+			clear_row(c, r, now, now);
 	}
 	table_unlock(&c->rows);
 }
@@ -586,27 +596,23 @@
 	return 1;
 }
 
-/* Returns 1 if the row has no death after its last sound answer here. */
-static int is_acquitted_here(const struct crash_row *r)
-{
-	return r->own_sound_at && crash_last_death(r) <= r->own_sound_at;
-}
+/* What a record's deaths are beside the sound answers known here. */
+struct death_news {
+	int is_new;
+	int is_cleared;	 /* the sender doesn't know of a sound answer */
+	apr_time_t last; /* death of the record */
+};
 
-/*
- * Merges the deaths after the last sound answer.  Sets *is_cleared if a sound
- * answer that the sender doesn't know of clears any.  Returns 1 if anything was
- * new.
- */
-static int merge_deaths(struct crash_list *c, struct crash_row *r,
-			const struct crash_record *in, apr_time_t now,
-			int *is_cleared)
+/* Merges the deaths after the last sound answer. */
+static struct death_news merge_deaths(struct crash_list *c, struct crash_row *r,
+				      const struct crash_record *in,
+				      apr_time_t now)
 {
+	struct death_news news = { 0, 0, 0 };
 	const struct crash_death *from;
 	struct crash_seen_death d;
-	int is_new = 0;
 	u_int i;
 
-	*is_cleared = 0;
 	for (i = 0; i < in->deaths.deaths_len; i++) {
 		from = &in->deaths.deaths_val[i];
 		memset(&d, 0, sizeof(d));
@@ -617,13 +623,23 @@
 							       US_PER_MS);
 		d.learned_at = now;
 		d.run = (apr_interval_time_t)from->run_ms * US_PER_MS;
+		if (d.died_at > news.last)
+			news.last = d.died_at;
 		if (d.died_at <= r->sound_at)
-			*is_cleared = 1;
+			news.is_cleared = 1;
 		else if (!r->sound_at ||
 			 d.died_at > r->sound_at + CRASH_DELAY_US)
-			is_new |= merge_death(r, &d);
+			news.is_new |= merge_death(r, &d);
 	}
-	return is_new;
+	return news;
+}
+
+/* Returns 1 if a sound answer here came after all deaths of a blamed item. */
+static int is_acquitted_here(const struct crash_row *r, apr_time_t last_told)
+{
+	return crash_is_blamed(r) && last_told &&
+	       last_told <= r->own_sound_at &&
+	       crash_last_death(r) <= r->own_sound_at;
 }
 
 /*
@@ -655,7 +671,8 @@
 {
 	apr_time_t idle = (apr_time_t)in->idle_ms * US_PER_MS;
 	const unsigned char *key = (const unsigned char *)in->key;
-	int is_new, is_cleared, knows_more;
+	int is_new, knows_more;
+	struct death_news news;
 	struct crash_row *r;
 	struct handle h;
 
@@ -668,16 +685,17 @@
 		return 0;
 	is_new = merge_sound(c, r, in, now);
 	is_new |= merge_turns(c, r, in, now);
-	if (merge_deaths(c, r, in, now, &is_cleared)) {
+	news = merge_deaths(c, r, in, now);
+	if (news.is_new) {
 		expect_judgement(c, now);
 		is_new = 1;
 	}
-	if (crash_is_blamed(r) && is_acquitted_here(r)) {
+	if (is_acquitted_here(r, news.last)) {
 		end_blame(c, r, now);
 		is_new = 1;
 	}
-	knows_more =
-		r->turns > in->turns || (r->sound && !in->sound) || is_cleared;
+	knows_more = r->turns > in->turns || (r->sound && !in->sound) ||
+		     news.is_cleared;
 	if (knows_more && !r->is_sound_told)
 		r->is_sound_told = is_new = 1;
 	if (now - idle > r->refused_at + IDLE_STEP_US)
--- a/calls/crash.h
+++ b/calls/crash.h
@@ -28,6 +28,13 @@
  * entry that also calls crash_record_death, for its own truncated calls, must
  * pass the same boot, or one death counts as two; otherwise it waits
  * CRASH_PROPAGATION_US before it retries a truncated call.
+ *
+ * The list of crash_start_entries is that of all entries and has the items of
+ * requests: themselves and the parts that they share with others.  An entry
+ * calls crash_check_items before each attempt, crash_record_runs for a death,
+ * with those of its own runs that it ended, and crash_record_sound for each
+ * complete, sound answer.  Items that explain the deaths are refused; a suspect
+ * may run at a pair of upstreams.  See docs/design/overload.md.
  */
 
 struct crash_list;
--- a/t/helper/test-crash-infer.c
+++ b/t/helper/test-crash-infer.c
@@ -17,7 +17,9 @@
  * send RUN ENTRY UPSTREAM ITEM...
  *                            starts a run unless it is refused.  ITEM is r:NAME
  *                            (the request), p:NAME (a part) or a:ACCOUNT
- * sound RUN, reset RUN       ends it with a sound answer, or without one
+ * sound RUN [MS]             ends it with a sound answer, or finds out that it
+ *                            ended so long ago
+ * reset RUN                  ends it without one
  * die UPSTREAM...            ends these processes and the runs there
  * cut ENTRY, join ENTRY      nothing is exchanged with this entry meanwhile
  * restart ENTRY [FROM]       with an empty list, or with a page of FROM's
@@ -253,7 +255,7 @@
 	r->run.broken_at = 0;
 }
 
-static void end_run(const char *name, int is_sound)
+static void end_run(const char *name, int is_sound, int ago_ms)
 {
 	struct run *r = find_run(name);
 
@@ -261,7 +263,7 @@
 		return;
 	if (is_sound)
 		crash_record_sound(&sim.lists[r->entry], &r->run.items,
-				   sim.now);
+				   sim.now - ago_ms * 1000);
 	r->name[0] = 0;
 	print_turns();
 }
@@ -346,10 +348,10 @@
 	} else if (!strcmp(w[0], "send") && count > 4) {
 		read_items(w + 4, count - 4, &s);
 		send_run(w[1], atoi(w[2]), w[3], &s);
-	} else if (!strcmp(w[0], "sound") && count == 2) {
-		end_run(w[1], 1);
+	} else if (!strcmp(w[0], "sound") && count > 1) {
+		end_run(w[1], 1, count > 2 ? atoi(w[2]) : 0);
 	} else if (!strcmp(w[0], "reset") && count == 2) {
-		end_run(w[1], 0);
+		end_run(w[1], 0, 0);
 	} else if (!strcmp(w[0], "die")) {
 		for (i = 1; i < count; i++)
 			die(w[i]);
