calls: send records of crashes as message kinds of their own

A process of an earlier release reads the records of this one wrongly: they have further members and shorter keys. Under the kinds it doesn't know it refuses them, and the two don't tell each other of deaths while both run. Not run with two releases at once: the change is to the numbers only; t0540, t0701, t0712 pass.

--- a/calls/crash-spread.c
+++ b/calls/crash-spread.c
@@ -123,11 +123,12 @@
 	return 0;
 }
 
+/* Kinds 10 and 11 had records of another form in earlier releases. */
 static const struct rpc_kind crash_kinds[] = {
-	{ RPC_KIND_LIMITS + 10, "crash-news", (xdrproc_t)xdr_crash_message,
+	{ RPC_KIND_LIMITS + 14, "crash-news", (xdrproc_t)xdr_crash_message,
 	  sizeof(struct crash_message), (xdrproc_t)xdr_crash_message,
 	  sizeof(struct crash_message), serve_updates },
-	{ RPC_KIND_LIMITS + 11, "crash-compare", (xdrproc_t)xdr_crash_message,
+	{ RPC_KIND_LIMITS + 15, "crash-compare", (xdrproc_t)xdr_crash_message,
 	  sizeof(struct crash_message), (xdrproc_t)xdr_crash_message,
 	  sizeof(struct crash_message), serve_compare },
 	{ 0 },
