calls: a request sent again after each crash doesn't blame its parts

A sound part was blamed for one request that crashes servers by itself: sent to three servers it put its parts into three deaths one after another, and two crashes of other causes did the rest (t0710 one-request, which failed before). The request was not blamed meanwhile, as its parts were in as many deaths.

A death names one of the requests that were in it. Deaths of a part that one request brought count once, and a part that few requests brought doesn't keep them from being blamed, which is now so after three crashes (t0710 request-new-parts: five before). Items that are certain come first, or the requests with a bad part would be blamed one by one in its place.

--- a/calls/crash-infer.c
+++ b/calls/crash-infer.c
@@ -17,7 +17,8 @@
 enum death_filter {
 	DEATHS_ALL = 0,
 	DEATHS_UNEXPLAINED = 1,
-	DEATHS_SETTLED = 2 /* other entries' items have arrived */
+	DEATHS_SETTLED = 2, /* other entries' items have arrived */
+	DEATHS_DISTINCT = 4 /* of requests that were not counted */
 };
 
 static int does_death_count(const struct crash_row *r, int i, int filter,
@@ -43,6 +44,17 @@
 	return count;
 }
 
+static int has_request(const struct crash_seen_death *const *deaths, int count,
+		       uint64_t request)
+{
+	int i;
+
+	for (i = 0; i < count; i++)
+		if (deaths[i]->request == request)
+			return 1;
+	return 0;
+}
+
 /*
  * Counts the deaths one after another: those whose runs were all sent before
  * the death counted last are left out.  Upstreams that die together, as by a
@@ -51,6 +63,7 @@
 static int count_serial(const struct crash_row *r, int filter, apr_time_t now)
 {
 	const struct crash_seen_death *sorted[CRASH_DEATHS_MAX], *d;
+	const struct crash_seen_death *counted[CRASH_DEATHS_MAX];
 	apr_time_t last = 0;
 	int i, j, n = 0, count = 0;
 
@@ -65,8 +78,11 @@
 	for (i = 0; i < n; i++) {
 		if (count && sorted[i]->died_at - sorted[i]->run < last)
 			continue;
+		if ((filter & DEATHS_DISTINCT) && sorted[i]->request &&
+		    has_request(counted, count, sorted[i]->request))
+			continue;
 		last = sorted[i]->died_at;
-		count++;
+		counted[count++] = sorted[i];
 	}
 	return count;
 }
@@ -164,20 +180,38 @@
 					rows[i]->deaths[j].is_explained = 1;
 }
 
+/*
+ * Returns 1 if the row was in enough deaths to be the cause.  Deaths of a part
+ * that one request brought, sent again after each, speak of that request.
+ */
+static int can_be_cause(const struct crash_row *r, apr_time_t now)
+{
+	int filter = DEATHS_SETTLED | DEATHS_UNEXPLAINED;
+
+	if (crash_is_blamed(r) || r->death_count < CRASH_SERIAL_MIN)
+		return 0;
+	if (r->place)
+		filter |= DEATHS_DISTINCT;
+	return count_serial(r, filter, now) >= CRASH_SERIAL_MIN;
+}
+
 struct candidate {
 	struct crash_row *row;
 	int settled; /* unexplained deaths */
 	int all;     /* also those that are not settled */
+	int is_certain;
 };
 
 /*
- * Orders candidates: the most deaths first.  Among equal ones those that never
+ * Orders candidates: certain ones and the most deaths first.  Among equal ones those that never
  * had a sound answer, then the narrowest: the request, then its last parts.
  */
 static int compare_candidates(const void *a, const void *b)
 {
 	const struct candidate *x = a, *y = b;
 
+	if (x->is_certain != y->is_certain)
+		return y->is_certain - x->is_certain;
 	if (x->all != y->all)
 		return y->all - x->all;
 	if (!x->row->sound != !y->row->sound)
@@ -192,7 +226,8 @@
 /*
  * Returns 1 if another item may as well be the cause: it was in as many deaths
  * and shares them, or shares one and was in more.  Two that share one death
- * only may both be a cause.  An item that had sound answers once yields to one
+ * only may both be a cause.  A part that few requests brought doesn't rival one
+ * of these.  An item that had sound answers once yields to one
  * that never had, also if the latter lacks a death whose news may be under way.
  */
 static int has_rival(struct crash_row *const *rows, int count,
@@ -205,6 +240,8 @@
 		r = rows[i];
 		if (r == of->row || crash_is_blamed(r))
 			continue;
+		if (!of->row->place && r->place && !can_be_cause(r, now))
+			continue;
 		yields = of->row->sound && !r->sound;
 		if (!yields && of->settled >= CRASH_CERTAIN_MIN)
 			continue;
@@ -218,16 +255,6 @@
 	return 0;
 }
 
-/* Returns 1 if the row was in enough deaths to be the cause. */
-static int can_be_cause(const struct crash_row *r, apr_time_t now)
-{
-	int filter = DEATHS_SETTLED | DEATHS_UNEXPLAINED;
-
-	if (crash_is_blamed(r) || r->death_count < CRASH_SERIAL_MIN)
-		return 0;
-	return count_serial(r, filter, now) >= CRASH_SERIAL_MIN;
-}
-
 /* Returns 1 if the row never had a sound answer and was in too many deaths. */
 static int is_certain(const struct crash_row *r, apr_time_t now)
 {
@@ -253,6 +280,7 @@
 		out[n].settled = count_deaths(
 			rows[i], DEATHS_SETTLED | DEATHS_UNEXPLAINED, now);
 		out[n].all = count_deaths(rows[i], DEATHS_UNEXPLAINED, now);
+		out[n].is_certain = is_certain(rows[i], now);
 		n++;
 	}
 	qsort(out, n, sizeof(*out), compare_candidates);
@@ -280,7 +308,7 @@
 		again = 0;
 		n = list_candidates(rows, count, now, list);
 		for (i = 0; i < n && !again; i++) {
-			if (!is_certain(list[i].row, now) &&
+			if (!list[i].is_certain &&
 			    has_rival(rows, count, &list[i], now))
 				continue;
 			out[found++] = list[i].row;
--- a/calls/crash-items.c
+++ b/calls/crash-items.c
@@ -396,6 +396,18 @@
 	       r->failed_trials < CRASH_TRIALS_MAX;
 }
 
+/* Returns a hash of the request that has these items, or 0. */
+static uint64_t find_request(const struct crash_items *s)
+{
+	uint64_t hash = 0;
+	int i;
+
+	for (i = 0; i < s->count; i++)
+		if (s->kinds[i] == CRASH_ITEM_REQUEST)
+			memcpy(&hash, s->keys[i].bytes, sizeof(hash));
+	return hash;
+}
+
 static apr_time_t choose_death_time(const struct crash_run *run, apr_time_t now)
 {
 	return run->broken_at >= run->sent_at && run->broken_at &&
@@ -427,6 +439,7 @@
 	table_lock(&c->rows);
 	for (i = 0; i < count; i++) {
 		s = &runs[i].items;
+		d.request = find_request(s);
 		d.run = choose_death_time(&runs[i], now) - runs[i].sent_at;
 		d.died_at = correct_death_time(c, d.upstream, boot,
 					       runs[i].sent_at + d.run);
@@ -623,6 +636,7 @@
 							       US_PER_MS);
 		d.learned_at = now;
 		d.run = (apr_interval_time_t)from->run_ms * US_PER_MS;
+		d.request = from->request;
 		if (d.died_at > news.last)
 			news.last = d.died_at;
 		if (d.died_at <= r->sound_at)
--- a/calls/crash-table.h
+++ b/calls/crash-table.h
@@ -63,6 +63,7 @@
 struct crash_seen_death {
 	uint64_t upstream; /* hash of its name */
 	uint64_t boot;
+	uint64_t request; /* hash of one that was in it; 0: not known */
 	apr_time_t died_at;
 	apr_time_t learned_at;	 /* by this process */
 	apr_interval_time_t run; /* of the youngest run in it */
--- a/calls/crash.c
+++ b/calls/crash.c
@@ -498,6 +498,7 @@
 	out->boot = d->boot;
 	out->age_ms = to_ms(now - d->died_at);
 	out->run_ms = to_ms(d->run);
+	out->request = d->request;
 }
 
 static void write_record(const struct crash_row *r, struct crash_record *out,
--- a/calls/crash_proto.h
+++ b/calls/crash_proto.h
@@ -22,6 +22,7 @@
 	u_quad_t boot;
 	u_int age_ms;
 	u_int run_ms;
+	u_quad_t request;
 };
 typedef struct crash_death crash_death;
 
--- a/calls/crash_proto.x
+++ b/calls/crash_proto.x
@@ -12,6 +12,7 @@
 	unsigned hyper boot;
 	unsigned int age_ms;
 	unsigned int run_ms;		/* of the youngest run in it */
+	unsigned hyper request;		/* hash of one of them, or 0 */
 };
 
 struct crash_record {
--- a/calls/crash_proto_xdr.c
+++ b/calls/crash_proto_xdr.c
@@ -18,6 +18,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->run_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
 	return TRUE;
 }
 
