soak: engines keep the deadline and the release that a request names

The soak's upstreams share a handler with those of t1020, which reads members that the soak did not set, so that each request to a plain upstream failed there and t1100 .3 with it. The soak sets them. Its engines drop what waits in their queue when the deadline is over, marked as not run, and refuse a request that expects another release, as the users' engines do.

--- a/t/soak/engine.py
+++ b/t/soak/engine.py
@@ -46,15 +46,21 @@
         self.begun = []  # (when, request, release, when it came)
         self.withdrawn = 0
 
-    def begin(self, connection, request):
-        """Waits for a slot.  Returns 200, 503 when the queue is full, or 0 for
-        a request that left the queue."""
+    def begin(self, connection, request, wait_s, expected):
+        """Waits for a slot.  Returns 200, 503 when the queue is full or the
+        request's time was over in it, 421 when another release than the expected
+        one runs, or 0 for a request that left the queue."""
         turn, came = object(), time.monotonic()
         with self.lock:
+            if expected and expected != str(self.release):
+                return 421
             if len(self.waiting) >= QUEUE:
                 return 503
             self.waiting.append(turn)
             while not is_closed(connection):
+                if time.monotonic() - came > wait_s:
+                    self.waiting.remove(turn)
+                    return 503
                 if (self.waiting[0] is turn and self.running < SLOTS
                         and not self.is_loading):
                     self.waiting.remove(turn)
@@ -123,9 +129,12 @@
         self.body()
         common = [("X-Limpetflow-Request-Id", request),
                   ("X-Limpetflow-Response-Stamp", s.id)]
-        status = s.engine.begin(self.connection, request)
-        if status == 503:
-            self.answer(503, {}, common + [("X-Limpetflow-Not-Run", "1")])
+        status = s.engine.begin(
+            self.connection, request,
+            int(self.headers["X-Limpetflow-Deadline-Ms"]) / 1000,
+            self.headers.get("X-Limpetflow-Expect-Version"))
+        if status in (421, 503):
+            self.answer(status, {}, common + [("X-Limpetflow-Not-Run", "1")])
         if status != 200:
             self.close_connection = True
             return
--- a/t/soak/soak.py
+++ b/t/soak/soak.py
@@ -142,7 +142,8 @@
             engine = self.engines.get(name)
             self.servers[name] = serve(
                 own, EngineHandler if engine else Upstream, id=name,
-                mode="ok", requests=[], runs=[], engine=engine)
+                mode="ok", requests=[], runs=[], engine=engine,
+                deadlines={}, release=None)
             self.relays[name] = Relay((listed, 80), own)
             self.states[name] = ["ready", f"{listed}:80"]
             if engine:
