calls: a death of another cause does not blame what rode along

A part without a sound answer so far, that was in flight at four deaths of a part already blamed, was blamed after a single death of another cause, and sound requests refused for ten minutes: the five deaths that make an item certain included those that the blamed one explains, and one unexplained death was enough. At least two unexplained deaths, one after the other, are needed now.

Found by review.

--- a/calls/crash-infer.c
+++ b/calls/crash-infer.c
@@ -259,9 +259,9 @@
 static int is_certain(const struct crash_row *r, apr_time_t now)
 {
 	return !crash_is_blamed(r) && !r->sound &&
-	       count_deaths(r, DEATHS_SETTLED | DEATHS_UNEXPLAINED, now) &&
 	       count_deaths(r, DEATHS_SETTLED, now) >= CRASH_CERTAIN_MIN &&
-	       count_serial(r, DEATHS_SETTLED, now) >= CRASH_CERTAIN_SERIAL_MIN;
+	       count_serial(r, DEATHS_SETTLED | DEATHS_UNEXPLAINED, now) >=
+		       CRASH_CERTAIN_SERIAL_MIN;
 }
 
 /*
