forward: a process that seemed dead once can die later

A proved death was remembered until 64 others had replaced it, and kept its time. After a wrong proof, as a refused connection from a full backlog, the real end of the same process was recorded for nobody. Deaths to which nothing belongs any more are proved anew.

Checks of ports ran in the order of their slots, two at a time, so that those of the first upstreams came again before the others had their turn; the one that is due first runs first.

Unit tests of both fail on the code before.

--- a/forward/crash-watch.c
+++ b/forward/crash-watch.c
@@ -62,6 +62,15 @@
 	return NULL;
 }
 
+/*
+ * Returns 1 when nothing belongs to a death any more. Its process may have been
+ * alive, and end later.
+ */
+static int is_over(const struct proved_death *d, apr_time_t now)
+{
+	return now - d->proved_at > 2 * CRASH_WATCH_AFTER_US;
+}
+
 /* Returns 1 if an attempt that ended then belongs to the death. */
 static int is_part_of(const struct proved_death *d,
 		      const struct ended_attempt *a)
@@ -102,9 +111,11 @@
 void crash_watch_add_broken(struct crash_watch *w,
 			    const struct ended_attempt *a)
 {
+	const struct proved_death *d = find_death(w, &a->at);
+
 	ring_add(&w->broken, a);
 	w->last_ended_at = a->run.broken_at;
-	if (!find_death(w, &a->at))
+	if (!d || is_over(d, a->run.broken_at))
 		start_check(w, a);
 }
 
@@ -122,9 +133,11 @@
 {
 	struct proved_death *d;
 
-	if (find_death(w, at))
+	d = find_death(w, at);
+	if (d && !is_over(d, now))
 		return;
-	d = &w->deaths[w->next_death++ % CRASH_WATCH_DEATHS_MAX];
+	if (!d)
+		d = &w->deaths[w->next_death++ % CRASH_WATCH_DEATHS_MAX];
 	d->at = *at;
 	d->proved_at = now;
 }
@@ -159,8 +172,7 @@
 	for (i = 0; i < CRASH_WATCH_DEATHS_MAX; i++) {
 		struct proved_death *d = &w->deaths[i];
 
-		if (!*d->at.upstream ||
-		    now - d->proved_at > 2 * CRASH_WATCH_AFTER_US)
+		if (!*d->at.upstream || is_over(d, now))
 			continue;
 		count = take_runs(&w->broken, d, runs, max);
 		count += take_runs(&w->unmarked, d, runs + count, max - count);
@@ -225,27 +237,27 @@
 }
 
 /*
- * Returns the index of a check that is due, and marks it as running; -1 when
- * none is or enough are running.
+ * Returns the index of the check that is due first, and marks it as running; -1
+ * when none is due or enough are running.
  */
 int crash_watch_next_check(struct crash_watch *w, apr_time_t now)
 {
-	int i, running = 0;
+	int i, best = -1, running = 0;
 
-	for (i = 0; i < CRASH_WATCH_CHECKS_MAX; i++)
-		running += w->checks[i].is_running;
-	if (running >= CRASH_WATCH_RUNNING_MAX)
-		return -1;
 	for (i = 0; i < CRASH_WATCH_CHECKS_MAX; i++) {
-		struct port_check *c = &w->checks[i];
+		const struct port_check *c = &w->checks[i];
 
+		running += c->is_running;
 		if (!*c->at.upstream || c->is_running || now < c->next_at)
 			continue;
-		c->is_running = 1;
-		c->tries_left--;
-		return i;
+		if (best < 0 || c->next_at < w->checks[best].next_at)
+			best = i;
 	}
-	return -1;
+	if (running >= CRASH_WATCH_RUNNING_MAX || best < 0)
+		return -1;
+	w->checks[best].is_running = 1;
+	w->checks[best].tries_left--;
+	return best;
 }
 
 /* Records the result of a check: its upstream's port refused connections. */
--- a/t/helper/test-crash-watch.c
+++ b/t/helper/test-crash-watch.c
@@ -48,6 +48,48 @@
 				      CRASH_WATCH_ATTEMPTS_MAX);
 }
 
+/*
+ * Guards against a death that is never recorded, as one check had found the port
+ * closed long before while the process was alive.
+ */
+START_TEST(process_that_seemed_dead_once_can_die_later)
+{
+	struct crash_watch w;
+
+	crash_watch_init(&w);
+	prove(&w, "u1", 1, 10 * SECOND);
+	add_broken(&w, "u1", 1, 60 * SECOND);
+	ck_assert_int_ge(crash_watch_next_check(&w, 60 * SECOND), 0);
+	prove(&w, "u1", 1, 60 * SECOND);
+	ck_assert_int_eq(take(&w, 60 * SECOND), 1);
+	crash_watch_destroy(&w);
+}
+END_TEST
+
+/*
+ * Guards against checks that never run, as those of the first upstreams are due
+ * again before them.
+ */
+START_TEST(check_that_is_due_first_runs_first)
+{
+	struct crash_watch w;
+	int first, second;
+
+	crash_watch_init(&w);
+	add_broken(&w, "u1", 1, 10 * SECOND);
+	add_broken(&w, "u2", 1, 10 * SECOND);
+	add_broken(&w, "u3", 1, 10 * SECOND);
+	first = crash_watch_next_check(&w, 10 * SECOND);
+	second = crash_watch_next_check(&w, 10 * SECOND);
+	ck_assert_int_eq(crash_watch_next_check(&w, 10 * SECOND), -1);
+	crash_watch_end_check(&w, first, 0, 10 * SECOND);
+	crash_watch_end_check(&w, second, 0, 10 * SECOND);
+	first = crash_watch_next_check(&w, 11 * SECOND);
+	ck_assert_str_eq(w.checks[first].at.upstream, "u3");
+	crash_watch_destroy(&w);
+}
+END_TEST
+
 START_TEST(broken_attempts_prove_nothing_by_themselves)
 {
 	struct crash_watch w;
@@ -334,6 +376,8 @@
 	int failed;
 
 	suite_add_tcase(s, tc);
+	tcase_add_test(tc, process_that_seemed_dead_once_can_die_later);
+	tcase_add_test(tc, check_that_is_due_first_runs_first);
 	tcase_add_test(tc, broken_attempts_prove_nothing_by_themselves);
 	tcase_add_test(
 		tc,
