forward: the library does not send a suspect again by itself

libcurl repeats a request when a kept connection closes before its first byte, which is what a crash looks like. For a suspect that repeat was an attempt that nobody checked and counted.

--- a/forward/handover.c
+++ b/forward/handover.c
@@ -224,7 +224,9 @@
 	x->send_by = now + SEND_TIMEOUT_US;
 	if (x->send_by > f->expires_at)
 		x->send_by = f->expires_at;
-	x->once = is_probe || !is_route_repeatable(f->route);
+	/* A suspect is sent again only after its items were checked again. */
+	x->once = is_probe || !is_route_repeatable(f->route) ||
+		  forward_is_suspect(f);
 }
 
 /*
