--- a/calls/crash-infer.c
+++ b/calls/crash-infer.c
@@ -203,8 +203,9 @@
 };
 
 /*
- * Orders candidates: certain ones and the most deaths first.  Among equal ones those that never
- * had a sound answer, then the narrowest: the request, then its last parts.
+ * Orders candidates: certain ones first, then those with the most deaths.  Among
+ * equal ones those that never had a sound answer come first, then the narrowest:
+ * the request, then its last parts.
  */
 static int compare_candidates(const void *a, const void *b)
 {
@@ -226,15 +227,15 @@
 /*
  * Returns 1 if another item may as well be the cause: it was in as many deaths
  * and shares them, or shares one and was in more.  Two that share one death
- * only may both be a cause.  A part that few requests brought doesn't rival one
- * of these.  An item that had sound answers once yields to one
- * that never had, also if the latter lacks a death whose news may be under way.
+ * only may both be a cause.  A part doesn't rival a request unless it was in
+ * enough deaths itself.  An item that had sound answers once yields to one that
+ * never had, also if the latter lacks a death whose news may be under way.
  */
 static int has_rival(struct crash_row *const *rows, int count,
 		     const struct candidate *of, apr_time_t now)
 {
 	struct crash_row *r;
-	int i, n, shared, yields;
+	int i, deaths, shared, yields;
 
 	for (i = 0; i < count; i++) {
 		r = rows[i];
@@ -245,11 +246,11 @@
 		yields = of->row->sound && !r->sound;
 		if (!yields && of->settled >= CRASH_CERTAIN_MIN)
 			continue;
-		n = count_deaths(r, DEATHS_UNEXPLAINED, now) + yields;
-		if (n < of->settled)
+		deaths = count_deaths(r, DEATHS_UNEXPLAINED, now) + yields;
+		if (deaths < of->settled)
 			continue;
 		shared = count_shared(of->row, r, now);
-		if (shared > 1 || (shared && n > of->settled))
+		if (shared > 1 || (shared && deaths > of->settled))
 			return 1;
 	}
 	return 0;
--- a/forward/crash-watch.h
+++ b/forward/crash-watch.h
@@ -81,6 +81,7 @@
 void crash_watch_init(struct crash_watch *w);
 void crash_watch_destroy(struct crash_watch *w);
 int crash_watch_is_idle(const struct crash_watch *w, apr_time_t now);
+/* Also for connections that closed before the answer was complete. */
 void crash_watch_add_broken(struct crash_watch *w,
 			    const struct ended_attempt *a);
 void crash_watch_add_unmarked(struct crash_watch *w,
