calls: three deaths in a row do not blame an item that had sound answers

The part had been in flight at three deaths one after another before one of its requests was answered, which comes by chance where upstreams die that often.

An item that had sound answers before is blamed for five such deaths instead of three, which is when the bound on a part that turns bad begins; it is a suspect from two on as before. Ruled out by the log: a death that was counted twice, or one of a blamed item.

--- a/calls/crash-infer.c
+++ b/calls/crash-infer.c
@@ -188,11 +188,13 @@
 {
 	int filter = DEATHS_SETTLED | DEATHS_UNEXPLAINED;
 
-	if (crash_is_blamed(r) || r->death_count < CRASH_SERIAL_MIN)
+	int min = r->sound ? CRASH_SERIAL_SOUND_MIN : CRASH_SERIAL_MIN;
+
+	if (crash_is_blamed(r) || r->death_count < min)
 		return 0;
 	if (r->place)
 		filter |= DEATHS_DISTINCT;
-	return count_serial(r, filter, now) >= CRASH_SERIAL_MIN;
+	return count_serial(r, filter, now) >= min;
 }
 
 struct candidate {
--- a/calls/crash-table.h
+++ b/calls/crash-table.h
@@ -37,6 +37,11 @@
 #define CRASH_EMPTY_US (30 * APR_USEC_PER_SEC)
 /* Deaths at which a blame is decided: of one row, and beyond any doubt. */
 #define CRASH_SERIAL_MIN 3
+/*
+ * Same for an item that had sound answers before: where upstreams die often of
+ * other causes, three in a row come by chance.
+ */
+#define CRASH_SERIAL_SOUND_MIN 5
 #define CRASH_CERTAIN_MIN 5
 #define CRASH_CERTAIN_SERIAL_MIN 2
 #define CRASH_SUSPECT_MIN 2
