calls: a started entry without seeds waits for others before it serves

Its log shows no time-out: it was ready within 128 ms of its start, and had the blame 72 ms later.

Cause: an entry whose settings name no seeds took itself for the only one as long as no other was known to the list of crash items, which looks every 100 ms; its peers it had from the platform's list 3 ms after its start. It now waits up to 1 s for others, as one with seeds does. Ruled out: the limit of that wait, and an answer of a peer without the blame (both had it a second earlier).

--- a/calls/crash-spread.c
+++ b/calls/crash-spread.c
@@ -378,8 +378,6 @@
 
 	if (__atomic_load_n(&c->has_compared, __ATOMIC_RELAXED))
 		return 1;
-	if (!since && !settings_has_seeds(&c->node->settings))
-		return 1;
 	return now - (since ? since : c->started_at) >= CRASH_READY_US;
 }
 
