--- a/calls/crash-items.c
+++ b/calls/crash-items.c
@@ -22,63 +22,8 @@
 #define RUN_STEP_US (20 * US_PER_MS)
 #define DEATH_STEP_US APR_USEC_PER_SEC
 #define IDLE_STEP_US (10 * APR_USEC_PER_SEC)
-/* Parts up to this size take one digest. */
-#define PART_SHORT_MAX 128 /* bytes */
 #define SOUND_UNIT_US (16 * US_PER_MS)
 
-void crash_items_init(struct crash_items *s, const char *account)
-{
-	s->count = 0;
-	s->account = account ? place_hash_string(account, 0) : 0;
-}
-
-static void add_item(struct crash_items *s, enum crash_item_kind kind,
-		     const struct digest *key)
-{
-	int i;
-
-	if (s->count == CRASH_ITEMS_MAX)
-		return;
-	for (i = 0; i < s->count; i++)
-		if (digest_equal(&s->keys[i], key))
-			return;
-	s->kinds[s->count] = kind;
-	s->keys[s->count++] = *key;
-}
-
-/* Adds the request itself: all with the same account, path and body. */
-void crash_items_add_request(struct crash_items *s, const char *account,
-			     const char *path, const void *body, size_t size)
-{
-	struct digest key;
-
-	crash_fingerprint(account, path, body, size, &key);
-	add_item(s, CRASH_ITEM_REQUEST, &key);
-}
-
-/*
- * Adds a part that the request shares with others.  Items beyond
- * CRASH_ITEMS_MAX are left out.
- */
-void crash_items_add_part(struct crash_items *s, const char *part, size_t size)
-{
-	static const char tag[] = "prompt part ";
-	char text[sizeof(tag) + PART_SHORT_MAX];
-	struct digest key;
-
-	memcpy(text, tag, sizeof(tag));
-	if (size <= PART_SHORT_MAX) {
-		memcpy(text + sizeof(tag), part, size);
-		digest_of(text, sizeof(tag) + size, &key);
-	} else {
-		digest_of(part, size, &key);
-		memcpy(text + sizeof(tag), &key, sizeof(key));
-		text[0] = 'P';
-		digest_of(text, sizeof(tag) + sizeof(key), &key);
-	}
-	add_item(s, CRASH_ITEM_PART, &key);
-}
-
 static uint64_t *find_sound_slot(struct crash_list *c, const unsigned char *key,
 				 uint32_t *tag)
 {
@@ -135,71 +80,6 @@
 	crash_publish(c, r);
 }
 
-/*
- * Returns 1 if a should go rather than b: those without deaths, then those with
- * one, then the oldest.
- */
-static int is_better_to_drop(const struct crash_row *a,
-			     const struct crash_row *b)
-{
-	int x = a->death_count, y = b->death_count;
-
-	x = x < CRASH_SUSPECT_MIN ? x : CRASH_SUSPECT_MIN;
-	y = y < CRASH_SUSPECT_MIN ? y : CRASH_SUSPECT_MIN;
-	if (x != y)
-		return x < y;
-	return crash_last_death(a) < crash_last_death(b);
-}
-
-/* Returns the row to drop among those of the account, or of any if 0. */
-static struct handle choose_drop(struct crash_list *c, const uint64_t *account,
-				 int count_blamed, int *count)
-{
-	struct handle h = HANDLE_NONE, drop = HANDLE_NONE;
-	struct crash_row *r, *best = NULL;
-
-	*count = 0;
-	while ((r = table_next(&c->rows, &h))) {
-		if (account && r->account != *account)
-			continue;
-		(*count)++;
-		if (crash_is_blamed(r) && !count_blamed)
-			continue;
-		if (best && !is_better_to_drop(r, best))
-			continue;
-		best = r;
-		drop = h;
-	}
-	return drop;
-}
-
-/*
- * An account that fills its share loses its own rows, a full table any rows.
- * Blamed items go last, and only for those of other accounts.
- */
-static int make_item_room(struct crash_list *c, uint64_t account,
-			  apr_time_t now)
-{
-	struct handle drop;
-	int count;
-
-	(void)now;
-	if (c->rows.count < CRASH_ACCOUNT_ROWS_MAX)
-		return 1;
-	drop = choose_drop(c, &account, 0, &count);
-	if (count >= CRASH_ACCOUNT_ROWS_MAX) {
-		crash_remove(c, drop);
-		return !handle_is_none(drop);
-	}
-	if (c->rows.count < CRASH_SUSPECTS_MAX)
-		return 1;
-	drop = choose_drop(c, NULL, 0, &count);
-	if (handle_is_none(drop))
-		drop = choose_drop(c, NULL, 1, &count);
-	crash_remove(c, drop);
-	return 1;
-}
-
 /* Notes a sound answer at this entry, of which the others don't know. */
 static void note_own_sound(struct crash_list *c, struct crash_row *r,
 			   apr_time_t at)
@@ -390,12 +270,6 @@
 	table_unlock(&c->rows);
 }
 
-static int is_trial_due(const struct crash_row *r, apr_time_t now)
-{
-	return crash_is_blamed(r) && now >= r->refused_until &&
-	       r->failed_trials < CRASH_TRIALS_MAX;
-}
-
 /* Returns a hash of the request that has these items, or 0. */
 static uint64_t find_request(const struct crash_items *s)
 {
@@ -452,7 +326,7 @@
 				continue;
 			if (merge_death(r, &d))
 				publish_item(c, r, now);
-			if (is_trial_due(r, now) &&
+			if (crash_is_trial_due(r, now) &&
 			    runs[i].sent_at >= r->refused_until) {
 				r->failed_trials++;
 				blame(c, r,
@@ -465,129 +339,6 @@
 	table_unlock(&c->rows);
 }
 
-/* Returns 1 if this entry is the one that may try the item again. */
-static int is_trial_entry(const struct crash_list *c, const unsigned char *key)
-{
-	uint64_t own = place_hash(key, CRASH_KEY_SIZE, c->self);
-	int i;
-
-	for (i = 0; i < c->entry_count; i++)
-		if (c->entries[i] != c->self &&
-		    place_hash(key, CRASH_KEY_SIZE, c->entries[i]) > own)
-			return 0;
-	return 1;
-}
-
-static int can_try(const struct crash_list *c, const struct crash_row *r,
-		   apr_time_t now)
-{
-	return is_trial_due(r, now) && is_trial_entry(c, r->key) &&
-	       (!r->trial_at || now - r->trial_at > CRASH_TRIAL_US);
-}
-
-static int compute_retry_after_ms(const struct crash_row *r, apr_time_t now)
-{
-	apr_interval_time_t left = r->refused_until - now;
-
-	if (r->failed_trials >= CRASH_TRIALS_MAX && left < CRASH_QUARANTINE_US)
-		left = CRASH_QUARANTINE_US;
-	if (left < CRASH_TRIAL_US)
-		left = CRASH_TRIAL_US;
-	return (int)(left / US_PER_MS);
-}
-
-static void describe(struct crash_finding *out, const struct crash_items *s,
-		     int i)
-{
-	memset(out, 0, sizeof(*out));
-	out->kind = s->kinds[i];
-	out->key = s->keys[i];
-}
-
-/*
- * Returns whether a request with these items may run now, and why not, or what
- * it is suspected of, in *out.  After the end of a blame one run in the fleet
- * is let through as a trial: the result is then CRASH_SUSPECT with is_trial,
- * and the caller must run it at most once.  Without out no trial is given.
- */
-enum crash_verdict crash_check_items(struct crash_list *c,
-				     const struct crash_items *s,
-				     apr_time_t now, struct crash_finding *out)
-{
-	struct crash_row *rows[CRASH_ITEMS_MAX], *r;
-	enum crash_verdict v = CRASH_CLEAR;
-	struct handle h;
-	int i, trial = 0;
-
-	if (out)
-		memset(out, 0, sizeof(*out));
-	if (!__atomic_load_n(&c->row_count, __ATOMIC_RELAXED))
-		return CRASH_CLEAR;
-	table_lock(&c->rows);
-	for (i = 0; i < s->count; i++) {
-		r = rows[i] = crash_find(c, s->keys[i].bytes, &h);
-		if (!r)
-			continue;
-		if (crash_is_blamed(r) && !(out && can_try(c, r, now))) {
-			v = CRASH_QUARANTINED;
-			r->refused_at = now;
-			if (out) {
-				describe(out, s, i);
-				out->retry_after_ms =
-					compute_retry_after_ms(r, now);
-			}
-			metric_count("crash_refused", NULL, 1);
-			break;
-		}
-		trial |= crash_is_blamed(r);
-		if (v == CRASH_CLEAR &&
-		    (crash_is_blamed(r) || crash_is_suspect(r, now))) {
-			v = CRASH_SUSPECT;
-			if (out)
-				describe(out, s, i);
-		}
-	}
-	if (v == CRASH_SUSPECT && trial) {
-		out->is_trial = 1;
-		for (i = 0; i < s->count; i++)
-			if (rows[i] && crash_is_blamed(rows[i]))
-				rows[i]->trial_at = now;
-	}
-	table_unlock(&c->rows);
-	return v;
-}
-
-/*
- * Returns 1 if a run with these items that is under way must end: one of them
- * was blamed since.  A trial goes on.
- */
-int crash_is_refused(struct crash_list *c, const struct crash_items *s,
-		     apr_time_t now)
-{
-	struct crash_row *r;
-	struct handle h;
-	int i, refused = 0;
-
-	if (!__atomic_load_n(&c->row_count, __ATOMIC_RELAXED))
-		return 0;
-	table_lock(&c->rows);
-	for (i = 0; i < s->count && !refused; i++) {
-		r = crash_find(c, s->keys[i].bytes, &h);
-		refused = r && crash_is_blamed(r) && now < r->refused_until;
-	}
-	table_unlock(&c->rows);
-	return refused;
-}
-
-/*
- * Returns a number that grows with each blame, so that a caller can tell when
- * to ask crash_is_refused for its runs.  Takes no lock.
- */
-uint32_t crash_count_blames(struct crash_list *c)
-{
-	return __atomic_load_n(&c->blames, __ATOMIC_RELAXED);
-}
-
 /* Takes over a later blame or acquittal.  Returns 1 if it was later. */
 static int merge_turns(struct crash_list *c, struct crash_row *r,
 		       const struct crash_record *in, apr_time_t now)
@@ -768,91 +519,6 @@
 	table_unlock(&c->rows);
 }
 
-/* Writes a key as 2 * CRASH_KEY_SIZE digits and a NUL. */
-void crash_format_key(const unsigned char *key, char *hex)
-{
-	static const char digits[] = "0123456789abcdef";
-	int i;
-
-	for (i = 0; i < CRASH_KEY_SIZE; i++) {
-		hex[2 * i] = digits[key[i] >> 4];
-		hex[2 * i + 1] = digits[key[i] & 15];
-	}
-	hex[2 * CRASH_KEY_SIZE] = 0;
-}
-
-/*
- * Returns how often a change is sent on by each entry: so many times that with
- * CRASH_FANOUT receivers each, e^-(log2(n) + 4) of the entries miss it.
- */
-static int compute_rounds(int entries)
-{
-	int sends = 4;
-
-	if (entries - 1 <= CRASH_FANOUT_ALL)
-		return CRASH_ROUNDS_MIN;
-	while (entries >>= 1)
-		sends++;
-	return (sends + CRASH_FANOUT - 1) / CRASH_FANOUT;
-}
-
-/*
- * Sets the live entries, by the hashes of their ids, of which one is chosen
- * for each trial, and the number of all that changes are sent to.
- */
-void crash_set_entries(struct crash_list *c, uint64_t self,
-		       const uint64_t *live, int count, int total)
-{
-	table_lock(&c->rows);
-	c->self = self;
-	c->entry_count = count < CRASH_ENTRIES_MAX ? count : CRASH_ENTRIES_MAX;
-	memcpy(c->entries, live, c->entry_count * sizeof(*live));
-	c->rounds = compute_rounds(total);
-	table_unlock(&c->rows);
-}
-
-/* Chooses up to max of those whose locals[i] is is_local.  Returns the count. */
-static int choose_some(const int *locals, int count, int is_local, int max,
-		       struct random *random, int *out)
-{
-	int i, at, seen = 0, n = 0;
-
-	for (i = 0; i < count; i++) {
-		if (locals[i] != is_local)
-			continue;
-		seen++;
-		at = n < max ? n++ : (int)random_below(random, seen);
-		if (at < max)
-			out[at] = i;
-	}
-	return n;
-}
-
-/*
- * Chooses whom to send changes to, as indexes into locals: all if they are
- * few, else CRASH_FANOUT at random, most of them local.  Returns the count.
- */
-int crash_choose_targets(const int *locals, int count, struct random *random,
-			 int *out)
-{
-	int i, n, local_count = 0, remote;
-
-	if (count <= CRASH_FANOUT_ALL) {
-		for (i = 0; i < count; i++)
-			out[i] = i;
-		return count;
-	}
-	for (i = 0; i < count; i++)
-		local_count += locals[i];
-	remote = CRASH_FANOUT_REMOTE;
-	if (count == local_count)
-		remote = 0;
-	if (local_count < CRASH_FANOUT - remote)
-		remote = CRASH_FANOUT - local_count;
-	n = choose_some(locals, count, 1, CRASH_FANOUT - remote, random, out);
-	return n + choose_some(locals, count, 0, remote, random, out + n);
-}
-
 /* Returns a hash of the blames and deaths of all rows, in any order. */
 uint64_t crash_summary(struct crash_list *c, apr_time_t now)
 {
@@ -882,6 +548,6 @@
 const struct crash_rules crash_item_rules = {
 	.deaths_max = CRASH_DEATHS_MAX,
 	.is_expired = is_item_expired,
-	.make_room = make_item_room,
+	.make_room = crash_make_item_room,
 	.merge = merge_item,
 };
--- a/calls/crash-table.h
+++ b/calls/crash-table.h
@@ -178,6 +178,10 @@
 void crash_publish(struct crash_list *c, struct crash_row *r);
 apr_time_t crash_last_death(const struct crash_row *r);
 
+int crash_make_item_room(struct crash_list *c, uint64_t account,
+			 apr_time_t now);
+int crash_is_trial_due(const struct crash_row *r, apr_time_t now);
+
 /* Inference, see crash-infer.c. */
 int crash_is_suspect(const struct crash_row *r, apr_time_t now);
 int crash_infer(struct crash_row *const *rows, int count, apr_time_t now,
--- a/forward/answer.c
+++ b/forward/answer.c
@@ -170,34 +170,6 @@
 	return http_call_stream_write(f->call, text, size);
 }
 
-/* Returns when the last attempt was sent, in ms since the request arrived. */
-static json_int_t sent_ms(const struct forward *f)
-{
-	return (json_int_t)((f->sent_at - f->received_at) / 1000);
-}
-
-/*
- * Reports an answer that began on a release on which, as far as this entry
- * knows, no request may begin any more.
- */
-static void check_release(struct forward *f, apr_time_t now)
-{
-	struct log_place at = { "release", f->upstream,
-				*f->head.id ? f->head.id : "-" };
-	apr_time_t expiry = forward_release_expiry(f);
-
-	if (!expiry || now < expiry)
-		return;
-	metric_count("forward_expired_release", f->head.model, 1);
-	if (!log_is_enabled(LOG_SEV_WARNING, 1))
-		return;
-	log_fields(LOG_SEV_WARNING, &at,
-		   json_pack("{s:I,s:I,s:I}", "release", (json_int_t)f->release,
-			     "sent_ms", sent_ms(f), "over_ms",
-			     (json_int_t)((now - expiry) / 1000)),
-		   "first bytes of an answer of an expired release");
-}
-
 /* Records that the upstream sent bytes, at most once per CONTACT_PERIOD_US. */
 static void record_contact(struct forward *f, apr_time_t now)
 {
@@ -206,7 +178,7 @@
 	if (f->last_contact && now - f->last_contact < CONTACT_PERIOD_US)
 		return;
 	if (!f->last_contact)
-		check_release(f, now);
+		forward_check_release(f, now);
 	__atomic_store_n(&f->last_contact, now, __ATOMIC_RELAXED);
 	pthread_mutex_lock(&f->w->mutex);
 	u = target_find(&f->w->targets, f->upstream);
@@ -247,13 +219,6 @@
 	return http_call_stream_write(f->call, data, size);
 }
 
-/* Returns 1 when the last attempt was withdrawn as its release expired. */
-static int is_withdrawn(const struct forward *f)
-{
-	return __atomic_load_n(&f->cancel_reason, __ATOMIC_ACQUIRE) ==
-	       CANCEL_WITHDRAWN;
-}
-
 static int is_canceled_as_blamed(const struct forward *f)
 {
 	return __atomic_load_n(&f->cancel_reason, __ATOMIC_ACQUIRE) ==
@@ -386,79 +351,13 @@
 			    e->status, f->fetch.error.text);
 }
 
-/*
- * Returns the time in ms until the caller received the first bytes of its
- * answer, -1 when it has received none.
- */
-static json_int_t first_byte_ms(const struct forward *f)
-{
-	return f->answer_started_at
-		       ? (json_int_t)((f->answer_started_at - f->received_at) /
-				      1000)
-		       : -1;
-}
-
-static void record_times(const struct forward *f, apr_time_t now)
-{
-	uint64_t took = (uint64_t)(now - f->received_at);
-
-	metric_record(metric_histogram("forward_us", f->route->name), took);
-	metric_record(metric_histogram("forward_upstream_us", f->upstream),
-		      (uint64_t)(now - f->sent_at));
-	if (f->account)
-		metric_record(
-			metric_histogram("forward_account_us", f->account),
-			took);
-	if (f->answer_started_at)
-		metric_record(
-			metric_histogram("forward_first_us", f->route->name),
-			(uint64_t)(f->answer_started_at - f->received_at));
-}
-
-static void log_request_end(struct forward *f, const char *outcome, int status,
-			    apr_time_t now)
-{
-	struct log_place at = { "answer", f->upstream,
-				*f->head.id ? f->head.id : "-" };
-	const char *framing = framing_name(f->fetch.framing);
-	int is_expected =
-		!strcmp(outcome, "answer") || !strcmp(outcome, "gone");
-	enum log_severity sev = is_expected ? LOG_SEV_INFO : LOG_SEV_WARNING;
-
-	metric_count("forward_outcome", outcome, 1);
-	metric_count("forward_framing", framing, 1);
-	record_times(f, now);
-	if (!log_is_enabled(sev, 1))
-		return;
-	log_fields(
-		sev, &at,
-		json_pack(
-			"{s:s,s:i,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,"
-			"s:i,s:I,s:I,s:I,s:I,s:s,s:I,s:s,s:s}",
-			"outcome", outcome, "status", status, "route",
-			f->route->name, "account", f->account ? f->account : "",
-			"admitted", admit_class_name(f->admitted), "tries",
-			f->attempts, "runs", f->runs, "ms",
-			(json_int_t)((now - f->received_at) / 1000), "sent_ms",
-			sent_ms(f), "first_ms", first_byte_ms(f), "wait_ms",
-			forward_wait_ms(f), "load", f->load, "elapsed_ms",
-			f->elapsed_ms, "revision",
-			(json_int_t)f->document->revision, "release",
-			(json_int_t)f->release, "release_left_ms",
-			forward_release_left_ms(f), "deadline_ms",
-			forward_deadline_ms(f), "framing", framing,
-			"open_event_bytes", (json_int_t)f->events.size, "error",
-			f->fetch.error.text, "crash", forward_verdict_name(f)),
-		"request finished");
-}
-
 /*
  * Sends the rest of a complete answer to the caller. Its end is not marked
  * better than the upstream marked it.
  */
 void forward_finish_complete(struct forward *f, apr_time_t now)
 {
-	log_request_end(f, "answer", f->fetch.status, now);
+	forward_log_end(f, "answer", f->fetch.status, now);
 	if (!f->is_answer_started) {
 		copy_answer_headers(f);
 		http_call_reply_framed(
@@ -497,7 +396,7 @@
 void forward_finish_truncated(struct forward *f, const char *outcome,
 			      apr_time_t now)
 {
-	log_request_end(f, outcome, f->answer_status, now);
+	forward_log_end(f, outcome, f->answer_status, now);
 	if (f->is_answer_started) {
 		write_open_event(f);
 		http_call_stream_end(f->call, 0);
@@ -510,38 +409,12 @@
 	forward_free(f);
 }
 
-static void log_retry(struct forward *f, const struct attempt_result *e,
-		      const char *what)
-{
-	struct log_place at = { what, f->upstream,
-				*f->head.id ? f->head.id : "-" };
-
-	if (!log_is_enabled(LOG_SEV_NOTICE, 1))
-		return;
-	log_fields(LOG_SEV_NOTICE, &at,
-		   json_pack("{s:i,s:b,s:b,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:I,"
-			     "s:s,s:I,s:s,s:s}",
-			     "status", e->status, "not_run", e->is_not_run,
-			     "never_sent", e->is_unsent, "too_late",
-			     e->is_too_late, "silent", e->is_unresponsive,
-			     "withdrawn", is_withdrawn(f), "tries", f->attempts,
-			     "runs", f->runs, "sent_ms", sent_ms(f), "release",
-			     (json_int_t)f->release, "release_left_ms",
-			     forward_release_left_ms(f), "deadline_ms",
-			     forward_deadline_ms(f), "framing",
-			     framing_name(f->fetch.framing), "open_event_bytes",
-			     (json_int_t)f->events.size, "error",
-			     f->fetch.error.text, "crash",
-			     forward_verdict_name(f)),
-		   "attempt did not succeed; trying another upstream");
-}
-
 static void retry_request(struct forward *f, const struct attempt_result *e,
 			  int resume, apr_time_t now)
 {
 	if (forward_refuse_blamed(f, now))
 		return;
-	log_retry(f, e, resume ? "resume" : "retry");
+	forward_log_retry(f, e, resume ? "resume" : "retry");
 	pthread_mutex_lock(&f->w->mutex);
 	if (!e->is_unsent && !f->has_reserved_retry)
 		retry_budget_try_consume(&f->w->retry_budget, f->service_name,
@@ -561,7 +434,7 @@
 {
 	if (forward_is_blamed(f))
 		return forward_verdict_name(f);
-	if (is_withdrawn(f) || is_ended_by_release(f, now))
+	if (forward_is_withdrawn(f) || is_ended_by_release(f, now))
 		return "release-expired";
 	if (e->is_cut && forward_is_suspect(f))
 		return "crash-suspect";
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -172,6 +172,14 @@
 void forward_finish_truncated(struct forward *f, const char *outcome,
 			      apr_time_t now);
 
+/* answer-log.c */
+int forward_is_withdrawn(const struct forward *f);
+void forward_check_release(struct forward *f, apr_time_t now);
+void forward_log_end(struct forward *f, const char *outcome, int status,
+		     apr_time_t now);
+void forward_log_retry(struct forward *f, const struct attempt_result *e,
+		       const char *what);
+
 /* handover.c */
 void forward_send(struct forward *f, apr_time_t now);
 void forward_finish_unsent(struct forward *f, const char *reason,
--- a/forward/target.c
+++ b/forward/target.c
@@ -6,9 +6,6 @@
 
 #include "calls/crash.h"
 
-/* Age from which a report is no longer used to estimate the load. */
-#define REPORT_VALID_US (1500 * 1000)
-
 /*
  * Maximum age of a report for its load to count as current. Agents send reports
  * every 0.05 s to 0.5 s.
@@ -42,19 +39,6 @@
  */
 #define DELAY_MIN_US (120 * 1000)
 #define DELAY_ROUND_TRIP_FACTOR 2
-/*
- * Number of reports over which clock_offset follows the drift between the
- * clocks of two machines.
- */
-#define CLOCK_DRIFT_REPORTS 512
-
-/*
- * When at least MASS_EXPIRY_MIN and more than half of a service's entries
- * disappear from the list at once, they have expired while the platform's store
- * was unavailable. Running servers are listed again within two seconds.
- */
-#define MASS_EXPIRY_MIN 2
-#define MASS_EXPIRY_GRACE_US (2 * APR_USEC_PER_SEC)
 
 /* Time that requests get to finish after an order before they are moved. */
 #define ORDER_BLOCKED_US (700 * 1000)
@@ -96,227 +80,6 @@
 	return NULL;
 }
 
-/* Returns a free row, or NULL. Rows of requests in flight are not free. */
-static struct target *allocate_row(struct target_table *t)
-{
-	int i;
-
-	for (i = 0; i < t->count; i++)
-		if (!t->rows[i].is_used)
-			break;
-	if (i == TARGETS_MAX)
-		return NULL;
-	if (i == t->count)
-		t->count++;
-	memset(&t->rows[i], 0, sizeof(t->rows[i]));
-	t->rows[i].is_used = 1;
-	return &t->rows[i];
-}
-
-static void apply_listed_upstream(struct target *u,
-				  const struct listed_upstream *x,
-				  const char *data_center, apr_time_t now)
-{
-	/*
-	 * A process restarted under the same id has no state of the earlier
-	 * one.
-	 */
-	if (*u->id && (u->started_ms != x->started_ms ||
-		       strcmp(u->address, x->address))) {
-		u->reported_at = 0;
-		u->full_until = 0;
-		u->busy_since = 0;
-		u->is_replaced = 0;
-		memset(&u->health, 0, sizeof(u->health));
-		memset(&u->recent, 0, sizeof(u->recent));
-	}
-	memcpy(u->id, x->id, sizeof(u->id));
-	memcpy(u->service, x->service, sizeof(u->service));
-	memcpy(u->address, x->address, sizeof(u->address));
-	memcpy(u->data_center, x->data_center, sizeof(u->data_center));
-	u->is_listed = 1;
-	u->grace_until = 0;
-	u->is_draining = x->is_draining;
-	u->is_local = !strcmp(x->data_center, data_center);
-	u->slots = x->slots > 0 ? x->slots : 1;
-	u->started_ms = x->started_ms;
-	/* The agent's last report is more recent than the list. */
-	if (u->reported_at && now - u->reported_at < REPORT_VALID_US)
-		return;
-	memcpy(u->models, x->models, sizeof(u->models));
-	u->model_count = x->model_count;
-}
-
-/* Returns 1 for a row that was listed before and is not listed any more. */
-static int is_newly_unlisted(const struct target *u, int was_listed)
-{
-	return u->is_used && was_listed && !u->is_listed && !u->is_draining;
-}
-
-/*
- * Entries of running servers expire together while the platform's store is
- * unavailable, or are missing in the older copy that it returns from, and are
- * listed again soon after. Until then these servers are still used.
- */
-static void grant_listing_grace(struct target_table *t, const char *was_listed,
-				int is_new_epoch, apr_time_t now)
-{
-	int i, j;
-
-	for (i = 0; i < t->count; i++) {
-		int expired_count = 0, listed_count = 0;
-
-		if (!is_newly_unlisted(&t->rows[i], was_listed[i]))
-			continue;
-		for (j = 0; j < t->count; j++) {
-			const struct target *u = &t->rows[j];
-
-			if (!u->is_used ||
-			    strcmp(u->service, t->rows[i].service))
-				continue;
-			expired_count += is_newly_unlisted(u, was_listed[j]);
-			listed_count += was_listed[j];
-		}
-		if (is_new_epoch || (expired_count >= MASS_EXPIRY_MIN &&
-				     expired_count > listed_count / 2))
-			t->rows[i].grace_until = now + MASS_EXPIRY_GRACE_US;
-	}
-}
-
-static int is_listed_or_in_grace(const struct target *u, apr_time_t now)
-{
-	return u->is_listed || now < u->grace_until;
-}
-
-/*
- * Applies the platform's current list. Rows that are no longer listed stay
- * while requests to them are in flight.
- */
-void target_apply_listing(struct target_table *t, const struct listing *l,
-			  const char *data_center, apr_time_t now)
-{
-	char was_listed[TARGETS_MAX] = { 0 };
-	struct target *u;
-	int i;
-
-	for (i = 0; i < t->count; i++) {
-		was_listed[i] = (char)t->rows[i].is_listed;
-		t->rows[i].is_listed = 0;
-	}
-	for (i = 0; i < l->count; i++) {
-		u = target_find(t, l->items[i].id);
-		if (!u)
-			u = allocate_row(t);
-		if (u)
-			apply_listed_upstream(u, &l->items[i], data_center,
-					      now);
-	}
-	grant_listing_grace(t, was_listed, l->epoch > t->listing_epoch, now);
-	t->listing_epoch = l->epoch;
-	for (i = 0; i < t->count; i++)
-		if (!is_listed_or_in_grace(&t->rows[i], now) &&
-		    !t->rows[i].in_flight)
-			t->rows[i].is_used = 0;
-}
-
-static int models_differ(const struct target *u, const struct target_report *r)
-{
-	int i;
-
-	if (u->model_count != r->model_count)
-		return 1;
-	for (i = 0; i < u->model_count; i++)
-		if (strcmp(u->models[i].name, r->models[i].name) ||
-		    u->models[i].release != r->models[i].release)
-			return 1;
-	return 0;
-}
-
-/* Updates from a report how much longer than normal the one-way delay is. */
-static void update_report_delay(struct target *u, const struct target_report *r,
-				apr_time_t now)
-{
-	apr_interval_time_t clock_difference = now - r->sent_at;
-
-	if (!u->reported_at || u->agent_boot != r->agent_boot ||
-	    clock_difference < u->clock_offset)
-		u->clock_offset = clock_difference;
-	u->report_delay = clock_difference - u->clock_offset;
-	u->clock_offset += u->report_delay / CLOCK_DRIFT_REPORTS;
-}
-
-/*
- * Merges an agent's report into the table. Returns 1 when the models that the
- * upstream runs have changed, 0 when not, and -1 when the report is ignored:
- * unknown upstream, other process, or not newer than the last one.
- */
-int target_merge_report(struct target_table *t, const struct target_report *r,
-			apr_time_t now)
-{
-	struct target *u = NULL;
-	int i, changed;
-
-	for (i = 0; i < t->count && !u; i++)
-		if (t->rows[i].is_used &&
-		    is_listed_or_in_grace(&t->rows[i], now) &&
-		    !strcmp(t->rows[i].address, r->address))
-			u = &t->rows[i];
-	if (!u)
-		return -1;
-	if (r->started_ms && u->started_ms && r->started_ms != u->started_ms) {
-		/* The list still names the previous process. */
-		if (r->started_ms > u->started_ms)
-			u->is_replaced = 1;
-		return -1;
-	}
-	if (u->agent_boot == r->agent_boot && u->sequence >= r->sequence)
-		return -1;
-	update_report_delay(u, r, now);
-	u->agent_boot = r->agent_boot;
-	u->sequence = r->sequence;
-	u->reported_at = now;
-	if (r->is_busy && !u->busy_since)
-		u->busy_since = now;
-	if (!r->is_busy)
-		u->busy_since = 0;
-	u->is_busy = r->is_busy;
-	u->running = r->running;
-	u->waiting = r->waiting;
-	u->slowdown = r->slowdown;
-	changed = models_differ(u, r);
-	memcpy(u->models, r->models, sizeof(u->models));
-	u->model_count = r->model_count;
-	return changed;
-}
-
-/*
- * Returns 1 when another process, or a later start of the same, is at the
- * address than the upstream that started then.
- */
-int target_is_replaced(const struct target_table *t, const char *id,
-		       const char *address, int64_t started_ms)
-{
-	int is_listed = 0, is_other_listed = 0;
-	int i;
-
-	for (i = 0; i < t->count; i++) {
-		const struct target *u = &t->rows[i];
-
-		if (!u->is_used || strcmp(u->address, address))
-			continue;
-		if (!strcmp(u->id, id)) {
-			if (u->is_replaced || u->started_ms > started_ms)
-				return 1;
-			is_listed = u->is_listed;
-		} else if (u->is_listed) {
-			if (u->started_ms > started_ms)
-				return 1;
-			is_other_listed = 1;
-		}
-	}
-	return is_other_listed && !is_listed;
-}
-
 /* Records that a request was sent to the upstream. */
 void target_record_start(struct target *u, apr_time_t now)
 {
@@ -333,7 +96,7 @@
 
 static int has_valid_report(const struct target *u, apr_time_t now)
 {
-	return u->reported_at && now - u->reported_at < REPORT_VALID_US;
+	return u->reported_at && now - u->reported_at < TARGET_REPORT_VALID_US;
 }
 
 /*
@@ -525,7 +288,7 @@
 				     const struct target_query *q,
 				     apr_time_t now)
 {
-	if (!u->is_used || !is_listed_or_in_grace(u, now) ||
+	if (!u->is_used || !target_is_usable(u, now) ||
 	    strcmp(u->service, q->service) != 0)
 		return EXCLUSION_SERVICE;
 	if (u->is_draining || u->is_replaced)
--- a/forward/target.h
+++ b/forward/target.h
@@ -83,6 +83,9 @@
 	int entry_count; /* entries that send to the same upstreams, 0: one */
 };
 
+/* Age from which a report is no longer used to estimate the load. */
+#define TARGET_REPORT_VALID_US (1500 * 1000)
+
 /* Maximum time of a request in queues: the network's and the upstream's. */
 #define TARGET_QUEUE_MAX_US (2 * APR_USEC_PER_SEC)
 
@@ -115,6 +118,7 @@
 void target_table_destroy(struct target_table *t);
 void target_apply_listing(struct target_table *t, const struct listing *l,
 			  const char *data_center, apr_time_t now);
+int target_is_usable(const struct target *u, apr_time_t now);
 struct target *target_find(struct target_table *t, const char *id);
 int target_merge_report(struct target_table *t, const struct target_report *r,
 			apr_time_t now);
