--- a/t/helper/test-config.c
+++ b/t/helper/test-config.c
@@ -4,8 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/pause.h"
-#include "config/declared.h"
 #include "config/delta.h"
 #include "config/diff.h"
 #include "config/document.h"
@@ -53,81 +51,6 @@
 	"{\"name\":\"register\",\"upstreams\":[\"p-*-x\"],\"operations\":["
 	"{\"name\":\"check\",\"repeatable\":true},{\"name\":\"reserve\"}]}]}]}";
 
-static struct document *document_of(uint64_t revision, uint64_t release)
-{
-	char text[512], hex[DIGEST_HEX_SIZE];
-
-	compute_release_version("m", release, hex);
-	snprintf(text, sizeof(text),
-		 "{\"revision\":%llu,\"accounts\":[{\"account\":\"x\","
-		 "\"models\":[{\"name\":\"m\",\"manifest\":\"%s\","
-		 "\"release\":%llu,\"upstreams\":[\"*\"]}]}]}",
-		 (unsigned long long)revision, hex,
-		 (unsigned long long)release);
-	return parse(text);
-}
-
-/* The clocks of two processes differ; a limit must not. */
-START_TEST(release_age_from_peer_gives_time_of_declaration)
-{
-	struct document *theirs = document_of(3, 2);
-	struct document *ours = document_of(3, 2);
-	struct document *old = document_of(2, 1);
-	config_ages_reply rep = { { 0 } };
-
-	theirs->models[0].declared_at = 100 * SECOND;
-	document_fill_ages(theirs, &rep, 104 * SECOND);
-	ck_assert_uint_eq(rep.ages.ages_len, 1);
-	ck_assert_int_eq(document_copy_declared(ours, old), 1);
-	document_set_ages(ours, &rep, 50 * SECOND);
-	ck_assert_int_eq(ours->models[0].declared_at, 46 * SECOND);
-	document_set_unknown_declared(ours, old, 49 * SECOND);
-	ck_assert_int_eq(ours->models[0].declared_at, 46 * SECOND);
-	xdr_free((xdrproc_t)xdr_config_ages_reply, &rep);
-	/* The age of another release says nothing. */
-	memset(&rep, 0, sizeof(rep));
-	document_unref(ours);
-	ours = document_of(4, 3);
-	document_fill_ages(theirs, &rep, 104 * SECOND);
-	document_set_ages(ours, &rep, 50 * SECOND);
-	ck_assert_int_eq(ours->models[0].declared_at, 0);
-	xdr_free((xdrproc_t)xdr_config_ages_reply, &rep);
-	document_unref(ours);
-	document_unref(theirs);
-	document_unref(old);
-}
-END_TEST
-
-START_TEST(time_of_declaration_is_kept_or_unknown)
-{
-	struct document *first = document_of(1, 1);
-	struct document *same = document_of(2, 1);
-	struct document *next = document_of(3, 2);
-	config_ages_reply rep = { { 0 } };
-
-	/* Without a peer, a process that starts can't know it. */
-	ck_assert_int_eq(document_copy_declared(first, NULL), 1);
-	document_set_unknown_declared(first, NULL, 5 * SECOND);
-	ck_assert_int_eq(first->models[0].declared_at, 0);
-	document_fill_ages(first, &rep, 6 * SECOND);
-	ck_assert_uint_eq(rep.ages.ages_len, 0);
-	xdr_free((xdrproc_t)xdr_config_ages_reply, &rep);
-	ck_assert_int_eq(document_copy_declared(same, first), 0);
-	document_set_unknown_declared(same, first, 7 * SECOND);
-	ck_assert_int_eq(same->models[0].declared_at, 0);
-	ck_assert_int_eq(document_copy_declared(next, same), 1);
-	document_set_unknown_declared(next, same, 8 * SECOND);
-	ck_assert_int_eq(next->models[0].declared_at, 8 * SECOND);
-	document_unref(same);
-	same = document_of(4, 2);
-	ck_assert_int_eq(document_copy_declared(same, next), 0);
-	ck_assert_int_eq(same->models[0].declared_at, 8 * SECOND);
-	document_unref(first);
-	document_unref(same);
-	document_unref(next);
-}
-END_TEST
-
 START_TEST(document_is_bound_with_defaults)
 {
 	struct document *d = parse(whole);
@@ -537,55 +460,6 @@
 }
 END_TEST
 
-/*
- * Guards against an answer that counts from when a process that stood still reads
- * it.
- */
-/*
- * Guards against an entry that refuses everything when the platform is back after
- * an outage, as a new release may have been declared at its beginning.
- */
-START_TEST(outage_of_the_platform_leaves_time_to_load)
-{
-	apr_time_t now = 100 * SECOND;
-
-	ck_assert_int_eq(document_bound_unknown(99 * SECOND, 8000, now),
-			 99 * SECOND);
-	ck_assert_int_eq(document_bound_unknown(80 * SECOND, 8000, now) +
-				 8 * SECOND,
-			 now + DECLARED_UNKNOWN_LEFT_US);
-	ck_assert_int_eq(document_bound_unknown(0, 8000, now), 0);
-	/* The limit is shorter than what is left otherwise. */
-	ck_assert_int_eq(document_bound_unknown(80 * SECOND, 2000, now),
-			 80 * SECOND);
-}
-END_TEST
-
-START_TEST(answer_may_have_arrived_during_a_pause)
-{
-	struct pause_watch p = { 0 };
-	apr_time_t ms = 1000;
-
-	ck_assert_int_eq(pause_find_earliest(&p, SECOND, 2 * SECOND),
-			 2 * SECOND);
-	pause_record_step(&p, 2 * SECOND);
-	pause_record_step(&p, 2 * SECOND + 50 * ms);
-	ck_assert_int_eq(pause_find_earliest(&p, SECOND, 2 * SECOND + 99 * ms),
-			 2 * SECOND + 99 * ms);
-	/* The process wakes at 5 s; the answer is read before a step, after. */
-	ck_assert_int_eq(pause_find_earliest(&p, SECOND, 5 * SECOND),
-			 2 * SECOND + 50 * ms);
-	pause_record_step(&p, 5 * SECOND);
-	pause_record_step(&p, 5 * SECOND + 50 * ms);
-	ck_assert_int_eq(pause_find_earliest(&p, SECOND, 5 * SECOND + 60 * ms),
-			 2 * SECOND + 50 * ms);
-	/* The next read begins after the pause. */
-	ck_assert_int_eq(pause_find_earliest(&p, 5 * SECOND + 60 * ms,
-					     5 * SECOND + 99 * ms),
-			 5 * SECOND + 99 * ms);
-}
-END_TEST
-
 /* The peer that sent a document does not answer the question for ages. */
 START_TEST(other_peers_are_asked_instead_of_one)
 {
@@ -689,11 +563,7 @@
 	tcase_add_test(t, failed_pull_is_retried_from_next_source);
 	tcase_add_test(
 		t, peers_tell_until_when_the_current_version_was_the_newest);
-	tcase_add_test(t, outage_of_the_platform_leaves_time_to_load);
-	tcase_add_test(t, answer_may_have_arrived_during_a_pause);
 	tcase_add_test(t, other_peers_are_asked_instead_of_one);
-	tcase_add_test(t, release_age_from_peer_gives_time_of_declaration);
-	tcase_add_test(t, time_of_declaration_is_kept_or_unknown);
 	tcase_add_test(t, silent_watchers_are_substituted_by_few_in_turn);
 	tcase_set_timeout(t, 60);
 	suite_add_tcase(s, t);
--- a/t/helper/test-target.c
+++ b/t/helper/test-target.c
@@ -3,7 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "forward/listing-memory.h"
 #include "forward/listing.h"
 #include "forward/target.h"
 
@@ -389,83 +388,6 @@
 }
 END_TEST
 
-/* One listed upstream: "u", ready or draining. */
-static void list_one(struct listing *l, uint64_t epoch, uint64_t sequence,
-		     int is_draining)
-{
-	static struct listed_upstream item;
-
-	memset(&item, 0, sizeof(item));
-	snprintf(item.id, sizeof(item.id), "u");
-	item.started_ms = 1;
-	item.sequence = sequence;
-	item.is_draining = is_draining;
-	memset(l, 0, sizeof(*l));
-	l->epoch = epoch;
-	l->items = &item;
-	l->count = sequence > 0;
-}
-
-/*
- * A store that returns from an older copy lists upstreams as they were before
- * they began to drain, or left.
- */
-START_TEST(older_entries_of_a_new_epoch_do_not_count)
-{
-	struct listing_memory m = { 0 };
-	apr_time_t now = 100 * SECOND;
-	struct listing l;
-
-	list_one(&l, 1, 3, 0);
-	listing_memory_apply(&m, &l, now);
-	list_one(&l, 1, 4, 1);
-	listing_memory_apply(&m, &l, now);
-	ck_assert_int_eq(l.items[0].is_draining, 1);
-	list_one(&l, 2, 3, 0);
-	listing_memory_apply(&m, &l, now + SECOND);
-	ck_assert_int_eq(l.count, 1);
-	ck_assert_int_eq(l.items[0].is_draining, 1);
-	/* It wrote again, in the new epoch. */
-	list_one(&l, 2, 5, 0);
-	listing_memory_apply(&m, &l, now + 2 * SECOND);
-	ck_assert_int_eq(l.items[0].is_draining, 0);
-	/* It left; the copy of the next epoch still has it. */
-	list_one(&l, 2, 0, 0);
-	listing_memory_apply(&m, &l, now + 3 * SECOND);
-	list_one(&l, 3, 5, 0);
-	listing_memory_apply(&m, &l, now + 4 * SECOND);
-	ck_assert_int_eq(l.count, 0);
-	list_one(&l, 3, 6, 0);
-	listing_memory_apply(&m, &l, now + 5 * SECOND);
-	ck_assert_int_eq(l.count, 1);
-	listing_memory_destroy(&m);
-}
-END_TEST
-
-/* Within an epoch the store's word counts, and after some seconds always. */
-START_TEST(entries_are_held_back_for_seconds_only)
-{
-	struct listing_memory m = { 0 };
-	apr_time_t now = 100 * SECOND;
-	struct listing l;
-
-	list_one(&l, 1, 9, 1);
-	listing_memory_apply(&m, &l, now);
-	list_one(&l, 1, 2, 0);
-	listing_memory_apply(&m, &l, now);
-	ck_assert_int_eq(l.items[0].is_draining, 0);
-	list_one(&l, 1, 9, 1);
-	listing_memory_apply(&m, &l, now);
-	list_one(&l, 2, 2, 0);
-	listing_memory_apply(&m, &l, now);
-	ck_assert_int_eq(l.items[0].is_draining, 1);
-	list_one(&l, 2, 2, 0);
-	listing_memory_apply(&m, &l, now + 11 * SECOND);
-	ck_assert_int_eq(l.items[0].is_draining, 0);
-	listing_memory_destroy(&m);
-}
-END_TEST
-
 START_TEST(upstreams_missing_in_a_new_epoch_are_used_for_two_seconds)
 {
 	struct target_table t;
@@ -597,8 +519,6 @@
 		tc,
 		ejected_upstream_of_expiring_release_gets_no_waiting_requests);
 	tcase_add_test(tc, long_streams_block_an_order);
-	tcase_add_test(tc, older_entries_of_a_new_epoch_do_not_count);
-	tcase_add_test(tc, entries_are_held_back_for_seconds_only);
 	tcase_add_test(
 		tc, upstreams_missing_in_a_new_epoch_are_used_for_two_seconds);
 	tcase_add_test(
--- a/t/t0200-config.sh
+++ b/t/t0200-config.sh
@@ -6,4 +6,6 @@
 
 test_expect_success 'unit tests of config' 'test-config'
 
+test_expect_success 'unit tests of when releases were declared' 'test-declared'
+
 test_done
--- a/t/t0505-route.sh
+++ b/t/t0505-route.sh
@@ -19,7 +19,7 @@
 '
 
 test_expect_success 'an event stream parses the same wherever it is split' '
-	test-calls-route streams
+	test-sse
 '
 
 test_done
--- a/t/t1000-forward-unit.sh
+++ b/t/t1000-forward-unit.sh
@@ -12,4 +12,8 @@
 
 test_expect_success 'unit tests of the watch for upstreams that died' 'test-crash-watch'
 
+test_expect_success 'unit tests of the memory of lists' 'test-listing'
+
+test_expect_success 'unit tests of the limits of releases' 'test-release-limit'
+
 test_done
