--- a/t/t0711-crash-spread.sh
+++ b/t/t0711-crash-spread.sh
@@ -11,7 +11,9 @@
 . "$(dirname "$0")/test-lib.sh"
 
 # spread_bounds FILE MESSAGES BYTES: checks the bounds, and that no entry sends
-# more messages or bytes in a second.
+# more messages or bytes in a second. Messages: ten rounds to 7 receivers, or to 3
+# in a large fleet, and as many comparisons and their answers as may fall together.
+# Bytes: less than a quarter of an entry's link of 40 Mbit/s.
 spread_bounds () {
 	cat "$1"
 	awk -v messages=$2 -v bytes=$3 '
