forward: heed upstreams that leave or ask for a pause in their answers

Cause: no file read the header with which an upstream announces its end, and the Retry-After of a 503 was passed on to the caller but bound nothing. An entry went on choosing an upstream that the platform's list still named as ready, for as long as the list was late.

Ruled out: keeping the two facts in the row of the upstream, since a row is freed when the list drops its upstream and the notice has to outlive that; treating a pause as an ejection, since an ejected upstream is chosen when there is no other one.

Change: a table of notices by upstream and start of its process, copied into the rows whenever a list is applied. Only a later start ends a notice of leaving. Of several pauses the latest end counts, 300 s at most; malformed values are logged and ignored. Requests that were chosen for the upstream and of which no byte was sent go elsewhere, outside the retry budget. While all upstreams are paused, callers are refused at once with the earliest end.

--- a/forward/admit.c
+++ b/forward/admit.c
@@ -35,6 +35,8 @@
 
 /* Spread of retries while no upstream can serve, relative to that maximum. */
 #define RETRY_UNKNOWN_WAIT_SPREAD_RATIO 0.15
+/* The same while upstreams are paused, as a share of the time left. */
+#define RETRY_PAUSE_SPREAD_RATIO 0.2
 
 /*
  * Decides whether a request is admitted, and in which class. The bound on the
@@ -80,6 +82,22 @@
 	return max_ms - (spread ? (int)random_below(r, (uint32_t)spread) : 0);
 }
 
+/*
+ * Returns the delay in ms after which the caller of a request should retry that
+ * was refused since no upstream accepts any for `left` us: the time left plus a
+ * random spread. It may exceed the time left to the caller's deadline, as no
+ * earlier retry can succeed.
+ */
+int admit_retry_after_pause_ms(apr_interval_time_t left, struct random *r)
+{
+	int ms = left > 0 ? (int)(left / 1000) : 0;
+	int spread = (int)(RETRY_PAUSE_SPREAD_RATIO * ms);
+
+	if (spread < RETRY_SPREAD_MIN_MS)
+		spread = RETRY_SPREAD_MIN_MS;
+	return RETRY_MIN_MS + ms + (int)random_below(r, (uint32_t)spread);
+}
+
 /*
  * Returns the delay in ms after which a refused caller should retry: the
  * estimated wait plus a random spread, so that refused callers do not retry all
--- a/forward/admit.h
+++ b/forward/admit.h
@@ -36,6 +36,7 @@
 /* Wait of a request that no upstream can serve at present. */
 #define ADMIT_WAIT_UNKNOWN_US (-1.0)
 
+int admit_retry_after_pause_ms(apr_interval_time_t left, struct random *r);
 int admit_retry_after_ms(double wait_us, apr_interval_time_t left,
 			 struct random *r);
 
--- /dev/null
+++ b/forward/answer-notice.c
@@ -0,0 +1,104 @@
+#include <string.h>
+
+#include "base/log.h"
+#include "base/metric.h"
+#include "forward/internal.h"
+
+/*
+ * Applies what an upstream announces in the head of an answer: that it leaves,
+ * or that it wants no requests for a while. All functions run on the fetcher's
+ * thread.
+ */
+
+#define STATUS_MISDIRECTED 421
+#define STATUS_UNAVAILABLE 503
+
+/* Returns 1 when the answer asks this entry to send nothing for a while. */
+int forward_is_pause_asked(const struct forward *f)
+{
+	return f->fetch.status == STATUS_UNAVAILABLE &&
+	       f->answer.retry_after_s > 0;
+}
+
+/*
+ * Gives up the requests to an upstream of which no byte was sent, so that they
+ * go elsewhere. It has no effect on those that were sent. Called with the mutex
+ * held.
+ */
+static void give_up_unsent(struct forwarder *w, const char *upstream,
+			   apr_time_t now)
+{
+	struct forward *f;
+
+	for (f = w->active; f; f = f->next)
+		if (!strcmp(f->upstream, upstream) && f->fetch.send_by >= now)
+			f->fetch.send_by = now - 1;
+}
+
+static void log_malformed(struct forward *f)
+{
+	if (!f->answer.is_malformed)
+		return;
+	f->answer.is_malformed = 0;
+	metric_count("forward_notices", "malformed", 1);
+	log_notice("notice", f->upstream,
+		   "ignored a malformed announcement in an answer of status %d",
+		   f->fetch.status);
+}
+
+static void apply_leaving(struct forward *f, apr_time_t now)
+{
+	struct forwarder *w = f->w;
+	const char *id = f->upstream;
+	int64_t started_ms = f->upstream_started_ms;
+	const struct target *u;
+
+	f->is_leaving_applied = 1;
+	pthread_mutex_lock(&w->mutex);
+	/* Another instance answered at the address. */
+	if (f->fetch.status == STATUS_MISDIRECTED && *f->answer.upstream &&
+	    strcmp(f->answer.upstream, id) != 0) {
+		id = f->answer.upstream;
+		u = target_find(&w->targets, id);
+		started_ms = u ? u->started_ms : 0;
+	}
+	target_record_leaving(&w->targets, id, started_ms, now);
+	give_up_unsent(w, id, now);
+	pthread_mutex_unlock(&w->mutex);
+	metric_count("forward_notices", "leaving", 1);
+	log_notice("notice", id, "upstream announced its end in an answer");
+}
+
+static void apply_pause(struct forward *f, apr_time_t now)
+{
+	struct forwarder *w = f->w;
+
+	f->applied_pause_s = f->answer.retry_after_s;
+	pthread_mutex_lock(&w->mutex);
+	target_record_pause(&w->targets, f->upstream, f->upstream_started_ms,
+			    f->answer.retry_after_s, now);
+	give_up_unsent(w, f->upstream, now);
+	pthread_mutex_unlock(&w->mutex);
+	metric_count("forward_notices", "pause", 1);
+	log_notice("notice", f->upstream,
+		   "upstream asked for a pause of %.3g s, at most %d s count",
+		   f->answer.retry_after_s,
+		   (int)(NOTICE_PAUSE_MAX_US / APR_USEC_PER_SEC));
+}
+
+/*
+ * Applies the notices of an answer, as soon as their header arrives: the body of
+ * a stream may take minutes. Which instance sent an answer of status 421 is
+ * known only when its head is complete.
+ */
+void forward_apply_notice(struct forward *f, int is_head_complete,
+			  apr_time_t now)
+{
+	log_malformed(f);
+	if (f->answer.is_leaving && !f->is_leaving_applied &&
+	    (is_head_complete || f->fetch.status != STATUS_MISDIRECTED))
+		apply_leaving(f, now);
+	if (forward_is_pause_asked(f) &&
+	    f->answer.retry_after_s > f->applied_pause_s)
+		apply_pause(f, now);
+}
--- a/forward/answer.c
+++ b/forward/answer.c
@@ -42,6 +42,8 @@
 {
 	header_list_clear(&f->answer_headers);
 	memset(&f->answer, 0, sizeof(f->answer));
+	f->is_leaving_applied = 0;
+	f->applied_pause_s = 0;
 	f->is_event_answer = 0;
 	f->has_answer = 0;
 	free(f->held_body);
@@ -94,6 +96,7 @@
 	struct forward *x = f->arg;
 
 	x->w->wire->parse_answer_header(name, value, &x->answer);
+	forward_apply_notice(x, 0, clock_now());
 	if (!strcasecmp(name, "Content-Type"))
 		x->is_event_answer = f->status == STATUS_OK &&
 				     !strncasecmp(value, EVENT_STREAM_TYPE,
@@ -338,7 +341,8 @@
 	else if (e->is_complete && e->status < STATUS_SERVER_ERROR)
 		event = HEALTH_ANSWERED;
 	else if (!e->is_not_run && !e->is_other_instance &&
-		 !is_caller_disconnected && !e->is_timed_out)
+		 !forward_is_pause_asked(f) && !is_caller_disconnected &&
+		 !e->is_timed_out)
 		event = HEALTH_FAILED;
 	if (event)
 		ejected = health_record_outcome(&u->health, event, now);
@@ -449,6 +453,7 @@
 	apr_time_t now = clock_now();
 
 	fill_attempt_result(f, &e, now);
+	forward_apply_notice(f, 1, now);
 	pthread_mutex_lock(&f->w->mutex);
 	f->runs = attempt_count_runs(f->runs, &e);
 	pthread_mutex_unlock(&f->w->mutex);
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -49,7 +49,11 @@
 	int ms;
 
 	pthread_mutex_lock(&w->mutex);
-	ms = admit_retry_after_ms(f->wait_us, f->expires_at - now, &w->random);
+	ms = f->paused_until
+		     ? admit_retry_after_pause_ms(f->paused_until - now,
+						  &w->random)
+		     : admit_retry_after_ms(f->wait_us, f->expires_at - now,
+					    &w->random);
 	pthread_mutex_unlock(&w->mutex);
 	return ms;
 }
@@ -363,9 +367,14 @@
 
 static json_t *target_json(const struct target *u, apr_time_t now)
 {
-	return json_pack("{s:s,s:s,s:s,s:b,s:b,s:i,s:i,s:i,s:i}", "upstream",
-			 u->id, "service", u->service, "data_center",
-			 u->data_center, "leaving", u->is_draining, "ejected",
+	apr_interval_time_t pause =
+		u->paused_until > now ? u->paused_until - now : 0;
+
+	return json_pack("{s:s,s:s,s:s,s:b,s:b,s:I,s:b,s:i,s:i,s:i,s:i}",
+			 "upstream", u->id, "service", u->service,
+			 "data_center", u->data_center, "leaving",
+			 u->is_draining, "announced_end", u->has_announced_end,
+			 "paused_ms", (json_int_t)(pause / 1000), "ejected",
 			 !health_can_send(&u->health, now), "in_flight",
 			 u->in_flight, "running", u->running, "waiting",
 			 u->waiting, "slots", u->slots);
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -115,6 +115,7 @@
 	f->list_version = w->list_version;
 	choose_target(f, q, &choice, now);
 	f->wait_us = choice.wait_us;
+	f->paused_until = choice.paused_until;
 	if (choice.is_unservable)
 		f->wait_us = ADMIT_WAIT_UNKNOWN_US;
 	if (choice.index < 0)
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -87,6 +87,8 @@
 	apr_time_t received_at;
 	apr_time_t expires_at;
 	uint64_t list_version; /* of the upstreams, at the last attempt */
+	/* End of the first pause while all upstreams are paused, or 0. */
+	apr_time_t paused_until;
 	/* Estimated time since the caller's first attempt. */
 	int elapsed_ms;
 	enum admit_class admitted;
@@ -135,6 +137,9 @@
 	/* The answer. */
 	struct header_list answer_headers;
 	struct answer_head answer;
+	/* What of the answer's notices was applied to its upstream. */
+	int is_leaving_applied;
+	double applied_pause_s;
 	int is_event_answer;	      /* its body is a stream of events */
 	int is_event_reply;	      /* the answer that the caller gets is */
 	enum framing reply_framing;   /* of the answer that the caller gets */
@@ -172,6 +177,11 @@
 void forward_finish_truncated(struct forward *f, const char *outcome,
 			      apr_time_t now);
 
+/* answer-notice.c */
+void forward_apply_notice(struct forward *f, int is_head_complete,
+			  apr_time_t now);
+int forward_is_pause_asked(const struct forward *f);
+
 /* answer-log.c */
 int forward_is_withdrawn(const struct forward *f);
 void forward_check_release(struct forward *f, apr_time_t now);
--- /dev/null
+++ b/forward/notice.c
@@ -0,0 +1,110 @@
+#include "forward/notice.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Prepares an empty table. */
+void notice_table_init(struct notice_table *t)
+{
+	t->count = 0;
+	t->rows = calloc(NOTICES_MAX, sizeof(*t->rows));
+	if (!t->rows)
+		abort();
+}
+
+/* Frees the rows. */
+void notice_table_destroy(struct notice_table *t)
+{
+	free(t->rows);
+	t->rows = NULL;
+}
+
+static struct notice *find_row(const struct notice_table *t, const char *id)
+{
+	int i;
+
+	for (i = 0; i < t->count; i++)
+		if (!strcmp(t->rows[i].id, id))
+			return &t->rows[i];
+	return NULL;
+}
+
+/*
+ * Returns 1 when started_ms is that of a later process than the row's. An
+ * unknown start proves no new process.
+ */
+static int is_later_process(const struct notice *n, int64_t started_ms)
+{
+	return n->started_ms && started_ms > n->started_ms;
+}
+
+/*
+ * Returns the notice that binds requests to the process of an upstream that
+ * started at started_ms (Unix time, 0: unknown), or NULL. An older list names an
+ * earlier process, whose successor has the same id and would get the requests.
+ */
+const struct notice *notice_find(const struct notice_table *t, const char *id,
+				 int64_t started_ms)
+{
+	const struct notice *n = find_row(t, id);
+
+	return n && !is_later_process(n, started_ms) ? n : NULL;
+}
+
+/* Returns a free row, or that of the notice which is the oldest. */
+static struct notice *allocate_row(struct notice_table *t)
+{
+	int i, oldest = 0;
+
+	if (t->count < NOTICES_MAX)
+		return &t->rows[t->count++];
+	for (i = 1; i < t->count; i++)
+		if (t->rows[i].updated_at < t->rows[oldest].updated_at)
+			oldest = i;
+	return &t->rows[oldest];
+}
+
+/* Returns the row of a process, empty when it had none. */
+static struct notice *find_or_add(struct notice_table *t, const char *id,
+				  int64_t started_ms, apr_time_t now)
+{
+	struct notice *n = find_row(t, id);
+
+	if (!n || is_later_process(n, started_ms)) {
+		if (!n)
+			n = allocate_row(t);
+		memset(n, 0, sizeof(*n));
+		snprintf(n->id, sizeof(n->id), "%s", id);
+		n->started_ms = started_ms;
+	}
+	if (!n->started_ms)
+		n->started_ms = started_ms;
+	n->updated_at = now;
+	return n;
+}
+
+/* Records that the process of an upstream announced its end. */
+void notice_record_leaving(struct notice_table *t, const char *id,
+			   int64_t started_ms, apr_time_t now)
+{
+	find_or_add(t, id, started_ms, now)->is_leaving = 1;
+}
+
+/*
+ * Records that the process of an upstream asked for a pause of pause_s seconds.
+ * The latest end of several pauses counts.
+ */
+void notice_record_pause(struct notice_table *t, const char *id,
+			 int64_t started_ms, double pause_s, apr_time_t now)
+{
+	struct notice *n = find_or_add(t, id, started_ms, now);
+	double us = pause_s * APR_USEC_PER_SEC;
+	apr_time_t until;
+
+	if (us > NOTICE_PAUSE_MAX_US)
+		us = NOTICE_PAUSE_MAX_US;
+	until = now + (apr_interval_time_t)us;
+	if (until > n->paused_until)
+		n->paused_until = until;
+}
--- /dev/null
+++ b/forward/notice.h
@@ -0,0 +1,43 @@
+#ifndef FORWARD_NOTICE_H
+#define FORWARD_NOTICE_H
+
+#include <apr_time.h>
+#include <stdint.h>
+
+#include "base/settings.h"
+
+/*
+ * What upstreams announced to this entry in their answers: that they leave, or
+ * that they want no requests for a while. Kept apart from the rows of upstreams,
+ * since a notice stays in force when the platform's list drops its upstream and
+ * names it again. The functions read no clock.
+ */
+
+#define NOTICES_MAX 1024
+
+/* Longest pause that an upstream may ask for. */
+#define NOTICE_PAUSE_MAX_US (300 * APR_USEC_PER_SEC)
+
+struct notice {
+	char id[SETTINGS_NAME_SIZE];
+	int64_t started_ms; /* start of the upstream's process, 0: unknown */
+	int is_leaving;
+	apr_time_t paused_until;
+	apr_time_t updated_at;
+};
+
+struct notice_table {
+	struct notice *rows;
+	int count;
+};
+
+void notice_table_init(struct notice_table *t);
+void notice_table_destroy(struct notice_table *t);
+const struct notice *notice_find(const struct notice_table *t, const char *id,
+				 int64_t started_ms);
+void notice_record_leaving(struct notice_table *t, const char *id,
+			   int64_t started_ms, apr_time_t now);
+void notice_record_pause(struct notice_table *t, const char *id,
+			 int64_t started_ms, double pause_s, apr_time_t now);
+
+#endif
--- a/forward/target-update.c
+++ b/forward/target-update.c
@@ -36,6 +36,42 @@
 	return &t->rows[i];
 }
 
+/* Copies the notice that is in force for the row's process into the row. */
+static void copy_notice(const struct notice_table *t, struct target *u)
+{
+	const struct notice *n = notice_find(t, u->id, u->started_ms);
+
+	u->has_announced_end = n && n->is_leaving;
+	u->paused_until = n ? n->paused_until : 0;
+}
+
+static void apply_notice(struct target_table *t, const char *id)
+{
+	struct target *u = target_find(t, id);
+
+	if (u)
+		copy_notice(&t->notices, u);
+}
+
+/* Records that the process of an upstream announced its end in an answer. */
+void target_record_leaving(struct target_table *t, const char *id,
+			   int64_t started_ms, apr_time_t now)
+{
+	notice_record_leaving(&t->notices, id, started_ms, now);
+	apply_notice(t, id);
+}
+
+/*
+ * Records that the process of an upstream asked this entry to send nothing for
+ * pause_s seconds.
+ */
+void target_record_pause(struct target_table *t, const char *id,
+			 int64_t started_ms, double pause_s, apr_time_t now)
+{
+	notice_record_pause(&t->notices, id, started_ms, pause_s, now);
+	apply_notice(t, id);
+}
+
 static void apply_listed_upstream(struct target *u,
 				  const struct listed_upstream *x,
 				  const char *data_center, apr_time_t now)
@@ -131,9 +167,10 @@
 		u = target_find(t, l->items[i].id);
 		if (!u)
 			u = allocate_row(t);
-		if (u)
-			apply_listed_upstream(u, &l->items[i], data_center,
-					      now);
+		if (!u)
+			continue;
+		apply_listed_upstream(u, &l->items[i], data_center, now);
+		copy_notice(&t->notices, u);
 	}
 	grant_listing_grace(t, was_listed, l->epoch > t->listing_epoch, now);
 	t->listing_epoch = l->epoch;
--- a/forward/target.c
+++ b/forward/target.c
@@ -60,6 +60,7 @@
 	t->rows = calloc(TARGETS_MAX, sizeof(*t->rows));
 	if (!t->rows)
 		abort();
+	notice_table_init(&t->notices);
 }
 
 /* Frees the rows. */
@@ -67,6 +68,7 @@
 {
 	free(t->rows);
 	t->rows = NULL;
+	notice_table_destroy(&t->notices);
 }
 
 /* Returns the row of an upstream, or NULL. */
@@ -269,6 +271,7 @@
 	EXCLUSION_TRIED,
 	EXCLUSION_MODEL,
 	EXCLUSION_EJECTED,
+	EXCLUSION_PAUSED,
 	EXCLUSION_FULL,
 	EXCLUSION_COUNT
 };
@@ -280,6 +283,7 @@
 	"upstreams-tried",
 	"version-nowhere",
 	"upstreams-failing",
+	"upstreams-paused",
 	"upstreams-full"
 };
 
@@ -291,12 +295,14 @@
 	if (!u->is_used || !target_is_usable(u, now) ||
 	    strcmp(u->service, q->service) != 0)
 		return EXCLUSION_SERVICE;
-	if (u->is_draining || u->is_replaced)
+	if (u->is_draining || u->has_announced_end || u->is_replaced)
 		return EXCLUSION_DRAINING;
 	if (is_excluded(u, q))
 		return EXCLUSION_TRIED;
 	if (!runs_model(u, q, q->release_min))
 		return EXCLUSION_MODEL;
+	if (u->paused_until > now)
+		return EXCLUSION_PAUSED;
 	if (u->full_until > now || (has_valid_report(u, now) && u->is_busy))
 		return EXCLUSION_FULL;
 	/* The release may be retired before a queued request starts. */
@@ -447,6 +453,9 @@
 			nearest = m;
 		if (m == EXCLUSION_EJECTED)
 			sample_add(&ejected_rows, i, r);
+		if (m == EXCLUSION_PAUSED &&
+		    (!out->paused_until || u->paused_until < out->paused_until))
+			out->paused_until = u->paused_until;
 		if (m != EXCLUSION_NONE)
 			continue;
 		out->eligible++;
@@ -462,6 +471,8 @@
 		choose_min_wait(t, &ejected_rows, q, now, r, out);
 		out->is_ejected = 1;
 	}
+	if (out->index >= 0 || nearest != EXCLUSION_PAUSED)
+		out->paused_until = 0;
 	if (out->index < 0) {
 		out->reason = exclusion_reasons[nearest];
 		/*
--- a/forward/target.h
+++ b/forward/target.h
@@ -9,6 +9,7 @@
 #include "config/routing.h"
 #include "forward/health.h"
 #include "forward/listing.h"
+#include "forward/notice.h"
 
 /*
  * Choice of the upstream for a request that this entry sends itself. A row
@@ -47,6 +48,9 @@
 	int was_listed;		/* in the list before the current one */
 	apr_time_t grace_until; /* used until then although not listed */
 	int is_draining;
+	/* Copies of the notice of its process. */
+	int has_announced_end;
+	apr_time_t paused_until;
 	int is_replaced; /* another process runs at its address */
 	int is_local;	 /* in this entry's data centre */
 	int slots;
@@ -81,6 +85,7 @@
 	int count;
 	uint64_t listing_epoch; /* of the list applied last */
 	int entry_count; /* entries that send to the same upstreams, 0: one */
+	struct notice_table notices;
 };
 
 /* Age from which a report is no longer used to estimate the load. */
@@ -111,6 +116,8 @@
 	int is_ejected;	       /* chosen although its health ejected it */
 	int eligible;	       /* number of rows that could be chosen */
 	const char *reason;    /* why no row was chosen */
+	/* End of the first pause, when the reason is that all are paused. */
+	apr_time_t paused_until;
 	int is_unservable; /* no listed upstream can serve it within moments */
 };
 
@@ -120,6 +127,10 @@
 			  const char *data_center, apr_time_t now);
 int target_is_usable(const struct target *u, apr_time_t now);
 struct target *target_find(struct target_table *t, const char *id);
+void target_record_leaving(struct target_table *t, const char *id,
+			   int64_t started_ms, apr_time_t now);
+void target_record_pause(struct target_table *t, const char *id,
+			 int64_t started_ms, double pause_s, apr_time_t now);
 int target_merge_report(struct target_table *t, const struct target_report *r,
 			apr_time_t now);
 void target_record_start(struct target *u, apr_time_t now);
--- a/forward/wire.h
+++ b/forward/wire.h
@@ -57,6 +57,9 @@
 	char id[WIRE_ID_SIZE]; /* of the request that it answers, or "" */
 	/* Id of the instance that answered, or "". */
 	char upstream[WIRE_ID_SIZE];
+	int is_leaving;	      /* the upstream announces its end */
+	double retry_after_s; /* the longest that is given, 0: none */
+	int is_malformed;     /* a value of the two above was ignored */
 };
 
 struct wire_ops {
--- a/t/soak/soak.py
+++ b/t/soak/soak.py
@@ -143,7 +143,8 @@
             self.servers[name] = serve(
                 own, EngineHandler if engine else Upstream, id=name,
                 mode="ok", requests=[], runs=[], engine=engine,
-                deadlines={}, release=None)
+                deadlines={}, release=None,
+                notice=None)
             self.relays[name] = Relay((listed, 80), own)
             self.states[name] = ["ready", f"{listed}:80"]
             if engine:
--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -220,6 +220,9 @@
         if self.path == "/test/finish":
             s.finish.set()
             return self.answer(200, {})
+        if self.path == "/test/notice":
+            s.notice = json.loads(body)
+            return self.answer(200, {})
         if self.path == "/test/release":
             s.release = body.decode()
             return self.answer(200, {})
@@ -229,6 +232,11 @@
         common = [("X-Limpetflow-Request-Id", request),
                   ("X-Limpetflow-Response-Stamp", "stamp-" + s.id),
                   ("X-Limpetflow-Instance-Id", s.id)]
+        if s.notice:
+            common += s.notice["headers"]
+            if s.notice["status"] != 200:
+                return self.answer(s.notice["status"], {}, common + [
+                    ("X-Limpetflow-Not-Run", "1")])
         expected = self.headers.get("X-Limpetflow-Expect-Version")
         if s.release and expected and expected != s.release:
             return self.answer(421, {}, common)
@@ -332,6 +340,7 @@
         server.begun = []
         server.deadlines = {}
         server.release = None
+        server.notice = None  # {"status": 200, "headers": [[NAME, VALUE]]}
         server.finish = threading.Event()
     server.serve_forever()
 
--- a/t/t1000-forward-unit.sh
+++ b/t/t1000-forward-unit.sh
@@ -10,6 +10,8 @@
 
 test_expect_success 'unit tests of the choice of an upstream' 'test-target'
 
+test_expect_success 'unit tests of notices of upstreams' 'test-notice'
+
 test_expect_success 'unit tests of the watch for upstreams that died' 'test-crash-watch'
 
 test_expect_success 'unit tests of the memory of lists' 'test-listing'
