weights: close connections to the origin after use

Cause: an agent kept its connection to the origin for the next request. The origin takes few connections, and those of agents that have nothing more to fetch fill it: all requests of the agents whose turn it is for the next release are reset, and no release reaches anybody until the others idle out.

Ruled out: a shorter lifetime of idle connections, as the cap may be below the number of agents that fetch within it.

Change: requests to the origin close their connection, for manifests and chunks. A failed request for a manifest is logged and counted.

t1026 (12 agents, an origin with 9 connections): before, release 2 reached not all within 60 s; now it does, and no connection stays open.

--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -233,9 +233,9 @@
 	if (f->once || max_age == SILENCE_NEW_CONNECTION)
 		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
 	/* Each such transfer would leave one more idle connection behind. */
-	if (f->once)
+	if (f->once || f->closes_connection)
 		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
-	else if (max_age)
+	if (!f->once && max_age)
 		curl_easy_setopt(e, CURLOPT_MAXLIFETIME_CONN, max_age);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, check_before_send);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, f);
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -60,6 +60,8 @@
 	 * on another connection as well.
 	 */
 	apr_time_t send_by;
+	/* Its connection is not kept: the server takes few connections. */
+	int closes_connection;
 	int once; /* never sent twice: new connection, no library retry */
 	size_t text_max; /* of the body when ops->data is NULL, 0: FETCH_TEXT_MAX */
 
--- a/t/standin/model_server.py
+++ b/t/standin/model_server.py
@@ -1,8 +1,9 @@
 """Stand-in of a model server of the platform and of the origin of its weights,
 for the tests of weights/.
 
-    model_server.py ADDRESS:PORT
+    model_server.py ADDRESS:PORT [MAX_CONNECTIONS]
 
+Connections beyond MAX_CONNECTIONS are reset.
 It starts with release 1 of the model m loaded and staged. Each release has
 CHUNKS chunks, and a piece takes PIECE_S to arrive.
     GET /test/events       the events so far, oldest first: [NAME, RELEASE],
@@ -11,12 +12,16 @@
                            order arrives), order (it is accepted; -1: the
                            staged chunks are not all of its release) or loaded
     GET /test/release      the release that runs
+    GET /test/askers       the addresses from which manifests were requested
+    GET /test/connections  [open now, without this one; reset so far]
     PUT /test/hold-writes  with RELEASE: writes of its chunks take HOLD_S
     PUT /test/hold-orders  with RELEASE: an order for it is accepted after
                            HOLD_S
 """
 import hashlib
 import json
+import socket
+import struct
 import sys
 import threading
 import time
@@ -42,6 +47,8 @@
         self.release = 1
         self.busy = False
         self.held_writes = self.held_orders = 0
+        self.askers = set()
+        self.connections = self.resets = 0
 
     def add(self, name, release):
         with self.lock:
@@ -79,6 +86,10 @@
             return self.answer(200, s.events)
         if url.path == "/test/release":
             return self.answer(200, s.release)
+        if url.path == "/test/askers":
+            return self.answer(200, sorted(s.askers))
+        if url.path == "/test/connections":
+            return self.answer(200, [s.connections - 1, s.resets])
         if url.path == "/report":
             return self.answer(200, {
                 "Stage": "mixed", "Busy": s.busy, "Seq": 1, "Queued": 0,
@@ -88,6 +99,7 @@
         if url.path == "/manifest/m":
             release = int(args["Version"])
             s.add("manifest", release)
+            s.askers.add(self.client_address[0])
             return self.answer(200, {
                 "Model": "m", "Version": release, "ChunkBytes": CHUNK_BYTES,
                 "layers": 16, "Digests": [
@@ -138,12 +150,38 @@
         return self.answer(202, {})
 
 
+class Server(ThreadingHTTPServer):
+    """Resets the connections beyond a maximum."""
+    daemon_threads = True
+    request_queue_size = 64
+
+    def process_request_thread(self, request, client_address):
+        s = self.state
+        with s.lock:
+            is_full = s.connections >= self.max_connections
+            s.resets += is_full
+            s.connections += not is_full
+        if is_full:
+            request.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                               struct.pack("ii", 1, 0))
+            request.close()
+            return
+        try:
+            super().process_request_thread(request, client_address)
+        finally:
+            with s.lock:
+                s.connections -= 1
+
+    def handle_error(self, request, client_address):
+        if not isinstance(sys.exc_info()[1], OSError):
+            super().handle_error(request, client_address)
+
+
 def main():
     host, port = sys.argv[1].split(":")
-    ThreadingHTTPServer.request_queue_size = 64
-    server = ThreadingHTTPServer((host, int(port)), Handler)
-    server.daemon_threads = True
+    server = Server((host, int(port)), Handler)
     server.state = State()
+    server.max_connections = int(sys.argv[2]) if len(sys.argv) > 2 else 1000
     server.serve_forever()
 
 
--- a/weights/manifest-fetch.c
+++ b/weights/manifest-fetch.c
@@ -145,6 +145,17 @@
 	return parse_named_manifest(text, m->name, m->release, &x->want, err);
 }
 
+static void log_origin_failure(const struct model_row *m, const struct fetch *f)
+{
+	if (!f->error.code && f->status == HTTP_OK)
+		return;
+	metric_count("weights_origin_failures", "manifest", 1);
+	log_warning("manifest", m->name,
+		    "the origin gave no manifest of version %.12s: status %d, "
+		    "error: %s",
+		    m->version_hex, f->status, f->error.text);
+}
+
 static void finish_fetch(struct fetch *f)
 {
 	struct manifest_fetch *x = f->arg;
@@ -160,6 +171,8 @@
 		m->is_manifest_requested = 0;
 		schedule_retry(m, place_hash_string(x->url, (uint64_t)now),
 			       now);
+		if (x->from_origin)
+			log_origin_failure(m, f);
 		if (!f->error.code && f->status == HTTP_OK)
 			got = parse_answer(w, m, x, f, &err);
 		if (got && !m->swarm) {
@@ -280,6 +293,7 @@
 	x->fetch.ops = &fetch_manifest_ops;
 	x->fetch.arg = x;
 	x->fetch.url = x->url;
+	x->fetch.closes_connection = origin;
 	x->fetch.timeout_ms = has_short_time_limit(m)
 				      ? MANIFEST_TIMEOUT_SHORT_MS
 				      : MANIFEST_TIMEOUT_MS;
--- a/weights/transfer.c
+++ b/weights/transfer.c
@@ -537,6 +537,7 @@
 	f->arg = t;
 	f->url = t->url;
 	f->idle_seconds = TRANSFER_IDLE_TIMEOUT_S;
+	f->closes_connection = t->action.kind == TRANSFER_ORIGIN_FETCH;
 	if (t->action.kind == TRANSFER_ORIGIN_FETCH &&
 	    !t->w->ops->has_origin_ranges) {
 		f->timeout_ms = ORIGIN_TIMEOUT_MS;
