weights: an agent that has heard of nobody does not draw as if alone

Cause: a process that started before its seeds had a view with one member, itself, and so took itself for the holder of all permits. On a start of all machines at once 103 of 138 agents asked the origin for the manifest.

Change: with seeds named and no other instance known, an agent waits 3 s after its start before it asks.

--- a/weights/manifest-fetch.c
+++ b/weights/manifest-fetch.c
@@ -21,6 +21,8 @@
 #define MANIFEST_PERMIT_INTERVAL_US APR_USEC_PER_SEC
 /* Time after which an instance without a permit asks the origin. */
 #define MANIFEST_NO_PERMIT_WAIT_US (10 * APR_USEC_PER_SEC)
+/* Time after the start in which other instances are still to be heard of. */
+#define VIEW_UNKNOWN_US (3 * APR_USEC_PER_SEC)
 #define MANIFEST_TIMEOUT_MS 5000
 /* Timeout under a short time limit; a manifest is a few KB. */
 #define MANIFEST_TIMEOUT_SHORT_MS 1500
@@ -232,6 +234,18 @@
 		     (uint64_t)n];
 }
 
+/*
+ * Returns 1 while this process has heard of no other instance although it was
+ * given some to ask: it would take itself for the holder of all permits.
+ */
+static int is_view_unknown(const struct weights *w, const struct model_row *m,
+			   apr_time_t now)
+{
+	return m->view.member_count == 1 &&
+	       settings_has_seeds(&w->node->settings) &&
+	       now - w->node->started < VIEW_UNKNOWN_US;
+}
+
 /*
  * Returns 1 when it is this instance's turn to request the manifest from the
  * origin.
@@ -259,7 +273,8 @@
 	int peer = -1, origin;
 
 	if (m->swarm || m->is_manifest_requested || m->view.self < 0 ||
-	    !m->view.member_count || now < m->manifest_not_before)
+	    !m->view.member_count || now < m->manifest_not_before ||
+	    is_view_unknown(w, m, now))
 		return;
 	if (!m->manifest_started_at)
 		m->manifest_started_at = now;
