--- a/t/soak/engine.py
+++ b/t/soak/engine.py
@@ -129,6 +129,9 @@
         self.body()
         common = [("X-Limpetflow-Request-Id", request),
                   ("X-Limpetflow-Response-Stamp", s.id)]
+        s.arrivals.append((time.monotonic(), request))
+        if self.announce(s.notice, request, common):
+            return
         status = s.engine.begin(
             self.connection, request,
             int(self.headers["X-Limpetflow-Deadline-Ms"]) / 1000,
--- a/t/soak/faults.py
+++ b/t/soak/faults.py
@@ -140,6 +140,26 @@
     return out
 
 
+PAUSES = ("0.7", "1.5", "3", "-1", "soon")  # values of Retry-After
+
+
+def notices(seed, seconds, upstreams):
+    """Draws upstreams that announce their end in answers, though listed as
+    ready, and such that ask for pauses.  It has a random source of its own, so
+    that the other faults of a seed stay as they are."""
+    r = random.Random(f"notices {seed}")
+    out, at = [], r.uniform(0.5, 2)
+    while at < seconds - 3:
+        if r.random() < 0.4:
+            out.append(Fault(at, "leave", r.choice(upstreams), "leave",
+                             r.uniform(2.5, 5)))
+        else:
+            out.append(Fault(at, "ask", r.choice(upstreams),
+                             r.choice(PAUSES), r.uniform(0.1, 0.8)))
+        at += r.choice((0.1, 1, 2)) * r.uniform(0.5, 1.5)
+    return out
+
+
 def schedule(seed, seconds, entries, upstreams, engines, limit_s):
     """Draws faults that come in series and overlap."""
     r = random.Random(seed)
@@ -152,4 +172,5 @@
                          r.choice(kind[3]), r.uniform(0.2, 1) * kind[4]))
         at += r.choice((0.05, 0.3, 0.8, 1.5)) * r.uniform(0.5, 1.5)
     out += declarations(r, seconds, engines, limit_s)
+    out += notices(seed, seconds, upstreams + engines)
     return sorted(out, key=lambda fault: fault.at)
--- a/t/soak/soak.py
+++ b/t/soak/soak.py
@@ -59,14 +59,20 @@
 
     def handle_any(self):
         request = self.headers.get("X-Limpetflow-Request-Id", "")
+        notice = self.server.notice
+        common = [("X-Limpetflow-Request-Id", request),
+                  ("X-Limpetflow-Response-Stamp", self.server.id)]
         if request:
+            self.server.arrivals.append((time.monotonic(), request))
+            if self.announce(notice, request, common):
+                self.body()
+                return
             self.server.runs.append((time.monotonic(), request))
             time.sleep(WORK_S)
         if self.path.startswith("/tell/"):
-            self.stream([("X-Limpetflow-Request-Id", request),
-                         ("X-Limpetflow-Response-Stamp", self.server.id)])
+            self.stream(common)
             return
-        super().handle_any()
+        self.serve(notice)
 
     do_GET = do_POST = do_PUT = do_DELETE = handle_any
 
@@ -98,6 +104,7 @@
         self.incarnation = 0
         self.disturbed = 0.0  # until then
         self.disturbances = []  # (from, until)
+        self.freezes = []
         self.stopping = 0.0  # since TERM, 0: not
         self.lock = threading.Lock()
         settings = {
@@ -144,7 +151,8 @@
                 own, EngineHandler if engine else Upstream, id=name,
                 mode="ok", requests=[], runs=[], engine=engine,
                 deadlines={}, release=None,
-                notice=None)
+                notice=None, turned_away=[], arrivals=[],
+                born=int(time.time() * 1000), restarts=[])
             self.relays[name] = Relay((listed, 80), own)
             self.states[name] = ["ready", f"{listed}:80"]
             if engine:
@@ -216,7 +224,7 @@
             value = {"Service": SERVICES[name[0]], "Addr": mine[1],
                      "Zone": "d1", "Slots": SLOTS if engine else 8,
                      "Version": "v1", "State": mine[0], "ColdLeftMs": 0,
-                     "Seq": 1}
+                     "Seq": 1, "born": self.servers[name].born}
             if engine:
                 value["Models"] = [] if engine.is_loading else [
                     {"Name": "m", "Version": engine.release, "Adapters": []}]
@@ -236,6 +244,7 @@
 
     def fault_pause(self, fault, e, now, end):
         e.disturb(end)
+        e.freezes.append(now)
         e.process.send_signal(signal.SIGSTOP)
         self.later(fault.for_s, e.process.send_signal, signal.SIGCONT)
 
@@ -324,6 +333,29 @@
         self.drains.append((fault.target, time.monotonic(), end))
         self.later(fault.for_s, self.list, fault.target, "ready")
 
+    def fault_leave(self, fault, e, now, end):
+        server = self.servers[fault.target]
+        if server.notice:
+            return
+        server.notice = {"status": 200, "headers": [["Server-Leaving", "1"]]}
+        self.later(fault.for_s, self.restart, fault.target)
+
+    def restart(self, name):
+        """A process that left is followed by another one under its id."""
+        server = self.servers[name]
+        server.born = int(time.time() * 1000)
+        server.restarts.append(time.monotonic())
+        server.notice = None
+        self.list(name)
+
+    def fault_ask(self, fault, e, now, end):
+        server = self.servers[fault.target]
+        if server.notice:
+            return
+        server.notice = {"status": 503,
+                         "headers": [["Retry-After", fault.how]]}
+        self.later(fault.for_s, setattr, server, "notice", None)
+
     def fault_config(self, fault, e, now, end):
         self.config(fault.how)
 
@@ -364,6 +396,8 @@
                 "Authorization": f"Bearer {key}"})
             answer = connection.getresponse()
             record["status"] = answer.status
+            record["leaving"] = answer.getheader("Server-Leaving")
+            record["stamp"] = answer.getheader("X-Limpetflow-Response-Stamp")
             body = answer.read()
             self.answer_check(id, record, answer, body)
             return not answer.will_close
@@ -416,6 +450,9 @@
             if not self.o.no_bounds:
                 self.judge_bounds(id, rec, ran)
         self.judge_versions()
+        for name, server in self.servers.items():
+            self.judge_leaving(name, server)
+            self.judge_pauses(name, server)
         if not self.o.no_bounds:
             self.judge_releases()
 
@@ -439,6 +476,50 @@
             self.check("a stop answers what it took",
                        sent > rec["term"] + CALM_S, f"{id} {rec['error']}")
 
+    def arrivals_from(self, server, entry):
+        """The requests of an entry that reached an upstream."""
+        return [(t, self.records[id]) for t, id in server.arrivals
+                if self.records[id]["entry"] == entry.name]
+
+    def judge_leaving(self, name, server):
+        """From an entry that passed on an answer which announced the end,
+        nothing reaches that process any more."""
+        for e in self.processes:
+            told = [rec for rec in self.records.values()
+                    if rec["entry"] == e.name and rec.get("leaving") == "1"
+                    and rec["stamp"] in (name, "stamp-" + name)]
+            arrivals = self.arrivals_from(server, e) if told else []
+            for rec in told:
+                since, ended = rec["done"], [
+                    t for t in server.restarts + e.freezes
+                    if t > rec["sent"]]
+                until = min(ended, default=float("inf"))
+                late = [t - since for t, other in arrivals
+                        if other["incarnation"] == rec["incarnation"]
+                        and other["sent"] > since + DRAIN_S and t < until]
+                self.check("nothing for those that leave", not late,
+                           f"{e.name} {name} {late[:3]} s after its answer")
+
+    def judge_pauses(self, name, server):
+        """At most two requests of an entry reach an upstream in the pause that
+        it asked this entry for, from half a second on."""
+        for at, id, notice in server.turned_away:
+            try:
+                pause_s = float(notice["headers"][0][1])
+            except ValueError:
+                continue
+            rec = self.records[id]
+            e = self.by_name[rec["entry"]]
+            if any(at < t < at + pause_s for t in
+                   server.restarts + e.freezes + [
+                       d[0] for d in e.disturbances]):
+                continue
+            late = [t - at for t, other in self.arrivals_from(server, e)
+                    if at + 0.5 < t < at + pause_s
+                    and other["incarnation"] == rec["incarnation"]]
+            self.check("pauses are kept", len(late) <= 2,
+                       f"{e.name} {name} asked for {pause_s} s: {late[:5]}")
+
     def judge_versions(self):
         """Within one incarnation no older configuration comes back."""
         seen = {}
--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -204,6 +204,10 @@
 
 class UpstreamHandler(Handler):
     def handle_any(self):
+        self.serve(self.server.notice)
+
+    def serve(self, notice):
+        """Answers a request that came while the notice was in force."""
         body = self.body()
         s = self.server
         request = self.headers.get("X-Limpetflow-Request-Id", "")
@@ -232,11 +236,8 @@
         common = [("X-Limpetflow-Request-Id", request),
                   ("X-Limpetflow-Response-Stamp", "stamp-" + s.id),
                   ("X-Limpetflow-Instance-Id", s.id)]
-        if s.notice:
-            common += s.notice["headers"]
-            if s.notice["status"] != 200:
-                return self.answer(s.notice["status"], {}, common + [
-                    ("X-Limpetflow-Not-Run", "1")])
+        if self.announce(notice, request, common):
+            return None
         expected = self.headers.get("X-Limpetflow-Expect-Version")
         if s.release and expected and expected != s.release:
             return self.answer(421, {}, common)
@@ -266,6 +267,19 @@
             "headers": [[k, v] for k, v in self.headers.items()],
             "body": body.decode("latin1")}, common)
 
+    def announce(self, notice, request, common):
+        """Adds the headers of a notice.  Returns True when the notice has
+        turned the request away."""
+        if not notice:
+            return False
+        common += notice["headers"]
+        if notice["status"] == 200:
+            return False
+        self.server.turned_away.append((time.monotonic(), request, notice))
+        self.answer(notice["status"], {}, common + [
+            ("X-Limpetflow-Not-Run", "1")])
+        return True
+
     def wait_for_close(self):
         while True:
             select.select([self.connection], [], [])
@@ -341,6 +355,7 @@
         server.deadlines = {}
         server.release = None
         server.notice = None  # {"status": 200, "headers": [[NAME, VALUE]]}
+        server.turned_away = []
         server.finish = threading.Event()
     server.serve_forever()
 
