forward: a list that is late ends no notice of an upstream

Cause: a notice was kept under the start of the process in the list by which the entry chose the upstream. When that list was late, the process that spoke was a later one under the same id, and the next list ended its notice: the entry sent it requests in the pause that it had asked for.

Change: a start ends a notice only if it is after the notice, too, by the time of day. t1025 (a list with a start before the notice) fails before.

--- a/forward/answer-notice.c
+++ b/forward/answer-notice.c
@@ -46,7 +46,7 @@
 		   f->fetch.status);
 }
 
-static void apply_leaving(struct forward *f, apr_time_t now)
+static void apply_leaving(struct forward *f, const struct notice_time *at)
 {
 	struct forwarder *w = f->w;
 	const char *id = f->upstream;
@@ -62,22 +62,22 @@
 		u = target_find(&w->targets, id);
 		started_ms = u ? u->started_ms : 0;
 	}
-	target_record_leaving(&w->targets, id, started_ms, now);
-	give_up_unsent(w, id, now);
+	target_record_leaving(&w->targets, id, started_ms, at);
+	give_up_unsent(w, id, at->now);
 	pthread_mutex_unlock(&w->mutex);
 	metric_count("forward_notices", "leaving", 1);
 	log_notice("notice", id, "upstream announced its end in an answer");
 }
 
-static void apply_pause(struct forward *f, apr_time_t now)
+static void apply_pause(struct forward *f, const struct notice_time *at)
 {
 	struct forwarder *w = f->w;
 
 	f->applied_pause_s = f->answer.retry_after_s;
 	pthread_mutex_lock(&w->mutex);
 	target_record_pause(&w->targets, f->upstream, f->upstream_started_ms,
-			    f->answer.retry_after_s, now);
-	give_up_unsent(w, f->upstream, now);
+			    f->answer.retry_after_s, at);
+	give_up_unsent(w, f->upstream, at->now);
 	pthread_mutex_unlock(&w->mutex);
 	metric_count("forward_notices", "pause", 1);
 	log_notice("notice", f->upstream,
@@ -94,11 +94,13 @@
 void forward_apply_notice(struct forward *f, int is_head_complete,
 			  apr_time_t now)
 {
+	struct notice_time at = { now, apr_time_now() / 1000 };
+
 	log_malformed(f);
 	if (f->answer.is_leaving && !f->is_leaving_applied &&
 	    (is_head_complete || f->fetch.status != STATUS_MISDIRECTED))
-		apply_leaving(f, now);
+		apply_leaving(f, &at);
 	if (forward_is_pause_asked(f) &&
 	    f->answer.retry_after_s > f->applied_pause_s)
-		apply_pause(f, now);
+		apply_pause(f, &at);
 }
--- a/forward/notice.c
+++ b/forward/notice.c
@@ -31,12 +31,12 @@
 }
 
 /*
- * Returns 1 when started_ms is that of a later process than the row's. An
- * unknown start proves no new process.
+ * Returns 1 when started_ms is that of a later process than the one that spoke.
+ * An unknown start, 0, proves no new process.
  */
 static int is_later_process(const struct notice *n, int64_t started_ms)
 {
-	return n->started_ms && started_ms > n->started_ms;
+	return started_ms > n->started_before_ms;
 }
 
 /*
@@ -65,9 +65,14 @@
 	return &t->rows[oldest];
 }
 
-/* Returns the row of a process, empty when it had none. */
+/*
+ * Returns the row of a process, empty when it had none. The process that spoke
+ * may have started after started_ms, the start in a list that is late, but not
+ * after it spoke.
+ */
 static struct notice *find_or_add(struct notice_table *t, const char *id,
-				  int64_t started_ms, apr_time_t now)
+				  int64_t started_ms,
+				  const struct notice_time *at)
 {
 	struct notice *n = find_row(t, id);
 
@@ -76,19 +81,19 @@
 			n = allocate_row(t);
 		memset(n, 0, sizeof(*n));
 		snprintf(n->id, sizeof(n->id), "%s", id);
-		n->started_ms = started_ms;
+		n->started_before_ms = started_ms;
 	}
-	if (!n->started_ms)
-		n->started_ms = started_ms;
-	n->updated_at = now;
+	if (n->started_before_ms < at->unix_ms)
+		n->started_before_ms = at->unix_ms;
+	n->updated_at = at->now;
 	return n;
 }
 
 /* Records that the process of an upstream announced its end. */
 void notice_record_leaving(struct notice_table *t, const char *id,
-			   int64_t started_ms, apr_time_t now)
+			   int64_t started_ms, const struct notice_time *at)
 {
-	find_or_add(t, id, started_ms, now)->is_leaving = 1;
+	find_or_add(t, id, started_ms, at)->is_leaving = 1;
 }
 
 /*
@@ -96,15 +101,16 @@
  * The latest end of several pauses counts.
  */
 void notice_record_pause(struct notice_table *t, const char *id,
-			 int64_t started_ms, double pause_s, apr_time_t now)
+			 int64_t started_ms, double pause_s,
+			 const struct notice_time *at)
 {
-	struct notice *n = find_or_add(t, id, started_ms, now);
+	struct notice *n = find_or_add(t, id, started_ms, at);
 	double us = pause_s * APR_USEC_PER_SEC;
 	apr_time_t until;
 
 	if (us > NOTICE_PAUSE_MAX_US)
 		us = NOTICE_PAUSE_MAX_US;
-	until = now + (apr_interval_time_t)us;
+	until = at->now + (apr_interval_time_t)us;
 	if (until > n->paused_until)
 		n->paused_until = until;
 }
--- a/forward/notice.h
+++ b/forward/notice.h
@@ -20,12 +20,19 @@
 
 struct notice {
 	char id[SETTINGS_NAME_SIZE];
-	int64_t started_ms; /* start of the upstream's process, 0: unknown */
+	/* Latest start of its process, as far as known: Unix time in ms. */
+	int64_t started_before_ms;
 	int is_leaving;
 	apr_time_t paused_until;
 	apr_time_t updated_at;
 };
 
+/* When a notice arrived. */
+struct notice_time {
+	apr_time_t now;
+	int64_t unix_ms; /* time of day, to compare with starts of processes */
+};
+
 struct notice_table {
 	struct notice *rows;
 	int count;
@@ -36,8 +43,9 @@
 const struct notice *notice_find(const struct notice_table *t, const char *id,
 				 int64_t started_ms);
 void notice_record_leaving(struct notice_table *t, const char *id,
-			   int64_t started_ms, apr_time_t now);
+			   int64_t started_ms, const struct notice_time *at);
 void notice_record_pause(struct notice_table *t, const char *id,
-			 int64_t started_ms, double pause_s, apr_time_t now);
+			 int64_t started_ms, double pause_s,
+			 const struct notice_time *at);
 
 #endif
--- a/forward/target-update.c
+++ b/forward/target-update.c
@@ -55,9 +55,9 @@
 
 /* Records that the process of an upstream announced its end in an answer. */
 void target_record_leaving(struct target_table *t, const char *id,
-			   int64_t started_ms, apr_time_t now)
+			   int64_t started_ms, const struct notice_time *at)
 {
-	notice_record_leaving(&t->notices, id, started_ms, now);
+	notice_record_leaving(&t->notices, id, started_ms, at);
 	apply_notice(t, id);
 }
 
@@ -66,9 +66,10 @@
  * pause_s seconds.
  */
 void target_record_pause(struct target_table *t, const char *id,
-			 int64_t started_ms, double pause_s, apr_time_t now)
+			 int64_t started_ms, double pause_s,
+			 const struct notice_time *at)
 {
-	notice_record_pause(&t->notices, id, started_ms, pause_s, now);
+	notice_record_pause(&t->notices, id, started_ms, pause_s, at);
 	apply_notice(t, id);
 }
 
--- a/forward/target.h
+++ b/forward/target.h
@@ -128,9 +128,10 @@
 int target_is_usable(const struct target *u, apr_time_t now);
 struct target *target_find(struct target_table *t, const char *id);
 void target_record_leaving(struct target_table *t, const char *id,
-			   int64_t started_ms, apr_time_t now);
+			   int64_t started_ms, const struct notice_time *at);
 void target_record_pause(struct target_table *t, const char *id,
-			 int64_t started_ms, double pause_s, apr_time_t now);
+			 int64_t started_ms, double pause_s,
+			 const struct notice_time *at);
 int target_merge_report(struct target_table *t, const struct target_report *r,
 			apr_time_t now);
 void target_record_start(struct target *u, apr_time_t now);
--- a/t/helper/test-notice.c
+++ b/t/helper/test-notice.c
@@ -12,6 +12,9 @@
 #define SECOND APR_USEC_PER_SEC
 #define YEAR_S (365 * 24 * 3600.0)
 
+/* Starts of processes are given in ms, and here agree with `now`. */
+#define AT(us) (&(struct notice_time){ (us), (us) / 1000 })
+
 /* Lists upstreams u0, u1, ... of a plain service; born[i] of 0 leaves one out. */
 static void apply_list(struct target_table *t, const int *born, int count,
 		       apr_time_t now)
@@ -53,33 +56,52 @@
 	struct target_table t;
 
 	target_table_init(&t);
-	apply_list(&t, (int[]){ 5 }, 1, SECOND);
-	target_record_leaving(&t, "u0", 5, SECOND);
+	apply_list(&t, (int[]){ 500 }, 1, SECOND);
+	target_record_leaving(&t, "u0", 500, AT(SECOND));
 	ck_assert_int_eq(choose(&t, SECOND).index, -1);
 	/* The same list, none, one that is older, and the same once more. */
-	apply_list(&t, (int[]){ 5 }, 1, 2 * SECOND);
+	apply_list(&t, (int[]){ 500 }, 1, 2 * SECOND);
 	ck_assert_str_eq(choose(&t, 2 * SECOND).reason, "upstreams-leaving");
 	apply_list(&t, (int[]){ 0 }, 1, 30 * SECOND);
-	apply_list(&t, (int[]){ 4 }, 1, 40 * SECOND);
+	apply_list(&t, (int[]){ 400 }, 1, 40 * SECOND);
 	ck_assert_int_eq(choose(&t, 40 * SECOND).index, -1);
-	apply_list(&t, (int[]){ 5 }, 1, 50 * SECOND);
+	apply_list(&t, (int[]){ 500 }, 1, 50 * SECOND);
 	ck_assert_int_eq(choose(&t, 50 * SECOND).index, -1);
-	apply_list(&t, (int[]){ 6 }, 1, 60 * SECOND);
+	apply_list(&t, (int[]){ 55000 }, 1, 60 * SECOND);
 	ck_assert_int_eq(choose(&t, 60 * SECOND).index, 0);
-	apply_list(&t, (int[]){ 5 }, 1, 70 * SECOND);
+	apply_list(&t, (int[]){ 500 }, 1, 70 * SECOND);
 	ck_assert_int_eq(choose(&t, 70 * SECOND).index, -1);
 	target_table_destroy(&t);
 }
 END_TEST
 
-START_TEST(leaving_of_an_unlisted_upstream_counts_once_it_is_listed)
+/* The list that names the start of the process that spoke comes after it. */
+START_TEST(a_late_list_ends_no_notice)
+{
+	struct target_table t;
+
+	target_table_init(&t);
+	apply_list(&t, (int[]){ 500 }, 1, SECOND);
+	target_record_leaving(&t, "u0", 500, AT(9 * SECOND));
+	target_record_pause(&t, "u0", 500, 60, AT(9 * SECOND));
+	apply_list(&t, (int[]){ 8000 }, 1, 10 * SECOND);
+	ck_assert_int_eq(choose(&t, 10 * SECOND).index, -1);
+	ck_assert(target_find(&t, "u0")->paused_until == 69 * SECOND);
+	apply_list(&t, (int[]){ 12000 }, 1, 13 * SECOND);
+	ck_assert_int_eq(choose(&t, 13 * SECOND).index, 0);
+	target_table_destroy(&t);
+}
+END_TEST
+
+START_TEST(an_unknown_start_ends_no_notice)
 {
 	struct target_table t;
 
 	target_table_init(&t);
-	target_record_leaving(&t, "u0", 0, SECOND);
-	apply_list(&t, (int[]){ 5 }, 1, 2 * SECOND);
+	target_record_leaving(&t, "u0", 0, AT(SECOND));
+	apply_list(&t, (int[]){ 500 }, 1, 2 * SECOND);
 	ck_assert_int_eq(choose(&t, 2 * SECOND).index, -1);
+	ck_assert(notice_find(&t.notices, "u0", 0));
 	target_table_destroy(&t);
 }
 END_TEST
@@ -89,17 +111,17 @@
 	struct target_table t;
 
 	target_table_init(&t);
-	apply_list(&t, (int[]){ 5 }, 1, 0);
-	target_record_pause(&t, "u0", 5, 2.5, SECOND);
-	target_record_pause(&t, "u0", 5, 0.2, SECOND);
+	apply_list(&t, (int[]){ 500 }, 1, 0);
+	target_record_pause(&t, "u0", 500, 2.5, AT(SECOND));
+	target_record_pause(&t, "u0", 500, 0.2, AT(SECOND));
 	ck_assert_str_eq(choose(&t, 3 * SECOND).reason, "upstreams-paused");
 	ck_assert_int_eq(choose(&t, 3 * SECOND).paused_until,
 			 SECOND + 2.5 * SECOND);
 	ck_assert_int_eq(choose(&t, 3.5 * SECOND).index, 0);
-	target_record_pause(&t, "u0", 5, 1, 4 * SECOND);
-	target_record_pause(&t, "u0", 5, 9, 4 * SECOND);
+	target_record_pause(&t, "u0", 500, 1, AT(4 * SECOND));
+	target_record_pause(&t, "u0", 500, 9, AT(4 * SECOND));
 	apply_list(&t, (int[]){ 0 }, 1, 5 * SECOND);
-	apply_list(&t, (int[]){ 5 }, 1, 6 * SECOND);
+	apply_list(&t, (int[]){ 500 }, 1, 6 * SECOND);
 	ck_assert_int_eq(choose(&t, 13 * SECOND - 1).index, -1);
 	ck_assert_int_eq(choose(&t, 13 * SECOND).index, 0);
 	target_table_destroy(&t);
@@ -111,8 +133,8 @@
 	struct target_table t;
 
 	target_table_init(&t);
-	apply_list(&t, (int[]){ 5 }, 1, 0);
-	target_record_pause(&t, "u0", 5, YEAR_S * 1e30, 0);
+	apply_list(&t, (int[]){ 500 }, 1, 0);
+	target_record_pause(&t, "u0", 500, YEAR_S * 1e30, AT(0));
 	ck_assert_int_eq(choose(&t, NOTICE_PAUSE_MAX_US - 1).index, -1);
 	ck_assert_int_eq(choose(&t, NOTICE_PAUSE_MAX_US).index, 0);
 	target_table_destroy(&t);
@@ -126,11 +148,11 @@
 	struct target_choice c;
 
 	target_table_init(&t);
-	apply_list(&t, (int[]){ 5, 5, 5 }, 3, 0);
+	apply_list(&t, (int[]){ 500, 500, 500 }, 3, 0);
 	target_find(&t, "u0")->health.ejected_until = 20 * SECOND;
-	target_record_pause(&t, "u0", 5, 9, 0);
-	target_record_pause(&t, "u1", 5, 4, 0);
-	target_record_pause(&t, "u2", 5, 3, 0);
+	target_record_pause(&t, "u0", 500, 9, AT(0));
+	target_record_pause(&t, "u1", 500, 4, AT(0));
+	target_record_pause(&t, "u2", 500, 3, AT(0));
 	c = choose(&t, SECOND);
 	ck_assert_int_eq(c.index, -1);
 	ck_assert_str_eq(c.reason, "upstreams-paused");
@@ -151,12 +173,12 @@
 	target_table_init(&t);
 	for (i = 0; i <= NOTICES_MAX; i++) {
 		snprintf(id, sizeof(id), "u%d", i);
-		target_record_leaving(&t, id, 5, i + 1);
+		target_record_leaving(&t, id, 500, AT((i + 1) * SECOND));
 	}
-	ck_assert(!notice_find(&t.notices, "u0", 5));
+	ck_assert(!notice_find(&t.notices, "u0", 500));
 	for (i = 1; i <= NOTICES_MAX; i++) {
 		snprintf(id, sizeof(id), "u%d", i);
-		ck_assert(notice_find(&t.notices, id, 5)->is_leaving);
+		ck_assert(notice_find(&t.notices, id, 500)->is_leaving);
 	}
 	target_table_destroy(&t);
 }
@@ -238,8 +260,8 @@
 
 	suite_add_tcase(s, tc);
 	tcase_add_test(tc, leaving_ends_with_a_later_start_only);
-	tcase_add_test(
-		tc, leaving_of_an_unlisted_upstream_counts_once_it_is_listed);
+	tcase_add_test(tc, a_late_list_ends_no_notice);
+	tcase_add_test(tc, an_unknown_start_ends_no_notice);
 	tcase_add_test(tc, the_latest_end_of_several_pauses_counts);
 	tcase_add_test(tc, a_pause_is_bounded);
 	tcase_add_test(tc, an_ejected_upstream_is_not_used_during_its_pause);
--- a/t/t1025-upstream-notices.sh
+++ b/t/t1025-upstream-notices.sh
@@ -28,7 +28,11 @@
 	EOF2
 }
 
-# list NUMBER SERVICE BORN
+now_ms () {
+	date +%s%3N
+}
+
+# list NUMBER SERVICE START_MS
 list () {
 	printf '{"Service":"%s","Addr":"%s","Zone":"d1","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1,"born":%s}' \
 		$2 "$TEST_NET.$((10 + $1)):80" $3 | put servers/i-$1
@@ -94,7 +98,10 @@
 
 test_expect_success 'both upstreams get requests' '
 	wait_until 10 curl -sf http://$STORE/test/calls &&
-	config && list 1 web 5 && list 2 web 5 && list 3 tale 5 &&
+	first=$(now_ms) &&
+	echo $first >first &&
+	config && list 1 web $first && list 2 web $first &&
+	list 3 tale $first &&
 	start entry limpet-entry --settings entry.json &&
 	wait_until 10 curl -sf http://$READY/readyz &&
 	wait_until 10 reaches 1 read/x &&
@@ -112,15 +119,17 @@
 test_expect_success 'the list and an older one change nothing' '
 	quiet 1 &&
 	before=$(requests_of 1) &&
-	list 1 web 5 && send 10 read/x &&
-	list 1 web 4 && send 10 read/x &&
+	first=$(cat first) &&
+	list 1 web $first && send 10 read/x &&
+	list 1 web $((first - 1)) && send 10 read/x &&
+	list 1 web $((first + 1)) && send 10 read/x &&
 	unlist 1 && send 10 read/x &&
-	list 1 web 5 && sleep 1 && send 10 read/x &&
+	list 1 web $first && sleep 1 && send 10 read/x &&
 	test $(requests_of 1) = $before
 '
 
 test_expect_success 'a later start gets requests' '
-	list 1 web 6 &&
+	list 1 web $(now_ms) &&
 	wait_until 10 reaches 1 read/x
 '
 
@@ -181,7 +190,7 @@
 
 test_expect_success 'a pause ends by itself' '
 	quiet 2 &&
-	list 2 web 7 &&
+	list 2 web $(now_ms) &&
 	wait_until 10 reaches 2 read/x &&
 	notice 2 503 Retry-After 0.8 &&
 	ask read/x >/dev/null &&
