test-lib: stop only processes that a test has started

Cause: at the end of a script, stop_all signalled the process IDs that it had noted up to 5 s earlier, or longer for a process that had ended by itself. On a busy machine, where each thread takes an ID, such an ID may be that of another process by then.

It may explain t0210-config-spread.16, which failed once beside another run of the suite; that was not shown.

--- a/t/lib-control.sh
+++ b/t/lib-control.sh
@@ -5,10 +5,8 @@
 # control_stop_all: kills all processes by their pid files; the shell does not
 # know processes that were started in the subshell of a test case.
 control_stop_all () {
-	cat ./*.pid 2>/dev/null | while read -r control_pid; do
-		kill -CONT "$control_pid" 2>/dev/null
-		kill -KILL "$control_pid" 2>/dev/null
-	done
+	signal_started CONT
+	signal_started KILL
 	stop_all
 }
 
--- a/t/t0410-weights-fleet.sh
+++ b/t/t0410-weights-fleet.sh
@@ -198,7 +198,7 @@
 	wait_until 10 sh -c "! curl -s -o ready http://$(fleet_net 2).11:7102/ready"
 	agent_settings agent-2-11b dc2 "$(fleet_net 2).11" model >b.json
 	limpet-agent --settings b.json >b.out 2>b.err &
-	echo $! >replaced.pid
+	record_process replaced $!
 	sed "s/\"agent-2-11\"/\"agent-2-11b\"/g" instances.rows >rows
 	cp rows instances.rows
 	fleet_publish_instances
--- a/t/test-lib.sh
+++ b/t/test-lib.sh
@@ -26,38 +26,62 @@
 mkdir -p "$TRASH"
 cd "$TRASH" || exit 1
 
+# process_start PID: prints when the process started, in clock ticks, unless it
+# has ended.
+process_start () {
+	process_stat=$(cat "/proc/$1/stat" 2>/dev/null) || return 1
+	set -- ${process_stat##*) }
+	test "$1" != Z || return 1
+	echo "${20}"
+}
+
+# record_process NAME PID: notes a process for stop_all. Its start is noted too,
+# since its ID may be another process's later.
+record_process () {
+	echo "$2" >"$1.pid"
+	process_start "$2" >"$1.since"
+}
+
 # start NAME COMMAND...: runs COMMAND in the background with its output in
 # NAME.out and NAME.err and its process ID in NAME.pid.
 start () {
 	start_name=$1
 	shift
 	"$@" >"$start_name.out" 2>"$start_name.err" &
-	echo $! >"$start_name.pid"
+	record_process "$start_name" $!
 }
 
-# pids_alive PID...: succeeds if one of the processes exists.
-pids_alive () {
-	for alive_pid; do
-		kill -0 "$alive_pid" 2>/dev/null && return 0
+# started_pids: prints the IDs of the noted processes that run. It uses files, as
+# a case runs in a subshell, whose variables are lost.
+started_pids () {
+	for pid_file in "$TRASH"/*.pid; do
+		test -f "$pid_file" || continue
+		started_since=$(process_start "$(cat "$pid_file")") || continue
+		test "$started_since" = "$(cat "${pid_file%.pid}.since")" &&
+			cat "$pid_file"
+	done
+	return 0
+}
+
+# signal_started SIGNAL: sends it to the noted processes that run.
+signal_started () {
+	for signal_pid in $(started_pids); do
+		kill -"$1" "$signal_pid" 2>/dev/null
 	done
-	return 1
 }
 
 # stop_all: stops all processes started with "start", with SIGTERM and after
-# 5 s with SIGKILL.  Uses the pid files, as a case runs in a subshell, whose
-# variables are lost.
+# 5 s with SIGKILL.
 stop_all () {
-	stop_pids=$(cat "$TRASH"/*.pid 2>/dev/null)
-	rm -f "$TRASH"/*.pid
-	test -n "$stop_pids" || return 0
-	kill -CONT $stop_pids 2>/dev/null
-	kill -TERM $stop_pids 2>/dev/null
+	signal_started CONT
+	signal_started TERM
 	stop_tries=0
-	while test $stop_tries -lt 50 && pids_alive $stop_pids; do
+	while test $stop_tries -lt 50 && test -n "$(started_pids)"; do
 		sleep 0.1
 		stop_tries=$((stop_tries + 1))
 	done
-	kill -KILL $stop_pids 2>/dev/null
+	signal_started KILL
+	rm -f "$TRASH"/*.pid
 	wait 2>/dev/null
 }
 
