daemon: give freed memory back to the system

Cause: the threads of a process kept freed blocks in arenas of their own, and blocks the size of a document stayed in the heap.

Change: one arena, as a process has one core; blocks of 64 KB and more are mapped, and free space beyond that is returned.

--- a/net/daemon.c
+++ b/net/daemon.c
@@ -1,6 +1,7 @@
 #include "net/daemon.h"
 
 #include <apr_general.h>
+#include <malloc.h>
 #include <popt.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,6 +13,9 @@
 #define EXIT_USAGE 2
 #define LOG_FLUSH_MS 200 /* at the end of the process */
 
+/* Blocks of this size, such as documents, are given back when they are freed. */
+#define MMAP_MIN_BYTES (64 * 1024)
+
 struct daemon_options {
 	char *settings_file;
 	int check_only;
@@ -90,6 +94,17 @@
 	return ret ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
+/*
+ * Bounds the memory that the allocator holds back. A process has one core and
+ * many threads, which would each keep free blocks in an arena of their own.
+ */
+static void limit_free_memory(void)
+{
+	mallopt(M_ARENA_MAX, 1);
+	mallopt(M_MMAP_THRESHOLD, MMAP_MIN_BYTES);
+	mallopt(M_TRIM_THRESHOLD, MMAP_MIN_BYTES);
+}
+
 /* See daemon.h. */
 int daemon_main(int argc, const char **argv, const char *program,
 		enum role role, int (*start)(struct node *n, struct error *err))
@@ -98,6 +113,7 @@
 	struct settings s;
 	int ret = EXIT_USAGE;
 
+	limit_free_memory();
 	apr_initialize();
 	if (parse_options(argc, argv, &o))
 		goto out;
