forward: an answer that goes on after a broken connection acquits nothing

Cause: a stream that was resumed after its upstream crashed counted as a sound answer when it was completed. So near to its end, the next upstream may have written the rest before it crashed as well. A part of prompts that crashes its upstreams then counted as one that had sound answers, which takes five deaths in a row instead of three, and longer until they count.

--- a/forward/crash-guard.c
+++ b/forward/crash-guard.c
@@ -120,11 +120,16 @@
 	a->run.broken_at = now - RESET_DELAY_US;
 }
 
-/* Returns 1 for a complete answer that shows that the run did no harm. */
+/*
+ * Returns 1 for a complete answer that shows that the run did no harm. One that
+ * goes on after a broken connection shows little: what was left of it may have
+ * ended before the upstream that wrote it does.
+ */
 static int is_sound(const struct forward *f, const struct attempt_result *e)
 {
-	if (!e->is_complete || e->is_mismatched || !attempt_may_have_run(e) ||
-	    e->status < STATUS_OK || e->status >= STATUS_REDIRECT)
+	if (f->was_cut || !e->is_complete || e->is_mismatched ||
+	    !attempt_may_have_run(e) || e->status < STATUS_OK ||
+	    e->status >= STATUS_REDIRECT)
 		return 0;
 	/* A resumed stream of which nothing was left proves nothing. */
 	return f->last_contact || !f->is_event_answer;
@@ -141,7 +146,9 @@
 	int sound = is_sound(f, e);
 	struct ended_attempt a;
 
+	f->was_cut |= e->is_cut;
 	if (sound && e->is_end_marked) {
+		metric_count("crash_sound_answers", NULL, 1);
 		crash_record_sound(w->crashes, &f->items, now);
 		return;
 	}
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -106,6 +106,7 @@
 	/* Attempts that may have run; changed with the forwarder's mutex. */
 	int runs;
 	int may_have_run;
+	int was_cut; /* the connection of an earlier attempt broke */
 	char upstream[SETTINGS_NAME_SIZE]; /* id, of the current attempt */
 	char address[SETTINGS_ADDRESS_SIZE];
 	int64_t upstream_started_ms;
