forward: the pause of the upstream that turned a request away counts

Cause: an upstream that a request had been sent to was excluded as tried before its pause was looked at. Where it was the only one, the caller was told to return after the usual moment rather than at the end of the pause.

Change: the pause is looked at first. Found by reading; the unit test fails before.

--- a/forward/target.c
+++ b/forward/target.c
@@ -297,12 +297,13 @@
 		return EXCLUSION_SERVICE;
 	if (u->is_draining || u->has_announced_end || u->is_replaced)
 		return EXCLUSION_DRAINING;
+	/* Also one that turned this request away to ask for the pause. */
+	if (u->paused_until > now && runs_model(u, q, q->release_min))
+		return EXCLUSION_PAUSED;
 	if (is_excluded(u, q))
 		return EXCLUSION_TRIED;
 	if (!runs_model(u, q, q->release_min))
 		return EXCLUSION_MODEL;
-	if (u->paused_until > now)
-		return EXCLUSION_PAUSED;
 	if (u->full_until > now || (has_valid_report(u, now) && u->is_busy))
 		return EXCLUSION_FULL;
 	/* The release may be retired before a queued request starts. */
--- a/t/helper/test-notice.c
+++ b/t/helper/test-notice.c
@@ -164,6 +164,29 @@
 }
 END_TEST
 
+START_TEST(one_that_turned_the_request_away_counts_as_paused)
+{
+	struct target_query q = { .service = "s" };
+	struct target_choice c;
+	struct target_table t;
+	struct random r;
+
+	random_seed(&r, 7);
+	target_table_init(&t);
+	apply_list(&t, (int[]){ 500, 500 }, 2, 0);
+	target_record_pause(&t, "u0", 500, 2, AT(0));
+	target_record_pause(&t, "u1", 500, 6, AT(0));
+	q.excluded[q.excluded_count++] = "u0";
+	target_choose(&t, &q, SECOND, &r, &c);
+	ck_assert_int_eq(c.index, -1);
+	ck_assert_int_eq(c.paused_until, 2 * SECOND);
+	target_choose(&t, &q, 3 * SECOND, &r, &c);
+	ck_assert_int_eq(c.index, -1);
+	ck_assert_int_eq(c.paused_until, 6 * SECOND);
+	target_table_destroy(&t);
+}
+END_TEST
+
 START_TEST(the_oldest_notice_makes_room)
 {
 	struct target_table t;
@@ -265,6 +288,7 @@
 	tcase_add_test(tc, the_latest_end_of_several_pauses_counts);
 	tcase_add_test(tc, a_pause_is_bounded);
 	tcase_add_test(tc, an_ejected_upstream_is_not_used_during_its_pause);
+	tcase_add_test(tc, one_that_turned_the_request_away_counts_as_paused);
 	tcase_add_test(tc, the_oldest_notice_makes_room);
 	tcase_add_test(tc, callers_return_spread_after_the_end_of_a_pause);
 	tcase_add_test(tc, retry_after_is_seconds_with_decimals);
