forward: reports to other data centres do not grow with their entries

Cause: each agent sent its load to each entry of other data centres up to five times a second.

Ruled out: reporting to fewer entries, since a burst in one data centre has to find the free slots of others.

Change: the interval to other data centres grows with their entries, 8 ms for each, to 0.7 s at most; changes of release and orders still go at once. Up to 25 remote entries nothing changes.

--- a/forward/report-send.c
+++ b/forward/report-send.c
@@ -25,15 +25,21 @@
  * expensive.
  */
 #define REMOTE_CHANGED_PERIOD_US (200 * 1000)
+/*
+ * Time for each entry of other data centres: what an agent sends there does not
+ * grow with their number. The bound keeps reports from counting as late.
+ */
+#define REMOTE_SPACING_US (8 * 1000)
+#define REMOTE_PERIOD_MAX_US (700 * 1000)
 #define ENTRIES_MAX 512
 
 /* Entries that receive reports at the same times. */
 struct report_group {
 	/* Entries of other data centres rather than local ones. */
 	int is_remote;
-	apr_interval_time_t changed_us;
 	struct engine_state sent;
 	apr_time_t sent_at;
+	int count; /* entries that the last report went to */
 };
 
 struct sender {
@@ -66,16 +72,30 @@
 	       strcmp(a->boot, b->boot) || models_differ(a, b);
 }
 
+/* See report.h. */
+apr_interval_time_t report_period(int is_remote, int has_changed, int entries)
+{
+	apr_interval_time_t period = UNCHANGED_PERIOD_US, spaced = 0;
+
+	if (has_changed)
+		period = is_remote ? REMOTE_CHANGED_PERIOD_US
+				   : CHANGED_PERIOD_US;
+	if (is_remote)
+		spaced = REMOTE_SPACING_US * (apr_interval_time_t)entries;
+	if (spaced > REMOTE_PERIOD_MAX_US)
+		spaced = REMOTE_PERIOD_MAX_US;
+	return spaced > period ? spaced : period;
+}
+
 static int is_due(const struct report_group *a, const struct engine_state *e,
 		  apr_time_t now)
 {
-	apr_interval_time_t age = now - a->sent_at;
+	int has_changed = a->sent.running_count != e->running_count ||
+			  a->sent.waiting_count != e->waiting_count;
 
-	if (is_urgent(&a->sent, e) || age >= UNCHANGED_PERIOD_US)
-		return 1;
-	return age >= a->changed_us &&
-	       (a->sent.running_count != e->running_count ||
-		a->sent.waiting_count != e->waiting_count);
+	return is_urgent(&a->sent, e) ||
+	       now - a->sent_at >=
+		       report_period(a->is_remote, has_changed, a->count);
 }
 
 static int list_entries(struct node *n, const struct report_group *a,
@@ -143,6 +163,7 @@
 	}
 	a->sent = *e;
 	a->sent_at = now;
+	a->count = count;
 }
 
 static void sender_step(void *arg, apr_time_t now)
@@ -164,8 +185,6 @@
 	struct sockaddr_in from = { .sin_family = AF_INET };
 
 	sender.node = n;
-	sender.local.changed_us = CHANGED_PERIOD_US;
-	sender.remote.changed_us = REMOTE_CHANGED_PERIOD_US;
 	sender.remote.is_remote = 1;
 	inet_pton(AF_INET, n->settings.address, &from.sin_addr);
 	sender.fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
--- a/forward/report.h
+++ b/forward/report.h
@@ -20,4 +20,10 @@
 					   const struct target_report *r),
 			 void *arg, struct error *err);
 
+/*
+ * Returns the interval in us between an agent's reports to the entries of its
+ * data centre or of all others, while the load changes or not.
+ */
+apr_interval_time_t report_period(int is_remote, int has_changed, int entries);
+
 #endif
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -9,6 +9,7 @@
 #include "forward/health.h"
 #include "forward/repeats.h"
 #include "forward/report-wire.h"
+#include "forward/report.h"
 #include "forward/target.h"
 
 #define SECOND APR_USEC_PER_SEC
@@ -403,6 +404,29 @@
 
 /* report-wire.c */
 
+/*
+ * Pattern: a fleet whose data centres have more and more entries. What an agent
+ * sends to other data centres stays below a bound, and no report is so late that
+ * the entry counts the upstream as hardly reachable (900 ms).
+ */
+START_TEST(reports_to_other_data_centres_do_not_grow_with_their_entries)
+{
+	static const int sizes[] = { 4, 21, 31, 78, 87 };
+	size_t i;
+
+	for (i = 0; i < sizeof(sizes) / sizeof(*sizes); i++) {
+		apr_interval_time_t period = report_period(1, 1, sizes[i]);
+
+		ck_assert_int_le(sizes[i] * SECOND / period, 125);
+		ck_assert_int_le(period, 900 * MS);
+	}
+	ck_assert_int_le(report_period(1, 0, 1000), 900 * MS);
+	ck_assert_int_eq(report_period(1, 1, 21), 200 * MS);
+	ck_assert_int_eq(report_period(0, 1, 78), 50 * MS);
+	ck_assert_int_eq(report_period(0, 0, 78), 500 * MS);
+}
+END_TEST
+
 START_TEST(report_round_trip_requires_key)
 {
 	struct rpc_keys keys = { "0123456789abcdef", "" };
@@ -494,6 +518,9 @@
 	tcase_add_test(tc,
 		       retry_delays_are_maximal_while_no_upstream_can_serve);
 	tcase_add_test(tc, callers_of_one_route_differ_in_timeout);
+	tcase_add_test(
+		tc,
+		reports_to_other_data_centres_do_not_grow_with_their_entries);
 	tcase_add_test(tc, report_round_trip_requires_key);
 	tcase_add_test(tc, longest_prefix_of_host_is_chosen);
 	srunner_run_all(r, CK_NORMAL);
