forward: a resumed answer is sound once its upstream lives on

Cause: since an answer that went on after a broken connection never counted as sound. Where upstreams crash for other causes, most requests that run then are resumed, so a sound part that few requests bring had no sound answer for three deaths in a row, and was blamed.

Change: such an answer takes the way of one whose end nothing marks: it counts when the same process is seen alive after it, and belongs to its death otherwise. t1027.3 fails before.

--- a/forward/crash-guard.c
+++ b/forward/crash-guard.c
@@ -120,16 +120,11 @@
 	a->run.broken_at = now - RESET_DELAY_US;
 }
 
-/*
- * Returns 1 for a complete answer that shows that the run did no harm. One that
- * goes on after a broken connection shows little: what was left of it may have
- * ended before the upstream that wrote it does.
- */
+/* Returns 1 for a complete answer that shows that the run did no harm. */
 static int is_sound(const struct forward *f, const struct attempt_result *e)
 {
-	if (f->was_cut || !e->is_complete || e->is_mismatched ||
-	    !attempt_may_have_run(e) || e->status < STATUS_OK ||
-	    e->status >= STATUS_REDIRECT)
+	if (!e->is_complete || e->is_mismatched || !attempt_may_have_run(e) ||
+	    e->status < STATUS_OK || e->status >= STATUS_REDIRECT)
 		return 0;
 	/* A resumed stream of which nothing was left proves nothing. */
 	return f->last_contact || !f->is_event_answer;
@@ -147,8 +142,12 @@
 	struct ended_attempt a;
 
 	f->was_cut |= e->is_cut;
-	if (sound && e->is_end_marked) {
-		metric_count("crash_sound_answers", NULL, 1);
+	/*
+	 * What was left of an answer after a broken connection may have ended
+	 * before the upstream that wrote it does.
+	 */
+	if (sound && e->is_end_marked && !f->was_cut) {
+		metric_count("crash_sound_answers", "at-end", 1);
 		crash_record_sound(w->crashes, &f->items, now);
 		return;
 	}
@@ -283,6 +282,9 @@
 				       RUNS_MAX);
 	pthread_mutex_unlock(&w->watch_mutex);
 	pthread_mutex_unlock(&w->mutex);
+	if (count)
+		metric_count("crash_sound_answers", "alive-later",
+			     (uint64_t)count);
 	for (i = 0; i < count; i++)
 		crash_record_sound(w->crashes, &runs[i].items,
 				   runs[i].broken_at);
--- a/t/t1027-resumed-answer.sh
+++ b/t/t1027-resumed-answer.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 
-test_description='a stream that goes on after a broken connection acquits nothing
+test_description='a stream that goes on after a broken connection is no proof at its end
 
 Guards against a part of prompts that crashes its upstreams and counts as sound,
 as one stream with it was resumed so near to its end that it was completed. The
@@ -41,11 +41,11 @@
 	grep -q "event 5" told
 }
 
-# counter NAME
-counter () {
+# sound WHEN: the number of sound answers that were proved at-end or alive-later.
+sound () {
 	curl -sf "http://$TEST_NET.1:7702/metrics" >metrics
-	sed -n "s/^$1[^ ]* \([0-9]*\).*/\1/p" metrics | head -n 1 | grep . ||
-		echo 0
+	sed -n "s/^limpet_crash_sound_answers{label=\"$1\"} //p" metrics |
+		grep . || echo 0
 }
 
 torn_requests () {
@@ -72,12 +72,12 @@
 	start entry limpet-entry --settings entry.json &&
 	wait_until 10 curl -sf http://$READY/readyz &&
 	wait_until 10 tell &&
-	test $(counter limpet_crash_sound_answers) -ge 1
+	test $(sound at-end) -ge 1
 '
 
-test_expect_success 'an answer that was resumed is not' '
+test_expect_success 'an answer that was resumed is not at its end' '
 	list 1 &&
-	torn=$(torn_requests) && sound=$(counter limpet_crash_sound_answers) &&
+	torn=$(torn_requests) && before=$(sound at-end) &&
 	asked=0 && resumed=0 &&
 	while test $resumed -lt 2 && test $asked -lt 100; do
 		tell || return 1
@@ -86,7 +86,17 @@
 	done &&
 	echo "$asked asked, $resumed resumed" &&
 	test $resumed -ge 2 &&
-	test $(($(counter limpet_crash_sound_answers) - sound)) = $((asked - resumed))
+	test $(($(sound at-end) - before)) = $((asked - resumed))
+'
+
+later_sound () {
+	tell && test $(sound alive-later) -ge 1
+}
+
+# Guards against sound parts that are blamed for deaths of other causes, as the
+# answers that went on after these do not count.
+test_expect_success 'it is once its upstream is seen alive after it' '
+	wait_until 20 later_sound
 '
 
 test_done
