forward: say what ended an attempt and why no other one followed

A truncated answer was "cut" whether its upstream broke off, a deadline passed or this entry canceled the attempt, and the reason why no other attempt was made was dropped on the way. The lines now have ended_by and no_attempt, and for a canceled attempt what the decision was made from: silence, age of the report, time since the report of an order, requests and slots.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -460,6 +460,9 @@
 	if (e.is_cut || is_canceled_as_blamed(f))
 		forward_look_up_verdict(f, now);
 	fill_attempt_context(f, &s, now);
+	forward_record_end_cause(f, &e, s.is_caller_disconnected,
+				 is_ended_by_release(f, now));
+	f->no_attempt = attempt_find_obstacle(&e, &s);
 	record_target_outcome(f, &e, s.is_caller_disconnected, now);
 	forward_record_end(f, &e, s.is_caller_disconnected, now);
 	f->may_have_run |= attempt_may_have_run(&e);
--- a/forward/decide.c
+++ b/forward/decide.c
@@ -1,5 +1,7 @@
 #include "forward/decide.h"
 
+#include <stddef.h>
+
 #define STATUS_SERVER_ERROR 500
 
 /* Returns 1 unless it is proven that the upstream did not run the request. */
@@ -17,16 +19,37 @@
 	return before + attempt_may_have_run(e);
 }
 
-static int can_retry(const struct attempt_result *e,
-		     const struct attempt_context *s)
+/*
+ * Returns for log lines why an attempt that did not succeed is not followed by
+ * another one, or NULL when it may be.
+ */
+const char *attempt_find_obstacle(const struct attempt_result *e,
+				  const struct attempt_context *s)
 {
-	if (s->attempts >= FORWARD_ATTEMPTS_MAX || !s->has_time)
-		return 0;
+	if (s->is_caller_disconnected)
+		return "caller-gone";
+	if (e->is_timed_out || !s->has_time)
+		return "deadline";
+	if (e->is_answer_started && !s->is_resumable)
+		return "not-resumable";
+	if (!e->is_answer_started && attempt_may_have_run(e) &&
+	    !s->is_repeatable)
+		return "not-repeatable";
+	if (s->attempts >= FORWARD_ATTEMPTS_MAX)
+		return "tries-used";
 	if (e->is_unsent)
-		return 1;
+		return NULL;
 	if (e->is_cut && s->is_suspect)
-		return 0;
-	return s->runs < s->runs_max && s->has_budget;
+		return "crash-suspect";
+	if (s->runs >= s->runs_max)
+		return "runs-used";
+	return s->has_budget ? NULL : "retry-budget";
+}
+
+static int can_retry(const struct attempt_result *e,
+		     const struct attempt_context *s)
+{
+	return !attempt_find_obstacle(e, s);
 }
 
 /* Returns 1 for an answer that is a server error of the upstream. */
@@ -47,7 +70,7 @@
 		if (e->is_complete && !e->is_mismatched &&
 		    (e->is_end_marked || !s->is_end_promised))
 			return NEXT_DONE;
-		if (s->is_resumable && !e->is_timed_out && can_retry(e, s))
+		if (can_retry(e, s))
 			return NEXT_RESUME;
 		return NEXT_TRUNCATED;
 	}
@@ -61,7 +84,7 @@
 	if (e->is_complete && !e->is_mismatched &&
 	    !(is_server_error(e) && s->is_repeatable))
 		return NEXT_DONE;
-	if (s->is_repeatable && can_retry(e, s))
+	if (can_retry(e, s))
 		return NEXT_RETRY;
 	/* No attempt is left: the upstream's own error is the best answer. */
 	if (e->is_complete && !e->is_mismatched)
--- a/forward/decide.h
+++ b/forward/decide.h
@@ -55,6 +55,8 @@
 
 enum attempt_action attempt_decide_next(const struct attempt_result *e,
 					const struct attempt_context *s);
+const char *attempt_find_obstacle(const struct attempt_result *e,
+				  const struct attempt_context *s);
 int attempt_may_have_run(const struct attempt_result *e);
 int attempt_count_runs(int before, const struct attempt_result *e);
 
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -280,9 +280,34 @@
 	return now < w->blame_check_until;
 }
 
+/* Keeps for log lines what the decision to cancel was made from. */
+static void record_cancel_inputs(struct forwarder *w, struct forward *f,
+				 apr_time_t now)
+{
+	apr_time_t contact =
+		__atomic_load_n(&f->last_contact, __ATOMIC_RELAXED);
+	const struct target *u = target_find(&w->targets, f->upstream);
+	struct cancel_inputs *c = &f->canceled;
+
+	memset(c, 0, sizeof(*c));
+	c->silence_us = now - (contact ? contact : f->sent_at);
+	c->upstream_silence_us = c->report_age_us = -1;
+	if (!u)
+		return;
+	if (u->last_contact)
+		c->upstream_silence_us = now - u->last_contact;
+	if (u->reported_at)
+		c->report_age_us = now - u->reported_at;
+	c->order_us = u->busy_since ? now - u->busy_since : 0;
+	c->running = u->running;
+	c->slots = u->slots;
+}
+
+/* Called with the mutex held. */
 static void cancel_attempt(struct forward *f, enum cancel_reason why,
-			   const char *metric)
+			   const char *metric, apr_time_t now)
 {
+	record_cancel_inputs(f->w, f, now);
 	__atomic_store_n(&f->cancel_reason, why, __ATOMIC_RELEASE);
 	metric_count(metric, NULL, 1);
 	fetch_cancel(&f->fetch);
@@ -307,15 +332,15 @@
 			continue;
 		else if (must_check &&
 			 crash_is_refused(w->crashes, &f->items, now))
-			cancel_attempt(f, CANCEL_BLAMED, "forward_blamed");
+			cancel_attempt(f, CANCEL_BLAMED, "forward_blamed", now);
 		else if (should_withdraw(w, f, now))
-			cancel_attempt(f, CANCEL_WITHDRAWN,
-				       "forward_withdrawn");
+			cancel_attempt(f, CANCEL_WITHDRAWN, "forward_withdrawn",
+				       now);
 		else if (is_attempt_unresponsive(w, f, now))
-			cancel_attempt(f, CANCEL_UNRESPONSIVE,
-				       "forward_silent");
+			cancel_attempt(f, CANCEL_UNRESPONSIVE, "forward_silent",
+				       now);
 		else if (reserve_move(w, f, now))
-			cancel_attempt(f, CANCEL_MOVE, "forward_moved");
+			cancel_attempt(f, CANCEL_MOVE, "forward_moved", now);
 	}
 	pthread_mutex_unlock(&w->mutex);
 }
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -194,6 +194,7 @@
 void forward_finish_unsent(struct forward *f, const char *reason,
 			   int retry_after_ms, apr_time_t now)
 {
+	f->no_attempt = reason;
 	if (f->has_answer && !f->is_answer_started)
 		forward_finish_complete(f, now);
 	else if (f->is_answer_started)
@@ -257,6 +258,7 @@
 	f->sent_at = now;
 	__atomic_store_n(&f->last_contact, 0, __ATOMIC_RELAXED);
 	__atomic_store_n(&f->cancel_reason, CANCEL_NONE, __ATOMIC_RELEASE);
+	f->ended_by = f->no_attempt = NULL;
 	fill_fetch(f, is_probe, now);
 	fill_headers(f, now);
 	fetch_submit(f->w->node->fetcher, &f->fetch);
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -68,6 +68,17 @@
 	CANCEL_BLAMED	  /* the request crashes upstreams */
 };
 
+/* What was known of an attempt and its upstream when it was canceled. */
+struct cancel_inputs {
+	apr_interval_time_t
+		silence_us; /* since its last byte, or its sending */
+	apr_interval_time_t upstream_silence_us; /* on any connection */
+	apr_interval_time_t report_age_us;	 /* -1: no report */
+	apr_interval_time_t order_us; /* since it reported an order, 0: none */
+	int running;
+	int slots;
+};
+
 /*
  * One forwarded request. Until its first attempt it belongs to the HTTP
  * server's thread, then to the fetcher's. Other threads read only the members
@@ -128,7 +139,11 @@
 	int is_unanswered;
 	/* The retry after this attempt is in the budget already; same guard. */
 	int has_reserved_retry;
-	int cancel_reason;	    /* atomic: enum cancel_reason */
+	int cancel_reason;	       /* atomic: enum cancel_reason */
+	struct cancel_inputs canceled; /* valid with a cancel_reason */
+	/* For log lines, NULL: not yet known. */
+	const char *ended_by;	    /* what ended the last attempt */
+	const char *no_attempt;	    /* why no other one followed */
 	int is_caller_disconnected; /* atomic */
 	struct fetch fetch;
 	char url[FORWARD_URL_SIZE];
@@ -185,6 +200,8 @@
 
 /* answer-log.c */
 int forward_is_withdrawn(const struct forward *f);
+void forward_record_end_cause(struct forward *f, const struct attempt_result *e,
+			      int is_caller_disconnected, int is_release_end);
 void forward_check_release(struct forward *f, apr_time_t now);
 void forward_log_end(struct forward *f, const char *outcome, int status,
 		     apr_time_t now);
