forward: decide in cancel.c which attempts are given up

Moved from forward.c; forward_decide_cancel returns the reason, so that a scripted run can ask it without a network.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -16,29 +16,6 @@
 /* Maximum size of a body; the document may set a lower one. */
 #define BODY_MAX_BYTES (8 * 1024 * 1024)
 
-/*
- * An upstream counts as unresponsive when a request waits and no byte has come
- * from it on any connection for this time. Behind a network queue that delays
- * requests, bytes for other requests may still arrive, so these are not taken
- * into account then.
- */
-#define FIRST_BYTE_TIMEOUT_US (700 * 1000)
-#define NEXT_BYTE_TIMEOUT_US (600 * 1000)
-/* Time limit of plain services, as a multiple of their objective. */
-#define PLAIN_TIMEOUT_OBJECTIVES 2
-
-/*
- * Time for the answer of an upstream that dropped a request at its deadline. It
- * may have arrived while this process was paused.
- */
-#define OVERDUE_ANSWER_US (80 * 1000)
-
-/* Time for a request that was checked before a blame to be sent. */
-#define BLAME_CHECK_US (500 * 1000)
-
-/* Retries that moving streams leaves in the budget for failures. */
-#define MOVE_RESERVED_RETRIES 5
-
 /*
  * Returns the delay in ms after which the caller of a refused request should
  * retry.
@@ -191,160 +168,6 @@
 	pthread_mutex_unlock(&w->mutex);
 }
 
-/*
- * Returns 1 when the upstream is unresponsive and a retry is allowed. Called
- * with the mutex held.
- */
-static int is_attempt_unresponsive(struct forwarder *w, const struct forward *f,
-				   apr_time_t now)
-{
-	apr_time_t last_contact =
-		__atomic_load_n(&f->last_contact, __ATOMIC_RELAXED);
-	const struct target *u = target_find(&w->targets, f->upstream);
-	apr_interval_time_t bound = FIRST_BYTE_TIMEOUT_US;
-	apr_time_t since = last_contact ? last_contact : f->sent_at;
-
-	if (!is_route_repeatable(f->route) ||
-	    f->runs + 1 >= f->route->max_attempts)
-		return 0;
-	if (f->route->kind != ROUTE_STREAM)
-		bound = f->route->objective_ms * 1000LL *
-			PLAIN_TIMEOUT_OBJECTIVES;
-	else if (last_contact)
-		bound = NEXT_BYTE_TIMEOUT_US;
-	if (now - since < bound)
-		return 0;
-	return !u || now - u->last_contact >= bound || target_is_congested(u) ||
-	       f->route->kind != ROUTE_STREAM;
-}
-
-/*
- * Returns 1 for a stream to be moved, as it keeps an engine from carrying out
- * an order. Its retry is taken from the budget at once: other streams are
- * checked before this one is sent again, and a stream that was canceled and
- * finds no budget left is broken off. Called with the mutex held.
- */
-static int reserve_move(struct forwarder *w, struct forward *f, apr_time_t now)
-{
-	const struct target *u;
-
-	if (f->route->kind != ROUTE_STREAM || !f->route->is_resumable ||
-	    !__atomic_load_n(&f->is_answer_started, __ATOMIC_RELAXED) ||
-	    f->runs + 1 >= f->route->max_attempts)
-		return 0;
-	u = target_find(&w->targets, f->upstream);
-	if (!u || !target_has_blocked_order(u, now) ||
-	    retry_budget_remaining(&w->retry_budget, f->service_name, now) <=
-		    MOVE_RESERVED_RETRIES)
-		return 0;
-	f->has_reserved_retry = retry_budget_try_consume(&w->retry_budget,
-							 f->service_name, now);
-	return f->has_reserved_retry;
-}
-
-/*
- * Returns 1 for a request that waits at an upstream on whose release no request
- * may begin soon. The upstream drops it by itself at its deadline if that is
- * the release's limit, and its answer proves that it did not run the request,
- * so it is withdrawn only if no answer was there on an earlier step either.
- * Called with the mutex held.
- */
-static int should_withdraw(struct forwarder *w, struct forward *f,
-			   apr_time_t now)
-{
-	const struct target *u = target_find(&w->targets, f->upstream);
-	uint64_t runs_now = u ? target_find_release(u, f->head.model) : 0;
-
-	if (!f->is_unanswered || !f->service || !f->service->has_engine ||
-	    !release_must_withdraw(&w->releases, f->head.model, f->release,
-				   runs_now, now))
-		return 0;
-	if (f->attempt_expires_at == f->expires_at)
-		return 1;
-	if (!f->overdue_since)
-		f->overdue_since = now;
-	return now - f->overdue_since >= OVERDUE_ANSWER_US;
-}
-
-/*
- * Returns 1 after an item was blamed: long enough to find the requests that
- * were sent while this was decided.
- */
-static int must_check_blames(struct forwarder *w, apr_time_t now)
-{
-	uint32_t count = crash_count_blames(w->crashes);
-
-	if (count != w->blame_count)
-		w->blame_check_until = now + BLAME_CHECK_US;
-	w->blame_count = count;
-	return now < w->blame_check_until;
-}
-
-/* Keeps for log lines what the decision to cancel was made from. */
-static void record_cancel_inputs(struct forwarder *w, struct forward *f,
-				 apr_time_t now)
-{
-	apr_time_t contact =
-		__atomic_load_n(&f->last_contact, __ATOMIC_RELAXED);
-	const struct target *u = target_find(&w->targets, f->upstream);
-	struct cancel_inputs *c = &f->canceled;
-
-	memset(c, 0, sizeof(*c));
-	c->silence_us = now - (contact ? contact : f->sent_at);
-	c->upstream_silence_us = c->report_age_us = -1;
-	if (!u)
-		return;
-	if (u->last_contact)
-		c->upstream_silence_us = now - u->last_contact;
-	if (u->reported_at)
-		c->report_age_us = now - u->reported_at;
-	c->order_us = u->busy_since ? now - u->busy_since : 0;
-	c->running = u->running;
-	c->slots = u->slots;
-}
-
-/* Called with the mutex held. */
-static void cancel_attempt(struct forward *f, enum cancel_reason why,
-			   const char *metric, apr_time_t now)
-{
-	record_cancel_inputs(f->w, f, now);
-	__atomic_store_n(&f->cancel_reason, why, __ATOMIC_RELEASE);
-	metric_count(metric, NULL, 1);
-	fetch_cancel(&f->fetch);
-}
-
-/*
- * Cancels attempts whose caller has disconnected, whose request crashes
- * upstreams, whose upstream's release expires, whose upstream is unresponsive,
- * or whose stream is to be moved.
- */
-static void check_active_requests(struct forwarder *w, apr_time_t now)
-{
-	int must_check = must_check_blames(w, now);
-	struct forward *f;
-
-	pthread_mutex_lock(&w->mutex);
-	for (f = w->active; f; f = f->next) {
-		if (__atomic_load_n(&f->is_caller_disconnected,
-				    __ATOMIC_ACQUIRE))
-			fetch_cancel(&f->fetch);
-		else if (__atomic_load_n(&f->cancel_reason, __ATOMIC_ACQUIRE))
-			continue;
-		else if (must_check &&
-			 crash_is_refused(w->crashes, &f->items, now))
-			cancel_attempt(f, CANCEL_BLAMED, "forward_blamed", now);
-		else if (should_withdraw(w, f, now))
-			cancel_attempt(f, CANCEL_WITHDRAWN, "forward_withdrawn",
-				       now);
-		else if (is_attempt_unresponsive(w, f, now))
-			cancel_attempt(f, CANCEL_UNRESPONSIVE, "forward_silent",
-				       now);
-		else if (reserve_move(w, f, now))
-			cancel_attempt(f, CANCEL_MOVE, "forward_moved", now);
-	}
-	pthread_mutex_unlock(&w->mutex);
-}
-
 static void forward_step(void *arg, apr_time_t now)
 {
 	struct forwarder *w = arg;
@@ -352,7 +175,7 @@
 	apply_current_values(w, now);
 	count_entries(w, now);
 	forward_step_crashes(w, now);
-	check_active_requests(w, now);
+	forward_check_active(w, now);
 }
 
 /* Merges an agent's report about its upstream. */
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -233,7 +233,7 @@
 
 /*
  * Chooses an upstream and submits the attempt, both under the mutex, so that
- * check_active_requests finds only submitted requests that have not finished.
+ * forward_check_active finds only submitted requests that have not finished.
  * Returns NULL, or the reason why no upstream can serve it.
  */
 static const char *submit_attempt(struct forward *f, apr_time_t now)
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -225,6 +225,11 @@
 			int is_caller_disconnected, apr_time_t now);
 void forward_step_crashes(struct forwarder *w, apr_time_t now);
 
+/* cancel.c */
+enum cancel_reason forward_decide_cancel(struct forwarder *w, struct forward *f,
+					 int check_blames, apr_time_t now);
+void forward_check_active(struct forwarder *w, apr_time_t now);
+
 /* forward.c */
 void forward_apply_releases(struct forwarder *w, const struct document *d,
 			    apr_time_t now);
