forward: give an attempt up only for a place that is reserved

An entry canceled an attempt, as its engine had an order (0.7 s) or as it was silent (0.6 s), and looked for another upstream after the old attempt had ended. When there was none, all were tried, the tries or, after silence, the retry budget were used up, the answer was truncated.

Now a place is taken first, in one act: upstream that is eligible, not ejected and not on probation, its slot, a retry of the budget, attempts and runs, and the time that it needs there, also before its release's limit (reservation.c). Without it the attempt goes on and is looked at again in the next step; a silent upstream is ejected all the same, so that new requests go elsewhere. What of a place isn't used is given back. A move also needs a free slot and time for a typical answer.

All entries see an order in the same report: each moves with a delay of its own of up to 0.4 s.

--- a/forward/answer-log.c
+++ b/forward/answer-log.c
@@ -95,6 +95,8 @@
 			    json_string(f->ended_by ? f->ended_by : ""));
 	json_object_set_new(o, "no_attempt",
 			    json_string(f->no_attempt ? f->no_attempt : ""));
+	if (f->no_place)
+		json_object_set_new(o, "no_place", json_string(f->no_place));
 	if (!__atomic_load_n(&f->cancel_reason, __ATOMIC_ACQUIRE))
 		return;
 	json_object_update_new(
--- a/forward/answer.c
+++ b/forward/answer.c
@@ -301,7 +301,7 @@
 	s->is_caller_disconnected =
 		__atomic_load_n(&f->is_caller_disconnected, __ATOMIC_ACQUIRE);
 	pthread_mutex_lock(&f->w->mutex);
-	s->has_budget = f->has_reserved_retry ||
+	s->has_budget = f->place.has_retry ||
 			retry_budget_remaining(&f->w->retry_budget,
 					       f->service_name, now) > 0;
 	pthread_mutex_unlock(&f->w->mutex);
@@ -330,6 +330,8 @@
 		u->full_until = now + RELEASE_BACKOFF_US;
 	if (e->is_unsent && e->is_too_late)
 		event = 0; /* this process was delayed, not the upstream */
+	else if (f->is_silence_recorded && e->is_canceled)
+		event = 0;
 	else if (e->is_unresponsive ||
 		 (e->is_unsent && !is_caller_disconnected))
 		event = HEALTH_UNRESPONSIVE;
@@ -420,10 +422,11 @@
 		return;
 	forward_log_retry(f, e, resume ? "resume" : "retry");
 	pthread_mutex_lock(&f->w->mutex);
-	if (!e->is_unsent && !f->has_reserved_retry)
+	if (!e->is_unsent && !f->place.has_retry)
 		retry_budget_try_consume(&f->w->retry_budget, f->service_name,
 					 now);
-	f->has_reserved_retry = 0;
+	if (!e->is_unsent)
+		reservation_use_retry(&f->place);
 	pthread_mutex_unlock(&f->w->mutex);
 	metric_count("forward_repeats", resume ? "resume" : "retry", 1);
 	if (resume)
@@ -450,6 +453,7 @@
 	struct forward *f = x->arg;
 	struct attempt_result e;
 	struct attempt_context s;
+	enum attempt_action action;
 	apr_time_t now = clock_now();
 
 	fill_attempt_result(f, &e, now);
@@ -457,8 +461,11 @@
 	pthread_mutex_lock(&f->w->mutex);
 	f->runs = attempt_count_runs(f->runs, &e);
 	pthread_mutex_unlock(&f->w->mutex);
-	if (e.is_cut || is_canceled_as_blamed(f))
+	if (e.is_cut || is_canceled_as_blamed(f)) {
+		pthread_mutex_lock(&f->w->mutex);
 		forward_look_up_verdict(f, now);
+		pthread_mutex_unlock(&f->w->mutex);
+	}
 	fill_attempt_context(f, &s, now);
 	forward_record_end_cause(f, &e, s.is_caller_disconnected,
 				 is_ended_by_release(f, now));
@@ -468,7 +475,10 @@
 	f->may_have_run |= attempt_may_have_run(&e);
 	f->has_answer =
 		e.is_complete && !e.is_mismatched && attempt_may_have_run(&e);
-	switch (attempt_decide_next(&e, &s)) {
+	action = attempt_decide_next(&e, &s);
+	if (action != NEXT_RETRY && action != NEXT_RESUME)
+		forward_release_place(f, now);
+	switch (action) {
 	case NEXT_DONE:
 		forward_finish_complete(f, now);
 		break;
--- a/forward/cancel.c
+++ b/forward/cancel.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/log.h"
 #include "base/metric.h"
 #include "forward/internal.h"
 
@@ -29,21 +30,50 @@
 #define MOVE_RESERVED_RETRIES 5
 
 /*
- * Returns 1 when the upstream is unresponsive and a retry is allowed. Called
- * with the mutex held.
+ * Takes a place for the next attempt of a request that is under way, so that
+ * the attempt can be given up. Returns 0 when there is none. Called with the
+ * mutex held.
  */
-static int is_attempt_unresponsive(struct forwarder *w, const struct forward *f,
-				   apr_time_t now)
+static int reserve_place(struct forwarder *w, struct forward *f,
+			 struct reservation_terms *terms, apr_time_t now)
+{
+	struct target_query q;
+
+	terms->attempts = f->attempts;
+	terms->runs = f->runs + 1;
+	terms->runs_max = f->route->max_attempts;
+	terms->expires_at = f->expires_at - TIME_LEFT_MIN_US;
+	terms->releases = &w->releases;
+	forward_fill_query(f, &q, now);
+	if (forward_is_suspect(f))
+		target_restrict(&w->targets, &q, &f->finding.key, now);
+	f->no_place = reservation_take(&f->place, &w->targets, &w->retry_budget,
+				       &q, terms, &w->random, now);
+	return !f->no_place;
+}
+
+/* Gives back what of the place for the next attempt is not used. */
+void forward_release_place(struct forward *f, apr_time_t now)
+{
+	struct forwarder *w = f->w;
+
+	pthread_mutex_lock(&w->mutex);
+	reservation_release(&f->place, &w->targets, &w->retry_budget,
+			    f->service_name, now);
+	pthread_mutex_unlock(&w->mutex);
+}
+
+/*
+ * Returns 1 when the upstream is unresponsive. Called with the mutex held.
+ */
+static int is_attempt_unresponsive(const struct target *u,
+				   const struct forward *f, apr_time_t now)
 {
 	apr_time_t last_contact =
 		__atomic_load_n(&f->last_contact, __ATOMIC_RELAXED);
-	const struct target *u = target_find(&w->targets, f->upstream);
 	apr_interval_time_t bound = FIRST_BYTE_TIMEOUT_US;
 	apr_time_t since = last_contact ? last_contact : f->sent_at;
 
-	if (!is_route_repeatable(f->route) ||
-	    f->runs + 1 >= f->route->max_attempts)
-		return 0;
 	if (f->route->kind != ROUTE_STREAM)
 		bound = f->route->objective_ms * 1000LL *
 			PLAIN_TIMEOUT_OBJECTIVES;
@@ -55,28 +85,57 @@
 	       f->route->kind != ROUTE_STREAM;
 }
 
+/* Records once for each attempt that its upstream is unresponsive. */
+static void record_silence(struct target *u, struct forward *f, apr_time_t now)
+{
+	if (f->is_silence_recorded)
+		return;
+	f->is_silence_recorded = 1;
+	if (health_record_outcome(&u->health, HEALTH_UNRESPONSIVE, now))
+		log_warning("health", u->id, "upstream ejected: silent");
+}
+
+/*
+ * Returns 1 for an attempt at an unresponsive upstream that another one can
+ * take over. Until there is one it goes on: it may only be slow. New requests
+ * go elsewhere in either case. Called with the mutex held.
+ */
+static int should_replace_unresponsive(struct forwarder *w, struct forward *f,
+				       apr_time_t now)
+{
+	struct reservation_terms terms = { 0 };
+	struct target *u = target_find(&w->targets, f->upstream);
+
+	if (!is_route_repeatable(f->route) ||
+	    f->runs + 1 >= f->route->max_attempts ||
+	    !is_attempt_unresponsive(u, f, now))
+		return 0;
+	if (u)
+		record_silence(u, f, now);
+	return reserve_place(w, f, &terms, now);
+}
+
 /*
  * Returns 1 for a stream to be moved, as it keeps an engine from carrying out
- * an order. Its retry is taken from the budget at once: other streams are
- * checked before this one is sent again, and a stream that was canceled and
- * finds no budget left is broken off. Called with the mutex held.
+ * an order. Called with the mutex held.
  */
-static int reserve_move(struct forwarder *w, struct forward *f, apr_time_t now)
+static int should_move(struct forwarder *w, struct forward *f, apr_time_t now)
 {
+	struct reservation_terms terms = { .needs_free_slot = 1,
+					   .retries_kept =
+						   MOVE_RESERVED_RETRIES };
 	const struct target *u;
 
 	if (f->route->kind != ROUTE_STREAM || !f->route->is_resumable ||
 	    !__atomic_load_n(&f->is_answer_started, __ATOMIC_RELAXED) ||
-	    f->runs + 1 >= f->route->max_attempts)
+	    !f->service || !f->service->has_engine)
 		return 0;
 	u = target_find(&w->targets, f->upstream);
-	if (!u || !target_has_blocked_order(u, now) ||
-	    retry_budget_remaining(&w->retry_budget, f->service_name, now) <=
-		    MOVE_RESERVED_RETRIES)
+	if (!u || !target_has_blocked_order(u, w->move_delay_us, now))
 		return 0;
-	f->has_reserved_retry = retry_budget_try_consume(&w->retry_budget,
-							 f->service_name, now);
-	return f->has_reserved_retry;
+	terms.answer_us = (apr_interval_time_t)target_typical_answer_us(
+		&f->service->engine);
+	return reserve_place(w, f, &terms, now);
 }
 
 /*
@@ -168,9 +227,9 @@
 		return CANCEL_BLAMED;
 	if (should_withdraw(w, f, now))
 		return CANCEL_WITHDRAWN;
-	if (is_attempt_unresponsive(w, f, now))
+	if (should_replace_unresponsive(w, f, now))
 		return CANCEL_UNRESPONSIVE;
-	if (reserve_move(w, f, now))
+	if (should_move(w, f, now))
 		return CANCEL_MOVE;
 	return CANCEL_NONE;
 }
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -13,6 +13,8 @@
 #define STEP_US (40 * 1000)
 /* Interval between counts of the entries. */
 #define ENTRY_COUNT_PERIOD_US APR_USEC_PER_SEC
+/* The moves of all entries are spread over this time. */
+#define MOVE_DELAY_MAX_US (400 * 1000)
 /* Maximum size of a body; the document may set a lower one. */
 #define BODY_MAX_BYTES (8 * 1024 * 1024)
 
@@ -262,6 +264,7 @@
 	pthread_mutex_init(&w->watch_mutex, NULL);
 	crash_watch_init(&w->watch);
 	random_seed(&w->random, random_next(&n->random));
+	w->move_delay_us = random_below(&w->random, MOVE_DELAY_MAX_US);
 	target_table_init(&w->targets);
 	w->retry_budget.ratio = n->settings.retry_ratio;
 	w->retry_budget.window_s = n->settings.retry_window_s;
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -23,12 +23,11 @@
  */
 #define SEND_TIMEOUT_US (400 * 1000)
 
-static void record_attempt_start(struct forward *f, struct target *u,
-				 apr_time_t now)
+/* The upstream's slot is counted already. */
+static void record_attempt_start(struct forward *f, struct target *u)
 {
 	struct forwarder *w = f->w;
 
-	target_record_start(u, now);
 	u->unanswered++;
 	f->is_unanswered = 1;
 	f->is_in_flight = 1;
@@ -40,8 +39,12 @@
 	w->active_count++;
 }
 
-static void fill_query(struct forward *f, struct target_query *q,
-		       apr_time_t now)
+/*
+ * Fills the query for the upstream of the next attempt. Called with the mutex
+ * held.
+ */
+void forward_fill_query(struct forward *f, struct target_query *q,
+			apr_time_t now)
 {
 	int i;
 
@@ -108,19 +111,26 @@
 	struct target_choice choice;
 	struct forwarder *w = f->w;
 	struct target *u;
+	int is_reserved;
 
 	/* The step that applies documents may be late. */
 	forward_apply_releases(w, f->document, now);
-	fill_query(f, q, now);
+	forward_fill_query(f, q, now);
 	f->list_version = w->list_version;
-	choose_target(f, q, &choice, now);
+	u = reservation_use_slot(&f->place, &w->targets, q, now);
+	is_reserved = u != NULL;
+	if (is_reserved)
+		choice = f->place.choice;
+	else
+		choose_target(f, q, &choice, now);
 	f->wait_us = choice.wait_us;
 	f->paused_until = choice.paused_until;
 	if (choice.is_unservable)
 		f->wait_us = ADMIT_WAIT_UNKNOWN_US;
 	if (choice.index < 0)
 		return choice.reason;
-	u = &w->targets.rows[choice.index];
+	if (!is_reserved)
+		u = &w->targets.rows[choice.index];
 	f->load = choice.load;
 	f->slots = u->slots;
 	if (!f->attempts && q->engine) {
@@ -141,7 +151,9 @@
 	snprintf(f->url, sizeof(f->url), "http://%s", u->address);
 	memcpy(f->address, u->address, sizeof(f->address));
 	f->upstream_started_ms = u->started_ms;
-	record_attempt_start(f, u, now);
+	if (!is_reserved)
+		target_record_start(u, now);
+	record_attempt_start(f, u);
 	return NULL;
 }
 
@@ -195,6 +207,7 @@
 			   int retry_after_ms, apr_time_t now)
 {
 	f->no_attempt = reason;
+	forward_release_place(f, now);
 	if (f->has_answer && !f->is_answer_started)
 		forward_finish_complete(f, now);
 	else if (f->is_answer_started)
@@ -258,7 +271,8 @@
 	f->sent_at = now;
 	__atomic_store_n(&f->last_contact, 0, __ATOMIC_RELAXED);
 	__atomic_store_n(&f->cancel_reason, CANCEL_NONE, __ATOMIC_RELEASE);
-	f->ended_by = f->no_attempt = NULL;
+	f->ended_by = f->no_attempt = f->no_place = NULL;
+	f->is_silence_recorded = 0;
 	fill_fetch(f, is_probe, now);
 	fill_headers(f, now);
 	fetch_submit(f->w->node->fetcher, &f->fetch);
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -12,6 +12,7 @@
 #include "forward/crash-watch.h"
 #include "forward/release.h"
 #include "forward/repeats.h"
+#include "forward/reservation.h"
 #include "forward/target.h"
 #include "net/node.h"
 
@@ -52,6 +53,10 @@
 	struct deadline_table deadline_table;
 	uint64_t document_revision; /* last one applied to releases */
 	struct random random;
+	/*
+	 * Of this entry's moves: all entries see an order in the same report.
+	 */
+	apr_interval_time_t move_delay_us;
 	struct forward *active;
 	int active_count;
 	uint64_t list_version;
@@ -137,13 +142,14 @@
 	int is_in_flight; /* guarded by the forwarder's mutex */
 	/* Counted in `unanswered` of the upstream's row; same guard. */
 	int is_unanswered;
-	/* The retry after this attempt is in the budget already; same guard. */
-	int has_reserved_retry;
-	int cancel_reason;	       /* atomic: enum cancel_reason */
+	struct reservation place; /* for the next attempt; same guard */
+	int is_silence_recorded;  /* in its upstream's health; same guard */
+	int cancel_reason;	  /* atomic: enum cancel_reason */
 	struct cancel_inputs canceled; /* valid with a cancel_reason */
 	/* For log lines, NULL: not yet known. */
 	const char *ended_by;	    /* what ended the last attempt */
 	const char *no_attempt;	    /* why no other one followed */
+	const char *no_place;	    /* why the current one was not given up */
 	int is_caller_disconnected; /* atomic */
 	struct fetch fetch;
 	char url[FORWARD_URL_SIZE];
@@ -209,6 +215,8 @@
 		       const char *what);
 
 /* handover.c */
+void forward_fill_query(struct forward *f, struct target_query *q,
+			apr_time_t now);
 void forward_send(struct forward *f, apr_time_t now);
 void forward_finish_unsent(struct forward *f, const char *reason,
 			   int retry_after_ms, apr_time_t now);
@@ -229,6 +237,7 @@
 enum cancel_reason forward_decide_cancel(struct forwarder *w, struct forward *f,
 					 int check_blames, apr_time_t now);
 void forward_check_active(struct forwarder *w, apr_time_t now);
+void forward_release_place(struct forward *f, apr_time_t now);
 
 /* forward.c */
 void forward_apply_releases(struct forwarder *w, const struct document *d,
--- a/forward/repeats.c
+++ b/forward/repeats.c
@@ -105,3 +105,15 @@
 	find_bucket(find_or_add_service(b, service), now)->retries++;
 	return 1;
 }
+
+/* Returns a retry to the budget that was consumed at counted_at and not made. */
+void retry_budget_return(struct service_retry_budget *b, const char *service,
+			 apr_time_t counted_at)
+{
+	long second = (long)(counted_at / APR_USEC_PER_SEC);
+	struct retry_service *s = find_or_add_service(b, service);
+	struct retry_bucket *bucket = &s->buckets[second % RETRY_BUCKETS];
+
+	if (bucket->second == second && bucket->retries > 0)
+		bucket->retries--;
+}
--- a/forward/repeats.h
+++ b/forward/repeats.h
@@ -36,6 +36,8 @@
 				const char *service, apr_time_t now);
 int retry_budget_try_consume(struct service_retry_budget *b,
 			     const char *service, apr_time_t now);
+void retry_budget_return(struct service_retry_budget *b, const char *service,
+			 apr_time_t counted_at);
 int retry_budget_assume_entries(int known, int has_seeds, apr_time_t started_at,
 				apr_time_t now);
 int retry_budget_remaining(const struct service_retry_budget *b,
--- a/forward/target.c
+++ b/forward/target.c
@@ -316,6 +316,13 @@
 	return EXCLUSION_NONE;
 }
 
+/* Returns 1 when the upstream can take a request for which a slot is kept. */
+int target_can_take(const struct target_table *t, const struct target *u,
+		    const struct target_query *q, apr_time_t now)
+{
+	return find_exclusion(t, u, q, now) == EXCLUSION_NONE;
+}
+
 static int is_allowed(const struct target_query *q, int row)
 {
 	int i;
@@ -491,13 +498,21 @@
 	return estimate_first_event_us(e, e->slots, e->typical_prompt_tokens);
 }
 
+/* Estimates the time of a typical answer at an engine whose slots are taken. */
+double target_typical_answer_us(const struct engine_spec *e)
+{
+	return e->slots * estimate_slot_interval_us(e, e->slots);
+}
+
 /*
  * Returns 1 when a few long requests keep an engine from carrying out an order,
- * and so from serving.
+ * and so from serving, delay_us later than it is noticed at the earliest.
  */
-int target_has_blocked_order(const struct target *u, apr_time_t now)
+int target_has_blocked_order(const struct target *u,
+			     apr_interval_time_t delay_us, apr_time_t now)
 {
 	return has_valid_report(u, now) && u->busy_since &&
-	       now - u->busy_since > ORDER_BLOCKED_US && u->running > 0 &&
+	       now - u->busy_since > ORDER_BLOCKED_US + delay_us &&
+	       u->running > 0 &&
 	       u->running <= ORDER_BLOCKED_SLOT_SHARE_MAX * u->slots;
 }
--- a/forward/target.h
+++ b/forward/target.h
@@ -138,10 +138,14 @@
 void target_record_finish(struct target *u, apr_time_t now);
 int target_estimate_load(const struct target_table *t, const struct target *u,
 			 apr_time_t now);
+int target_can_take(const struct target_table *t, const struct target *u,
+		    const struct target_query *q, apr_time_t now);
+double target_typical_answer_us(const struct engine_spec *e);
 double target_typical_first_event_us(const struct engine_spec *e);
 uint64_t target_find_release(const struct target *u, const char *model);
 int target_is_congested(const struct target *u);
-int target_has_blocked_order(const struct target *u, apr_time_t now);
+int target_has_blocked_order(const struct target *u,
+			     apr_interval_time_t delay_us, apr_time_t now);
 int target_is_replaced(const struct target_table *t, const char *id,
 		       const char *address, int64_t started_ms);
 void target_restrict(const struct target_table *t, struct target_query *q,
--- a/t/helper/test-target.c
+++ b/t/helper/test-target.c
@@ -379,11 +379,11 @@
 	report(&t, 0, 9, 1, 1, SECOND);
 	report(&t, 0, 3, 1, 1, SECOND + 900 * MS);
 	u = target_find(&t, "u0");
-	ck_assert_int_eq(target_has_blocked_order(u, SECOND + 900 * MS), 1);
+	ck_assert_int_eq(target_has_blocked_order(u, 0, SECOND + 900 * MS), 1);
 	report(&t, 0, 9, 1, 1, SECOND + 950 * MS);
-	ck_assert_int_eq(target_has_blocked_order(u, SECOND + 950 * MS), 0);
+	ck_assert_int_eq(target_has_blocked_order(u, 0, SECOND + 950 * MS), 0);
 	report(&t, 0, 0, 0, 2, SECOND + 990 * MS);
-	ck_assert_int_eq(target_has_blocked_order(u, SECOND + 990 * MS), 0);
+	ck_assert_int_eq(target_has_blocked_order(u, 0, SECOND + 990 * MS), 0);
 	target_table_destroy(&t);
 }
 END_TEST
