--- a/t/soak/soak.py
+++ b/t/soak/soak.py
@@ -23,31 +23,26 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path[:0] = [HERE, os.path.join(HERE, "..", "standin")]
+from callers import DEADLINES_MS, Callers  # noqa: E402
 from engine import (EVENT_S, SLOTS, SLOW_EVENT_S, Engine,  # noqa: E402
                     EngineHandler)
 from faults import Relay, schedule  # noqa: E402
+from judge import BACK_S, RELEASE_S, Judge  # noqa: E402
 from metadata_store import (Store, StoreHandler,  # noqa: E402
                             UpstreamHandler)
 
 CALM_S = 3.0  # after a disturbance, before bounds on time hold again
-IN_FORCE_S = 2.0  # a configuration, after the store has it
-DRAIN_S = 2.0  # a draining upstream gets nothing later than that
-BACK_S = 0.25  # a request sent so long after a newer one was seen in force
 GRACE_S = 8.0  # TERM until the end
-RELEASE_S = 3.5  # no request begins on an older release later than that
 RECOVER_S = 12.0
 WORKERS = 6  # callers an entry
 ENGINE_WORKERS = 8  # the same, of the service with engines
 WORK_S = 0.06  # of an upstream, so that faults meet requests that run
-EVENTS = 5
 KEY = "0123456789abcdef"
-NOT_RUN = (408, 421, 429, 503)
 PLAIN = ("read", "once", "tell", "probe", "key")
 ENTRIES = ["e1", "e2", "e3"]
 UPSTREAMS = ["w1", "w2", "w3", "v1", "v2"]
 ENGINES = ["g1", "g2", "g3"]
 SERVICES = {"w": "web", "v": "voice", "g": "llm"}
-DEADLINES_MS = {"gen": 6000}
 ENGINE_SPEC = {
     "Slots": SLOTS, "KvTokens": 685000, "Stride": 6, "Models": [{"Name": "m"}],
     "step_ms": 7.4, "per_seq_ms": 0.04, "context_per_k": 0.02,
@@ -136,7 +131,7 @@
         self.disturbed = max(self.disturbed, until + CALM_S)
 
 
-class Soak:
+class Soak(Callers, Judge):
     def __init__(self, o):
         self.o, self.net = o, o.net
         self.store_address = (f"{self.net}.9", 7001)
@@ -359,201 +354,6 @@
     def fault_config(self, fault, e, now, end):
         self.config(fault.how)
 
-    # callers
-
-    def caller(self, e, seed, kinds):
-        r = random.Random(seed)
-        connection = None
-        while not self.stop:
-            if connection is None:
-                connection = http.client.HTTPConnection(e.ip, 8000, timeout=8)
-            kind = r.choice(kinds)
-            if not self.ask(e, connection, kind, r):
-                connection.close()
-                connection = None
-                time.sleep(0.05)
-            time.sleep(r.uniform(0, 0.08))
-
-    def ask(self, e, connection, kind, r):
-        with self.lock:
-            self.number += 1
-            id = f"r{self.number}"
-        revoked = [k for k in list(self.revoked)]
-        key = r.choice(revoked) if kind == "key" and revoked else "k0"
-        version = self.version
-        path = {"probe": f"/n{version}/x", "key": "/read/x"}.get(
-            kind, f"/{kind}/x")
-        record = {"entry": e.name, "kind": kind, "key": key, "path": path,
-                  "version": version, "incarnation": e.incarnation,
-                  "disturbed": e.disturbed, "term": e.stopping,
-                  "sent": time.monotonic(), "status": 0, "error": ""}
-        self.records[id] = record
-        try:
-            connection.request("GET", path, headers={
-                "Host": "a.example", "X-Limpetflow-Request-Id": id,
-                "X-Limpetflow-Deadline-Ms": str(DEADLINES_MS.get(kind, 2000)),
-                "X-Limpetflow-Model": "m",
-                "Authorization": f"Bearer {key}"})
-            answer = connection.getresponse()
-            record["status"] = answer.status
-            record["leaving"] = answer.getheader("Server-Leaving")
-            record["stamp"] = answer.getheader("X-Limpetflow-Response-Stamp")
-            body = answer.read()
-            self.answer_check(id, record, answer, body)
-            return not answer.will_close
-        except (OSError, http.client.HTTPException) as error:
-            record["error"] = repr(error)
-            return False
-        finally:
-            record["done"] = time.monotonic()
-            record["disturbed"] = max(record["disturbed"], e.disturbed)
-
-    def answer_check(self, id, record, answer, body):
-        if answer.status != 200:
-            return
-        if record["kind"] in ("tell", "gen"):
-            ids = [line[4:] for line in body.decode().split("\n")
-                   if line.startswith("id: ")]
-            self.check("whole streams", ids == [str(i) for i in
-                       range(1, EVENTS + 1)], f"{id}: events {ids}")
-            return
-        try:
-            got = dict(json.loads(body)["headers"])
-        except (ValueError, KeyError):
-            got = {}
-        self.check("answers belong to their request",
-                   got.get("X-Limpetflow-Request-Id") == id, id)
-        self.check("the key stays here", "Authorization" not in got, id)
-
-    # judging
-
-    def check(self, promise, holds, what):
-        with self.lock:
-            self.checked[promise] = self.checked.get(promise, 0) + 1
-            if not holds:
-                self.broken.append((promise, what))
-
-    def judge(self):
-        runs = {}
-        for name, server in self.servers.items():
-            for at, id in server.runs:
-                runs.setdefault(id, []).append((at, name))
-        for name, engine in self.engines.items():
-            for _, id, _, came in engine.begun:
-                runs.setdefault(id, []).append((came, name))
-        for id, rec in self.records.items():
-            ran = runs.get(id, [])
-            if rec["kind"] == "once":
-                self.check("at most once", len(ran) <= 1, f"{id}: {ran}")
-            if rec["status"] in NOT_RUN:
-                self.check("not run is true", not ran, f"{id}: {ran}")
-            if not self.o.no_bounds:
-                self.judge_bounds(id, rec, ran)
-        self.judge_versions()
-        for name, server in self.servers.items():
-            self.judge_leaving(name, server)
-            if not self.o.no_bounds:
-                self.judge_pauses(name, server)
-        if not self.o.no_bounds:
-            self.judge_releases()
-
-    def judge_bounds(self, id, rec, ran):
-        sent = rec["sent"]
-        calm = max(rec["disturbed"], self.store_disturbed) < sent
-        if rec["key"] in self.revoked and calm:
-            gone = sent - self.revoked[rec["key"]] > IN_FORCE_S
-            self.check("revoked keys are refused",
-                       not gone or rec["status"] != 200, id)
-        for name, at, until in self.drains:
-            if not calm or sent < at + DRAIN_S or sent > until:
-                continue
-            # A later attempt may come when it is ready again.
-            early = [t for t, u in ran if u == name and t <= until]
-            self.check("nothing new while draining", not early,
-                       f"{id} sent {sent - at:.3f} s after {name}'s draining "
-                       f"began, came {until - min(early or [0]):.3f} s before "
-                       "its end")
-        if rec["term"] and calm and ran and not rec["status"]:
-            self.check("a stop answers what it took",
-                       sent > rec["term"] + CALM_S, f"{id} {rec['error']}")
-
-    def arrivals_from(self, server, entry):
-        """The requests of an entry that reached an upstream."""
-        return [(t, self.records[id]) for t, id in server.arrivals
-                if self.records[id]["entry"] == entry.name]
-
-    def judge_leaving(self, name, server):
-        """From an entry that passed on an answer which announced the end,
-        nothing reaches that process any more."""
-        for e in self.processes:
-            told = [rec for rec in self.records.values()
-                    if rec["entry"] == e.name and rec.get("leaving") == "1"
-                    and rec["stamp"] in (name, "stamp-" + name)]
-            arrivals = self.arrivals_from(server, e) if told else []
-            for rec in told:
-                since, ended = rec["done"], [
-                    t for t in server.restarts + e.freezes
-                    if t > rec["sent"]]
-                until = min(ended, default=float("inf"))
-                late = [t - since for t, other in arrivals
-                        if other["incarnation"] == rec["incarnation"]
-                        and other["sent"] > since + DRAIN_S and t < until]
-                self.check("nothing for those that leave", not late,
-                           f"{e.name} {name} {late[:3]} s after its answer")
-
-    def judge_pauses(self, name, server):
-        """At most two requests of an entry reach an upstream in the pause that
-        it asked this entry for, from half a second on."""
-        for at, id, notice in server.turned_away:
-            try:
-                pause_s = float(notice["headers"][0][1])
-            except ValueError:
-                continue
-            rec = self.records[id]
-            e = self.by_name[rec["entry"]]
-            if any(at < t < at + pause_s for t in
-                   server.restarts + e.freezes + [
-                       d[0] for d in e.disturbances]):
-                continue
-            late = [t - at for t, other in self.arrivals_from(server, e)
-                    if at + 0.5 < t < at + pause_s
-                    and other["incarnation"] == rec["incarnation"]]
-            self.check("pauses are kept", len(late) <= 2,
-                       f"{e.name} {name} asked for {pause_s} s: {late[:5]}")
-
-    def judge_versions(self):
-        """Within one incarnation no older configuration comes back."""
-        seen = {}
-        probes = [(rec["sent"], id, rec) for id, rec in self.records.items()
-                  if rec["kind"] == "probe" and rec["status"] in (200, 404)]
-        for sent, id, rec in sorted(probes, key=lambda p: p[0]):
-            key = (rec["entry"], rec["incarnation"])
-            known, since = seen.get(key, (0, 0))
-            if rec["status"] == 200 and rec["version"] > known:
-                seen[key] = (rec["version"], rec["done"])
-            if rec["status"] == 404 and sent > since + BACK_S:
-                self.check("configuration never goes back",
-                           rec["version"] > known, id)
-
-    def judge_releases(self):
-        """What begins on an older release does so before its limit."""
-        for name, engine in self.engines.items():
-            for at, id, release, _ in engine.begun:
-                newer = [t for r, t in self.declared if r > release and t < at]
-                if not newer:
-                    continue
-                first, rec = min(newer), self.records[id]
-                faults = self.by_name[rec["entry"]].disturbances + \
-                    self.store_disturbances + \
-                    [s[1:] for s in self.silences if s[0] == name]
-                if any(a < at and b > first for a, b in faults):
-                    continue
-                late = at - first - RELEASE_S
-                self.check("releases end at their limit", late <= 0,
-                           f"{id} from {rec['entry']} sent "
-                           f"{rec['sent'] - first:.2f} s after it on {name}, "
-                           f"release {release}: {late:.3f} s late")
-
     def recovered(self, e):
         record = {}
         for kind in ("read", "once", "tell", "gen"):
