forward: a place that is kept stays usable

With its own slot counted the upstream was full, and any other request sent there meanwhile spoiled "begins at once". Now only what rules an upstream out whatever its load is asked: it leaves, pauses, was replaced, refused, has an order, or no longer runs the release.

test-reservation: the first two cases fail on the commit before.

--- a/forward/reservation.c
+++ b/forward/reservation.c
@@ -102,7 +102,7 @@
 	struct target *u = r->has_slot ? target_find(t, r->upstream) : NULL;
 
 	if (!u || u->started_ms != r->started_ms ||
-	    !target_can_take(t, u, q, now)) {
+	    !target_can_use_slot(u, q, now)) {
 		release_slot(r, t, now);
 		return NULL;
 	}
--- a/forward/target.c
+++ b/forward/target.c
@@ -316,11 +316,18 @@
 	return EXCLUSION_NONE;
 }
 
-/* Returns 1 when the upstream can take a request for which a slot is kept. */
-int target_can_take(const struct target_table *t, const struct target *u,
-		    const struct target_query *q, apr_time_t now)
+/*
+ * Returns 1 when the upstream can still take a request for which a slot is
+ * kept. Its load doesn't count: the slot is part of it.
+ */
+int target_can_use_slot(const struct target *u, const struct target_query *q,
+			apr_time_t now)
 {
-	return find_exclusion(t, u, q, now) == EXCLUSION_NONE;
+	return u->is_used && target_is_usable(u, now) && !u->is_draining &&
+	       !u->has_announced_end && !u->is_replaced &&
+	       u->paused_until <= now && u->full_until <= now &&
+	       !(has_valid_report(u, now) && u->is_busy) &&
+	       runs_model(u, q, q->release_min);
 }
 
 static int is_allowed(const struct target_query *q, int row)
--- a/forward/target.h
+++ b/forward/target.h
@@ -138,8 +138,8 @@
 void target_record_finish(struct target *u, apr_time_t now);
 int target_estimate_load(const struct target_table *t, const struct target *u,
 			 apr_time_t now);
-int target_can_take(const struct target_table *t, const struct target *u,
-		    const struct target_query *q, apr_time_t now);
+int target_can_use_slot(const struct target *u, const struct target_query *q,
+			apr_time_t now);
 double target_typical_answer_us(const struct engine_spec *e);
 double target_typical_first_event_us(const struct engine_spec *e);
 uint64_t target_find_release(const struct target *u, const char *model);
--- a/t/t1000-forward-unit.sh
+++ b/t/t1000-forward-unit.sh
@@ -18,4 +18,6 @@
 
 test_expect_success 'unit tests of the limits of releases' 'test-release-limit'
 
+test_expect_success 'unit tests of places for the next attempt' 'test-reservation'
+
 test_done
