forward: an answer that has begun waits for an upstream to go on

An attempt may end without this entry's doing: its upstream breaks, refuses a place that was reserved, or reaches the limit of its release. When no other upstream could take the answer at that very moment it was broken off for good.

Such an answer now waits for up to 2 s, and each step asks again: only for a free slot, as many wait for the same upstream, and its retry is taken from the budget when it is sent, not before. It ends when its caller leaves, its time is over, its tries are used or it is blamed. A request whose answer has not begun is refused at once, as before.

The retry of an attempt is now consumed with the choice of its upstream, in one act; before, an attempt was sent even if the budget had run out between the decision and the sending.

--- a/forward/answer-log.c
+++ b/forward/answer-log.c
@@ -87,7 +87,7 @@
 }
 
 /* Adds what ended the last attempt and, if this entry did, why. */
-static void add_end_fields(const struct forward *f, json_t *o)
+static void add_end_fields(const struct forward *f, json_t *o, apr_time_t now)
 {
 	const struct cancel_inputs *c = &f->canceled;
 
@@ -95,6 +95,10 @@
 			    json_string(f->ended_by ? f->ended_by : ""));
 	json_object_set_new(o, "no_attempt",
 			    json_string(f->no_attempt ? f->no_attempt : ""));
+	if (f->waiting_since)
+		json_object_set_new(
+			o, "waited_ms",
+			json_integer(to_ms(now - f->waiting_since)));
 	if (f->no_place)
 		json_object_set_new(o, "no_place", json_string(f->no_place));
 	if (!__atomic_load_n(&f->cancel_reason, __ATOMIC_ACQUIRE))
@@ -181,12 +185,12 @@
 		forward_deadline_ms(f), "framing", framing, "open_event_bytes",
 		(json_int_t)f->events.size, "error", f->fetch.error.text,
 		"crash", forward_verdict_name(f));
-	add_end_fields(f, fields);
+	add_end_fields(f, fields, now);
 	log_fields(sev, &at, fields, "request finished");
 }
 
 void forward_log_retry(struct forward *f, const struct attempt_result *e,
-		       const char *what)
+		       const char *what, apr_time_t now)
 {
 	struct log_place at = { what, f->upstream,
 				*f->head.id ? f->head.id : "-" };
@@ -207,7 +211,7 @@
 		framing_name(f->fetch.framing), "open_event_bytes",
 		(json_int_t)f->events.size, "error", f->fetch.error.text,
 		"crash", forward_verdict_name(f));
-	add_end_fields(f, fields);
+	add_end_fields(f, fields, now);
 	log_fields(LOG_SEV_NOTICE, &at, fields,
 		   "attempt did not succeed; trying another upstream");
 }
--- a/forward/answer.c
+++ b/forward/answer.c
@@ -85,9 +85,7 @@
 	clear_unanswered(f, u);
 	if (u && u->in_flight > 0)
 		target_record_finish(u, now);
-	*f->link = f->next;
-	if (f->next)
-		f->next->link = f->link;
+	forward_unlink(f);
 	f->w->active_count--;
 }
 
@@ -301,7 +299,8 @@
 	s->is_caller_disconnected =
 		__atomic_load_n(&f->is_caller_disconnected, __ATOMIC_ACQUIRE);
 	pthread_mutex_lock(&f->w->mutex);
-	s->has_budget = f->place.has_retry ||
+	/* An answer that has begun may wait for the budget. */
+	s->has_budget = f->place.has_retry || f->is_answer_started ||
 			retry_budget_remaining(&f->w->retry_budget,
 					       f->service_name, now) > 0;
 	pthread_mutex_unlock(&f->w->mutex);
@@ -420,14 +419,9 @@
 {
 	if (forward_refuse_blamed(f, now))
 		return;
-	forward_log_retry(f, e, resume ? "resume" : "retry");
-	pthread_mutex_lock(&f->w->mutex);
-	if (!e->is_unsent && !f->place.has_retry)
-		retry_budget_try_consume(&f->w->retry_budget, f->service_name,
-					 now);
-	if (!e->is_unsent)
-		reservation_use_retry(&f->place);
-	pthread_mutex_unlock(&f->w->mutex);
+	forward_log_retry(f, e, resume ? "resume" : "retry", now);
+	f->needs_retry = !e->is_unsent;
+	f->is_resuming = resume;
 	metric_count("forward_repeats", resume ? "resume" : "retry", 1);
 	if (resume)
 		events_resume(&f->events);
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -178,6 +178,7 @@
 	count_entries(w, now);
 	forward_step_crashes(w, now);
 	forward_check_active(w, now);
+	forward_check_waiting(w, now);
 }
 
 /* Merges an agent's report about its upstream. */
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -23,20 +23,32 @@
  */
 #define SEND_TIMEOUT_US (400 * 1000)
 
+/* Adds a request to a list. Called with the mutex held. */
+void forward_link(struct forward **list, struct forward *f)
+{
+	f->next = *list;
+	f->link = list;
+	if (f->next)
+		f->next->link = &f->next;
+	*list = f;
+}
+
+/* Removes a request from its list. Called with the mutex held. */
+void forward_unlink(struct forward *f)
+{
+	*f->link = f->next;
+	if (f->next)
+		f->next->link = f->link;
+}
+
 /* The upstream's slot is counted already. */
 static void record_attempt_start(struct forward *f, struct target *u)
 {
-	struct forwarder *w = f->w;
-
 	u->unanswered++;
 	f->is_unanswered = 1;
 	f->is_in_flight = 1;
-	f->next = w->active;
-	f->link = &w->active;
-	if (f->next)
-		f->next->link = &f->next;
-	w->active = f;
-	w->active_count++;
+	forward_link(&f->w->active, f);
+	f->w->active_count++;
 }
 
 /*
@@ -129,6 +141,10 @@
 		f->wait_us = ADMIT_WAIT_UNKNOWN_US;
 	if (choice.index < 0)
 		return choice.reason;
+	/* Others wait for the same upstream to return. */
+	if (f->waiting_since &&
+	    choice.load >= w->targets.rows[choice.index].slots)
+		return "upstreams-full";
 	if (!is_reserved)
 		u = &w->targets.rows[choice.index];
 	f->load = choice.load;
@@ -245,11 +261,30 @@
 }
 
 /*
- * Chooses an upstream and submits the attempt, both under the mutex, so that
+ * Takes the retry that the next attempt is from the budget, unless its place
+ * has one. Returns 0 when none is left. Called with the mutex held.
+ */
+static int take_retry(struct forward *f, apr_time_t now)
+{
+	return !f->needs_retry || f->place.has_retry ||
+	       retry_budget_try_consume(&f->w->retry_budget, f->service_name,
+					now);
+}
+
+/* The attempt that take_retry allowed is not made. */
+static void return_retry(struct forward *f, apr_time_t now)
+{
+	if (f->needs_retry && !f->place.has_retry)
+		retry_budget_return(&f->w->retry_budget, f->service_name, now);
+}
+
+/*
+ * Chooses an upstream and submits the attempt, in one go, so that
  * forward_check_active finds only submitted requests that have not finished.
- * Returns NULL, or the reason why no upstream can serve it.
+ * Returns NULL, or the reason why no upstream can serve it. Called with the
+ * mutex held.
  */
-static const char *submit_attempt(struct forward *f, apr_time_t now)
+const char *forward_submit(struct forward *f, apr_time_t now)
 {
 	struct target_query q;
 	const char *reason;
@@ -259,16 +294,22 @@
 		return "deadline";
 	if (f->attempts == FORWARD_ATTEMPTS_MAX)
 		return "tries-used";
-	pthread_mutex_lock(&f->w->mutex);
+	if (!take_retry(f, now))
+		return "retry-budget";
 	reason = reserve_target(f, &q, &is_probe, now);
 	if (reason) {
-		pthread_mutex_unlock(&f->w->mutex);
+		return_retry(f, now);
 		return reason;
 	}
+	if (f->needs_retry)
+		reservation_use_retry(&f->place);
+	reservation_release(&f->place, &f->w->targets, &f->w->retry_budget,
+			    f->service_name, now);
 	snprintf(f->attempted_upstreams[f->attempts++], SETTINGS_NAME_SIZE,
 		 "%s", f->upstream);
 	forward_answer_clear(f);
 	f->sent_at = now;
+	f->waiting_since = 0;
 	__atomic_store_n(&f->last_contact, 0, __ATOMIC_RELAXED);
 	__atomic_store_n(&f->cancel_reason, CANCEL_NONE, __ATOMIC_RELEASE);
 	f->ended_by = f->no_attempt = f->no_place = NULL;
@@ -276,18 +317,23 @@
 	fill_fetch(f, is_probe, now);
 	fill_headers(f, now);
 	fetch_submit(f->w->node->fetcher, &f->fetch);
-	pthread_mutex_unlock(&f->w->mutex);
 	return NULL;
 }
 
 /*
- * Sends the request to the best upstream, or ends it when there is none. f must
- * not be used afterwards.
+ * Sends the request to the best upstream. Without one, a request whose answer
+ * has begun waits for it, and any other is ended. f must not be used
+ * afterwards.
  */
 void forward_send(struct forward *f, apr_time_t now)
 {
-	const char *reason = submit_attempt(f, now);
+	const char *reason;
 
+	pthread_mutex_lock(&f->w->mutex);
+	reason = forward_submit(f, now);
+	if (reason && forward_wait_for_place(f, reason, now))
+		reason = NULL;
+	pthread_mutex_unlock(&f->w->mutex);
 	if (reason)
 		forward_finish_unsent(f, reason, forward_retry_after_ms(f, now),
 				      now);
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -59,6 +59,7 @@
 	apr_interval_time_t move_delay_us;
 	struct forward *active;
 	int active_count;
+	struct forward *waiting; /* begun answers, for an upstream to go on */
 	uint64_t list_version;
 	apr_time_t next_entry_count_at;
 	int has_targets;
@@ -142,6 +143,9 @@
 	int is_in_flight; /* guarded by the forwarder's mutex */
 	/* Counted in `unanswered` of the upstream's row; same guard. */
 	int is_unanswered;
+	int needs_retry; /* the next attempt counts in the retry budget */
+	int is_resuming; /* the next attempt goes on with a begun answer */
+	apr_time_t waiting_since; /* for an upstream, 0: not */
 	struct reservation place; /* for the next attempt; same guard */
 	int is_silence_recorded;  /* in its upstream's health; same guard */
 	int cancel_reason;	  /* atomic: enum cancel_reason */
@@ -175,7 +179,7 @@
 	char *held_body;
 	size_t held_size;
 
-	struct forward *next;
+	struct forward *next; /* in active or waiting */
 	struct forward **link;
 };
 
@@ -212,7 +216,7 @@
 void forward_log_end(struct forward *f, const char *outcome, int status,
 		     apr_time_t now);
 void forward_log_retry(struct forward *f, const struct attempt_result *e,
-		       const char *what);
+		       const char *what, apr_time_t now);
 
 /* handover.c */
 void forward_fill_query(struct forward *f, struct target_query *q,
@@ -221,6 +225,15 @@
 void forward_finish_unsent(struct forward *f, const char *reason,
 			   int retry_after_ms, apr_time_t now);
 
+const char *forward_submit(struct forward *f, apr_time_t now);
+void forward_link(struct forward **list, struct forward *f);
+void forward_unlink(struct forward *f);
+
+/* waiting.c */
+int forward_wait_for_place(struct forward *f, const char *reason,
+			   apr_time_t now);
+void forward_check_waiting(struct forwarder *w, apr_time_t now);
+
 /* crash-guard.c */
 void forward_set_items(struct forward *f, const void *body, size_t size);
 void forward_look_up_verdict(struct forward *f, apr_time_t now);
--- a/t/t1028-replaced-attempts.sh
+++ b/t/t1028-replaced-attempts.sh
@@ -12,6 +12,7 @@
 KEY=0123456789abcdef
 FIRST=$TEST_NET.11:80
 OTHER=$TEST_NET.12:80
+TORN=$TEST_NET.13:80
 STREAMS="1 2 3"
 ENTRIES="1 2"
 
@@ -117,6 +118,7 @@
 
 start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
 start first python3 "$TEST_DIR/standin/metadata_store.py" upstream $FIRST i-1 queue
+start torn python3 "$TEST_DIR/standin/metadata_store.py" upstream $TORN i-3 torn
 start other python3 "$TEST_DIR/standin/metadata_store.py" upstream $OTHER i-2 stream
 
 test_expect_success 'streams of two entries begin at one engine' '
@@ -151,4 +153,37 @@
 	wait_until 10 complete order && wait_until 10 complete silent
 '
 
+# begun_waits: answers that began and whose entries wait for an upstream.
+begun_waits () {
+	n=0
+	for e in $ENTRIES; do
+		n=$((n + $(metric $e forward_waiting)))
+	done
+	test $n -ge 6
+}
+
+# Guards against begun answers that are broken off at once when their upstream
+# breaks while no other one is free.
+test_expect_success 'answers whose upstream breaks wait for another one' '
+	engine i-1 $FIRST draining && engine i-3 $TORN ready &&
+	sleep 1 && begin torn x &&
+	engine i-3 $TORN draining &&
+	wait_until 5 begun_waits && engine i-2 $OTHER ready &&
+	wait_until 10 complete torn
+'
+
+all_cut () {
+	for e in $ENTRIES; do
+		for i in $STREAMS; do
+			grep cut late-$e-$i.out || return 1
+		done
+	done
+}
+
+test_expect_success 'they are broken off after a while if there is none' '
+	engine i-2 $OTHER draining && engine i-3 $TORN ready &&
+	sleep 1 && begin late x && wait_until 10 all_cut &&
+	grep -h "\"ended_by\":\"upstream\",\"no_attempt\":\"upstreams" e1.out e2.out
+'
+
 test_done
