forward: a blame does not break off an answer that has begun

When a part of prompts or a request was blamed for crashes, all entries canceled all their attempts that share it, also those whose answer was on its way to the caller: answers of sound requests would be broken off, at all entries at once. A run whose answer has begun has done no harm so far, so only those that have not begun are canceled, also if a begun answer is being resumed elsewhere.

test-blame-cancel: the case of a begun answer fails on the commit before.

--- a/forward/cancel.c
+++ b/forward/cancel.c
@@ -223,7 +223,9 @@
 enum cancel_reason forward_decide_cancel(struct forwarder *w, struct forward *f,
 					 int check_blames, apr_time_t now)
 {
-	if (check_blames && crash_is_refused(w->crashes, &f->items, now))
+	/* An answer that has begun shows that the run did no harm so far. */
+	if (check_blames && f->is_unanswered &&
+	    crash_is_refused(w->crashes, &f->items, now))
 		return CANCEL_BLAMED;
 	if (should_withdraw(w, f, now))
 		return CANCEL_WITHDRAWN;
--- a/t/t1000-forward-unit.sh
+++ b/t/t1000-forward-unit.sh
@@ -20,4 +20,6 @@
 
 test_expect_success 'unit tests of places for the next attempt' 'test-reservation'
 
+test_expect_success 'unit tests of what a blame cancels' 'test-blame-cancel'
+
 test_done
