soak: relays note the requests whose connections they reset

A relay now reads the request before it resets a new connection, and notes it. The two cases are counted apart: a reset of the upstream that ran the answer, and of the one that was to go on with it.

The soak prints how late it played its faults.

--- a/t/soak/faults.py
+++ b/t/soak/faults.py
@@ -4,6 +4,7 @@
 played, and played again.
 """
 import random
+import re
 import select
 import socket
 import struct
@@ -12,18 +13,21 @@
 
 PIECE = 65536
 DELAY_S = 0.15  # held back by a relay in mode "delay", each piece
+REQUEST = re.compile(rb"X-Limpetflow-Request-Id: *(\S+)", re.IGNORECASE)
+HEAD_S = 0.05  # for the head of a request whose connection is reset
 RST = struct.pack("ii", 1, 0)  # SO_LINGER: closing resets
 
 
 class Relay:
     """Forwards connections.  Modes: ok, delay, silent (nothing passes, nothing
     is closed), one_way (answers don't pass), reset (all are reset, also new
-    ones)."""
+    ones).  Notes the requests whose connections it resets."""
 
     def __init__(self, address, to):
         self.to = to
         self.mode = "ok"
-        self.open = set()
+        self.open = {}  # the last request of each pair of connections
+        self.resets = []  # (when, request)
         self.lock = threading.Lock()
         self.listener = socket.create_server(address, backlog=64)
         threading.Thread(target=self.accept, daemon=True).start()
@@ -32,11 +36,29 @@
         while True:
             client = self.listener.accept()[0]
             if self.mode == "reset":
-                self.cut(client)
+                threading.Thread(target=self.refuse, args=(client,),
+                                 daemon=True).start()
                 continue
             threading.Thread(target=self.serve, args=(client,),
                              daemon=True).start()
 
+    def refuse(self, client):
+        try:
+            client.settimeout(HEAD_S)
+            self.note_reset(self.find_request(client.recv(PIECE)))
+        except OSError:
+            pass
+        self.cut(client)
+
+    @staticmethod
+    def find_request(data):
+        found = REQUEST.findall(data)
+        return found[-1].decode() if found else None
+
+    def note_reset(self, request):
+        if request:
+            self.resets.append((time.monotonic(), request))
+
     @staticmethod
     def cut(*ends):
         for end in ends:
@@ -53,13 +75,13 @@
             self.cut(client)
             return
         with self.lock:
-            self.open.add((client, server))
+            self.open[client, server] = None
         try:
             self.pump(client, server)
         except (OSError, ValueError):
             pass
         with self.lock:
-            self.open.discard((client, server))
+            self.open.pop((client, server), None)
         client.close()
         server.close()
 
@@ -78,6 +100,9 @@
                 data = end.recv(PIECE)
                 if not data:
                     return
+                request = end is client and self.find_request(data)
+                if request:
+                    self.open[client, server] = request
                 if self.mode == "delay":
                     time.sleep(DELAY_S)
                 (server if end is client else client).sendall(data)
@@ -86,7 +111,8 @@
         self.mode = mode
         if mode == "reset":
             with self.lock:
-                for pair in self.open:
+                for pair, request in self.open.items():
+                    self.note_reset(request)
                     self.cut(*pair)
 
 
--- a/t/soak/judge.py
+++ b/t/soak/judge.py
@@ -52,11 +52,15 @@
         for name, server in self.servers.items():
             for at, id, how in server.ends:
                 ends.setdefault(id, []).append((at, name, how))
+        resets = {}  # of a request: the last one
+        for name, relay in self.relays.items():
+            for at, id in relay.resets:
+                resets[id] = max(resets.get(id, (0, "")), (at, name))
         for id, rec in self.records.items():
             if rec["status"] != 200 or not rec["began"]:
                 continue
             mine = [] if rec["whole"] else sorted(ends.get(id, []))
-            why = not rec["whole"] and self.excuse(rec, mine)
+            why = not rec["whole"] and self.excuse(rec, mine, resets.get(id))
             if why:
                 self.excused[why] = self.excused.get(why, 0) + 1
             sent = rec["sent"]
@@ -67,7 +71,7 @@
                        ", ".join(f"{name} {how} at {at - sent:.3f} s"
                                  for at, name, how in mine))
 
-    def excuse(self, rec, ends):
+    def excuse(self, rec, ends, reset):
         """Returns what broke an answer off that its entry did not, or None."""
         sent, done = rec["sent"], rec["done"]
         time_ms = DEADLINES_MS.get(rec["kind"], 2000) - LAST_MS
@@ -81,9 +85,9 @@
         last, upstream, how = ends[-1]
         if how == AT_DEADLINE:
             return "ended by its upstream at its deadline"
-        if any(name == upstream and at <= done and until > last - CUT_S
-               for name, at, until in self.cuts):
-            return "cut by a fault"
+        if reset and last - CUT_S < reset[0] <= done:
+            return "cut by a fault" if reset[1] == upstream else \
+                "cut by a fault at the upstream that was to go on with it"
         return None
 
     def judge_bounds(self, id, rec, ran):
--- a/t/soak/soak.py
+++ b/t/soak/soak.py
@@ -173,7 +173,7 @@
         self.store_disturbed = 0.0
         self.store_disturbances = []
         self.silences = []  # (engine, from, until): its link
-        self.cuts = []  # (upstream, from, until): connections through its relay
+        self.late_s = 0.0  # the latest fault: whether the soak itself had time
         self.excused = {}  # answers that broke off, by what
         self.declared = []  # (release, when)
         self.stop = False
@@ -310,8 +310,6 @@
     def fault_upstream(self, fault, e, now, end):
         if fault.how == "silent":
             self.silences.append((fault.target, now, end + BACK_S))
-        if fault.how == "reset":
-            self.cuts.append((fault.target, now, end))
         self.relays[fault.target].set(fault.how)
         self.later(fault.for_s, self.relays[fault.target].set, "ok")
 
@@ -410,7 +408,9 @@
         began = time.monotonic()
         for fault in faults:
             time.sleep(max(0, began + fault.at - time.monotonic()))
-            print(f"{time.monotonic() - began:6.2f} plays {fault}", flush=True)
+            at = time.monotonic() - began
+            print(f"{at:6.2f} plays {fault}", flush=True)
+            self.late_s = max(self.late_s, at - fault.at)
             self.play(fault)
         time.sleep(max(0, began + self.o.seconds - time.monotonic()))
         for t in threading.enumerate():
@@ -460,7 +460,8 @@
         statuses[rec["status"]] = statuses.get(rec["status"], 0) + 1
     print(f"seed {o.seed}: {len(soak.records)} requests, {statuses}, "
           f"{sum(e.withdrawn for e in soak.engines.values())} left a queue, "
-          f"{len(faults)} faults, {len(soak.broken)} broken")
+          f"{len(faults)} faults up to {soak.late_s:.2f} s late, "
+          f"{len(soak.broken)} broken")
     return 2 if Server.errors else 1 if soak.broken else 0
 
 
