--- a/t/soak/soak.py
+++ b/t/soak/soak.py
@@ -2,6 +2,7 @@
 """Soak of entries on the users' platform, by faults from outside.
 
     soak.py --net 127.a.b --seed N [--seconds S] [--no-bounds] [--print]
+            [--entries N] [--engines N]
 
 Runs limpet-entry processes against stand-ins of the store and of upstreams,
 each way through a relay, and judges what callers and upstreams saw.  Promises
@@ -23,56 +24,56 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path[:0] = [HERE, os.path.join(HERE, "..", "standin")]
+from callers import DEADLINES_MS, Callers  # noqa: E402
 from engine import (EVENT_S, SLOTS, SLOW_EVENT_S, Engine,  # noqa: E402
-                    EngineHandler)
+                    EngineHandler, run, write_events)
 from faults import Relay, schedule  # noqa: E402
+from judge import BACK_S, RELEASE_S, Judge  # noqa: E402
 from metadata_store import (Store, StoreHandler,  # noqa: E402
                             UpstreamHandler)
 
 CALM_S = 3.0  # after a disturbance, before bounds on time hold again
-IN_FORCE_S = 2.0  # a configuration, after the store has it
-DRAIN_S = 2.0  # a draining upstream gets nothing later than that
-BACK_S = 0.25  # a request sent so long after a newer one was seen in force
 GRACE_S = 8.0  # TERM until the end
-RELEASE_S = 3.5  # no request begins on an older release later than that
 RECOVER_S = 12.0
 WORKERS = 6  # callers an entry
 ENGINE_WORKERS = 8  # the same, of the service with engines
 WORK_S = 0.06  # of an upstream, so that faults meet requests that run
-EVENTS = 5
+TELL_EVENT_S = 0.04  # between its events
 KEY = "0123456789abcdef"
-NOT_RUN = (408, 421, 429, 503)
 PLAIN = ("read", "once", "tell", "probe", "key")
-ENTRIES = ["e1", "e2", "e3"]
 UPSTREAMS = ["w1", "w2", "w3", "v1", "v2"]
-ENGINES = ["g1", "g2", "g3"]
 SERVICES = {"w": "web", "v": "voice", "g": "llm"}
-DEADLINES_MS = {"gen": 6000}
 ENGINE_SPEC = {
     "Slots": SLOTS, "KvTokens": 685000, "Stride": 6, "Models": [{"Name": "m"}],
     "step_ms": 7.4, "per_seq_ms": 0.04, "context_per_k": 0.02,
     "read_per_s": 31900, "usual": {"prompt": 970, "answer": 106}}
 
 
+def names(letter, count):
+    return [f"{letter}{i + 1}" for i in range(count)]
+
+
 class Upstream(UpstreamHandler):
     """Notes when a request came and whose it is; streams take some time."""
 
     def handle_any(self):
+        came = time.monotonic()
         request = self.headers.get("X-Limpetflow-Request-Id", "")
         notice = self.server.notice
         common = [("X-Limpetflow-Request-Id", request),
                   ("X-Limpetflow-Response-Stamp", self.server.id)]
         if request:
-            self.server.arrivals.append((time.monotonic(), request))
+            self.server.arrivals.append((came, request))
             if self.announce(notice, request, common):
                 self.body()
                 return
             self.server.runs.append((time.monotonic(), request))
             time.sleep(WORK_S)
         if self.path.startswith("/tell/"):
-            self.stream(common)
+            run(self, request, write_events, self, common, TELL_EVENT_S,
+                came + int(self.headers["X-Limpetflow-Deadline-Ms"]) / 1000)
             return
-        self.serve(notice)
+        run(self, request, self.serve, notice)
 
     do_GET = do_POST = do_PUT = do_DELETE = handle_any
 
@@ -100,17 +101,18 @@
         net = soak.net
         self.name = f"e{number}"
         self.ip = f"{net}.{number}"
-        self.relay = Relay((f"{net}.{10 + number}", 7001), soak.store_address)
+        self.relay = Relay((f"{net}.{40 + number}", 7001), soak.store_address)
         self.incarnation = 0
         self.disturbed = 0.0  # until then
         self.disturbances = []  # (from, until)
         self.freezes = []
+        self.ends = []  # (when, incarnation, why it may end answers)
         self.stopping = 0.0  # since TERM, 0: not
         self.lock = threading.Lock()
         settings = {
             "instance": self.name, "data_center": "d1", "address": self.ip,
             "ports": {"first": 7700}, "platform": "store",
-            "platform_url": f"http://{net}.{10 + number}:7001",
+            "platform_url": f"http://{net}.{40 + number}:7001",
             "listen": {"callers": f"{self.ip}:8000",
                        "ready": f"{self.ip}:8001"},
             "key": KEY,
@@ -136,21 +138,22 @@
         self.disturbed = max(self.disturbed, until + CALM_S)
 
 
-class Soak:
+class Soak(Callers, Judge):
     def __init__(self, o):
         self.o, self.net = o, o.net
-        self.store_address = (f"{self.net}.9", 7001)
+        self.store_address = (f"{self.net}.90", 7001)
         self.store = Store()
         serve(self.store_address, StoreHandler, store=self.store)
         self.servers, self.relays, self.states = {}, {}, {}
-        self.engines = {name: Engine() for name in ENGINES}
-        for i, name in enumerate(UPSTREAMS + ENGINES):
-            own, listed = (f"{self.net}.{21 + i}", 80), f"{self.net}.{31 + i}"
+        self.engines = {name: Engine() for name in names("g", o.engines)}
+        for i, name in enumerate(UPSTREAMS + list(self.engines)):
+            own = (f"{self.net}.{101 + i}", 80)
+            listed = f"{self.net}.{151 + i}"
             engine = self.engines.get(name)
             self.servers[name] = serve(
                 own, EngineHandler if engine else Upstream, id=name,
                 mode="ok", requests=[], runs=[], engine=engine,
-                deadlines={}, release=None,
+                deadlines={}, release=None, ends=[], silent_until=0.0,
                 notice=None, turned_away=[], arrivals=[],
                 born=int(time.time() * 1000), restarts=[])
             self.relays[name] = Relay((listed, 80), own)
@@ -158,7 +161,8 @@
             if engine:
                 threading.Thread(target=engine.report, daemon=True, args=(
                     KEY, f"{listed}:80", own[0],
-                    [(f"{self.net}.{n}", 7703) for n in (1, 2, 3)])).start()
+                    [(f"{self.net}.{n + 1}", 7703)
+                     for n in range(o.entries)])).start()
         self.records, self.broken, self.checked = {}, [], {}
         self.lock, self.listing = threading.Lock(), threading.Lock()
         self.number = 0
@@ -169,13 +173,15 @@
         self.store_disturbed = 0.0
         self.store_disturbances = []
         self.silences = []  # (engine, from, until): its link
+        self.cuts = []  # (upstream, from, until): connections through its relay
+        self.excused = {}  # answers that broke off, by what
         self.declared = []  # (release, when)
         self.stop = False
         self.config("route")
         self.declare(1)
-        for name in UPSTREAMS + ENGINES:
+        for name in self.servers:
             self.list(name, "ready")
-        self.processes = [Entry(self, i + 1) for i in range(len(ENTRIES))]
+        self.processes = [Entry(self, i + 1) for i in range(o.entries)]
         self.by_name = {e.name: e for e in self.processes}
 
     # what the operator and the servers write
@@ -255,6 +261,7 @@
             e.disturb(end)
             e.process.kill()
             e.process.wait()
+            e.ends.append((now, e.incarnation, "killed"))
             self.later(fault.for_s, e.start)
             e.stopping = now
 
@@ -267,6 +274,7 @@
         threading.Thread(target=self.term_wait, args=(e, now)).start()
 
     def term_wait(self, e, now):
+        e.ends.append((now + GRACE_S, e.incarnation, "past its grace"))
         try:
             e.process.wait(GRACE_S + CALM_S)
             late = e.disturbed < now and time.monotonic() - now > GRACE_S
@@ -302,6 +310,8 @@
     def fault_upstream(self, fault, e, now, end):
         if fault.how == "silent":
             self.silences.append((fault.target, now, end + BACK_S))
+        if fault.how == "reset":
+            self.cuts.append((fault.target, now, end))
         self.relays[fault.target].set(fault.how)
         self.later(fault.for_s, self.relays[fault.target].set, "ok")
 
@@ -323,6 +333,13 @@
         engine.is_mute = True
         self.later(fault.for_s, setattr, engine, "is_mute", False)
 
+    def fault_order(self, fault, e, now, end):
+        self.later(0, self.engines[fault.target].take_order, fault.for_s)
+
+    def fault_silence(self, fault, e, now, end):
+        server = self.servers[fault.target]
+        server.silent_until = max(server.silent_until, end)
+
     def load(self, name, release, for_s):
         self.engines[name].load(release, for_s, lambda: self.list(name))
 
@@ -359,201 +376,6 @@
     def fault_config(self, fault, e, now, end):
         self.config(fault.how)
 
-    # callers
-
-    def caller(self, e, seed, kinds):
-        r = random.Random(seed)
-        connection = None
-        while not self.stop:
-            if connection is None:
-                connection = http.client.HTTPConnection(e.ip, 8000, timeout=8)
-            kind = r.choice(kinds)
-            if not self.ask(e, connection, kind, r):
-                connection.close()
-                connection = None
-                time.sleep(0.05)
-            time.sleep(r.uniform(0, 0.08))
-
-    def ask(self, e, connection, kind, r):
-        with self.lock:
-            self.number += 1
-            id = f"r{self.number}"
-        revoked = [k for k in list(self.revoked)]
-        key = r.choice(revoked) if kind == "key" and revoked else "k0"
-        version = self.version
-        path = {"probe": f"/n{version}/x", "key": "/read/x"}.get(
-            kind, f"/{kind}/x")
-        record = {"entry": e.name, "kind": kind, "key": key, "path": path,
-                  "version": version, "incarnation": e.incarnation,
-                  "disturbed": e.disturbed, "term": e.stopping,
-                  "sent": time.monotonic(), "status": 0, "error": ""}
-        self.records[id] = record
-        try:
-            connection.request("GET", path, headers={
-                "Host": "a.example", "X-Limpetflow-Request-Id": id,
-                "X-Limpetflow-Deadline-Ms": str(DEADLINES_MS.get(kind, 2000)),
-                "X-Limpetflow-Model": "m",
-                "Authorization": f"Bearer {key}"})
-            answer = connection.getresponse()
-            record["status"] = answer.status
-            record["leaving"] = answer.getheader("Server-Leaving")
-            record["stamp"] = answer.getheader("X-Limpetflow-Response-Stamp")
-            body = answer.read()
-            self.answer_check(id, record, answer, body)
-            return not answer.will_close
-        except (OSError, http.client.HTTPException) as error:
-            record["error"] = repr(error)
-            return False
-        finally:
-            record["done"] = time.monotonic()
-            record["disturbed"] = max(record["disturbed"], e.disturbed)
-
-    def answer_check(self, id, record, answer, body):
-        if answer.status != 200:
-            return
-        if record["kind"] in ("tell", "gen"):
-            ids = [line[4:] for line in body.decode().split("\n")
-                   if line.startswith("id: ")]
-            self.check("whole streams", ids == [str(i) for i in
-                       range(1, EVENTS + 1)], f"{id}: events {ids}")
-            return
-        try:
-            got = dict(json.loads(body)["headers"])
-        except (ValueError, KeyError):
-            got = {}
-        self.check("answers belong to their request",
-                   got.get("X-Limpetflow-Request-Id") == id, id)
-        self.check("the key stays here", "Authorization" not in got, id)
-
-    # judging
-
-    def check(self, promise, holds, what):
-        with self.lock:
-            self.checked[promise] = self.checked.get(promise, 0) + 1
-            if not holds:
-                self.broken.append((promise, what))
-
-    def judge(self):
-        runs = {}
-        for name, server in self.servers.items():
-            for at, id in server.runs:
-                runs.setdefault(id, []).append((at, name))
-        for name, engine in self.engines.items():
-            for _, id, _, came in engine.begun:
-                runs.setdefault(id, []).append((came, name))
-        for id, rec in self.records.items():
-            ran = runs.get(id, [])
-            if rec["kind"] == "once":
-                self.check("at most once", len(ran) <= 1, f"{id}: {ran}")
-            if rec["status"] in NOT_RUN:
-                self.check("not run is true", not ran, f"{id}: {ran}")
-            if not self.o.no_bounds:
-                self.judge_bounds(id, rec, ran)
-        self.judge_versions()
-        for name, server in self.servers.items():
-            self.judge_leaving(name, server)
-            if not self.o.no_bounds:
-                self.judge_pauses(name, server)
-        if not self.o.no_bounds:
-            self.judge_releases()
-
-    def judge_bounds(self, id, rec, ran):
-        sent = rec["sent"]
-        calm = max(rec["disturbed"], self.store_disturbed) < sent
-        if rec["key"] in self.revoked and calm:
-            gone = sent - self.revoked[rec["key"]] > IN_FORCE_S
-            self.check("revoked keys are refused",
-                       not gone or rec["status"] != 200, id)
-        for name, at, until in self.drains:
-            if not calm or sent < at + DRAIN_S or sent > until:
-                continue
-            # A later attempt may come when it is ready again.
-            early = [t for t, u in ran if u == name and t <= until]
-            self.check("nothing new while draining", not early,
-                       f"{id} sent {sent - at:.3f} s after {name}'s draining "
-                       f"began, came {until - min(early or [0]):.3f} s before "
-                       "its end")
-        if rec["term"] and calm and ran and not rec["status"]:
-            self.check("a stop answers what it took",
-                       sent > rec["term"] + CALM_S, f"{id} {rec['error']}")
-
-    def arrivals_from(self, server, entry):
-        """The requests of an entry that reached an upstream."""
-        return [(t, self.records[id]) for t, id in server.arrivals
-                if self.records[id]["entry"] == entry.name]
-
-    def judge_leaving(self, name, server):
-        """From an entry that passed on an answer which announced the end,
-        nothing reaches that process any more."""
-        for e in self.processes:
-            told = [rec for rec in self.records.values()
-                    if rec["entry"] == e.name and rec.get("leaving") == "1"
-                    and rec["stamp"] in (name, "stamp-" + name)]
-            arrivals = self.arrivals_from(server, e) if told else []
-            for rec in told:
-                since, ended = rec["done"], [
-                    t for t in server.restarts + e.freezes
-                    if t > rec["sent"]]
-                until = min(ended, default=float("inf"))
-                late = [t - since for t, other in arrivals
-                        if other["incarnation"] == rec["incarnation"]
-                        and other["sent"] > since + DRAIN_S and t < until]
-                self.check("nothing for those that leave", not late,
-                           f"{e.name} {name} {late[:3]} s after its answer")
-
-    def judge_pauses(self, name, server):
-        """At most two requests of an entry reach an upstream in the pause that
-        it asked this entry for, from half a second on."""
-        for at, id, notice in server.turned_away:
-            try:
-                pause_s = float(notice["headers"][0][1])
-            except ValueError:
-                continue
-            rec = self.records[id]
-            e = self.by_name[rec["entry"]]
-            if any(at < t < at + pause_s for t in
-                   server.restarts + e.freezes + [
-                       d[0] for d in e.disturbances]):
-                continue
-            late = [t - at for t, other in self.arrivals_from(server, e)
-                    if at + 0.5 < t < at + pause_s
-                    and other["incarnation"] == rec["incarnation"]]
-            self.check("pauses are kept", len(late) <= 2,
-                       f"{e.name} {name} asked for {pause_s} s: {late[:5]}")
-
-    def judge_versions(self):
-        """Within one incarnation no older configuration comes back."""
-        seen = {}
-        probes = [(rec["sent"], id, rec) for id, rec in self.records.items()
-                  if rec["kind"] == "probe" and rec["status"] in (200, 404)]
-        for sent, id, rec in sorted(probes, key=lambda p: p[0]):
-            key = (rec["entry"], rec["incarnation"])
-            known, since = seen.get(key, (0, 0))
-            if rec["status"] == 200 and rec["version"] > known:
-                seen[key] = (rec["version"], rec["done"])
-            if rec["status"] == 404 and sent > since + BACK_S:
-                self.check("configuration never goes back",
-                           rec["version"] > known, id)
-
-    def judge_releases(self):
-        """What begins on an older release does so before its limit."""
-        for name, engine in self.engines.items():
-            for at, id, release, _ in engine.begun:
-                newer = [t for r, t in self.declared if r > release and t < at]
-                if not newer:
-                    continue
-                first, rec = min(newer), self.records[id]
-                faults = self.by_name[rec["entry"]].disturbances + \
-                    self.store_disturbances + \
-                    [s[1:] for s in self.silences if s[0] == name]
-                if any(a < at and b > first for a, b in faults):
-                    continue
-                late = at - first - RELEASE_S
-                self.check("releases end at their limit", late <= 0,
-                           f"{id} from {rec['entry']} sent "
-                           f"{rec['sent'] - first:.2f} s after it on {name}, "
-                           f"release {release}: {late:.3f} s late")
-
     def recovered(self, e):
         record = {}
         for kind in ("read", "once", "tell", "gen"):
@@ -599,7 +421,7 @@
             t.join()
         while any(e.stopping for e in self.processes):
             time.sleep(0.1)
-        for name in ENGINES:
+        for name in self.engines:
             self.load(name, self.declared[-1][0], 0)
         self.recover(60 if self.o.no_bounds else RECOVER_S)
         self.judge()
@@ -614,11 +436,13 @@
     p.add_argument("--net", required=True, help="first bytes of addresses")
     p.add_argument("--seed", type=int, default=1)
     p.add_argument("--seconds", type=float, default=20)
+    p.add_argument("--entries", type=int, default=3, help="at most 40")
+    p.add_argument("--engines", type=int, default=3, help="at most 40")
     p.add_argument("--no-bounds", action="store_true")
     p.add_argument("--print", action="store_true", help="only the schedule")
     o = p.parse_args()
-    faults = schedule(o.seed, o.seconds, ENTRIES, UPSTREAMS, ENGINES,
-                      RELEASE_S)
+    faults = schedule(o.seed, o.seconds, names("e", o.entries), UPSTREAMS,
+                      names("g", o.engines), RELEASE_S)
     for fault in faults:
         print(fault)
     if o.print:
@@ -630,6 +454,7 @@
         print(f"{promise}: {count} checked, {len(broken)} broken")
         for what in broken[:5]:
             print(f"  {what}")
+    print(f"answers broken off, excused: {soak.excused}")
     statuses = {}
     for rec in soak.records.values():
         statuses[rec["status"]] = statuses.get(rec["status"], 0) + 1
