fetch: end a transfer whose kept piece is refused on resuming

A caller could receive an answer with a hole: libcurl (7.88) keeps the piece at which data() paused and passes it on again inside curl_easy_pause(). When data() refuses it then, the piece is dropped, the error comes back from curl_easy_pause() only, which was ignored, and the transfer goes on with the next piece.

Reachable are the calls of agents (an event that is too large or malformed after a pause), and forwarded answers as soon as these are resumed at all.

Before: the case added to t0003 fails, data() is called a third time. After: it is called twice, and the transfer ends as refused.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -206,6 +206,18 @@
 	curl_multi_add_handle(r->multi, f->easy);
 }
 
+/*
+ * Passes on the piece that was kept at the pause, and reads on. libcurl drops a
+ * piece that data() refuses now and would go on with the next one.
+ */
+static void resume_fetch(struct fetcher *r, struct fetch *f)
+{
+	CURLcode code = curl_easy_pause(f->easy, CURLPAUSE_CONT);
+
+	if (code != CURLE_OK)
+		finish_fetch(r, f, code);
+}
+
 static void execute_request(struct fetcher *r, struct request *q)
 {
 	switch (q->kind) {
@@ -218,7 +230,7 @@
 		break;
 	case REQUEST_RESUME:
 		if (q->fetch->link)
-			curl_easy_pause(q->fetch->easy, CURLPAUSE_CONT);
+			resume_fetch(r, q->fetch);
 		break;
 	}
 }
--- a/t/helper/test-net.c
+++ b/t/helper/test-net.c
@@ -242,6 +242,7 @@
 	struct fetch fetch;
 	pthread_mutex_t mutex;
 	pthread_cond_t cond;
+	int pieces;
 	int done;
 };
 
@@ -277,6 +278,44 @@
 }
 END_TEST
 
+/* Pauses at the first piece and gives up when it gets it again. */
+static int pause_then_abort(struct fetch *f, const void *data, size_t size)
+{
+	struct cancelled_fetch *h = f->arg;
+
+	pthread_mutex_lock(&h->mutex);
+	h->pieces++;
+	pthread_mutex_unlock(&h->mutex);
+	return h->pieces == 1 ? FETCH_PAUSE : -1;
+}
+
+/*
+ * Guards against an answer with a hole: the piece that is refused on resuming
+ * is dropped, and the ones behind it are passed on.
+ */
+START_TEST(piece_refused_after_pause_ends_the_transfer)
+{
+	static const struct fetch_ops ops = { NULL, pause_then_abort,
+					      mark_done };
+	struct cancelled_fetch h = { .mutex = PTHREAD_MUTEX_INITIALIZER,
+				     .cond = PTHREAD_COND_INITIALIZER };
+
+	h.fetch.ops = &ops;
+	h.fetch.arg = &h;
+	h.fetch.url = make_url("/later?mode=1");
+	h.fetch.timeout_ms = 2000;
+	fetch_submit(fetcher, &h.fetch);
+	usleep(200000);
+	fetch_resume(&h.fetch);
+	pthread_mutex_lock(&h.mutex);
+	while (!h.done)
+		pthread_cond_wait(&h.cond, &h.mutex);
+	pthread_mutex_unlock(&h.mutex);
+	ck_assert_int_eq(h.pieces, 2);
+	ck_assert_int_eq(h.fetch.error.code, ERROR_REFUSED);
+}
+END_TEST
+
 static int add_one(void *arg, const struct rpc_peer *from, const void *request,
 		   void *reply)
 {
@@ -464,6 +503,7 @@
 	tcase_add_test(http, fetch_is_not_sent_after_send_by);
 	tcase_add_test(http, partitioned_address_is_unreachable);
 	tcase_add_test(http, cancelled_fetch_calls_done);
+	tcase_add_test(http, piece_refused_after_pause_ends_the_transfer);
 	tcase_add_checked_fixture(rpc, start_rpc, stop_rpc);
 	tcase_add_test(rpc, rpc_answers_and_refuses);
 	tcase_add_test(rpc, rpc_with_wrong_key_is_rejected);
