forward: resume an answer once its caller has read

A caller that read slowly never got more than what was under way and 256 KB: receive_body() paused the transfer then, and nothing resumed it. The answer stood still until its deadline and was broken off. The attempt besides looked silent: after 0.6 s its upstream was recorded as unresponsive, though it was the entry that had stopped reading, and the answer moved to another one, where the same happened.

Cause: on_drain of the caller's call was set by the callers of calls/ only. Ruled out: sizes and framing (the same with a length and with chunks, plain and as events), and the upstream, which had sent until its socket was full.

Now the transfer is paused with a callback for what the caller reads, and looks at the buffer once more after setting it. The callback is taken back before the attempt's fetch is used again. While reading is paused no silence is counted, and it is counted anew from the resumption.

t1031 (24 MB, pauses of 2 s and 3 s, deadline 10 s). Before: all four answers cut, after 0.3 MB to 3.9 MB. After: all whole, no silence, no repeat. The third case (a caller that leaves in a pause) passes before and after. t1000, t1014, t1016, t1027, t1028 pass.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -177,10 +177,11 @@
 static void record_contact(struct forward *f, apr_time_t now)
 {
 	struct target *u;
+	apr_time_t last = __atomic_load_n(&f->last_contact, __ATOMIC_RELAXED);
 
-	if (f->last_contact && now - f->last_contact < CONTACT_PERIOD_US)
+	if (last && now - last < CONTACT_PERIOD_US)
 		return;
-	if (!f->last_contact)
+	if (!last)
 		forward_check_release(f, now);
 	__atomic_store_n(&f->last_contact, now, __ATOMIC_RELAXED);
 	pthread_mutex_lock(&f->w->mutex);
@@ -202,6 +203,42 @@
 		f->is_event_reply == f->is_event_answer);
 }
 
+/* The caller has read all that was written, or has left. */
+static void resume_reading(void *arg)
+{
+	struct forward *f = arg;
+
+	if (!__atomic_load_n(&f->is_paused, __ATOMIC_ACQUIRE))
+		return;
+	/* The pause was not the upstream's silence. */
+	__atomic_store_n(&f->last_contact, clock_now(), __ATOMIC_RELAXED);
+	__atomic_store_n(&f->is_paused, 0, __ATOMIC_RELEASE);
+	fetch_resume(&f->fetch);
+}
+
+/*
+ * Returns 1 when the attempt has to wait for a slow caller. What the caller
+ * reads after the second look resumes it.
+ */
+static int should_pause(struct forward *f)
+{
+	if (http_call_stream_pending(f->call) <= PENDING_MAX_BYTES)
+		return 0;
+	__atomic_store_n(&f->is_paused, 1, __ATOMIC_RELEASE);
+	http_call_on_drain(f->call, resume_reading, f);
+	if (http_call_stream_pending(f->call) > PENDING_MAX_BYTES)
+		return 1;
+	__atomic_store_n(&f->is_paused, 0, __ATOMIC_RELEASE);
+	return 0;
+}
+
+/* Ends the pause of an attempt that has ended; its fetch is used again. */
+static void end_pause(struct forward *f)
+{
+	http_call_on_drain(f->call, NULL, NULL);
+	__atomic_store_n(&f->is_paused, 0, __ATOMIC_RELEASE);
+}
+
 static int receive_body(struct fetch *x, const void *data, size_t size)
 {
 	struct forward *f = x->arg;
@@ -213,7 +250,7 @@
 		return -1;
 	if (is_replaceable_answer(f, x->status))
 		return append_held_body(f, data, size);
-	if (http_call_stream_pending(f->call) > PENDING_MAX_BYTES)
+	if (should_pause(f))
 		return FETCH_PAUSE;
 	if (!f->is_answer_started)
 		start_reply(f, x->status);
@@ -456,6 +493,7 @@
 	enum attempt_action action;
 	apr_time_t now = clock_now();
 
+	end_pause(f);
 	fill_attempt_result(f, &e, now);
 	forward_apply_notice(f, 1, now);
 	pthread_mutex_lock(&f->w->mutex);
--- a/forward/cancel.c
+++ b/forward/cancel.c
@@ -64,16 +64,20 @@
 }
 
 /*
- * Returns 1 when the upstream is unresponsive. Called with the mutex held.
+ * Returns 1 when the upstream is unresponsive; it is not while this entry has
+ * stopped reading. Called with the mutex held.
  */
 static int is_attempt_unresponsive(const struct target *u,
 				   const struct forward *f, apr_time_t now)
 {
+	int is_paused = __atomic_load_n(&f->is_paused, __ATOMIC_ACQUIRE);
 	apr_time_t last_contact =
 		__atomic_load_n(&f->last_contact, __ATOMIC_RELAXED);
 	apr_interval_time_t bound = FIRST_BYTE_TIMEOUT_US;
 	apr_time_t since = last_contact ? last_contact : f->sent_at;
 
+	if (is_paused)
+		return 0;
 	if (f->route->kind != ROUTE_STREAM)
 		bound = f->route->objective_ms * 1000LL *
 			PLAIN_TIMEOUT_OBJECTIVES;
--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -15,7 +15,9 @@
                  such answer stays unfinished, the next ones are whole;
                  "deadline": as "open", after comments until the deadline of
                  the request
-Forms of plain bodies: the same with "plain" (whole) or "half" for EVENTS.
+                 "many": 6,000 events of 4 KB
+Forms of plain bodies: the same with "plain" (whole), "half" or "large" (24 MB)
+for EVENTS.
 Further forms:
     head-open     the connection closes inside the head
     head-reset    the same with a reset
@@ -45,6 +47,9 @@
 FOREVER_MAX_S = 30
 HANG_S = 10
 PLAIN = b'{"whole":"%s"}' % (b"x" * 600)
+LARGE = bytes(range(256)) * (24 * 1024 * 4)
+MANY_EVENTS = 6000
+MANY_DATA = b"x" * 4096
 
 state = {"lock": threading.Lock(), "ended": 0, "sent": 0, "hung": 0,
          "requests": set()}
@@ -62,11 +67,16 @@
         return b""
     if kind == "events":
         return b"".join(event(i) for i in range(first, 6))
+    if kind == "many":
+        return b"".join(b"id: %d\ndata: %s\n\n" % (i, MANY_DATA)
+                        for i in range(first, MANY_EVENTS + 1))
     whole = b"".join(event(i) for i in range(first, 3))
     return whole + event(3)[:9] if kind == "inside" else whole
 
 
 def plain_bytes(kind):
+    if kind == "large":
+        return LARGE
     return PLAIN if kind == "plain" else PLAIN[:len(PLAIN) // 2]
 
 
@@ -180,7 +190,7 @@
     if end == "hang":
         is_first = is_first_hang()
         kind, end = (kind, "open") if is_first else ("plain", "")
-    if kind in ("plain", "half"):
+    if kind in ("plain", "half", "large"):
         lines, body = frame(framing, end, plain_bytes(kind),
                             b"application/json")
     else:
