forward: a waiting answer gives back the retry of its place

The retry of a place whose upstream was lost before it could be used stayed consumed while the answer waited for another upstream, and counted in the budget up to 2 s before the attempt that it was for. It is given back now and taken again when the attempt is sent.

--- a/Makefile
+++ b/Makefile
@@ -83,8 +83,8 @@
 CANCEL_WRAPPED = clock_now fetch_submit fetch_cancel http_call_body \
 	http_call_set http_call_reply http_call_reply_framed refusal_send \
 	http_call_stream_begin http_call_stream_write http_call_stream_pending \
-	http_call_stream_end crash_check_items crash_count_blames \
-	crash_record_sound
+	http_call_stream_end http_call_on_drain crash_check_items \
+	crash_count_blames crash_is_refused crash_record_sound
 $(B)/t/test-cancel: LIMPET_LIBS += $(CANCEL_WRAPPED:%=-Wl,--wrap=%)
 
 # Regenerates the committed XDR code after a change to a .x file.
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -28,6 +28,9 @@
 {
 	if (!f->is_answer_started || !f->is_resuming || !may_pass(reason))
 		return 0;
+	/* Its retry counts when it is sent. */
+	reservation_release(&f->place, &f->w->targets, &f->w->retry_budget,
+			    f->service_name, now);
 	f->waiting_since = now;
 	f->no_attempt = reason;
 	metric_count("forward_waiting", reason, 1);
--- a/t/helper/lib-unwired.c
+++ b/t/helper/lib-unwired.c
@@ -98,6 +98,11 @@
 	call_of(c)->f = NULL;
 }
 
+void __wrap_http_call_on_drain(struct http_call *c, void (*on_drained)(void *),
+			       void *arg)
+{
+}
+
 /* No request crashes its upstream here. */
 enum crash_verdict __wrap_crash_check_items(struct crash_list *c,
 					    const struct crash_items *s,
@@ -108,6 +113,12 @@
 	return CRASH_CLEAR;
 }
 
+int __wrap_crash_is_refused(struct crash_list *c, const struct crash_items *s,
+			    apr_time_t now)
+{
+	return 0;
+}
+
 uint32_t __wrap_crash_count_blames(struct crash_list *c)
 {
 	return 0;
--- a/t/helper/test-cancel.c
+++ b/t/helper/test-cancel.c
@@ -363,6 +363,8 @@
 	}
 	for (i = 0; i < r->entry_count; i++)
 		forward_check_active(&r->entries[i], r->now);
+	for (i = 0; i < r->entry_count; i++)
+		forward_check_waiting(&r->entries[i], r->now);
 	for (i = 0; i < r->request_count; i++) {
 		struct forward *f = r->requests[i].call.f;
 
