forward: an answer that no upstream can continue is not given up

A stream whose last event has no id, or an answer that has begun and is no stream, can't go on at another upstream. As its upstream was silent or had an order, it was given up for a place all the same and broken off as not-resumable. Whether it can be continued is now noted with each piece that is passed on, and asked before a place is taken.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -237,6 +237,17 @@
 	__atomic_store_n(&f->is_paused, 0, __ATOMIC_RELEASE);
 }
 
+/* Passes a piece of the answer on to the caller. */
+static int pass_on(struct forward *f, const void *data, size_t size)
+{
+	int ret = f->is_event_answer
+			  ? events_feed(&f->events, data, size, write_event, f)
+			  : http_call_stream_write(f->call, data, size);
+
+	__atomic_store_n(&f->can_continue, is_resumable(f), __ATOMIC_RELAXED);
+	return ret;
+}
+
 static int receive_body(struct fetch *x, const void *data, size_t size)
 {
 	struct forward *f = x->arg;
@@ -252,9 +263,7 @@
 		return FETCH_PAUSE;
 	if (!f->is_answer_started)
 		start_reply(f, x->status);
-	if (f->is_event_answer)
-		return events_feed(&f->events, data, size, write_event, f);
-	return http_call_stream_write(f->call, data, size);
+	return pass_on(f, data, size);
 }
 
 static int is_canceled_as_blamed(const struct forward *f)
--- a/forward/cancel.c
+++ b/forward/cancel.c
@@ -37,8 +37,12 @@
 static int reserve_place(struct forwarder *w, struct forward *f,
 			 struct reservation_terms *terms, apr_time_t now)
 {
+	int is_begun = __atomic_load_n(&f->is_answer_started, __ATOMIC_RELAXED);
 	struct target_query q;
 
+	f->no_place = "not-resumable";
+	if (is_begun && !__atomic_load_n(&f->can_continue, __ATOMIC_RELAXED))
+		return 0;
 	terms->attempts = f->attempts;
 	terms->runs = f->runs + 1;
 	terms->runs_max = f->route->max_attempts;
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -140,6 +140,7 @@
 	apr_time_t overdue_since;
 	/* Atomic: time of the last byte of the answer, 0: none. */
 	apr_time_t last_contact;
+	int can_continue; /* atomic: another upstream can go on with it */
 	int is_paused;	  /* atomic: reading waits for a slow caller */
 	int is_in_flight; /* guarded by the forwarder's mutex */
 	/* Counted in `unanswered` of the upstream's row; same guard. */
