forward: a place is at a sound upstream, for a begun answer in a free slot

An upstream on probation that was idle won the choice of a place each time, and was dismissed after it, so that a sound one beside it was not found. Such upstreams are now left out of that choice. And a silent answer that has begun was given up for a place in a queue, in which it may wait longer than its upstream would have been silent; it needs a free slot, as a moved one does.

t1029 .10 and .11 fail on the commit before.

--- a/forward/cancel.c
+++ b/forward/cancel.c
@@ -43,12 +43,14 @@
 	f->no_place = "not-resumable";
 	if (is_begun && !__atomic_load_n(&f->can_continue, __ATOMIC_RELAXED))
 		return 0;
+	terms->needs_free_slot = is_begun;
 	terms->attempts = f->attempts;
 	terms->runs = f->runs + 1;
 	terms->runs_max = f->route->max_attempts;
 	terms->expires_at = f->expires_at - TIME_LEFT_MIN_US;
 	terms->releases = &w->releases;
 	forward_fill_query(f, &q, now);
+	q.needs_sound = 1;
 	if (forward_is_suspect(f))
 		target_restrict(&w->targets, &q, &f->finding.key, now);
 	f->no_place = reservation_take(&f->place, &w->targets, &w->retry_budget,
@@ -129,8 +131,7 @@
  */
 static int should_move(struct forwarder *w, struct forward *f, apr_time_t now)
 {
-	struct reservation_terms terms = { .needs_free_slot = 1,
-					   .retries_kept =
+	struct reservation_terms terms = { .retries_kept =
 						   MOVE_RESERVED_RETRIES };
 	const struct target *u;
 
--- a/forward/reservation.c
+++ b/forward/reservation.c
@@ -21,8 +21,8 @@
 }
 
 /*
- * Chooses an upstream that can be relied upon: one that was ejected, or is
- * tried after an ejection, can't. Returns NULL or the reason why there is none.
+ * Chooses an upstream that can be relied upon. Returns NULL or the reason why
+ * there is none.
  */
 static const char *choose_place(struct target_table *t,
 				const struct target_query *q,
@@ -37,8 +37,6 @@
 	if (out->index < 0)
 		return out->reason;
 	u = &t->rows[out->index];
-	if (out->is_ejected || u->health.is_probing)
-		return "upstreams-failing";
 	if (terms->needs_free_slot && out->load >= u->slots)
 		return "upstreams-full";
 	expires_at = release_limit_deadline(terms->releases, q->model,
--- a/forward/target.c
+++ b/forward/target.c
@@ -311,7 +311,8 @@
 	    !can_start_immediately(t, u, now))
 		return EXCLUSION_FULL;
 	/* Last, as an ejected upstream may be chosen when there is no other. */
-	if (!health_can_send(&u->health, now))
+	if (!health_can_send(&u->health, now) ||
+	    (q->needs_sound && u->health.is_probing))
 		return EXCLUSION_EJECTED;
 	return EXCLUSION_NONE;
 }
@@ -482,7 +483,7 @@
 	 * When all are ejected, the health data is more likely wrong than every
 	 * upstream down.
 	 */
-	if (out->index < 0 && ejected_rows.count) {
+	if (out->index < 0 && ejected_rows.count && !q->needs_sound) {
 		choose_min_wait(t, &ejected_rows, q, now, r, out);
 		out->is_ejected = 1;
 	}
--- a/forward/target.h
+++ b/forward/target.h
@@ -101,6 +101,7 @@
 	uint64_t release_min;		  /* oldest that may serve, 0: any */
 	uint64_t queued_release_min;	  /* same after TARGET_QUEUE_MAX_US */
 	int prompt_tokens;
+	int needs_sound; /* neither ejected nor on probation */
 	const char *excluded[TARGET_EXCLUDED_MAX]; /* ids */
 	int excluded_count;
 	int allowed[TARGET_ALLOWED_MAX]; /* rows; unless the count is 0 */
