--- a/forward/cancel.c
+++ b/forward/cancel.c
@@ -37,14 +37,20 @@
 static int reserve_place(struct forwarder *w, struct forward *f,
 			 struct reservation_terms *terms, apr_time_t now)
 {
+	int is_begun = __atomic_load_n(&f->is_answer_started, __ATOMIC_RELAXED);
 	struct target_query q;
 
+	f->no_place = "not-resumable";
+	if (is_begun && !__atomic_load_n(&f->can_continue, __ATOMIC_RELAXED))
+		return 0;
+	terms->needs_free_slot = is_begun;
 	terms->attempts = f->attempts;
 	terms->runs = f->runs + 1;
 	terms->runs_max = f->route->max_attempts;
 	terms->expires_at = f->expires_at - TIME_LEFT_MIN_US;
 	terms->releases = &w->releases;
 	forward_fill_query(f, &q, now);
+	q.needs_sound = 1;
 	if (forward_is_suspect(f))
 		target_restrict(&w->targets, &q, &f->finding.key, now);
 	f->no_place = reservation_take(&f->place, &w->targets, &w->retry_budget,
@@ -64,16 +70,20 @@
 }
 
 /*
- * Returns 1 when the upstream is unresponsive. Called with the mutex held.
+ * Returns 1 when the upstream is unresponsive; it is not while this entry has
+ * stopped reading. Called with the mutex held.
  */
 static int is_attempt_unresponsive(const struct target *u,
 				   const struct forward *f, apr_time_t now)
 {
+	int is_paused = __atomic_load_n(&f->is_paused, __ATOMIC_ACQUIRE);
 	apr_time_t last_contact =
 		__atomic_load_n(&f->last_contact, __ATOMIC_RELAXED);
 	apr_interval_time_t bound = FIRST_BYTE_TIMEOUT_US;
 	apr_time_t since = last_contact ? last_contact : f->sent_at;
 
+	if (is_paused)
+		return 0;
 	if (f->route->kind != ROUTE_STREAM)
 		bound = f->route->objective_ms * 1000LL *
 			PLAIN_TIMEOUT_OBJECTIVES;
@@ -121,8 +131,7 @@
  */
 static int should_move(struct forwarder *w, struct forward *f, apr_time_t now)
 {
-	struct reservation_terms terms = { .needs_free_slot = 1,
-					   .retries_kept =
+	struct reservation_terms terms = { .retries_kept =
 						   MOVE_RESERVED_RETRIES };
 	const struct target *u;
 
