t/standin/model_server: order requests by their arrival

t1022-newest-release.3 failed once: "piece 3" is listed between the two requests of manifest 4. The stand-in listed a request when its thread came to answer it, and the threads of two connections run in any order.

The agent's log of the failure shows that the piece was requested first: when release 3 was dropped, 13 chunks were held. The 13th was recorded under the lock under which it was replaced by the 15th request, the last one, and no chunk can be chosen from then on, as the model has no swarm.

Ruled out: a request after the newer release was named.

Events now have the time at which the kernel received the request, and are listed in this order. The checks are the same, and see a late request more often: none is hidden by a thread that runs early.

--- a/t/standin/model_server.py
+++ b/t/standin/model_server.py
@@ -10,7 +10,9 @@
                            where NAME is manifest, piece (the requests), write
                            (a chunk to stage arrives), written, ordered (an
                            order arrives), order (it is accepted; -1: the
-                           staged chunks are not all of its release) or loaded
+                           staged chunks are not all of its release) or loaded.
+                           Requests are in the order in which they arrived,
+                           whichever thread answers first.
     GET /test/release      the release that runs
     GET /test/askers       the addresses from which manifests were requested
     GET /test/connections  [open now, without this one; reset so far]
@@ -18,6 +20,7 @@
     PUT /test/hold-orders  with RELEASE: an order for it is accepted after
                            HOLD_S
 """
+import bisect
 import hashlib
 import json
 import socket
@@ -33,16 +36,28 @@
 PIECE_S = 0.1
 HOLD_S = 1.5
 LOAD_S = 0.2
+SO_TIMESTAMPNS = 35
 
 
 def chunk(release, number):
     return (b"release %d chunk %d " % (release, number)).ljust(CHUNK_BYTES)
 
 
+def arrival_of_next(connection):
+    """Waits for the next request on a connection and returns when the kernel
+    received it."""
+    data, stamps, _, _ = connection.recvmsg(1, 64, socket.MSG_PEEK)
+    if not data:
+        return None
+    [(_, _, stamp)] = stamps
+    seconds, ns = struct.unpack("qq", stamp)
+    return seconds * 10**9 + ns
+
+
 class State:
     def __init__(self):
         self.lock = threading.Lock()
-        self.events = []
+        self.events = []  # (time, name, release)
         self.staged = {i: chunk(1, i) for i in range(CHUNKS)}
         self.release = 1
         self.busy = False
@@ -50,9 +65,16 @@
         self.askers = set()
         self.connections = self.resets = 0
 
-    def add(self, name, release):
+    def insert(self, name, release, at):
+        bisect.insort(self.events, (at, name, release), key=lambda e: e[0])
+
+    def add_request(self, name, release, arrival):
         with self.lock:
-            self.events.append([name, release])
+            self.insert(name, release, arrival)
+
+    def list_events(self):
+        with self.lock:
+            return [[name, release] for _, name, release in self.events]
 
     def staged_release(self):
         releases = {int(c.split()[1]) for c in self.staged.values()}
@@ -62,7 +84,7 @@
         time.sleep(LOAD_S)
         with self.lock:
             self.release, self.busy = release, False
-            self.events.append(["loaded", release])
+            self.insert("loaded", release, time.time_ns())
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -71,6 +93,10 @@
     def log_message(self, *args):
         pass
 
+    def handle_one_request(self):
+        self.arrival = arrival_of_next(self.connection)
+        super().handle_one_request()
+
     def answer(self, status, body):
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
         self.send_response(status)
@@ -83,7 +109,7 @@
         url = urllib.parse.urlsplit(self.path)
         args = dict(urllib.parse.parse_qsl(url.query))
         if url.path == "/test/events":
-            return self.answer(200, s.events)
+            return self.answer(200, s.list_events())
         if url.path == "/test/release":
             return self.answer(200, s.release)
         if url.path == "/test/askers":
@@ -98,7 +124,7 @@
                             "Adapters": []}]})
         if url.path == "/manifest/m":
             release = int(args["Version"])
-            s.add("manifest", release)
+            s.add_request("manifest", release, self.arrival)
             s.askers.add(self.client_address[0])
             return self.answer(200, {
                 "Model": "m", "Version": release, "ChunkBytes": CHUNK_BYTES,
@@ -107,7 +133,7 @@
                     for i in range(CHUNKS)]})
         if url.path == "/piece/m":
             release = int(args["Version"])
-            s.add("piece", release)
+            s.add_request("piece", release, self.arrival)
             time.sleep(PIECE_S)
             return self.answer(200, chunk(release, int(args["Num"])))
         if url.path == "/stage-get/m" and "Num" in args:
@@ -127,24 +153,24 @@
             s.held_orders = int(body)
             return self.answer(200, {})
         release = int(body.split()[1])
-        s.add("write", release)
+        s.add_request("write", release, self.arrival)
         if release == s.held_writes:
             time.sleep(HOLD_S)
         with s.lock:
             s.staged[int(url.query.split("=")[1])] = body
-            s.events.append(["written", release])
+            s.insert("written", release, time.time_ns())
         return self.answer(200, {})
 
     def do_POST(self):
         s = self.server.state
         o = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
         release = o["Version"]
-        s.add("ordered", release)
+        s.add_request("ordered", release, self.arrival)
         if release == s.held_orders:
             time.sleep(HOLD_S)
         with s.lock:
             is_whole = s.staged_release() == release
-            s.events.append(["order", release if is_whole else -1])
+            s.insert("order", release if is_whole else -1, time.time_ns())
             s.busy = True
         threading.Thread(target=s.load, args=(release,), daemon=True).start()
         return self.answer(202, {})
@@ -155,6 +181,11 @@
     daemon_threads = True
     request_queue_size = 64
 
+    def server_activate(self):
+        # The accepted sockets inherit it.
+        self.socket.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+        super().server_activate()
+
     def process_request_thread(self, request, client_address):
         s = self.state
         with s.lock:
