forward: end the answers that wait as the process stops

A process that stopped while begun answers waited for an upstream aborted in the HTTP library ("MHD_stop_daemon() called while we have suspended connections"), and their callers got a close without the mark of a broken answer. Attempts that the stop itself aborts went on waiting as well, and no controller steps any more by then.

A stop hook, which runs before the fetcher's end, now ends what waits, and nothing waits after it.

t1028 .7 fails on the commit before with that message.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -181,6 +181,12 @@
 	forward_check_waiting(w, now);
 }
 
+/* Controllers no longer step: nothing else would end what waits. */
+static void forward_stop(void *arg)
+{
+	forward_stop_waiting(arg, clock_now());
+}
+
 /* Merges an agent's report about its upstream. */
 static void merge_report(void *arg, const struct target_report *r)
 {
@@ -274,6 +280,7 @@
 		1, settings_has_seeds(&n->settings), n->started, n->started);
 	w->releases.started_at = clock_now();
 	node_add_route(n, NULL, "/", BODY_MAX_BYTES, forward_serve, w);
+	node_add_stop(n, forward_stop, w);
 	node_add_controller(n, "forward", STEP_US, forward_step, w);
 	node_add_status(n, "forward", forward_status, w);
 	node_add_ready(n, "upstreams", is_forward_ready, w);
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -59,6 +59,7 @@
 	apr_interval_time_t move_delay_us;
 	struct forward *active;
 	int active_count;
+	int is_stopping;	 /* no answer waits any more */
 	struct forward *waiting; /* begun answers, for an upstream to go on */
 	uint64_t list_version;
 	apr_time_t next_entry_count_at;
@@ -235,6 +236,7 @@
 int forward_wait_for_place(struct forward *f, const char *reason,
 			   apr_time_t now);
 void forward_check_waiting(struct forwarder *w, apr_time_t now);
+void forward_stop_waiting(struct forwarder *w, apr_time_t now);
 
 /* crash-guard.c */
 void forward_set_items(struct forward *f, const void *body, size_t size);
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -26,7 +26,8 @@
 int forward_wait_for_place(struct forward *f, const char *reason,
 			   apr_time_t now)
 {
-	if (!f->is_answer_started || !f->is_resuming || !may_pass(reason))
+	if (!f->is_answer_started || !f->is_resuming || !may_pass(reason) ||
+	    f->w->is_stopping)
 		return 0;
 	/* Its retry counts when it is sent. */
 	reservation_release(&f->place, &f->w->targets, &f->w->retry_budget,
@@ -69,6 +70,21 @@
 	return 0;
 }
 
+/* Ends requests that no longer wait, and that are in no other list. */
+static void finish_all(struct forward *f, apr_time_t now)
+{
+	struct forward *next;
+
+	for (; f; f = next) {
+		int is_gone = __atomic_load_n(&f->is_caller_disconnected,
+					      __ATOMIC_ACQUIRE);
+
+		next = f->next;
+		forward_release_place(f, now);
+		forward_finish_truncated(f, is_gone ? "gone" : "cut", now);
+	}
+}
+
 /*
  * Sends waiting requests, and ends those that have waited for too long or whose
  * caller has left.
@@ -84,12 +100,21 @@
 			forward_link(&ended, f);
 	}
 	pthread_mutex_unlock(&w->mutex);
-	for (f = ended; f; f = next) {
-		int is_gone = __atomic_load_n(&f->is_caller_disconnected,
-					      __ATOMIC_ACQUIRE);
+	finish_all(ended, now);
+}
 
-		next = f->next;
-		forward_release_place(f, now);
-		forward_finish_truncated(f, is_gone ? "gone" : "cut", now);
-	}
+/*
+ * Ends all waiting requests as the process stops; none waits after that. Their
+ * callers see that their answers are broken off.
+ */
+void forward_stop_waiting(struct forwarder *w, apr_time_t now)
+{
+	struct forward *ended;
+
+	pthread_mutex_lock(&w->mutex);
+	w->is_stopping = 1;
+	ended = w->waiting;
+	w->waiting = NULL;
+	pthread_mutex_unlock(&w->mutex);
+	finish_all(ended, now);
 }
--- a/t/t1028-replaced-attempts.sh
+++ b/t/t1028-replaced-attempts.sh
@@ -186,4 +186,23 @@
 	grep -h "\"ended_by\":\"upstream\",\"no_attempt\":\"upstreams" e1.out e2.out
 '
 
+gone () {
+	! process_start $(cat e$1.pid)
+}
+
+# Guards against processes that abort as they stop while answers wait, and leave
+# these without the mark of a broken answer.
+test_expect_success 'a process that stops ends the answers that wait' '
+	engine i-3 $TORN ready && sleep 1 &&
+	begin stop x && engine i-3 $TORN draining &&
+	for e in $ENTRIES; do
+		kill $(cat e$e.pid) && sleep 0.1 && kill $(cat e$e.pid) || return 1
+	done &&
+	for e in $ENTRIES; do
+		wait_until 10 gone $e &&
+		grep "exiting" e$e.out && ! test -s e$e.err || return 1
+	done &&
+	test $(cat stop-?-?.out | grep -o cut | wc -l) = 6
+'
+
 test_done
