forward: an answer that is blamed is not given up for another place

A begun answer goes on after a blame, but when its upstream had an order or was silent later it was still given up, and then broken off, as a blamed request may not run again: at all entries, which share the blames. Now no place is taken for it.

--- a/forward/cancel.c
+++ b/forward/cancel.c
@@ -43,6 +43,10 @@
 	f->no_place = "not-resumable";
 	if (is_begun && !__atomic_load_n(&f->can_continue, __ATOMIC_RELAXED))
 		return 0;
+	f->no_place = "crash-blamed";
+	if (crash_check_items(w->crashes, &f->items, now, NULL) ==
+	    CRASH_QUARANTINED)
+		return 0;
 	terms->needs_free_slot = is_begun;
 	terms->attempts = f->attempts;
 	terms->runs = f->runs + 1;
--- a/t/helper/lib-unwired.c
+++ b/t/helper/lib-unwired.c
@@ -12,6 +12,14 @@
 	time_now = now;
 }
 
+/* Of the request that is blamed, NULL: none. */
+static const struct crash_items *blamed;
+
+void unwired_blame(const struct crash_items *s)
+{
+	blamed = s;
+}
+
 static struct unwired_call *call_of(struct http_call *c)
 {
 	return (struct unwired_call *)c;
@@ -103,20 +111,20 @@
 {
 }
 
-/* No request crashes its upstream here. */
 enum crash_verdict __wrap_crash_check_items(struct crash_list *c,
 					    const struct crash_items *s,
 					    apr_time_t now,
 					    struct crash_finding *out)
 {
-	memset(out, 0, sizeof(*out));
-	return CRASH_CLEAR;
+	if (out)
+		memset(out, 0, sizeof(*out));
+	return s == blamed ? CRASH_QUARANTINED : CRASH_CLEAR;
 }
 
 int __wrap_crash_is_refused(struct crash_list *c, const struct crash_items *s,
 			    apr_time_t now)
 {
-	return 0;
+	return s == blamed;
 }
 
 uint32_t __wrap_crash_count_blames(struct crash_list *c)
--- a/t/helper/lib-unwired.h
+++ b/t/helper/lib-unwired.h
@@ -16,5 +16,6 @@
 };
 
 void unwired_set_time(apr_time_t now);
+void unwired_blame(const struct crash_items *s);
 
 #endif
--- a/t/helper/test-blame-cancel.c
+++ b/t/helper/test-blame-cancel.c
@@ -9,7 +9,8 @@
 #define NOW (100 * SECOND)
 
 static struct crash_list crashes;
-static struct forwarder forwarder = { .crashes = &crashes };
+static struct node node;
+static struct forwarder forwarder = { .crashes = &crashes, .node = &node };
 static struct route_spec route = { .kind = ROUTE_STREAM,
 				   .is_resumable = 1,
 				   .max_attempts = 2 };
--- a/t/helper/test-cancel.c
+++ b/t/helper/test-cancel.c
@@ -28,6 +28,10 @@
  * runs NAME COUNT                  after COUNT earlier ones that ran
  * wait TIME
  * check                            prints the decision on each attempt
+ * late NAME                        its first bytes, after it was canceled
+ * blame NAME                       it crashes upstreams
+ * refuse NAME                      its upstream has not run it
+ * stall TIME                       this process is stopped for that long
  * next NAME                        its attempt has ended if it was canceled
  * unsent NAME                      the same, before a byte was sent
  * end NAME                         its answer is complete
@@ -178,6 +182,7 @@
 		pthread_mutex_destroy(&r->entries[i].mutex);
 	}
 	memset(r, 0, sizeof(*r));
+	unwired_blame(NULL);
 	set_time(r, START_US);
 	r->service.has_engine = 1;
 	r->service.engine = engine;
@@ -275,6 +280,18 @@
 	send_reports(r);
 }
 
+static void receive_late(struct request *q)
+{
+	struct fetch *x = &q->call.f->fetch;
+
+	x->never_sent = 0;
+	x->status = 200;
+	x->framing = FRAMING_CHUNKED;
+	x->ops->status_line(x);
+	if (x->ops->data(x, "a", 1))
+		printf("  bytes for %s are not taken\n", q->call.name);
+}
+
 static void receive(struct request *q, const char *text)
 {
 	struct fetch *x = &q->call.f->fetch;
@@ -390,6 +407,18 @@
 	x->ops->done(x);
 }
 
+static void refuse(struct request *q)
+{
+	struct fetch *x = &q->call.f->fetch;
+
+	x->never_sent = 0;
+	x->status = 503;
+	x->framing = FRAMING_LENGTH;
+	x->ops->status_line(x);
+	q->call.f->answer.is_not_run = 1;
+	x->ops->done(x);
+}
+
 static void print_counts(struct run *r)
 {
 	int i, j;
@@ -451,7 +480,8 @@
 	if (strcmp(c, "talks") && strcmp(c, "silent") &&
 	    strcmp(c, "unnumbered") && strcmp(c, "tried") &&
 	    strcmp(c, "attempts") && strcmp(c, "runs") && strcmp(c, "next") &&
-	    strcmp(c, "unsent") && strcmp(c, "end"))
+	    strcmp(c, "unsent") && strcmp(c, "end") && strcmp(c, "blame") &&
+	    strcmp(c, "late") && strcmp(c, "refuse"))
 		return 0;
 	q = find_request(r, word[1]);
 	if (!strcmp(c, "talks") || !strcmp(c, "silent"))
@@ -467,6 +497,12 @@
 		add_attempts(q->call.f, atoi(word[2]), 0);
 	else if (!strcmp(c, "runs"))
 		add_attempts(q->call.f, atoi(word[2]), atoi(word[2]));
+	else if (!strcmp(c, "late"))
+		receive_late(q);
+	else if (!strcmp(c, "blame"))
+		unwired_blame(&q->call.f->items);
+	else if (!strcmp(c, "refuse"))
+		refuse(q);
 	else if (!strcmp(c, "end"))
 		end_fetch(q, ERROR_NONE);
 	else if (q->call.f->cancel_reason) {
@@ -502,6 +538,9 @@
 		add_request(r, word, n);
 	} else if (!strcmp(c, "wait")) {
 		wait_ms(r, atoi(word[1]));
+	} else if (!strcmp(c, "stall")) {
+		set_time(r, r->now + atoi(word[1]) * 1000LL);
+		r->node.pause_end = r->now;
 	} else if (!strcmp(c, "check")) {
 		check_requests(r);
 	} else if (!strcmp(c, "counts")) {
