forward: bytes of an attempt that was given up begin no answer

An attempt without an answer was given up as silent; its first bytes came before the fetcher carried that out, and were passed on. The answer had begun then, could not be continued elsewhere (no stream), or went to a place in a queue, and was broken off. Such bytes are now refused, so that the place is used for a request without an answer, as it was decided on.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -252,6 +252,10 @@
 {
 	struct forward *f = x->arg;
 
+	/* Its cancellation was decided on for a request without an answer. */
+	if (!f->is_answer_started &&
+	    __atomic_load_n(&f->cancel_reason, __ATOMIC_ACQUIRE))
+		return -1;
 	record_contact(f, clock_now());
 	if (is_mismatched_answer(f))
 		return -1;
