forward: a silent answer needs a place with time for its rest

A silent stream was given up for a place that had time for its first bytes only: at an upstream whose release expires 1.6 s to 2.6 s later, or shortly before the caller's deadline. It ended there before it was complete, and with two attempts no other one followed. The place now has to have the time of a typical answer, as for a moved stream.

--- a/forward/cancel.c
+++ b/forward/cancel.c
@@ -47,6 +47,10 @@
 	if (crash_check_items(w->crashes, &f->items, now, NULL) ==
 	    CRASH_QUARANTINED)
 		return 0;
+	if (is_begun && f->service && f->service->has_engine)
+		terms->answer_us =
+			(apr_interval_time_t)target_typical_answer_us(
+				&f->service->engine);
 	terms->needs_free_slot = is_begun;
 	terms->attempts = f->attempts;
 	terms->runs = f->runs + 1;
@@ -146,8 +150,6 @@
 	u = target_find(&w->targets, f->upstream);
 	if (!u || !target_has_blocked_order(u, w->move_delay_us, now))
 		return 0;
-	terms.answer_us = (apr_interval_time_t)target_typical_answer_us(
-		&f->service->engine);
 	return reserve_place(w, f, &terms, now);
 }
 
--- a/t/t1029-cancel-decisions.sh
+++ b/t/t1029-cancel-decisions.sh
@@ -30,5 +30,6 @@
 run_script retry-lost 'the retry of a place that is lost is given back'
 run_script blamed 'an answer that is blamed is not given up: it may run nowhere else'
 run_script late-bytes 'bytes of an attempt that was given up begin no answer'
+run_script time-left 'silence: no place where the answer would not end'
 
 test_done
