forward: a pause of the entry is no silence of its upstreams

After the process itself had been stopped for 0.6 s or more, its step could run before the bytes that had arrived meanwhile were read: all streams looked silent, their upstreams were ejected and the streams replaced. The node notes such pauses; silence is counted from their end. Waiting answers are besides sent with the time of that moment instead of the round's.

--- a/forward/cancel.c
+++ b/forward/cancel.c
@@ -92,6 +92,9 @@
 
 	if (is_paused)
 		return 0;
+	/* What arrived while this process was stopped may not be read yet. */
+	if (since < f->w->node->pause_end)
+		since = f->w->node->pause_end;
 	if (f->route->kind != ROUTE_STREAM)
 		bound = f->route->objective_ms * 1000LL *
 			PLAIN_TIMEOUT_OBJECTIVES;
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -178,7 +178,8 @@
 	count_entries(w, now);
 	forward_step_crashes(w, now);
 	forward_check_active(w, now);
-	forward_check_waiting(w, now);
+	/* The steps before may have taken a while. */
+	forward_check_waiting(w, clock_now());
 }
 
 /* Controllers no longer step: nothing else would end what waits. */
--- a/t/t1029-cancel-decisions.sh
+++ b/t/t1029-cancel-decisions.sh
@@ -31,5 +31,6 @@
 run_script blamed 'an answer that is blamed is not given up: it may run nowhere else'
 run_script late-bytes 'bytes of an attempt that was given up begin no answer'
 run_script time-left 'silence: no place where the answer would not end'
+run_script stalled 'a pause of this process is no silence of its upstreams'
 
 test_done
