forward: a waiting answer may return to an upstream that refused it

All upstreams that a request had been sent to were left out for good. Those may now be chosen again while it waits, if they are sound; upstreams that broke the answer off stay excluded.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -518,6 +518,7 @@
 	record_target_outcome(f, &e, s.is_caller_disconnected, now);
 	forward_record_end(f, &e, s.is_caller_disconnected, now);
 	f->may_have_run |= attempt_may_have_run(&e);
+	f->may_return[f->attempts - 1] = e.is_not_run || e.is_canceled;
 	f->has_answer =
 		e.is_complete && !e.is_mismatched && attempt_may_have_run(&e);
 	action = attempt_decide_next(&e, &s);
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -70,8 +70,11 @@
 	q->queued_release_min = release_find_send_min(
 		&f->w->releases, f->head.model, now + TARGET_QUEUE_MAX_US);
 	q->prompt_tokens = f->head.prompt_tokens;
+	q->needs_sound = f->waiting_since != 0;
 	for (i = 0; i < f->attempts && i < TARGET_EXCLUDED_MAX; i++)
-		q->excluded[q->excluded_count++] = f->attempted_upstreams[i];
+		if (!f->waiting_since || !f->may_return[i])
+			q->excluded[q->excluded_count++] =
+				f->attempted_upstreams[i];
 }
 
 static enum admit_class decide_admission(const struct forward *f,
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -120,6 +120,8 @@
 
 	/* Attempts. */
 	char attempted_upstreams[FORWARD_ATTEMPTS_MAX][SETTINGS_NAME_SIZE];
+	/* Upstreams that refused, or were left by this entry, may be used again. */
+	int may_return[FORWARD_ATTEMPTS_MAX];
 	int attempts;
 	/* Attempts that may have run; changed with the forwarder's mutex. */
 	int runs;
