forward: ask for the verdict on a request before its place is used

A request could become a suspect of crashes while it waited, or between the reservation and the use of its place, and was then sent to any upstream instead of the few that suspects may run at. A waiting one now ends, and a place of a suspect isn't used: the restricted choice follows.

Found by review, by reading; no test shows it.

--- a/forward/handover.c
+++ b/forward/handover.c
@@ -134,6 +134,11 @@
 	f->list_version = w->list_version;
 	u = reservation_use_slot(&f->place, &w->targets, q, now);
 	is_reserved = u != NULL;
+	if (is_reserved && forward_is_suspect(f)) {
+		/* It became one meanwhile, and may go to few upstreams. */
+		target_record_finish(u, now);
+		is_reserved = 0;
+	}
 	if (is_reserved)
 		choice = f->place.choice;
 	else
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -56,8 +56,9 @@
 		f->no_attempt = "caller-gone";
 		return 1;
 	}
-	if (crash_is_refused(w->crashes, &f->items, now)) {
-		f->no_attempt = "crash-blamed";
+	if (crash_check_items(w->crashes, &f->items, now, NULL) !=
+	    CRASH_CLEAR) {
+		f->no_attempt = "crash-suspect";
 		return 1;
 	}
 	reason = forward_submit(f, now);
