forward: upstreams that are silent at once take over nothing from each other

When several upstreams fell silent at the same time, the first request that was checked got a place at one that was ejected as silent in the same step. All silences of a step are now recorded before any place is taken.

--- a/forward/cancel.c
+++ b/forward/cancel.c
@@ -106,34 +106,52 @@
 	       f->route->kind != ROUTE_STREAM;
 }
 
-/* Records once for each attempt that its upstream is unresponsive. */
-static void record_silence(struct target *u, struct forward *f, apr_time_t now)
+/*
+ * Returns 1 for an attempt at an unresponsive upstream that another one may take
+ * over. Called with the mutex held.
+ */
+static int is_replaceable(struct forwarder *w, const struct forward *f,
+			  apr_time_t now)
 {
-	if (f->is_silence_recorded)
-		return;
-	f->is_silence_recorded = 1;
-	if (health_record_outcome(&u->health, HEALTH_UNRESPONSIVE, now))
-		log_warning("health", u->id, "upstream ejected: silent");
+	const struct target *u = target_find(&w->targets, f->upstream);
+
+	return is_route_repeatable(f->route) &&
+	       f->runs + 1 < f->route->max_attempts &&
+	       is_attempt_unresponsive(u, f, now);
+}
+
+/*
+ * Records once for each attempt that its upstream is unresponsive, of all
+ * attempts before places are taken: those that are silent at the same time are
+ * none for each other. Called with the mutex held.
+ */
+static void record_silences(struct forwarder *w, apr_time_t now)
+{
+	struct forward *f;
+
+	for (f = w->active; f; f = f->next) {
+		struct target *u = target_find(&w->targets, f->upstream);
+
+		if (!u || f->is_silence_recorded || !is_replaceable(w, f, now))
+			continue;
+		f->is_silence_recorded = 1;
+		if (health_record_outcome(&u->health, HEALTH_UNRESPONSIVE, now))
+			log_warning("health", u->id,
+				    "upstream ejected: silent");
+	}
 }
 
 /*
- * Returns 1 for an attempt at an unresponsive upstream that another one can
- * take over. Until there is one it goes on: it may only be slow. New requests
- * go elsewhere in either case. Called with the mutex held.
+ * Returns 1 for an attempt at an unresponsive upstream that is given up for a
+ * place. Until there is one it goes on: it may only be slow. New requests go
+ * elsewhere in either case. Called with the mutex held.
  */
 static int should_replace_unresponsive(struct forwarder *w, struct forward *f,
 				       apr_time_t now)
 {
 	struct reservation_terms terms = { 0 };
-	struct target *u = target_find(&w->targets, f->upstream);
 
-	if (!is_route_repeatable(f->route) ||
-	    f->runs + 1 >= f->route->max_attempts ||
-	    !is_attempt_unresponsive(u, f, now))
-		return 0;
-	if (u)
-		record_silence(u, f, now);
-	return reserve_place(w, f, &terms, now);
+	return is_replaceable(w, f, now) && reserve_place(w, f, &terms, now);
 }
 
 /*
@@ -265,6 +283,7 @@
 	struct forward *f;
 
 	pthread_mutex_lock(&w->mutex);
+	record_silences(w, now);
 	for (f = w->active; f; f = f->next) {
 		enum cancel_reason why;
 
