forward: assume the most entries of a fleet before they are known

Fleets of more than about 100 entries could exceed the budget of retries in the first seconds after all of them had started at once.

Cause: for 5 s from its start an entry divides the slack among at least 64 entries. With a slack of 102 this gives each one retry, whatever the fleet: 140 entries made 140. A number of entries that is not known cannot be told from a small one, so that any share that a small fleet's entry has is too much for a large one.

Ruled out: fleets of 2, 7, 33, 64 and 98 entries, which know only themselves for 4 s; they kept the budget before as well (simulation of the unit test).

Change: 512 are assumed. With the slacks in use each entry then has only the retries that its own requests give it, one after 7 requests. After 5 s an entry that is alone has the whole slack, as before; so has one without seeds at once.

The check of the test for one entry was wrong, as it wanted one retry in the first second from a slack of 128, which 129 entries cannot have. It wants none now, and one after 7 requests; the number of known entries from which the known number counts is above 512.

Not mended: an entry that is started again does not know the retries that it made before, as little as the others do.

--- a/forward/repeats.c
+++ b/forward/repeats.c
@@ -11,11 +11,12 @@
 
 /*
  * Time from the start of a process in which it may not know the other entries,
- * and the number of them that is assumed then. All entries may start at once,
- * and none of them may take the whole slack.
+ * and the number of them that is assumed then, the most of a fleet. All entries
+ * may start at once. With a slack below this number, each has only the retries
+ * that its own requests give it.
  */
 #define ENTRIES_UNKNOWN_US (5 * APR_USEC_PER_SEC)
-#define ENTRIES_ASSUMED 64
+#define ENTRIES_ASSUMED 512
 
 static struct retry_service *find_or_add_service(struct service_retry_budget *b,
 						 const char *name)
--- a/t/helper/test-forward.c
+++ b/t/helper/test-forward.c
@@ -235,19 +235,26 @@
  */
 START_TEST(entry_that_starts_has_a_small_share_of_the_slack)
 {
-	struct service_retry_budget b = { .slack = 128, .window_s = 10 };
+	struct service_retry_budget b = { .ratio = 0.2,
+					  .slack = 128,
+					  .window_s = 10 };
 	apr_time_t start = 100 * SECOND;
+	int i;
 
 	b.entry_count =
 		retry_budget_assume_entries(1, 1, start, start + SECOND);
+	ck_assert_int_eq(retry_budget_remaining(&b, "s", start + SECOND), 0);
+	/* Its own requests give it retries nevertheless. */
+	for (i = 0; i < 7; i++)
+		retry_budget_count_request(&b, "s", start + SECOND);
 	ck_assert_int_eq(retry_budget_remaining(&b, "s", start + SECOND), 1);
 	b.entry_count =
-		retry_budget_assume_entries(200, 1, start, start + SECOND);
-	ck_assert_int_eq(b.entry_count, 200);
+		retry_budget_assume_entries(600, 1, start, start + SECOND);
+	ck_assert_int_eq(b.entry_count, 600);
 	b.entry_count =
 		retry_budget_assume_entries(2, 1, start, start + 6 * SECOND);
-	ck_assert_int_eq(retry_budget_remaining(&b, "s", start + 6 * SECOND),
-			 48);
+	ck_assert_int_eq(
+		retry_budget_remaining(&b, "other", start + 6 * SECOND), 48);
 	/* There are no others to learn of. */
 	b.entry_count =
 		retry_budget_assume_entries(1, 0, start, start + SECOND);
@@ -255,6 +262,68 @@
 }
 END_TEST
 
+/*
+ * Returns by how much the retries of entries that start at once exceed their
+ * budget, in the worst window. For 4 s each knows only itself. All retry each
+ * request several times.
+ */
+static double start_at_once(int entries, int requests_s)
+{
+	enum { ENTRIES_MAX = 260, SPAN = 20, WINDOW = 10, TRIES = 4 };
+	static struct service_retry_budget b[ENTRIES_MAX];
+	double over[SPAN] = { 0 }, sum, worst = -1e9;
+	apr_time_t now, start = 100 * SECOND;
+	int i, s, n;
+
+	for (i = 0; i < entries; i++)
+		b[i] = (struct service_retry_budget){ .ratio = 0.2,
+						      .window_s = WINDOW,
+						      .slack = 102 };
+	for (s = 0; s < SPAN; s++)
+		for (i = 0; i < entries; i++)
+			for (n = 0; n < requests_s * TRIES; n++) {
+				now = start + s * SECOND +
+				      n * SECOND / (requests_s * TRIES);
+				b[i].entry_count = retry_budget_assume_entries(
+					s < 4 ? 1 : entries, 1, start, now);
+				if (n % TRIES == 0) {
+					retry_budget_count_request(&b[i], "a",
+								   now);
+					over[s] -= 0.2;
+				}
+				over[s] += retry_budget_try_consume(&b[i], "a",
+								    now);
+			}
+	for (s = 1 - WINDOW; s + WINDOW <= SPAN; s++) {
+		sum = -102;
+		for (n = s < 0 ? 0 : s; n < s + WINDOW; n++)
+			sum += over[n];
+		worst = sum > worst ? sum : worst;
+	}
+	return worst;
+}
+
+/*
+ * Fleets of more entries than were assumed exceeded the budget of retries in the
+ * seconds after all had started at once.
+ */
+START_TEST(entries_that_start_at_once_keep_retry_budget)
+{
+	static const int fleets[] = { 2, 7, 33, 64, 98, 140, 260 };
+	static const int rates[] = { 1, 2, 10, 40 };
+	double over;
+	size_t i, k;
+
+	for (i = 0; i < sizeof(fleets) / sizeof(*fleets); i++)
+		for (k = 0; k < sizeof(rates) / sizeof(*rates); k++) {
+			over = start_at_once(fleets[i], rates[k]);
+			ck_assert_msg(over <= 0,
+				      "%d entries, %d requests/s: %.1f over",
+				      fleets[i], rates[k], over);
+		}
+}
+END_TEST
+
 START_TEST(entries_together_keep_retry_budget_in_any_window)
 {
 	enum { ENTRIES = 7, SPAN = 40 };
@@ -511,6 +580,7 @@
 	tcase_add_test(tc, rare_failures_do_not_eject);
 	tcase_add_test(tc,
 		       unresponsive_upstream_is_ejected_at_once_with_backoff);
+	tcase_add_test(tc, entries_that_start_at_once_keep_retry_budget);
 	tcase_add_test(tc, entries_together_keep_retry_budget_in_any_window);
 	tcase_add_test(tc, late_request_leaves_slots_to_requests_in_time);
 	tcase_add_test(tc, retry_delays_are_spread_within_time_left);
