t1022: pieces of the superseded release take longer

t1022-newest-release.2 and .3 failed in one run on a loaded machine (a load of 42 for 8 cores): all 32 pieces of release 3 were requested, it was ordered and loaded, and release 4 only then.

Cause: the test names release 4 when it has seen 12 chunks of release 3, which leaves 1.5 s. Its loop of curl and jq took longer than that, by the events: none of release 3 came after the manifest of release 4. So release 3 was not superseded while it was fetched.

A piece of release 3 takes 0.5 s now, which leaves 5 s. The checks are the same. The failure was not reproduced, with or without the change.

--- a/t/standin/model_server.py
+++ b/t/standin/model_server.py
@@ -16,6 +16,7 @@
     GET /test/release      the release that runs
     GET /test/askers       the addresses from which manifests were requested
     GET /test/connections  [open now, without this one; reset so far]
+    PUT /test/hold-pieces  with RELEASE: its pieces take HELD_PIECE_S to arrive
     PUT /test/hold-writes  with RELEASE: writes of its chunks take HOLD_S
     PUT /test/hold-orders  with RELEASE: an order for it is accepted after
                            HOLD_S
@@ -34,6 +35,7 @@
 CHUNKS = 32
 CHUNK_BYTES = 4096
 PIECE_S = 0.1
+HELD_PIECE_S = 0.5
 HOLD_S = 1.5
 LOAD_S = 0.2
 SO_TIMESTAMPNS = 35
@@ -61,7 +63,7 @@
         self.staged = {i: chunk(1, i) for i in range(CHUNKS)}
         self.release = 1
         self.busy = False
-        self.held_writes = self.held_orders = 0
+        self.held_pieces = self.held_writes = self.held_orders = 0
         self.askers = set()
         self.connections = self.resets = 0
 
@@ -134,7 +136,7 @@
         if url.path == "/piece/m":
             release = int(args["Version"])
             s.add_request("piece", release, self.arrival)
-            time.sleep(PIECE_S)
+            time.sleep(HELD_PIECE_S if release == s.held_pieces else PIECE_S)
             return self.answer(200, chunk(release, int(args["Num"])))
         if url.path == "/stage-get/m" and "Num" in args:
             return self.answer(200, s.staged[int(args["Num"])])
@@ -146,6 +148,9 @@
         s = self.server.state
         url = urllib.parse.urlsplit(self.path)
         body = self.rfile.read(int(self.headers["Content-Length"]))
+        if url.path == "/test/hold-pieces":
+            s.held_pieces = int(body)
+            return self.answer(200, {})
         if url.path == "/test/hold-writes":
             s.held_writes = int(body)
             return self.answer(200, {})
--- a/t/t1022-newest-release.sh
+++ b/t/t1022-newest-release.sh
@@ -61,7 +61,8 @@
 	events | jq -c "[.[(index([[\"$1\", $2]])):][]]"
 }
 
-# hold WHAT RELEASE: the engine takes longer for the writes or orders of it.
+# hold WHAT RELEASE: the engine takes longer for the pieces, writes or orders of
+# it.
 hold () {
 	curl -sf -X PUT --data-binary $2 http://$ENGINE/test/hold-$1 >/dev/null
 }
@@ -93,6 +94,7 @@
 # Guards against engines that load a superseded release, and have the newest
 # one only after the limit of all older ones.
 test_expect_success 'a release that is superseded while it is fetched is not loaded' '
+	hold pieces 3 &&
 	declare_release 3 &&
 	wait_until 30 at_least 12 written 3 &&
 	declare_release 4 &&
