--- a/forward/cancel.c
+++ b/forward/cancel.c
@@ -43,6 +43,14 @@
 	f->no_place = "not-resumable";
 	if (is_begun && !__atomic_load_n(&f->can_continue, __ATOMIC_RELAXED))
 		return 0;
+	f->no_place = "crash-blamed";
+	if (crash_check_items(w->crashes, &f->items, now, NULL) ==
+	    CRASH_QUARANTINED)
+		return 0;
+	if (is_begun && f->service && f->service->has_engine)
+		terms->answer_us =
+			(apr_interval_time_t)target_typical_answer_us(
+				&f->service->engine);
 	terms->needs_free_slot = is_begun;
 	terms->attempts = f->attempts;
 	terms->runs = f->runs + 1;
@@ -84,6 +92,9 @@
 
 	if (is_paused)
 		return 0;
+	/* What arrived while this process was stopped may not be read yet. */
+	if (since < f->w->node->pause_end)
+		since = f->w->node->pause_end;
 	if (f->route->kind != ROUTE_STREAM)
 		bound = f->route->objective_ms * 1000LL *
 			PLAIN_TIMEOUT_OBJECTIVES;
@@ -95,34 +106,52 @@
 	       f->route->kind != ROUTE_STREAM;
 }
 
-/* Records once for each attempt that its upstream is unresponsive. */
-static void record_silence(struct target *u, struct forward *f, apr_time_t now)
+/*
+ * Returns 1 for an attempt at an unresponsive upstream that another one may take
+ * over. Called with the mutex held.
+ */
+static int is_replaceable(struct forwarder *w, const struct forward *f,
+			  apr_time_t now)
 {
-	if (f->is_silence_recorded)
-		return;
-	f->is_silence_recorded = 1;
-	if (health_record_outcome(&u->health, HEALTH_UNRESPONSIVE, now))
-		log_warning("health", u->id, "upstream ejected: silent");
+	const struct target *u = target_find(&w->targets, f->upstream);
+
+	return is_route_repeatable(f->route) &&
+	       f->runs + 1 < f->route->max_attempts &&
+	       is_attempt_unresponsive(u, f, now);
 }
 
 /*
- * Returns 1 for an attempt at an unresponsive upstream that another one can
- * take over. Until there is one it goes on: it may only be slow. New requests
- * go elsewhere in either case. Called with the mutex held.
+ * Records once for each attempt that its upstream is unresponsive, of all
+ * attempts before places are taken: those that are silent at the same time are
+ * none for each other. Called with the mutex held.
+ */
+static void record_silences(struct forwarder *w, apr_time_t now)
+{
+	struct forward *f;
+
+	for (f = w->active; f; f = f->next) {
+		struct target *u = target_find(&w->targets, f->upstream);
+
+		if (!u || f->is_silence_recorded || !is_replaceable(w, f, now))
+			continue;
+		f->is_silence_recorded = 1;
+		if (health_record_outcome(&u->health, HEALTH_UNRESPONSIVE, now))
+			log_warning("health", u->id,
+				    "upstream ejected: silent");
+	}
+}
+
+/*
+ * Returns 1 for an attempt at an unresponsive upstream that is given up for a
+ * place. Until there is one it goes on: it may only be slow. New requests go
+ * elsewhere in either case. Called with the mutex held.
  */
 static int should_replace_unresponsive(struct forwarder *w, struct forward *f,
 				       apr_time_t now)
 {
 	struct reservation_terms terms = { 0 };
-	struct target *u = target_find(&w->targets, f->upstream);
 
-	if (!is_route_repeatable(f->route) ||
-	    f->runs + 1 >= f->route->max_attempts ||
-	    !is_attempt_unresponsive(u, f, now))
-		return 0;
-	if (u)
-		record_silence(u, f, now);
-	return reserve_place(w, f, &terms, now);
+	return is_replaceable(w, f, now) && reserve_place(w, f, &terms, now);
 }
 
 /*
@@ -142,8 +171,6 @@
 	u = target_find(&w->targets, f->upstream);
 	if (!u || !target_has_blocked_order(u, w->move_delay_us, now))
 		return 0;
-	terms.answer_us = (apr_interval_time_t)target_typical_answer_us(
-		&f->service->engine);
 	return reserve_place(w, f, &terms, now);
 }
 
@@ -256,6 +283,7 @@
 	struct forward *f;
 
 	pthread_mutex_lock(&w->mutex);
+	record_silences(w, now);
 	for (f = w->active; f; f = f->next) {
 		enum cancel_reason why;
 
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -178,7 +178,14 @@
 	count_entries(w, now);
 	forward_step_crashes(w, now);
 	forward_check_active(w, now);
-	forward_check_waiting(w, now);
+	/* The steps before may have taken a while. */
+	forward_check_waiting(w, clock_now());
+}
+
+/* Controllers no longer step: nothing else would end what waits. */
+static void forward_stop(void *arg)
+{
+	forward_stop_waiting(arg, clock_now());
 }
 
 /* Merges an agent's report about its upstream. */
@@ -274,6 +281,7 @@
 		1, settings_has_seeds(&n->settings), n->started, n->started);
 	w->releases.started_at = clock_now();
 	node_add_route(n, NULL, "/", BODY_MAX_BYTES, forward_serve, w);
+	node_add_stop(n, forward_stop, w);
 	node_add_controller(n, "forward", STEP_US, forward_step, w);
 	node_add_status(n, "forward", forward_status, w);
 	node_add_ready(n, "upstreams", is_forward_ready, w);
--- a/t/t1029-cancel-decisions.sh
+++ b/t/t1029-cancel-decisions.sh
@@ -28,5 +28,11 @@
 run_script probation 'an upstream on probation hides no other place'
 run_script retry-unsent 'the retry of an attempt that was not sent is counted once'
 run_script retry-lost 'the retry of a place that is lost is given back'
+run_script blamed 'an answer that is blamed is not given up: it may run nowhere else'
+run_script late-bytes 'bytes of an attempt that was given up begin no answer'
+run_script time-left 'silence: no place where the answer would not end'
+run_script stalled 'a pause of this process is no silence of its upstreams'
+run_script returns 'an upstream that refused a waiting answer may take it later'
+run_script silent-both 'two upstreams that are silent at once take over nothing from each other'
 
 test_done
