forward: look for the upstream of silent attempts only

Each step looked up the upstream of every attempt under way twice more than before, to find that it was not silent.

--- a/forward/cancel.c
+++ b/forward/cancel.c
@@ -81,9 +81,10 @@
  * Returns 1 when the upstream is unresponsive; it is not while this entry has
  * stopped reading. Called with the mutex held.
  */
-static int is_attempt_unresponsive(const struct target *u,
-				   const struct forward *f, apr_time_t now)
+static int is_attempt_unresponsive(struct forwarder *w, const struct forward *f,
+				   apr_time_t now)
 {
+	const struct target *u;
 	int is_paused = __atomic_load_n(&f->is_paused, __ATOMIC_ACQUIRE);
 	apr_time_t last_contact =
 		__atomic_load_n(&f->last_contact, __ATOMIC_RELAXED);
@@ -93,8 +94,8 @@
 	if (is_paused)
 		return 0;
 	/* What arrived while this process was stopped may not be read yet. */
-	if (since < f->w->node->pause_end)
-		since = f->w->node->pause_end;
+	if (since < w->node->pause_end)
+		since = w->node->pause_end;
 	if (f->route->kind != ROUTE_STREAM)
 		bound = f->route->objective_ms * 1000LL *
 			PLAIN_TIMEOUT_OBJECTIVES;
@@ -102,6 +103,7 @@
 		bound = NEXT_BYTE_TIMEOUT_US;
 	if (now - since < bound)
 		return 0;
+	u = target_find(&w->targets, f->upstream);
 	return !u || now - u->last_contact >= bound || target_is_congested(u) ||
 	       f->route->kind != ROUTE_STREAM;
 }
@@ -113,11 +115,9 @@
 static int is_replaceable(struct forwarder *w, const struct forward *f,
 			  apr_time_t now)
 {
-	const struct target *u = target_find(&w->targets, f->upstream);
-
 	return is_route_repeatable(f->route) &&
 	       f->runs + 1 < f->route->max_attempts &&
-	       is_attempt_unresponsive(u, f, now);
+	       is_attempt_unresponsive(w, f, now);
 }
 
 /*
@@ -130,12 +130,14 @@
 	struct forward *f;
 
 	for (f = w->active; f; f = f->next) {
-		struct target *u = target_find(&w->targets, f->upstream);
+		struct target *u;
 
-		if (!u || f->is_silence_recorded || !is_replaceable(w, f, now))
+		if (f->is_silence_recorded || !is_replaceable(w, f, now))
 			continue;
+		u = target_find(&w->targets, f->upstream);
 		f->is_silence_recorded = 1;
-		if (health_record_outcome(&u->health, HEALTH_UNRESPONSIVE, now))
+		if (u &&
+		    health_record_outcome(&u->health, HEALTH_UNRESPONSIVE, now))
 			log_warning("health", u->id,
 				    "upstream ejected: silent");
 	}
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -1,4 +1,3 @@
-#include "base/log.h"
 #include <string.h>
 
 #include "base/metric.h"
