t/lib-control: say which check of revisions failed

revisions_increase also passed for a process that did not answer: jq 1.6 -e succeeds without input. It fails then now (tried with a status that prints nothing: passed before, fails now).

--- a/t/lib-control.sh
+++ b/t/lib-control.sh
@@ -45,8 +45,11 @@
 }
 
 publish () {
-	document "$@" >document.json
-	fleet_publish_config document.json
+	document "$@" >document.json &&
+	fleet_publish_config document.json || {
+		echo "not published: $*" >&2
+		return 1
+	}
 }
 
 status () {
@@ -115,11 +118,16 @@
 }
 
 # revisions_increase ADDRESS...: succeeds if the revisions that each process
-# had in force are strictly increasing.
+# had in force are strictly increasing; says which ones of a process aren't. No
+# answer is a failure too, for which jq 1.6 needs "input".
 revisions_increase () {
 	for increase_address; do
-		status "$increase_address" | jq -e '.config.changes |
-			map(.revision) | . == (sort | unique)' >/dev/null ||
+		status "$increase_address" | jq -n -e 'input.config.changes |
+			map(.revision) | . == (sort | unique)' >/dev/null || {
+			echo "revisions at $increase_address:" \
+				$(status "$increase_address" |
+				jq -c .config.changes) >&2
 			return 1
+		}
 	done
 }
