--- a/base/clock.h
+++ b/base/clock.h
@@ -11,4 +11,7 @@
  */
 apr_time_t clock_now(void);
 
+/* Processor time of the calling thread, for what it spends on a step. */
+apr_time_t clock_thread_time(void);
+
 #endif
--- a/config/component.h
+++ b/config/component.h
@@ -7,6 +7,7 @@
 #include "base/pool.h"
 #include "config/document.h"
 #include "config/spread.h"
+#include "config/texts.h"
 #include "config/value.h"
 #include "net/node.h"
 
@@ -18,9 +19,6 @@
 /* Number of these shown in the status. */
 #define STATUS_CHANGES_MAX 64
 
-/* Texts kept per value: the current one and older bases of deltas. */
-#define TEXTS_MAX 4
-
 /* Number of faults of a rejected document shown in the status. */
 #define STATUS_FAULTS_MAX 20
 
@@ -32,14 +30,6 @@
 	apr_time_t at; /* wall clock, for operators */
 };
 
-/* The text of a value at one version. */
-struct value_text {
-	uint64_t version;
-	struct digest digest;
-	char *data;
-	size_t size;
-};
-
 struct value_state {
 	const struct value_ops *ops;
 	void *arg;
--- a/config/config.c
+++ b/config/config.c
@@ -42,19 +42,6 @@
 	snprintf(v->source, sizeof(v->source), "%s", source);
 }
 
-/*
- * Frees the oldest text and returns the slot for a new one.  The caller
- * holds the mutex.
- */
-static struct value_text *shift_texts(struct value_state *v)
-{
-	free(v->texts[TEXTS_MAX - 1].data);
-	memmove(&v->texts[1], &v->texts[0],
-		(TEXTS_MAX - 1) * sizeof(v->texts[0]));
-	memset(&v->texts[0], 0, sizeof(v->texts[0]));
-	return &v->texts[0];
-}
-
 /*
  * Stores an applied text.  The caller holds the mutex.  Returns 0, without
  * storing it, if version is not above the current one.
@@ -63,19 +50,11 @@
 		      const char *text, size_t size, const char *source)
 {
 	struct value_state *v = &c->values[value];
-	struct value_text *t;
+	const struct value_text *t;
 
 	if (version <= c->spread.values[value].version)
 		return 0;
-	t = shift_texts(v);
-	t->data = malloc(size + 1);
-	if (!t->data)
-		abort();
-	memcpy(t->data, text, size);
-	t->data[size] = '\0';
-	t->size = size;
-	t->version = version;
-	digest_of(text, size, &t->digest);
+	t = texts_add(v->texts, version, text, size);
 	v->needs_full_text = 0;
 	record_change(v, version, source);
 	spread_record_applied(&c->spread, value, version, &t->digest,
@@ -92,13 +71,17 @@
 {
 	struct value_state *v = &c->values[value];
 	enum value_verdict verdict;
+	apr_time_t started_at;
 	struct digest digest;
 	uint64_t version = 0;
 	int is_applied = 0;
 
 	if (!v->ops)
 		return 0;
+	started_at = clock_thread_time();
 	verdict = v->ops->apply(v->arg, text, size, source, &version);
+	metric_record(metric_histogram("config_step_us", "check"),
+		      (uint64_t)(clock_thread_time() - started_at));
 	pthread_mutex_lock(&c->mutex);
 	if (verdict == VALUE_APPLIED) {
 		is_applied =
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -8,7 +8,6 @@
 #include "config/component.h"
 #include "config/config_proto.h"
 #include "config/declared.h"
-#include "config/delta.h"
 #include "config/pack.h"
 
 /* Timeout of an exchange of versions, without a text in the reply. */
@@ -17,12 +16,12 @@
 /* Timeout of an exchange that must end before this process is ready. */
 #define START_EXCHANGE_TIMEOUT_MS 250
 
-/* Shorter texts are sent without being deflated. */
-#define DEFLATE_MIN_BYTES 512
-
 /* Timeout of an exchange with a text in the reply. */
 #define PULL_TIMEOUT_MS 3000
 
+/* Pulls that take longer are logged. */
+#define PULL_SLOW_MS 500
+
 /* Timeout of a request for the ages of releases. */
 #define AGES_TIMEOUT_MS 250
 
@@ -104,26 +103,14 @@
 			    rep, timeout, err);
 }
 
-/*
- * Rebuilds the complete text from a delta.  Returns NULL if the base is not
- * available or the delta does not fit it.  The caller frees the text.
- */
 static char *rebuild_text(struct config *c, int value, const config_reply *rep,
 			  size_t *size)
 {
-	struct value_state *v = &c->values[value];
-	char *text = NULL;
-	int i;
+	char *text;
 
 	pthread_mutex_lock(&c->mutex);
-	for (i = 0; i < TEXTS_MAX && !text; i++) {
-		if (v->texts[i].data &&
-		    v->texts[i].version == rep->base_revision)
-			text = delta_apply(v->texts[i].data, v->texts[i].size,
-					   rep->text.text_val,
-					   rep->text.text_len, CONFIG_TEXT_MAX,
-					   size);
-	}
+	text = texts_rebuild(c->values[value].texts, rep, CONFIG_TEXT_MAX,
+			     size);
 	pthread_mutex_unlock(&c->mutex);
 	return text;
 }
@@ -198,6 +185,22 @@
 	return at;
 }
 
+/* Logs a pull that failed or took long, as it holds a value back. */
+static void log_pull(const struct config *c, const struct spread_action *a,
+		     int ok, apr_interval_time_t duration)
+{
+	const char *name = c->values[a->wanted_value].ops->name;
+	int ms = (int)(duration / 1000);
+
+	if (!ok)
+		log_notice("config-pull", a->address,
+			   "no %s after %d ms; asking another process", name,
+			   ms);
+	else if (ms >= PULL_SLOW_MS)
+		log_notice("config-pull", a->address, "%s received after %d ms",
+			   name, ms);
+}
+
 static void run_exchange(struct job *job)
 {
 	struct exchange_job *j = (struct exchange_job *)job;
@@ -215,6 +218,8 @@
 		source.earliest_change_at =
 			known_current_at(c, j->action.wanted_value);
 	ok = !send_exchange(c, j, &rep, &err);
+	if (j->action.wanted_value >= 0)
+		log_pull(c, &j->action, ok, clock_now() - asked_at);
 	if (ok && j->action.wanted_value >= 0 && rep.text.text_len &&
 	    !inflate_reply(&rep))
 		apply_reply(c, j->action.wanted_value, &rep, &source);
@@ -273,73 +278,6 @@
 	pthread_mutex_unlock(&c->mutex);
 }
 
-/*
- * Fills in a delta to the current text from the version that the requester
- * has.  Returns -1 if that text is not stored here, or a delta is not wanted
- * or not shorter.
- */
-static int fill_delta(const struct value_state *v, const config_request *req,
-		      config_reply *rep)
-{
-	const config_version *old;
-	size_t size;
-	int i;
-
-	if (req->full_text || req->wanted > req->have.have_len)
-		return -1;
-	old = &req->have.have_val[req->wanted - 1];
-	for (i = 1; i < TEXTS_MAX; i++) {
-		const struct value_text *t = &v->texts[i];
-
-		if (!t->data || t->version != old->revision ||
-		    memcmp(t->digest.bytes, old->digest, DIGEST_SIZE))
-			continue;
-		rep->text.text_val =
-			delta_encode(t->data, t->size, v->texts[0].data,
-				     v->texts[0].size, &size);
-		if (!rep->text.text_val)
-			return -1;
-		rep->text.text_len = (u_int)size;
-		rep->base_revision = t->version;
-		return 0;
-	}
-	return -1;
-}
-
-/* Deflates the text of a reply if that makes it shorter. */
-static void deflate_reply(config_reply *rep)
-{
-	size_t packed = 0;
-	char *text;
-
-	if (rep->text.text_len < DEFLATE_MIN_BYTES)
-		return;
-	text = pack_deflate(rep->text.text_val, rep->text.text_len, &packed);
-	if (!text || packed >= rep->text.text_len) {
-		free(text);
-		return;
-	}
-	free(rep->text.text_val);
-	rep->unpacked_size = rep->text.text_len;
-	rep->text.text_val = text;
-	rep->text.text_len = (u_int)packed;
-}
-
-/* Fills in the requested text or a delta.  The caller holds the mutex. */
-static void fill_text(const struct value_state *v, const config_request *req,
-		      config_reply *rep)
-{
-	const struct value_text *t = &v->texts[0];
-
-	if (!t->data || !fill_delta(v, req, rep))
-		return;
-	rep->text.text_val = malloc(t->size ? t->size : 1);
-	if (!rep->text.text_val)
-		return;
-	memcpy(rep->text.text_val, t->data, t->size);
-	rep->text.text_len = (u_int)t->size;
-}
-
 static int serve_exchange(void *arg, const struct rpc_peer *from,
 			  const void *request, void *reply)
 {
@@ -348,6 +286,7 @@
 	config_reply *rep = reply;
 	struct spread_version versions[SPREAD_VALUE_COUNT];
 	apr_time_t now = clock_now();
+	apr_time_t started_at = clock_thread_time();
 	int count;
 
 	rep->have.have_val = calloc(SPREAD_VALUE_COUNT, sizeof(config_version));
@@ -360,9 +299,12 @@
 	fill_versions(c, rep->have.have_val, now);
 	spread_merge_versions(&c->spread, from->address, versions, count, now);
 	if (req->wanted)
-		fill_text(&c->values[req->wanted - 1], req, rep);
+		texts_fill_reply(c->values[req->wanted - 1].texts, req, rep);
 	pthread_mutex_unlock(&c->mutex);
-	deflate_reply(rep);
+	texts_deflate_reply(rep);
+	if (req->wanted)
+		metric_record(metric_histogram("config_step_us", "encode"),
+			      (uint64_t)(clock_thread_time() - started_at));
 	config_run_decisions(c);
 	return 0;
 }
