config: ask another source when one has not answered in the usual time

Callers got 404 for a route that was added seconds before, as their entry did not have the document yet. A process asked one source at a time and waited for it up to 3 s, longer than the 2 s within which a change is to be in force; a source that offered a version and then stood still, as a watcher whose share of a processor is used up, held back everyone that asked it.

Ask another source after 300 ms, up to four at once, and let a pull end after 1.2 s, so that one of four ends when the next is due. After eight failures in a row a pull may take 3 s, for large texts over slow links. A process that knows of a newer version without a source that answers looks for one among random members ten times a second instead of once.

The simulation takes the timeouts from the decisions now, as they set them.

--- a/config/exchange.c
+++ b/config/exchange.c
@@ -10,15 +10,6 @@
 #include "config/declared.h"
 #include "config/pack.h"
 
-/* Timeout of an exchange of versions, without a text in the reply. */
-#define EXCHANGE_TIMEOUT_MS 800
-
-/* Timeout of an exchange that must end before this process is ready. */
-#define START_EXCHANGE_TIMEOUT_MS 250
-
-/* Timeout of an exchange with a text in the reply. */
-#define PULL_TIMEOUT_MS 3000
-
 /* Pulls that take longer are logged. */
 #define PULL_SLOW_MS 500
 
@@ -88,9 +79,6 @@
 {
 	config_version have[SPREAD_VALUE_COUNT];
 	config_request req = { { SPREAD_VALUE_COUNT, have } };
-	int timeout = j->action.is_start_exchange  ? START_EXCHANGE_TIMEOUT_MS
-		      : j->action.wanted_value < 0 ? EXCHANGE_TIMEOUT_MS
-						   : PULL_TIMEOUT_MS;
 
 	req.wanted = (u_int)(j->action.wanted_value + 1);
 	pthread_mutex_lock(&c->mutex);
@@ -100,7 +88,7 @@
 	pthread_mutex_unlock(&c->mutex);
 	return rpc_exchange(c->node->rpc, j->action.address,
 			    c->node->settings.rpc_port, &config_kinds[0], &req,
-			    rep, timeout, err);
+			    rep, j->action.timeout_ms, err);
 }
 
 static char *rebuild_text(struct config *c, int value, const config_reply *rep,
--- a/config/spread-decide.c
+++ b/config/spread-decide.c
@@ -5,6 +5,9 @@
 /* Mean time between two exchanges with random peers. */
 #define EXCHANGE_PERIOD_US APR_USEC_PER_SEC
 
+/* The same while a newer version is known and no source of it answers. */
+#define SOURCE_SEARCH_US (100 * 1000)
+
 /* Every EXCHANGES_PER_REMOTE-th random exchange is with a remote member. */
 #define EXCHANGES_PER_REMOTE 4
 
@@ -14,6 +17,25 @@
 /* Minimum time between two pulls of the same value. */
 #define PULL_GAP_MIN_US (100 * 1000)
 
+/* Time within which a source usually answers; after it, another is asked. */
+#define PULL_PATIENCE_US (300 * 1000)
+
+/* Timeout of a pull: one of SPREAD_PULLS_MAX ends when the next is due. */
+#define PULL_TIMEOUT_MS (SPREAD_PULLS_MAX * PULL_PATIENCE_US / 1000)
+
+/*
+ * Timeout after PULL_FAILURES_MAX failures in a row: the text may be large, or
+ * all sources slow.
+ */
+#define PULL_FAILURES_MAX (2 * SPREAD_PULLS_MAX)
+#define PULL_TIMEOUT_LONG_MS 3000
+
+/* Timeout of an exchange of versions, without a text in the reply. */
+#define EXCHANGE_TIMEOUT_MS 800
+
+/* Timeout of an exchange that must end before this process is ready. */
+#define START_EXCHANGE_TIMEOUT_MS 250
+
 /* Limit on the platform calls of all watchers, at any rate of changes. */
 #define PLATFORM_CALLS_MAX_PER_S 24
 
@@ -55,8 +77,10 @@
 {
 	struct spread_action *a = add_action(out, SPREAD_EXCHANGE);
 
-	if (a)
-		memcpy(a->address, address, SETTINGS_ADDRESS_SIZE);
+	if (!a)
+		return NULL;
+	memcpy(a->address, address, SETTINGS_ADDRESS_SIZE);
+	a->timeout_ms = EXCHANGE_TIMEOUT_MS;
 	return a;
 }
 
@@ -176,6 +200,19 @@
 		v->watch_after = now + randomize_gap(WATCH_UNHELD_GAP_US, r);
 }
 
+/* Returns the pull from a source, or an unused one for an empty address. */
+static struct spread_pull *find_pull(struct spread_value *v,
+				     const char *address)
+{
+	int i;
+
+	for (i = 0; i < SPREAD_PULLS_MAX; i++)
+		if (!strcmp(v->pulls[i].address, address))
+			return &v->pulls[i];
+	return NULL;
+}
+
+/* Returns the newest version offered by a source that is not being asked. */
 static struct spread_offer *find_best_offer(struct spread_value *v)
 {
 	struct spread_offer *best = NULL;
@@ -184,38 +221,59 @@
 	for (i = 0; i < SPREAD_OFFERS_MAX; i++) {
 		struct spread_offer *o = &v->offers[i];
 
-		if (o->version && (!best || o->version > best->version))
+		if (o->version && (!best || o->version > best->version) &&
+		    !find_pull(v, o->address))
 			best = o;
 	}
 	return best;
 }
 
+/* Returns 1 if a source that was asked may still answer in the usual time. */
+static int is_answer_expected(const struct spread_value *v, apr_time_t now)
+{
+	int i;
+
+	for (i = 0; i < SPREAD_PULLS_MAX; i++)
+		if (*v->pulls[i].address &&
+		    now - v->pulls[i].started_at < PULL_PATIENCE_US)
+			return 1;
+	return 0;
+}
+
 static void decide_pull(struct spread *s, int value, apr_time_t now,
 			struct spread_actions *out)
 {
 	struct spread_value *v = &s->values[value];
 	struct spread_offer *o = find_best_offer(v);
+	struct spread_pull *pull = find_pull(v, "");
 	struct spread_action *a;
 
-	if (!o || v->is_pulling || now < v->pull_after)
+	if (!o || !pull || now < v->pull_after || is_answer_expected(v, now))
 		return;
 	a = add_exchange(out, o->address);
 	if (!a)
 		return;
 	a->wanted_value = value;
-	v->is_pulling = 1;
+	a->timeout_ms = v->pull_failures < PULL_FAILURES_MAX
+				? PULL_TIMEOUT_MS
+				: PULL_TIMEOUT_LONG_MS;
+	pull->started_at = now;
+	memcpy(pull->address, o->address, sizeof(pull->address));
 }
 
 /*
  * Records the end of a pull.  The offer is dropped in any case: its version
  * was applied, or the pull failed and the next source is to be tried.
  */
-void spread_finish_pull(struct spread_value *v, const char *address,
+void spread_finish_pull(struct spread_value *v, const char *address, int ok,
 			apr_time_t now)
 {
+	struct spread_pull *pull = find_pull(v, address);
 	int i;
 
-	v->is_pulling = 0;
+	v->pull_failures = ok ? 0 : v->pull_failures + 1;
+	if (pull)
+		*pull->address = '\0';
 	for (i = 0; i < SPREAD_OFFERS_MAX; i++) {
 		if (!strcmp(v->offers[i].address, address))
 			v->offers[i].version = 0;
@@ -278,6 +336,21 @@
 	return a;
 }
 
+/* Returns 1 if a newer version is known, but from no source that answers. */
+static int lacks_source(struct spread *s, apr_time_t now)
+{
+	int i;
+
+	for (i = 0; i < SPREAD_VALUE_COUNT; i++) {
+		struct spread_value *v = &s->values[i];
+
+		if (v->offered_version > v->version && !find_best_offer(v) &&
+		    !is_answer_expected(v, now))
+			return 1;
+	}
+	return 0;
+}
+
 /*
  * Exchanges with random peers deliver the versions that notifications of
  * the neighbours missed.
@@ -285,11 +358,15 @@
 static void decide_exchange(struct spread *s, apr_time_t now, struct random *r,
 			    struct spread_actions *out)
 {
+	apr_interval_time_t period =
+		lacks_source(s, now) ? SOURCE_SEARCH_US : EXCHANGE_PERIOD_US;
 	const char *address;
 
+	if (s->next_exchange_at > now + period)
+		s->next_exchange_at = now + randomize_gap(period, r);
 	if (now < s->next_exchange_at)
 		return;
-	s->next_exchange_at = now + randomize_gap(EXCHANGE_PERIOD_US, r);
+	s->next_exchange_at = now + randomize_gap(period, r);
 	address = pick_exchange_peer(s, r);
 	if (address)
 		add_exchange(out, address);
@@ -304,6 +381,7 @@
 		if (!a)
 			return;
 		a->is_start_exchange = 1;
+		a->timeout_ms = START_EXCHANGE_TIMEOUT_MS;
 		s->start_sent++;
 	}
 }
--- a/config/spread-internal.h
+++ b/config/spread-internal.h
@@ -17,7 +17,7 @@
 #define SPREAD_BURST_GAP_US (400 * 1000)
 
 int spread_is_in_burst(const struct spread_value *v, apr_time_t now);
-void spread_finish_pull(struct spread_value *v, const char *address,
+void spread_finish_pull(struct spread_value *v, const char *address, int ok,
 			apr_time_t now);
 
 #endif
--- a/config/spread.c
+++ b/config/spread.c
@@ -182,6 +182,8 @@
 	struct spread_offer *at = &v->offers[0];
 	int i;
 
+	if (version > v->offered_version)
+		v->offered_version = version;
 	for (i = 0; i < SPREAD_OFFERS_MAX; i++) {
 		struct spread_offer *o = &v->offers[i];
 
@@ -236,6 +238,8 @@
 		return;
 	v->rejected_version = version;
 	v->rejected_digest = *digest;
+	if (v->offered_version <= version)
+		v->offered_version = v->version;
 	prune_offers(v);
 }
 
@@ -360,7 +364,7 @@
 		s->start_replies += ok;
 	}
 	if (a->wanted_value >= 0)
-		spread_finish_pull(&s->values[a->wanted_value], a->address,
+		spread_finish_pull(&s->values[a->wanted_value], a->address, ok,
 				   now);
 }
 
--- a/config/spread.h
+++ b/config/spread.h
@@ -28,6 +28,12 @@
 /* Maximum number of sources stored for one value. */
 #define SPREAD_OFFERS_MAX 4
 
+/*
+ * Maximum number of sources asked for one value at the same time.  Another one
+ * is asked when the last has not answered in the usual time.
+ */
+#define SPREAD_PULLS_MAX 4
+
 /* Maximum number of peers asked before this process becomes ready. */
 #define SPREAD_START_PEERS_MAX 20
 
@@ -60,6 +66,7 @@
 	/* SPREAD_EXCHANGE only */
 	int wanted_value;      /* value whose text is requested, or -1 */
 	int is_start_exchange; /* must end before this process is ready */
+	int timeout_ms;
 	char address[SETTINGS_ADDRESS_SIZE];
 };
 
@@ -82,13 +89,21 @@
 	char address[SETTINGS_ADDRESS_SIZE];
 };
 
+/* A request for a text that has not been answered yet. */
+struct spread_pull {
+	char address[SETTINGS_ADDRESS_SIZE]; /* empty: unused */
+	apr_time_t started_at;
+};
+
 struct spread_value {
 	uint64_t version; /* current version, 0 for none */
 	struct digest digest;
 	uint64_t rejected_version; /* highest version rejected as invalid */
 	struct digest rejected_digest;
 	struct spread_offer offers[SPREAD_OFFERS_MAX]; /* version 0: unused */
-	int is_pulling;
+	uint64_t offered_version; /* highest one that is not rejected */
+	struct spread_pull pulls[SPREAD_PULLS_MAX];
+	int pull_failures; /* in a row */
 	apr_time_t pull_after;
 	apr_time_t applied_at; /* when the current version was applied */
 	apr_time_t previous_applied_at; /* same for the version before it */
--- a/t/helper/test-config-fleet.c
+++ b/t/helper/test-config-fleet.c
@@ -27,8 +27,6 @@
 #define STORE_ANSWER (300 * MS) /* of a slow store */
 #define TRANSFER (30 * MS)	/* of a text */
 #define CHECK (20 * MS)
-#define EXCHANGE_TIMEOUT (800 * MS)
-#define PULL_TIMEOUT (3000 * MS)
 #define STALL_AFTER (20 * MS) /* from the new version until the stall */
 
 #define OLD_VERSION 1
@@ -168,7 +166,7 @@
 
 	o->to = find_process(f, o->action.address);
 	to = &f->processes[o->to];
-	o->due_at = now + (is_pull ? PULL_TIMEOUT : EXCHANGE_TIMEOUT);
+	o->due_at = now + o->action.timeout_ms * MS;
 	if (is_silent(to, now))
 		return;
 	spread_get_versions(&from->spread, versions, now);
