config: encode a text once for all peers that ask for it

Callers got 404 for a route that was added, as the watchers of a data centre had used up their share of a processor and stood still for seconds, with /ready failing: each asker made them encode the same delta of a document of 700 KB again and deflate it, on the only thread that serves messages and with the mutex held that /ready, pulls and notices need.

Keep what was encoded for a base until the next version, and encode without the component's mutex; texts are counted by reference for that. The versions in a reply are still filled in together with its text.

--- a/config/component.h
+++ b/config/component.h
@@ -33,7 +33,7 @@
 struct value_state {
 	const struct value_ops *ops;
 	void *arg;
-	struct value_text texts[TEXTS_MAX]; /* newest first */
+	struct texts texts;
 	int needs_full_text; /* a delta failed; request no delta next */
 	char source[SOURCE_SIZE];
 	struct value_change changes[CHANGES_MAX];
--- a/config/config.c
+++ b/config/config.c
@@ -50,15 +50,14 @@
 		      const char *text, size_t size, const char *source)
 {
 	struct value_state *v = &c->values[value];
-	const struct value_text *t;
+	struct digest digest;
 
 	if (version <= c->spread.values[value].version)
 		return 0;
-	t = texts_add(v->texts, version, text, size);
+	texts_add(&v->texts, version, text, size, &digest);
 	v->needs_full_text = 0;
 	record_change(v, version, source);
-	spread_record_applied(&c->spread, value, version, &t->digest,
-			      clock_now());
+	spread_record_applied(&c->spread, value, version, &digest, clock_now());
 	return 1;
 }
 
@@ -305,6 +304,8 @@
 	pthread_mutex_init(&c->mutex, NULL);
 	random_seed(&c->random, random_next(&n->random));
 	spread_init(&c->spread, n->settings.address, now);
+	for (i = 0; i < SPREAD_VALUE_COUNT; i++)
+		texts_init(&c->values[i].texts);
 	if (n->settings.platform == PLATFORM_STORE)
 		c->spread.watch_hold_s = SPREAD_WATCH_HOLD_SHORT_S;
 	for (i = 0; i < n->settings.seed_count; i++)
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -91,18 +91,6 @@
 			    rep, j->action.timeout_ms, err);
 }
 
-static char *rebuild_text(struct config *c, int value, const config_reply *rep,
-			  size_t *size)
-{
-	char *text;
-
-	pthread_mutex_lock(&c->mutex);
-	text = texts_rebuild(c->values[value].texts, rep, CONFIG_TEXT_MAX,
-			     size);
-	pthread_mutex_unlock(&c->mutex);
-	return text;
-}
-
 /*
  * Applies a text sent as a delta, provided that the rebuilt text has the
  * digest that the peer reported.  Otherwise the next request for this value
@@ -113,7 +101,8 @@
 {
 	struct digest digest;
 	size_t size = 0;
-	char *text = rebuild_text(c, value, rep, &size);
+	char *text = texts_rebuild(&c->values[value].texts, rep,
+				   CONFIG_TEXT_MAX, &size);
 
 	if (text)
 		digest_of(text, size, &digest);
@@ -274,7 +263,6 @@
 	config_reply *rep = reply;
 	struct spread_version versions[SPREAD_VALUE_COUNT];
 	apr_time_t now = clock_now();
-	apr_time_t started_at = clock_thread_time();
 	int count;
 
 	rep->have.have_val = calloc(SPREAD_VALUE_COUNT, sizeof(config_version));
@@ -283,16 +271,14 @@
 	rep->have.have_len = SPREAD_VALUE_COUNT;
 	count = parse_versions(req->have.have_val, req->have.have_len,
 			       versions);
+	if (req->wanted)
+		texts_prepare(&c->values[req->wanted - 1].texts, req);
 	pthread_mutex_lock(&c->mutex);
 	fill_versions(c, rep->have.have_val, now);
 	spread_merge_versions(&c->spread, from->address, versions, count, now);
 	if (req->wanted)
-		texts_fill_reply(c->values[req->wanted - 1].texts, req, rep);
+		texts_answer(&c->values[req->wanted - 1].texts, req, rep);
 	pthread_mutex_unlock(&c->mutex);
-	texts_deflate_reply(rep);
-	if (req->wanted)
-		metric_record(metric_histogram("config_step_us", "encode"),
-			      (uint64_t)(clock_thread_time() - started_at));
 	config_run_decisions(c);
 	return 0;
 }
--- a/config/status.c
+++ b/config/status.c
@@ -32,10 +32,10 @@
 	return list;
 }
 
-static void value_json(json_t *o, const struct config *c, int value)
+static void value_json(json_t *o, struct config *c, int value)
 {
 	const struct spread_value *s = &c->spread.values[value];
-	const struct value_state *v = &c->values[value];
+	struct value_state *v = &c->values[value];
 	char hex[DIGEST_HEX_SIZE];
 
 	digest_hex(&s->digest, hex);
@@ -43,8 +43,9 @@
 			    json_integer((json_int_t)s->version));
 	json_object_set_new(o, "digest", json_string(s->version ? hex : ""));
 	json_object_set_new(o, "source", json_string(v->source));
-	json_object_set_new(o, "bytes",
-			    json_integer((json_int_t)v->texts[0].size));
+	json_object_set_new(
+		o, "bytes",
+		json_integer((json_int_t)texts_current_size(&v->texts)));
 	json_object_set_new(o, "older_seen", json_integer(v->old_count));
 	json_object_set_new(o, "invalid_seen", json_integer(v->invalid_count));
 	json_object_set_new(o, "platform_age_ms",
--- a/t/t0200-config.sh
+++ b/t/t0200-config.sh
@@ -8,4 +8,6 @@
 
 test_expect_success 'unit tests of when releases were declared' 'test-declared'
 
+test_expect_success 'unit tests of the texts that peers ask for' 'test-texts'
+
 test_done
