config: check a text once, whichever sources it arrives from

Each watcher of a data centre reads the platform, and gets the same document from the other one and from its neighbours; with a second source asked for a late text that is more frequent still. Each copy was parsed and checked in full before it turned out to be the current one: 46 ms of processor time for 2,800 routes here, on machines that have a quarter of a core.

Compare digests first, and let one text of a value be checked at a time, so that a copy that arrives meanwhile is found to be the current one. A reply whose version is not above the current one is not rebuilt.

--- a/config/component.h
+++ b/config/component.h
@@ -33,6 +33,11 @@
 struct value_state {
 	const struct value_ops *ops;
 	void *arg;
+	/*
+	 * Held while a text is checked and applied, so that one that arrives
+	 * twice is checked once.  Taken before the component's mutex.
+	 */
+	pthread_mutex_t apply_mutex;
 	struct texts texts;
 	int needs_full_text; /* a delta failed; request no delta next */
 	char source[SOURCE_SIZE];
--- a/config/config.c
+++ b/config/config.c
@@ -61,12 +61,25 @@
 	return 1;
 }
 
-/*
- * Checks a text and applies it if it is valid and newer than the current
- * version.  Returns 1 if it was applied.
- */
-int config_apply_text(struct config *c, int value, const char *text,
-		      size_t size, const struct text_source *source)
+/* Returns 1 if a text is the current one, which needs no check. */
+static int is_current_text(struct config *c, int value, const char *text,
+			   size_t size)
+{
+	struct digest digest;
+	int is_current;
+
+	digest_of(text, size, &digest);
+	pthread_mutex_lock(&c->mutex);
+	is_current = c->spread.values[value].version &&
+		     digest_equal(&digest, &c->spread.values[value].digest);
+	c->values[value].old_count += (unsigned)is_current;
+	pthread_mutex_unlock(&c->mutex);
+	return is_current;
+}
+
+/* Returns 1 if the text was valid and newer, and was applied. */
+static int check_and_apply(struct config *c, int value, const char *text,
+			   size_t size, const struct text_source *source)
 {
 	struct value_state *v = &c->values[value];
 	enum value_verdict verdict;
@@ -75,8 +88,6 @@
 	uint64_t version = 0;
 	int is_applied = 0;
 
-	if (!v->ops)
-		return 0;
 	started_at = clock_thread_time();
 	verdict = v->ops->apply(v->arg, text, size, source, &version);
 	metric_record(metric_histogram("config_step_us", "check"),
@@ -107,6 +118,26 @@
 	return is_applied;
 }
 
+/*
+ * Checks a text and applies it if it is valid and newer than the current
+ * version.  Returns 1 if it was applied.  A text that arrives from several
+ * sources at once is checked once.
+ */
+int config_apply_text(struct config *c, int value, const char *text,
+		      size_t size, const struct text_source *source)
+{
+	struct value_state *v = &c->values[value];
+	int is_applied = 0;
+
+	if (!v->ops)
+		return 0;
+	pthread_mutex_lock(&v->apply_mutex);
+	if (!is_current_text(c, value, text, size))
+		is_applied = check_and_apply(c, value, text, size, source);
+	pthread_mutex_unlock(&v->apply_mutex);
+	return is_applied;
+}
+
 static void store_faults(struct config *c, struct fault_list *faults,
 			 uint64_t revision)
 {
@@ -291,6 +322,12 @@
 	c->pool = NULL;
 }
 
+static void value_state_init(struct value_state *v)
+{
+	texts_init(&v->texts);
+	pthread_mutex_init(&v->apply_mutex, NULL);
+}
+
 /* See config.h. */
 int config_start(struct node *n, struct error *err)
 {
@@ -305,7 +342,7 @@
 	random_seed(&c->random, random_next(&n->random));
 	spread_init(&c->spread, n->settings.address, now);
 	for (i = 0; i < SPREAD_VALUE_COUNT; i++)
-		texts_init(&c->values[i].texts);
+		value_state_init(&c->values[i]);
 	if (n->settings.platform == PLATFORM_STORE)
 		c->spread.watch_hold_s = SPREAD_WATCH_HOLD_SHORT_S;
 	for (i = 0; i < n->settings.seed_count; i++)
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -137,9 +137,23 @@
 	return text ? 0 : -1;
 }
 
+/* Returns 1 if a reply has a version above the current one. */
+static int is_reply_newer(struct config *c, int value, const config_reply *rep)
+{
+	uint64_t version;
+
+	pthread_mutex_lock(&c->mutex);
+	version = c->spread.values[value].version;
+	pthread_mutex_unlock(&c->mutex);
+	return (u_int)value < rep->have.have_len &&
+	       rep->have.have_val[value].revision > version;
+}
+
 static void apply_reply(struct config *c, int value, const config_reply *rep,
 			const struct text_source *source)
 {
+	if (!is_reply_newer(c, value, rep))
+		return;
 	if (rep->base_revision)
 		apply_delta(c, value, rep, source);
 	else
--- a/t/t0211-config-large.sh
+++ b/t/t0211-config-large.sh
@@ -67,4 +67,19 @@
 	test $sent -ge 24
 '
 
+# histogram_count ADDRESS NAME LABEL: prints how many values were recorded.
+histogram_count () {
+	status $1 | jq ".metrics.$2.$3.count // 0"
+}
+
+# Guards against a text that is checked again for each source it arrives from.
+# One check for each of four documents and the list.
+test_expect_success 'no process checks a text twice' '
+	for a in $ALL; do
+		checked=$(histogram_count $a config_step_us check) &&
+		test $checked -ge 4 && test $checked -le 5 ||
+			{ echo "$a: $checked checks"; exit 1; }
+	done
+'
+
 test_done
