config: a process that is paused for a moment stays a watcher

A watcher whose share of a processor was used up by a large document became suspect, so that another process took its place in the overlay at once. That one has no copy of the platform's items: it lists them all, converts and checks the document again and is paused as well.

A suspect keeps its position for 3 s of silence, as it does already where entries share agents. Should it be gone, the other watcher of the data centre, those of other data centres and the random exchanges go on; t0212 plays a data centre without any watcher.

--- a/config/config.c
+++ b/config/config.c
@@ -10,6 +10,7 @@
 #include "config/component.h"
 #include "config/declared.h"
 #include "config/document.h"
+#include "member/detect.h"
 #include "member/instance.h"
 
 #define CONFIG_WORKER_THREADS 3
@@ -245,10 +246,10 @@
 }
 
 /*
- * Copies the live instances other than self into a new array, from its
- * second element on.  Returns the number of elements, including the first.
+ * Copies the instances that are present other than self into a new array, from
+ * its second element on.  Returns the number of elements, including the first.
  */
-static int collect_members(struct table *t, const char *self,
+static int collect_members(struct table *t, const char *self, apr_time_t now,
 			   struct overlay_member **out)
 {
 	struct handle at = HANDLE_NONE;
@@ -261,7 +262,7 @@
 	if (!m)
 		abort();
 	while ((row = table_next(t, &at))) {
-		if (row->state == INSTANCE_LIVE && strcmp(row->id, self))
+		if (instance_is_present(row, now) && strcmp(row->id, self))
 			fill_member(&m[n++], row->id, row->role,
 				    row->data_center, row->address);
 	}
@@ -275,7 +276,8 @@
 {
 	const struct settings *s = &c->node->settings;
 	struct overlay_member *m, self;
-	int n = collect_members(&c->node->board.instances, s->instance, &m);
+	int n = collect_members(&c->node->board.instances, s->instance, now,
+				&m);
 
 	fill_member(&m[0], s->instance, c->node->role, s->data_center,
 		    s->address);
--- a/member/detect.c
+++ b/member/detect.c
@@ -21,6 +21,23 @@
  */
 #define BOOT_STARTED_TOLERANCE_US (200 * 1000)
 
+/*
+ * Silence after which an instance loses its position among the others.  Most
+ * pauses of a process are shorter.
+ */
+#define PRESENT_SILENCE_MAX_US (3 * APR_USEC_PER_SEC)
+
+/*
+ * Returns 1 for a live instance, and for a suspect that may just be paused: its
+ * tasks stay with it, since whoever takes them over has to begin anew.
+ */
+int instance_is_present(const struct instance *row, apr_time_t now)
+{
+	return row->state == INSTANCE_LIVE ||
+	       (row->state == INSTANCE_SUSPECT &&
+		now - row->suspect_since < PRESENT_SILENCE_MAX_US);
+}
+
 /* Returns the name of a state for logs and JSON. */
 const char *instance_state_name(enum instance_state s)
 {
--- a/member/detect.h
+++ b/member/detect.h
@@ -54,6 +54,7 @@
 	enum instance_state state;
 };
 
+int instance_is_present(const struct instance *row, apr_time_t now);
 const char *instance_state_name(enum instance_state s);
 int evidence_is_invalid(const struct evidence *e, apr_time_t pause_end);
 int instance_apply_evidence(struct instance *row, const struct evidence *e,
--- a/t/helper/test-member.c
+++ b/t/helper/test-member.c
@@ -81,6 +81,28 @@
 }
 END_TEST
 
+/*
+ * Guards against tasks, such as watching the platform, that move to another
+ * process whenever one is paused for a moment.
+ */
+START_TEST(a_suspect_keeps_its_position_for_a_while)
+{
+	struct instance row = make_live_row(1, SECOND_US);
+
+	ck_assert(instance_is_present(&row, SECOND_US));
+	apply_failure(&row, EVIDENCE_NO_ANSWER, 2 * SECOND_US);
+	ck_assert_int_eq(row.state, INSTANCE_SUSPECT);
+	ck_assert(instance_is_present(&row, 4 * SECOND_US));
+	ck_assert(!instance_is_present(&row, 5 * SECOND_US));
+	apply_answer(&row, 1, 1, 6 * SECOND_US);
+	ck_assert_int_eq(row.state, INSTANCE_DRAINING);
+	ck_assert(!instance_is_present(&row, 6 * SECOND_US));
+	apply_failure(&row, EVIDENCE_RECONNECT_FAILED, 7 * SECOND_US);
+	ck_assert_int_eq(row.state, INSTANCE_DEAD);
+	ck_assert(!instance_is_present(&row, 7 * SECOND_US));
+}
+END_TEST
+
 START_TEST(timeouts_during_own_pause_are_ignored)
 {
 	struct instance row = make_live_row(1, SECOND_US);
@@ -480,6 +502,7 @@
 	apr_initialize();
 	tcase_add_test(t, no_answer_makes_suspect_and_failed_reconnect_dead);
 	tcase_add_test(t, a_silent_peer_stays_suspect_before_it_is_dead);
+	tcase_add_test(t, a_suspect_keeps_its_position_for_a_while);
 	tcase_add_test(t, timeouts_during_own_pause_are_ignored);
 	tcase_add_test(t, evidence_older_than_the_last_contact_is_ignored);
 	tcase_add_test(t, draining_lasts_until_another_boot_answers);
