store: convert answers on a worker, not on the thread of the transfers

A document of 4,200 routes arrives from the store as 1 MB of JSON in base64. It was parsed and converted in the callback of its transfer, on the thread that also carries every attempt of a caller to an upstream: 74 ms of processor time for 2,800 routes here, a multiple of that on a quarter of a core, in which no byte of any answer moves.

Run it as a job of the configuration's workers, which apply the text as well. No test of its own: what it changes is time only. t1010, t1018 and t1023 pass.

--- a/config/exchange.c
+++ b/config/exchange.c
@@ -472,6 +472,15 @@
 	pthread_mutex_unlock(&w->config->mutex);
 }
 
+/*
+ * Runs a step of a read on the component's workers.  Returns -1 if they do not
+ * accept it; the caller then still owns the job.
+ */
+int platform_read_submit(struct platform_read *r, struct job *job)
+{
+	return submit_job(watch_job_of(r)->config, job);
+}
+
 static void submit_watch_answer(struct platform_read *r)
 {
 	struct watch_job *w = watch_job_of(r);
--- a/config/value.h
+++ b/config/value.h
@@ -6,6 +6,7 @@
 
 #include <apr_time.h>
 
+#include "base/pool.h"
 #include "config/overlay.h"
 #include "net/node.h"
 #include "config/spread.h"
@@ -54,6 +55,7 @@
 /* Sets the platform; to be called before node_run.  ops must stay valid. */
 void config_set_platform(const struct platform_ops *ops);
 
+int platform_read_submit(struct platform_read *r, struct job *job);
 void platform_read_record_answer(struct platform_read *r);
 void platform_read_finish(struct platform_read *r, enum platform_answer answer,
 			  char *text, size_t size);
