--- a/t/t0003-net.sh
+++ b/t/t0003-net.sh
@@ -6,4 +6,10 @@
 
 test_expect_success 'unit tests of net' 'test-net $TEST_NET.1'
 
+# Guards against messages that wait, and processor time that is spent, while a
+# paused peer or one with a slow link does not take its reply.
+test_expect_success 'replies that peers take late hold up nobody' '
+	test-rpc-replies $TEST_NET.2
+'
+
 test_done
