rpc: send large replies on threads of their own

Callers got 404 for a route that was added, for seconds after the change was acknowledged. The processes that had the document were busy with sending it: the RPC library writes a reply to a connection that does not block in a loop until the peer has taken all of it, for up to 2 s. A document of 4,200 routes no longer fits into a connection's buffer, so each peer on a slow link, and each one that was paused for the same reason, cost the sender's share of a processor, while its only server thread served nobody else: the versions that others asked for, reports, and the messages of the membership, by whose silence it then became suspect.

A peer that takes nothing for 2 s loses the connection, as before.

Weighed: larger buffers (bounded by the machine), texts in pieces (the other kinds of messages would still block), connections that block (a peer that sends half a request would hold up the server).

--- a/net/rpc-server.c
+++ b/net/rpc-server.c
@@ -18,6 +18,7 @@
 #include "net/cut.h"
 #include "net/envelope.h"
 #include "net/replay.h"
+#include "net/rpc-reply.h"
 
 #define RECORD_MAX_BYTES (ENVELOPE_BODY_MAX + 4096) /* bytes */
 #define LISTEN_BACKLOG 256
@@ -32,6 +33,7 @@
 	void *args[KIND_TABLES_MAX];
 	int kind_table_count;
 	SVCXPRT *listener;
+	struct rpc_reply_queue *replies;
 	pthread_t thread;
 	int running;
 	int stopping;
@@ -108,17 +110,6 @@
 	return status;
 }
 
-static void send_reply(SVCXPRT *xprt, struct envelope_reply *rep)
-{
-	struct digest mac;
-
-	if (envelope_reply_sign(rep, server.self.keys.current, &mac))
-		svcerr_systemerr(xprt);
-	else
-		svc_sendreply(xprt, (xdrproc_t)xdr_envelope_reply, (char *)rep);
-	metric_count("rpc_sent_bytes", NULL, rep->body.body_len + 160);
-}
-
 static void serve_exchange(SVCXPRT *xprt, const char *address)
 {
 	struct envelope_request req;
@@ -144,8 +135,9 @@
 	rep.instance = server.self.instance;
 	rep.boot = server.self.boot;
 	rep.sequence = req.sequence;
-	send_reply(xprt, &rep);
-	free(rep.body.body_val);
+	svc_freeargs(xprt, (xdrproc_t)xdr_envelope_request, &req);
+	rpc_reply_send(server.replies, xprt, &rep, server.self.keys.current);
+	return;
 out:
 	svc_freeargs(xprt, (xdrproc_t)xdr_envelope_request, &req);
 }
@@ -174,23 +166,29 @@
 static void *server_main(void *arg)
 {
 	struct pollfd *fds = NULL;
-	int size = 0, n;
+	int wake_fd = rpc_reply_wake_fd(server.replies);
+	int size = 0, count, ready;
 
 	(void)arg;
 	while (!__atomic_load_n(&server.stopping, __ATOMIC_RELAXED)) {
-		n = svc_max_pollfd;
-		if (n > size) {
+		count = svc_max_pollfd;
+		if (count >= size) {
 			free(fds);
-			size = n * 2;
+			size = (count + 1) * 2;
 			fds = calloc((size_t)size, sizeof(*fds));
 			if (!fds)
 				abort();
 		}
-		if (fds && n)
-			memcpy(fds, svc_pollfd, (size_t)n * sizeof(*fds));
-		n = poll(fds, (nfds_t)n, POLL_MS);
-		if (n > 0)
-			svc_getreq_poll(fds, n);
+		if (count)
+			memcpy(fds, svc_pollfd, (size_t)count * sizeof(*fds));
+		fds[count] = (struct pollfd){ .fd = wake_fd, .events = POLLIN };
+		ready = poll(fds, (nfds_t)count + 1, POLL_MS);
+		if (ready > 0 && fds[count].revents) {
+			rpc_reply_take_back(server.replies);
+			ready--;
+		}
+		if (ready > 0)
+			svc_getreq_poll(fds, ready);
 	}
 	free(fds);
 	return NULL;
@@ -253,7 +251,9 @@
 		return error_set(err, ERROR_INTERNAL, "rpc-listen", address,
 				 "the RPC library refused the socket");
 	}
-	if (pthread_create(&server.thread, NULL, server_main, NULL))
+	server.replies = rpc_reply_queue_start();
+	if (!server.replies ||
+	    pthread_create(&server.thread, NULL, server_main, NULL))
 		return error_set(err, ERROR_INTERNAL, "rpc-listen", address,
 				 "no thread: %m");
 	server.running = 1;
@@ -267,6 +267,8 @@
 		return;
 	__atomic_store_n(&server.stopping, 1, __ATOMIC_RELAXED);
 	pthread_join(server.thread, NULL);
+	rpc_reply_queue_stop(server.replies);
+	server.replies = NULL;
 	svc_destroy(server.listener);
 	server.running = 0;
 }
--- a/t/helper/test-rpc-replies.c
+++ b/t/helper/test-rpc-replies.c
@@ -60,6 +60,7 @@
 /* A peer that asks for a large reply and reads it only when it is told to. */
 struct peer {
 	pthread_t thread;
+	CLIENT *client;
 	sem_t may_read;
 	uint64_t boot;
 	enum clnt_stat stat;
@@ -111,17 +112,17 @@
 					.kind = 910 };
 	struct timeval timeout = { 20, 0 };
 	int size = LARGE_BYTES;
-	CLIENT *c = connect_peer();
 	struct digest mac;
 
 	xdr_to_memory((xdrproc_t)xdr_int, &size, &req.body.body_val,
 		      &req.body.body_len);
 	envelope_request_sign(&req, key, &mac);
-	p->stat = clnt_call(c, EXCHANGE, (xdrproc_t)xdr_envelope_request,
-			    (char *)&req, (xdrproc_t)(void *)read_when_told,
-			    (char *)&p, timeout);
+	p->stat =
+		clnt_call(p->client, EXCHANGE, (xdrproc_t)xdr_envelope_request,
+			  (char *)&req, (xdrproc_t)(void *)read_when_told,
+			  (char *)&p, timeout);
 	free(req.body.body_val);
-	clnt_destroy(c);
+	clnt_destroy(p->client);
 	return NULL;
 }
 
@@ -131,6 +132,7 @@
 
 	for (i = 0; i < PEERS; i++) {
 		peers[i].boot = 100 + (uint64_t)i;
+		peers[i].client = connect_peer();
 		sem_init(&peers[i].may_read, 0, 0);
 		pthread_create(&peers[i].thread, NULL, peer_main, &peers[i]);
 	}
