config: threads of their own for texts

Pulls, notices and the platform's answers shared three threads. A notice waits up to 0.8 s for a peer that is paused, and a pull 1.2 s, so that a process whose neighbours stand still could have no thread left for the text that another peer would send at once.

Give texts and answers of the platform as many threads as can be under way, and notices four.

--- a/config/component.h
+++ b/config/component.h
@@ -53,7 +53,12 @@
 struct config {
 	struct node *node;
 	const struct platform_ops *platform;
-	struct worker_pool *pool;
+	/*
+	 * Notices wait for peers that may be paused, so texts have threads of
+	 * their own.
+	 */
+	struct worker_pool *notice_pool;
+	struct worker_pool *text_pool;
 	/*
 	 * Guards the members below.  Rank RANK_CONFIG: no table of the board
 	 * may be locked when it is taken or while it is held.
--- a/config/config.c
+++ b/config/config.c
@@ -13,7 +13,6 @@
 #include "member/detect.h"
 #include "member/instance.h"
 
-#define CONFIG_WORKER_THREADS 3
 #define CONFIG_QUEUE_LIMIT 512
 #define CONTROLLER_PERIOD_US (50 * 1000)
 #define MEMBERS_UPDATE_PERIOD_US (500 * 1000)
@@ -320,8 +319,10 @@
 	pthread_mutex_lock(&c->mutex);
 	c->is_stopping = 1;
 	pthread_mutex_unlock(&c->mutex);
-	worker_pool_stop(c->pool);
-	c->pool = NULL;
+	worker_pool_stop(c->notice_pool);
+	worker_pool_stop(c->text_pool);
+	c->notice_pool = NULL;
+	c->text_pool = NULL;
 }
 
 static void value_state_init(struct value_state *v)
@@ -350,8 +351,11 @@
 	for (i = 0; i < n->settings.seed_count; i++)
 		spread_add_start_peer(&c->spread, n->settings.seeds[i]);
 	config_set_value_ops(SPREAD_DOCUMENT, &document_ops, c);
-	c->pool = worker_pool_start(CONFIG_WORKER_THREADS, CONFIG_QUEUE_LIMIT);
-	if (!c->pool || rpc_server_add(config_kinds, c))
+	c->notice_pool =
+		worker_pool_start(SPREAD_NOTICE_THREADS, CONFIG_QUEUE_LIMIT);
+	c->text_pool =
+		worker_pool_start(SPREAD_TEXT_THREADS, CONFIG_QUEUE_LIMIT);
+	if (!c->notice_pool || !c->text_pool || rpc_server_add(config_kinds, c))
 		return error_set(err, ERROR_INTERNAL, "config-start", NULL,
 				 "cannot start worker threads or register the "
 				 "message kinds");
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -238,16 +238,16 @@
 }
 
 /*
- * Submits a job to the workers.  Returns -1 if the component is stopping or
- * the pool does not accept the job.
+ * Submits a job to a pool of workers.  Returns -1 if the component is stopping
+ * or the pool does not accept the job.
  */
-static int submit_job(struct config *c, struct job *j)
+static int submit_job(struct config *c, struct worker_pool *pool, struct job *j)
 {
 	int ret = -1;
 
 	pthread_mutex_lock(&c->mutex);
 	if (!c->is_stopping)
-		ret = worker_pool_submit(c->pool, j);
+		ret = worker_pool_submit(pool, j);
 	pthread_mutex_unlock(&c->mutex);
 	return ret;
 }
@@ -261,7 +261,8 @@
 	j->job.run = run_exchange;
 	j->config = c;
 	j->action = *a;
-	if (!submit_job(c, &j->job))
+	if (!submit_job(c, a->wanted_value < 0 ? c->notice_pool : c->text_pool,
+			&j->job))
 		return;
 	free(j);
 	pthread_mutex_lock(&c->mutex);
@@ -478,7 +479,9 @@
  */
 int platform_read_submit(struct platform_read *r, struct job *job)
 {
-	return submit_job(watch_job_of(r)->config, job);
+	struct config *c = watch_job_of(r)->config;
+
+	return submit_job(c, c->text_pool, job);
 }
 
 static void submit_watch_answer(struct platform_read *r)
@@ -488,7 +491,7 @@
 	if (!r->answered_at)
 		platform_read_record_answer(r);
 	w->job.run = apply_watch_answer;
-	if (submit_job(w->config, &w->job))
+	if (submit_job(w->config, w->config->text_pool, &w->job))
 		finish_watch(w, 0, 0);
 }
 
--- a/config/spread.h
+++ b/config/spread.h
@@ -34,6 +34,14 @@
  */
 #define SPREAD_PULLS_MAX 4
 
+/*
+ * Threads that run the exchanges.  Every pull and the platform's answer of each
+ * value may run at once; notices wait for peers that may be paused, so they
+ * have threads of their own.
+ */
+#define SPREAD_TEXT_THREADS (SPREAD_VALUE_COUNT * (SPREAD_PULLS_MAX + 1))
+#define SPREAD_NOTICE_THREADS 4
+
 /* Maximum number of peers asked before this process becomes ready. */
 #define SPREAD_START_PEERS_MAX 20
 
--- a/t/helper/test-config-fleet.c
+++ b/t/helper/test-config-fleet.c
@@ -35,10 +35,17 @@
 enum loss {
 	LOSS_NONE,
 	LOSS_SOURCES,  /* members offer the new version and answer no more */
+	LOSS_PEERS,    /* every fourth member is paused before the change */
 	LOSS_WATCHERS, /* all watchers of one data centre are gone */
 	LOSS_DELTAS    /* the first text that each member gets is unusable */
 };
 
+/* Threads that run the exchanges of a process. */
+enum pool { POOL_NOTICES, POOL_TEXTS, POOL_COUNT };
+
+static const int thread_counts[POOL_COUNT] = { SPREAD_NOTICE_THREADS,
+					       SPREAD_TEXT_THREADS };
+
 struct process {
 	struct spread spread;
 	struct random random;
@@ -46,6 +53,7 @@
 	int is_gone;
 	int unusable_texts; /* that this process has got */
 	apr_time_t applied_at;
+	int busy_threads[POOL_COUNT];
 };
 
 struct operation {
@@ -54,6 +62,7 @@
 	struct spread_action action;
 	apr_time_t started_at;
 	apr_time_t due_at;
+	int is_queued; /* until a thread is free */
 	int was_answered;
 };
 
@@ -129,9 +138,10 @@
 	apply_version(p, OLD_VERSION, 0);
 	p->can_stall = f->loss == LOSS_SOURCES &&
 		       (!p->spread.overlay.watch_rank || i % 8 == 0);
-	p->is_gone = f->loss == LOSS_WATCHERS &&
-		     p->spread.overlay.watch_rank < OVERLAY_WATCHERS &&
-		     !strcmp(self.data_center, "dc1");
+	p->is_gone = (f->loss == LOSS_WATCHERS &&
+		      p->spread.overlay.watch_rank < OVERLAY_WATCHERS &&
+		      !strcmp(self.data_center, "dc1")) ||
+		     (f->loss == LOSS_PEERS && i / DATA_CENTERS % 4 == 3);
 }
 
 static void fleet_init(struct fleet *f, int count, enum loss loss)
@@ -192,6 +202,34 @@
 		o->due_at = from + STORE_ANSWER + CHECK;
 }
 
+static enum pool find_pool(const struct spread_action *a)
+{
+	return a->wanted_value < 0 ? POOL_NOTICES : POOL_TEXTS;
+}
+
+/* Runs an exchange when a thread is free. */
+static void run_exchange(struct fleet *f, struct operation *o, apr_time_t now)
+{
+	enum pool pool = find_pool(&o->action);
+	int *busy = &f->processes[o->from].busy_threads[pool];
+
+	o->is_queued = *busy == thread_counts[pool];
+	if (o->is_queued)
+		return;
+	++*busy;
+	send_exchange(f, o, now);
+}
+
+/* The order of the queue does not matter here. */
+static void run_queued(struct fleet *f, int from, apr_time_t now)
+{
+	int i;
+
+	for (i = 0; i < OPERATIONS_MAX; i++)
+		if (f->operations[i].from == from && f->operations[i].is_queued)
+			run_exchange(f, &f->operations[i], now);
+}
+
 static void start_operation(struct fleet *f, int from,
 			    const struct spread_action *a, apr_time_t now)
 {
@@ -207,7 +245,7 @@
 	if (a->kind == SPREAD_WATCH)
 		send_watch(&f->operations[i], now);
 	else
-		send_exchange(f, &f->operations[i], now);
+		run_exchange(f, &f->operations[i], now);
 }
 
 static void finish_watch(struct process *p, const struct operation *o,
@@ -255,13 +293,16 @@
 	for (i = 0; i < OPERATIONS_MAX; i++) {
 		struct operation o = f->operations[i];
 
-		if (o.from < 0 || o.due_at > now)
+		if (o.from < 0 || o.is_queued || o.due_at > now)
 			continue;
 		f->operations[i].from = -1;
-		if (o.action.kind == SPREAD_WATCH)
+		if (o.action.kind == SPREAD_WATCH) {
 			finish_watch(&f->processes[o.from], &o, now);
-		else
-			finish_exchange(f, &o, now);
+			continue;
+		}
+		f->processes[o.from].busy_threads[find_pool(&o.action)]--;
+		finish_exchange(f, &o, now);
+		run_queued(f, o.from, now);
 	}
 }
 
@@ -323,6 +364,13 @@
 }
 END_TEST
 
+/* Guards against threads that are all taken by peers which do not answer. */
+START_TEST(change_is_in_force_in_time_though_peers_are_paused)
+{
+	ck_assert_int_le(measure_spread(counts[_i], LOSS_PEERS), IN_FORCE_MS);
+}
+END_TEST
+
 START_TEST(change_is_in_force_in_time_without_the_watchers_of_a_data_center)
 {
 	ck_assert_int_le(measure_spread(counts[_i], LOSS_WATCHERS),
@@ -347,6 +395,8 @@
 	tcase_add_loop_test(t, change_is_in_force_in_time, 0, 3);
 	tcase_add_loop_test(
 		t, change_is_in_force_in_time_though_sources_fall_silent, 0, 3);
+	tcase_add_loop_test(
+		t, change_is_in_force_in_time_though_peers_are_paused, 0, 3);
 	tcase_add_loop_test(
 		t,
 		change_is_in_force_in_time_without_the_watchers_of_a_data_center,
