--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -37,6 +37,7 @@
             is over before gets 503, marked as not run
 and serves
     GET /test/requests   the IDs of the requests received
+    GET /test/arrivals   when these arrived, in s since the last notice
     GET /test/withdrawn  in mode queue, the IDs of the requests whose
                          connection was closed before a reply
     GET /test/begun      in mode keep, the IDs of the requests that got a stream
@@ -213,6 +214,9 @@
         request = self.headers.get("X-Limpetflow-Request-Id", "")
         if self.path == "/test/requests":
             return self.answer(200, s.requests)
+        if self.path == "/test/arrivals":
+            return self.answer(200, [at - s.noticed_at for at in s.arrivals
+                                     if at >= s.noticed_at])
         if self.path == "/test/connections":
             return self.answer(200, s.connections - 1)
         if self.path == "/test/withdrawn":
@@ -226,11 +230,13 @@
             return self.answer(200, {})
         if self.path == "/test/notice":
             s.notice = json.loads(body)
+            s.noticed_at = time.monotonic()
             return self.answer(200, {})
         if self.path == "/test/release":
             s.release = body.decode()
             return self.answer(200, {})
         s.requests.append(request)
+        s.arrivals.append(time.monotonic())
         s.deadlines[request] = int(
             self.headers.get("X-Limpetflow-Deadline-Ms") or 0)
         common = [("X-Limpetflow-Request-Id", request),
@@ -350,6 +356,8 @@
         server.id = sys.argv[3]
         server.mode = sys.argv[4] if len(sys.argv) > 4 else "ok"
         server.requests = []
+        server.arrivals = []
+        server.noticed_at = 0
         server.withdrawn = []
         server.begun = []
         server.deadlines = {}
