forward: heed the limits that upstreams name

Two upstreams that named a limit of 1 request a second in their answers got 19 and 27 in 4 s, where 11 are allowed: nothing read the header.

Read it as a third notice beside the end and the pause. All entries together must keep it, so a few of them use a limited upstream, chosen by a hash of their ids and its own, with a share each and one saved request at most; the others leave it alone but for a trial now and then, by which they hear of its end. It ends with an answer without the header to a later request, or with a later start.

--- a/forward/answer-notice.c
+++ b/forward/answer-notice.c
@@ -86,6 +86,42 @@
 		   (int)(NOTICE_PAUSE_MAX_US / APR_USEC_PER_SEC));
 }
 
+static void apply_limit(struct forward *f, const struct notice_time *at)
+{
+	struct forwarder *w = f->w;
+	int is_stricter;
+
+	f->is_limit_applied = 1;
+	pthread_mutex_lock(&w->mutex);
+	is_stricter = target_record_limit(&w->targets, f->upstream,
+					  f->upstream_started_ms,
+					  f->answer.limit_per_s, at);
+	if (is_stricter)
+		give_up_unsent(w, f->upstream, at->now);
+	pthread_mutex_unlock(&w->mutex);
+	if (!is_stricter)
+		return;
+	metric_count("forward_notices", "limit", 1);
+	log_notice("notice", f->upstream,
+		   "upstream takes %.3g requests a second from all entries",
+		   f->answer.limit_per_s);
+}
+
+/* The answer is complete, or broke off after its head, without a limit. */
+static void apply_no_limit(struct forward *f)
+{
+	struct forwarder *w = f->w;
+	int has_ended;
+
+	pthread_mutex_lock(&w->mutex);
+	has_ended = target_end_limit(&w->targets, f->upstream,
+				     f->upstream_started_ms, f->sent_at);
+	pthread_mutex_unlock(&w->mutex);
+	if (has_ended)
+		log_notice("notice", f->upstream,
+			   "upstream names no limit any more");
+}
+
 /*
  * Applies the notices of an answer, as soon as their header arrives: the body of
  * a stream may take minutes. Which instance sent an answer of status 421 is
@@ -103,4 +139,11 @@
 	if (forward_is_pause_asked(f) &&
 	    f->answer.retry_after_s > f->applied_pause_s)
 		apply_pause(f, &at);
+	/* Another instance may answer with status 421. */
+	if (f->fetch.status == STATUS_MISDIRECTED || !f->fetch.status)
+		return;
+	if (f->answer.has_limit && !f->is_limit_applied)
+		apply_limit(f, &at);
+	else if (is_head_complete && !f->answer.has_limit)
+		apply_no_limit(f);
 }
--- a/forward/answer.c
+++ b/forward/answer.c
@@ -44,6 +44,7 @@
 	memset(&f->answer, 0, sizeof(f->answer));
 	f->is_leaving_applied = 0;
 	f->applied_pause_s = 0;
+	f->is_limit_applied = 0;
 	f->is_event_answer = 0;
 	f->has_answer = 0;
 	free(f->held_body);
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -1,5 +1,6 @@
 #include "forward/forward.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +9,7 @@
 #include "base/metric.h"
 #include "forward/internal.h"
 #include "forward/report.h"
+#include "member/detect.h"
 #include "member/instance.h"
 
 #define STEP_US (40 * 1000)
@@ -147,22 +149,43 @@
 	listing_release(l);
 }
 
-/* Counts the entries, which share the retry budget. */
+static void fill_entry(struct limit_entry *e, const char *id,
+		       const char *data_center)
+{
+	snprintf(e->id, sizeof(e->id), "%s", id);
+	snprintf(e->data_center, sizeof(e->data_center), "%s", data_center);
+}
+
+/* Finds the entries, which share the retry budget and limits of upstreams. */
 static void count_entries(struct forwarder *w, apr_time_t now)
 {
 	struct table *t = &w->node->board.instances;
 	struct handle at = HANDLE_NONE;
+	struct limit_entry *entries;
 	const struct instance *row;
-	int n = 1;
+	int n = 1, present = 1;
 
 	if (now < w->next_entry_count_at)
 		return;
 	w->next_entry_count_at = now + ENTRY_COUNT_PERIOD_US;
 	table_lock(t);
-	while ((row = table_next(t, &at)))
-		n += row->role == ROLE_ENTRY;
+	entries = calloc(t->count + 1, sizeof(*entries));
+	if (!entries)
+		abort();
+	fill_entry(&entries[0], w->node->settings.instance,
+		   w->node->settings.data_center);
+	while ((row = table_next(t, &at))) {
+		if (row->role != ROLE_ENTRY)
+			continue;
+		n++;
+		if (instance_is_present(row, now) &&
+		    strcmp(row->id, entries[0].id))
+			fill_entry(&entries[present++], row->id,
+				   row->data_center);
+	}
 	table_unlock(t);
 	pthread_mutex_lock(&w->mutex);
+	target_set_entries(&w->targets, entries, present, now);
 	w->retry_budget.entry_count = retry_budget_assume_entries(
 		n, settings_has_seeds(&w->node->settings), w->node->started,
 		now);
@@ -227,15 +250,23 @@
 {
 	apr_interval_time_t pause =
 		u->paused_until > now ? u->paused_until - now : 0;
+	json_t *o;
 
-	return json_pack("{s:s,s:s,s:s,s:b,s:b,s:I,s:b,s:i,s:i,s:i,s:i}",
-			 "upstream", u->id, "service", u->service,
-			 "data_center", u->data_center, "leaving",
-			 u->is_draining, "announced_end", u->has_announced_end,
-			 "paused_ms", (json_int_t)(pause / 1000), "ejected",
-			 !health_can_send(&u->health, now), "in_flight",
-			 u->in_flight, "running", u->running, "waiting",
-			 u->waiting, "slots", u->slots);
+	o = json_pack("{s:s,s:s,s:s,s:b,s:b,s:I,s:b,s:i,s:i,s:i,s:i}",
+		      "upstream", u->id, "service", u->service, "data_center",
+		      u->data_center, "leaving", u->is_draining,
+		      "announced_end", u->has_announced_end, "paused_ms",
+		      (json_int_t)(pause / 1000), "ejected",
+		      !health_can_send(&u->health, now), "in_flight",
+		      u->in_flight, "running", u->running, "waiting",
+		      u->waiting, "slots", u->slots);
+	if (u->limit.is_limited) {
+		json_object_set_new(o, "limit_per_s",
+				    json_real(u->limit.limit_per_s));
+		json_object_set_new(o, "limit_share_per_s",
+				    json_real(u->limit.share_per_s));
+	}
+	return o;
 }
 
 static json_t *forward_status(void *arg)
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -171,6 +171,7 @@
 	f->attempt_expires_at = release_limit_deadline(
 		&w->releases, f->head.model, f->release, f->expires_at);
 	f->overdue_since = 0;
+	f->is_limited = u->limit.is_limited;
 	snprintf(f->upstream, sizeof(f->upstream), "%s", u->id);
 	snprintf(f->url, sizeof(f->url), "http://%s", u->address);
 	memcpy(f->address, u->address, sizeof(f->address));
@@ -263,9 +264,12 @@
 	x->send_by = now + SEND_TIMEOUT_US;
 	if (x->send_by > f->expires_at)
 		x->send_by = f->expires_at;
-	/* A suspect is sent again only after its items were checked again. */
+	/*
+	 * A suspect is sent again only after its items were checked again, and
+	 * each request to a limited upstream is counted.
+	 */
 	x->once = is_probe || !is_route_repeatable(f->route) ||
-		  forward_is_suspect(f);
+		  forward_is_suspect(f) || f->is_limited;
 }
 
 /*
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -146,6 +146,7 @@
 	int can_continue; /* atomic: another upstream can go on with it */
 	int is_paused;	  /* atomic: reading waits for a slow caller */
 	int is_in_flight; /* guarded by the forwarder's mutex */
+	int is_limited;	  /* the upstream had named a limit */
 	/* Counted in `unanswered` of the upstream's row; same guard. */
 	int is_unanswered;
 	int needs_retry; /* the next attempt counts in the retry budget */
@@ -171,6 +172,7 @@
 	/* What of the answer's notices was applied to its upstream. */
 	int is_leaving_applied;
 	double applied_pause_s;
+	int is_limit_applied;
 	int is_event_answer;	      /* its body is a stream of events */
 	int is_event_reply;	      /* the answer that the caller gets is */
 	enum framing reply_framing;   /* of the answer that the caller gets */
--- a/forward/notice.c
+++ b/forward/notice.c
@@ -114,3 +114,38 @@
 	if (until > n->paused_until)
 		n->paused_until = until;
 }
+
+/*
+ * Records the limit that the process of an upstream names. Returns 1 when it is
+ * a new one or lower than before.
+ */
+int notice_record_limit(struct notice_table *t, const char *id,
+			int64_t started_ms, double limit_per_s,
+			const struct notice_time *at)
+{
+	struct notice *n = find_or_add(t, id, started_ms, at);
+	int is_stricter = !n->is_limited || limit_per_s < n->limit_per_s;
+
+	if (!n->is_limited)
+		n->limited_since = at->now;
+	n->is_limited = 1;
+	n->limit_per_s = limit_per_s;
+	return is_stricter;
+}
+
+/*
+ * Ends a limit with an answer that names none, if its request was sent after
+ * the limit was named: answers on other connections may overtake it. Returns 1
+ * when there was one.
+ */
+int notice_end_limit(struct notice_table *t, const char *id, int64_t started_ms,
+		     apr_time_t asked_at)
+{
+	struct notice *n = find_row(t, id);
+
+	if (!n || is_later_process(n, started_ms) || !n->is_limited ||
+	    asked_at <= n->limited_since)
+		return 0;
+	n->is_limited = 0;
+	return 1;
+}
--- a/forward/notice.h
+++ b/forward/notice.h
@@ -24,6 +24,10 @@
 	int64_t started_before_ms;
 	int is_leaving;
 	apr_time_t paused_until;
+	/* Requests a second that it takes from all entries, if is_limited. */
+	int is_limited;
+	double limit_per_s;
+	apr_time_t limited_since;
 	apr_time_t updated_at;
 };
 
@@ -48,4 +52,10 @@
 			 int64_t started_ms, double pause_s,
 			 const struct notice_time *at);
 
+int notice_record_limit(struct notice_table *t, const char *id,
+			int64_t started_ms, double limit_per_s,
+			const struct notice_time *at);
+int notice_end_limit(struct notice_table *t, const char *id, int64_t started_ms,
+		     apr_time_t asked_at);
+
 #endif
--- a/forward/reservation.c
+++ b/forward/reservation.c
@@ -87,6 +87,12 @@
 		target_record_finish(u, now);
 }
 
+/* Returns 1 when the slot that was kept then is not counted in the limit. */
+static int is_limited_since(const struct target *u, apr_time_t at)
+{
+	return u->limit.is_limited && u->limit.limited_since >= at;
+}
+
 /*
  * Returns the upstream of the place; its slot belongs to the caller then, who
  * sends a request there. Returns NULL when there is no place or its upstream
@@ -100,6 +106,7 @@
 	struct target *u = r->has_slot ? target_find(t, r->upstream) : NULL;
 
 	if (!u || u->started_ms != r->started_ms ||
+	    is_limited_since(u, r->counted_at) ||
 	    !target_can_use_slot(u, q, now)) {
 		release_slot(r, t, now);
 		return NULL;
--- a/forward/target-update.c
+++ b/forward/target-update.c
@@ -43,6 +43,42 @@
 
 	u->has_announced_end = n && n->is_leaving;
 	u->paused_until = n ? n->paused_until : 0;
+	if (n && n->is_limited)
+		limit_start(&u->limit, n->limit_per_s, n->limited_since);
+	else
+		u->limit.is_limited = 0;
+}
+
+/* Computes what this entry may send to an upstream that named a limit. */
+static void update_share(const struct target_table *t, struct target *u,
+			 apr_time_t now)
+{
+	const char *self = t->present_count ? t->entries[0].id : "";
+
+	if (!u->limit.is_limited)
+		return;
+	limit_set_share(
+		&u->limit,
+		t->present_count
+			? limit_compute_share(t->entries, t->present_count,
+					      self, u->id, u->data_center,
+					      u->limit.limit_per_s)
+			: u->limit.limit_per_s,
+		limit_compute_trial_period(t->present_count, self, u->id), now);
+}
+
+/* Sets the entries that share limits, this one first; takes them over. */
+void target_set_entries(struct target_table *t, struct limit_entry *entries,
+			int count, apr_time_t now)
+{
+	int i;
+
+	free(t->entries);
+	t->entries = entries;
+	t->present_count = count;
+	for (i = 0; i < t->count; i++)
+		if (t->rows[i].is_used)
+			update_share(t, &t->rows[i], now);
 }
 
 static void apply_notice(struct target_table *t, const char *id)
@@ -73,6 +109,38 @@
 	apply_notice(t, id);
 }
 
+/*
+ * Records the limit that the process of an upstream names in an answer. Returns
+ * 1 when it is a new one or lower than before.
+ */
+int target_record_limit(struct target_table *t, const char *id,
+			int64_t started_ms, double limit_per_s,
+			const struct notice_time *at)
+{
+	int is_stricter = notice_record_limit(&t->notices, id, started_ms,
+					      limit_per_s, at);
+	struct target *u = target_find(t, id);
+
+	if (u && (is_stricter || u->limit.limit_per_s != limit_per_s)) {
+		copy_notice(&t->notices, u);
+		update_share(t, u, at->now);
+	}
+	return is_stricter;
+}
+
+/*
+ * Records an answer without a limit to a request that was sent at asked_at.
+ * Returns 1 when it ends one.
+ */
+int target_end_limit(struct target_table *t, const char *id, int64_t started_ms,
+		     apr_time_t asked_at)
+{
+	if (!notice_end_limit(&t->notices, id, started_ms, asked_at))
+		return 0;
+	apply_notice(t, id);
+	return 1;
+}
+
 static void apply_listed_upstream(struct target *u,
 				  const struct listed_upstream *x,
 				  const char *data_center, apr_time_t now)
@@ -172,6 +240,7 @@
 			continue;
 		apply_listed_upstream(u, &l->items[i], data_center, now);
 		copy_notice(&t->notices, u);
+		update_share(t, u, now);
 	}
 	grant_listing_grace(t, was_listed, l->epoch > t->listing_epoch, now);
 	t->listing_epoch = l->epoch;
--- a/forward/target.c
+++ b/forward/target.c
@@ -61,6 +61,8 @@
 	if (!t->rows)
 		abort();
 	notice_table_init(&t->notices);
+	t->entries = NULL;
+	t->present_count = 0;
 }
 
 /* Frees the rows. */
@@ -68,6 +70,8 @@
 {
 	free(t->rows);
 	t->rows = NULL;
+	free(t->entries);
+	t->entries = NULL;
 	notice_table_destroy(&t->notices);
 }
 
@@ -86,6 +90,7 @@
 void target_record_start(struct target *u, apr_time_t now)
 {
 	recent_record_start(&u->recent, now);
+	limit_record_start(&u->limit, now);
 	u->in_flight++;
 }
 
@@ -272,6 +277,7 @@
 	EXCLUSION_MODEL,
 	EXCLUSION_EJECTED,
 	EXCLUSION_PAUSED,
+	EXCLUSION_LIMITED,
 	EXCLUSION_FULL,
 	EXCLUSION_COUNT
 };
@@ -284,6 +290,7 @@
 	"version-nowhere",
 	"upstreams-failing",
 	"upstreams-paused",
+	"upstreams-limited",
 	"upstreams-full"
 };
 
@@ -300,6 +307,8 @@
 	/* Also one that turned this request away to ask for the pause. */
 	if (u->paused_until > now && runs_model(u, q, q->release_min))
 		return EXCLUSION_PAUSED;
+	if (!limit_allows(&u->limit, now) && runs_model(u, q, q->release_min))
+		return EXCLUSION_LIMITED;
 	if (is_excluded(u, q))
 		return EXCLUSION_TRIED;
 	if (!runs_model(u, q, q->release_min))
@@ -444,6 +453,13 @@
 	}
 }
 
+/* Records when an upstream that may not be used now may be used again. */
+static void record_return(struct target_choice *out, apr_time_t at)
+{
+	if (!out->paused_until || at < out->paused_until)
+		out->paused_until = at;
+}
+
 /*
  * Compares a few randomly sampled upstreams and chooses the one whose answer is
  * expected to start first. Entries that all chose the best row of the same
@@ -469,9 +485,10 @@
 			nearest = m;
 		if (m == EXCLUSION_EJECTED)
 			sample_add(&ejected_rows, i, r);
-		if (m == EXCLUSION_PAUSED &&
-		    (!out->paused_until || u->paused_until < out->paused_until))
-			out->paused_until = u->paused_until;
+		if (m == EXCLUSION_PAUSED)
+			record_return(out, u->paused_until);
+		if (m == EXCLUSION_LIMITED)
+			record_return(out, limit_next_at(&u->limit, now));
 		if (m != EXCLUSION_NONE)
 			continue;
 		out->eligible++;
@@ -487,7 +504,8 @@
 		choose_min_wait(t, &ejected_rows, q, now, r, out);
 		out->is_ejected = 1;
 	}
-	if (out->index >= 0 || nearest != EXCLUSION_PAUSED)
+	if (out->index >= 0 ||
+	    (nearest != EXCLUSION_PAUSED && nearest != EXCLUSION_LIMITED))
 		out->paused_until = 0;
 	if (out->index < 0) {
 		out->reason = exclusion_reasons[nearest];
--- a/forward/target.h
+++ b/forward/target.h
@@ -10,6 +10,7 @@
 #include "forward/health.h"
 #include "forward/listing.h"
 #include "forward/notice.h"
+#include "forward/upstream-limit.h"
 
 /*
  * Choice of the upstream for a request that this entry sends itself. A row
@@ -51,6 +52,7 @@
 	/* Copies of the notice of its process. */
 	int has_announced_end;
 	apr_time_t paused_until;
+	struct limit_share limit;
 	int is_replaced; /* another process runs at its address */
 	int is_local;	 /* in this entry's data centre */
 	int slots;
@@ -86,6 +88,9 @@
 	uint64_t listing_epoch; /* of the list applied last */
 	int entry_count; /* entries that send to the same upstreams, 0: one */
 	struct notice_table notices;
+	/* Entries that are present, this one first. */
+	struct limit_entry *entries;
+	int present_count;
 };
 
 /* Age from which a report is no longer used to estimate the load. */
@@ -117,7 +122,10 @@
 	int is_ejected;	       /* chosen although its health ejected it */
 	int eligible;	       /* number of rows that could be chosen */
 	const char *reason;    /* why no row was chosen */
-	/* End of the first pause, when the reason is that all are paused. */
+	/*
+	 * End of the first pause, or next request within a limit, when the
+	 * reason is that all are paused or limited.
+	 */
 	apr_time_t paused_until;
 	int is_unservable; /* no listed upstream can serve it within moments */
 };
@@ -133,6 +141,13 @@
 void target_record_pause(struct target_table *t, const char *id,
 			 int64_t started_ms, double pause_s,
 			 const struct notice_time *at);
+int target_record_limit(struct target_table *t, const char *id,
+			int64_t started_ms, double limit_per_s,
+			const struct notice_time *at);
+int target_end_limit(struct target_table *t, const char *id, int64_t started_ms,
+		     apr_time_t asked_at);
+void target_set_entries(struct target_table *t, struct limit_entry *entries,
+			int count, apr_time_t now);
 int target_merge_report(struct target_table *t, const struct target_report *r,
 			apr_time_t now);
 void target_record_start(struct target *u, apr_time_t now);
--- a/forward/wire.h
+++ b/forward/wire.h
@@ -59,7 +59,10 @@
 	char upstream[WIRE_ID_SIZE];
 	int is_leaving;	      /* the upstream announces its end */
 	double retry_after_s; /* the longest that is given, 0: none */
-	int is_malformed;     /* a value of the two above was ignored */
+	/* Requests a second that the upstream takes, the least that is given. */
+	int has_limit;
+	double limit_per_s;
+	int is_malformed; /* a value of these was ignored */
 };
 
 struct wire_ops {
--- a/t/t1000-forward-unit.sh
+++ b/t/t1000-forward-unit.sh
@@ -22,4 +22,6 @@
 
 test_expect_success 'unit tests of what a blame cancels' 'test-blame-cancel'
 
+test_expect_success 'unit tests of limits that upstreams name' 'test-upstream-limit'
+
 test_done
--- a/t/t1033-upstream-limits.sh
+++ b/t/t1033-upstream-limits.sh
@@ -44,6 +44,10 @@
 		"http://$TEST_NET.$((10 + $1))/test/notice" >/dev/null
 }
 
+requests_of () {
+	curl -s "http://$TEST_NET.$((10 + $1))/test/requests" | jq length
+}
+
 # ask ENTRY: prints the status.
 ask () {
 	curl -s -m 3 -o ask$1.out -D ask$1.head -w '%{http_code}\n' \
@@ -118,4 +122,67 @@
 	test $(cat busiest) -le 11
 '
 
+# logs ENTRY TEXT: the entry, which gets a request, has a line with the text.
+logs () {
+	ask $1 >/dev/null
+	grep -q "$2" entry$1.out
+}
+
+# all_reach NUMBER: each entry sends to the upstream.
+all_reach () {
+	for all_entry in 1 2 3; do
+		all_before=$(requests_of $1)
+		ask $all_entry >/dev/null && ask $all_entry >/dev/null
+		ask $all_entry >/dev/null && ask $all_entry >/dev/null
+		test $(requests_of $1) -gt $all_before || return 1
+	done
+}
+
+test_expect_success 'a later start at the same address has no limit' '
+	name_nothing 1 &&
+	list 1 $(now_ms) &&
+	wait_until 10 all_reach 1
+'
+
+test_expect_success 'a limit that is taken back ends' '
+	name_limit 1 2 &&
+	for i in 1 2 3; do
+		wait_until 10 logs $i "takes 2 requests a second" || exit 1
+	done &&
+	name_nothing 1 &&
+	for i in 1 2 3; do
+		wait_until 30 logs $i "names no limit any more" || exit 1
+	done &&
+	wait_until 10 all_reach 1
+'
+
+test_expect_success 'a refusal names a limit too; odd values name none' '
+	curl -sf -X PUT -d "{\"status\":503,\"headers\":[[\"Server-Limit\",\"1.5\"]]}" \
+		http://$TEST_NET.11/test/notice &&
+	ask_for 1 >/dev/null &&
+	grep -q "takes 1.5 requests a second" entry1.out &&
+	list 1 $(now_ms) &&
+	for value in -1 1e3 soon; do
+		name_limit 1 "$value" && wait_until 10 all_reach 1 || exit 1
+	done &&
+	grep -q "malformed announcement" entry1.out
+'
+
+# Guards against callers that wait for an upstream which takes nothing.
+test_expect_success 'callers learn when there is room while all are limited' '
+	name_limit 1 0.5 && name_limit 2 0.5 &&
+	ask_for 3 >statuses &&
+	grep -q 503 statuses &&
+	while test "$(ask 1)" = 200; do :; done &&
+	grep -q upstreams-limited ask1.out &&
+	grep -qi "^retry-after:" ask1.head
+'
+
+test_expect_success 'the status names the limit and the share of this entry' '
+	curl -s "http://$TEST_NET.1:7702/status" >status.json &&
+	jq -e "[.forward.upstreams[] | select(.limit_per_s == 0.5)] |
+		length == 2" status.json &&
+	jq -e ".metrics.forward_notices.limit >= 1" status.json
+'
+
 test_done
