listing: an odd entry costs that entry only

A report of other operators that can happen here: one entry of the store with a sequence of -1 or 1e300, a service or address longer than 63 characters or empty, or a model with such a number made every process refuse the whole list, and stay on its former one for as long as the entry stood. Slots of 1e300, a start time of 1e300 and port 99999 were taken as they are; the conversion of a double beyond 64 bits is undefined.

Check the entries one by one and leave out those that are not sound, with a line and a counter. Numbers from the store are converted within 2^53 - 1; a copy that lies beyond stays a real number, which the check refuses.

--- a/forward/listing.c
+++ b/forward/listing.c
@@ -1,5 +1,6 @@
 #include "forward/listing.h"
 
+#include <ctype.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -7,11 +8,14 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/metric.h"
 #include "config/value.h"
 #include "forward/listing-memory.h"
 
 #define VERSION_MAX 9007199254740991.0
 #define LIST_MAX 8192
+#define SLOTS_MAX 1e6
+#define PORT_MAX 65535
 
 static const struct schema_field model_fields[] = {
 	{ "name", SCHEMA_STRING, SCHEMA_REQUIRED | SCHEMA_NAME },
@@ -28,8 +32,8 @@
 	{ "data_center", SCHEMA_STRING, SCHEMA_REQUIRED, 1,
 	  SETTINGS_NAME_SIZE - 1 },
 	{ "leaving", SCHEMA_BOOLEAN },
-	{ "slots", SCHEMA_INTEGER },
-	{ "born_ms", SCHEMA_INTEGER },
+	{ "slots", SCHEMA_INTEGER, 0, 1, SLOTS_MAX },
+	{ "born_ms", SCHEMA_INTEGER, 0, 0, VERSION_MAX },
 	{ "sequence", SCHEMA_INTEGER, 0, 0, VERSION_MAX },
 	{ "models", SCHEMA_ARRAY, 0, 0, LIST_MAX, NULL, model_fields },
 	SCHEMA_END
@@ -38,8 +42,6 @@
 static const struct schema_field list_fields[] = {
 	{ "version", SCHEMA_INTEGER, SCHEMA_REQUIRED, 1, VERSION_MAX },
 	{ "epoch", SCHEMA_INTEGER, 0, 0, VERSION_MAX },
-	{ "upstreams", SCHEMA_ARRAY, SCHEMA_REQUIRED, 0, LIST_MAX, NULL,
-	  item_fields },
 	SCHEMA_END
 };
 
@@ -82,6 +84,39 @@
 	parse_models(u, json_object_get(o, "models"));
 }
 
+/* Returns 1 for HOST:PORT. */
+static int is_address(const char *s)
+{
+	const char *colon = strrchr(s, ':');
+	char *end;
+	long port;
+
+	if (!colon || colon == s || !isdigit((unsigned char)colon[1]))
+		return 0;
+	port = strtol(colon + 1, &end, 10);
+	return !*end && port >= 1 && port <= PORT_MAX;
+}
+
+/*
+ * Checks one entry. Whoever wrote it is not always who wrote the others, so an
+ * odd one costs nothing but itself.
+ */
+static int is_item_sound(const json_t *o)
+{
+	struct fault_list faults = { 0 };
+	const char *id = schema_string(o, "id", "");
+
+	if (!schema_check(item_fields, o, "", &faults) &&
+	    !is_address(schema_string(o, "address", "")))
+		fault_add(&faults, "address", "expected HOST:PORT");
+	if (!faults.count)
+		return 1;
+	metric_count("upstream_entries_rejected", NULL, 1);
+	log_warning("upstreams", id, "skipping the entry: %s", faults.lines[0]);
+	fault_list_clear(&faults);
+	return 0;
+}
+
 static int compare_items(const void *a, const void *b)
 {
 	const struct listed_upstream *x = a, *y = b;
@@ -91,17 +126,22 @@
 
 /*
  * Parses and validates a list. Returns NULL and adds to faults when it is
- * invalid.
+ * invalid; of a valid one, entries that are not are left out.
  */
 struct listing *listing_parse(const char *text, size_t size,
 			      struct fault_list *faults)
 {
 	json_t *root = json_loadb(text, size, JSON_REJECT_DUPLICATES, NULL);
-	const json_t *list = json_object_get(root, "upstreams");
+	json_t *list = json_incref(json_object_get(root, "upstreams"));
 	struct listing *l = NULL;
+	const json_t *o;
 	size_t i;
 
-	if (schema_check(list_fields, root, "", faults))
+	json_object_del(root, "upstreams"); /* checked one by one */
+	if (!json_is_array(list) || json_array_size(list) > LIST_MAX)
+		fault_add(faults, "upstreams", "expected up to %d elements",
+			  LIST_MAX);
+	if (schema_check(list_fields, root, "", faults) || faults->count)
 		goto out;
 	l = calloc(1, sizeof(*l));
 	if (!l)
@@ -109,14 +149,17 @@
 	l->refs = 1;
 	l->version = (uint64_t)schema_integer(root, "version", 0);
 	l->epoch = (uint64_t)schema_integer(root, "epoch", 0);
-	l->count = (int)json_array_size(list);
-	l->items = calloc((size_t)l->count + 1, sizeof(*l->items));
+	l->items = calloc(json_array_size(list) + 1, sizeof(*l->items));
 	if (!l->items)
 		abort();
-	for (i = 0; i < json_array_size(list); i++)
-		parse_item(&l->items[i], json_array_get(list, i));
+	json_array_foreach(list, i, o)
+	{
+		if (is_item_sound(o))
+			parse_item(&l->items[l->count++], o);
+	}
 	qsort(l->items, (size_t)l->count, sizeof(*l->items), compare_items);
 out:
+	json_decref(list);
 	json_decref(root);
 	return l;
 }
