--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -19,6 +19,10 @@
 Forms of plain bodies: the same with "plain" (whole), "half" or "large" (24 MB)
 for EVENTS.
 Further forms:
+    error-STATUS-BODY  another status, with "text", "events" (in a stream's
+                  type) or "none" for BODY; 503 says that it was not run
+    refused-WHEN  a refusal (503, not run), which is written once more: "now",
+                  at once, or "late", where the next answer is due
     head-open     the connection closes inside the head
     head-reset    the same with a reset
     head-whole    a head without a body that ends with its connection
@@ -31,6 +35,7 @@
 A name without '-' gets "plain-length". For tests:
     GET /test/ended   the number of answers without end that the peer closed
     GET /test/hung    the number of answers of a form with "hang"
+    GET /test/runs    how often each request was run rather than refused
     GET /test/sent    the largest number of bytes sent in one of them
 """
 import json
@@ -52,7 +57,14 @@
 MANY_DATA = b"x" * 4096
 
 state = {"lock": threading.Lock(), "ended": 0, "sent": 0, "hung": 0,
-         "requests": set()}
+         "requests": set(), "runs": {}}
+
+STATUS_LINES = {"200": b"200 OK", "421": b"421 Misdirected Request",
+                "429": b"429 Too Many Requests",
+                "500": b"500 Internal Server Error",
+                "503": b"503 Service Unavailable",
+                "504": b"504 Gateway Timeout"}
+ERROR_TEXT = b"text of the error\n\n"
 
 
 def event(number):
@@ -173,6 +185,18 @@
     time.sleep(max(0, until - time.monotonic()))
 
 
+def make_error(status, kind, request_id):
+    type_line = (b"text/event-stream" if kind == "events"
+                 else b"application/json")
+    body = b"" if kind == "none" else ERROR_TEXT
+    if kind == "events":
+        body = b"id: 9\ndata: " + ERROR_TEXT
+    lines = [b"Content-Type: " + type_line, b"Content-Length: %d" % len(body)]
+    if status == "503":
+        lines.append(b"X-Limpetflow-Not-Run: 1")
+    return head(request_id, lines, STATUS_LINES[status]) + body
+
+
 def answer(connection, form, request_id, first, until):
     """Sends one answer. Returns False when the connection has to close."""
     if form.startswith("forever-"):
@@ -184,6 +208,9 @@
         if form == "head-reset":
             reset(connection)
         return False
+    if form.startswith("error-"):
+        connection.sendall(make_error(*form.split("-")[1:], request_id))
+        return True
     if "-" not in form:
         form = "plain-length"
     kind, framing, end = (form.split("-") + [""])[:3]
@@ -224,6 +251,7 @@
 
 def serve(connection):
     file = connection.makefile("rb")
+    extra = b""  # an earlier answer, which is written once more
     try:
         while True:
             request = read_request(file)
@@ -240,6 +268,18 @@
             last = int(headers.get(b"last-event-id") or 0)
             request_id = headers.get(b"x-limpetflow-request-id", b"")
             left_ms = int(headers.get(b"x-limpetflow-deadline-ms") or 0)
+            connection.sendall(extra)
+            extra = b""
+            if name.startswith("refused-"):
+                refusal = make_error("503", "text", request_id)
+                connection.sendall(refusal)
+                extra = refusal if name == "refused-late" else b""
+                if not extra:
+                    connection.sendall(refusal)
+                continue
+            with state["lock"]:
+                key = request_id.decode()
+                state["runs"][key] = state["runs"].get(key, 0) + 1
             if not answer(connection, forms[-1 if has_come(request_id) else 0],
                           request_id, last + 1,
                           time.monotonic() + left_ms / 1000):
