soak: upstreams that name limits

Upstreams and engines name a limit of 0.25 to 8 requests a second for some seconds, drawn from a random source of its own, and the judge counts what reaches them in any 4 s from the entries that had passed on an answer with it.

The stand-in notes arrivals where the soak's own servers do it themselves.

--- a/t/soak/callers.py
+++ b/t/soak/callers.py
@@ -49,6 +49,7 @@
             answer = connection.getresponse()
             record["status"] = answer.status
             record["leaving"] = answer.getheader("Server-Leaving")
+            record["limit"] = answer.getheader("Server-Limit")
             record["stamp"] = answer.getheader("X-Limpetflow-Response-Stamp")
             body = answer.read1(65536)
             record["began"] = bool(body)
--- a/t/soak/faults.py
+++ b/t/soak/faults.py
@@ -186,6 +186,22 @@
     return out
 
 
+LIMITS = ("0.25", "1", "2.5", "8")  # values of Server-Limit
+LIMIT_MIN_S = 6.0  # so that the rule counts for a while
+
+
+def limits(seed, seconds, upstreams):
+    """Draws upstreams that name a limit in their answers for some seconds.  It
+    has a random source of its own, so that the other faults of a seed stay."""
+    r = random.Random(f"limits {seed}")
+    at = r.uniform(0.5, 2)
+    if at + LIMIT_MIN_S > seconds - 2:
+        return []
+    return [Fault(at, "limit", name, r.choice(LIMITS),
+                  r.uniform(LIMIT_MIN_S, seconds - 2 - at))
+            for name in r.sample(upstreams, r.choice((1, 1, 2)))]
+
+
 def squeezes(seed, seconds, engines):
     """Draws engines that get an order or fall silent while their streams run,
     while the others have no room: they are slow, drain, ask for a pause, fail
@@ -226,5 +242,6 @@
         at += r.choice((0.05, 0.3, 0.8, 1.5)) * r.uniform(0.5, 1.5)
     out += declarations(r, seconds, engines, limit_s)
     out += notices(seed, seconds, upstreams + engines)
+    out += limits(seed, seconds, upstreams + engines)
     out += squeezes(seed, seconds, engines)
     return sorted(out, key=lambda fault: fault.at)
--- a/t/soak/judge.py
+++ b/t/soak/judge.py
@@ -8,6 +8,8 @@
 RELEASE_S = 3.5  # no request begins on an older release later than that
 LAST_MS = 20  # of its time, in which an entry begins nothing new
 CUT_S = 0.3  # a cut, until its end has reached the caller
+LIMIT_STABLE_S = 3.0  # from which a limit counts, and an entry after a fault
+LIMIT_WINDOW_S = 4.0
 NOT_RUN = (408, 421, 429, 503)
 
 
@@ -44,6 +46,7 @@
                 self.judge_pauses(name, server)
         if not self.o.no_bounds:
             self.judge_releases()
+            self.judge_limits()
 
     def judge_answers(self):
         """An answer that began is whole, or its time is over, unless something
@@ -154,6 +157,40 @@
             self.check("pauses are kept", len(late) <= 2,
                        f"{e.name} {name} asked for {pause_s} s: {late[:5]}")
 
+    def judge_limits(self):
+        """From LIMIT_STABLE_S after an upstream first named a limit, it gets in
+        any LIMIT_WINDOW_S no more than the rule allows from the entries that
+        passed an answer with it on half a second before."""
+        for name, at, until, limit in self.limits:
+            counted = sorted(
+                t for e in self.processes
+                for t in self.arrivals_after_limit(name, e, at, until))
+            allowed = 1.5 * LIMIT_WINDOW_S * limit + 5
+            for i, first in enumerate(counted):
+                if first < at + LIMIT_STABLE_S:
+                    continue
+                window = [t for t in counted[i:]
+                          if t < first + LIMIT_WINDOW_S]
+                self.check("limits are kept", len(window) <= allowed,
+                           f"{name} takes {limit} a second, got "
+                           f"{len(window)} in {LIMIT_WINDOW_S} s")
+
+    def arrivals_after_limit(self, name, e, at, until):
+        """When requests of an entry came that had been told, but for what it
+        sent around its own faults."""
+        server = self.servers[name]
+        told = min((rec["done"] for rec in self.records.values()
+                    if rec["entry"] == e.name and rec.get("limit")
+                    and rec["stamp"] in (name, "stamp-" + name)
+                    and rec["sent"] >= at), default=None)
+        if told is None or any(at < t < until for t in server.restarts):
+            return []
+        faults = [(f, f + LIMIT_STABLE_S) for f in e.freezes] + e.disturbances
+        return [t for t, rec in self.arrivals_from(server, e)
+                if max(told + 0.5, at) <= t < until
+                and not any(a <= t <= b + LIMIT_STABLE_S
+                            for a, b in faults)]
+
     def judge_versions(self):
         """Within one incarnation no older configuration comes back."""
         seen = {}
--- a/t/soak/soak.py
+++ b/t/soak/soak.py
@@ -169,6 +169,7 @@
         self.version = 0
         self.keys = ["k0"]
         self.revoked = {}  # key: when the store had it
+        self.limits = []  # (upstream, from, until, requests a second)
         self.drains = []  # (upstream, when, until)
         self.store_disturbed = 0.0
         self.store_disturbances = []
@@ -371,6 +372,16 @@
                          "headers": [["Retry-After", fault.how]]}
         self.later(fault.for_s, setattr, server, "notice", None)
 
+    def fault_limit(self, fault, e, now, end):
+        server = self.servers[fault.target]
+        if server.notice:
+            return
+        server.notice = {"status": 200,
+                         "headers": [["Server-Limit", fault.how]]}
+        self.limits.append((fault.target, time.monotonic(), end,
+                            float(fault.how)))
+        self.later(fault.for_s, setattr, server, "notice", None)
+
     def fault_config(self, fault, e, now, end):
         self.config(fault.how)
 
--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -205,6 +205,8 @@
 
 class UpstreamHandler(Handler):
     def handle_any(self):
+        if not self.path.startswith("/test/"):
+            self.server.arrivals.append(time.monotonic())
         self.serve(self.server.notice)
 
     def serve(self, notice):
@@ -236,7 +238,6 @@
             s.release = body.decode()
             return self.answer(200, {})
         s.requests.append(request)
-        s.arrivals.append(time.monotonic())
         s.deadlines[request] = int(
             self.headers.get("X-Limpetflow-Deadline-Ms") or 0)
         common = [("X-Limpetflow-Request-Id", request),
