config: the search for a source ends

A process that had heard of a newer version which nobody has any more asked random members ten times a second for ever; it does so for 5 s after the last offer now (test-config).

--- a/config/exchange.c
+++ b/config/exchange.c
@@ -185,8 +185,7 @@
 
 	if (!ok)
 		log_notice("config-pull", a->address,
-			   "no %s after %d ms; asking another process", name,
-			   ms);
+			   "no %s received after %d ms", name, ms);
 	else if (ms >= PULL_SLOW_MS)
 		log_notice("config-pull", a->address, "%s received after %d ms",
 			   name, ms);
--- a/config/spread-decide.c
+++ b/config/spread-decide.c
@@ -8,6 +8,9 @@
 /* The same while a newer version is known and no source of it answers. */
 #define SOURCE_SEARCH_US (100 * 1000)
 
+/* End of that search, when no peer has the version any more. */
+#define SOURCE_SEARCH_MAX_US (5 * APR_USEC_PER_SEC)
+
 /* Every EXCHANGES_PER_REMOTE-th random exchange is with a remote member. */
 #define EXCHANGES_PER_REMOTE 4
 
@@ -344,8 +347,9 @@
 	for (i = 0; i < SPREAD_VALUE_COUNT; i++) {
 		struct spread_value *v = &s->values[i];
 
-		if (v->offered_version > v->version && !find_best_offer(v) &&
-		    !is_answer_expected(v, now))
+		if (v->offered_version > v->version &&
+		    now - v->offered_at < SOURCE_SEARCH_MAX_US &&
+		    !find_best_offer(v) && !is_answer_expected(v, now))
 			return 1;
 	}
 	return 0;
--- a/config/spread.c
+++ b/config/spread.c
@@ -177,13 +177,16 @@
  * version is above the new one.
  */
 static void add_offer(struct spread_value *v, const char *address,
-		      uint64_t version, const struct digest *digest)
+		      uint64_t version, const struct digest *digest,
+		      apr_time_t now)
 {
 	struct spread_offer *at = &v->offers[0];
 	int i;
 
-	if (version > v->offered_version)
+	if (version >= v->offered_version) {
 		v->offered_version = version;
+		v->offered_at = now;
+	}
 	for (i = 0; i < SPREAD_OFFERS_MAX; i++) {
 		struct spread_offer *o = &v->offers[i];
 
@@ -273,7 +276,7 @@
 		if (is_version_wanted(v, versions[i].version,
 				      &versions[i].digest))
 			add_offer(v, address, versions[i].version,
-				  &versions[i].digest);
+				  &versions[i].digest, now);
 		if (versions[i].version < v->version)
 			is_peer_current = 0;
 	}
--- a/config/spread.h
+++ b/config/spread.h
@@ -110,6 +110,7 @@
 	struct digest rejected_digest;
 	struct spread_offer offers[SPREAD_OFFERS_MAX]; /* version 0: unused */
 	uint64_t offered_version; /* highest one that is not rejected */
+	apr_time_t offered_at;	  /* last time that a peer had it */
 	struct spread_pull pulls[SPREAD_PULLS_MAX];
 	int pull_failures; /* in a row */
 	apr_time_t pull_after;
--- a/t/helper/test-config.c
+++ b/t/helper/test-config.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "config/delta.h"
 #include "config/diff.h"
 #include "config/document.h"
 #include "config/overlay.h"
@@ -422,6 +421,32 @@
 }
 END_TEST
 
+/* Nobody has the version that was offered: the process that had it is gone. */
+START_TEST(search_for_a_source_ends)
+{
+	struct spread_version v[SPREAD_VALUE_COUNT];
+	struct spread_action pull;
+	struct fixture g;
+	apr_time_t now;
+	int exchanges = 0;
+
+	init_fixture(&g);
+	set_version(v, 7, 7);
+	spread_merge_versions(&g.s, "127.0.0.2", v, SPREAD_VALUE_COUNT, SECOND);
+	spread_decide(&g.s, SECOND, &g.r, &g.out);
+	pull = *find_action(&g, SPREAD_EXCHANGE, 0);
+	spread_finish_exchange(&g.s, &pull, 0, 2 * SECOND);
+	for (now = 2 * SECOND; now < 20 * SECOND; now += SECOND / 100) {
+		spread_decide(&g.s, now, &g.r, &g.out);
+		exchanges += find_action(&g, SPREAD_EXCHANGE, -1) != NULL;
+	}
+	/* Ten a second for four seconds, then one. */
+	ck_assert_int_ge(exchanges, 30 + 10);
+	ck_assert_int_le(exchanges, 60 + 20);
+	spread_destroy(&g.s);
+}
+END_TEST
+
 /*
  * Guards against a release that counts as declared when this process heard of it,
  * as nobody told when that was.
@@ -514,36 +539,6 @@
 }
 END_TEST
 
-START_TEST(small_change_gives_small_exact_delta)
-{
-	char *a = malloc(20001), *b, *d, *rebuilt;
-	size_t size, n, i;
-	struct random r;
-
-	random_seed(&r, 21);
-	for (i = 0; i < 20000; i++)
-		a[i] = (char)('a' + random_below(&r, 26));
-	a[20000] = '\0';
-	b = strdup(a);
-	memset(b + 5, 'X', 2);
-	memset(b + 9000, 'Y', 4);
-	d = delta_encode(a, 20000, b, 20000, &size);
-	ck_assert_ptr_nonnull(d);
-	ck_assert_uint_le(size, 100);
-	rebuilt = delta_apply(a, 20000, d, size, 20000, &n);
-	ck_assert_uint_eq(n, 20000);
-	ck_assert_str_eq(rebuilt, b);
-	ck_assert_ptr_null(delta_apply(a, 8000, d, size, 20000, &n));
-	ck_assert_ptr_null(delta_apply(a, 20000, d, size - 1, 20000, &n));
-	ck_assert_ptr_null(delta_apply(a, 20000, d, size, 19999, &n));
-	ck_assert_ptr_null(delta_encode("", 0, b, 20000, &size));
-	free(rebuilt);
-	free(d);
-	free(b);
-	free(a);
-}
-END_TEST
-
 int main(void)
 {
 	Suite *s = suite_create("config");
@@ -555,12 +550,12 @@
 	tcase_add_test(t, document_is_bound_with_defaults);
 	tcase_add_test(t, document_is_refused_whole);
 	tcase_add_test(t, diff_names_what_changes_and_whom_it_touches);
-	tcase_add_test(t, small_change_gives_small_exact_delta);
 	tcase_add_test(t, watch_rank_matches_naive_ranking);
 	tcase_add_test(t, overlay_reaches_all_members_in_few_hops);
 	tcase_add_test(t, older_and_rejected_versions_are_not_pulled);
 	tcase_add_test(t, not_ready_before_all_start_exchanges_finish);
 	tcase_add_test(t, failed_pull_is_retried_from_next_source);
+	tcase_add_test(t, search_for_a_source_ends);
 	tcase_add_test(
 		t, peers_tell_until_when_the_current_version_was_the_newest);
 	tcase_add_test(t, other_peers_are_asked_instead_of_one);
--- a/t/helper/test-texts.c
+++ b/t/helper/test-texts.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #include "base/metric.h"
+#include "base/random.h"
+#include "config/delta.h"
 #include "config/pack.h"
 #include "config/texts.h"
 
@@ -153,6 +155,36 @@
 }
 END_TEST
 
+START_TEST(small_change_gives_small_exact_delta)
+{
+	char *a = malloc(20001), *b, *d, *rebuilt;
+	size_t size, n, i;
+	struct random r;
+
+	random_seed(&r, 21);
+	for (i = 0; i < 20000; i++)
+		a[i] = (char)('a' + random_below(&r, 26));
+	a[20000] = '\0';
+	b = strdup(a);
+	memset(b + 5, 'X', 2);
+	memset(b + 9000, 'Y', 4);
+	d = delta_encode(a, 20000, b, 20000, &size);
+	ck_assert_ptr_nonnull(d);
+	ck_assert_uint_le(size, 100);
+	rebuilt = delta_apply(a, 20000, d, size, 20000, &n);
+	ck_assert_uint_eq(n, 20000);
+	ck_assert_str_eq(rebuilt, b);
+	ck_assert_ptr_null(delta_apply(a, 8000, d, size, 20000, &n));
+	ck_assert_ptr_null(delta_apply(a, 20000, d, size - 1, 20000, &n));
+	ck_assert_ptr_null(delta_apply(a, 20000, d, size, 19999, &n));
+	ck_assert_ptr_null(delta_encode("", 0, b, 20000, &size));
+	free(rebuilt);
+	free(d);
+	free(b);
+	free(a);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("texts");
@@ -161,6 +193,7 @@
 	int failed;
 
 	apr_initialize();
+	tcase_add_test(t, small_change_gives_small_exact_delta);
 	tcase_add_test(t, text_is_encoded_once_for_all_that_ask);
 	tcase_add_test(t, kept_encodings_end_with_their_version);
 	suite_add_tcase(s, t);
