--- a/t/helper/test-reservation.c
+++ b/t/helper/test-reservation.c
@@ -69,6 +69,29 @@
 				 NOW);
 }
 
+/* The slot was kept before the upstream named a limit, so it counts in none. */
+START_TEST(place_from_before_a_limit_is_given_up)
+{
+	struct target *u = set_up(1);
+	struct reservation r = { 0 };
+
+	ck_assert(take(&r));
+	u->limit.is_limited = 1;
+	u->limit.limited_since = NOW + MS;
+	ck_assert_ptr_null(reservation_use_slot(&r, &table, &query, NOW + MS));
+	ck_assert_int_eq(u->in_flight, 0);
+	u = set_up(1);
+	u->limit.is_limited = 1;
+	u->limit.limited_since = NOW - MS;
+	u->limit.limit_per_s = u->limit.share_per_s = 1;
+	u->limit.tokens = 1;
+	u->limit.filled_at = NOW;
+	ck_assert(take(&r));
+	ck_assert(!limit_allows(&u->limit, NOW));
+	ck_assert(reservation_use_slot(&r, &table, &query, NOW) == u);
+}
+END_TEST
+
 /*
  * Guards against a place that is lost by its own slot: the upstream had room
  * for one request that begins at once, and counts as full once it is kept.
@@ -152,6 +175,7 @@
 	target_table_init(&table);
 	random_seed(&generator, 1);
 	tcase_add_test(c, place_in_the_last_free_slot_can_be_used);
+	tcase_add_test(c, place_from_before_a_limit_is_given_up);
 	tcase_add_test(c,
 		       place_can_be_used_after_another_request_was_sent_there);
 	tcase_add_test(c, slot_and_retry_of_an_unused_place_come_back);
