--- a/net/rpc-server.c
+++ b/net/rpc-server.c
@@ -172,7 +172,7 @@
 	(void)arg;
 	while (!__atomic_load_n(&server.stopping, __ATOMIC_RELAXED)) {
 		count = svc_max_pollfd;
-		if (count >= size) {
+		if (!fds || count >= size) {
 			free(fds);
 			size = (count + 1) * 2;
 			fds = calloc((size_t)size, sizeof(*fds));
