--- a/t/helper/test-upstream-limit.c
+++ b/t/helper/test-upstream-limit.c
@@ -234,8 +234,8 @@
 	apr_time_t now,
 		end = ENDED_AT + (count * 2 + 15) * 5 / 4 * SECOND + USE_TIME;
 	char what[64];
-	double wanted;
-	int i;
+	int i, demand = count / DATA_CENTERS * DEMAND_PER_S;
+	double wanted = demand / 2.0;
 
 	f->count = count;
 	f->limit = limit;
@@ -250,7 +250,6 @@
 	snprintf(what, sizeof(what), "%d entries, limit %g", count, limit);
 	check_windows(f, what);
 	/* What the entries beside the upstream want of it is sent, up to L. */
-	wanted = count / DATA_CENTERS * DEMAND_PER_S / 2.0;
 	ck_assert_int_ge(f->sent_count,
 			 (int)((limit < wanted ? limit : wanted) * 10));
 	for (i = 0; i < count; i++) {
