config: the search for a source queues up no exchanges

While a newer version is known without a source, a random member is asked ten times a second. Paused members answer after 0.8 s or not at all, so that the exchanges queued up behind four threads, and a process that ended ran them all.

Keep at most four such exchanges under way, and drop what is queued when the process stops. test-config: unfinished exchanges queued up without bound before, 5 at most now; t0212 holds as before.

--- a/config/exchange.c
+++ b/config/exchange.c
@@ -191,6 +191,16 @@
 			   name, ms);
 }
 
+static int is_stopping(struct config *c)
+{
+	int ret;
+
+	pthread_mutex_lock(&c->mutex);
+	ret = c->is_stopping;
+	pthread_mutex_unlock(&c->mutex);
+	return ret;
+}
+
 static void run_exchange(struct job *job)
 {
 	struct exchange_job *j = (struct exchange_job *)job;
@@ -204,6 +214,11 @@
 	apr_time_t asked_at = clock_now();
 	int ok, count;
 
+	if (is_stopping(c)) {
+		/* What is queued must not hold up the end of the process. */
+		free(j);
+		return;
+	}
 	if (j->action.wanted_value >= 0)
 		source.earliest_change_at =
 			known_current_at(c, j->action.wanted_value);
--- a/config/spread-decide.c
+++ b/config/spread-decide.c
@@ -8,6 +8,9 @@
 /* The same while a newer version is known and no source of it answers. */
 #define SOURCE_SEARCH_US (100 * 1000)
 
+/* Maximum number of such exchanges under way: paused peers answer late. */
+#define RANDOM_CONCURRENT_MAX SPREAD_NOTICE_THREADS
+
 /* End of that search, when no peer has the version any more. */
 #define SOURCE_SEARCH_MAX_US (5 * APR_USEC_PER_SEC)
 
@@ -364,16 +367,22 @@
 {
 	apr_interval_time_t period =
 		lacks_source(s, now) ? SOURCE_SEARCH_US : EXCHANGE_PERIOD_US;
+	struct spread_action *a = NULL;
 	const char *address;
 
 	if (s->next_exchange_at > now + period)
 		s->next_exchange_at = now + randomize_gap(period, r);
-	if (now < s->next_exchange_at)
+	if (now < s->next_exchange_at ||
+	    s->random_in_exchange >= RANDOM_CONCURRENT_MAX)
 		return;
 	s->next_exchange_at = now + randomize_gap(period, r);
 	address = pick_exchange_peer(s, r);
 	if (address)
-		add_exchange(out, address);
+		a = add_exchange(out, address);
+	if (!a)
+		return;
+	a->is_random = 1;
+	s->random_in_exchange++;
 }
 
 static void decide_start_exchanges(struct spread *s, struct spread_actions *out)
--- a/config/spread.c
+++ b/config/spread.c
@@ -362,6 +362,7 @@
 		if (!strcmp(s->peers[i].address, a->address))
 			s->peers[i].is_in_exchange = 0;
 	}
+	s->random_in_exchange -= a->is_random;
 	if (a->is_start_exchange) {
 		s->start_finished++;
 		s->start_replies += ok;
--- a/config/spread.h
+++ b/config/spread.h
@@ -74,6 +74,7 @@
 	/* SPREAD_EXCHANGE only */
 	int wanted_value;      /* value whose text is requested, or -1 */
 	int is_start_exchange; /* must end before this process is ready */
+	int is_random;	       /* with a random member */
 	int timeout_ms;
 	char address[SETTINGS_ADDRESS_SIZE];
 };
@@ -154,6 +155,7 @@
 	struct spread_peer peers[SPREAD_PEERS_MAX];
 	int peer_count;
 	apr_time_t next_exchange_at;
+	int random_in_exchange;	 /* exchanges with random peers under way */
 	unsigned exchange_count; /* exchanges with random peers */
 
 	apr_time_t started_at;
--- a/t/helper/test-config.c
+++ b/t/helper/test-config.c
@@ -421,29 +421,54 @@
 }
 END_TEST
 
-/* Nobody has the version that was offered: the process that had it is gone. */
-START_TEST(search_for_a_source_ends)
+/*
+ * Counts the exchanges with random peers while a version is known that nobody
+ * has any more; those that finish do so at once.
+ */
+static int count_search_exchanges(int finishes)
 {
 	struct spread_version v[SPREAD_VALUE_COUNT];
-	struct spread_action pull;
+	struct spread_action a;
 	struct fixture g;
 	apr_time_t now;
-	int exchanges = 0;
+	int i, exchanges = 0;
 
 	init_fixture(&g);
 	set_version(v, 7, 7);
 	spread_merge_versions(&g.s, "127.0.0.2", v, SPREAD_VALUE_COUNT, SECOND);
 	spread_decide(&g.s, SECOND, &g.r, &g.out);
-	pull = *find_action(&g, SPREAD_EXCHANGE, 0);
-	spread_finish_exchange(&g.s, &pull, 0, 2 * SECOND);
+	a = *find_action(&g, SPREAD_EXCHANGE, 0);
+	spread_finish_exchange(&g.s, &a, 0, 2 * SECOND);
 	for (now = 2 * SECOND; now < 20 * SECOND; now += SECOND / 100) {
 		spread_decide(&g.s, now, &g.r, &g.out);
-		exchanges += find_action(&g, SPREAD_EXCHANGE, -1) != NULL;
+		for (i = 0; i < g.out.count; i++) {
+			exchanges += g.out.list[i].is_random;
+			if (finishes && g.out.list[i].is_random)
+				spread_finish_exchange(&g.s, &g.out.list[i], 0,
+						       now);
+		}
 	}
+	spread_destroy(&g.s);
+	return exchanges;
+}
+
+START_TEST(search_for_a_source_ends)
+{
+	int exchanges = count_search_exchanges(1);
+
 	/* Ten a second for four seconds, then one. */
 	ck_assert_int_ge(exchanges, 30 + 10);
 	ck_assert_int_le(exchanges, 60 + 20);
-	spread_destroy(&g.s);
+}
+END_TEST
+
+/*
+ * Guards against exchanges that queue up behind paused peers, and hold up the
+ * end of the process.
+ */
+START_TEST(search_does_not_queue_up_exchanges)
+{
+	ck_assert_int_le(count_search_exchanges(0), SPREAD_NOTICE_THREADS + 1);
 }
 END_TEST
 
@@ -556,6 +581,7 @@
 	tcase_add_test(t, not_ready_before_all_start_exchanges_finish);
 	tcase_add_test(t, failed_pull_is_retried_from_next_source);
 	tcase_add_test(t, search_for_a_source_ends);
+	tcase_add_test(t, search_does_not_queue_up_exchanges);
 	tcase_add_test(
 		t, peers_tell_until_when_the_current_version_was_the_newest);
 	tcase_add_test(t, other_peers_are_asked_instead_of_one);
