caller: free the summary

LeakSanitizer takes the summary that the caller printed for a leak on arm64, where no register holds it at the end any more, so that t0005-caller .2 to .5 and t0005-standin .22 failed in the sanitizer's flavor on this machine. They pass now; on x86-64 they passed before as well.

--- a/t/helper/caller.c
+++ b/t/helper/caller.c
@@ -467,6 +467,7 @@
 	summary = history_summarize(&load.history, clock_now());
 	json_dumpf(summary, stdout, JSON_REAL_PRECISION(6) | JSON_INDENT(1));
 	putchar('\n');
+	json_decref(summary);
 	if (load.history.file && fclose(load.history.file))
 		exit_with_error("cannot write", "history");
 	return load.history.violations ? 1 : 0;
