--- a/base/settings.c
+++ b/base/settings.c
@@ -52,6 +52,15 @@
 	{ "retry_ratio", SCHEMA_REAL, 0, 0, 10, NULL },
 	{ "retry_window_s", SCHEMA_REAL, 0, 1, 3600, "s" },
 	{ "retry_slack", SCHEMA_REAL, 0, 0, 1e6, "repeats" },
+	{ "evacuate_ms", SCHEMA_INTEGER, 0, 0, 3600000, "ms" },
+	{ "cold_ratio", SCHEMA_REAL, 0, 0.1, 100, NULL },
+	{ "cold_slack", SCHEMA_REAL, 0, 0, 1e6, "requests" },
+	SCHEMA_END
+};
+
+static const struct schema_field region_fields[] = {
+	{ "data_center", SCHEMA_STRING, SCHEMA_REQUIRED | SCHEMA_NAME },
+	{ "region", SCHEMA_STRING, SCHEMA_REQUIRED | SCHEMA_NAME },
 	SCHEMA_END
 };
 
@@ -59,6 +68,8 @@
 	{ "instance", SCHEMA_STRING, SCHEMA_REQUIRED | SCHEMA_NAME },
 	{ "data_center", SCHEMA_STRING, SCHEMA_REQUIRED | SCHEMA_NAME },
 	{ "region", SCHEMA_STRING, SCHEMA_NAME },
+	{ "regions", SCHEMA_ARRAY, 0, 0, SETTINGS_REGIONS_MAX, NULL,
+	  region_fields },
 	{ "address", SCHEMA_STRING, SCHEMA_REQUIRED, 2,
 	  SETTINGS_ADDRESS_SIZE - 1, NULL, NULL, NULL,
 	  "the IPv4 address to listen on" },
@@ -191,6 +202,25 @@
 	s->retry_ratio = schema_real(o, "retry_ratio", 0.1);
 	s->retry_window_s = (int)schema_real(o, "retry_window_s", 10);
 	s->retry_slack = (int)schema_real(o, "retry_slack", 100);
+	s->evacuate_ms = (int)schema_integer(o, "evacuate_ms", 0);
+	s->cold_ratio = schema_real(o, "cold_ratio", 1);
+	s->cold_slack = (int)schema_real(o, "cold_slack", 0);
+}
+
+static void regions_parse(struct settings *s, const json_t *list)
+{
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(list, i, o)
+	{
+		struct settings_region *r = &s->regions[s->region_count++];
+
+		copy_string(r->data_center, sizeof(r->data_center),
+			    schema_string(o, "data_center", ""));
+		copy_string(r->region, sizeof(r->region),
+			    schema_string(o, "region", ""));
+	}
 }
 
 static long long link_rate_parse(const json_t *links)
@@ -217,6 +247,7 @@
 		    schema_string(o, "address", ""));
 	ports_parse(s, o);
 	forward_parse(s, json_object_get(o, "forward"));
+	regions_parse(s, json_object_get(o, "regions"));
 	s->platform = strcmp(schema_string(o, "platform", "service"), "store")
 			      ? PLATFORM_SERVICE
 			      : PLATFORM_STORE;
--- a/base/settings.h
+++ b/base/settings.h
@@ -15,6 +15,8 @@
 #define SETTINGS_URL_SIZE 256
 #define SETTINGS_KEY_SIZE 128
 #define SETTINGS_SEEDS_MAX 16
+/* Bits of a mask of regions, one of which stands for unknown ones. */
+#define SETTINGS_REGIONS_MAX 63
 
 enum role { ROLE_ENTRY = 1, ROLE_AGENT = 2 };
 
@@ -29,6 +31,12 @@
 	UPSTREAM_PLAIN = 2  /* a plain service */
 };
 
+/* A data centre and the region that it is in. */
+struct settings_region {
+	char data_center[SETTINGS_NAME_SIZE];
+	char region[SETTINGS_NAME_SIZE];
+};
+
 struct settings {
 	char instance[SETTINGS_NAME_SIZE];
 	char data_center[SETTINGS_NAME_SIZE];
@@ -65,6 +73,11 @@
 	double retry_ratio; /* retries per request, over all entries */
 	int retry_window_s; /* sliding window of retry_ratio */
 	int retry_slack;    /* retries allowed in addition per window */
+	int evacuate_ms; /* until an evacuation is in force, 0: there are none */
+	double cold_ratio; /* allowed over the rate that cold upstreams bear */
+	int cold_slack;	   /* requests allowed in addition per second */
+	struct settings_region regions[SETTINGS_REGIONS_MAX];
+	int region_count;
 
 	/* settings of both daemons */
 	int worker_threads;
--- a/config/config.c
+++ b/config/config.c
@@ -348,6 +348,8 @@
 		value_state_init(&c->values[i]);
 	if (n->settings.platform == PLATFORM_STORE)
 		c->spread.watch_hold_s = SPREAD_WATCH_HOLD_SHORT_S;
+	if (n->settings.evacuate_ms)
+		c->spread.value_count = SPREAD_VALUE_COUNT;
 	for (i = 0; i < n->settings.seed_count; i++)
 		spread_add_start_peer(&c->spread, n->settings.seeds[i]);
 	config_set_value_ops(SPREAD_DOCUMENT, &document_ops, c);
--- a/config/config_proto.h
+++ b/config/config_proto.h
@@ -13,7 +13,7 @@
 extern "C" {
 #endif
 
-#define CONFIG_VALUES 2
+#define CONFIG_VALUES 3
 #define CONFIG_TEXT_MAX 1200000
 #define CONFIG_DIGEST_SIZE 32
 
--- a/config/config_proto.x
+++ b/config/config_proto.x
@@ -1,10 +1,10 @@
 /*
  * Exchange of versions and texts between processes, for the values that the
  * platform publishes: 0 is the configuration document, 1 the list of
- * instances.
+ * instances, 2 the evacuations, where the settings have them.
  */
 
-const CONFIG_VALUES = 2;
+const CONFIG_VALUES = 3;
 const CONFIG_TEXT_MAX = 1200000;
 const CONFIG_DIGEST_SIZE = 32;
 
--- a/config/document-bind.c
+++ b/config/document-bind.c
@@ -28,7 +28,8 @@
 	snprintf(to, DOCUMENT_NAME_SIZE, "%s", from);
 }
 
-static char **strings_bind(const json_t *list, int *count)
+/* Copies the strings of a list into a new array. */
+char **strings_bind(const json_t *list, int *count)
 {
 	size_t i, n = json_array_size(list);
 	char **out = array_new(n, sizeof(*out));
@@ -42,7 +43,8 @@
 	return out;
 }
 
-static void strings_free(char **list, int count)
+/* Frees what strings_bind returned. */
+void strings_free(char **list, int count)
 {
 	int i;
 
@@ -118,6 +120,8 @@
 	a->share = schema_real(o, "share", 1);
 	a->priority_min = (int)schema_integer(o, "priority_min", 0);
 	a->priority = (int)schema_integer(o, "priority", PRIORITY_NONE);
+	a->regions =
+		strings_bind(json_object_get(o, "regions"), &a->region_count);
 	limit_bind(&a->limit, json_object_get(o, "limits"));
 	a->keys = array_new(n, sizeof(*a->keys));
 	a->key_count = (int)n;
@@ -233,6 +237,12 @@
 	routing_bind(&d->routing, root);
 }
 
+static void account_free(struct account_spec *a)
+{
+	strings_free(a->regions, a->region_count);
+	free(a->keys);
+}
+
 /* Frees what document_bind filled in. */
 void document_free_specs(struct document *d)
 {
@@ -252,7 +262,7 @@
 		free(d->services[i].operations);
 	}
 	for (i = 0; i < d->account_count; i++)
-		free(d->accounts[i].keys);
+		account_free(&d->accounts[i]);
 	strings_free(d->fleet.fencing, d->fleet.fencing_count);
 	free(d->models);
 	free(d->services);
--- a/config/document.h
+++ b/config/document.h
@@ -86,6 +86,8 @@
 	double share;	  /* relative weight in the fleet's budget */
 	int priority_min; /* lowest number that its calls may request */
 	int priority;	  /* of its calls; PRIORITY_NONE: route's */
+	char **regions;	  /* in which its calls may be served; empty: all */
+	int region_count;
 	struct limit_spec limit;
 };
 
@@ -137,6 +139,8 @@
 service_find_operation(const struct service_spec *s, const char *name);
 int document_find_account_by_key(const struct document *d,
 				 const struct digest *key);
+char **strings_bind(const json_t *list, int *count);
+void strings_free(char **list, int count);
 int has_matching_pattern(char *const *patterns, int count,
 			 const char *upstream);
 void compute_release_version(const char *model, uint64_t release,
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -39,12 +39,12 @@
 	apr_time_t started_at;
 };
 
-static void encode_versions(const struct spread_version *v,
+static void encode_versions(const struct spread_version *v, int count,
 			    config_version *wire)
 {
 	int i;
 
-	for (i = 0; i < SPREAD_VALUE_COUNT; i++) {
+	for (i = 0; i < count; i++) {
 		wire[i].revision = v[i].version;
 		memcpy(wire[i].digest, v[i].digest.bytes, DIGEST_SIZE);
 		wire[i].platform_age_ms = v[i].platform_age_ms;
@@ -71,14 +71,14 @@
 	struct spread_version versions[SPREAD_VALUE_COUNT];
 
 	spread_get_versions(&c->spread, versions, now);
-	encode_versions(versions, wire);
+	encode_versions(versions, c->spread.value_count, wire);
 }
 
 static int send_exchange(struct config *c, struct exchange_job *j,
 			 config_reply *rep, struct error *err)
 {
 	config_version have[SPREAD_VALUE_COUNT];
-	config_request req = { { SPREAD_VALUE_COUNT, have } };
+	config_request req = { { (u_int)c->spread.value_count, have } };
 
 	req.wanted = (u_int)(j->action.wanted_value + 1);
 	pthread_mutex_lock(&c->mutex);
@@ -295,9 +295,9 @@
 	int count;
 
 	rep->have.have_val = calloc(SPREAD_VALUE_COUNT, sizeof(config_version));
-	if (!rep->have.have_val || req->wanted > SPREAD_VALUE_COUNT)
+	if (!rep->have.have_val || req->wanted > (u_int)c->spread.value_count)
 		return -1;
-	rep->have.have_len = SPREAD_VALUE_COUNT;
+	rep->have.have_len = (u_int)c->spread.value_count;
 	count = parse_versions(req->have.have_val, req->have.have_len,
 			       versions);
 	if (req->wanted)
--- a/config/routing.c
+++ b/config/routing.c
@@ -7,6 +7,7 @@
 #include <strings.h>
 
 #include "base/schema.h"
+#include "config/document.h"
 
 #define DEFAULT_TIMEOUT_MS 30000 /* of a route that sets none */
 #define DEFAULT_MAX_ATTEMPTS 1
@@ -76,6 +77,8 @@
 	r->is_public = schema_boolean(o, "public", 0);
 	r->is_resumable = schema_boolean(o, "resumable", 0);
 	weighted_services_bind(r, json_object_get(o, "services"));
+	r->regions =
+		strings_bind(json_object_get(o, "regions"), &r->region_count);
 }
 
 static void service_bind(struct service_limits *s, const json_t *o)
@@ -84,6 +87,8 @@
 
 	snprintf(s->name, sizeof(s->name), "%s", schema_string(o, "name", ""));
 	s->max_connections = (int)schema_integer(o, "connections", 0);
+	s->cold_per_s = schema_real(o, "cold_per_s", 0);
+	s->cold_s = schema_real(o, "cold_s", 0);
 	s->has_engine = json_is_object(e);
 	s->engine.slots = (int)schema_integer(e, "slots", 1);
 	s->engine.kv_tokens = schema_real(e, "kv_tokens", 0);
@@ -179,6 +184,7 @@
 		free(r->routes[i].host);
 		free(r->routes[i].prefix);
 		free(r->routes[i].services);
+		strings_free(r->routes[i].regions, r->routes[i].region_count);
 	}
 	free(r->routes);
 	free(r->services);
--- a/config/routing.h
+++ b/config/routing.h
@@ -36,6 +36,8 @@
 	int is_resumable;     /* a stream can continue at another upstream */
 	struct weighted_service *services;
 	int service_count;
+	char **regions; /* in which it may be served; empty: in all */
+	int region_count;
 };
 
 /*
@@ -57,6 +59,8 @@
 struct service_limits {
 	char name[ROUTING_NAME_SIZE];
 	int max_connections; /* of all entries together, 0: no limit */
+	double cold_per_s;   /* requests that a cold upstream bears, 0: any */
+	double cold_s;	     /* for which it is cold */
 	int objective_ms;    /* minimum over the routes to it, 0: none */
 	int has_engine;
 	struct engine_spec engine;
--- a/config/schema-tables.c
+++ b/config/schema-tables.c
@@ -58,6 +58,7 @@
 	{ "share", SCHEMA_REAL, 0, 0.001, 1000, NULL },
 	{ "priority_min", SCHEMA_INTEGER, 0, 0, 9, NULL },
 	{ "priority", SCHEMA_INTEGER, 0, 0, 1e6, NULL },
+	{ "regions", SCHEMA_STRINGS, 0, 0, LIST_MAX },
 	{ "limits", SCHEMA_OBJECT, 0, 0, 0, NULL, limit_fields },
 	{ "models", SCHEMA_ARRAY, 0, 0, LIST_MAX, NULL, model_fields },
 	{ "services", SCHEMA_ARRAY, 0, 0, LIST_MAX, NULL, service_fields },
@@ -101,6 +102,7 @@
 	{ "priority", SCHEMA_INTEGER, 0, 0, 1e6, NULL },
 	{ "public", SCHEMA_BOOLEAN },
 	{ "resumable", SCHEMA_BOOLEAN },
+	{ "regions", SCHEMA_STRINGS, 0, 0, LIST_MAX },
 	SCHEMA_END
 };
 
@@ -120,6 +122,8 @@
 static const struct schema_field upstream_service_fields[] = {
 	{ "name", SCHEMA_STRING, SCHEMA_REQUIRED | SCHEMA_NAME },
 	{ "connections", SCHEMA_INTEGER, 0, 0, 1e6, NULL },
+	{ "cold_per_s", SCHEMA_REAL, 0, 0, 1e6, "requests a second" },
+	{ "cold_s", SCHEMA_REAL, 0, 0, 1e6, "s" },
 	{ "engine", SCHEMA_OBJECT, 0, 0, 0, NULL, engine_fields },
 	SCHEMA_END
 };
--- a/config/spread-decide.c
+++ b/config/spread-decide.c
@@ -154,7 +154,7 @@
 					     const struct spread_value *v,
 					     apr_time_t now)
 {
-	apr_interval_time_t gap = OVERLAY_WATCHERS * SPREAD_VALUE_COUNT *
+	apr_interval_time_t gap = OVERLAY_WATCHERS * s->value_count *
 				  s->overlay.data_center_count *
 				  APR_USEC_PER_SEC / PLATFORM_CALLS_MAX_PER_S;
 
@@ -347,7 +347,7 @@
 {
 	int i;
 
-	for (i = 0; i < SPREAD_VALUE_COUNT; i++) {
+	for (i = 0; i < s->value_count; i++) {
 		struct spread_value *v = &s->values[i];
 
 		if (v->offered_version > v->version &&
@@ -410,7 +410,7 @@
 
 	out->count = 0;
 	decide_start_exchanges(s, out);
-	for (i = 0; i < SPREAD_VALUE_COUNT; i++) {
+	for (i = 0; i < s->value_count; i++) {
 		decide_pull(s, i, now, out);
 		decide_watch(s, i, now, out);
 	}
--- a/config/spread.c
+++ b/config/spread.c
@@ -20,6 +20,7 @@
 	snprintf(s->self_address, sizeof(s->self_address), "%s", self_address);
 	s->started_at = now;
 	s->watch_hold_s = SPREAD_WATCH_HOLD_S;
+	s->value_count = SPREAD_VALUE_COUNT_BASE;
 	s->overlay.data_center_count = 1;
 }
 
@@ -269,7 +270,7 @@
 {
 	int i, is_peer_current = 1;
 
-	for (i = 0; i < count && i < SPREAD_VALUE_COUNT; i++) {
+	for (i = 0; i < count && i < s->value_count; i++) {
 		struct spread_value *v = &s->values[i];
 
 		update_platform_contact(v, versions[i].platform_age_ms, now);
@@ -305,7 +306,7 @@
 {
 	int i;
 
-	for (i = 0; i < count && i < SPREAD_VALUE_COUNT; i++) {
+	for (i = 0; i < count && i < s->value_count; i++) {
 		uint32_t age_ms = versions[i].platform_age_ms;
 
 		if (versions[i].version == s->values[i].version &&
@@ -326,7 +327,7 @@
 }
 
 /*
- * Fills in what this process reports, for SPREAD_VALUE_COUNT values.  The last
+ * Fills in what this process reports, for the values in use.  The last
  * contact with the platform may have been that of a peer with a newer version
  * while such a version is offered, so it is not reported then.
  */
@@ -335,7 +336,7 @@
 {
 	int i;
 
-	for (i = 0; i < SPREAD_VALUE_COUNT; i++) {
+	for (i = 0; i < s->value_count; i++) {
 		const struct spread_value *v = &s->values[i];
 		apr_time_t age = (now - v->platform_last_contact) / 1000;
 
@@ -399,7 +400,8 @@
 /*
  * Returns 1 if this process may begin to serve: it has a document, it has
  * the instance list or a watch for that has finished, each start peer has
- * answered or failed, and no peer offers a newer document.  Without asking
+ * answered or failed, no peer offers a newer document, and the evacuations are
+ * known where there are any.  Without asking
  * the peers, a process that restarts while the platform returns an older
  * revision would serve that older revision.
  */
@@ -407,6 +409,7 @@
 {
 	const struct spread_value *d = &s->values[SPREAD_DOCUMENT];
 	const struct spread_value *l = &s->values[SPREAD_INSTANCES];
+	const struct spread_value *e = &s->values[SPREAD_EVACUATIONS];
 
 	(void)now;
 	if (!d->version || s->start_finished < s->start_count)
@@ -415,5 +418,8 @@
 		return 0;
 	if (l->version && !s->has_member_start_peers && s->member_count > 1)
 		return 0;
+	if (s->value_count > SPREAD_EVACUATIONS &&
+	    (!e->version || has_newer_offer(e)))
+		return 0;
 	return !has_newer_offer(d);
 }
--- a/config/spread.h
+++ b/config/spread.h
@@ -21,9 +21,13 @@
  * whichever source it comes from.
  */
 
-#define SPREAD_VALUE_COUNT 2
+#define SPREAD_VALUE_COUNT 3
 #define SPREAD_DOCUMENT 0
 #define SPREAD_INSTANCES 1
+#define SPREAD_EVACUATIONS 2
+
+/* Values of a platform without evacuations. */
+#define SPREAD_VALUE_COUNT_BASE 2
 
 /* Maximum number of sources stored for one value. */
 #define SPREAD_OFFERS_MAX 4
@@ -67,7 +71,7 @@
 	enum spread_action_kind kind;
 
 	/* SPREAD_WATCH only */
-	int value;		/* SPREAD_DOCUMENT or SPREAD_INSTANCES */
+	int value;		/* SPREAD_DOCUMENT and so on */
 	uint64_t after_version; /* ask for versions above this one */
 	int can_hold; /* the platform may wait until there is such a version */
 
@@ -147,6 +151,7 @@
 
 struct spread {
 	struct spread_value values[SPREAD_VALUE_COUNT];
+	int value_count; /* of values, the first ones, that are in use */
 	struct overlay overlay;
 	struct overlay_member *members; /* local data centre first */
 	int member_count;
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -15,6 +15,12 @@
 #define STEP_US (40 * 1000)
 /* Interval between counts of the entries. */
 #define ENTRY_COUNT_PERIOD_US APR_USEC_PER_SEC
+/*
+ * Entries assumed in a data centre for a while after the start, until those that
+ * are there have been heard of.
+ */
+#define ENTRIES_ASSUMED 32
+#define ENTRIES_UNKNOWN_US (5 * APR_USEC_PER_SEC)
 /* The moves of all entries are spread over this time. */
 #define MOVE_DELAY_MAX_US (400 * 1000)
 /* Maximum size of a body; the document may set a lower one. */
@@ -149,6 +155,27 @@
 	listing_release(l);
 }
 
+/* Applies the current evacuations, if they are newer, and logs them. */
+static void apply_evacuations(struct forwarder *w, apr_time_t now)
+{
+	struct evacuations e;
+	int count;
+
+	if (!w->node->settings.evacuate_ms)
+		return;
+	evacuations_get_current(&e);
+	pthread_mutex_lock(&w->mutex);
+	count = target_set_evacuations(&w->targets, &e, now);
+	pthread_mutex_unlock(&w->mutex);
+	if (count < 0)
+		return;
+	metric_set(metric_gauge("upstreams_evacuated", NULL), count);
+	log_notice("evacuations", e.count ? e.data_centers[0] : NULL,
+		   "%d data centres with %d upstreams are evacuated, version "
+		   "%llu",
+		   e.count, count, (unsigned long long)e.version);
+}
+
 static void fill_entry(struct limit_entry *e, const char *id,
 		       const char *data_center)
 {
@@ -156,6 +183,24 @@
 	snprintf(e->data_center, sizeof(e->data_center), "%s", data_center);
 }
 
+/*
+ * Appends the entries that are known but not present. Returns the number of all.
+ * Called with the table locked.
+ */
+static int add_absent_entries(struct table *t, struct limit_entry *entries,
+			      int count, apr_time_t now)
+{
+	struct handle at = HANDLE_NONE;
+	const struct instance *row;
+
+	while ((row = table_next(t, &at)))
+		if (row->role == ROLE_ENTRY && !instance_is_present(row, now) &&
+		    strcmp(row->id, entries[0].id))
+			fill_entry(&entries[count++], row->id,
+				   row->data_center);
+	return count;
+}
+
 /* Finds the entries, which share the retry budget and limits of upstreams. */
 static void count_entries(struct forwarder *w, apr_time_t now)
 {
@@ -163,7 +208,7 @@
 	struct handle at = HANDLE_NONE;
 	struct limit_entry *entries;
 	const struct instance *row;
-	int n = 1, present = 1;
+	int n = 1, present = 1, known;
 
 	if (now < w->next_entry_count_at)
 		return;
@@ -183,9 +228,15 @@
 			fill_entry(&entries[present++], row->id,
 				   row->data_center);
 	}
+	known = add_absent_entries(t, entries, present, now);
 	table_unlock(t);
 	pthread_mutex_lock(&w->mutex);
-	target_set_entries(&w->targets, entries, present, now);
+	w->targets.entries_assumed =
+		settings_has_seeds(&w->node->settings) &&
+				now - w->node->started < ENTRIES_UNKNOWN_US
+			? ENTRIES_ASSUMED
+			: 0;
+	target_set_entries(&w->targets, entries, present, known, now);
 	w->retry_budget.entry_count = retry_budget_assume_entries(
 		n, settings_has_seeds(&w->node->settings), w->node->started,
 		now);
@@ -197,8 +248,9 @@
 {
 	struct forwarder *w = arg;
 
-	apply_current_values(w, now);
 	count_entries(w, now);
+	apply_current_values(w, now);
+	apply_evacuations(w, now);
 	forward_step_crashes(w, now);
 	forward_check_active(w, now);
 	/* The steps before may have taken a while. */
@@ -228,13 +280,23 @@
 			 (unsigned long long)r->models[0].release);
 }
 
+/*
+ * Returns 0 while a request might be sent to an evacuated data centre as this
+ * process has just started. Called with the mutex held.
+ */
+int forward_knows_evacuations(const struct forwarder *w)
+{
+	return !w->node->settings.evacuate_ms || w->targets.evacuations.version;
+}
+
 static int is_forward_ready(void *arg)
 {
 	struct forwarder *w = arg;
 	int ready;
 
 	pthread_mutex_lock(&w->mutex);
-	ready = w->document_revision && w->has_targets;
+	ready = w->document_revision && w->has_targets &&
+		forward_knows_evacuations(w);
 	pthread_mutex_unlock(&w->mutex);
 	return ready;
 }
@@ -252,11 +314,11 @@
 		u->paused_until > now ? u->paused_until - now : 0;
 	json_t *o;
 
-	o = json_pack("{s:s,s:s,s:s,s:b,s:b,s:I,s:b,s:i,s:i,s:i,s:i}",
+	o = json_pack("{s:s,s:s,s:s,s:b,s:b,s:b,s:I,s:b,s:i,s:i,s:i,s:i}",
 		      "upstream", u->id, "service", u->service, "data_center",
-		      u->data_center, "leaving", u->is_draining,
-		      "announced_end", u->has_announced_end, "paused_ms",
-		      (json_int_t)(pause / 1000), "ejected",
+		      u->data_center, "leaving", u->is_draining, "evacuated",
+		      u->is_evacuated, "announced_end", u->has_announced_end,
+		      "paused_ms", (json_int_t)(pause / 1000), "ejected",
 		      !health_can_send(&u->health, now), "in_flight",
 		      u->in_flight, "running", u->running, "waiting",
 		      u->waiting, "slots", u->slots);
@@ -305,6 +367,8 @@
 	random_seed(&w->random, random_next(&n->random));
 	w->move_delay_us = random_below(&w->random, MOVE_DELAY_MAX_US);
 	target_table_init(&w->targets);
+	w->targets.regions = n->settings.regions;
+	w->targets.region_count = n->settings.region_count;
 	w->retry_budget.ratio = n->settings.retry_ratio;
 	w->retry_budget.window_s = n->settings.retry_window_s;
 	w->retry_budget.slack = n->settings.retry_slack;
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -51,6 +51,15 @@
 	f->w->active_count++;
 }
 
+/* Fills in what cold upstreams of the service bear. */
+static void fill_cold(struct cold_spec *c, const struct service_limits *service,
+		      const struct settings *s)
+{
+	c->per_s = service->cold_per_s;
+	c->window_max = c->per_s * s->cold_ratio + s->cold_slack;
+	c->lasts_us = (apr_interval_time_t)(service->cold_s * 1e6);
+}
+
 /*
  * Fills the query for the upstream of the next attempt. Called with the mutex
  * held.
@@ -70,6 +79,9 @@
 	q->queued_release_min = release_find_send_min(
 		&f->w->releases, f->head.model, now + TARGET_QUEUE_MAX_US);
 	q->prompt_tokens = f->head.prompt_tokens;
+	q->regions_excluded = f->regions_excluded;
+	if (f->service)
+		fill_cold(&q->cold, f->service, &f->w->node->settings);
 	q->needs_sound = f->waiting_since != 0;
 	for (i = 0; i < f->attempts && i < TARGET_EXCLUDED_MAX; i++)
 		if (!f->waiting_since || !f->may_return[i])
@@ -128,6 +140,10 @@
 	struct target *u;
 	int is_reserved;
 
+	if (!forward_knows_evacuations(w)) {
+		f->wait_us = ADMIT_WAIT_UNKNOWN_US;
+		return "no-evacuations";
+	}
 	/* The step that applies documents may be late. */
 	forward_apply_releases(w, f->document, now);
 	forward_fill_query(f, q, now);
@@ -171,7 +187,7 @@
 	f->attempt_expires_at = release_limit_deadline(
 		&w->releases, f->head.model, f->release, f->expires_at);
 	f->overdue_since = 0;
-	f->is_limited = u->limit.is_limited;
+	f->is_limited = u->limit.is_limited || q->cold.per_s > 0;
 	snprintf(f->upstream, sizeof(f->upstream), "%s", u->id);
 	snprintf(f->url, sizeof(f->url), "http://%s", u->address);
 	memcpy(f->address, u->address, sizeof(f->address));
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -146,9 +146,19 @@
 	return f;
 }
 
+/* Excludes the regions that a list, when there is one, doesn't have. */
+static void exclude_regions(struct forward *f, char *const *names, int count)
+{
+	const struct settings *s = &f->w->node->settings;
+
+	f->regions_excluded |=
+		region_excluded(s->regions, s->region_count, names, count);
+}
+
 /* Finds the account of the request's key. Returns -1 when there is none. */
 static int find_account(struct forward *f)
 {
+	const struct account_spec *account;
 	struct digest d;
 	int i;
 
@@ -160,9 +170,11 @@
 	i = document_find_account_by_key(f->document, &d);
 	if (i < 0)
 		return -1;
-	f->account = f->document->accounts[i].name;
-	if (f->document->accounts[i].priority != PRIORITY_NONE)
-		f->priority = f->document->accounts[i].priority;
+	account = &f->document->accounts[i];
+	f->account = account->name;
+	if (account->priority != PRIORITY_NONE)
+		f->priority = account->priority;
+	exclude_regions(f, account->regions, account->region_count);
 	return 0;
 }
 
@@ -255,6 +267,7 @@
 		return;
 	}
 	f->priority = f->route->priority;
+	exclude_regions(f, f->route->regions, f->route->region_count);
 	if (find_account(f)) {
 		forward_refuse(f, 401, AGAIN_NO, 0, "unknown-key");
 		return;
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -98,7 +98,8 @@
 	const struct route_spec *route; /* points into document */
 	const struct service_limits *service;
 	struct request_head head;
-	const char *account; /* NULL: none */
+	const char *account;	   /* NULL: none */
+	uint64_t regions_excluded; /* by its route or account */
 	char service_name[ROUTING_NAME_SIZE];
 	int priority;
 	/* Its first line was read; the caller's time counts from then. */
@@ -146,7 +147,7 @@
 	int can_continue; /* atomic: another upstream can go on with it */
 	int is_paused;	  /* atomic: reading waits for a slow caller */
 	int is_in_flight; /* guarded by the forwarder's mutex */
-	int is_limited;	  /* the upstream had named a limit */
+	int is_limited;	  /* what the upstream takes is counted */
 	/* Counted in `unanswered` of the upstream's row; same guard. */
 	int is_unanswered;
 	int needs_retry; /* the next attempt counts in the retry budget */
@@ -263,6 +264,7 @@
 /* forward.c */
 void forward_apply_releases(struct forwarder *w, const struct document *d,
 			    apr_time_t now);
+int forward_knows_evacuations(const struct forwarder *w);
 json_int_t forward_wait_ms(const struct forward *f);
 apr_time_t forward_release_expiry(struct forward *f);
 json_int_t forward_release_left_ms(struct forward *f);
--- a/forward/listing.c
+++ b/forward/listing.c
@@ -34,6 +34,7 @@
 	{ "leaving", SCHEMA_BOOLEAN },
 	{ "slots", SCHEMA_INTEGER, 0, 1, SLOTS_MAX },
 	{ "born_ms", SCHEMA_INTEGER, 0, 0, VERSION_MAX },
+	{ "cold_ms", SCHEMA_INTEGER, 0, 0, 3600000, "ms" },
 	{ "sequence", SCHEMA_INTEGER, 0, 0, VERSION_MAX },
 	{ "models", SCHEMA_ARRAY, 0, 0, LIST_MAX, NULL, model_fields },
 	SCHEMA_END
@@ -80,6 +81,7 @@
 	u->slots = (int)schema_integer(o, "slots", 1);
 	u->is_draining = schema_boolean(o, "leaving", 0);
 	u->started_ms = schema_integer(o, "born_ms", 0);
+	u->cold_ms = schema_integer(o, "cold_ms", 0);
 	u->sequence = (uint64_t)schema_integer(o, "sequence", 0);
 	parse_models(u, json_object_get(o, "models"));
 }
--- a/forward/listing.h
+++ b/forward/listing.h
@@ -26,6 +26,7 @@
 	int slots;
 	int is_draining;
 	int64_t started_ms; /* start of its process, Unix time */
+	int64_t cold_ms;    /* for which it stays cold, from its entry on */
 	uint64_t sequence;  /* rises with each entry that the process writes */
 	struct listed_model models[LISTED_MODELS_MAX];
 	int model_count;
--- a/forward/report_proto.h
+++ b/forward/report_proto.h
@@ -8,7 +8,6 @@
 
 #include <rpc/rpc.h>
 
-
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -42,12 +41,12 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_load_model (XDR *, load_model*);
-extern  bool_t xdr_load_report (XDR *, load_report*);
+extern bool_t xdr_load_model(XDR *, load_model *);
+extern bool_t xdr_load_report(XDR *, load_report *);
 
 #else /* K&R C */
-extern bool_t xdr_load_model ();
-extern bool_t xdr_load_report ();
+extern bool_t xdr_load_model();
+extern bool_t xdr_load_report();
 
 #endif /* K&R C */
 
--- a/forward/report_proto_xdr.c
+++ b/forward/report_proto_xdr.c
@@ -5,110 +5,112 @@
 
 #include "forward/report_proto.h"
 
-bool_t
-xdr_load_model (XDR *xdrs, load_model *objp)
+bool_t xdr_load_model(XDR *xdrs, load_model *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->name, LOAD_NAME_MAX))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->release))
-		 return FALSE;
+	if (!xdr_string(xdrs, &objp->name, LOAD_NAME_MAX))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->release))
+		return FALSE;
 	return TRUE;
 }
 
-bool_t
-xdr_load_report (XDR *xdrs, load_report *objp)
+bool_t xdr_load_report(XDR *xdrs, load_report *objp)
 {
 	register int32_t *buf;
 
-
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->address, LOAD_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_quad_t (xdrs, &objp->started_ms))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->agent_boot))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
-			 return FALSE;
-		 if (!xdr_quad_t (xdrs, &objp->sent_us))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (!xdr_string(xdrs, &objp->address, LOAD_NAME_MAX))
+			return FALSE;
+		if (!xdr_quad_t(xdrs, &objp->started_ms))
+			return FALSE;
+		if (!xdr_u_quad_t(xdrs, &objp->agent_boot))
+			return FALSE;
+		if (!xdr_u_quad_t(xdrs, &objp->sequence))
+			return FALSE;
+		if (!xdr_quad_t(xdrs, &objp->sent_us))
+			return FALSE;
+		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_int (xdrs, &objp->is_busy))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->running))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->waiting))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->slowdown_percent))
-				 return FALSE;
+			if (!xdr_int(xdrs, &objp->is_busy))
+				return FALSE;
+			if (!xdr_int(xdrs, &objp->running))
+				return FALSE;
+			if (!xdr_int(xdrs, &objp->waiting))
+				return FALSE;
+			if (!xdr_int(xdrs, &objp->slowdown_percent))
+				return FALSE;
 
 		} else {
-		IXDR_PUT_LONG(buf, objp->is_busy);
-		IXDR_PUT_LONG(buf, objp->running);
-		IXDR_PUT_LONG(buf, objp->waiting);
-		IXDR_PUT_LONG(buf, objp->slowdown_percent);
+			IXDR_PUT_LONG(buf, objp->is_busy);
+			IXDR_PUT_LONG(buf, objp->running);
+			IXDR_PUT_LONG(buf, objp->waiting);
+			IXDR_PUT_LONG(buf, objp->slowdown_percent);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->models.models_val, (u_int *) &objp->models.models_len, LOAD_MODELS_MAX,
-			sizeof (load_model), (xdrproc_t) xdr_load_model))
-			 return FALSE;
+		if (!xdr_array(xdrs, (char **)&objp->models.models_val,
+			       (u_int *)&objp->models.models_len,
+			       LOAD_MODELS_MAX, sizeof(load_model),
+			       (xdrproc_t)xdr_load_model))
+			return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->address, LOAD_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_quad_t (xdrs, &objp->started_ms))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->agent_boot))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
-			 return FALSE;
-		 if (!xdr_quad_t (xdrs, &objp->sent_us))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (!xdr_string(xdrs, &objp->address, LOAD_NAME_MAX))
+			return FALSE;
+		if (!xdr_quad_t(xdrs, &objp->started_ms))
+			return FALSE;
+		if (!xdr_u_quad_t(xdrs, &objp->agent_boot))
+			return FALSE;
+		if (!xdr_u_quad_t(xdrs, &objp->sequence))
+			return FALSE;
+		if (!xdr_quad_t(xdrs, &objp->sent_us))
+			return FALSE;
+		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_int (xdrs, &objp->is_busy))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->running))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->waiting))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->slowdown_percent))
-				 return FALSE;
+			if (!xdr_int(xdrs, &objp->is_busy))
+				return FALSE;
+			if (!xdr_int(xdrs, &objp->running))
+				return FALSE;
+			if (!xdr_int(xdrs, &objp->waiting))
+				return FALSE;
+			if (!xdr_int(xdrs, &objp->slowdown_percent))
+				return FALSE;
 
 		} else {
-		objp->is_busy = IXDR_GET_LONG(buf);
-		objp->running = IXDR_GET_LONG(buf);
-		objp->waiting = IXDR_GET_LONG(buf);
-		objp->slowdown_percent = IXDR_GET_LONG(buf);
+			objp->is_busy = IXDR_GET_LONG(buf);
+			objp->running = IXDR_GET_LONG(buf);
+			objp->waiting = IXDR_GET_LONG(buf);
+			objp->slowdown_percent = IXDR_GET_LONG(buf);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->models.models_val, (u_int *) &objp->models.models_len, LOAD_MODELS_MAX,
-			sizeof (load_model), (xdrproc_t) xdr_load_model))
-			 return FALSE;
-	 return TRUE;
+		if (!xdr_array(xdrs, (char **)&objp->models.models_val,
+			       (u_int *)&objp->models.models_len,
+			       LOAD_MODELS_MAX, sizeof(load_model),
+			       (xdrproc_t)xdr_load_model))
+			return FALSE;
+		return TRUE;
 	}
 
-	 if (!xdr_string (xdrs, &objp->address, LOAD_NAME_MAX))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->started_ms))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->agent_boot))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->sent_us))
-		 return FALSE;
-	 if (!xdr_int (xdrs, &objp->is_busy))
-		 return FALSE;
-	 if (!xdr_int (xdrs, &objp->running))
-		 return FALSE;
-	 if (!xdr_int (xdrs, &objp->waiting))
-		 return FALSE;
-	 if (!xdr_int (xdrs, &objp->slowdown_percent))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->models.models_val, (u_int *) &objp->models.models_len, LOAD_MODELS_MAX,
-		sizeof (load_model), (xdrproc_t) xdr_load_model))
-		 return FALSE;
+	if (!xdr_string(xdrs, &objp->address, LOAD_NAME_MAX))
+		return FALSE;
+	if (!xdr_quad_t(xdrs, &objp->started_ms))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->agent_boot))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->sequence))
+		return FALSE;
+	if (!xdr_quad_t(xdrs, &objp->sent_us))
+		return FALSE;
+	if (!xdr_int(xdrs, &objp->is_busy))
+		return FALSE;
+	if (!xdr_int(xdrs, &objp->running))
+		return FALSE;
+	if (!xdr_int(xdrs, &objp->waiting))
+		return FALSE;
+	if (!xdr_int(xdrs, &objp->slowdown_percent))
+		return FALSE;
+	if (!xdr_array(xdrs, (char **)&objp->models.models_val,
+		       (u_int *)&objp->models.models_len, LOAD_MODELS_MAX,
+		       sizeof(load_model), (xdrproc_t)xdr_load_model))
+		return FALSE;
 	return TRUE;
 }
--- a/forward/target-update.c
+++ b/forward/target-update.c
@@ -67,18 +67,60 @@
 		limit_compute_trial_period(t->present_count, self, u->id), now);
 }
 
-/* Sets the entries that share limits, this one first; takes them over. */
+/*
+ * Counts the entries that may send to the upstream if it is cold. Entries that
+ * are known but not seen count too: they may just be cut off from this one.
+ */
+static void update_cold_entries(const struct target_table *t, struct target *u)
+{
+	struct cold_entries *e = &u->cold_entries;
+	const char *self = t->known_count ? t->entries[0].id : "";
+	int i;
+
+	memset(e, 0, sizeof(*e));
+	for (i = 0; i < t->known_count; i++)
+		e->local += !strcmp(t->entries[i].data_center, u->data_center);
+	e->remote = t->known_count - e->local;
+	e->local_rank = limit_rank_entry(t->entries, t->known_count, self,
+					 u->id, u->data_center);
+	e->remote_rank =
+		limit_rank_entry(t->entries, t->known_count, self, u->id, NULL);
+	if (e->local < t->entries_assumed)
+		e->local = t->entries_assumed;
+	if (e->remote < t->entries_assumed)
+		e->remote = t->entries_assumed;
+}
+
+/*
+ * Sets the entries that share limits, this one first, then others that are
+ * present, then others that are known; takes them over.
+ */
 void target_set_entries(struct target_table *t, struct limit_entry *entries,
-			int count, apr_time_t now)
+			int present, int known, apr_time_t now)
 {
 	int i;
 
 	free(t->entries);
 	t->entries = entries;
-	t->present_count = count;
-	for (i = 0; i < t->count; i++)
-		if (t->rows[i].is_used)
-			update_share(t, &t->rows[i], now);
+	t->present_count = present;
+	t->known_count = known;
+	for (i = 0; i < t->count; i++) {
+		if (!t->rows[i].is_used)
+			continue;
+		update_share(t, &t->rows[i], now);
+		update_cold_entries(t, &t->rows[i]);
+	}
+}
+
+/* Applies what a listed entry that is newer than the last says. */
+static void apply_cold_time(struct target *u, const struct listed_upstream *x,
+			    apr_time_t now)
+{
+	if (u->started_ms == x->started_ms &&
+	    u->listed_sequence == x->sequence && u->listed_sequence)
+		return;
+	u->listed_sequence = x->sequence;
+	u->cold_until = x->cold_ms > 0 ? now + x->cold_ms * 1000LL : 0;
 }
 
 static void apply_notice(struct target_table *t, const char *id)
@@ -141,7 +183,39 @@
 	return 1;
 }
 
-static void apply_listed_upstream(struct target *u,
+static void update_evacuation(const struct target_table *t, struct target *u,
+			      apr_time_t now)
+{
+	int was_evacuated = u->is_evacuated;
+
+	u->is_evacuated = evacuations_contain(&t->evacuations, u->data_center);
+	if (was_evacuated && !u->is_evacuated)
+		u->evacuation_ended_at = now;
+}
+
+/*
+ * Applies a later version of the evacuations. Returns the number of upstreams
+ * that are evacuated, or -1 when the version is known.
+ */
+int target_set_evacuations(struct target_table *t, const struct evacuations *e,
+			   apr_time_t now)
+{
+	int i, count = 0;
+
+	if (e->version <= t->evacuations.version)
+		return -1;
+	t->evacuations = *e;
+	for (i = 0; i < t->count; i++) {
+		if (!t->rows[i].is_used)
+			continue;
+		update_evacuation(t, &t->rows[i], now);
+		count += t->rows[i].is_evacuated;
+	}
+	return count;
+}
+
+static void apply_listed_upstream(const struct target_table *t,
+				  struct target *u,
 				  const struct listed_upstream *x,
 				  const char *data_center, apr_time_t now)
 {
@@ -158,6 +232,7 @@
 		memset(&u->health, 0, sizeof(u->health));
 		memset(&u->recent, 0, sizeof(u->recent));
 	}
+	apply_cold_time(u, x, now);
 	memcpy(u->id, x->id, sizeof(u->id));
 	memcpy(u->service, x->service, sizeof(u->service));
 	memcpy(u->address, x->address, sizeof(u->address));
@@ -166,6 +241,9 @@
 	u->grace_until = 0;
 	u->is_draining = x->is_draining;
 	u->is_local = !strcmp(x->data_center, data_center);
+	update_evacuation(t, u, now);
+	u->region = region_of_data_center(t->regions, t->region_count,
+					  x->data_center);
 	u->slots = x->slots > 0 ? x->slots : 1;
 	u->started_ms = x->started_ms;
 	/* The agent's last report is more recent than the list. */
@@ -238,9 +316,10 @@
 			u = allocate_row(t);
 		if (!u)
 			continue;
-		apply_listed_upstream(u, &l->items[i], data_center, now);
+		apply_listed_upstream(t, u, &l->items[i], data_center, now);
 		copy_notice(&t->notices, u);
 		update_share(t, u, now);
+		update_cold_entries(t, u);
 	}
 	grant_listing_grace(t, was_listed, l->epoch > t->listing_epoch, now);
 	t->listing_epoch = l->epoch;
--- a/forward/target.c
+++ b/forward/target.c
@@ -63,6 +63,9 @@
 	notice_table_init(&t->notices);
 	t->entries = NULL;
 	t->present_count = 0;
+	memset(&t->evacuations, 0, sizeof(t->evacuations));
+	t->regions = NULL;
+	t->region_count = 0;
 }
 
 /* Frees the rows. */
@@ -91,6 +94,7 @@
 {
 	recent_record_start(&u->recent, now);
 	limit_record_start(&u->limit, now);
+	u->sent_at = now;
 	u->in_flight++;
 }
 
@@ -272,11 +276,14 @@
 enum exclusion {
 	EXCLUSION_NONE,
 	EXCLUSION_SERVICE,
+	EXCLUSION_REGION,
+	EXCLUSION_EVACUATED,
 	EXCLUSION_DRAINING,
 	EXCLUSION_TRIED,
 	EXCLUSION_MODEL,
 	EXCLUSION_EJECTED,
 	EXCLUSION_PAUSED,
+	EXCLUSION_COLD,
 	EXCLUSION_LIMITED,
 	EXCLUSION_FULL,
 	EXCLUSION_COUNT
@@ -285,15 +292,54 @@
 static const char *const exclusion_reasons[EXCLUSION_COUNT] = {
 	"",
 	"no-upstream",
+	"no-upstream-in-region",
+	"upstreams-evacuated",
 	"upstreams-leaving",
 	"upstreams-tried",
 	"version-nowhere",
 	"upstreams-failing",
 	"upstreams-paused",
+	"upstreams-cold",
 	"upstreams-limited",
 	"upstreams-full"
 };
 
+/* Returns 1 if an upstream is cold, or may be for all that is known. */
+int target_is_cold(const struct target *u, const struct cold_spec *c,
+		   apr_time_t now)
+{
+	return c->per_s > 0 && (u->cold_until > now ||
+				(u->evacuation_ended_at &&
+				 now - u->evacuation_ended_at < c->lasts_us));
+}
+
+/*
+ * Returns 1 for an engine that can't answer more requests than it bears while it
+ * is cold. The bound costs it nothing, and so it holds at any time: entries
+ * learn late that an upstream has become cold.
+ */
+static int is_always_paced(const struct target_query *q)
+{
+	return q->engine && q->cold.per_s > 0 &&
+	       q->engine->slots * 1e6 <
+		       q->cold.per_s * target_typical_answer_us(q->engine);
+}
+
+/* Returns the time from which this entry may send to an upstream. */
+static apr_time_t cold_next_at(const struct target *u,
+			       const struct target_query *q, apr_time_t now)
+{
+	int is_cold = target_is_cold(u, &q->cold, now);
+	apr_interval_time_t spacing;
+
+	if (!is_cold && !is_always_paced(q))
+		return 0;
+	spacing = cold_spacing(&q->cold, &u->cold_entries, is_cold);
+	if (spacing < 0)
+		return now + APR_USEC_PER_SEC;
+	return u->sent_at ? u->sent_at + spacing : 0;
+}
+
 static enum exclusion find_exclusion(const struct target_table *t,
 				     const struct target *u,
 				     const struct target_query *q,
@@ -302,11 +348,17 @@
 	if (!u->is_used || !target_is_usable(u, now) ||
 	    strcmp(u->service, q->service) != 0)
 		return EXCLUSION_SERVICE;
+	if (region_is_excluded(q->regions_excluded, u->region))
+		return EXCLUSION_REGION;
+	if (u->is_evacuated)
+		return EXCLUSION_EVACUATED;
 	if (u->is_draining || u->has_announced_end || u->is_replaced)
 		return EXCLUSION_DRAINING;
 	/* Also one that turned this request away to ask for the pause. */
 	if (u->paused_until > now && runs_model(u, q, q->release_min))
 		return EXCLUSION_PAUSED;
+	if (cold_next_at(u, q, now) > now && runs_model(u, q, q->release_min))
+		return EXCLUSION_COLD;
 	if (!limit_allows(&u->limit, now) && runs_model(u, q, q->release_min))
 		return EXCLUSION_LIMITED;
 	if (is_excluded(u, q))
@@ -333,9 +385,11 @@
 int target_can_use_slot(const struct target *u, const struct target_query *q,
 			apr_time_t now)
 {
-	return u->is_used && target_is_usable(u, now) && !u->is_draining &&
-	       !u->has_announced_end && !u->is_replaced &&
-	       u->paused_until <= now && u->full_until <= now &&
+	return u->is_used && target_is_usable(u, now) &&
+	       !region_is_excluded(q->regions_excluded, u->region) &&
+	       !u->is_evacuated && !u->is_draining && !u->has_announced_end &&
+	       !u->is_replaced && u->paused_until <= now &&
+	       u->full_until <= now && !target_is_cold(u, &q->cold, now) &&
 	       !(has_valid_report(u, now) && u->is_busy) &&
 	       runs_model(u, q, q->release_min);
 }
@@ -487,6 +541,8 @@
 			sample_add(&ejected_rows, i, r);
 		if (m == EXCLUSION_PAUSED)
 			record_return(out, u->paused_until);
+		if (m == EXCLUSION_COLD)
+			record_return(out, cold_next_at(u, q, now));
 		if (m == EXCLUSION_LIMITED)
 			record_return(out, limit_next_at(&u->limit, now));
 		if (m != EXCLUSION_NONE)
@@ -505,7 +561,8 @@
 		out->is_ejected = 1;
 	}
 	if (out->index >= 0 ||
-	    (nearest != EXCLUSION_PAUSED && nearest != EXCLUSION_LIMITED))
+	    (nearest != EXCLUSION_PAUSED && nearest != EXCLUSION_COLD &&
+	     nearest != EXCLUSION_LIMITED))
 		out->paused_until = 0;
 	if (out->index < 0) {
 		out->reason = exclusion_reasons[nearest];
--- a/forward/target.h
+++ b/forward/target.h
@@ -7,9 +7,12 @@
 #include "base/random.h"
 #include "calls/recent.h"
 #include "config/routing.h"
+#include "forward/cold.h"
+#include "forward/evacuation.h"
 #include "forward/health.h"
 #include "forward/listing.h"
 #include "forward/notice.h"
+#include "forward/region.h"
 #include "forward/upstream-limit.h"
 
 /*
@@ -53,8 +56,15 @@
 	int has_announced_end;
 	apr_time_t paused_until;
 	struct limit_share limit;
-	int is_replaced; /* another process runs at its address */
-	int is_local;	 /* in this entry's data centre */
+	apr_time_t cold_until; /* by its own word */
+	uint64_t listed_sequence;
+	struct cold_entries cold_entries;
+	apr_time_t sent_at; /* last request to it, 0: none yet */
+	int is_replaced;    /* another process runs at its address */
+	int is_local;	    /* in this entry's data centre */
+	int is_evacuated;   /* gets no new requests, by order of the operator */
+	apr_time_t evacuation_ended_at; /* 0: none ended */
+	int region; /* number of its data centre's, or REGION_UNKNOWN */
 	int slots;
 	int64_t started_ms;
 	struct listed_model models[LISTED_MODELS_MAX];
@@ -88,9 +98,14 @@
 	uint64_t listing_epoch; /* of the list applied last */
 	int entry_count; /* entries that send to the same upstreams, 0: one */
 	struct notice_table notices;
-	/* Entries that are present, this one first. */
+	struct evacuations evacuations;
+	const struct settings_region *regions; /* of all data centres */
+	int region_count;
+	/* Entries, this one first; those that are present before the others. */
 	struct limit_entry *entries;
 	int present_count;
+	int known_count;
+	int entries_assumed; /* least number in a data centre, while unsure */
 };
 
 /* Age from which a report is no longer used to estimate the load. */
@@ -106,6 +121,8 @@
 	uint64_t release_min;		  /* oldest that may serve, 0: any */
 	uint64_t queued_release_min;	  /* same after TARGET_QUEUE_MAX_US */
 	int prompt_tokens;
+	uint64_t regions_excluded; /* mask, see region.h */
+	struct cold_spec cold;
 	int needs_sound; /* neither ejected nor on probation */
 	const char *excluded[TARGET_EXCLUDED_MAX]; /* ids */
 	int excluded_count;
@@ -146,8 +163,12 @@
 			const struct notice_time *at);
 int target_end_limit(struct target_table *t, const char *id, int64_t started_ms,
 		     apr_time_t asked_at);
+int target_set_evacuations(struct target_table *t, const struct evacuations *e,
+			   apr_time_t now);
 void target_set_entries(struct target_table *t, struct limit_entry *entries,
-			int count, apr_time_t now);
+			int present, int known, apr_time_t now);
+int target_is_cold(const struct target *u, const struct cold_spec *c,
+		   apr_time_t now);
 int target_merge_report(struct target_table *t, const struct target_report *r,
 			apr_time_t now);
 void target_record_start(struct target *u, apr_time_t now);
--- a/forward/upstream-limit.c
+++ b/forward/upstream-limit.c
@@ -57,6 +57,29 @@
 	return n;
 }
 
+/*
+ * Returns the place of an entry among those of a data centre, or of all with
+ * NULL, which differs from one upstream to the next; -1 when it is not one of
+ * them.
+ */
+int limit_rank_entry(const struct limit_entry *entries, int count,
+		     const char *self, const char *upstream,
+		     const char *data_center)
+{
+	int i, rank = 0, is_candidate = 0;
+
+	for (i = 0; i < count; i++) {
+		if (data_center &&
+		    strcmp(entries[i].data_center, data_center) != 0)
+			continue;
+		if (!strcmp(entries[i].id, self))
+			is_candidate = 1;
+		else
+			rank += precedes(entries[i].id, self, upstream);
+	}
+	return is_candidate ? rank : -1;
+}
+
 /*
  * Returns the requests a second that this entry may send to an upstream, 0 for
  * none. The entries of the upstream's data centre use it, or those of all data
@@ -69,17 +92,9 @@
 	int local = count_entries(entries, count, data_center);
 	const char *within = local ? data_center : NULL;
 	int users = limit_count_users(limit_per_s, local ? local : count);
-	int i, rank = 0, is_candidate = 0;
+	int rank = limit_rank_entry(entries, count, self, upstream, within);
 
-	for (i = 0; i < count; i++) {
-		if (within && strcmp(entries[i].data_center, within) != 0)
-			continue;
-		if (!strcmp(entries[i].id, self))
-			is_candidate = 1;
-		else
-			rank += precedes(entries[i].id, self, upstream);
-	}
-	return is_candidate && rank < users ? limit_per_s / users : 0;
+	return rank >= 0 && rank < users ? limit_per_s / users : 0;
 }
 
 /*
--- a/forward/upstream-limit.h
+++ b/forward/upstream-limit.h
@@ -36,6 +36,9 @@
 };
 
 int limit_count_users(double limit_per_s, int entry_count);
+int limit_rank_entry(const struct limit_entry *entries, int count,
+		     const char *self, const char *upstream,
+		     const char *data_center);
 double limit_compute_share(const struct limit_entry *entries, int count,
 			   const char *self, const char *upstream,
 			   const char *data_center, double limit_per_s);
--- a/t/helper/test-upstream-limit.c
+++ b/t/helper/test-upstream-limit.c
@@ -104,7 +104,7 @@
 		memcpy(to->data_center, x->data_center,
 		       sizeof(to->data_center));
 	}
-	target_set_entries(&e->table, list, n, now);
+	target_set_entries(&e->table, list, n, n, now);
 }
 
 static void start_entry(struct fleet *f, int i, apr_time_t now)
@@ -362,7 +362,7 @@
 	target_table_init(t);
 	list_upstreams(t, 0);
 	snprintf(self->id, sizeof(self->id), "self");
-	target_set_entries(t, self, 1, 0);
+	target_set_entries(t, self, 1, 1, 0);
 }
 
 static int allows(struct target_table *t, apr_time_t now)
--- a/t/t1000-forward-unit.sh
+++ b/t/t1000-forward-unit.sh
@@ -24,4 +24,6 @@
 
 test_expect_success 'unit tests of limits that upstreams name' 'test-upstream-limit'
 
+test_expect_success 'unit tests of regions, evacuations and cold upstreams' 'test-placement'
+
 test_done
