admit: the more urgent requests of a service first

Where the routes to a service have different priorities, a request has a rank among them: it orders the engine's queue, and each rank leaves a quarter of the bound on the backlog to the more urgent ones. The last keeps half of it. Where all priorities are equal, nothing changes.

--- a/config/routing.c
+++ b/config/routing.c
@@ -1,6 +1,7 @@
 #include "config/routing.h"
 
 #include <ctype.h>
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -133,21 +134,36 @@
 	return strcmp(x->name, y->name);
 }
 
+/* Adds what a route asks of one of its services. */
+static void merge_route(struct service_limits *s, const struct route_spec *x)
+{
+	if (x->objective_ms &&
+	    (!s->objective_ms || x->objective_ms < s->objective_ms))
+		s->objective_ms = x->objective_ms;
+	if (x->priority < s->priority_first)
+		s->priority_first = x->priority;
+	if (x->priority > s->priority_last)
+		s->priority_last = x->priority;
+}
+
 static void set_service_objectives(struct routing *r)
 {
 	struct service_limits *s;
 	int i, j;
 
+	for (i = 0; i < r->service_count; i++) {
+		r->services[i].priority_first = INT_MAX;
+		r->services[i].priority_last = INT_MIN;
+	}
+
 	for (i = 0; i < r->route_count; i++) {
 		const struct route_spec *x = &r->routes[i];
 
 		for (j = 0; j < x->service_count; j++) {
 			s = (struct service_limits *)routing_find_service(
 				r, x->services[j].service);
-			if (s && x->objective_ms &&
-			    (!s->objective_ms ||
-			     x->objective_ms < s->objective_ms))
-				s->objective_ms = x->objective_ms;
+			if (s)
+				merge_route(s, x);
 		}
 	}
 }
--- a/config/routing.h
+++ b/config/routing.h
@@ -62,6 +62,9 @@
 	double cold_per_s;   /* requests that a cold upstream bears, 0: any */
 	double cold_s;	     /* for which it is cold */
 	int objective_ms;    /* minimum over the routes to it, 0: none */
+	/* Lowest and highest number of the priorities of the routes to it. */
+	int priority_first;
+	int priority_last;
 	int has_engine;
 	struct engine_spec engine;
 };
--- a/forward/admit.c
+++ b/forward/admit.c
@@ -17,6 +17,13 @@
 /* Share of the slots that late requests leave to others. */
 #define FREE_SLOTS_SHARE 0.15
 
+/*
+ * Part of the bound on the backlog that each rank leaves to the more urgent
+ * ones: a burst of these still starts in time where the rank is refused. The
+ * last rank keeps half of the bound, so that none is shut out.
+ */
+#define RANK_RESERVE_SHARE 0.25
+
 #define RETRY_MIN_MS 150
 #define RETRY_SPREAD_MIN_MS 400
 
@@ -38,10 +45,38 @@
 /* The same while upstreams are paused, as a share of the time left. */
 #define RETRY_PAUSE_SPREAD_RATIO 0.2
 
+/*
+ * Returns the rank of a request among those of its service, whose priorities are
+ * from first to last: 0 for the most urgent, and for all where they are equal.
+ */
+int admit_rank(int priority, int first, int last)
+{
+	if (priority > last)
+		priority = last;
+	if (priority < first)
+		priority = first;
+	return priority - first < ADMIT_RANKS_MAX ? priority - first
+						  : ADMIT_RANKS_MAX - 1;
+}
+
+/*
+ * Returns the priority of a request at the engine, from 0 (first) to 9: what can
+ * still be in time before what is late, then by rank. The last rank has the same
+ * priority whether there are others or not.
+ */
+int admit_priority(enum admit_class c, int rank, int rank_last)
+{
+	if (c == ADMIT_REFUSED)
+		return -1;
+	return (c == ADMIT_LATE ? ADMIT_PRIORITY_LATE
+				: ADMIT_PRIORITY_IN_TIME) -
+	       (rank_last - rank);
+}
+
 /*
  * Decides whether a request is admitted, and in which class. The bound on the
- * backlog is the same for all requests of a service, whatever their size and
- * objective: a stricter one for some would leave them unserved.
+ * backlog is the same for all requests of a service and a rank, whatever their
+ * size and objective: a stricter one for some would leave them unserved.
  */
 enum admit_class admit_decide(const struct admit_input *in)
 {
@@ -53,6 +88,8 @@
 
 	if (!in->service_objective_ms)
 		return ADMIT_IN_TIME;
+	if (backlog_max_us > 0)
+		backlog_max_us *= 1 - RANK_RESERVE_SHARE * in->rank;
 	if (!is_late && (in->load + GUARD_SLOTS < in->slots ||
 			 in->backlog_us <= backlog_max_us))
 		return ADMIT_IN_TIME;
--- a/forward/admit.h
+++ b/forward/admit.h
@@ -22,14 +22,20 @@
 	double typical_first_event_us; /* same for a typical request */
 	int load;		       /* requests at the chosen upstream */
 	int slots;
+	int rank; /* by urgency among the service's, see admit_rank */
 };
 
+/* Ranks by urgency; what is less urgent still shares the last. */
+#define ADMIT_RANKS_MAX 3
+
 enum admit_class {
 	ADMIT_REFUSED = 0,
 	ADMIT_IN_TIME, /* expected to start within its objective */
 	ADMIT_LATE     /* cannot meet its objective; uses a free slot */
 };
 
+int admit_rank(int priority, int first, int last);
+int admit_priority(enum admit_class c, int rank, int rank_last);
 enum admit_class admit_decide(const struct admit_input *in);
 const char *admit_class_name(enum admit_class c);
 
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -89,6 +89,18 @@
 				f->attempted_upstreams[i];
 }
 
+static int find_rank(const struct forward *f)
+{
+	return admit_rank(f->priority, f->service->priority_first,
+			  f->service->priority_last);
+}
+
+static int find_last_rank(const struct forward *f)
+{
+	return admit_rank(f->service->priority_last, f->service->priority_first,
+			  f->service->priority_last);
+}
+
 static enum admit_class decide_admission(const struct forward *f,
 					 const struct target_query *q,
 					 const struct target_choice *c,
@@ -104,6 +116,7 @@
 			target_typical_first_event_us(q->engine),
 		.load = c->load,
 		.slots = slots,
+		.rank = find_rank(f),
 	};
 
 	return admit_decide(&in);
@@ -214,9 +227,9 @@
 	h.last_event = f->is_answer_started && *f->events.last_id
 			       ? f->events.last_id
 			       : f->head.last_event;
-	h.priority = f->admitted == ADMIT_LATE	    ? ADMIT_PRIORITY_LATE
-		     : f->admitted == ADMIT_IN_TIME ? ADMIT_PRIORITY_IN_TIME
-						    : -1;
+	h.priority = f->admitted ? admit_priority(f->admitted, find_rank(f),
+						  find_last_rank(f))
+				 : -1;
 	lines = f->w->wire->write_headers(&h, f->lines);
 	for (i = 0; i < lines; i++)
 		f->fetch.headers[n++] = f->lines[i];
--- a/t/helper/test-forward-load.c
+++ b/t/helper/test-forward-load.c
@@ -38,6 +38,7 @@
 	int engine; /* -1: not sent */
 	int entry;
 	int priority;
+	int rank;	    /* by urgency */
 	apr_time_t slot_at; /* 0: queued */
 	apr_time_t ends_at;
 	int in_time, late, refused;
@@ -61,6 +62,8 @@
 	long cancel_us;		  /* time of a withdrawal to the engine */
 	struct releases releases[ENTRIES_MAX];
 	int withdrawn, begun_late;
+	int ranks; /* of requests, in equal shares; 0: one */
+	double rank_in_time[ADMIT_RANKS_MAX]; /* share in time of each */
 	unsigned seed;
 	int naive;
 	struct random random;
@@ -230,11 +233,12 @@
 	in.backlog_us = c.backlog_us;
 	in.first_event_us = c.first_event_us;
 	in.load = c.load;
+	in.rank = q->rank;
 	class = admit_decide(&in);
 	if (class == ADMIT_REFUSED)
 		return -1;
-	q->priority = class == ADMIT_LATE ? ADMIT_PRIORITY_LATE
-					  : ADMIT_PRIORITY_IN_TIME;
+	q->priority =
+		admit_priority(class, q->rank, r->ranks ? r->ranks - 1 : 0);
 	target_record_start(&t->rows[c.index], now);
 	return atoi(t->rows[c.index].id + 1);
 }
@@ -369,6 +373,8 @@
 					(long)(DEADLINE_MS * r->timeout_spread *
 					       random_unit(&r->random));
 			q->engine = -1;
+			if (r->ranks)
+				q->rank = r->count % r->ranks;
 			q->entry = (int)random_below(&r->random,
 						     (uint32_t)r->entries);
 		}
@@ -376,6 +382,34 @@
 	}
 }
 
+static void record_ranks(struct run *r, apr_time_t from, apr_time_t until)
+{
+	int seen[ADMIT_RANKS_MAX] = { 0 }, in_time[ADMIT_RANKS_MAX] = { 0 };
+	int i;
+
+	for (i = 0; i < r->count; i++) {
+		const struct request *q = &r->requests[i];
+
+		if (q->first_attempt_at < from || q->first_attempt_at > until)
+			continue;
+		seen[q->rank]++;
+		in_time[q->rank] += q->in_time;
+	}
+	for (i = 0; i < ADMIT_RANKS_MAX; i++)
+		r->rank_in_time[i] = seen[i] ? (double)in_time[i] / seen[i] : 0;
+}
+
+/* Returns 1 when each rank is in time at least as often as the next. */
+static int are_ranks_in_order(const struct run *r)
+{
+	int i;
+
+	for (i = 0; i + 1 < r->ranks; i++)
+		if (r->rank_in_time[i] < r->rank_in_time[i + 1])
+			return 0;
+	return 1;
+}
+
 /* Returns the share of requests answered in time. */
 static double simulate(struct run *r, int naive)
 {
@@ -411,6 +445,9 @@
 		seen++;
 		in_time += r->requests[i].in_time;
 	}
+	if (!naive)
+		record_ranks(r, 3 * APR_USEC_PER_SEC,
+			     until - 3 * APR_USEC_PER_SEC);
 	for (i = 0; i < r->entries; i++)
 		target_table_destroy(&r->tables[i]);
 	return seen ? (double)in_time / seen : 0;
@@ -443,6 +480,7 @@
 		       &r.change_interval_s);
 		sscanf(line, "transit %ld", &r.transit_max_us);
 		sscanf(line, "cancel %ld", &r.cancel_us);
+		sscanf(line, "ranks %d", &r.ranks);
 		if (sscanf(line, "run %lf", &r.seconds) == 1) {
 			ours = simulate(&r, 0);
 			withdrawn = r.withdrawn;
@@ -472,6 +510,18 @@
 		if (!strncmp(line, "expect withdrawn", 16))
 			printf("some requests are withdrawn: %s\n",
 			       withdrawn ? "yes" : "no");
+		if (!strncmp(line, "expect urgent-first", 19))
+			printf("the more urgent is in time more often: %s\n",
+			       are_ranks_in_order(&r) ? "yes" : "no");
+		if (sscanf(line, "expect least-urgent %lf", &bound) == 1)
+			printf("the least urgent keeps %.2f of the mean: %s\n",
+			       bound,
+			       r.rank_in_time[r.ranks - 1] >= bound * ours
+				       ? "yes"
+				       : "no");
+		if (!strncmp(line, "figures", 7) && r.ranks)
+			printf("# by rank %.3f %.3f %.3f\n", r.rank_in_time[0],
+			       r.rank_in_time[1], r.rank_in_time[2]);
 		if (!strncmp(line, "figures", 7))
 			printf("# ours %.3f naive %.3f withdrawn %d "
 			       "begun late %d\n",
