limpetctl: check a configuration before it is sent

An operator learned only from refused requests that a route never matched, that all its weights were 0 or that it shares no region with an account.

--- a/builtin/builtin.h
+++ b/builtin/builtin.h
@@ -10,6 +10,7 @@
 #define EXIT_USAGE 2
 
 int cmd_check(int argc, const char **argv);
+int cmd_vet(int argc, const char **argv);
 int cmd_collect(int argc, const char **argv);
 int cmd_manifest(int argc, const char **argv);
 int cmd_status(int argc, const char **argv);
--- a/config/diff.c
+++ b/config/diff.c
@@ -1,4 +1,4 @@
-#include "config/diff.h"
+#include "config/diff-internal.h"
 
 #include <stdarg.h>
 #include <stdio.h>
@@ -6,13 +6,10 @@
 #include <string.h>
 
 #define LINE_BYTES 1024
-#define LIST_BYTES 256
 #define SHOWN_DIGEST_CHARS 12 /* prefix of a digest that is printed */
 
-static void add_line(struct diff_lines *l, const char *fmt, ...)
-	__attribute__((format(printf, 2, 3)));
-
-static void add_line(struct diff_lines *l, const char *fmt, ...)
+/* Adds a formatted line. */
+void diff_add_line(struct diff_lines *l, const char *fmt, ...)
 {
 	char text[LINE_BYTES];
 	va_list ap;
@@ -42,32 +39,26 @@
 	memset(l, 0, sizeof(*l));
 }
 
-/* The object that a changed field belongs to, and who is affected. */
-struct subject {
-	struct diff_lines *out;
-	const char *name;
-	const char *affected;
-};
-
-static void diff_number(const struct subject *s, const char *field, double from,
-			double to)
+/* Adds a line if a number differs. */
+void diff_number(const struct subject *s, const char *field, double from,
+		 double to)
 {
 	if (from != to)
-		add_line(s->out, "%s: %s %g -> %g; affects %s", s->name, field,
-			 from, to, s->affected);
+		diff_add_line(s->out, "%s: %s %g -> %g; affects %s", s->name,
+			      field, from, to, s->affected);
 }
 
-static void format_list(char *const *list, int count, char out[LIST_BYTES])
+static void format_list(char *const *list, int count, char out[DIFF_LIST_BYTES])
 {
 	size_t at = 0;
 	int i;
 
 	out[0] = '\0';
-	for (i = 0; i < count && at < LIST_BYTES - 1; i++)
-		at += (size_t)snprintf(out + at, LIST_BYTES - at, "%s%s",
+	for (i = 0; i < count && at < DIFF_LIST_BYTES - 1; i++)
+		at += (size_t)snprintf(out + at, DIFF_LIST_BYTES - at, "%s%s",
 				       i ? " " : "", list[i]);
 	if (!count)
-		snprintf(out, LIST_BYTES, "none");
+		snprintf(out, DIFF_LIST_BYTES, "none");
 }
 
 static int is_list_equal(char *const *a, int na, char *const *b, int nb)
@@ -83,17 +74,18 @@
 	return 1;
 }
 
-static void diff_list(const struct subject *s, const char *field,
-		      char *const *a, int na, char *const *b, int nb)
+/* Adds a line if a list of names differs. */
+void diff_list(const struct subject *s, const char *field, char *const *a,
+	       int na, char *const *b, int nb)
 {
-	char from[LIST_BYTES], to[LIST_BYTES];
+	char from[DIFF_LIST_BYTES], to[DIFF_LIST_BYTES];
 
 	if (is_list_equal(a, na, b, nb))
 		return;
 	format_list(a, na, from);
 	format_list(b, nb, to);
-	add_line(s->out, "%s: %s %s -> %s; affects %s", s->name, field, from,
-		 to, s->affected);
+	diff_add_line(s->out, "%s: %s %s -> %s; affects %s", s->name, field,
+		      from, to, s->affected);
 }
 
 static void diff_limits(const struct subject *s, const struct limit_spec *a,
@@ -137,19 +129,29 @@
 static void account_diff(const struct account_spec *a,
 			 const struct account_spec *b, struct diff_lines *out)
 {
-	char name[LIST_BYTES], affected[LIST_BYTES];
+	char name[DIFF_LIST_BYTES], affected[DIFF_LIST_BYTES];
 	struct subject s = { out, name, affected };
 
 	snprintf(name, sizeof(name), "account \"%s\"", b->name);
 	snprintf(affected, sizeof(affected),
 		 "the calls of \"%s\" at every entry", b->name);
 	if (!has_same_keys(a, b))
-		add_line(out,
-			 "%s: keys change (%d -> %d); affects callers that use "
-			 "the keys removed",
-			 name, a->key_count, b->key_count);
+		diff_add_line(
+			out,
+			"%s: keys change (%d -> %d); affects callers that use "
+			"the keys removed",
+			name, a->key_count, b->key_count);
 	diff_number(&s, "share", a->share, b->share);
+	if (a->key_count && !b->key_count)
+		diff_add_line(
+			out,
+			"%s: loses its last key; affects all its callers: "
+			"their calls are refused",
+			name);
 	diff_number(&s, "priority_min", a->priority_min, b->priority_min);
+	diff_number(&s, "priority", a->priority, b->priority);
+	diff_list(&s, "regions", a->regions, a->region_count, b->regions,
+		  b->region_count);
 	diff_limits(&s, &a->limit, &b->limit);
 }
 
@@ -161,19 +163,20 @@
 
 	for (i = 0; i < a->account_count; i++) {
 		if (!account_find(b, a->accounts[i].name))
-			add_line(out,
-				 "account \"%s\" goes away; "
-				 "affects all its callers: "
-				 "their calls are refused",
-				 a->accounts[i].name);
+			diff_add_line(out,
+				      "account \"%s\" goes away; "
+				      "affects all its callers: "
+				      "their calls are refused",
+				      a->accounts[i].name);
 	}
 	for (i = 0; i < b->account_count; i++) {
 		other = account_find(a, b->accounts[i].name);
 		if (other)
 			account_diff(other, &b->accounts[i], out);
 		else
-			add_line(out, "account \"%s\" is new, with %d keys",
-				 b->accounts[i].name, b->accounts[i].key_count);
+			diff_add_line(
+				out, "account \"%s\" is new, with %d keys",
+				b->accounts[i].name, b->accounts[i].key_count);
 	}
 }
 
@@ -181,7 +184,8 @@
 		       const struct document *db, const struct model_spec *b,
 		       struct diff_lines *out)
 {
-	char name[LIST_BYTES], affected[LIST_BYTES], on[LIST_BYTES];
+	char name[DIFF_LIST_BYTES], affected[DIFF_LIST_BYTES],
+		on[DIFF_LIST_BYTES];
 	struct subject s = { out, name, affected };
 
 	format_list(b->upstreams, b->upstream_count, on);
@@ -189,17 +193,18 @@
 		 account_name(db, b->account));
 	snprintf(affected, sizeof(affected), "upstreams %.200s", on);
 	if (strcmp(account_name(da, a->account), account_name(db, b->account)))
-		add_line(out, "%s: was of \"%s\"; affects its callers", name,
-			 account_name(da, a->account));
+		diff_add_line(out, "%s: was of \"%s\"; affects its callers",
+			      name, account_name(da, a->account));
 	if (strcmp(a->version, b->version))
-		add_line(out,
-			 "%s: version %.*s -> %.*s; affects %s, which load the "
-			 "new weights",
-			 name, SHOWN_DIGEST_CHARS, a->version,
-			 SHOWN_DIGEST_CHARS, b->version, affected);
+		diff_add_line(
+			out,
+			"%s: version %.*s -> %.*s; affects %s, which load the "
+			"new weights",
+			name, SHOWN_DIGEST_CHARS, a->version,
+			SHOWN_DIGEST_CHARS, b->version, affected);
 	if (strcmp(a->base, b->base))
-		add_line(out, "%s: base \"%s\" -> \"%s\"; affects %s", name,
-			 a->base, b->base, affected);
+		diff_add_line(out, "%s: base \"%s\" -> \"%s\"; affects %s",
+			      name, a->base, b->base, affected);
 	diff_list(&s, "upstreams", a->upstreams, a->upstream_count,
 		  b->upstreams, b->upstream_count);
 	diff_list(&s, "data_centers", a->data_centers, a->data_center_count,
@@ -218,7 +223,7 @@
 			struct diff_lines *out)
 {
 	const struct model_spec *other;
-	char on[LIST_BYTES];
+	char on[DIFF_LIST_BYTES];
 	int i;
 
 	for (i = 0; i < a->model_count; i++) {
@@ -226,11 +231,11 @@
 
 		format_list(m->upstreams, m->upstream_count, on);
 		if (!document_find_model(b, m->name))
-			add_line(out,
-				 "model \"%s\" of \"%s\" goes away; "
-				 "affects upstreams "
-				 "%s, which unload it",
-				 m->name, account_name(a, m->account), on);
+			diff_add_line(out,
+				      "model \"%s\" of \"%s\" goes away; "
+				      "affects upstreams "
+				      "%s, which unload it",
+				      m->name, account_name(a, m->account), on);
 	}
 	for (i = 0; i < b->model_count; i++) {
 		const struct model_spec *m = &b->models[i];
@@ -240,11 +245,12 @@
 		if (other)
 			model_diff(a, other, b, m, out);
 		else
-			add_line(out,
-				 "model \"%s\" of \"%s\" is new, version %.*s; "
-				 "affects upstreams %s, which load it",
-				 m->name, account_name(b, m->account),
-				 SHOWN_DIGEST_CHARS, m->version, on);
+			diff_add_line(
+				out,
+				"model \"%s\" of \"%s\" is new, version %.*s; "
+				"affects upstreams %s, which load it",
+				m->name, account_name(b, m->account),
+				SHOWN_DIGEST_CHARS, m->version, on);
 	}
 }
 
@@ -253,18 +259,18 @@
 			    struct diff_lines *out)
 {
 	const struct operation_spec *p, *q;
-	char name[LIST_BYTES];
+	char name[DIFF_LIST_BYTES];
 	struct subject s = { out, name, "its callers" };
 	int i;
 
 	for (i = 0; i < a->operation_count; i++) {
 		p = &a->operations[i];
 		if (!service_find_operation(b, p->name))
-			add_line(out,
-				 "operation \"%s\" of %s goes away; "
-				 "affects its "
-				 "callers: their calls are refused",
-				 p->name, service);
+			diff_add_line(out,
+				      "operation \"%s\" of %s goes away; "
+				      "affects its "
+				      "callers: their calls are refused",
+				      p->name, service);
 	}
 	for (i = 0; i < b->operation_count; i++) {
 		q = &b->operations[i];
@@ -272,15 +278,16 @@
 		snprintf(name, sizeof(name), "operation \"%s\" of %.160s",
 			 q->name, service);
 		if (!p) {
-			add_line(out, "%s is new%s", name,
-				 q->is_repeatable ? "" : ", not repeatable");
+			diff_add_line(out, "%s is new%s", name,
+				      q->is_repeatable ? ""
+						       : ", not repeatable");
 			continue;
 		}
 		if (p->is_repeatable != q->is_repeatable)
-			add_line(out, "%s: %s; affects its callers", name,
-				 q->is_repeatable
-					 ? "may be repeated from now on"
-					 : "may not be repeated any more");
+			diff_add_line(out, "%s: %s; affects its callers", name,
+				      q->is_repeatable
+					      ? "may be repeated from now on"
+					      : "may not be repeated any more");
 		diff_number(&s, "deadline_ms", p->deadline_ms, q->deadline_ms);
 		diff_number(&s, "key_lifetime_s", p->key_lifetime_s,
 			    q->key_lifetime_s);
@@ -292,14 +299,14 @@
 			 const struct document *db,
 			 const struct service_spec *b, struct diff_lines *out)
 {
-	char name[LIST_BYTES];
+	char name[DIFF_LIST_BYTES];
 	struct subject s = { out, name, "where its calls go" };
 
 	snprintf(name, sizeof(name), "service \"%s\" of \"%s\"", b->name,
 		 account_name(db, b->account));
 	if (strcmp(account_name(da, a->account), account_name(db, b->account)))
-		add_line(out, "%s: was of \"%s\"; affects its callers", name,
-			 account_name(da, a->account));
+		diff_add_line(out, "%s: was of \"%s\"; affects its callers",
+			      name, account_name(da, a->account));
 	diff_list(&s, "upstreams", a->upstreams, a->upstream_count,
 		  b->upstreams, b->upstream_count);
 	operations_diff(a, b, name, out);
@@ -315,11 +322,11 @@
 		const struct service_spec *s = &a->services[i];
 
 		if (!document_find_service(b, s->name))
-			add_line(out,
-				 "service \"%s\" of \"%s\" goes away; "
-				 "affects its "
-				 "callers: their calls are refused",
-				 s->name, account_name(a, s->account));
+			diff_add_line(out,
+				      "service \"%s\" of \"%s\" goes away; "
+				      "affects its "
+				      "callers: their calls are refused",
+				      s->name, account_name(a, s->account));
 	}
 	for (i = 0; i < b->service_count; i++) {
 		const struct service_spec *s = &b->services[i];
@@ -328,11 +335,12 @@
 		if (other)
 			service_diff(a, other, b, s, out);
 		else
-			add_line(out,
-				 "service \"%s\" of \"%s\" is new, with %d "
-				 "operations",
-				 s->name, account_name(b, s->account),
-				 s->operation_count);
+			diff_add_line(
+				out,
+				"service \"%s\" of \"%s\" is new, with %d "
+				"operations",
+				s->name, account_name(b, s->account),
+				s->operation_count);
 	}
 }
 
@@ -354,4 +362,5 @@
 	accounts_diff(from, to, out);
 	models_diff(from, to, out);
 	services_diff(from, to, out);
+	routing_diff(&from->routing, &to->routing, out);
 }
--- a/limpetctl.c
+++ b/limpetctl.c
@@ -13,6 +13,7 @@
 
 static const struct command commands[] = {
 	{ "check", cmd_check, "check account files and list every error" },
+	{ "vet", cmd_vet, "check a configuration before it is sent" },
 	{ "collect", cmd_collect, "combine account files into one document" },
 	{ "manifest", cmd_manifest, "print the manifest of a model file" },
 	{ "status", cmd_status, "show the status of instances" },
