--- a/forward/cold.h
+++ b/forward/cold.h
@@ -20,6 +20,7 @@
 struct cold_entries {
 	int local;	/* entries in the upstream's data centre */
 	int remote;	/* other entries */
+	int assumed;	/* least number in a data centre, while unsure */
 	int local_rank; /* of this one among the local ones, -1: it is remote */
 	int remote_rank; /* of this one among the remote ones */
 };
--- a/forward/target-update.c
+++ b/forward/target-update.c
@@ -85,10 +85,7 @@
 					 u->id, u->data_center);
 	e->remote_rank =
 		limit_rank_entry(t->entries, t->known_count, self, u->id, NULL);
-	if (e->local < t->entries_assumed)
-		e->local = t->entries_assumed;
-	if (e->remote < t->entries_assumed)
-		e->remote = t->entries_assumed;
+	e->assumed = t->entries_assumed;
 }
 
 /*
--- a/t/helper/test-placement.c
+++ b/t/helper/test-placement.c
@@ -326,10 +326,28 @@
 }
 END_TEST
 
+/*
+ * After a loss of all, entries know nobody yet and nothing is cold: the pace must
+ * not keep them from serving.
+ */
+START_TEST(entries_that_start_are_not_held_up)
+{
+	struct cold_entries e = { .local = 1, .assumed = 32 };
+	struct cold_entries far = { .remote = 1,
+				    .local_rank = -1,
+				    .assumed = 32 };
+
+	ck_assert_int_le(cold_spacing(&cold, &e, 0), SECOND / 10);
+	ck_assert_int_le(cold_spacing(&cold, &far, 0), SECOND / 10);
+	ck_assert_int_ge(cold_spacing(&cold, &e, 1), SECOND);
+	ck_assert_int_eq(cold_spacing(&cold, &far, 1), -1);
+}
+END_TEST
+
 /* A service that is never cold is not paced at all. */
 START_TEST(nothing_is_paced_without_a_bound)
 {
-	struct cold_entries e = { 12, 24, 3, 5 };
+	struct cold_entries e = { .local = 12, .remote = 24 };
 	struct cold_spec none = { 0 };
 
 	ck_assert_int_eq(cold_spacing(&none, &e, 1), 0);
@@ -350,6 +368,7 @@
 	tcase_add_loop_test(c, cold_upstreams_bear_what_all_entries_send, 0, 5);
 	tcase_add_test(c, entries_that_start_assume_others);
 	tcase_add_test(c, engines_are_paced_before_they_are_known_to_be_cold);
+	tcase_add_test(c, entries_that_start_are_not_held_up);
 	tcase_add_test(c, nothing_is_paced_without_a_bound);
 	suite_add_tcase(s, c);
 	runner = srunner_create(s);
