--- a/forward/handover.c
+++ b/forward/handover.c
@@ -200,7 +200,7 @@
 	f->attempt_expires_at = release_limit_deadline(
 		&w->releases, f->head.model, f->release, f->expires_at);
 	f->overdue_since = 0;
-	f->is_limited = u->limit.is_limited || q->cold.per_s > 0;
+	f->is_limited = u->limit.is_limited || target_is_cold(u, &q->cold, now);
 	snprintf(f->upstream, sizeof(f->upstream), "%s", u->id);
 	snprintf(f->url, sizeof(f->url), "http://%s", u->address);
 	memcpy(f->address, u->address, sizeof(f->address));
