--- a/net/intake.c
+++ b/net/intake.c
@@ -1,8 +1,11 @@
 #include "net/intake.h"
 
-/* Share of the machine's memory for bodies, and the same for connections. */
+/*
+ * Shares of the machine's memory for bodies and for connections. A machine with
+ * 256 MB has to hold thousands of open streams.
+ */
 #define BODY_MEMORY_SHARE 0.25
-#define CONNECTION_MEMORY_SHARE 0.25
+#define CONNECTION_MEMORY_SHARE 0.5
 /* Share of the memory for bodies that only small ones may use. */
 #define RESERVED_SHARE 0.25
 
--- a/t/helper/test-intake.c
+++ b/t/helper/test-intake.c
@@ -23,8 +23,10 @@
 
 	intake_set_bounds(&b, 160 * MB, 4100);
 	ck_assert_int_le((long long)b.body_bytes + b.connections * 32 * 1024LL,
-			 80 * MB);
-	ck_assert_int_ge(b.connections, 1000);
+			 120 * MB);
+	ck_assert_int_ge(b.connections, 1900);
+	intake_set_bounds(&b, 256 * MB, 1 << 20);
+	ck_assert_int_ge(b.connections, 3000);
 	intake_set_bounds(&b, 128 * MB, 2048);
 	ck_assert_int_le(b.connections, (2048 - 200) / 2);
 	intake_set_bounds(&b, 64000 * MB, 1 << 20);
