--- a/forward/target.c
+++ b/forward/target.c
@@ -63,6 +63,8 @@
 	notice_table_init(&t->notices);
 	t->entries = NULL;
 	t->present_count = 0;
+	t->known_count = 0;
+	t->entries_assumed = 0;
 	memset(&t->evacuations, 0, sizeof(t->evacuations));
 	t->regions = NULL;
 	t->region_count = 0;
