--- a/forward/target-update.c
+++ b/forward/target-update.c
@@ -211,6 +211,15 @@
 	return count;
 }
 
+/* Returns 1 if an upstream is cold, or may be for all that is known. */
+int target_is_cold(const struct target *u, const struct cold_spec *c,
+		   apr_time_t now)
+{
+	return c->per_s > 0 && (u->cold_until > now ||
+				(u->evacuation_ended_at &&
+				 now - u->evacuation_ended_at < c->lasts_us));
+}
+
 static void apply_listed_upstream(const struct target_table *t,
 				  struct target *u,
 				  const struct listed_upstream *x,
--- a/forward/target.c
+++ b/forward/target.c
@@ -306,15 +306,6 @@
 	"upstreams-full"
 };
 
-/* Returns 1 if an upstream is cold, or may be for all that is known. */
-int target_is_cold(const struct target *u, const struct cold_spec *c,
-		   apr_time_t now)
-{
-	return c->per_s > 0 && (u->cold_until > now ||
-				(u->evacuation_ended_at &&
-				 now - u->evacuation_ended_at < c->lasts_us));
-}
-
 /*
  * Returns 1 for an engine that can't answer more requests than it bears while it
  * is cold. The bound costs it nothing, and so it holds at any time: entries
