document: a limit on the text that follows from the platform's

Cause: DOCUMENT_MAX_BYTES, meant for what an operator publishes, was held against the converted text. Members that the operator had left out were written, each key became 64 hex digits, each model got a digest and the URL of the origin. CONFIG_TEXT_MAX and ENVELOPE_BODY_MAX were next.

Texts between processes may have 8 times platform_value_bytes, a new setting which the template fills from the platform's; the document has no limit of its own. The cap on what limpetctl collect builds stays and is tested in t0220; test-config's check of it in document_parse() goes, as that check was the fault. A rolled out mix of builds: older ones refuse a text with short keys and keep what they have until they are replaced. compute_release_version() no longer reads past its buffer for long names.

--- a/base/settings.c
+++ b/base/settings.c
@@ -79,6 +79,7 @@
 	{ "platform", SCHEMA_STRING, 0, 0, 0, NULL, NULL, platform_kinds },
 	{ "platform_url", SCHEMA_STRING, SCHEMA_REQUIRED, 8,
 	  SETTINGS_URL_SIZE - 1 },
+	{ "platform_value_bytes", SCHEMA_INTEGER, 0, 1024, 256e6, "bytes" },
 	{ "store_url", SCHEMA_STRING, 0, 8, SETTINGS_URL_SIZE - 1 },
 	{ "key", SCHEMA_STRING, SCHEMA_REQUIRED, KEY_LENGTH_MIN,
 	  SETTINGS_KEY_SIZE - 1, NULL, NULL, NULL,
@@ -254,6 +255,9 @@
 			      : PLATFORM_STORE;
 	copy_string(s->platform_url, sizeof(s->platform_url),
 		    schema_string(o, "platform_url", ""));
+	s->value_max = (size_t)schema_integer(o, "platform_value_bytes",
+					      SETTINGS_VALUE_BYTES);
+	s->text_max = s->value_max * SETTINGS_TEXT_GROWTH;
 	copy_string(s->store_url, sizeof(s->store_url),
 		    schema_string(o, "store_url", ""));
 	copy_string(s->key, sizeof(s->key), schema_string(o, "key", ""));
--- a/base/settings.h
+++ b/base/settings.h
@@ -18,6 +18,17 @@
 /* Bits of a mask of regions, one of which stands for unknown ones. */
 #define SETTINGS_REGIONS_MAX 63
 
+/* Bytes of the longest value that the platform accepts, if it does not say. */
+#define SETTINGS_VALUE_BYTES (1024 * 1024)
+
+/*
+ * By how much a value of the platform grows at most when it is converted to the
+ * text that the processes pass on.  The worst is a list of models with names of
+ * few letters, in a service with a long name; keys grow by 4.5, routes by less
+ * than 2 (test-platform-document).
+ */
+#define SETTINGS_TEXT_GROWTH 8
+
 enum role { ROLE_ENTRY = 1, ROLE_AGENT = 2 };
 
 /* External systems that a process uses, and their protocol. */
@@ -51,6 +62,8 @@
 	int ready_port;
 	enum platform_kind platform;
 	char platform_url[SETTINGS_URL_SIZE];
+	size_t value_max; /* bytes of the platform's longest value */
+	size_t text_max;  /* of what it converts to and processes pass on */
 	char store_url[SETTINGS_URL_SIZE];
 	char key[SETTINGS_KEY_SIZE];	      /* shared by all instances */
 	char key_previous[SETTINGS_KEY_SIZE]; /* also accepted, for rotation */
--- a/calls/entry-request.c
+++ b/calls/entry-request.c
@@ -46,14 +46,14 @@
 {
 	const char *value = http_call_header(c, "Authorization");
 	const struct account_spec *a;
-	struct digest key;
+	struct account_key key;
 	int i, k, is_match = 0;
 
 	if (!value ||
 	    strncasecmp(value, BEARER_PREFIX, strlen(BEARER_PREFIX)) != 0)
 		return -1;
 	value += strlen(BEARER_PREFIX);
-	digest_of(value, strlen(value), &key);
+	account_key_of(value, strlen(value), &key);
 	i = document_find_account_by_key(d, &key);
 	if (i < 0)
 		return -1;
--- a/config/collect.c
+++ b/config/collect.c
@@ -229,7 +229,7 @@
 		sources[n].prefix = prefixes[n];
 		n++;
 	}
-	cross_check(fleet, sources, n, &c->faults);
+	cross_check(fleet, VERSION_MANIFEST, sources, n, &c->faults);
 	documents_check(c);
 	for (i = 0; i < n; i++)
 		free(prefixes[i]);
@@ -280,11 +280,11 @@
 		json_object_set(root, "fleet", (json_t *)fleet);
 	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
 	json_decref(root);
-	if (text && strlen(text) + 1 > DOCUMENT_MAX_BYTES) {
+	if (text && strlen(text) + 1 > COLLECT_DOCUMENT_MAX_BYTES) {
 		fault_add(&c->faults, "document",
 			  "%zu bytes are above the platform's cap of %d; "
 			  "remove accounts, models or long lists",
-			  strlen(text) + 1, DOCUMENT_MAX_BYTES);
+			  strlen(text) + 1, COLLECT_DOCUMENT_MAX_BYTES);
 		free(text);
 		text = NULL;
 	}
--- a/config/collect.h
+++ b/config/collect.h
@@ -4,6 +4,7 @@
 #include <jansson.h>
 
 #include "base/schema.h"
+#include "base/settings.h"
 
 /*
  * Reads account files and the fleet file, checks them together and builds
@@ -11,6 +12,8 @@
  */
 
 #define COLLECT_FILE_MAX_BYTES (1024 * 1024) /* of one input file */
+/* What the platform accepts. */
+#define COLLECT_DOCUMENT_MAX_BYTES SETTINGS_VALUE_BYTES
 
 enum source_kind {
 	SOURCE_ACCOUNT = 1, /* has "account" */
--- a/config/config_proto.h
+++ b/config/config_proto.h
@@ -13,8 +13,8 @@
 extern "C" {
 #endif
 
+#include "net/envelope_proto.h"
 #define CONFIG_VALUES 3
-#define CONFIG_TEXT_MAX 1200000
 #define CONFIG_DIGEST_SIZE 32
 
 struct config_version {
--- a/config/config_proto.x
+++ b/config/config_proto.x
@@ -4,8 +4,11 @@
  * instances, 2 the evacuations, where the settings have them.
  */
 
+#ifdef RPC_HDR
+%#include "net/envelope_proto.h"
+#endif
+
 const CONFIG_VALUES = 3;
-const CONFIG_TEXT_MAX = 1200000;
 const CONFIG_DIGEST_SIZE = 32;
 
 struct config_version {
@@ -28,7 +31,7 @@
 	/* Bytes of text before it was deflated; 0: it is not deflated. */
 	unsigned int unpacked_size;
 
-	opaque text<CONFIG_TEXT_MAX>;	/* of the wanted value */
+	opaque text<envelope_reply_max>;	/* of the wanted value */
 };
 
 const CONFIG_MODELS_MAX = 64;
--- a/config/config_proto_xdr.c
+++ b/config/config_proto_xdr.c
@@ -47,7 +47,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->unpacked_size))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, CONFIG_TEXT_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, envelope_reply_max))
 		 return FALSE;
 	return TRUE;
 }
--- a/config/cross-check.c
+++ b/config/cross-check.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "base/digest.h"
+#include "config/account-key.h"
 
 #define PATH_SIZE 512
 
@@ -62,22 +62,23 @@
 		       struct fault_list *faults)
 {
 	const json_t *keys = json_object_get(account, "keys");
-	struct digest ignored;
-	char path[PATH_SIZE];
+	char path[PATH_SIZE], text[ACCOUNT_KEY_TEXT_SIZE];
+	struct account_key parsed;
 	const char *key;
 	size_t i;
 
 	for (i = 0; i < json_array_size(keys); i++) {
 		key = json_string_value(json_array_get(keys, i));
 		snprintf(path, sizeof(path), "%skeys[%zu]", prefix, i);
-		if (!key || digest_parse(key, &ignored)) {
+		if (!key || account_key_parse(key, &parsed)) {
 			fault_add(faults, path,
 				  "expected the SHA-256 of a key (64 "
 				  "lower-case hex digits); never put the key "
 				  "itself here");
 			continue;
 		}
-		check_declared_once(s->keys, key, "key", owner, path, faults);
+		account_key_text(&parsed, text);
+		check_declared_once(s->keys, text, "key", owner, path, faults);
 	}
 }
 
@@ -94,9 +95,15 @@
 	return 0;
 }
 
-static void models_check(const json_t *account, const char *owner,
-			 const char *prefix, struct declared *s,
-			 struct fault_list *faults)
+static int has_version(const json_t *model, enum version_form form)
+{
+	return json_object_get(model, "manifest") ||
+	       (form == VERSION_ANY && json_object_get(model, "release"));
+}
+
+static void models_check(const json_t *account, enum version_form form,
+			 const char *owner, const char *prefix,
+			 struct declared *s, struct fault_list *faults)
 {
 	const json_t *models = json_object_get(account, "models");
 	char path[PATH_SIZE];
@@ -111,6 +118,12 @@
 		snprintf(path, sizeof(path), "%smodels[%zu].name", prefix, i);
 		check_declared_once(s->models, name, "model", owner, path,
 				    faults);
+		snprintf(path, sizeof(path), "%smodels[%zu].manifest", prefix,
+			 i);
+		if (!has_version(m, form))
+			fault_add(faults, path,
+				  "is required: the digest that limpetctl "
+				  "manifest prints");
 		if (!base)
 			continue;
 		snprintf(path, sizeof(path), "%smodels[%zu].base", prefix, i);
@@ -160,8 +173,9 @@
 }
 
 /* Checks all accounts together and adds every fault found to faults. */
-void cross_check(const json_t *fleet, const struct account_source *accounts,
-		 size_t count, struct fault_list *faults)
+void cross_check(const json_t *fleet, enum version_form form,
+		 const struct account_source *accounts, size_t count,
+		 struct fault_list *faults)
 {
 	struct declared s = { json_object(), json_object(), json_object(),
 			      json_object() };
@@ -178,7 +192,7 @@
 				    faults);
 		limits_check(a, fleet, prefix, faults);
 		keys_check(a, owner, prefix, &s, faults);
-		models_check(a, owner, prefix, &s, faults);
+		models_check(a, form, owner, prefix, &s, faults);
 		services_check(a, owner, prefix, &s, faults);
 	}
 	json_decref(s.accounts);
--- a/config/cross-check.h
+++ b/config/cross-check.h
@@ -17,7 +17,14 @@
 	const char *prefix; /* with its separator, such as "adubo.json: " */
 };
 
-void cross_check(const json_t *fleet, const struct account_source *accounts,
-		 size_t count, struct fault_list *faults);
+/* How a model says which version of its weights is wanted. */
+enum version_form {
+	VERSION_MANIFEST = 1, /* by the digest of its manifest */
+	VERSION_ANY	      /* by that, or by the number of a release */
+};
+
+void cross_check(const json_t *fleet, enum version_form form,
+		 const struct account_source *accounts, size_t count,
+		 struct fault_list *faults);
 
 #endif
--- a/config/document-bind.c
+++ b/config/document-bind.c
@@ -62,12 +62,26 @@
 		schema_real(o, "cut_off_share", DEFAULT_PARTITIONED_SHARE);
 }
 
-static void model_bind(struct model_spec *m, const json_t *o, int account)
+/* A release without a manifest has a version that follows from its number. */
+static void version_bind(struct model_spec *m, const json_t *o)
 {
+	const char *manifest = schema_string(o, "manifest", NULL);
+
+	m->release = (uint64_t)schema_integer(o, "release", 0);
+	if (manifest)
+		snprintf(m->version, sizeof(m->version), "%s", manifest);
+	else
+		compute_release_version(m->name, m->release, m->version);
+}
+
+static void model_bind(struct model_spec *m, const json_t *o, int account,
+		       const char *shared_origin)
+{
+	const char *origin = schema_string(o, "origin", shared_origin);
+
 	m->account = account;
 	copy_name(m->name, schema_string(o, "name", ""));
-	snprintf(m->version, sizeof(m->version), "%s",
-		 schema_string(o, "manifest", ""));
+	version_bind(m, o);
 	copy_name(m->base, schema_string(o, "base", ""));
 	m->upstreams = strings_bind(json_object_get(o, "upstreams"),
 				    &m->upstream_count);
@@ -81,9 +95,8 @@
 	m->first_loader_count = (int)schema_integer(o, "first_loaders", 1);
 	m->min_serving_ratio =
 		schema_real(o, "min_serving", DEFAULT_MIN_SERVING_RATIO);
-	m->release = (uint64_t)schema_integer(o, "release", 0);
-	if (schema_string(o, "origin", NULL))
-		m->origin = strdup(schema_string(o, "origin", ""));
+	if (origin)
+		m->origin = strdup(origin);
 }
 
 static void operation_bind(struct operation_spec *p, const json_t *o)
@@ -126,8 +139,8 @@
 	a->keys = array_new(n, sizeof(*a->keys));
 	a->key_count = (int)n;
 	for (i = 0; i < n; i++)
-		digest_parse(json_string_value(json_array_get(keys, i)),
-			     &a->keys[i]);
+		account_key_parse(json_string_value(json_array_get(keys, i)),
+				  &a->keys[i]);
 }
 
 static void fleet_bind(struct fleet_spec *f, const json_t *o)
@@ -160,7 +173,8 @@
 	d->account_count = (int)json_array_size(accounts);
 }
 
-static void accounts_bind(struct document *d, const json_t *accounts)
+static void accounts_bind(struct document *d, const json_t *accounts,
+			  const char *origin)
 {
 	struct model_spec *m = d->models;
 	struct service_spec *s = d->services;
@@ -175,7 +189,7 @@
 		account_bind(&d->accounts[i], a);
 		list = json_object_get(a, "models");
 		for (j = 0; j < json_array_size(list); j++)
-			model_bind(m++, json_array_get(list, j), i);
+			model_bind(m++, json_array_get(list, j), i, origin);
 		list = json_object_get(a, "services");
 		for (j = 0; j < json_array_size(list); j++)
 			service_bind(s++, json_array_get(list, j), i);
@@ -228,7 +242,7 @@
 	d->services = array_new((size_t)d->service_count, sizeof(*d->services));
 	d->key_owners =
 		array_new((size_t)d->key_owner_count, sizeof(*d->key_owners));
-	accounts_bind(d, accounts);
+	accounts_bind(d, accounts, schema_string(root, "origin", NULL));
 	sort(d->models, d->model_count, sizeof(*d->models), model_compare);
 	sort(d->services, d->service_count, sizeof(*d->services),
 	     service_compare);
--- a/config/document.c
+++ b/config/document.c
@@ -25,7 +25,8 @@
 		sources[i].account = json_array_get(accounts, i);
 		sources[i].prefix = paths[i];
 	}
-	cross_check(json_object_get(root, "fleet"), sources, n, faults);
+	cross_check(json_object_get(root, "fleet"), VERSION_ANY, sources, n,
+		    faults);
 	free(sources);
 	free(paths);
 }
@@ -36,12 +37,6 @@
 	json_error_t at;
 	json_t *root;
 
-	if (size > DOCUMENT_MAX_BYTES) {
-		fault_add(faults, "",
-			  "%zu bytes are above the platform's cap of %d", size,
-			  DOCUMENT_MAX_BYTES);
-		return NULL;
-	}
 	root = json_loadb(text, size, JSON_REJECT_DUPLICATES, &at);
 	if (!root)
 		fault_add(faults, "", "line %d, column %d: %s", at.line,
@@ -49,21 +44,13 @@
 	return root;
 }
 
-static struct document *document_new(const char *text, size_t size,
-				     const json_t *root)
+static struct document *document_new(const json_t *root)
 {
 	struct document *d = calloc(1, sizeof(*d));
 
 	if (!d)
 		abort();
 	d->ref_count = 1;
-	d->size = size;
-	d->text = malloc(size + 1);
-	if (!d->text)
-		abort();
-	memcpy(d->text, text, size);
-	d->text[size] = '\0';
-	digest_of(text, size, &d->digest);
 	document_bind(d, root);
 	return d;
 }
@@ -85,7 +72,7 @@
 
 		accounts_cross_check(root, faults);
 		if (faults->count == before)
-			d = document_new(text, size, root);
+			d = document_new(root);
 	}
 	json_decref(root);
 	return d;
@@ -104,7 +91,6 @@
 	if (!d || __atomic_sub_fetch(&d->ref_count, 1, __ATOMIC_ACQ_REL))
 		return;
 	document_free_specs(d);
-	free(d->text);
 	free(d);
 }
 
@@ -149,12 +135,12 @@
 
 static int key_compare(const void *key, const void *row)
 {
-	return memcmp(key, row, sizeof(struct digest));
+	return memcmp(key, row, sizeof(struct account_key));
 }
 
 /* Returns the index of the account that holds a key, or -1. */
 int document_find_account_by_key(const struct document *d,
-				 const struct digest *key)
+				 const struct account_key *key)
 {
 	const struct key_owner *k = NULL;
 
@@ -227,6 +213,7 @@
 	int n = snprintf(text, sizeof(text), "%s/%llu", model,
 			 (unsigned long long)release);
 
-	digest_of(text, (size_t)n, &d);
+	digest_of(text, (size_t)n < sizeof(text) ? (size_t)n : sizeof(text) - 1,
+		  &d);
 	digest_hex(&d, hex);
 }
--- a/config/document.h
+++ b/config/document.h
@@ -7,6 +7,7 @@
 
 #include "base/digest.h"
 #include "base/schema.h"
+#include "config/account-key.h"
 #include "config/routing.h"
 
 /*
@@ -15,7 +16,6 @@
  * reader sees one consistent state for as long as it holds a reference.
  */
 
-#define DOCUMENT_MAX_BYTES (1024 * 1024) /* size limit of the platform */
 #define DOCUMENT_NAME_SIZE 64
 
 #define PRIORITY_NONE (-1)
@@ -81,7 +81,7 @@
 
 struct account_spec {
 	char name[DOCUMENT_NAME_SIZE];
-	struct digest *keys; /* SHA-256 of bearer keys */
+	struct account_key *keys;
 	int key_count;
 	double share;	  /* relative weight in the fleet's budget */
 	int priority_min; /* lowest number that its calls may request */
@@ -91,9 +91,9 @@
 	struct limit_spec limit;
 };
 
-/* Maps the digest of a bearer key to its account. */
+/* Maps a bearer key to its account. */
 struct key_owner {
-	struct digest key;
+	struct account_key key;
 	int account;
 };
 
@@ -110,9 +110,6 @@
 	uint64_t revision;
 	/* The operator's own number of accounts and routes, 0: none. */
 	uint64_t generation;
-	struct digest digest; /* of text */
-	char *text;	      /* as published */
-	size_t size;
 	struct fleet_spec fleet;
 	struct account_spec *accounts;
 	int account_count;
@@ -138,7 +135,7 @@
 const struct operation_spec *
 service_find_operation(const struct service_spec *s, const char *name);
 int document_find_account_by_key(const struct document *d,
-				 const struct digest *key);
+				 const struct account_key *key);
 char **strings_bind(const json_t *list, int *count);
 void strings_free(char **list, int count);
 int has_matching_pattern(char *const *patterns, int count,
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -102,7 +102,7 @@
 	struct digest digest;
 	size_t size = 0;
 	char *text = texts_rebuild(&c->values[value].texts, rep,
-				   CONFIG_TEXT_MAX, &size);
+				   c->node->settings.text_max, &size);
 
 	if (text)
 		digest_of(text, size, &digest);
@@ -119,14 +119,17 @@
 	free(text);
 }
 
-/* Inflates the text of a reply in place.  Returns -1 if it is corrupt. */
-static int inflate_reply(config_reply *rep)
+/*
+ * Inflates the text of a reply in place.  Returns -1 if it is corrupt or has
+ * more than text_max bytes.
+ */
+static int inflate_reply(config_reply *rep, size_t text_max)
 {
 	char *text;
 
 	if (!rep->unpacked_size)
 		return 0;
-	text = rep->unpacked_size > CONFIG_TEXT_MAX
+	text = rep->unpacked_size > text_max
 		       ? NULL
 		       : pack_inflate(rep->text.text_val, rep->text.text_len,
 				      rep->unpacked_size);
@@ -226,7 +229,7 @@
 	if (j->action.wanted_value >= 0)
 		log_pull(c, &j->action, ok, clock_now() - asked_at);
 	if (ok && j->action.wanted_value >= 0 && rep.text.text_len &&
-	    !inflate_reply(&rep))
+	    !inflate_reply(&rep, c->node->settings.text_max))
 		apply_reply(c, j->action.wanted_value, &rep, &source);
 	now = clock_now();
 	pthread_mutex_lock(&c->mutex);
--- a/config/platform-service.c
+++ b/config/platform-service.c
@@ -66,6 +66,7 @@
 	x->fetch.url = x->url;
 	x->fetch.timeout_ms = r->hold_s ? r->hold_s * 1000 + HOLD_SLACK_MS
 					: ANSWER_TIMEOUT_MS;
+	x->fetch.text_max = r->node->settings.text_max;
 	fetch_submit(r->node->fetcher, &x->fetch);
 }
 
--- a/config/schema-tables.c
+++ b/config/schema-tables.c
@@ -17,8 +17,7 @@
 
 static const struct schema_field model_fields[] = {
 	{ "name", SCHEMA_STRING, SCHEMA_REQUIRED | SCHEMA_NAME },
-	{ "manifest", SCHEMA_STRING, SCHEMA_REQUIRED | SCHEMA_HEX_DIGEST, 0, 0,
-	  NULL, NULL, NULL, "the digest that limpetctl manifest prints" },
+	{ "manifest", SCHEMA_STRING, SCHEMA_HEX_DIGEST },
 	{ "base", SCHEMA_STRING, SCHEMA_NAME },
 	{ "upstreams", SCHEMA_STRINGS, SCHEMA_REQUIRED, 1, LIST_MAX, NULL, NULL,
 	  NULL, "names of upstreams, or patterns with '*'" },
@@ -139,6 +138,8 @@
 const struct schema_field document_fields[] = {
 	{ "revision", SCHEMA_INTEGER, SCHEMA_REQUIRED, 1, REVISION_MAX, NULL },
 	{ "generation", SCHEMA_INTEGER, 0, 0, REVISION_MAX, NULL },
+	{ "origin", SCHEMA_STRING, 0, 8, LIST_MAX, NULL, NULL, NULL,
+	  "http://ADDRESS:PORT of the origin that numbers all releases" },
 	{ "fleet", SCHEMA_OBJECT, 0, 0, 0, NULL, fleet_fields },
 	{ "accounts", SCHEMA_ARRAY, SCHEMA_REQUIRED, 0, LIST_MAX, NULL,
 	  account_fields, NULL, "the account files" },
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -159,15 +159,15 @@
 static int find_account(struct forward *f)
 {
 	const struct account_spec *account;
-	struct digest d;
+	struct account_key key;
 	int i;
 
 	if (!f->document->key_owner_count || f->route->is_public)
 		return 0;
 	if (!*f->head.key)
 		return -1;
-	digest_of(f->head.key, strlen(f->head.key), &d);
-	i = document_find_account_by_key(f->document, &d);
+	account_key_of(f->head.key, strlen(f->head.key), &key);
+	i = document_find_account_by_key(f->document, &key);
 	if (i < 0)
 		return -1;
 	account = &f->document->accounts[i];
--- a/net/envelope.c
+++ b/net/envelope.c
@@ -3,6 +3,20 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/settings.h"
+
+/* Added to a text for what a reply says beside it. */
+#define REPLY_OVERHEAD_BYTES 4096
+
+unsigned int envelope_reply_max =
+	SETTINGS_VALUE_BYTES * SETTINGS_TEXT_GROWTH + REPLY_OVERHEAD_BYTES;
+
+/* Sets the bytes of the longest text in a reply; call before any exchange. */
+void envelope_set_text_max(size_t size)
+{
+	envelope_reply_max = (unsigned int)(size + REPLY_OVERHEAD_BYTES);
+}
+
 /*
  * Encodes a value into memory from malloc.  Returns -1 when encoding fails.
  */
--- a/net/envelope.h
+++ b/net/envelope.h
@@ -7,6 +7,8 @@
 
 /* Signs and verifies envelopes; encodes XDR to and from memory. */
 
+void envelope_set_text_max(size_t size);
+
 int envelope_request_sign(struct envelope_request *e, const char *key,
 			  struct digest *mac);
 int envelope_request_verify(struct envelope_request *e,
--- a/net/envelope_proto.h
+++ b/net/envelope_proto.h
@@ -13,6 +13,8 @@
 extern "C" {
 #endif
 
+/* Bytes of a body of a reply; follows from the settings. */
+extern unsigned int envelope_reply_max;
 #define ENVELOPE_BODY_MAX 1300000
 #define ENVELOPE_NAME_MAX 63
 #define ENVELOPE_MAC_SIZE 32
--- a/net/envelope_proto.x
+++ b/net/envelope_proto.x
@@ -4,7 +4,12 @@
  * the shared key of the XDR encoding of the envelope with an empty mac.
  */
 
-const ENVELOPE_BODY_MAX = 1300000;
+#ifdef RPC_HDR
+%/* Bytes of a body of a reply; follows from the settings. */
+%extern unsigned int envelope_reply_max;
+#endif
+
+const ENVELOPE_BODY_MAX = 1300000;	/* of a request */
 const ENVELOPE_NAME_MAX = 63;
 const ENVELOPE_MAC_SIZE = 32;
 
@@ -32,7 +37,7 @@
 	string instance<ENVELOPE_NAME_MAX>;
 	unsigned hyper boot;
 	unsigned hyper sequence;	/* of the request */
-	opaque body<ENVELOPE_BODY_MAX>;
+	opaque body<envelope_reply_max>;
 	opaque mac<ENVELOPE_MAC_SIZE>;
 };
 
--- a/net/envelope_proto_xdr.c
+++ b/net/envelope_proto_xdr.c
@@ -50,7 +50,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, ENVELOPE_BODY_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, envelope_reply_max))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->mac.mac_val, (u_int *) &objp->mac.mac_len, ENVELOPE_MAC_SIZE))
 		 return FALSE;
--- a/net/node.c
+++ b/net/node.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "net/envelope.h"
 #include "net/httpd-guard.h"
 #include "net/operator.h"
 
@@ -74,6 +75,7 @@
 		 s->key);
 	snprintf(n->self.keys.previous, sizeof(n->self.keys.previous), "%s",
 		 s->key_previous);
+	envelope_set_text_max(s->text_max);
 	while (!n->self.boot)
 		random_secure(&n->self.boot, sizeof(n->self.boot));
 	random_seed(&n->random, s->random_seed ? s->random_seed : n->self.boot);
--- a/t/helper/test-config.c
+++ b/t/helper/test-config.c
@@ -55,7 +55,7 @@
 	struct document *d = parse(whole);
 	const struct model_spec *m = document_find_model(d, "quotes");
 	const struct service_spec *s = document_find_service(d, "register");
-	struct digest key;
+	struct account_key key;
 
 	ck_assert_uint_eq(d->revision, 9);
 	ck_assert(is_model_assigned(m, "m-7", "ne"));
@@ -71,7 +71,7 @@
 	ck_assert(!service_find_operation(s, "reserve")->is_repeatable);
 	ck_assert_ptr_null(service_find_operation(s, "other"));
 	ck_assert_ptr_null(document_find_model(d, "quote"));
-	digest_parse(HEX_B, &key);
+	account_key_parse(HEX_B, &key);
 	ck_assert_str_eq(
 		d->accounts[document_find_account_by_key(d, &key)].name,
 		"sigyeru");
@@ -90,8 +90,6 @@
 
 START_TEST(document_is_refused_whole)
 {
-	char *big = malloc(DOCUMENT_MAX_BYTES + 2);
-
 	refused("{\"revision\":1,\"accounts\":[", "line 1", "");
 	refused("{\"accounts\":[]}", "revision", "required");
 	refused("{\"revision\":0,\"accounts\":[]}", "revision", "range");
@@ -118,10 +116,6 @@
 	refused(DOCUMENT("{\"account\":\"a\",\"keys\":[\"" HEX_A "\"]},"
 			 "{\"account\":\"b\",\"keys\":[\"" HEX_A "\"]}"),
 		"accounts[1].keys[0]", "already");
-	memset(big, ' ', DOCUMENT_MAX_BYTES + 1);
-	big[DOCUMENT_MAX_BYTES + 1] = '\0';
-	refused(big, "cap", "");
-	free(big);
 }
 END_TEST
 
--- /dev/null
+++ b/t/helper/test-platform-document.c
@@ -0,0 +1,122 @@
+#include <apr_general.h>
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/settings.h"
+#include "config/document.h"
+#include "platform/document.h"
+#include "platform/names.h"
+
+/*
+ * Configurations of the operator that fill a value of the platform with the
+ * shortest elements of one kind.
+ */
+
+#define LONG_NAME                                                              \
+	"a23456789012345678901234567890123456789012345678901234567890123"
+
+struct filling {
+	const char *before;
+	const char *element; /* with a name of three letters for %s */
+	const char *after;
+};
+
+#define NO_ROUTES "\"Routes\":[],"
+#define NO_SERVICES "\"Services\":[],"
+
+static const struct filling fillings[] = {
+	{ NO_ROUTES NO_SERVICES "\"Tenants\":[", "{\"Name\":\"%s\"}", "]" },
+	{ NO_ROUTES NO_SERVICES "\"Tenants\":[",
+	  "{\"Name\":\"%s\",\"ApiKeys\":[\"%s\"]}", "]" },
+	{ NO_ROUTES NO_SERVICES "\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[",
+	  "\"%s\"", "]}]" },
+	{ "\"Services\":[{\"Name\":\"s\"}],\"Routes\":[",
+	  "{\"Name\":\"r\",\"Host\":\"h\",\"Prefix\":\"/%s/\","
+	  "\"Kind\":\"streaming\",\"Service\":\"s\"}",
+	  "]" },
+	{ NO_SERVICES "\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\","
+		      "\"Prefix\":\"/\",\"Kind\":\"idempotent\",\"Backends\":[",
+	  "{\"Service\":\"%s\",\"Weight\":0.1}", "]}]" },
+	{ NO_ROUTES "\"Services\":[", "{\"Name\":\"%s\",\"Engine\":{}}", "]" },
+	{ NO_ROUTES "\"Services\":[",
+	  "{\"Name\":\"%s\",\"Engine\":{\"step_ms\":0.7}}", "]" },
+	{ NO_ROUTES "\"Services\":[{\"Name\":\"" LONG_NAME
+		    "\",\"Engine\":{\"Models\":[",
+	  "{\"Name\":\"%s\"}", "]}}]" },
+};
+
+#define FILLING_COUNT ((int)(sizeof(fillings) / sizeof(fillings[0])))
+
+static const char letters[] =
+	"abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789";
+
+#define LETTER_COUNT ((int)sizeof(letters) - 1)
+
+/* Appends elements until the value is full; returns their number. */
+static int fill(char *text, const struct filling *x)
+{
+	size_t size = (size_t)sprintf(text, "{\"Version\":9,%s", x->before);
+	size_t room = SETTINGS_VALUE_BYTES - strlen(x->after) - 1;
+	int i, n;
+
+	for (i = 0; i < LETTER_COUNT * LETTER_COUNT * LETTER_COUNT; i++) {
+		const char name[] = { letters[i % LETTER_COUNT],
+				      letters[i / LETTER_COUNT % LETTER_COUNT],
+				      letters[i / LETTER_COUNT / LETTER_COUNT],
+				      '\0' };
+		char element[256];
+
+		n = snprintf(element, sizeof(element), x->element, name, name);
+		if (size + (size_t)n + 1 > room)
+			break;
+		size += (size_t)sprintf(text + size, "%s%s", i ? "," : "",
+					element);
+	}
+	sprintf(text + size, "%s}", x->after);
+	return i;
+}
+
+/*
+ * Guards against a limit on the converted text that a value which the platform
+ * accepts exceeds: the whole configuration was refused then.
+ */
+START_TEST(text_of_full_value_is_within_the_limit)
+{
+	char *text = malloc(SETTINGS_VALUE_BYTES + 1);
+	int count = fill(text, &fillings[_i]);
+	json_t *config = json_loads(text, 0, NULL);
+	json_t *items = json_pack("{s:o}", KEY_CONFIG, config);
+	json_t *root = platform_make_document(items, 1, 1);
+	char *converted = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
+
+	ck_assert_int_gt(count, 8000);
+	ck_assert_ptr_nonnull(converted);
+	ck_assert_uint_le(strlen(converted),
+			  SETTINGS_VALUE_BYTES * SETTINGS_TEXT_GROWTH);
+	free(converted);
+	json_decref(root);
+	json_decref(items);
+	free(text);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("platform-document");
+	TCase *t = tcase_create("platform-document");
+	SRunner *r;
+	int failed;
+
+	apr_initialize();
+	tcase_add_loop_test(t, text_of_full_value_is_within_the_limit, 0,
+			    FILLING_COUNT);
+	tcase_set_timeout(t, 60);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_VERBOSE);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/t/t0200-config.sh
+++ b/t/t0200-config.sh
@@ -10,4 +10,8 @@
 
 test_expect_success 'unit tests of the texts that peers ask for' 'test-texts'
 
+test_expect_success 'unit tests of the conversion of configurations' '
+	test-platform-document
+'
+
 test_done
