--- a/t/t1037-large-configurations.sh
+++ b/t/t1037-large-configurations.sh
@@ -104,4 +104,21 @@
 	wait_until 15 is_in_force 2 1
 '
 
+store_mode () {
+	curl -sf -X POST --data "$1" http://$STORE/test/mode >/dev/null
+}
+
+# Guards against a watch that fails for as long as its answer is too long.
+test_expect_success 'more changes than an answer holds' '
+	store_mode "{\"down\":true}" &&
+	for version in 3 4 5 6 7 8; do
+		make_config $version "
+			fill(c[\"Routes\"], lambda n: dict(route(\"r\"), Prefix=\"/%d/\" % n))
+		" &&
+		put op/config <config || exit 1
+	done &&
+	store_mode "{}" &&
+	wait_until 15 is_in_force 8 2
+'
+
 test_done
