document: lists as long as the text that holds them

The list of upstreams was refused above 8,192 in the same way; those beyond the 2,048 rows of the target table are left out as before.

Change: such lists have no bound of their own (SCHEMA_UNBOUNDED); how long they get follows from the text.

--- a/base/schema.c
+++ b/base/schema.c
@@ -112,6 +112,18 @@
 	       strspn(s, "0123456789abcdef") == HEX_DIGEST_LENGTH;
 }
 
+static void length_check(const struct schema_field *f, size_t n,
+			 const char *what, const char *path,
+			 struct fault_list *faults)
+{
+	if (f->high == SCHEMA_UNBOUNDED && n < f->low)
+		fault_add(faults, path, "expected at least %g %s", f->low,
+			  what);
+	else if (f->high != SCHEMA_UNBOUNDED && (n < f->low || n > f->high))
+		fault_add(faults, path, "expected %g to %g %s", f->low, f->high,
+			  what);
+}
+
 static void string_check(const struct schema_field *f, const char *s,
 			 const char *path, struct fault_list *faults)
 {
@@ -127,9 +139,7 @@
 			  "expected a name of 1 to %d letters, digits, '-', "
 			  "'_' or '.'",
 			  NAME_LENGTH_MAX);
-	if (f->high && (n < f->low || n > f->high))
-		fault_add(faults, path, "expected %g to %g characters", f->low,
-			  f->high);
+	length_check(f, n, "characters", path, faults);
 	if (!f->choices)
 		return;
 	for (c = f->choices; *c; c++) {
@@ -160,9 +170,7 @@
 	char inner[PATH_SIZE + 32];
 	size_t i, n = json_array_size(v);
 
-	if (f->high && (n < f->low || n > f->high))
-		fault_add(faults, path, "expected %g to %g elements", f->low,
-			  f->high);
+	length_check(f, n, "elements", path, faults);
 	for (i = 0; i < n; i++) {
 		const json_t *e = json_array_get(v, i);
 
--- a/base/schema.h
+++ b/base/schema.h
@@ -25,13 +25,17 @@
 #define SCHEMA_HEX_DIGEST 2 /* 64 lower-case hex digits */
 #define SCHEMA_NAME 4	    /* 1 to 63 letters, digits, '-', '_', '.' */
 
+/* Upper bound of a list that is only as long as the text that holds it. */
+#define SCHEMA_UNBOUNDED 0
+
 struct schema_field {
 	const char *name; /* NULL marks the end of a table */
 	enum schema_type type;
 	int flags; /* SCHEMA_REQUIRED and so on, combined with | */
 	/*
 	 * Bounds of the value, or of the length of a string or array.  Numbers
-	 * are not bounded if low equals high, lengths if high is 0.
+	 * are not bounded if low equals high, lengths not above low if high is
+	 * SCHEMA_UNBOUNDED.
 	 */
 	double low;
 	double high;
--- a/forward/listing.c
+++ b/forward/listing.c
@@ -13,7 +13,6 @@
 #include "forward/listing-memory.h"
 
 #define VERSION_MAX 9007199254740991.0
-#define LIST_MAX 8192
 #define SLOTS_MAX 1e6
 #define PORT_MAX 65535
 
@@ -36,7 +35,7 @@
 	{ "born_ms", SCHEMA_INTEGER, 0, 0, VERSION_MAX },
 	{ "cold_ms", SCHEMA_INTEGER, 0, 0, 3600000, "ms" },
 	{ "sequence", SCHEMA_INTEGER, 0, 0, VERSION_MAX },
-	{ "models", SCHEMA_ARRAY, 0, 0, LIST_MAX, NULL, model_fields },
+	{ "models", SCHEMA_ARRAY, 0, 0, SCHEMA_UNBOUNDED, NULL, model_fields },
 	SCHEMA_END
 };
 
@@ -140,9 +139,8 @@
 	size_t i;
 
 	json_object_del(root, "upstreams"); /* checked one by one */
-	if (!json_is_array(list) || json_array_size(list) > LIST_MAX)
-		fault_add(faults, "upstreams", "expected up to %d elements",
-			  LIST_MAX);
+	if (!json_is_array(list))
+		fault_add(faults, "upstreams", "expected an array");
 	if (schema_check(list_fields, root, "", faults) || faults->count)
 		goto out;
 	l = calloc(1, sizeof(*l));
--- a/t/helper/test-listing.c
+++ b/t/helper/test-listing.c
@@ -185,6 +185,34 @@
 }
 END_TEST
 
+/* Guards against a list that is refused as a whole for its length. */
+START_TEST(long_list_is_read)
+{
+	json_t *upstreams = json_array(), *root;
+	struct fault_list faults = { 0 };
+	struct listing *l;
+	char id[16], *text;
+	int i;
+
+	for (i = 0; i < 9000; i++) {
+		snprintf(id, sizeof(id), "u-%d", i);
+		json_array_append_new(upstreams,
+				      json_pack("{s:s,s:s,s:s,s:s}", "id", id,
+						"service", "web", "address",
+						"127.0.0.1:80", "data_center",
+						"d1"));
+	}
+	root = json_pack("{s:i,s:o}", "version", 1, "upstreams", upstreams);
+	text = json_dumps(root, JSON_COMPACT);
+	l = listing_parse(text, strlen(text), &faults);
+	ck_assert_ptr_nonnull(l);
+	ck_assert_int_eq(l->count, 9000);
+	listing_release(l);
+	free(text);
+	json_decref(root);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("listing");
@@ -199,6 +227,7 @@
 	suite_add_tcase(s, tc);
 	tcase_add_test(tc, older_entries_of_a_new_epoch_do_not_count);
 	tcase_add_test(tc, entries_are_held_back_for_seconds_only);
+	tcase_add_test(tc, long_list_is_read);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
--- a/t/helper/test-platform-document.c
+++ b/t/helper/test-platform-document.c
@@ -102,6 +102,49 @@
 }
 END_TEST
 
+/* Returns the elements of the list that was filled. */
+static int count_bound(const struct document *d, int filling)
+{
+	switch (filling) {
+	case 0:
+	case 1:
+		return d->account_count - 1; /* one has the models */
+	case 2:
+		return d->key_owner_count;
+	case 3:
+		return d->routing.route_count;
+	case 4:
+		return d->routing.routes[0].service_count;
+	case 5:
+	case 6:
+		return d->routing.service_count;
+	}
+	return d->model_count;
+}
+
+/* Guards against a limit on the length of a list in the document. */
+START_TEST(full_value_comes_into_force)
+{
+	char *text = malloc(SETTINGS_VALUE_BYTES + 1);
+	int count = fill(text, &fillings[_i]);
+	json_t *config = json_loads(text, 0, NULL);
+	json_t *items = json_pack("{s:o}", KEY_CONFIG, config);
+	json_t *root = platform_make_document(items, 1, 1);
+	char *converted = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
+	struct fault_list faults = { 0 };
+	struct document *d;
+
+	d = document_parse(converted, strlen(converted), &faults);
+	ck_assert_msg(d != NULL, "filling %d: %s", _i, *faults.lines);
+	ck_assert_int_eq(count_bound(d, _i), count);
+	document_unref(d);
+	free(converted);
+	json_decref(root);
+	json_decref(items);
+	free(text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("platform-document");
@@ -112,6 +155,7 @@
 	apr_initialize();
 	tcase_add_loop_test(t, text_of_full_value_is_within_the_limit, 0,
 			    FILLING_COUNT);
+	tcase_add_loop_test(t, full_value_comes_into_force, 0, FILLING_COUNT);
 	tcase_set_timeout(t, 60);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
--- a/t/t1037-large-configurations.sh
+++ b/t/t1037-large-configurations.sh
@@ -121,4 +121,15 @@
 	wait_until 15 is_in_force 8 2
 '
 
+# Guards against a limit on the length of a list.
+test_expect_success 'a value full of tenants with short names and keys' '
+	make_config 9 "
+		fill(c[\"Tenants\"], lambda n: {\"Name\": \"t%d\" % n,
+		     \"ApiKeys\": [\"k%d\" % n]})
+	" &&
+	put op/config <config &&
+	wait_until 15 is_in_force 9 8 &&
+	test "$(get_status 2 /kept/x k20000)" = 200
+'
+
 test_done
