platform: a model of several services is one model

Cause: the conversion wrote the model once for each service, under one account, and models_check() took the second one for a second declaration.

The operator names releases by model alone, so that they are of one release; docs/design/configuration.md says what looks a service up by its model.

--- a/t/helper/test-platform-document.c
+++ b/t/helper/test-platform-document.c
@@ -145,6 +145,51 @@
 }
 END_TEST
 
+/* Parses what the operator's text converts to; no fault may be found. */
+static struct document *convert(const char *text)
+{
+	json_t *items =
+		json_pack("{s:o}", KEY_CONFIG, json_loads(text, 0, NULL));
+	json_t *root = platform_make_document(items, 1, 1);
+	char *converted = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
+	struct fault_list faults = { 0 };
+	struct document *d =
+		document_parse(converted, strlen(converted), &faults);
+
+	ck_assert_msg(d != NULL, "%s", faults.count ? *faults.lines : "?");
+	free(converted);
+	json_decref(root);
+	json_decref(items);
+	return d;
+}
+
+/* Guards against a model that only one of its services loads. */
+START_TEST(model_of_two_services_is_on_the_upstreams_of_both)
+{
+	struct document *d = convert(
+		"{\"Version\":3,\"Services\":["
+		"{\"Name\":\"one\",\"Engine\":{\"Models\":"
+		"[{\"Name\":\"m\"},{\"Name\":\"n\"},{\"Name\":\"m\"}]}},"
+		"{\"Name\":\"two\",\"Engine\":{\"Models\":"
+		"[{\"Name\":\"m\"}]}},"
+		"{\"Name\":\"store\",\"Origin\":\"127.0.0.9:80\"}]}");
+	const struct model_spec *m = document_find_model(d, "m");
+	const struct model_spec *n = document_find_model(d, "n");
+	char hex[DIGEST_HEX_SIZE];
+
+	ck_assert_int_eq(d->model_count, 2);
+	ck_assert_int_eq(m->upstream_count, 2);
+	ck_assert(is_model_assigned(m, "one", "d"));
+	ck_assert(is_model_assigned(m, "two", "d"));
+	ck_assert(is_model_assigned(n, "one", "d"));
+	ck_assert(!is_model_assigned(n, "two", "d"));
+	ck_assert_str_eq(m->origin, "http://127.0.0.9:80");
+	compute_release_version("m", 1, hex);
+	ck_assert_str_eq(m->version, hex);
+	document_unref(d);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("platform-document");
@@ -156,6 +201,7 @@
 	tcase_add_loop_test(t, text_of_full_value_is_within_the_limit, 0,
 			    FILLING_COUNT);
 	tcase_add_loop_test(t, full_value_comes_into_force, 0, FILLING_COUNT);
+	tcase_add_test(t, model_of_two_services_is_on_the_upstreams_of_both);
 	tcase_set_timeout(t, 60);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
--- a/t/t1037-large-configurations.sh
+++ b/t/t1037-large-configurations.sh
@@ -132,4 +132,18 @@
 	test "$(get_status 2 /kept/x k20000)" = 200
 '
 
+# Guards against a model that counts as declared twice.
+test_expect_success 'two services with the same model' '
+	make_config 10 "
+		for name in (\"llm\", \"llm2\"):
+		    c[\"Services\"].append({\"Name\": name, \"Engine\": {
+		        \"Slots\": 12, \"Models\": [{\"Name\": \"m\"}]}})
+		c[\"Routes\"].append(dict(route(\"draft\"), Kind=\"streaming\",
+		    Backends=[{\"Service\": \"llm\", \"Weight\": 50},
+		              {\"Service\": \"llm2\", \"Weight\": 50}]))
+	" &&
+	put op/config <config &&
+	wait_until 15 is_in_force 10 9
+'
+
 test_done
