config: a part that can't be read costs that part only

A single field out of range in what the operator wrote, such as a time-out above an hour, a name with a blank or a key named twice, had the whole configuration refused although the store had accepted it: the older one stayed, with keys that had been taken away. A route whose regions could not be read was skipped, and its requests went to a route with a shorter prefix.

Cause: the document is refused whole by design, which fits documents that are checked before they are published. The store's operators are told that it is accepted first.

Change: a text from such a platform that has faults is repaired by the process that reads it (schema_prune(), config/repair.c) before it is spread: numbers go to the nearest allowed value, other parts are left out, each with a line in the log, a counter and a number in the status.

--- a/base/schema.c
+++ b/base/schema.c
@@ -294,6 +294,126 @@
 	return faults->count - before;
 }
 
+/* Sets a number to the nearest allowed value.  Returns -1 if it is none. */
+static int number_prune(const struct schema_field *f, json_t *object,
+			const char *path, struct fault_list *removed)
+{
+	const json_t *v = json_object_get(object, f->name);
+	double x = json_number_value(v);
+	int is_bounded = f->low != f->high;
+
+	if (!json_is_number(v) || (!is_bounded && !has_type(f->type, v)))
+		return -1;
+	if (has_type(f->type, v) &&
+	    (!is_bounded || (x >= f->low && x <= f->high)))
+		return 0;
+	x = x < f->low ? f->low : x > f->high ? f->high : x;
+	fault_add(removed, path, "%g is used instead", x);
+	json_object_set_new(object, f->name,
+			    f->type == SCHEMA_REAL
+				    ? json_real(x)
+				    : json_integer((json_int_t)x));
+	return 0;
+}
+
+/* Returns 1 for an element of a list that is valid, once pruned. */
+static int element_prune(const struct schema_field *f, json_t *v,
+			 const char *path, struct fault_list *removed)
+{
+	if (f->type == SCHEMA_ARRAY)
+		return !schema_prune(f->fields, v, path, removed);
+	if (json_is_string(v) &&
+	    (!(f->flags & SCHEMA_NAME) || is_name(json_string_value(v))))
+		return 1;
+	fault_add(removed, path, "expected a %s",
+		  f->flags & SCHEMA_NAME ? "name" : "string");
+	return 0;
+}
+
+/* Drops what is invalid in a list.  Returns -1 if too little is left. */
+static int array_prune(const struct schema_field *f, json_t *object,
+		       const char *path, struct fault_list *removed)
+{
+	json_t *v = json_object_get(object, f->name), *kept, *e;
+	char inner[PATH_SIZE + 32];
+	size_t i;
+
+	if (!json_is_array(v))
+		return -1;
+	kept = json_array();
+	json_array_foreach(v, i, e)
+	{
+		snprintf(inner, sizeof(inner), "%s[%zu]", path, i);
+		if ((f->high == SCHEMA_UNBOUNDED ||
+		     json_array_size(kept) < f->high) &&
+		    element_prune(f, e, inner, removed))
+			json_array_append(kept, e);
+	}
+	json_object_set_new(object, f->name, kept);
+	return json_array_size(kept) < f->low ? -1 : 0;
+}
+
+static int field_prune(const struct schema_field *f, json_t *object,
+		       const char *path, struct fault_list *removed)
+{
+	json_t *v = json_object_get(object, f->name);
+	size_t before = removed->count;
+
+	switch (f->type) {
+	case SCHEMA_INTEGER:
+	case SCHEMA_REAL:
+		return number_prune(f, object, path, removed);
+	case SCHEMA_OBJECT:
+		return schema_prune(f->fields, v, path, removed);
+	case SCHEMA_ARRAY:
+	case SCHEMA_STRINGS:
+		return array_prune(f, object, path, removed);
+	default:
+		field_check(f, v, path, removed);
+		return removed->count > before ? -1 : 0;
+	}
+}
+
+/*
+ * Removes from object what schema_check would find a fault in, and adds a line
+ * for each part: a number out of range becomes the nearest one allowed, other
+ * members go, and so do elements of lists that lack what is required.  Returns
+ * -1 if object itself does.
+ */
+int schema_prune(const struct schema_field *fields, json_t *object,
+		 const char *path, struct fault_list *removed)
+{
+	const struct schema_field *f;
+	const char *dot = *path ? "." : "";
+	char inner[PATH_SIZE];
+	const char *key;
+	void *next;
+	json_t *v;
+
+	if (!json_is_object(object)) {
+		fault_add(removed, path, "expected an object");
+		return -1;
+	}
+	json_object_foreach_safe(object, next, key, v)
+	{
+		f = field_find(fields, key);
+		snprintf(inner, sizeof(inner), "%s%s%s", path, dot, key);
+		if (f && !field_prune(f, object, inner, removed))
+			continue;
+		fault_add(removed, inner, "is left out");
+		json_object_del(object, key);
+	}
+	for (f = fields; f->name; f++) {
+		if (!(f->flags & SCHEMA_REQUIRED) ||
+		    json_object_get(object, f->name))
+			continue;
+		fault_add(removed, path, "is left out: it has no valid %s",
+			  f->name);
+		return -1;
+	}
+	return 0;
+}
+
 /*
  * Loads a JSON file of at most size_limit bytes.  Returns a new reference, or
  * NULL after adding the reason to faults.
--- a/base/schema.h
+++ b/base/schema.h
@@ -63,6 +63,8 @@
 
 size_t schema_check(const struct schema_field *fields, const json_t *object,
 		    const char *path, struct fault_list *faults);
+int schema_prune(const struct schema_field *fields, json_t *object,
+		 const char *path, struct fault_list *removed);
 json_t *schema_load_file(const char *file, size_t size_limit,
 			 struct fault_list *faults);
 
--- a/builtin/vet.c
+++ b/builtin/vet.c
@@ -7,6 +7,7 @@
 #include "builtin/builtin.h"
 #include "config/diff.h"
 #include "config/findings.h"
+#include "config/repair.h"
 #include "platform/platform.h"
 
 /* Largest file that is read; the platform takes 1 MiB. */
@@ -19,6 +20,26 @@
 	int has_changes; /* compared with another version */
 };
 
+/*
+ * Parses what an operator's configuration converts to.  The processes leave out
+ * the parts that have faults and apply the rest; such parts are errors here.
+ */
+static struct document *parse_in_part(const char *text,
+				      struct fault_list *errors)
+{
+	struct fault_list faults = { 0 };
+	struct document *d = document_parse(text, strlen(text), &faults);
+	char *repaired = NULL;
+
+	if (!d)
+		repaired = document_repair(text, strlen(text), errors);
+	if (repaired)
+		d = document_parse(repaired, strlen(repaired), errors);
+	free(repaired);
+	fault_list_clear(&faults);
+	return d;
+}
+
 /*
  * Reads a document, or the operator's configuration, which is converted by the
  * code that the processes use. Returns NULL after adding to errors.
@@ -28,6 +49,7 @@
 {
 	json_t *o = schema_load_file(file, FILE_MAX_BYTES, errors);
 	struct document *d = NULL;
+	int is_document;
 	json_t *root;
 	char *text;
 
@@ -37,12 +59,14 @@
 		json_decref(o);
 		return NULL;
 	}
-	root = json_object_get(o, "revision")
-		       ? json_incref(o)
-		       : platform_convert_config(o, findings);
+	is_document = json_object_get(o, "revision") != NULL;
+	root = is_document ? json_incref(o)
+			   : platform_convert_config(o, findings);
 	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
-	if (text)
+	if (text && is_document)
 		d = document_parse(text, strlen(text), errors);
+	else if (text)
+		d = parse_in_part(text, errors);
 	free(text);
 	json_decref(root);
 	json_decref(o);
--- a/config/component.h
+++ b/config/component.h
@@ -70,7 +70,8 @@
 	struct value_state values[SPREAD_VALUE_COUNT];
 	struct fault_list faults; /* of the last rejected document */
 	uint64_t rejected_revision;
-	int is_ready; /* never reset once set */
+	size_t left_out_count; /* parts of documents, since process start */
+	int is_ready;	       /* never reset once set */
 	int is_stopping;
 	apr_time_t next_members_update_at;
 };
--- a/config/config.c
+++ b/config/config.c
@@ -10,6 +10,7 @@
 #include "config/component.h"
 #include "config/declared.h"
 #include "config/document.h"
+#include "config/repair.h"
 #include "member/detect.h"
 #include "member/instance.h"
 
@@ -86,10 +87,18 @@
 	apr_time_t started_at;
 	struct digest digest;
 	uint64_t version = 0;
+	char *repaired = NULL;
 	int is_applied = 0;
 
 	started_at = clock_thread_time();
 	verdict = v->ops->apply(v->arg, text, size, source, &version);
+	if (verdict == VALUE_INVALID && source->is_accepted && v->ops->repair)
+		repaired = v->ops->repair(v->arg, text, size);
+	if (repaired) {
+		text = repaired;
+		size = strlen(text);
+		verdict = v->ops->apply(v->arg, text, size, source, &version);
+	}
 	metric_record(metric_histogram("config_step_us", "check"),
 		      (uint64_t)(clock_thread_time() - started_at));
 	pthread_mutex_lock(&c->mutex);
@@ -115,6 +124,7 @@
 		log_notice("config-take", source->name,
 			   "applied %s revision %llu", v->ops->name,
 			   (unsigned long long)version);
+	free(repaired);
 	return is_applied;
 }
 
@@ -210,7 +220,29 @@
 	return VALUE_APPLIED;
 }
 
-static const struct value_ops document_ops = { "document", apply_document };
+/*
+ * Leaves out what has faults, with a line for each of the first parts and a
+ * count of all.
+ */
+static char *repair_document(void *arg, const char *text, size_t size)
+{
+	struct config *c = arg;
+	struct fault_list removed = { 0 };
+	char *repaired = document_repair(text, size, &removed);
+	size_t i;
+
+	for (i = 0; i < removed.count && i < STATUS_FAULTS_MAX; i++)
+		log_warning("config-repair", NULL, "%s", removed.lines[i]);
+	metric_count("config_parts_left_out", NULL, removed.count);
+	pthread_mutex_lock(&c->mutex);
+	c->left_out_count += removed.count;
+	pthread_mutex_unlock(&c->mutex);
+	fault_list_clear(&removed);
+	return repaired;
+}
+
+static const struct value_ops document_ops = { "document", apply_document,
+					       repair_document };
 
 /* See value.h. */
 void config_set_platform(const struct platform_ops *ops)
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -456,7 +456,10 @@
 {
 	struct watch_job *w = (struct watch_job *)job;
 	struct platform_read *r = &w->read;
-	struct text_source source = { .name = "platform" };
+	struct text_source source = {
+		.name = "platform",
+		.is_accepted = w->config->platform->accepts_first
+	};
 	int changed = 0;
 
 	subtract_answer_delay(w);
--- a/config/platform-service.c
+++ b/config/platform-service.c
@@ -70,4 +70,4 @@
 	fetch_submit(r->node->fetcher, &x->fetch);
 }
 
-const struct platform_ops platform_service_ops = { service_read };
+const struct platform_ops platform_service_ops = { service_read, 0 };
--- a/config/schema-tables.c
+++ b/config/schema-tables.c
@@ -93,7 +93,7 @@
 	{ "prefix", SCHEMA_STRING, SCHEMA_REQUIRED, 1, 4096 },
 	{ "kind", SCHEMA_STRING, SCHEMA_REQUIRED, 0, 0, NULL, NULL,
 	  route_kinds },
-	{ "services", SCHEMA_ARRAY, SCHEMA_REQUIRED, 1, SCHEMA_UNBOUNDED, NULL,
+	{ "services", SCHEMA_ARRAY, SCHEMA_REQUIRED, 0, SCHEMA_UNBOUNDED, NULL,
 	  part_fields },
 	{ "timeout_ms", SCHEMA_INTEGER, 0, 1, HOUR_MS, "ms" },
 	{ "objective_ms", SCHEMA_INTEGER, 0, 0, HOUR_MS, "ms" },
--- a/config/status.c
+++ b/config/status.c
@@ -71,6 +71,9 @@
 		json_object_set_new(
 			o, "refused_revision",
 			json_integer((json_int_t)c->rejected_revision));
+		json_object_set_new(
+			o, "parts_left_out",
+			json_integer((json_int_t)c->left_out_count));
 		json_object_set_new(o, "faults", faults_json(&c->faults));
 	}
 	json_object_set_new(o, "watch_rank",
--- a/config/value.h
+++ b/config/value.h
@@ -47,6 +47,11 @@
 /* Operations of one kind of platform. */
 struct platform_ops {
 	void (*read)(struct platform_read *r);
+	/*
+	 * Its operators are told that a value is accepted before it is read
+	 * here: what has faults is left out, the rest is applied.
+	 */
+	int accepts_first;
 };
 
 /* The configuration service of docs/design/interfaces.md. */
@@ -75,6 +80,7 @@
 	 * time or later.
 	 */
 	apr_time_t earliest_change_at;
+	int is_accepted; /* the platform told its operators so */
 };
 
 struct value_ops {
@@ -87,6 +93,12 @@
 	enum value_verdict (*apply)(void *arg, const char *text, size_t size,
 				    const struct text_source *source,
 				    uint64_t *version);
+
+	/*
+	 * Returns an invalid text without the parts that have faults, or NULL if
+	 * nothing is left.  The caller frees it.  NULL: never repaired.
+	 */
+	char *(*repair)(void *arg, const char *text, size_t size);
 };
 
 /*
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -17,6 +17,9 @@
 /* Retry delay while this entry stops; other entries serve requests now. */
 #define DRAINING_RETRY_MS 50
 
+/* The same for a route that can't be read: only a new version changes that. */
+#define CLOSED_RETRY_MS 1000
+
 /* Frees a request that has been answered. */
 void forward_free(struct forward *f)
 {
@@ -276,6 +279,12 @@
 		forward_refuse(f, 413, AGAIN_NO, 0, "body-too-large");
 		return;
 	}
+	if (!f->route->service_count) {
+		set_deadline(f);
+		forward_refuse(f, 503, AGAIN_SAME, CLOSED_RETRY_MS,
+			       "route-unreadable");
+		return;
+	}
 	set_service(f);
 	forward_set_items(f, http_call_body(c, &body_size), body_size);
 	pthread_mutex_lock(&w->mutex);
--- a/t/helper/fuzz-platform.c
+++ b/t/helper/fuzz-platform.c
@@ -1,7 +1,10 @@
 #include <jansson.h>
 #include <stdint.h>
 #include <stdlib.h>
+#include <string.h>
 
+#include "config/document.h"
+#include "config/repair.h"
 #include "forward/events.h"
 #include "platform/document.h"
 #include "platform/platform.h"
@@ -39,6 +42,27 @@
 	free(platform_engine_ops.make_manifest_text(text, size, &err));
 }
 
+/* Whatever the operator writes, something of it is in force. */
+static void check_document(json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
+	struct fault_list faults = { 0 };
+	char *repaired =
+		text ? document_repair(text, strlen(text), &faults) : NULL;
+	struct document *d = NULL;
+
+	fault_list_clear(&faults);
+	if (repaired)
+		d = document_parse(repaired, strlen(repaired), &faults);
+	if (text && !d)
+		abort();
+	fault_list_clear(&faults);
+	document_unref(d);
+	free(repaired);
+	free(text);
+	json_decref(root);
+}
+
 static void fuzz_json(const char *text, size_t size)
 {
 	json_t *o = json_loadb(text, size, 0, NULL);
@@ -49,7 +73,7 @@
 		return;
 	}
 	if (FUZZ_TARGET == 1)
-		json_decref(platform_make_document(o, 1, 7));
+		check_document(platform_make_document(o, 1, 7));
 	else if (FUZZ_TARGET == 2)
 		json_decref(platform_make_upstreams(o, 1, 7));
 	else
--- a/t/helper/test-platform-document.c
+++ b/t/helper/test-platform-document.c
@@ -6,6 +6,7 @@
 
 #include "base/settings.h"
 #include "config/document.h"
+#include "config/repair.h"
 #include "platform/document.h"
 #include "platform/names.h"
 
@@ -145,17 +146,28 @@
 }
 END_TEST
 
-/* Parses what the operator's text converts to; no fault may be found. */
-static struct document *convert(const char *text)
+/*
+ * Parses what the operator's text converts to.  Without removed no fault may be
+ * found; else what has faults is left out, and told there.
+ */
+static struct document *convert(const char *text, struct fault_list *removed)
 {
-	json_t *items =
-		json_pack("{s:o}", KEY_CONFIG, json_loads(text, 0, NULL));
+	json_t *config = json_loads(text, 0, NULL);
+	json_t *items = json_pack("{s:o}", KEY_CONFIG, config);
 	json_t *root = platform_make_document(items, 1, 1);
 	char *converted = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
 	struct fault_list faults = { 0 };
 	struct document *d =
 		document_parse(converted, strlen(converted), &faults);
 
+	if (!d && removed) {
+		char *repaired =
+			document_repair(converted, strlen(converted), removed);
+
+		fault_list_clear(&faults);
+		d = document_parse(repaired, strlen(repaired), &faults);
+		free(repaired);
+	}
 	ck_assert_msg(d != NULL, "%s", faults.count ? *faults.lines : "?");
 	free(converted);
 	json_decref(root);
@@ -172,7 +184,8 @@
 		"[{\"Name\":\"m\"},{\"Name\":\"n\"},{\"Name\":\"m\"}]}},"
 		"{\"Name\":\"two\",\"Engine\":{\"Models\":"
 		"[{\"Name\":\"m\"}]}},"
-		"{\"Name\":\"store\",\"Origin\":\"127.0.0.9:80\"}]}");
+		"{\"Name\":\"store\",\"Origin\":\"127.0.0.9:80\"}]}",
+		NULL);
 	const struct model_spec *m = document_find_model(d, "m");
 	const struct model_spec *n = document_find_model(d, "n");
 	char hex[DIGEST_HEX_SIZE];
@@ -190,6 +203,87 @@
 }
 END_TEST
 
+struct odd_part {
+	const char
+		*member;  /* of the configuration, in place of the sound one */
+	int is_told;	  /* among the parts that are left out */
+	int route_status; /* of /kept/: number of its services, -1: no route */
+	int has_key;	  /* whether the key "kept" has an account */
+};
+
+#define ROUTE(more)                                                            \
+	"\"Routes\":[{\"Host\":\"h\",\"Prefix\":\"/kept/\"" more "}]"
+#define GOOD_ROUTE                                                             \
+	ROUTE(",\"Name\":\"r\",\"Kind\":\"idempotent\",\"Service\":\"web\"")
+#define GOOD_TENANTS "\"Tenants\":[{\"Name\":\"acme\",\"ApiKeys\":[\"kept\"]}]"
+
+/* Each of these was refused as a whole, or let a shorter prefix match. */
+static const struct odd_part odd_parts[] = {
+	{ GOOD_ROUTE "," GOOD_TENANTS, 0, 1, 1 },
+	{ GOOD_TENANTS "," ROUTE(",\"Name\":\"" LONG_NAME LONG_NAME
+				 "\",\"Kind\":\"x\",\"Service\":\"web\""),
+	  0, 1, 1 },
+	{ GOOD_TENANTS "," ROUTE(",\"Name\":\"\",\"Kind\":\"idempotent\","
+				 "\"Service\":\"web\",\"TimeoutMs\":1e99,"
+				 "\"Attempts\":5000,\"Priority\":-4"),
+	  1, 1, 1 },
+	{ GOOD_TENANTS "," ROUTE(",\"Name\":\"r\",\"Kind\":\"streaming\","
+				 "\"Service\":\"not a name\""),
+	  1, 0, 1 },
+	{ GOOD_TENANTS "," ROUTE(",\"Name\":\"r\",\"Kind\":\"streaming\""), 0,
+	  0, 1 },
+	{ GOOD_TENANTS "," ROUTE(",\"Name\":\"r\",\"Kind\":\"streaming\","
+				 "\"Service\":\"web\","
+				 "\"AllowedRegions\":\"north\""),
+	  0, 0, 1 },
+	{ GOOD_TENANTS "," ROUTE(",\"Name\":\"r\",\"Kind\":\"streaming\","
+				 "\"Backends\":[{\"Service\":\"a b\"},"
+				 "{\"Service\":\"web\",\"Weight\":-1}]"),
+	  1, 1, 1 },
+	{ GOOD_TENANTS ",\"Routes\":[{\"Host\":\"h\",\"Prefix\":\"\"}]", 1, -1,
+	  1 },
+	{ GOOD_ROUTE ",\"Tenants\":[{\"Name\":\"a b\",\"ApiKeys\":[\"kept\"]}]",
+	  1, 1, 0 },
+	{ GOOD_ROUTE ",\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[\"kept\","
+		     "\"kept\"]},{\"Name\":\"b\",\"ApiKeys\":[\"kept\"]}]",
+	  1, 1, 1 },
+	{ GOOD_ROUTE ",\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[]},"
+		     "{\"Name\":\"a\",\"ApiKeys\":[\"kept\"]}]",
+	  1, 1, 0 },
+	{ GOOD_ROUTE ",\"Tenants\":[{\"Name\":\"platform-models\","
+		     "\"ApiKeys\":[\"kept\"]}]",
+	  0, 1, 1 },
+	{ GOOD_ROUTE "," GOOD_TENANTS ",\"Limits\":{\"MaxBodyBytes\":1e300}", 1,
+	  1, 1 },
+	{ GOOD_ROUTE "," GOOD_TENANTS
+		     ",\"Services\":[{\"Name\":\"org/llm\",\"Engine\":"
+		     "{\"Models\":[{\"Name\":\"org/m\"}],\"Slots\":1e9}}]",
+	  1, 1, 1 },
+};
+
+/* Guards against a configuration that is refused for one of its parts. */
+START_TEST(odd_part_costs_that_part_only)
+{
+	const struct odd_part *x = &odd_parts[_i];
+	struct fault_list removed = { 0 };
+	const struct route_spec *r;
+	struct account_key key;
+	struct document *d;
+	char text[2048];
+
+	snprintf(text, sizeof(text), "{\"Version\":3,%s}", x->member);
+	d = convert(text, &removed);
+	ck_assert_int_eq(removed.count > 0, x->is_told);
+	r = routing_find_route(&d->routing, "h", "/kept/x");
+	ck_assert_int_eq(r ? r->service_count : -1, x->route_status);
+	account_key_of("kept", 4, &key);
+	ck_assert_int_eq(document_find_account_by_key(d, &key) >= 0,
+			 x->has_key);
+	fault_list_clear(&removed);
+	document_unref(d);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("platform-document");
@@ -202,6 +296,8 @@
 			    FILLING_COUNT);
 	tcase_add_loop_test(t, full_value_comes_into_force, 0, FILLING_COUNT);
 	tcase_add_test(t, model_of_two_services_is_on_the_upstreams_of_both);
+	tcase_add_loop_test(t, odd_part_costs_that_part_only, 0,
+			    (int)(sizeof(odd_parts) / sizeof(odd_parts[0])));
 	tcase_set_timeout(t, 60);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
--- a/t/t1037-large-configurations.sh
+++ b/t/t1037-large-configurations.sh
@@ -146,4 +146,20 @@
 	wait_until 15 is_in_force 10 9
 '
 
+# Guards against a configuration that is refused for one of its parts, and against
+# a route that is left out, whose requests go to one with a shorter prefix.
+test_expect_success 'a part that cannot be read costs itself only' '
+	make_config 11 "
+		c[\"Routes\"].append(dict(route(\"kept/odd\"), AllowedRegions=7))
+		c[\"Routes\"][0][\"TimeoutMs\"] = 1e99
+		c[\"Tenants\"].append({\"Name\": \"a b\", \"ApiKeys\": [\"odd\"]})
+	" &&
+	put op/config <config &&
+	wait_until 15 is_in_force 11 10 &&
+	test "$(get_status 2 /kept/x odd)" = 401 &&
+	test "$(get_status 2 /kept/odd/x kept)" = 503 &&
+	left_out=$(cat e?.out e?.err | grep -c "config-repair") &&
+	test $left_out -ge 2
+'
+
 test_done
