fallback: others read while the watchers are cut off from the platform

Cause: others judge by the age of the last answer that they have been told of (PLATFORM_SILENT_US, 15 s). Ages of several seconds are usual with a hold of 2 s and one random exchange a second, so that this time can't be cut to what the bound needs. Membership sees nothing wrong.

Change: a watcher judges by its own reads (config/fallback.c). Without an answer 0.25 s after the end of a hold, or after two failures in a row, it asks three others to read the platform, over a message kind of its own; the next three, if nobody is known to have had an answer 1 s later. The first watcher of a data centre holds the watch of the document 0.6 s on the store instead of 2 s, which costs 1.2 calls a second and data centre. A read after a failure is not held.

--- a/config/config.c
+++ b/config/config.c
@@ -379,7 +379,7 @@
 	for (i = 0; i < SPREAD_VALUE_COUNT; i++)
 		value_state_init(&c->values[i]);
 	if (n->settings.platform == PLATFORM_STORE)
-		c->spread.watch_hold_s = SPREAD_WATCH_HOLD_SHORT_S;
+		c->spread.watch_hold_ms = SPREAD_WATCH_HOLD_SHORT_MS;
 	if (n->settings.evacuate_ms)
 		c->spread.value_count = SPREAD_VALUE_COUNT;
 	for (i = 0; i < n->settings.seed_count; i++)
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -25,6 +25,9 @@
  */
 #define READ_HELD_MIN_US (250 * 1000)
 
+/* Indexes into config_kinds. */
+enum { KIND_EXCHANGE, KIND_AGES, KIND_READ };
+
 struct exchange_job {
 	struct job job;
 	struct config *config;
@@ -86,9 +89,10 @@
 			c->values[j->action.wanted_value].needs_full_text;
 	fill_versions(c, have, clock_now());
 	pthread_mutex_unlock(&c->mutex);
-	return rpc_exchange(c->node->rpc, j->action.address,
-			    c->node->settings.rpc_port, &config_kinds[0], &req,
-			    rep, j->action.timeout_ms, err);
+	return rpc_exchange(
+		c->node->rpc, j->action.address, c->node->settings.rpc_port,
+		&config_kinds[j->action.asks_read ? KIND_READ : KIND_EXCHANGE],
+		&req, rep, j->action.timeout_ms, err);
 }
 
 /*
@@ -278,7 +282,9 @@
 	j->job.run = run_exchange;
 	j->config = c;
 	j->action = *a;
-	if (!submit_job(c, a->wanted_value < 0 ? c->notice_pool : c->text_pool,
+	if (!submit_job(c,
+			a->wanted_value < 0 && !a->asks_read ? c->notice_pool
+							     : c->text_pool,
 			&j->job))
 		return;
 	free(j);
@@ -315,6 +321,22 @@
 	return 0;
 }
 
+/*
+ * An exchange by which a watcher that has lost the platform asks this process to
+ * read it.  Builds that don't know it refuse, so that others are asked.
+ */
+static int serve_read(void *arg, const struct rpc_peer *from,
+		      const void *request, void *reply)
+{
+	struct config *c = arg;
+
+	metric_count("config_reads_asked", NULL, 1);
+	pthread_mutex_lock(&c->mutex);
+	spread_record_asked(&c->spread, clock_now());
+	pthread_mutex_unlock(&c->mutex);
+	return serve_exchange(arg, from, request, reply);
+}
+
 static int serve_ages(void *arg, const struct rpc_peer *from,
 		      const void *request, void *reply)
 {
@@ -338,6 +360,9 @@
 	  (xdrproc_t)xdr_config_ages_request, sizeof(config_ages_request),
 	  (xdrproc_t)xdr_config_ages_reply, sizeof(config_ages_reply),
 	  serve_ages },
+	{ RPC_KIND_CONFIG_READ, "config-read", (xdrproc_t)xdr_config_request,
+	  sizeof(config_request), (xdrproc_t)xdr_config_reply,
+	  sizeof(config_reply), serve_read },
 	{ 0 }
 };
 
@@ -353,7 +378,8 @@
 	config_ages_reply rep;
 
 	if (rpc_exchange(c->node->rpc, peer, c->node->settings.rpc_port,
-			 &config_kinds[1], &req, &rep, AGES_TIMEOUT_MS, &err)) {
+			 &config_kinds[KIND_AGES], &req, &rep, AGES_TIMEOUT_MS,
+			 &err)) {
 		metric_count("config_ages_failures", NULL, 1);
 		return -1;
 	}
@@ -427,7 +453,7 @@
 {
 	const struct platform_read *r = &w->read;
 
-	if (r->hold_s && r->answered_at - w->started_at >= READ_HELD_MIN_US)
+	if (r->hold_ms && r->answered_at - w->started_at >= READ_HELD_MIN_US)
 		return r->answered_at;
 	return known_current_at(w->config, r->value);
 }
@@ -442,10 +468,10 @@
 	struct platform_read *r = &w->read;
 	struct value_state *v = &w->config->values[r->value];
 	apr_interval_time_t delay =
-		r->answered_at - w->started_at - r->hold_s * APR_USEC_PER_SEC;
+		r->answered_at - w->started_at - r->hold_ms * 1000LL;
 
 	pthread_mutex_lock(&w->config->mutex);
-	if (r->answer == PLATFORM_UNCHANGED && r->hold_s && delay >= 0)
+	if (r->answer == PLATFORM_UNCHANGED && r->hold_ms && delay >= 0)
 		v->answer_delay = delay;
 	r->answered_at -= v->answer_delay;
 	pthread_mutex_unlock(&w->config->mutex);
@@ -536,7 +562,7 @@
 	w->read.node = c->node;
 	w->read.value = a->value;
 	w->read.after_version = a->after_version;
-	w->read.hold_s = a->can_hold ? c->spread.watch_hold_s : 0;
+	w->read.hold_ms = a->hold_ms;
 	w->read.on_finish = submit_watch_answer;
 	metric_count("platform_calls", c->values[a->value].ops->name, 1);
 	c->platform->read(&w->read);
--- a/config/overlay.c
+++ b/config/overlay.c
@@ -80,15 +80,18 @@
 			     &ring[(at + i) % n]);
 }
 
-/* Returns the member of ring that has the given watch rank, or NULL. */
-static const struct overlay_member *
-find_member_by_rank(const struct overlay_member *ring, int n, int rank)
+/*
+ * Returns the one of the members of a data centre that has the given watch rank,
+ * or NULL.
+ */
+const struct overlay_member *
+overlay_find_rank(const struct overlay_member *members, int n, int rank)
 {
 	int i;
 
 	for (i = 0; i < n; i++) {
-		if (compute_watch_rank(ring, n, &ring[i]) == rank)
-			return &ring[i];
+		if (compute_watch_rank(members, n, &members[i]) == rank)
+			return &members[i];
 	}
 	return NULL;
 }
@@ -106,7 +109,7 @@
 	if (o->watch_rank >= OVERLAY_WATCHERS ||
 	    o->extra_peer_count == OVERLAY_EXTRA_PEERS_MAX)
 		return;
-	m = find_member_by_rank(ring, n, rank);
+	m = overlay_find_rank(ring, n, rank);
 	if (m)
 		copy_address(o->extra_peers[o->extra_peer_count++], m);
 }
--- a/config/overlay.h
+++ b/config/overlay.h
@@ -47,6 +47,8 @@
 };
 
 void overlay_compute_scores(struct overlay_member *m);
+const struct overlay_member *
+overlay_find_rank(const struct overlay_member *members, int n, int rank);
 void overlay_build(struct overlay *o, struct overlay_member *members, int count,
 		   const struct overlay_member *self);
 
--- a/config/platform-service.c
+++ b/config/platform-service.c
@@ -60,12 +60,12 @@
 	x->read = r;
 	snprintf(x->url, sizeof(x->url), "%s%s?after=%llu&wait=%d",
 		 r->node->settings.platform_url, value_paths[r->value],
-		 (unsigned long long)r->after_version, r->hold_s);
+		 (unsigned long long)r->after_version, r->hold_ms / 1000);
 	x->fetch.ops = &ops;
 	x->fetch.arg = x;
 	x->fetch.url = x->url;
-	x->fetch.timeout_ms = r->hold_s ? r->hold_s * 1000 + HOLD_SLACK_MS
-					: ANSWER_TIMEOUT_MS;
+	x->fetch.timeout_ms =
+		r->hold_ms ? r->hold_ms + HOLD_SLACK_MS : ANSWER_TIMEOUT_MS;
 	x->fetch.text_max = r->node->settings.text_max;
 	fetch_submit(r->node->fetcher, &x->fetch);
 }
--- a/config/spread-decide.c
+++ b/config/spread-decide.c
@@ -78,7 +78,8 @@
 	return a;
 }
 
-static struct spread_action *add_exchange(struct spread_actions *out,
+/* Adds an exchange of versions.  Returns NULL if there is no room for it. */
+struct spread_action *spread_add_exchange(struct spread_actions *out,
 					  const char *address)
 {
 	struct spread_action *a = add_action(out, SPREAD_EXCHANGE);
@@ -117,7 +118,24 @@
 	if (!v->version && s->member_count < 2)
 		return 1; /* no version, and no other member */
 	return s->overlay.watch_rank < OVERLAY_WATCHERS ||
-	       is_substitute_watcher(s, v, now);
+	       now < s->fallback_until || is_substitute_watcher(s, v, now);
+}
+
+/*
+ * Returns the time for which the platform may hold a watch.  A watch after a
+ * failure is not held, as its answer tells at once whether the platform is back.
+ */
+static int compute_hold_ms(const struct spread *s, int value, apr_time_t now)
+{
+	const struct spread_value *v = &s->values[value];
+	int is_first = !s->overlay.watch_rank || now < s->fallback_until;
+
+	if (!v->watches_finished || v->watch_failures || v->is_probe_due)
+		return 0;
+	if (value == SPREAD_DOCUMENT && is_first &&
+	    s->watch_hold_ms == SPREAD_WATCH_HOLD_SHORT_MS)
+		return SPREAD_WATCH_HOLD_PROMPT_MS;
+	return s->watch_hold_ms;
 }
 
 static void decide_watch(struct spread *s, int value, apr_time_t now,
@@ -135,8 +153,11 @@
 	a->after_version = v->version > v->rejected_version
 				   ? v->version
 				   : v->rejected_version;
-	a->can_hold = v->watches_finished > 0;
+	a->hold_ms = compute_hold_ms(s, value, now);
+	a->can_hold = a->hold_ms > 0;
 	v->is_watching = 1;
+	v->watch_started_at = now;
+	v->watch_hold_ms = a->hold_ms;
 }
 
 /* Returns a random time of 75 % to 125 % of gap. */
@@ -183,7 +204,9 @@
 			 apr_time_t started, apr_time_t now, struct random *r)
 {
 	struct spread_value *v = &s->values[value];
+	apr_interval_time_t hold = v->watch_hold_ms * 1000LL;
 	apr_interval_time_t duration = now - started;
+	int was_probe;
 
 	v->is_watching = 0;
 	v->watches_finished++;
@@ -195,12 +218,16 @@
 				      r);
 		return;
 	}
+	was_probe = v->watch_failures || v->is_probe_due;
 	v->watch_failures = 0;
+	v->is_probe_due = 0;
 	v->platform_last_contact = now;
+	if (!changed && v->watch_hold_ms && duration >= hold)
+		v->answer_delay = duration - hold;
 	if (changed)
 		v->watch_after =
 			now + randomize_gap(compute_watch_gap(s, v, now), r);
-	else if (duration >= s->watch_hold_s * APR_USEC_PER_SEC / 2)
+	else if (was_probe || (hold && duration >= hold / 2))
 		v->watch_after = now;
 	else
 		v->watch_after = now + randomize_gap(WATCH_UNHELD_GAP_US, r);
@@ -256,7 +283,7 @@
 
 	if (!o || !pull || now < v->pull_after || is_answer_expected(v, now))
 		return;
-	a = add_exchange(out, o->address);
+	a = spread_add_exchange(out, o->address);
 	if (!a)
 		return;
 	a->wanted_value = value;
@@ -299,7 +326,7 @@
 		struct spread_peer *p = &s->peers[i];
 
 		if (!p->is_notify_pending || p->is_in_exchange ||
-		    !add_exchange(out, p->address))
+		    !spread_add_exchange(out, p->address))
 			continue;
 		p->is_notify_pending = 0;
 		p->is_in_exchange = 1;
@@ -378,7 +405,7 @@
 	s->next_exchange_at = now + randomize_gap(period, r);
 	address = pick_exchange_peer(s, r);
 	if (address)
-		a = add_exchange(out, address);
+		a = spread_add_exchange(out, address);
 	if (!a)
 		return;
 	a->is_random = 1;
@@ -390,7 +417,7 @@
 	struct spread_action *a;
 
 	while (s->start_sent < s->start_count) {
-		a = add_exchange(out, s->start_peers[s->start_sent]);
+		a = spread_add_exchange(out, s->start_peers[s->start_sent]);
 		if (!a)
 			return;
 		a->is_start_exchange = 1;
@@ -415,5 +442,6 @@
 		decide_watch(s, i, now, out);
 	}
 	decide_notify(s, out);
+	spread_decide_asks(s, now, out);
 	decide_exchange(s, now, r, out);
 }
--- a/config/spread-internal.h
+++ b/config/spread-internal.h
@@ -3,7 +3,7 @@
 
 #include "config/spread.h"
 
-/* Declarations shared by spread.c and spread-decide.c. */
+/* Declarations shared by spread.c, spread-decide.c and fallback.c. */
 
 /* No process is known to have been in contact with the platform yet. */
 #define SPREAD_PLATFORM_AGE_UNKNOWN UINT32_MAX
@@ -16,6 +16,10 @@
 #define SPREAD_BURST_WINDOW_US (2 * APR_USEC_PER_SEC)
 #define SPREAD_BURST_GAP_US (400 * 1000)
 
+struct spread_action *spread_add_exchange(struct spread_actions *out,
+					  const char *address);
+void spread_decide_asks(struct spread *s, apr_time_t now,
+			struct spread_actions *out);
 int spread_is_in_burst(const struct spread_value *v, apr_time_t now);
 void spread_finish_pull(struct spread_value *v, const char *address, int ok,
 			apr_time_t now);
--- a/config/spread.c
+++ b/config/spread.c
@@ -19,7 +19,7 @@
 	memset(s, 0, sizeof(*s));
 	snprintf(s->self_address, sizeof(s->self_address), "%s", self_address);
 	s->started_at = now;
-	s->watch_hold_s = SPREAD_WATCH_HOLD_S;
+	s->watch_hold_ms = SPREAD_WATCH_HOLD_MS;
 	s->value_count = SPREAD_VALUE_COUNT_BASE;
 	s->overlay.data_center_count = 1;
 }
@@ -360,7 +360,7 @@
 	int i;
 
 	for (i = 0; i < s->peer_count; i++) {
-		if (!strcmp(s->peers[i].address, a->address))
+		if (!a->asks_read && !strcmp(s->peers[i].address, a->address))
 			s->peers[i].is_in_exchange = 0;
 	}
 	s->random_in_exchange -= a->is_random;
--- a/config/spread.h
+++ b/config/spread.h
@@ -53,14 +53,21 @@
 #define SPREAD_MEMBERS_MAX 4096
 
 /* Time for which the platform may hold a watch (a long poll) open. */
-#define SPREAD_WATCH_HOLD_S 4
+#define SPREAD_WATCH_HOLD_MS 4000
 
 /*
  * Hold time of a watch on a platform that may miss a change without any
  * error.  The next watch finds the change, and must do so within the time
  * limit for a configuration change to reach every process.
  */
-#define SPREAD_WATCH_HOLD_SHORT_S 2
+#define SPREAD_WATCH_HOLD_SHORT_MS 2000
+
+/*
+ * Hold time of the first watcher's watch of the document on such a platform: it
+ * notices the loss of the platform by the answer that is missing, and others
+ * have to read a change and pass it on before it must be in force everywhere.
+ */
+#define SPREAD_WATCH_HOLD_PROMPT_MS 600
 
 enum spread_action_kind {
 	SPREAD_WATCH = 1, /* ask the platform for a value */
@@ -74,11 +81,13 @@
 	int value;		/* SPREAD_DOCUMENT and so on */
 	uint64_t after_version; /* ask for versions above this one */
 	int can_hold; /* the platform may wait until there is such a version */
+	int hold_ms;  /* for which it may wait, 0 unless can_hold */
 
 	/* SPREAD_EXCHANGE only */
 	int wanted_value;      /* value whose text is requested, or -1 */
 	int is_start_exchange; /* must end before this process is ready */
 	int is_random;	       /* with a random member */
+	int asks_read;	       /* the peer is to read the platform as well */
 	int timeout_ms;
 	char address[SETTINGS_ADDRESS_SIZE];
 };
@@ -122,6 +131,11 @@
 	apr_time_t applied_at; /* when the current version was applied */
 	apr_time_t previous_applied_at; /* same for the version before it */
 	int is_watching;
+	apr_time_t watch_started_at;
+	int watch_hold_ms;
+	/* By how much the platform answered the last full hold too late. */
+	apr_interval_time_t answer_delay;
+	int is_probe_due; /* the next watch is not held */
 	apr_time_t watch_after;
 	int watch_failures;
 	int watches_finished; /* since process start, including failures */
@@ -165,11 +179,14 @@
 
 	apr_time_t started_at;
 	char start_peers[SPREAD_START_PEERS_MAX][SETTINGS_ADDRESS_SIZE];
-	int watch_hold_s;   /* time for which the platform may hold a watch */
-	int start_count;    /* entries of start_peers */
-	int start_sent;	    /* start exchanges sent */
-	int start_finished; /* start exchanges answered or failed */
-	int start_replies;  /* start exchanges answered */
+	int watch_hold_ms; /* time for which the platform may hold a watch */
+	apr_time_t fallback_until;  /* a watcher asked this process to watch */
+	apr_time_t next_ask_at;	    /* as a watcher without the platform */
+	int ask_round;		    /* since it lost the platform */
+	int start_count;	    /* entries of start_peers */
+	int start_sent;		    /* start exchanges sent */
+	int start_finished;	    /* start exchanges answered or failed */
+	int start_replies;	    /* start exchanges answered */
 	int has_member_start_peers; /* the instance list has added peers */
 };
 
@@ -189,6 +206,7 @@
 			    const struct digest *digest);
 void spread_finish_watch(struct spread *s, int value, int ok, int changed,
 			 apr_time_t started, apr_time_t now, struct random *r);
+void spread_record_asked(struct spread *s, apr_time_t now);
 void spread_finish_exchange(struct spread *s, const struct spread_action *a,
 			    int ok, apr_time_t now);
 void spread_merge_versions(struct spread *s, const char *address,
--- a/config/value.h
+++ b/config/value.h
@@ -33,7 +33,7 @@
 	int value;
 	uint64_t after_version; /* current version of this process */
 	/* time to wait for a newer version, 0: the answer did not wait */
-	int hold_s;
+	int hold_ms;
 	void (*on_finish)(struct platform_read *r);
 
 	/* the answer */
--- a/t/helper/test-config-fleet.c
+++ b/t/helper/test-config-fleet.c
@@ -34,12 +34,17 @@
 
 enum loss {
 	LOSS_NONE,
-	LOSS_SOURCES,  /* members offer the new version and answer no more */
-	LOSS_PEERS,    /* every fourth member is paused before the change */
-	LOSS_WATCHERS, /* all watchers of one data centre are gone */
-	LOSS_DELTAS    /* the first text that each member gets is unusable */
+	LOSS_SOURCES,	/* members offer the new version and answer no more */
+	LOSS_PEERS,	/* every fourth member is paused before the change */
+	LOSS_WATCHERS,	/* all watchers of one data centre are gone */
+	LOSS_DELTAS,	/* the first text that each member gets is unusable */
+	LOSS_READS,	/* the platform doesn't answer the watchers any more */
+	LOSS_MORE_READS /* nor the processes that they ask first */
 };
 
+/* Timeout of a watch beyond its hold. */
+#define WATCH_TIMEOUT (1500 * MS)
+
 /* Threads that run the exchanges of a process. */
 enum pool { POOL_NOTICES, POOL_TEXTS, POOL_COUNT };
 
@@ -51,6 +56,7 @@
 	struct random random;
 	int can_stall;
 	int is_gone;
+	int is_cut; /* from the platform, from cut_at on, without notice */
 	int unusable_texts; /* that this process has got */
 	apr_time_t applied_at;
 	int busy_threads[POOL_COUNT];
@@ -68,6 +74,7 @@
 
 struct fleet {
 	enum loss loss;
+	apr_time_t cut_at; /* of LOSS_READS */
 	int count;
 	struct process processes[MEMBERS_MAX];
 	struct overlay_member members[MEMBERS_MAX];
@@ -130,7 +137,7 @@
 	memcpy(copy, f->members, (size_t)f->count * sizeof(*copy));
 	random_seed(&p->random, (uint64_t)i + 17);
 	spread_init(&p->spread, self.address, 0);
-	p->spread.watch_hold_s = SPREAD_WATCH_HOLD_SHORT_S;
+	p->spread.watch_hold_ms = SPREAD_WATCH_HOLD_SHORT_MS;
 	spread_set_members(&p->spread, copy, f->count, &self, &p->random);
 	p->spread.start_count = 0;
 	for (j = 0; j < SPREAD_VALUE_COUNT; j++)
@@ -138,6 +145,10 @@
 	apply_version(p, OLD_VERSION, 0);
 	p->can_stall = f->loss == LOSS_SOURCES &&
 		       (!p->spread.overlay.watch_rank || i % 8 == 0);
+	p->is_cut = p->spread.overlay.watch_rank <
+		    (f->loss == LOSS_READS	  ? OVERLAY_WATCHERS
+		     : f->loss == LOSS_MORE_READS ? OVERLAY_WATCHERS + 2
+						  : 0);
 	p->is_gone = (f->loss == LOSS_WATCHERS &&
 		      p->spread.overlay.watch_rank < OVERLAY_WATCHERS &&
 		      !strcmp(self.data_center, "dc1")) ||
@@ -179,6 +190,8 @@
 	o->due_at = now + o->action.timeout_ms * MS;
 	if (is_silent(to, now))
 		return;
+	if (o->action.asks_read)
+		spread_record_asked(&to->spread, now);
 	spread_get_versions(&from->spread, versions, now);
 	spread_merge_versions(&to->spread, from->spread.self_address, versions,
 			      SPREAD_VALUE_COUNT, now);
@@ -190,9 +203,7 @@
 
 static void send_watch(struct operation *o, apr_time_t now)
 {
-	apr_time_t hold = o->action.can_hold
-				  ? SPREAD_WATCH_HOLD_SHORT_S * APR_USEC_PER_SEC
-				  : 0;
+	apr_time_t hold = o->action.hold_ms * MS;
 	apr_time_t from = now > PUBLISHED_AT ? now : PUBLISHED_AT;
 
 	o->was_answered = 1;
@@ -248,17 +259,32 @@
 		run_exchange(f, &f->operations[i], now);
 }
 
+/*
+ * Returns 1 if the answer to a watch does not come, as the process has been cut
+ * off from the platform; the watch ends with its timeout.
+ */
+static int is_answer_lost(const struct fleet *f, struct operation *o,
+			  apr_time_t now)
+{
+	if (!f->processes[o->from].is_cut || now < f->cut_at ||
+	    !o->was_answered)
+		return 0;
+	o->was_answered = 0;
+	o->due_at = o->started_at + o->action.hold_ms * MS + WATCH_TIMEOUT;
+	return 1;
+}
+
 static void finish_watch(struct process *p, const struct operation *o,
 			 apr_time_t now)
 {
-	int is_new = o->action.value == SPREAD_DOCUMENT &&
+	int is_new = o->was_answered && o->action.value == SPREAD_DOCUMENT &&
 		     now >= PUBLISHED_AT + STORE_ANSWER &&
 		     p->spread.values[SPREAD_DOCUMENT].version < NEW_VERSION;
 
 	if (is_new)
 		apply_version(p, NEW_VERSION, now);
-	spread_finish_watch(&p->spread, o->action.value, 1, is_new,
-			    o->started_at, now, &p->random);
+	spread_finish_watch(&p->spread, o->action.value, o->was_answered,
+			    is_new, o->started_at, now, &p->random);
 }
 
 static int is_text_usable(struct fleet *f, struct process *p)
@@ -295,6 +321,9 @@
 
 		if (o.from < 0 || o.is_queued || o.due_at > now)
 			continue;
+		if (o.action.kind == SPREAD_WATCH &&
+		    is_answer_lost(f, &f->operations[i], now))
+			continue;
 		f->operations[i].from = -1;
 		if (o.action.kind == SPREAD_WATCH) {
 			finish_watch(&f->processes[o.from], &o, now);
@@ -323,13 +352,14 @@
 }
 
 /* Returns the ms until the new version was in force on the last process. */
-static int measure_spread(int count, enum loss loss)
+static int measure_spread(int count, enum loss loss, apr_time_t cut_at)
 {
 	struct fleet *f = malloc(sizeof(*f));
 	apr_time_t now, last = 0;
 	int i;
 
 	fleet_init(f, count, loss);
+	f->cut_at = cut_at;
 	for (now = STEP; now < PUBLISHED_AT + 8000 * MS; now += STEP) {
 		finish_due_operations(f, now);
 		step_processes(f, now);
@@ -353,34 +383,63 @@
 /* Guards against a change that is in force late on some process. */
 START_TEST(change_is_in_force_in_time)
 {
-	ck_assert_int_le(measure_spread(counts[_i], LOSS_NONE), IN_FORCE_MS);
+	ck_assert_int_le(measure_spread(counts[_i], LOSS_NONE, 0), IN_FORCE_MS);
 }
 END_TEST
 
 /* Guards against a process that waits for one source which has fallen silent. */
 START_TEST(change_is_in_force_in_time_though_sources_fall_silent)
 {
-	ck_assert_int_le(measure_spread(counts[_i], LOSS_SOURCES), IN_FORCE_MS);
+	ck_assert_int_le(measure_spread(counts[_i], LOSS_SOURCES, 0),
+			 IN_FORCE_MS);
 }
 END_TEST
 
 /* Guards against threads that are all taken by peers which do not answer. */
 START_TEST(change_is_in_force_in_time_though_peers_are_paused)
 {
-	ck_assert_int_le(measure_spread(counts[_i], LOSS_PEERS), IN_FORCE_MS);
+	ck_assert_int_le(measure_spread(counts[_i], LOSS_PEERS, 0),
+			 IN_FORCE_MS);
 }
 END_TEST
 
 START_TEST(change_is_in_force_in_time_without_the_watchers_of_a_data_center)
 {
-	ck_assert_int_le(measure_spread(counts[_i], LOSS_WATCHERS),
+	ck_assert_int_le(measure_spread(counts[_i], LOSS_WATCHERS, 0),
 			 IN_FORCE_MS);
 }
 END_TEST
 
 START_TEST(change_is_in_force_in_time_though_deltas_fail)
 {
-	ck_assert_int_le(measure_spread(counts[_i], LOSS_DELTAS), IN_FORCE_MS);
+	ck_assert_int_le(measure_spread(counts[_i], LOSS_DELTAS, 0),
+			 IN_FORCE_MS);
+}
+END_TEST
+
+/*
+ * Guards against a change that nobody reads while its readers, alive and heard by
+ * all, are cut off from the platform.  The cut begins up to 500 ms before.
+ */
+static void check_without_readers(int count, enum loss loss)
+{
+	int before;
+
+	for (before = 0; before <= 500; before += 100)
+		ck_assert_int_le(
+			measure_spread(count, loss, PUBLISHED_AT - before * MS),
+			IN_FORCE_MS);
+}
+
+START_TEST(change_is_in_force_in_time_though_its_readers_are_cut_off)
+{
+	check_without_readers(counts[_i], LOSS_READS);
+}
+END_TEST
+
+START_TEST(change_is_in_force_in_time_though_substitutes_are_cut_off)
+{
+	check_without_readers(counts[_i], LOSS_MORE_READS);
 }
 END_TEST
 
@@ -403,6 +462,12 @@
 		0, 3);
 	tcase_add_loop_test(t, change_is_in_force_in_time_though_deltas_fail, 0,
 			    3);
+	tcase_add_loop_test(
+		t, change_is_in_force_in_time_though_its_readers_are_cut_off, 0,
+		3);
+	tcase_add_loop_test(
+		t, change_is_in_force_in_time_though_substitutes_are_cut_off, 0,
+		3);
 	tcase_set_timeout(t, 120);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
