spread: more time for a pull after each eight failures

Values of up to platform_value_bytes convert to texts that take about 3 s of an agent's link (reckoned: 150,000 keys, 18 bytes of each don't deflate). A pull ended after 3 s at most, however often it had failed.

Change: 3, 6 and 12 s after 8, 16 and 24 failures in a row.

--- a/config/spread-decide.c
+++ b/config/spread-decide.c
@@ -30,11 +30,13 @@
 #define PULL_TIMEOUT_MS (SPREAD_PULLS_MAX * PULL_PATIENCE_US / 1000)
 
 /*
- * Timeout after PULL_FAILURES_MAX failures in a row: the text may be large, or
- * all sources slow.
+ * Timeout after PULL_FAILURES_MAX failures in a row, and twice that after each
+ * further so many: the text may be large, or all sources slow.  The longest text
+ * takes about 3 s over the slowest link.
  */
 #define PULL_FAILURES_MAX (2 * SPREAD_PULLS_MAX)
 #define PULL_TIMEOUT_LONG_MS 3000
+#define PULL_DOUBLINGS_MAX 2
 
 /* Timeout of an exchange of versions, without a text in the reply. */
 #define EXCHANGE_TIMEOUT_MS 800
@@ -273,6 +275,17 @@
 	return 0;
 }
 
+static int compute_pull_timeout_ms(int failures)
+{
+	int doublings = failures / PULL_FAILURES_MAX - 1;
+
+	if (doublings < 0)
+		return PULL_TIMEOUT_MS;
+	if (doublings > PULL_DOUBLINGS_MAX)
+		doublings = PULL_DOUBLINGS_MAX;
+	return PULL_TIMEOUT_LONG_MS << doublings;
+}
+
 static void decide_pull(struct spread *s, int value, apr_time_t now,
 			struct spread_actions *out)
 {
@@ -287,9 +300,7 @@
 	if (!a)
 		return;
 	a->wanted_value = value;
-	a->timeout_ms = v->pull_failures < PULL_FAILURES_MAX
-				? PULL_TIMEOUT_MS
-				: PULL_TIMEOUT_LONG_MS;
+	a->timeout_ms = compute_pull_timeout_ms(v->pull_failures);
 	pull->started_at = now;
 	memcpy(pull->address, o->address, sizeof(pull->address));
 }
