document: keys are required whenever there are tenants

Cause: find_account() took a document without a single key for one without authentication. A document in which no tenant could be read was the same.

Change: the document says whether keys are required. That is so whenever the operator's configuration contains the list of tenants, also if that is empty or can't be read; in an account file's document whenever it has accounts. Public routes need none, as before. limpetctl vet tells when that changes.

--- a/config/diff.c
+++ b/config/diff.c
@@ -359,6 +359,11 @@
 		    to->fleet.affinity_lock_s);
 	diff_number(&fleet, "affinity.idle_s", from->fleet.affinity_idle_s,
 		    to->fleet.affinity_idle_s);
+	if (from->requires_key != to->requires_key)
+		diff_add_line(out,
+			      "keys: requests %s a key; affects all callers "
+			      "of routes that are not public",
+			      to->requires_key ? "need" : "no longer need");
 	accounts_diff(from, to, out);
 	models_diff(from, to, out);
 	services_diff(from, to, out);
--- a/config/document-bind.c
+++ b/config/document-bind.c
@@ -235,6 +235,9 @@
 
 	d->revision = (uint64_t)schema_integer(root, "revision", 0);
 	d->generation = (uint64_t)schema_integer(root, "generation", 0);
+	/* Whether there are accounts counts, not whether one has a key left. */
+	d->requires_key = schema_boolean(root, "keys_required",
+					 json_array_size(accounts) > 0);
 	fleet_bind(&d->fleet, json_object_get(root, "fleet"));
 	set_counts(d, accounts);
 	d->accounts = array_new((size_t)d->account_count, sizeof(*d->accounts));
--- a/config/document.h
+++ b/config/document.h
@@ -110,6 +110,7 @@
 	uint64_t revision;
 	/* The operator's own number of accounts and routes, 0: none. */
 	uint64_t generation;
+	int requires_key; /* of requests on routes that aren't public */
 	struct fleet_spec fleet;
 	struct account_spec *accounts;
 	int account_count;
--- a/config/schema-tables.c
+++ b/config/schema-tables.c
@@ -139,6 +139,7 @@
 const struct schema_field document_fields[] = {
 	{ "revision", SCHEMA_INTEGER, SCHEMA_REQUIRED, 1, REVISION_MAX, NULL },
 	{ "generation", SCHEMA_INTEGER, 0, 0, REVISION_MAX, NULL },
+	{ "keys_required", SCHEMA_BOOLEAN },
 	{ "origin", SCHEMA_STRING, 0, 8, URL_MAX, NULL, NULL, NULL,
 	  "http://ADDRESS:PORT of the origin that numbers all releases" },
 	{ "fleet", SCHEMA_OBJECT, 0, 0, 0, NULL, fleet_fields },
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -165,7 +165,7 @@
 	struct account_key key;
 	int i;
 
-	if (!f->document->key_owner_count || f->route->is_public)
+	if (!f->document->requires_key || f->route->is_public)
 		return 0;
 	if (!*f->head.key)
 		return -1;
--- a/t/helper/test-platform-document.c
+++ b/t/helper/test-platform-document.c
@@ -284,6 +284,48 @@
 }
 END_TEST
 
+struct key_case {
+	const char *text; /* of a configuration, or of a document */
+	int is_document;
+	int requires_key;
+};
+
+static const struct key_case key_cases[] = {
+	{ "{\"Version\":3}", 0, 0 },
+	{ "{\"Version\":3,\"Tenants\":[]}", 0, 1 },
+	{ "{\"Version\":3,\"Tenants\":null}", 0, 1 },
+	{ "{\"Version\":3,\"Tenants\":7}", 0, 1 },
+	{ "{\"Version\":3,\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[]}]}", 0,
+	  1 },
+	{ "{\"Version\":3,\"Tenants\":[{\"Name\":\"a b\"}]}", 0, 1 },
+	{ "{\"Version\":3,\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[\"k\"],"
+	  "\"AllowedRegions\":7}]}",
+	  0, 1 },
+	{ "{\"revision\":3,\"accounts\":[]}", 1, 0 },
+	{ "{\"revision\":3,\"accounts\":[{\"account\":\"a\"}]}", 1, 1 },
+	{ "{\"revision\":3,\"accounts\":[{\"account\":\"a\",\"keys\":[]}]}", 1,
+	  1 },
+};
+
+/*
+ * Guards against a configuration without a single key, in which every request
+ * ran, whatever key it had.
+ */
+START_TEST(keys_are_required_though_no_account_has_one)
+{
+	const struct key_case *x = &key_cases[_i];
+	struct fault_list faults = { 0 };
+	struct document *d =
+		x->is_document
+			? document_parse(x->text, strlen(x->text), &faults)
+			: convert(x->text, &faults);
+
+	ck_assert_int_eq(d->requires_key, x->requires_key);
+	fault_list_clear(&faults);
+	document_unref(d);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("platform-document");
@@ -298,6 +340,8 @@
 	tcase_add_test(t, model_of_two_services_is_on_the_upstreams_of_both);
 	tcase_add_loop_test(t, odd_part_costs_that_part_only, 0,
 			    (int)(sizeof(odd_parts) / sizeof(odd_parts[0])));
+	tcase_add_loop_test(t, keys_are_required_though_no_account_has_one, 0,
+			    (int)(sizeof(key_cases) / sizeof(key_cases[0])));
 	tcase_set_timeout(t, 60);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
--- a/t/perf/p0010-stop.sh
+++ b/t/perf/p0010-stop.sh
@@ -31,8 +31,7 @@
 {"Version":1,"Routes":[
  {"Name":"tell","Host":"a.example","Prefix":"/tell/","Kind":"streaming","TimeoutMs":50000,"SloMs":500,"Service":"web","Attempts":1}],
  "Services":[{"Name":"web"}],
- "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
- "Tenants":[]}
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}
 EOF
 put servers/i-1 <<EOF
 {"Service":"web","Addr":"$UPSTREAM","Zone":"d1","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1}
--- a/t/t1012-release-limit.sh
+++ b/t/t1012-release-limit.sh
@@ -26,8 +26,7 @@
 	  "per_seq_ms":0.04,"context_per_k":0.02,"read_per_s":31900,
 	  "usual":{"prompt":970,"answer":106}}},
 	  {"Name":"store","Origin":"127.0.0.1:1"}],
-	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-	 "Tenants":[]}
+	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}
 	EOF
 }
 
--- a/t/t1013-begin-limits.sh
+++ b/t/t1013-begin-limits.sh
@@ -20,8 +20,7 @@
 	 {"Name":"read","Host":"a.example","Prefix":"/read/","Kind":"idempotent","TimeoutMs":6000,"SloMs":2000,"Service":"web","Attempts":1},
 	 {"Name":"wait","Host":"a.example","Prefix":"/read/wait/","Kind":"idempotent","TimeoutMs":6000,"SloMs":2000,"Service":"slow","Attempts":1}],
 	 "Services":[{"Name":"web","MaxConns":9},{"Name":"slow","MaxConns":9}],
-	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-	 "Tenants":[]}
+	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}
 	EOF
 }
 
--- a/t/t1015-connections.sh
+++ b/t/t1015-connections.sh
@@ -22,8 +22,7 @@
 	 {"Name":"once","Host":"a.example","Prefix":"/once/","Kind":"non_idempotent","TimeoutMs":3000,"SloMs":500,"Service":"web","Attempts":2},
 	 {"Name":"read","Host":"a.example","Prefix":"/read/","Kind":"idempotent","TimeoutMs":3000,"SloMs":500,"Service":"web","Attempts":2}],
 	 "Services":[{"Name":"web","MaxConns":9}],
-	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-	 "Tenants":[]}
+	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}
 	EOF
 	printf '{"Service":"web","Addr":"%s","Zone":"d1","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1}' \
 		"$UPSTREAM" | put servers/i-1
--- a/t/t1016-answer-ends.sh
+++ b/t/t1016-answer-ends.sh
@@ -20,7 +20,7 @@
 }
 
 config () {
-	printf '{"Version":1,"Routes":[%s,%s,%s,%s],"Services":[{"Name":"web","MaxConns":90}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]}' \
+	printf '{"Version":1,"Routes":[%s,%s,%s,%s],"Services":[{"Name":"web","MaxConns":90}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}' \
 		"$(route one streaming 1 ',"Resumable":true')" \
 		"$(route two streaming 2 ',"Resumable":true')" \
 		"$(route lone streaming 1)" \
--- a/t/t1019-answer-proofs.sh
+++ b/t/t1019-answer-proofs.sh
@@ -19,7 +19,7 @@
 
 # config VERSION PREFIX
 config () {
-	printf '{"Version":%s,"Routes":[{"Name":"r","Host":"a.example","Prefix":"/%s/","Kind":"idempotent","TimeoutMs":3000,"Service":"web","Attempts":2}],"Services":[{"Name":"web"}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]}' \
+	printf '{"Version":%s,"Routes":[{"Name":"r","Host":"a.example","Prefix":"/%s/","Kind":"idempotent","TimeoutMs":3000,"Service":"web","Attempts":2}],"Services":[{"Name":"web"}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}' \
 		"$1" "$2" | put op/config
 }
 
--- a/t/t1020-release-late-entry.sh
+++ b/t/t1020-release-late-entry.sh
@@ -29,8 +29,7 @@
 	 {"Name":"ask","Host":"a.example","Prefix":"/ask/","Kind":"streaming","TimeoutMs":100000,"SloMs":400,"GapAimMs":400,"Service":"fresh","Attempts":1,"Resumable":true}],
 	 "Services":[$(engine_service llm m),$(engine_service fresh n),
 	  {"Name":"store","Origin":"127.0.0.1:1"}],
-	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-	 "Tenants":[]}
+	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}
 	EOT
 }
 
--- a/t/t1021-release-end.sh
+++ b/t/t1021-release-end.sh
@@ -40,8 +40,7 @@
 	 "Services":[$(engine_service llm m),$(engine_service misread n),
 	  {"Name":"web","MaxConns":90},
 	  {"Name":"store","Origin":"127.0.0.1:1"}],
-	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-	 "Tenants":[]}
+	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}
 	EOT
 }
 
--- a/t/t1025-upstream-notices.sh
+++ b/t/t1025-upstream-notices.sh
@@ -23,8 +23,7 @@
 	 {"Name":"once","Host":"a.example","Prefix":"/once/","Kind":"non_idempotent","TimeoutMs":3000,"SloMs":500,"Service":"web","Attempts":2},
 	 {"Name":"slow","Host":"a.example","Prefix":"/slow/","Kind":"streaming","TimeoutMs":9000,"SloMs":500,"Service":"tale","Attempts":2,"Resumable":true}],
 	 "Services":[{"Name":"web"},{"Name":"tale"}],
-	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-	 "Tenants":[]}
+	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}
 	EOF2
 }
 
--- a/t/t1027-resumed-answer.sh
+++ b/t/t1027-resumed-answer.sh
@@ -21,8 +21,7 @@
 	{"Version":1,"Routes":[
 	 {"Name":"tell","Host":"a.example","Prefix":"/tell/","Kind":"streaming","TimeoutMs":5000,"SloMs":500,"Service":"tale","Attempts":2,"Resumable":true}],
 	 "Services":[{"Name":"tale"}],
-	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-	 "Tenants":[]}
+	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}
 	EOC
 }
 
--- a/t/t1031-slow-caller.sh
+++ b/t/t1031-slow-caller.sh
@@ -22,7 +22,7 @@
 }
 
 config () {
-	printf '{"Version":1,"Routes":[%s,%s,%s],"Services":[{"Name":"web","MaxConns":90}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]}' \
+	printf '{"Version":1,"Routes":[%s,%s,%s],"Services":[{"Name":"web","MaxConns":90}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}' \
 		"$(route tell streaming 3 ',"Resumable":true')" \
 		"$(route once non_idempotent 1)" \
 		"$(route read idempotent 3)" | put op/config
--- a/t/t1033-upstream-limits.sh
+++ b/t/t1033-upstream-limits.sh
@@ -18,8 +18,7 @@
 	{"Version":1,"Routes":[
 	 {"Name":"read","Host":"a.example","Prefix":"/read/","Kind":"idempotent","TimeoutMs":3000,"SloMs":500,"Service":"web","Attempts":2}],
 	 "Services":[{"Name":"web"}],
-	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-	 "Tenants":[]}
+	 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}
 	EOF2
 }
 
--- a/t/t1034-faulty-answers.sh
+++ b/t/t1034-faulty-answers.sh
@@ -19,7 +19,7 @@
 }
 
 config () {
-	printf '{"Version":1,"Routes":[%s,%s,%s],"Services":[{"Name":"web","MaxConns":90},{"Name":"sole","MaxConns":90}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]}' \
+	printf '{"Version":1,"Routes":[%s,%s,%s],"Services":[{"Name":"web","MaxConns":90},{"Name":"sole","MaxConns":90}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}' \
 		"$(route two streaming 2 web ',"Resumable":true')" \
 		"$(route once non_idempotent 2 sole)" \
 		"$(route again idempotent 2 sole)" | put op/config
