node: answer what is not answered when a stop ends

A planned stop with a grace of 8 s took requests on for 3.2 s and refused those that came later, at once and not run.

Change: 0.3 s before the process exits, attempts whose answer has not begun are canceled; their callers get 504, which promises nothing, or 503 if nothing was sent. Requests are taken on for 2.8 s instead of 3.2 s: two missed health checks take 2 s, and what callers send later than 3 s after the signal has no excuse for an answer that is missing. Streams that have begun go on to the end, and are then visibly cut as before.

Not changed: the product's own calls (calls/), which were not looked at.

--- a/forward/answer-log.c
+++ b/forward/answer-log.c
@@ -46,7 +46,8 @@
 static const char *const cancel_names[] = { [CANCEL_UNRESPONSIVE] = "silence",
 					    [CANCEL_MOVE] = "move",
 					    [CANCEL_WITHDRAWN] = "withdrawal",
-					    [CANCEL_BLAMED] = "blame" };
+					    [CANCEL_BLAMED] = "blame",
+					    [CANCEL_STOPPING] = "stop" };
 
 /* Returns what ended an attempt, for log lines and counters. */
 static const char *find_end_cause(const struct forward *f,
--- a/forward/answer.c
+++ b/forward/answer.c
@@ -277,6 +277,13 @@
 	       CANCEL_BLAMED;
 }
 
+/* Returns 1 for an attempt that was canceled as this process exits. */
+static int is_canceled_by_stop(const struct forward *f)
+{
+	return __atomic_load_n(&f->cancel_reason, __ATOMIC_ACQUIRE) ==
+	       CANCEL_STOPPING;
+}
+
 /*
  * Returns 1 for an attempt that its upstream ended at the limit of its release.
  * The deadline that the upstream received is in whole milliseconds.
@@ -326,8 +333,10 @@
 		__atomic_load_n(&f->cancel_reason, __ATOMIC_ACQUIRE) ==
 		CANCEL_UNRESPONSIVE;
 	e->is_answer_started = f->is_answer_started;
-	e->is_timed_out = !e->is_complete && !e->is_canceled &&
-			  now >= f->expires_at - TIME_LEFT_MIN_US;
+	e->is_timed_out =
+		!e->is_complete &&
+		(is_canceled_by_stop(f) ||
+		 (!e->is_canceled && now >= f->expires_at - TIME_LEFT_MIN_US));
 	e->is_cut = !e->is_complete && !e->is_unsent && !e->is_canceled &&
 		    !e->is_timed_out && !is_ended_by_release(f, now) &&
 		    !x->is_aborted_by_data && x->error.code != ERROR_TIMEOUT;
@@ -544,14 +553,18 @@
 	case NEXT_NOT_RUN:
 		forward_refuse(f, 503, AGAIN_SAME,
 			       forward_retry_after_ms(f, now),
-			       e.is_timed_out ? "deadline" : "not-run");
+			       is_canceled_by_stop(f) ? "stopping"
+			       : e.is_timed_out	      ? "deadline"
+						      : "not-run");
 		break;
 	case NEXT_UNKNOWN:
 		forward_refuse(f, 502, AGAIN_CHECK, 0,
 			       unknown_reason(f, &e, now));
 		break;
 	case NEXT_TIMEOUT:
-		forward_refuse(f, 504, AGAIN_CHECK, 0, "deadline");
+		forward_refuse(f, 504, AGAIN_CHECK, 0,
+			       is_canceled_by_stop(f) ? "stopping"
+						      : "deadline");
 		break;
 	}
 }
--- a/forward/cancel.c
+++ b/forward/cancel.c
@@ -241,7 +241,8 @@
 	[CANCEL_UNRESPONSIVE] = "forward_silent",
 	[CANCEL_MOVE] = "forward_moved",
 	[CANCEL_WITHDRAWN] = "forward_withdrawn",
-	[CANCEL_BLAMED] = "forward_blamed"
+	[CANCEL_BLAMED] = "forward_blamed",
+	[CANCEL_STOPPING] = "forward_stopped"
 };
 
 /* Called with the mutex held. */
@@ -261,6 +262,9 @@
 enum cancel_reason forward_decide_cancel(struct forwarder *w, struct forward *f,
 					 int check_blames, apr_time_t now)
 {
+	if (node_is_ending(w->node) &&
+	    !__atomic_load_n(&f->is_answer_started, __ATOMIC_RELAXED))
+		return CANCEL_STOPPING;
 	/* An answer that has begun shows that the run did no harm so far. */
 	if (check_blames && f->is_unanswered &&
 	    crash_is_refused(w->crashes, &f->items, now))
@@ -277,7 +281,8 @@
 /*
  * Cancels attempts whose caller has disconnected, whose request crashes
  * upstreams, whose upstream's release expires, whose upstream is unresponsive,
- * or whose stream is to be moved.
+ * whose stream is to be moved, or whose answer would not come before the process
+ * exits.
  */
 void forward_check_active(struct forwarder *w, apr_time_t now)
 {
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -72,7 +72,8 @@
 	CANCEL_UNRESPONSIVE, /* the upstream sends nothing: try another */
 	CANCEL_MOVE, /* the stream keeps an engine from its order: move it */
 	CANCEL_WITHDRAWN, /* not begun, and the upstream's release expires */
-	CANCEL_BLAMED	  /* the request crashes upstreams */
+	CANCEL_BLAMED,	  /* the request crashes upstreams */
+	CANCEL_STOPPING	  /* not begun, and this process exits */
 };
 
 /* What was known of an attempt and its upstream when it was canceled. */
--- a/net/node.c
+++ b/net/node.c
@@ -22,13 +22,18 @@
 
 /*
  * Time for which a load balancer may keep sending requests after draining
- * starts: it probes once a second and stops after the second failed probe.
+ * starts: it probes once a second and stops after the second failed probe. What
+ * is taken on has 4.5 s until the end of a grace of 8 s; requests that callers
+ * send 3 s after the signal and later must be answered whole.
  */
-#define DRAIN_WITH_PROBES_US (3200 * 1000)
+#define DRAIN_WITH_PROBES_US (2800 * 1000)
 
 /* A stop ends this long before SIGKILL is due, at the end of stop_grace_s. */
 #define KILL_MARGIN_US (400 * 1000)
 
+/* Time before that for the answers to requests that can't be completed. */
+#define LAST_ANSWERS_US (300 * 1000)
+
 static volatile sig_atomic_t stop_signal_count;
 static volatile sig_atomic_t is_reload_requested;
 
@@ -230,6 +235,15 @@
 	return __atomic_load_n(&n->is_refusing_requests, __ATOMIC_RELAXED);
 }
 
+/*
+ * Returns 1 shortly before the process exits with work in flight: what has not
+ * been answered by then has to be answered now.
+ */
+int node_is_ending(const struct node *n)
+{
+	return __atomic_load_n(&n->is_ending, __ATOMIC_RELAXED);
+}
+
 /* Stops accepting new work; work in flight continues. */
 void node_drain(struct node *n)
 {
@@ -345,6 +359,8 @@
 static int advance_shutdown(struct node *n, apr_time_t now,
 			    apr_time_t *stop_started)
 {
+	apr_interval_time_t left;
+
 	if (!stop_signal_count)
 		return 0;
 	if (!*stop_started) {
@@ -361,10 +377,11 @@
 		log_notice("drain", NULL, "refusing new requests; %d in flight",
 			   count_unfinished_work(n));
 	}
-	return !count_unfinished_work(n) ||
-	       now - *stop_started >
-		       n->settings.stop_grace_s * APR_USEC_PER_SEC -
-			       KILL_MARGIN_US;
+	left = n->settings.stop_grace_s * APR_USEC_PER_SEC - KILL_MARGIN_US -
+	       (now - *stop_started);
+	if (left < LAST_ANSWERS_US)
+		__atomic_store_n(&n->is_ending, 1, __ATOMIC_RELAXED);
+	return !count_unfinished_work(n) || left < 0;
 }
 
 /*
--- a/net/node.h
+++ b/net/node.h
@@ -94,6 +94,7 @@
 	struct stop_hook stop_hooks[NODE_SECTIONS_MAX];
 	int stop_hook_count;
 
+	int is_ending;		  /* atomic; the process exits in a moment */
 	int draining;		  /* atomic; set by a signal or an operator */
 	int is_refusing_requests; /* atomic; new requests are refused */
 	apr_time_t pause_end;	  /* end of the latest pause, 0: none */
@@ -128,6 +129,7 @@
 void node_set_probe(struct node *n, const char *path);
 int node_draining(const struct node *n);
 int node_refuses_requests(const struct node *n);
+int node_is_ending(const struct node *n);
 void node_drain(struct node *n);
 
 #endif
