fallback: an answer that has begun is no silence

Change: from the first byte of an answer on, a watch is not overdue.

Evidence: test-fallback, which fails without it; it has the other decisions of config/fallback.c as well.

--- a/config/exchange.c
+++ b/config/exchange.c
@@ -516,6 +516,7 @@
 	pthread_mutex_lock(&w->config->mutex);
 	r->answered_at =
 		pause_find_earliest(&w->config->pauses, w->started_at, now);
+	spread_record_answer(&w->config->spread, r->value);
 	pthread_mutex_unlock(&w->config->mutex);
 }
 
--- a/config/fallback.c
+++ b/config/fallback.c
@@ -40,7 +40,7 @@
 
 	if (margin > ANSWER_MARGIN_MAX_US)
 		margin = ANSWER_MARGIN_MAX_US;
-	return v->is_watching &&
+	return v->is_watching && !v->is_answer_begun &&
 	       now - v->watch_started_at > v->watch_hold_ms * 1000LL + margin;
 }
 
@@ -110,6 +110,15 @@
 			 out);
 }
 
+/*
+ * Records that the platform begins to answer a watch.  To read and apply a large
+ * text takes longer than the platform may be silent.
+ */
+void spread_record_answer(struct spread *s, int value)
+{
+	s->values[value].is_answer_begun = 1;
+}
+
 /* Records that a watcher which has lost the platform asks this process to read. */
 void spread_record_asked(struct spread *s, apr_time_t now)
 {
--- a/config/spread-decide.c
+++ b/config/spread-decide.c
@@ -159,6 +159,7 @@
 	a->can_hold = a->hold_ms > 0;
 	v->is_watching = 1;
 	v->watch_started_at = now;
+	v->is_answer_begun = 0;
 	v->watch_hold_ms = a->hold_ms;
 }
 
--- a/config/spread.h
+++ b/config/spread.h
@@ -132,6 +132,7 @@
 	apr_time_t previous_applied_at; /* same for the version before it */
 	int is_watching;
 	apr_time_t watch_started_at;
+	int is_answer_begun; /* what follows is this process's own time */
 	int watch_hold_ms;
 	/* By how much the platform answered the last full hold too late. */
 	apr_interval_time_t answer_delay;
@@ -206,6 +207,7 @@
 			    const struct digest *digest);
 void spread_finish_watch(struct spread *s, int value, int ok, int changed,
 			 apr_time_t started, apr_time_t now, struct random *r);
+void spread_record_answer(struct spread *s, int value);
 void spread_record_asked(struct spread *s, apr_time_t now);
 void spread_finish_exchange(struct spread *s, const struct spread_action *a,
 			    int ok, apr_time_t now);
--- a/t/t0200-config.sh
+++ b/t/t0200-config.sh
@@ -14,4 +14,6 @@
 	test-platform-document
 '
 
+test_expect_success 'unit tests of reads in place of watchers' 'test-fallback'
+
 test_done
