--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -26,6 +26,10 @@
     head-open     the connection closes inside the head
     head-reset    the same with a reset
     head-whole    a head without a body that ends with its connection
+    cut-FRAMING-BYTES  a whole answer of the framing of which only so many bytes
+                  are sent; "interim" for FRAMING puts two heads of status 103
+                  before it, "trailer" two lines after its last chunk. Without
+                  BYTES it is sent whole
     forever-WHAT  bytes without end: "noise" (no answer), "line" (a header
                   line), "head" (header lines), "interim" (heads of status
                   100), "status" (a status line), "body", "event" (one event),
@@ -197,8 +201,27 @@
     return head(request_id, lines, STATUS_LINES[status]) + body
 
 
+def cut(framing, request_id):
+    """Returns the bytes of a whole answer."""
+    coded = "chunked" if framing == "trailer" else framing
+    if framing == "interim":
+        coded = "length"
+    lines, body = frame(coded, "", b'{"whole":1}', b"application/json")
+    text = head(request_id, lines) + body
+    if framing == "interim":
+        text = (b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 2) + text
+    if framing == "trailer":
+        text = text[:-2] + b"X-One: 1\r\nX-Two: 2\r\n\r\n"
+    return text
+
+
 def answer(connection, form, request_id, first, until):
     """Sends one answer. Returns False when the connection has to close."""
+    if form.startswith("cut-"):
+        framing, size = (form.split("-") + [""])[1:3]
+        text = cut(framing, request_id)
+        connection.sendall(text[:int(size)] if size else text)
+        return False
     if form.startswith("forever-"):
         send_forever(connection, form[len("forever-"):], request_id)
         return False
