weights: an order without an answer stays open

Cause: the agent gave the order up after 2 s and took the next report, on which nothing runs, for the proof that it was not accepted; then it staged pieces of the next version over those that the engine had yet to load.

Change: an order names how many orders the engine had begun before, and is open until that number changes, the engine restarts or 6 s are over. Nothing else is staged or ordered meanwhile. The stand-in counts its orders and refuses one that expects another number, as the platform's engines do.

--- a/t/standin/model_server.py
+++ b/t/standin/model_server.py
@@ -18,8 +18,8 @@
     GET /test/connections  [open now, without this one; reset so far]
     PUT /test/hold-pieces  with RELEASE: its pieces take HELD_PIECE_S to arrive
     PUT /test/hold-writes  with RELEASE: writes of its chunks take HOLD_S
-    PUT /test/hold-orders  with RELEASE: an order for it is accepted after
-                           HOLD_S
+    PUT /test/hold-orders  with RELEASE [SECONDS]: an order for it is accepted
+                           after HOLD_S, or SECONDS
 """
 import bisect
 import hashlib
@@ -63,6 +63,8 @@
         self.staged = {i: chunk(1, i) for i in range(CHUNKS)}
         self.release = 1
         self.busy = False
+        self.order_count = 0
+        self.hold_orders_s = HOLD_S
         self.held_pieces = self.held_writes = self.held_orders = 0
         self.askers = set()
         self.connections = self.resets = 0
@@ -120,7 +122,7 @@
             return self.answer(200, [s.connections - 1, s.resets])
         if url.path == "/report":
             return self.answer(200, {
-                "Stage": "mixed", "Busy": s.busy, "Seq": 1, "Queued": 0,
+                "Stage": "mixed", "Busy": s.busy, "Seq": s.order_count, "Queued": 0,
                 "Active": 0, "KvUsed": 0, "KvTotal": 90000, "Sessions": 0,
                 "Models": [{"Name": "m", "Version": s.release,
                             "Adapters": []}]})
@@ -155,7 +157,8 @@
             s.held_writes = int(body)
             return self.answer(200, {})
         if url.path == "/test/hold-orders":
-            s.held_orders = int(body)
+            s.held_orders = int(body.split()[0])
+            s.hold_orders_s = float((body.split() + [HOLD_S])[1])
             return self.answer(200, {})
         release = int(body.split()[1])
         s.add_request("write", release, self.arrival)
@@ -172,8 +175,11 @@
         release = o["Version"]
         s.add_request("ordered", release, self.arrival)
         if release == s.held_orders:
-            time.sleep(HOLD_S)
+            time.sleep(s.hold_orders_s)
         with s.lock:
+            if o.get("Expected", s.order_count) != s.order_count:
+                return self.answer(409, {})
+            s.order_count += 1
             is_whole = s.staged_release() == release
             s.insert("order", release if is_whole else -1, time.time_ns())
             s.busy = True
--- a/t/t1022-newest-release.sh
+++ b/t/t1022-newest-release.sh
@@ -63,7 +63,7 @@
 # hold WHAT RELEASE: the engine takes longer for the pieces, writes or orders of
 # it.
 hold () {
-	curl -sf -X PUT --data-binary $2 http://$ENGINE/test/hold-$1 >/dev/null
+	curl -sf -X PUT --data-binary "$2" http://$ENGINE/test/hold-$1 >/dev/null
 }
 
 cat >agent.json <<EOC
@@ -155,4 +155,29 @@
 	test "$(count order 11)" = 1
 '
 
+# Guards against the same for an order that the agent has given up waiting for:
+# the engine may accept it yet.
+test_expect_success 'nor after the time-out of the order' '
+	hold orders "12 2.6" &&
+	declare_release 12 &&
+	wait_until 60 at_least 1 ordered 12 &&
+	declare_release 13 &&
+	wait_until 60 runs 13 &&
+	print_counts &&
+	test "$(count order -1)" = 0 &&
+	test "$(count order 12)" = 1 &&
+	test "$(count order 13)" = 1
+'
+
+# Guards against a release that waits for ever for the one before.
+test_expect_success 'an order that gets no answer at all holds the next one for some seconds' '
+	hold orders "14 30" &&
+	declare_release 14 &&
+	wait_until 60 at_least 1 ordered 14 &&
+	declare_release 15 &&
+	wait_until 60 runs 15 &&
+	test "$(count order -1)" = 0 &&
+	test "$(count order 14)" = 0
+'
+
 test_done
--- a/weights/engine-ops.h
+++ b/weights/engine-ops.h
@@ -42,10 +42,25 @@
 	int running_count;	     /* running requests */
 	int waiting_count;	     /* queued requests */
 	int slowdown_percent; /* above 100: slower than typical, 0: not reported */
+	int64_t order_count; /* orders begun since its start, -1: not reported */
 	struct engine_model models[ENGINE_MODELS_MAX];
 	int model_count;
 };
 
+/* An order to load a version. */
+struct load_order {
+	const char *model;
+	uint64_t release;
+	const char *version;
+	uint64_t fence;
+	/*
+	 * The engine must refuse the order once it has begun another one than
+	 * this many, -1: it is not told.
+	 */
+	int64_t order_count;
+	const struct manifest *manifest;
+};
+
 enum order_result {
 	ORDER_ACCEPTED = 1,  /* the order was carried out or is in progress */
 	ORDER_CHUNK_MISSING, /* the engine lacks a chunk */
@@ -72,9 +87,7 @@
 	 * has loaded needs more than one that answers when it begins.
 	 */
 	long order_timeout_ms;
-	char *(*make_order_body)(const char *model, uint64_t release,
-				 const char *version, uint64_t fence,
-				 const struct manifest *m);
+	char *(*make_order_body)(const struct load_order *o);
 	enum order_result (*classify_order_status)(int status);
 
 	/* The origin supports byte ranges. */
--- a/weights/engine-service.c
+++ b/weights/engine-service.c
@@ -18,6 +18,7 @@
 		return -1;
 	snprintf(out->boot, sizeof(out->boot), "%s",
 		 schema_string(o, "boot", ""));
+	out->order_count = -1;
 	json_array_foreach(json_object_get(o, "models"), i, m)
 	{
 		struct engine_model *to = &out->models[out->model_count];
@@ -54,24 +55,22 @@
 	snprintf(out, ENGINE_PATH_SIZE, "/staging/chunks/%s", hex);
 }
 
-static char *make_order_body(const char *model, uint64_t release,
-			     const char *version, uint64_t fence,
-			     const struct manifest *m)
+static char *make_order_body(const struct load_order *order)
 {
+	const struct manifest *m = order->manifest;
 	json_t *chunks = json_array();
 	char hex[DIGEST_HEX_SIZE];
 	char *text;
 	uint32_t i;
 	json_t *o;
 
-	(void)release;
 	for (i = 0; i < m->chunk_count; i++) {
 		digest_hex(&m->chunks[i], hex);
 		json_array_append_new(chunks, json_string(hex));
 	}
-	o = json_pack("{s:s,s:s,s:s,s:I,s:o}", "order", "load", "model", model,
-		      "version", version, "fence", (json_int_t)fence, "chunks",
-		      chunks);
+	o = json_pack("{s:s,s:s,s:s,s:I,s:o}", "order", "load", "model",
+		      order->model, "version", order->version, "fence",
+		      (json_int_t)order->fence, "chunks", chunks);
 	text = json_dumps(o, JSON_COMPACT);
 	json_decref(o);
 	return text;
--- a/weights/engine.c
+++ b/weights/engine.c
@@ -25,6 +25,13 @@
 /* Maximum size of the engine's answers other than lists and chunks. */
 #define ENGINE_TEXT_MAX (256 * 1024)
 
+/*
+ * Time after which an order without an answer, of an engine that has begun no
+ * other one since, counts as lost.  The next version waits so long: an engine
+ * loads what is staged when it accepts an order.
+ */
+#define ORDER_LOST_US (6 * APR_USEC_PER_SEC)
+
 #define HTTP_OK 200
 
 /* Prepares a request to the engine; done gets it as the arg of the fetch. */
@@ -86,6 +93,20 @@
 		    "fetching them again");
 }
 
+/*
+ * Returns 1 when the engine can't accept an order any more that it has not
+ * answered: it has begun that or another one, which it was told to expect none
+ * of before, or has restarted.
+ */
+static int is_order_closed(const struct model_row *m,
+			   const struct engine_state *e, int has_restarted,
+			   apr_time_t now)
+{
+	return has_restarted || e->order_count < 0 || m->open_order_count < 0 ||
+	       e->order_count != m->open_order_count ||
+	       now - m->open_order_sent_at > ORDER_LOST_US;
+}
+
 static void apply_engine_state(struct weights *w, const struct engine_state *e,
 			       apr_time_t now)
 {
@@ -102,7 +123,8 @@
 
 		if (m->activation.is_ordering)
 			continue;
-		m->open_order = 0;
+		if (m->open_order && is_order_closed(m, e, has_restarted, now))
+			m->open_order = 0;
 		m->activation.is_engine_busy = e->is_order_running;
 		activation_record_running(&m->activation, r ? r->version : "",
 					  r && r->is_ready, r ? r->fence : 0,
@@ -213,12 +235,16 @@
 {
 	struct engine_call *x =
 		engine_call_new(w, w->ops->order_path, order_done);
+	struct load_order order = { .model = m->name,
+				    .release = m->release,
+				    .version = m->version_hex,
+				    .fence = m->activation.fence,
+				    .order_count = w->engine.order_count,
+				    .manifest = m->swarm->manifest };
 
 	x->model = h;
 	x->swarm_id = m->swarm_id;
-	x->body = w->ops->make_order_body(m->name, m->release, m->version_hex,
-					  m->activation.fence,
-					  m->swarm->manifest);
+	x->body = w->ops->make_order_body(&order);
 	x->fetch.method = "POST";
 	x->fetch.headers[0] = "Content-Type: application/json";
 	x->fetch.body = x->body;
@@ -228,6 +254,8 @@
 	x->fetch.once = 1;
 	m->activation.is_ordering = 1;
 	m->open_order = m->swarm_id;
+	m->open_order_sent_at = now;
+	m->open_order_count = order.order_count;
 	log_info("engine-order", m->name, "load version %.12s, fence %llu",
 		 m->version_hex, (unsigned long long)m->activation.fence);
 	fetch_submit(w->node->fetcher, &x->fetch);
--- a/weights/internal.h
+++ b/weights/internal.h
@@ -60,6 +60,8 @@
 	int superseded_writes;
 	/* swarm_id of an order that the engine may still accept, 0: none */
 	uint64_t open_order;
+	apr_time_t open_order_sent_at;
+	int64_t open_order_count; /* orders that the engine had begun then */
 	/* a change is to be sent to the neighbours at once */
 	int is_exchange_urgent;
 	apr_time_t completed_at;
--- a/weights/weights.c
+++ b/weights/weights.c
@@ -333,6 +333,7 @@
 	before = m->state;
 	state = activation_step(a, now);
 	if (state == ACTIVATION_READY &&
+	    (!m->open_order || m->open_order == m->swarm_id) &&
 	    (w->ops->has_digest_staging ||
 	     (!m->superseded_writes &&
 	      weights_is_staging_verified(w, h, m, now))))
