--- a/config/repair.c
+++ b/config/repair.c
@@ -100,7 +100,8 @@
 /*
  * Returns a text without the parts that have faults, of which it adds a line
  * each, or NULL if the text as a whole is no document.  The same text yields
- * the same result.  The caller frees it.
+ * the same result.  The caller frees it.  Lists that restrict something, as that
+ * of regions, must be whole before: without an element they would allow more.
  */
 char *document_repair(const char *text, size_t size, struct fault_list *removed)
 {
--- a/t/helper/test-platform-document.c
+++ b/t/helper/test-platform-document.c
@@ -18,6 +18,10 @@
 #define LONG_NAME                                                              \
 	"a23456789012345678901234567890123456789012345678901234567890123"
 
+/* One letter short of the longest name; two bytes don't fit behind it. */
+#define LONG_TAIL                                                              \
+	"a2345678901234567890123456789012345678901234567890123456789012"
+
 struct filling {
 	const char *before;
 	const char *element; /* with a name of three letters for %s */
@@ -223,6 +227,10 @@
 	{ GOOD_TENANTS "," ROUTE(",\"Name\":\"" LONG_NAME LONG_NAME
 				 "\",\"Kind\":\"x\",\"Service\":\"web\""),
 	  0, 1, 1 },
+	{ GOOD_TENANTS
+	  "," ROUTE(",\"Name\":\"" LONG_TAIL "\\u00e9\\u00e9\",\"Kind\":\"x\","
+		    "\"Service\":\"web\""),
+	  0, 1, 1 },
 	{ GOOD_TENANTS "," ROUTE(",\"Name\":\"\",\"Kind\":\"idempotent\","
 				 "\"Service\":\"web\",\"TimeoutMs\":1e99,"
 				 "\"Attempts\":5000,\"Priority\":-4"),
