--- a/t/helper/test-platform-document.c
+++ b/t/helper/test-platform-document.c
@@ -34,8 +34,9 @@
 static const struct filling fillings[] = {
 	{ NO_ROUTES NO_SERVICES "\"Tenants\":[", "{\"Name\":\"%s\"}", "]" },
 	{ NO_ROUTES NO_SERVICES "\"Tenants\":[",
-	  "{\"Name\":\"%s\",\"ApiKeys\":[\"%s\"]}", "]" },
-	{ NO_ROUTES NO_SERVICES "\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[",
+	  "{\"Name\":\"%s\",\"" FIELD_KEYS "\":[\"%s\"]}", "]" },
+	{ NO_ROUTES NO_SERVICES "\"Tenants\":[{\"Name\":\"a\",\"" FIELD_KEYS
+				"\":[",
 	  "\"%s\"", "]}]" },
 	{ "\"Services\":[{\"Name\":\"s\"}],\"Routes\":[",
 	  "{\"Name\":\"r\",\"Host\":\"h\",\"Prefix\":\"/%s/\","
@@ -219,7 +220,8 @@
 	"\"Routes\":[{\"Host\":\"h\",\"Prefix\":\"/kept/\"" more "}]"
 #define GOOD_ROUTE                                                             \
 	ROUTE(",\"Name\":\"r\",\"Kind\":\"idempotent\",\"Service\":\"web\"")
-#define GOOD_TENANTS "\"Tenants\":[{\"Name\":\"acme\",\"ApiKeys\":[\"kept\"]}]"
+#define GOOD_TENANTS                                                           \
+	"\"Tenants\":[{\"Name\":\"acme\",\"" FIELD_KEYS "\":[\"kept\"]}]"
 
 /* Each of these was refused as a whole, or let a shorter prefix match. */
 static const struct odd_part odd_parts[] = {
@@ -231,9 +233,10 @@
 	  "," ROUTE(",\"Name\":\"" LONG_TAIL "\\u00e9\\u00e9\",\"Kind\":\"x\","
 		    "\"Service\":\"web\""),
 	  0, 1, 1 },
-	{ GOOD_TENANTS "," ROUTE(",\"Name\":\"\",\"Kind\":\"idempotent\","
-				 "\"Service\":\"web\",\"TimeoutMs\":1e99,"
-				 "\"Attempts\":5000,\"Priority\":-4"),
+	{ GOOD_TENANTS
+	  "," ROUTE(",\"Name\":\"\",\"Kind\":\"idempotent\","
+		    "\"Service\":\"web\",\"" FIELD_TIMEOUT_MS "\":1e99,"
+		    "\"Attempts\":5000,\"Priority\":-4"),
 	  1, 1, 1 },
 	{ GOOD_TENANTS "," ROUTE(",\"Name\":\"r\",\"Kind\":\"streaming\","
 				 "\"Service\":\"not a name\""),
@@ -242,7 +245,7 @@
 	  0, 1 },
 	{ GOOD_TENANTS "," ROUTE(",\"Name\":\"r\",\"Kind\":\"streaming\","
 				 "\"Service\":\"web\","
-				 "\"AllowedRegions\":\"north\""),
+				 "\"" FIELD_ALLOWED_REGIONS "\":\"north\""),
 	  0, 0, 1 },
 	{ GOOD_TENANTS "," ROUTE(",\"Name\":\"r\",\"Kind\":\"streaming\","
 				 "\"Backends\":[{\"Service\":\"a b\"},"
@@ -250,16 +253,18 @@
 	  1, 1, 1 },
 	{ GOOD_TENANTS ",\"Routes\":[{\"Host\":\"h\",\"Prefix\":\"\"}]", 1, -1,
 	  1 },
-	{ GOOD_ROUTE ",\"Tenants\":[{\"Name\":\"a b\",\"ApiKeys\":[\"kept\"]}]",
+	{ GOOD_ROUTE ",\"Tenants\":[{\"Name\":\"a b\",\"" FIELD_KEYS
+		     "\":[\"kept\"]}]",
 	  1, 1, 0 },
-	{ GOOD_ROUTE ",\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[\"kept\","
-		     "\"kept\"]},{\"Name\":\"b\",\"ApiKeys\":[\"kept\"]}]",
+	{ GOOD_ROUTE
+	  ",\"Tenants\":[{\"Name\":\"a\",\"" FIELD_KEYS "\":[\"kept\","
+	  "\"kept\"]},{\"Name\":\"b\",\"" FIELD_KEYS "\":[\"kept\"]}]",
 	  1, 1, 1 },
-	{ GOOD_ROUTE ",\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[]},"
-		     "{\"Name\":\"a\",\"ApiKeys\":[\"kept\"]}]",
+	{ GOOD_ROUTE ",\"Tenants\":[{\"Name\":\"a\",\"" FIELD_KEYS "\":[]},"
+		     "{\"Name\":\"a\",\"" FIELD_KEYS "\":[\"kept\"]}]",
 	  1, 1, 0 },
 	{ GOOD_ROUTE ",\"Tenants\":[{\"Name\":\"platform-models\","
-		     "\"ApiKeys\":[\"kept\"]}]",
+		     "\"" FIELD_KEYS "\":[\"kept\"]}]",
 	  0, 1, 1 },
 	{ GOOD_ROUTE "," GOOD_TENANTS ",\"Limits\":{\"MaxBodyBytes\":1e300}", 1,
 	  1, 1 },
@@ -303,11 +308,13 @@
 	{ "{\"Version\":3,\"Tenants\":[]}", 0, 1 },
 	{ "{\"Version\":3,\"Tenants\":null}", 0, 1 },
 	{ "{\"Version\":3,\"Tenants\":7}", 0, 1 },
-	{ "{\"Version\":3,\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[]}]}", 0,
-	  1 },
+	{ "{\"Version\":3,\"Tenants\":[{\"Name\":\"a\",\"" FIELD_KEYS
+	  "\":[]}]}",
+	  0, 1 },
 	{ "{\"Version\":3,\"Tenants\":[{\"Name\":\"a b\"}]}", 0, 1 },
-	{ "{\"Version\":3,\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[\"k\"],"
-	  "\"AllowedRegions\":7}]}",
+	{ "{\"Version\":3,\"Tenants\":[{\"Name\":\"a\",\"" FIELD_KEYS
+	  "\":[\"k\"],"
+	  "\"" FIELD_ALLOWED_REGIONS "\":7}]}",
 	  0, 1 },
 	{ "{\"revision\":3,\"accounts\":[]}", 1, 0 },
 	{ "{\"revision\":3,\"accounts\":[{\"account\":\"a\"}]}", 1, 1 },
