t1036: a route whose regions can't be read is refused as not run

The case asked for 404, as such a route was left out; its requests could then match a route with a shorter prefix, which changed. It asks for 503, the outcome not-run and the reason now.

--- a/t/t1036-placement.sh
+++ b/t/t1036-placement.sh
@@ -96,7 +96,8 @@
 	answers 503 /north/x k2 && grep "\"outcome\":\"not-run\"" body &&
 	grep no-upstream-in-region body &&
 	answers 503 /east/x && grep no-upstream-in-region body &&
-	answers 404 /odd/x
+	answers 503 /odd/x && grep "\"outcome\":\"not-run\"" body &&
+	grep route-unreadable body
 '
 
 test_expect_success 'an evacuation leaves out its data centre until it is taken back' '
