--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -48,18 +48,34 @@
         print(*words, flush=True)
 
 
+def end_after_fault(kind, value, trace):
+    """A fault of the script is no broken rule: it exits with 2."""
+    sys.__excepthook__(kind, value, trace)
+    for fleet in FLEETS:
+        fleet.end()
+    os._exit(2)
+
+
+FLEETS = []
+sys.excepthook = end_after_fault
+
+
+def is_free(address):
+    host, port = address.split(":")
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, int(port)))
+            return True
+        except OSError:
+            return False
+
+
 def pick_net():
     """Returns the first two bytes of loopback addresses that nobody uses."""
     for _ in range(200):
         net = "127.%d" % random.randint(20, 240)
-        probe = socket.socket()
-        try:
-            probe.bind((net + ".1.1", FRONT))
+        if all(is_free(net + a) for a in (".1.1:8005", ".200.7:8007")):
             return net
-        except OSError:
-            continue
-        finally:
-            probe.close()
     sys.exit(2)
 
 
@@ -549,6 +565,7 @@
         self.store_address = net + ".200.7:8007"
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.machines, self.seeds = [], []
+        FLEETS.append(self)
         # No process outlives the script, which takes no more than 120 s.
         signal.signal(signal.SIGTERM, self.give_up)
         signal.signal(signal.SIGALRM, self.give_up)
