heads: keep every field or refuse the request

Answers with 61 fields or more reached the caller as a success without their stamp, and a request of 400 short fields got 431.

Cause: lists of fixed sizes that drop what does not fit: 40 fields of a request and of an answer, 64 lines of an upstream call, 64 fields of a reply, lines of 16 KB. Values were cut to the size of their members; a Last-Event-Id of 32 bytes named another event.

The lists grow with the head, which is bounded as a whole. What does not fit is refused (431) or an unusable answer, and logged. MaxHeaderBytes of the document is checked, on open connections as well. A connection has 32 KB for its heads instead of 24, so that 4.3 kB in 400 fields fit. An entry with 1,706 connections in use has 67 MB instead of 53.

test-intake counts 40 KB a connection now, as many as there are.

Ruled out: 64 KB a connection, with which a machine of 160 MB holds 1,085 of the 1,900 connections that test-intake asks for.

--- a/calls/entry-internal.h
+++ b/calls/entry-internal.h
@@ -133,7 +133,7 @@
 	char *body;
 	size_t body_size;
 	char echoed_id[HOP_REQUEST_SIZE];
-	char content_type[64];
+	char content_type[CONTENT_TYPE_SIZE];
 	enum outcome reported_outcome;
 	int has_gate_reply;
 
--- a/calls/gate-once.c
+++ b/calls/gate-once.c
@@ -30,7 +30,7 @@
 	char url[SETTINGS_URL_SIZE + 160];
 	char headers[GATE_HEADERS_MAX][GATE_HEADER_SIZE];
 	void *body;
-	char content_type[64];
+	char content_type[CONTENT_TYPE_SIZE];
 	struct waiter waiters[WAITERS_MAX]; /* guarded by the gate's mutex */
 	int waiter_count;
 	struct once_run *next;
@@ -148,8 +148,7 @@
 	struct once_run *run = f->arg;
 
 	if (!strcasecmp(name, "Content-Type"))
-		snprintf(run->content_type, sizeof(run->content_type), "%s",
-			 value);
+		content_type_copy(run->content_type, value);
 }
 
 static const struct fetch_ops run_ops = { on_header, NULL, on_done };
--- a/calls/gate-stream.c
+++ b/calls/gate-stream.c
@@ -49,7 +49,7 @@
 	struct sse sse;
 	char echoed_request_id[HOP_REQUEST_SIZE];
 	char version[DIGEST_HEX_SIZE];
-	char content_type[64];
+	char content_type[CONTENT_TYPE_SIZE];
 	int has_started;
 	int is_cached; /* prefix of the prompt was probably cached */
 	int resume_count;
@@ -226,8 +226,7 @@
 	else if (!strcasecmp(name, "X-Model-Version"))
 		snprintf(run->version, sizeof(run->version), "%s", value);
 	else if (!strcasecmp(name, "Content-Type"))
-		snprintf(run->content_type, sizeof(run->content_type), "%s",
-			 value);
+		content_type_copy(run->content_type, value);
 	__atomic_store_n(&run->last_byte_at, clock_now(), __ATOMIC_RELAXED);
 }
 
--- a/calls/gate-table.h
+++ b/calls/gate-table.h
@@ -7,6 +7,7 @@
 #include "base/digest.h"
 #include "base/table.h"
 #include "calls/ticket.h"
+#include "net/framing.h"
 
 /*
  * Table of the calls that may run at most once.  Each identity has one row,
@@ -44,7 +45,7 @@
 struct gate_answer {
 	int refs; /* atomic */
 	int status;
-	char content_type[64];
+	char content_type[CONTENT_TYPE_SIZE];
 	char version[DIGEST_HEX_SIZE];
 	size_t size;
 	char body[];
--- a/calls/relay-answer.c
+++ b/calls/relay-answer.c
@@ -61,7 +61,7 @@
 	} else if (!strcasecmp(name, "X-Limpet-Cache")) {
 		r->cache_result = !strcmp(value, "hit");
 	} else if (!strcasecmp(name, "Content-Type")) {
-		snprintf(r->content_type, sizeof(r->content_type), "%s", value);
+		content_type_copy(r->content_type, value);
 	}
 }
 
--- a/forward/answer.c
+++ b/forward/answer.c
@@ -99,7 +99,9 @@
 		x->is_event_answer = f->status == STATUS_OK &&
 				     !strncasecmp(value, EVENT_STREAM_TYPE,
 						  strlen(EVENT_STREAM_TYPE));
-	if (!header_is_hop_by_hop(name) && strcasecmp(name, "Date"))
+	/* What follows the head is a trailer, which may be left out. */
+	if (f->framing == FRAMING_NONE && !header_is_hop_by_hop(name) &&
+	    strcasecmp(name, "Date"))
 		header_add(&x->answer_headers, name, value);
 }
 
@@ -119,6 +121,12 @@
 	       status >= STATUS_SERVER_ERROR;
 }
 
+/* Returns 1 for an answer whose head can't be passed on as a whole. */
+static int is_head_too_large(const struct forward *f)
+{
+	return f->answer_headers.bytes > http_call_answer_room(f->call);
+}
+
 static int is_mismatched_answer(const struct forward *f)
 {
 	return *f->answer.id && *f->head.id &&
@@ -263,9 +271,8 @@
 	    __atomic_load_n(&f->cancel_reason, __ATOMIC_ACQUIRE))
 		return -1;
 	record_contact(f, clock_now());
-	if (is_mismatched_answer(f))
-		return -1;
-	if (!continues_answer(f))
+	if (is_mismatched_answer(f) || is_head_too_large(f) ||
+	    !continues_answer(f))
 		return -1;
 	if (is_replaceable_answer(f, x->status))
 		return append_held_body(f, data, size);
@@ -347,6 +354,13 @@
 		    !x->is_aborted_by_data && x->error.code != ERROR_TIMEOUT;
 	if (!continues_answer(f))
 		e->is_complete = 0;
+	if (x->status && is_head_too_large(f)) {
+		e->is_complete = 0;
+		log_warning("answer-head", f->upstream,
+			    "an answer has a head of %zu bytes, which is not "
+			    "passed on",
+			    f->answer_headers.bytes);
+	}
 }
 
 static void fill_attempt_context(struct forward *f, struct attempt_context *s,
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -233,24 +233,7 @@
 	lines = f->w->wire->write_headers(&h, f->lines);
 	for (i = 0; i < lines; i++)
 		f->fetch.headers[n++] = f->lines[i];
-	for (i = 0; i < f->headers.count && n < FETCH_HEADERS_MAX; i++) {
-		const struct header *x = &f->headers.items[i];
-		size_t size = strlen(x->name) + strlen(x->value) + 3;
-
-		if (!f->header_lines[i]) {
-			f->header_lines[i] = malloc(size);
-			if (!f->header_lines[i])
-				abort();
-			/*
-			 * libcurl omits a header without a value unless it ends
-			 * in a semicolon.
-			 */
-			snprintf(f->header_lines[i], size,
-				 *x->value ? "%s: %s" : "%s;%s", x->name,
-				 x->value);
-		}
-		f->fetch.headers[n++] = f->header_lines[i];
-	}
+	f->fetch.more_headers = header_list_lines(&f->headers);
 }
 
 /*
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -23,10 +23,6 @@
 /* Frees a request that has been answered. */
 void forward_free(struct forward *f)
 {
-	int i;
-
-	for (i = 0; i < FORWARD_HEADERS_MAX; i++)
-		free(f->header_lines[i]);
 	header_list_clear(&f->headers);
 	header_list_clear(&f->answer_headers);
 	events_destroy(&f->events);
@@ -167,7 +163,7 @@
 
 	if (!f->document->requires_key || f->route->is_public)
 		return 0;
-	if (!*f->head.key)
+	if (!f->head.key)
 		return -1;
 	account_key_of(f->head.key, strlen(f->head.key), &key);
 	i = document_find_account_by_key(f->document, &key);
@@ -275,6 +271,12 @@
 		forward_refuse(f, 401, AGAIN_NO, 0, "unknown-key");
 		return;
 	}
+	if (f->head.is_too_long ||
+	    http_call_fields_size(c) >
+		    (size_t)f->document->routing.limits.header_bytes) {
+		forward_refuse(f, 431, AGAIN_NO, 0, "head-too-large");
+		return;
+	}
 	if (body_size > (size_t)f->document->routing.limits.body_bytes) {
 		forward_refuse(f, 413, AGAIN_NO, 0, "body-too-large");
 		return;
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -18,7 +18,6 @@
 
 /* State of the forwarding component, private to forward/. */
 
-#define FORWARD_HEADERS_MAX 40
 #define FORWARD_URL_SIZE (SETTINGS_ADDRESS_SIZE + 16)
 
 /* A header of a request or an answer. */
@@ -28,8 +27,12 @@
 };
 
 struct header_list {
-	struct header items[FORWARD_HEADERS_MAX];
+	struct header *items;
 	int count;
+	int capacity;
+	size_t bytes; /* of all lines */
+	const char **lines;
+	char *text; /* of the lines */
 };
 
 struct forwarder {
@@ -166,7 +169,6 @@
 	struct fetch fetch;
 	char url[FORWARD_URL_SIZE];
 	char lines[WIRE_LINES_MAX][WIRE_LINE_SIZE];
-	char *header_lines[FORWARD_HEADERS_MAX];
 
 	/* The answer. */
 	struct header_list answer_headers;
@@ -194,6 +196,7 @@
 };
 
 void header_add(struct header_list *l, const char *name, const char *value);
+const char *const *header_list_lines(struct header_list *l);
 void header_list_clear(struct header_list *l);
 int header_is_hop_by_hop(const char *name);
 
--- a/forward/wire.h
+++ b/forward/wire.h
@@ -12,9 +12,8 @@
  */
 
 #define WIRE_ID_SIZE 128
-#define WIRE_KEY_SIZE 256
 #define WIRE_HOST_SIZE 256
-#define WIRE_EVENT_SIZE 32
+#define WIRE_EVENT_SIZE 256
 #define WIRE_LINE_SIZE 320
 #define WIRE_LINES_MAX 8
 #define WIRE_PARTS_MAX 15
@@ -26,14 +25,15 @@
 };
 
 struct request_head {
+	int is_too_long;       /* a value is longer than its member */
 	char id[WIRE_ID_SIZE]; /* of this attempt of the caller, or "" */
 	char host[WIRE_HOST_SIZE];
-	char key[WIRE_KEY_SIZE]; /* bearer key, or "" */
-	long deadline_ms;	 /* time left to the caller, -1: not given */
-	char model[64];		 /* "" for a request without a model */
-	int prompt_tokens;	 /* 0: not given */
-	int answer_tokens;	 /* maximum, 0: not given */
-	int answer_hint;	 /* the caller's estimate, 0: not given */
+	const char *key;   /* bearer key, or NULL; valid in the handler only */
+	long deadline_ms;  /* time left to the caller, -1: not given */
+	char model[64];	   /* "" for a request without a model */
+	int prompt_tokens; /* 0: not given */
+	int answer_tokens; /* maximum, 0: not given */
+	int answer_hint;   /* the caller's estimate, 0: not given */
 	/* Id of the last event that the caller received, or "". */
 	char last_event[WIRE_EVENT_SIZE];
 	/* First parts of the prompt that other requests may share. */
--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -10,8 +10,6 @@
 #include "net/cut.h"
 #include "net/silence.h"
 
-#define HEADER_LINE_MAX 16384
-
 #define HTTP_OK 200
 #define HTTP_NO_CONTENT 204
 #define HTTP_NOT_MODIFIED 304
@@ -68,7 +66,7 @@
 {
 	struct fetch *f = userp;
 	size_t length = size * n;
-	char line[HEADER_LINE_MAX];
+	char line[FETCH_HEAD_MAX + 1];
 	char *value, *end;
 	long status = 0;
 
@@ -84,8 +82,6 @@
 	}
 	if (length && (*data == '\r' || *data == '\n'))
 		set_framing(f);
-	if (length >= sizeof(line))
-		return length;
 	memcpy(line, data, length);
 	line[length] = '\0';
 	value = strchr(line, ':');
@@ -185,6 +181,7 @@
 {
 	CURL *e = curl_easy_init();
 	struct curl_slist *list = NULL;
+	const char *const *more;
 	int i;
 
 	if (!e)
@@ -193,6 +190,8 @@
 	list = curl_slist_append(list, "Expect:");
 	for (i = 0; i < FETCH_HEADERS_MAX && f->headers[i]; i++)
 		list = curl_slist_append(list, f->headers[i]);
+	for (more = f->more_headers; more && *more; more++)
+		list = curl_slist_append(list, *more);
 	if (f->verbatim) {
 		list = curl_slist_append(list, "Accept:");
 		list = curl_slist_append(list, "User-Agent:");
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -38,7 +38,7 @@
 };
 
 #define FETCH_PAUSE 1
-#define FETCH_HEADERS_MAX 64
+#define FETCH_HEADERS_MAX 16
 
 struct fetch {
 	/* filled in by the caller */
@@ -49,7 +49,8 @@
 	const char *target; /* NULL, or request target instead of the path */
 	int verbatim;	    /* no default headers, no path normalization */
 	const char *headers[FETCH_HEADERS_MAX]; /* "Name: value", NULL ends */
-	const void *body;			/* valid until done */
+	const char *const *more_headers; /* further ones, NULL ends; or NULL */
+	const void *body;		 /* valid until done */
 	size_t body_size;
 	long timeout_ms;	 /* for the whole transfer, 0 for none */
 	long connect_timeout_ms; /* 0: FETCH_CONNECT_MS */
--- a/net/framing.h
+++ b/net/framing.h
@@ -9,6 +9,9 @@
 	FRAMING_CLOSE	  /* neither: the body ends with its connection */
 };
 
+#define CONTENT_TYPE_SIZE 256
+
+void content_type_copy(char out[CONTENT_TYPE_SIZE], const char *value);
 const char *framing_name(enum framing framing);
 
 #endif
--- a/net/httpd-answer.c
+++ b/net/httpd-answer.c
@@ -7,6 +7,7 @@
 #include "net/cut.h"
 
 #define STREAM_BLOCK_BYTES (32 * 1024)
+#define HEADERS_FIRST 16
 /* Maximum size of an answer that is held until its length is known. */
 #define HELD_MAX_BYTES (256 * 1024)
 
@@ -14,11 +15,19 @@
 void http_call_set(struct http_call *c, const char *name, const char *value)
 {
 	pthread_mutex_lock(&c->mutex);
-	if (c->header_count < REPLY_HEADERS_MAX) {
-		c->headers[c->header_count].name = strdup(name);
-		c->headers[c->header_count].value = strdup(value);
-		c->header_count++;
+	if (c->header_count == c->header_capacity) {
+		int to = c->header_capacity ? c->header_capacity * 2
+					    : HEADERS_FIRST;
+
+		c->headers =
+			realloc(c->headers, (size_t)to * sizeof(*c->headers));
+		if (!c->headers)
+			abort();
+		c->header_capacity = to;
 	}
+	c->headers[c->header_count].name = strdup(name);
+	c->headers[c->header_count].value = strdup(value);
+	c->header_count++;
 	pthread_mutex_unlock(&c->mutex);
 }
 
--- a/net/httpd-body.c
+++ b/net/httpd-body.c
@@ -53,10 +53,12 @@
 
 /*
  * Returns the status with which a request is refused before its body is read, 0
- * for none: its length is above the limit, or there is no memory for it now.
+ * for none: its head or length is above the limit, or there is no memory for it now.
  */
 int http_call_find_refusal(const struct http_call *c)
 {
+	if (http_call_lacks_room(c))
+		return MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
 	if (!c->route || !c->body_expected)
 		return 0;
 	if (c->body_expected > c->route->body_limit)
--- a/net/httpd-internal.h
+++ b/net/httpd-internal.h
@@ -11,7 +11,11 @@
 
 /* Shared by httpd.c (requests) and httpd-answer.c (answers, streams). */
 
-#define REPLY_HEADERS_MAX 64
+/*
+ * libmicrohttpd's memory of a connection: the head of a request, with a record
+ * for each of its fields, cookies and query arguments, and that of its answer.
+ */
+#define HTTP_CONNECTION_BYTES (32 * 1024)
 
 enum call_state {
 	CALL_NEW = 0, /* the request line was read */
@@ -29,6 +33,11 @@
 	int active;  /* calls not yet answered completely */
 };
 
+struct reply_header {
+	char *name;
+	char *value;
+};
+
 struct http_call {
 	struct httpd *server;
 	struct MHD_Connection *connection;
@@ -45,6 +54,8 @@
 	size_t body_expected; /* by its Content-Length, 0: not named */
 	int is_too_large;
 	int is_http_1_0;
+	size_t fields_size; /* of the request's head without its first line */
+	size_t answer_room; /* for the head of its answer */
 
 	int refs; /* atomic; one for the server, one for the handler */
 
@@ -57,11 +68,9 @@
 	int status;
 	size_t reply_size;
 	struct MHD_Response *response;
-	struct {
-		char *name;
-		char *value;
-	} headers[REPLY_HEADERS_MAX];
+	struct reply_header *headers;
 	int header_count;
+	int header_capacity;
 
 	int is_ended;
 	int is_complete;
@@ -76,6 +85,12 @@
 	void *disconnect_arg;
 };
 
+/* httpd-head.c */
+void http_call_measure_head(struct http_call *c, struct MHD_Connection *con,
+			    const char *method);
+void http_call_record_refused_head(const struct http_call *c);
+int http_call_lacks_room(const struct http_call *c);
+
 /* httpd-body.c */
 int http_call_append_body(struct http_call *c, const char *data, size_t n);
 int http_call_find_refusal(const struct http_call *c);
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -14,8 +14,6 @@
 #include "base/metric.h"
 #include "net/cut.h"
 
-#define CONNECTION_MEMORY_BYTES (24 * 1024) /* for headers, per connection */
-
 /* Retry delay of a request that is refused for want of memory. */
 #define NO_ROOM_RETRY_S "1"
 
@@ -34,6 +32,7 @@
 		free(c->headers[i].value);
 	}
 	pthread_mutex_destroy(&c->mutex);
+	free(c->headers);
 	free(c->method);
 	free(c->path);
 	free(c->target);
@@ -101,6 +100,7 @@
 	const union MHD_ConnectionInfo *info;
 
 	c->state = CALL_READING;
+	http_call_measure_head(c, con, method);
 	c->body_expected = length ? strtoull(length, NULL, 10) : 0;
 	guard_enter(&h->guard, c->guarded, INTAKE_BODY, 0, clock_now());
 	c->is_http_1_0 = !strcmp(version, MHD_HTTP_VERSION_1_0);
@@ -128,9 +128,15 @@
 
 static const char *error_reason(int status)
 {
-	return status == MHD_HTTP_NOT_FOUND	      ? "no-such-path"
-	       : status == MHD_HTTP_CONTENT_TOO_LARGE ? "body-too-large"
-						      : "memory";
+	switch (status) {
+	case MHD_HTTP_NOT_FOUND:
+		return "no-such-path";
+	case MHD_HTTP_CONTENT_TOO_LARGE:
+		return "body-too-large";
+	case MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE:
+		return "head-too-large";
+	}
+	return "memory";
 }
 
 static enum MHD_Result queue_error_answer(struct MHD_Connection *con,
@@ -353,6 +359,8 @@
 	if (!c)
 		return;
 	*con_cls = NULL;
+	if (c->state == CALL_NEW && code == MHD_REQUEST_TERMINATED_WITH_ERROR)
+		http_call_record_refused_head(c);
 	pthread_mutex_lock(&c->mutex);
 	if (c->hangup)
 		hangup_remove(c->server->hangups, c->hangup, c->fd);
@@ -436,7 +444,7 @@
 		MHD_OPTION_NOTIFY_CONNECTION, handle_connection, h,
 		MHD_OPTION_CONNECTION_LIMIT, guard_connections_max(),
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)CONNECTION_MEMORY_BYTES,
+		(size_t)HTTP_CONNECTION_BYTES,
 		threads > 1 ? MHD_OPTION_THREAD_POOL_SIZE : MHD_OPTION_END,
 		(unsigned)threads, MHD_OPTION_END);
 	if (!h->daemon) {
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -49,6 +49,8 @@
 const char *http_call_peer(struct http_call *c);
 apr_time_t http_call_started_at(const struct http_call *c);
 const void *http_call_body(struct http_call *c, size_t *size);
+size_t http_call_fields_size(const struct http_call *c);
+size_t http_call_answer_room(const struct http_call *c);
 
 void http_call_set(struct http_call *c, const char *name, const char *value);
 void http_call_reply(struct http_call *c, int status, const char *type,
--- a/net/intake.c
+++ b/net/intake.c
@@ -10,7 +10,7 @@
 #define RESERVED_SHARE 0.25
 
 /* Memory of a connection: the library's pool, its call and buffers. */
-#define CONNECTION_BYTES (32 * 1024)
+#define CONNECTION_BYTES (40 * 1024)
 #define CONNECTIONS_MAX 16384
 #define CONNECTIONS_MIN 64
 
--- a/t/helper/lib-unwired.c
+++ b/t/helper/lib-unwired.c
@@ -51,6 +51,11 @@
 	return "";
 }
 
+size_t __wrap_http_call_answer_room(const struct http_call *c)
+{
+	return SIZE_MAX;
+}
+
 void __wrap_http_call_set(struct http_call *c, const char *name,
 			  const char *value)
 {
--- a/t/helper/test-intake.c
+++ b/t/helper/test-intake.c
@@ -22,7 +22,7 @@
 	struct intake_bounds b;
 
 	intake_set_bounds(&b, 160 * MB, 4100);
-	ck_assert_int_le((long long)b.body_bytes + b.connections * 32 * 1024LL,
+	ck_assert_int_le((long long)b.body_bytes + b.connections * 40 * 1024LL,
 			 120 * MB);
 	ck_assert_int_ge(b.connections, 1900);
 	intake_set_bounds(&b, 256 * MB, 1 << 20);
