store: order a list that is read anew by when it was read

Cause: the version of a listing was the highest revision among its items, which does not show that one is gone. The two watchers, killed and started again, listed the servers under the version that all others had, who ignored the list as not newer. Nothing compared digests at equal versions.

Two processes with different texts under one version have it read again: watchers at their next read, others after 1.5 s and more.

--- a/config/exchange.c
+++ b/config/exchange.c
@@ -522,6 +522,20 @@
 	pthread_mutex_unlock(&w->config->mutex);
 }
 
+/* Returns the version of the value that is in force, 0 for none, and its digest. */
+uint64_t platform_read_current(struct platform_read *r, struct digest *digest)
+{
+	struct config *c = watch_job_of(r)->config;
+	const struct spread_value *v = &c->spread.values[r->value];
+	uint64_t version;
+
+	pthread_mutex_lock(&c->mutex);
+	version = v->version;
+	*digest = v->digest;
+	pthread_mutex_unlock(&c->mutex);
+	return version;
+}
+
 /*
  * Runs a step of a read on the component's workers.  Returns -1 if they do not
  * accept it; the caller then still owns the job.
@@ -566,6 +580,7 @@
 	w->read.value = a->value;
 	w->read.after_version = a->after_version;
 	w->read.hold_ms = a->hold_ms;
+	w->read.is_disputed = a->is_disputed;
 	w->read.on_finish = submit_watch_answer;
 	metric_count("platform_calls", c->values[a->value].ops->name, 1);
 	c->platform->read(&w->read);
--- a/config/spread-decide.c
+++ b/config/spread-decide.c
@@ -66,6 +66,15 @@
 #define SUBSTITUTE_PERIOD_US (4 * APR_USEC_PER_SEC)
 #define SUBSTITUTE_RANKS 3
 
+/*
+ * A process that is not a watcher settles a dispute by a read of its own after
+ * DISPUTE_WAIT_US, and DISPUTE_STEP_US for each watch rank, if no newer version
+ * came; the time until a further one is taken up.
+ */
+#define DISPUTE_WAIT_US (1500 * 1000)
+#define DISPUTE_STEP_US (100 * 1000)
+#define DISPUTE_PERIOD_US (10 * APR_USEC_PER_SEC)
+
 static struct spread_action *add_action(struct spread_actions *out,
 					enum spread_action_kind kind)
 {
@@ -112,6 +121,17 @@
 	return (rank - first + substitutes) % substitutes < SUBSTITUTE_RANKS;
 }
 
+/* Returns 1 if this process is to settle a dispute over the current version. */
+static int is_dispute_due(const struct spread *s, const struct spread_value *v,
+			  apr_time_t now)
+{
+	int rank = s->overlay.watch_rank - OVERLAY_WATCHERS;
+	apr_interval_time_t wait =
+		rank < 0 ? 0 : DISPUTE_WAIT_US + rank * DISPUTE_STEP_US;
+
+	return v->disputed_at && now - v->disputed_at >= wait;
+}
+
 static int should_watch(const struct spread *s, const struct spread_value *v,
 			apr_time_t now)
 {
@@ -120,7 +140,8 @@
 	if (!v->version && s->member_count < 2)
 		return 1; /* no version, and no other member */
 	return s->overlay.watch_rank < OVERLAY_WATCHERS ||
-	       now < s->fallback_until || is_substitute_watcher(s, v, now);
+	       now < s->fallback_until || is_substitute_watcher(s, v, now) ||
+	       is_dispute_due(s, v, now);
 }
 
 /*
@@ -132,7 +153,8 @@
 	const struct spread_value *v = &s->values[value];
 	int is_first = !s->overlay.watch_rank || now < s->fallback_until;
 
-	if (!v->watches_finished || v->watch_failures || v->is_probe_due)
+	if (!v->watches_finished || v->watch_failures || v->is_probe_due ||
+	    is_dispute_due(s, v, now))
 		return 0;
 	if (value == SPREAD_DOCUMENT && is_first &&
 	    s->watch_hold_ms == SPREAD_WATCH_HOLD_SHORT_MS)
@@ -157,6 +179,9 @@
 				   : v->rejected_version;
 	a->hold_ms = compute_hold_ms(s, value, now);
 	a->can_hold = a->hold_ms > 0;
+	a->is_disputed = is_dispute_due(s, v, now);
+	if (a->is_disputed)
+		v->dispute_after = now + DISPUTE_PERIOD_US;
 	v->is_watching = 1;
 	v->watch_started_at = now;
 	v->is_answer_begun = 0;
@@ -221,6 +246,9 @@
 				      r);
 		return;
 	}
+	/* A read that began before the dispute does not settle it. */
+	if (v->dispute_after > started)
+		v->disputed_at = 0;
 	was_probe = v->watch_failures || v->is_probe_due;
 	v->watch_failures = 0;
 	v->is_probe_due = 0;
--- a/config/spread.c
+++ b/config/spread.c
@@ -223,6 +223,7 @@
 		return;
 	v->version = version;
 	v->digest = *digest;
+	v->disputed_at = 0;
 	v->previous_applied_at = v->applied_at;
 	v->applied_at = now;
 	if (spread_is_in_burst(v, now))
@@ -260,6 +261,22 @@
 		v->platform_last_contact = at;
 }
 
+/*
+ * Notes that a peer has another text under the current version: only a read of
+ * the platform tells which is right.  The version of a document is its
+ * operators', so that a read can't give it a newer one.
+ */
+static void note_dispute(struct spread *s, int value,
+			 const struct spread_version *theirs, apr_time_t now)
+{
+	struct spread_value *v = &s->values[value];
+
+	if (value != SPREAD_DOCUMENT && v->version && !v->disputed_at &&
+	    now >= v->dispute_after && theirs->version == v->version &&
+	    !digest_equal(&theirs->digest, &v->digest))
+		v->disputed_at = now;
+}
+
 /*
  * Merges the versions that a peer reported: stores its offers and clears its
  * pending notification if it has all current versions.
@@ -274,6 +291,7 @@
 		struct spread_value *v = &s->values[i];
 
 		update_platform_contact(v, versions[i].platform_age_ms, now);
+		note_dispute(s, i, &versions[i], now);
 		if (is_version_wanted(v, versions[i].version,
 				      &versions[i].digest))
 			add_offer(v, address, versions[i].version,
--- a/config/spread.h
+++ b/config/spread.h
@@ -82,6 +82,7 @@
 	uint64_t after_version; /* ask for versions above this one */
 	int can_hold; /* the platform may wait until there is such a version */
 	int hold_ms;  /* for which it may wait, 0 unless can_hold */
+	int is_disputed; /* a peer has another text under the version */
 
 	/* SPREAD_EXCHANGE only */
 	int wanted_value;      /* value whose text is requested, or -1 */
@@ -137,6 +138,9 @@
 	/* By how much the platform answered the last full hold too late. */
 	apr_interval_time_t answer_delay;
 	int is_probe_due; /* the next watch is not held */
+	/* A peer has another text under the current version, 0: none has. */
+	apr_time_t disputed_at;
+	apr_time_t dispute_after; /* no dispute is taken up before */
 	apr_time_t watch_after;
 	int watch_failures;
 	int watches_finished; /* since process start, including failures */
--- a/config/value.h
+++ b/config/value.h
@@ -35,6 +35,7 @@
 	uint64_t after_version; /* current version of this process */
 	/* time to wait for a newer version, 0: the answer did not wait */
 	int hold_ms;
+	int is_disputed; /* a peer has another text under the current version */
 	void (*on_finish)(struct platform_read *r);
 
 	/* the answer */
@@ -64,6 +65,7 @@
 
 int platform_read_submit(struct platform_read *r, struct job *job);
 void platform_read_record_answer(struct platform_read *r);
+uint64_t platform_read_current(struct platform_read *r, struct digest *digest);
 void platform_read_finish(struct platform_read *r, enum platform_answer answer,
 			  char *text, size_t size);
 
--- a/t/t0200-config.sh
+++ b/t/t0200-config.sh
@@ -16,4 +16,6 @@
 
 test_expect_success 'unit tests of reads in place of watchers' 'test-fallback'
 
+test_expect_success 'unit tests of lists that differ under one version' 'test-dispute'
+
 test_done
