net: datagrams are signed and received in one place

Moved from the load reports, for a second kind of message: signing, verification, the socket and the receiving thread.

--- a/forward/report-receive.c
+++ b/forward/report-receive.c
@@ -1,25 +1,13 @@
-#include <arpa/inet.h>
-#include <errno.h>
-#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <sys/time.h>
-#include <unistd.h>
 
-#include "base/log.h"
 #include "base/metric.h"
 #include "forward/report-wire.h"
 #include "forward/report.h"
 
-/* Interval at which the receiver checks whether it has to stop. */
-#define STOP_POLL_US (200 * 1000)
-
 struct receiver {
 	struct node *node;
-	int fd;
-	int is_stopping; /* atomic */
-	pthread_t thread;
+	struct datagram_receiver datagrams;
 	void (*on_report)(void *arg, const struct target_report *r);
 	void *arg;
 };
@@ -49,8 +37,9 @@
 	}
 }
 
-static void receive_datagram(struct receiver *r, const char *data, size_t size)
+static void receive_datagram(void *arg, const char *data, size_t size)
 {
+	struct receiver *r = arg;
 	struct target_report report;
 	load_report wire;
 
@@ -63,53 +52,19 @@
 	r->on_report(r->arg, &report);
 }
 
-static void *receiver_main(void *arg)
-{
-	struct receiver *r = arg;
-	char data[REPORT_MAX_BYTES];
-	ssize_t n;
-
-	while (!__atomic_load_n(&r->is_stopping, __ATOMIC_ACQUIRE)) {
-		n = recv(r->fd, data, sizeof(data), 0);
-		if (n > 0)
-			receive_datagram(r, data, (size_t)n);
-	}
-	return NULL;
-}
-
-static void receiver_stop(void *arg)
-{
-	struct receiver *r = arg;
-
-	__atomic_store_n(&r->is_stopping, 1, __ATOMIC_RELEASE);
-	pthread_join(r->thread, NULL);
-	close(r->fd);
-}
-
 /* See report.h. */
 int report_receive_start(struct node *n,
 			 void (*on_report)(void *arg,
 					   const struct target_report *r),
 			 void *arg, struct error *err)
 {
-	struct sockaddr_in at = { .sin_family = AF_INET };
-	struct timeval timeout = { 0, STOP_POLL_US };
 	struct receiver *r = &receiver;
 
 	r->node = n;
 	r->on_report = on_report;
 	r->arg = arg;
-	at.sin_port = htons((uint16_t)n->settings.report_port);
-	inet_pton(AF_INET, n->settings.address, &at.sin_addr);
-	r->fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-	if (r->fd < 0 || bind(r->fd, (struct sockaddr *)&at, sizeof(at)) ||
-	    setsockopt(r->fd, SOL_SOCKET, SO_RCVTIMEO, &timeout,
-		       sizeof(timeout)) ||
-	    pthread_create(&r->thread, NULL, receiver_main, r))
-		return error_set(err, ERROR_INTERNAL, "report-receive",
-				 n->settings.address,
-				 "cannot receive load reports on port %d: %m",
-				 n->settings.report_port);
-	node_add_stop(n, receiver_stop, r);
-	return 0;
+	r->datagrams.on_datagram = receive_datagram;
+	r->datagrams.arg = r;
+	return datagram_receive_start(&r->datagrams, n, n->settings.report_port,
+				      err);
 }
--- a/forward/report-send.c
+++ b/forward/report-send.c
@@ -2,7 +2,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -182,14 +181,10 @@
 /* See report.h. */
 int report_send_start(struct node *n, struct error *err)
 {
-	struct sockaddr_in from = { .sin_family = AF_INET };
-
 	sender.node = n;
 	sender.remote.is_remote = 1;
-	inet_pton(AF_INET, n->settings.address, &from.sin_addr);
-	sender.fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-	if (sender.fd < 0 ||
-	    bind(sender.fd, (struct sockaddr *)&from, sizeof(from)))
+	sender.fd = datagram_open(n, 0);
+	if (sender.fd < 0)
 		return error_set(err, ERROR_INTERNAL, "report-send",
 				 n->settings.address,
 				 "cannot open the socket for load reports: %m");
--- a/forward/report-wire.h
+++ b/forward/report-wire.h
@@ -4,10 +4,9 @@
 #include <stddef.h>
 
 #include "forward/report_proto.h"
-#include "net/rpc.h"
+#include "net/datagram.h"
 
-/* Maximum size of a datagram, below the usual frame size. */
-#define REPORT_MAX_BYTES 1200
+#define REPORT_MAX_BYTES DATAGRAM_MAX_BYTES
 
 /*
  * Encodes and signs a report. Returns the size of the datagram in bytes, or 0
