config: entries read the store when its readers fall silent

Cause: two processes of a data centre watch the store. Others read in their place when these are dead or absent, which takes membership 3 s, or ask for it, which a frozen process does not.

Readers now send a heartbeat each 200 ms to the entries of their data centre. Entries that hear none for 500 ms read, first three, then in groups that double each 150 ms, until a watcher is heard. An entry that never heard one, or was paused itself, takes nothing over.

Ruled out: ages of the last read (2 to 4 s are usual), more readers at all times (calls to the store double), polls of the watchers.

--- a/config/component.h
+++ b/config/component.h
@@ -76,6 +76,9 @@
 	apr_time_t next_members_update_at;
 };
 
+/* Indexes into config_kinds. */
+enum { KIND_EXCHANGE, KIND_AGES, KIND_READ };
+
 extern const struct rpc_kind config_kinds[];
 
 void config_run_decisions(struct config *c);
--- a/config/config.c
+++ b/config/config.c
@@ -10,6 +10,7 @@
 #include "config/component.h"
 #include "config/declared.h"
 #include "config/document.h"
+#include "config/heartbeat.h"
 #include "config/repair.h"
 #include "member/detect.h"
 #include "member/instance.h"
@@ -329,7 +330,9 @@
 
 	pthread_mutex_lock(&c->mutex);
 	pause_record_step(&c->pauses, now);
+	spread_record_pause(&c->spread, c->pauses.ended_at);
 	pthread_mutex_unlock(&c->mutex);
+	heartbeat_step(c, now);
 	if (now >= c->next_members_update_at)
 		config_update_members(c, now);
 	config_run_decisions(c);
@@ -397,6 +400,8 @@
 		return error_set(err, ERROR_INTERNAL, "config-start", NULL,
 				 "cannot start worker threads or register the "
 				 "message kinds");
+	if (heartbeat_start(c, err))
+		return -1;
 	node_add_controller(n, "config", CONTROLLER_PERIOD_US, config_step, c);
 	node_add_status(n, "config", config_status, c);
 	node_add_operator_route(n, "GET", "/config/changes", 0,
--- a/config/config_proto.h
+++ b/config/config_proto.h
@@ -70,6 +70,13 @@
 };
 typedef struct config_ages_reply config_ages_reply;
 
+struct config_heartbeat {
+	u_quad_t boot;
+	u_quad_t sequence;
+	int is_watcher;
+};
+typedef struct config_heartbeat config_heartbeat;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -79,6 +86,7 @@
 extern  bool_t xdr_config_release_age (XDR *, config_release_age*);
 extern  bool_t xdr_config_ages_request (XDR *, config_ages_request*);
 extern  bool_t xdr_config_ages_reply (XDR *, config_ages_reply*);
+extern  bool_t xdr_config_heartbeat (XDR *, config_heartbeat*);
 
 #else /* K&R C */
 extern bool_t xdr_config_version ();
@@ -87,6 +95,7 @@
 extern bool_t xdr_config_release_age ();
 extern bool_t xdr_config_ages_request ();
 extern bool_t xdr_config_ages_reply ();
+extern bool_t xdr_config_heartbeat ();
 
 #endif /* K&R C */
 
--- a/config/config_proto.x
+++ b/config/config_proto.x
@@ -55,3 +55,13 @@
 struct config_ages_reply {
 	config_release_age ages<CONFIG_MODELS_MAX>;
 };
+
+/*
+ * Sent by a process that reads the platform to the entries of its data centre,
+ * in one datagram (net/datagram.h).
+ */
+struct config_heartbeat {
+	unsigned hyper boot;		/* of the sender's process */
+	unsigned hyper sequence;
+	int is_watcher;			/* 0: reads in place of the watchers */
+};
--- a/config/config_proto_xdr.c
+++ b/config/config_proto_xdr.c
@@ -86,3 +86,17 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_config_heartbeat (XDR *xdrs, config_heartbeat *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->boot))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->is_watcher))
+		 return FALSE;
+	return TRUE;
+}
--- /dev/null
+++ b/config/heartbeat.h
@@ -0,0 +1,17 @@
+#ifndef CONFIG_HEARTBEAT_H
+#define CONFIG_HEARTBEAT_H
+
+#include "base/error.h"
+#include "config/component.h"
+
+/*
+ * Heartbeats of the processes that read the platform, to the entries of their
+ * data centre (fallback.c decides what follows from their silence).
+ */
+
+int heartbeat_start(struct config *c, struct error *err);
+
+/* Sends a heartbeat if one is due.  Called with each step of the component. */
+void heartbeat_step(struct config *c, apr_time_t now);
+
+#endif
--- a/config/spread-decide.c
+++ b/config/spread-decide.c
@@ -184,7 +184,7 @@
 		v->dispute_after = now + DISPUTE_PERIOD_US;
 	v->is_watching = 1;
 	v->watch_started_at = now;
-	v->is_answer_begun = 0;
+	v->answer_begun_at = 0;
 	v->watch_hold_ms = a->hold_ms;
 }
 
@@ -477,6 +477,7 @@
 
 	out->count = 0;
 	decide_start_exchanges(s, out);
+	spread_check_heartbeats(s, now);
 	for (i = 0; i < s->value_count; i++) {
 		decide_pull(s, i, now, out);
 		decide_watch(s, i, now, out);
--- a/config/spread-internal.h
+++ b/config/spread-internal.h
@@ -20,6 +20,7 @@
 					  const char *address);
 void spread_decide_asks(struct spread *s, apr_time_t now,
 			struct spread_actions *out);
+void spread_check_heartbeats(struct spread *s, apr_time_t now);
 int spread_is_in_burst(const struct spread_value *v, apr_time_t now);
 void spread_finish_pull(struct spread_value *v, const char *address, int ok,
 			apr_time_t now);
--- a/config/spread.c
+++ b/config/spread.c
@@ -140,6 +140,7 @@
 	free(s->members);
 	s->members = members;
 	s->member_count = count;
+	s->is_entry = self->is_entry;
 	overlay_build(&s->overlay, members, count, self);
 	move_local_members_first(s, self->data_center);
 	update_peers(s);
--- a/config/spread.h
+++ b/config/spread.h
@@ -133,7 +133,8 @@
 	apr_time_t previous_applied_at; /* same for the version before it */
 	int is_watching;
 	apr_time_t watch_started_at;
-	int is_answer_begun; /* what follows is this process's own time */
+	/* 0: not yet; what follows is this process's own time. */
+	apr_time_t answer_begun_at;
 	int watch_hold_ms;
 	/* By how much the platform answered the last full hold too late. */
 	apr_interval_time_t answer_delay;
@@ -185,14 +186,19 @@
 	apr_time_t started_at;
 	char start_peers[SPREAD_START_PEERS_MAX][SETTINGS_ADDRESS_SIZE];
 	int watch_hold_ms; /* time for which the platform may hold a watch */
-	apr_time_t fallback_until;  /* a watcher asked this process to watch */
-	apr_time_t next_ask_at;	    /* as a watcher without the platform */
-	int ask_round;		    /* since it lost the platform */
-	int start_count;	    /* entries of start_peers */
-	int start_sent;		    /* start exchanges sent */
-	int start_finished;	    /* start exchanges answered or failed */
-	int start_replies;	    /* start exchanges answered */
-	int has_member_start_peers; /* the instance list has added peers */
+	/* This process watches in place of the watchers: asked, or by silence. */
+	apr_time_t fallback_until;
+	int is_entry;		     /* of this process */
+	apr_time_t reader_heard_at;  /* last heartbeat of any reader, 0: none */
+	apr_time_t watcher_heard_at; /* the same of a watcher */
+	apr_time_t resumed_at;	     /* end of the last pause of this process */
+	apr_time_t next_ask_at;	     /* as a watcher without the platform */
+	int ask_round;		     /* since it lost the platform */
+	int start_count;	     /* entries of start_peers */
+	int start_sent;		     /* start exchanges sent */
+	int start_finished;	     /* start exchanges answered or failed */
+	int start_replies;	     /* start exchanges answered */
+	int has_member_start_peers;  /* the instance list has added peers */
 };
 
 void spread_init(struct spread *s, const char *self_address, apr_time_t now);
@@ -211,8 +217,11 @@
 			    const struct digest *digest);
 void spread_finish_watch(struct spread *s, int value, int ok, int changed,
 			 apr_time_t started, apr_time_t now, struct random *r);
-void spread_record_answer(struct spread *s, int value);
+void spread_record_answer(struct spread *s, int value, apr_time_t now);
 void spread_record_asked(struct spread *s, apr_time_t now);
+int spread_is_reading(const struct spread *s, apr_time_t now);
+void spread_record_heartbeat(struct spread *s, int is_watcher, apr_time_t now);
+void spread_record_pause(struct spread *s, apr_time_t ended_at);
 void spread_finish_exchange(struct spread *s, const struct spread_action *a,
 			    int ok, apr_time_t now);
 void spread_merge_versions(struct spread *s, const char *address,
--- a/t/helper/test-config-fleet.c
+++ b/t/helper/test-config-fleet.c
@@ -34,14 +34,20 @@
 
 enum loss {
 	LOSS_NONE,
-	LOSS_SOURCES,	/* members offer the new version and answer no more */
-	LOSS_PEERS,	/* every fourth member is paused before the change */
-	LOSS_WATCHERS,	/* all watchers of one data centre are gone */
-	LOSS_DELTAS,	/* the first text that each member gets is unusable */
-	LOSS_READS,	/* the platform doesn't answer the watchers any more */
-	LOSS_MORE_READS /* nor the processes that they ask first */
+	LOSS_SOURCES,	 /* members offer the new version and answer no more */
+	LOSS_PEERS,	 /* every fourth member is paused before the change */
+	LOSS_WATCHERS,	 /* all watchers of one data centre are gone */
+	LOSS_DELTAS,	 /* the first text that each member gets is unusable */
+	LOSS_READS,	 /* the platform doesn't answer the watchers any more */
+	LOSS_MORE_READS, /* nor the processes that they ask first */
+	LOSS_FROZEN,	 /* all watchers stand still, membership unchanged */
+	LOSS_MORE_FROZEN, /* their first substitutes as well, 1.2 s before */
+	LOSS_BUT_ONE	  /* all entries but one of each data centre do */
 };
 
+#define FROZEN_EARLIER (1200 * MS)
+#define HEARTBEAT_PERIOD (200 * MS)
+
 /* Timeout of a watch beyond its hold. */
 #define WATCH_TIMEOUT (1500 * MS)
 
@@ -57,6 +63,8 @@
 	int can_stall;
 	int is_gone;
 	int is_cut; /* from the platform, from cut_at on, without notice */
+	apr_time_t frozen_at; /* 0: never */
+	apr_time_t next_heartbeat_at;
 	int unusable_texts; /* that this process has got */
 	apr_time_t applied_at;
 	int busy_threads[POOL_COUNT];
@@ -83,8 +91,9 @@
 
 static int is_silent(const struct process *p, apr_time_t now)
 {
-	return p->is_gone || (p->can_stall && p->applied_at &&
-			      now >= p->applied_at + STALL_AFTER);
+	return p->is_gone || (p->frozen_at && now >= p->frozen_at) ||
+	       (p->can_stall && p->applied_at &&
+		now >= p->applied_at + STALL_AFTER);
 }
 
 static void apply_version(struct process *p, uint64_t version, apr_time_t now)
@@ -274,6 +283,23 @@
 	return 1;
 }
 
+static void send_heartbeats(struct fleet *f, int from, apr_time_t now)
+{
+	struct process *p = &f->processes[from];
+	int is_watcher = p->spread.overlay.watch_rank < OVERLAY_WATCHERS;
+	int i;
+
+	if (now < p->next_heartbeat_at || !spread_is_reading(&p->spread, now))
+		return;
+	p->next_heartbeat_at = now + HEARTBEAT_PERIOD;
+	for (i = 0; i < f->count; i++)
+		if (i != from && f->members[i].is_entry &&
+		    !strcmp(f->members[i].data_center,
+			    f->members[from].data_center))
+			spread_record_heartbeat(&f->processes[i].spread,
+						is_watcher, now);
+}
+
 static void finish_watch(struct process *p, const struct operation *o,
 			 apr_time_t now)
 {
@@ -321,6 +347,9 @@
 
 		if (o.from < 0 || o.is_queued || o.due_at > now)
 			continue;
+		if (f->processes[o.from].frozen_at &&
+		    now >= f->processes[o.from].frozen_at)
+			continue;
 		if (o.action.kind == SPREAD_WATCH &&
 		    is_answer_lost(f, &f->operations[i], now))
 			continue;
@@ -345,12 +374,37 @@
 
 		if (is_silent(p, now))
 			continue;
+		send_heartbeats(f, i, now);
 		spread_decide(&p->spread, now, &p->random, &actions);
 		for (j = 0; j < actions.count; j++)
 			start_operation(f, i, &actions.list[j], now);
 	}
 }
 
+/* Sets when each process stands still: the watchers and more, from cut_at on. */
+static void freeze(struct fleet *f)
+{
+	int i, rank;
+
+	for (i = 0; i < f->count; i++) {
+		struct process *p = &f->processes[i];
+
+		rank = p->spread.overlay.watch_rank;
+		if (f->loss == LOSS_BUT_ONE) {
+			if (f->members[i].is_entry &&
+			    i + 3 * DATA_CENTERS < f->count)
+				p->frozen_at = f->cut_at;
+		} else if (f->loss == LOSS_MORE_FROZEN) {
+			if (rank < OVERLAY_WATCHERS)
+				p->frozen_at = f->cut_at - FROZEN_EARLIER;
+			else if (rank < OVERLAY_WATCHERS + 3)
+				p->frozen_at = f->cut_at;
+		} else if (f->loss == LOSS_FROZEN && rank < OVERLAY_WATCHERS) {
+			p->frozen_at = f->cut_at;
+		}
+	}
+}
+
 /* Returns the ms until the new version was in force on the last process. */
 static int measure_spread(int count, enum loss loss, apr_time_t cut_at)
 {
@@ -360,6 +414,7 @@
 
 	fleet_init(f, count, loss);
 	f->cut_at = cut_at;
+	freeze(f);
 	for (now = STEP; now < PUBLISHED_AT + 8000 * MS; now += STEP) {
 		finish_due_operations(f, now);
 		step_processes(f, now);
@@ -367,7 +422,7 @@
 	for (i = 0; i < count; i++) {
 		const struct process *p = &f->processes[i];
 
-		if (p->is_gone)
+		if (p->is_gone || p->frozen_at)
 			continue;
 		ck_assert(p->applied_at);
 		if (p->applied_at > last)
@@ -443,6 +498,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a change that nobody reads while its readers stand still: they
+ * ask nobody, and membership takes longer to miss them.
+ */
+START_TEST(change_is_in_force_in_time_though_its_readers_are_frozen)
+{
+	check_without_readers(counts[_i], LOSS_FROZEN);
+}
+END_TEST
+
+/* Not in the smallest fleet, which has three entries in a data centre. */
+START_TEST(change_is_in_force_in_time_though_substitutes_are_frozen)
+{
+	check_without_readers(counts[_i], LOSS_MORE_FROZEN);
+}
+END_TEST
+
+START_TEST(change_is_in_force_in_time_though_one_entry_is_left)
+{
+	check_without_readers(counts[_i], LOSS_BUT_ONE);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("config-fleet");
@@ -468,6 +546,14 @@
 	tcase_add_loop_test(
 		t, change_is_in_force_in_time_though_substitutes_are_cut_off, 0,
 		3);
+	tcase_add_loop_test(
+		t, change_is_in_force_in_time_though_its_readers_are_frozen, 0,
+		3);
+	tcase_add_loop_test(
+		t, change_is_in_force_in_time_though_substitutes_are_frozen, 1,
+		3);
+	tcase_add_loop_test(
+		t, change_is_in_force_in_time_though_one_entry_is_left, 0, 3);
 	tcase_set_timeout(t, 120);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
--- a/t/helper/test-fallback.c
+++ b/t/helper/test-fallback.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "config/spread.h"
+#include "config/spread-internal.h"
 
 /* A watcher that gets no answers, and those that it asks to read instead. */
 
@@ -131,7 +131,7 @@
 	init_fixture(&g, 0);
 	run_until(&g, 1100 * MS);
 	for (i = 0; i < g.s.value_count; i++)
-		spread_record_answer(&g.s, i);
+		spread_record_answer(&g.s, i, g.now);
 	run_until(&g, 4000 * MS);
 	ck_assert_int_eq(g.asked_count, 0);
 	spread_destroy(&g.s);
@@ -191,6 +191,97 @@
 }
 END_TEST
 
+/* Returns the ms of silence after which the member of a rank reads, or -1. */
+static int find_silence_ms(int rank)
+{
+	struct fixture g;
+	int ms;
+
+	init_fixture(&g, rank);
+	spread_record_heartbeat(&g.s, 1, g.now);
+	for (ms = 0; ms < 3000; ms += 10) {
+		spread_check_heartbeats(&g.s, g.now + ms * MS);
+		if (g.s.fallback_until)
+			break;
+	}
+	spread_destroy(&g.s);
+	return ms < 3000 ? ms : -1;
+}
+
+/* Guards against a freeze of the readers, and of the first substitutes as well. */
+START_TEST(entries_read_in_larger_and_larger_groups)
+{
+	int rank;
+
+	for (rank = 0; rank < OVERLAY_WATCHERS; rank++)
+		ck_assert_int_eq(find_silence_ms(rank), -1);
+	for (; rank < OVERLAY_WATCHERS + 3; rank++)
+		ck_assert_int_eq(find_silence_ms(rank), 500);
+	for (; rank < MEMBERS; rank++)
+		ck_assert_int_eq(find_silence_ms(rank), 650);
+}
+END_TEST
+
+/* Guards against reads in vain: at a start, after an own pause, on an agent. */
+START_TEST(silence_that_proves_nothing_is_ignored)
+{
+	struct fixture g;
+
+	init_fixture(&g, 5);
+	spread_check_heartbeats(&g.s, g.now + 9000 * MS);
+	ck_assert_int_eq(g.s.fallback_until, 0);
+	spread_record_heartbeat(&g.s, 1, g.now);
+	spread_record_pause(&g.s, g.now + 9000 * MS);
+	spread_check_heartbeats(&g.s, g.now + 9400 * MS);
+	ck_assert_int_eq(g.s.fallback_until, 0);
+	g.s.is_entry = 0;
+	spread_check_heartbeats(&g.s, g.now + 20000 * MS);
+	ck_assert_int_eq(g.s.fallback_until, 0);
+	spread_destroy(&g.s);
+}
+END_TEST
+
+/* Heartbeats of other substitutes keep further ones from reading, no more. */
+START_TEST(substitute_reads_until_a_watcher_is_heard)
+{
+	struct fixture g;
+	apr_time_t now;
+
+	init_fixture(&g, OVERLAY_WATCHERS);
+	now = g.now;
+	spread_record_heartbeat(&g.s, 1, now);
+	for (; now < g.now + 6000 * MS; now += 100 * MS) {
+		if (now >= g.now + 500 * MS)
+			spread_record_heartbeat(&g.s, 0, now);
+		spread_check_heartbeats(&g.s, now);
+		if (now == g.now + 400 * MS)
+			spread_check_heartbeats(&g.s, now + 100 * MS);
+	}
+	ck_assert(spread_is_reading(&g.s, now));
+	for (; now < g.now + 9000 * MS; now += 100 * MS) {
+		spread_record_heartbeat(&g.s, 1, now);
+		spread_check_heartbeats(&g.s, now);
+	}
+	ck_assert(!spread_is_reading(&g.s, now));
+	spread_destroy(&g.s);
+}
+END_TEST
+
+/* Guards against a reader too slow to pass changes on that keeps others away. */
+START_TEST(reader_that_applies_too_long_sends_no_heartbeats)
+{
+	struct fixture g;
+
+	init_fixture(&g, 0);
+	run_until(&g, 1100 * MS);
+	ck_assert(spread_is_reading(&g.s, g.now + 9000 * MS));
+	spread_record_answer(&g.s, SPREAD_DOCUMENT, g.now);
+	ck_assert(spread_is_reading(&g.s, g.now + 400 * MS));
+	ck_assert(!spread_is_reading(&g.s, g.now + 410 * MS));
+	spread_destroy(&g.s);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("fallback");
@@ -205,6 +296,10 @@
 	tcase_add_test(t, watcher_whose_answer_has_begun_asks_nobody);
 	tcase_add_test(t, one_failure_is_looked_into_before_others_are_asked);
 	tcase_add_test(t, process_reads_at_once_when_asked_and_stops_after_it);
+	tcase_add_test(t, entries_read_in_larger_and_larger_groups);
+	tcase_add_test(t, silence_that_proves_nothing_is_ignored);
+	tcase_add_test(t, substitute_reads_until_a_watcher_is_heard);
+	tcase_add_test(t, reader_that_applies_too_long_sends_no_heartbeats);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_VERBOSE);
--- /dev/null
+++ b/t/t1045-frozen-readers.sh
@@ -0,0 +1,182 @@
+#!/bin/sh
+
+test_description='a change is read though the readers of the store stand still
+
+Six entries of one data centre. A frozen reader asks nobody to read, and membership
+takes 3 s and more to miss it: a change has to be in force on the others before that,
+which is told by its place among the members.'
+
+. "$(dirname "$0")/test-lib.sh"
+
+STORE=$TEST_NET.9:7001
+ENTRIES="1 2 3 4 5 6"
+
+put () {
+	curl -sf -X PUT --data-binary @- "http://$STORE/test/$1" >/dev/null
+}
+
+# config VERSION: has the route /added-VERSION/ and the key key-VERSION.
+config () {
+	cat <<-EOC | put op/config
+	{"Version":$1,"Routes":[
+	 {"Name":"added","Host":"a.example","Prefix":"/added-$1/","Kind":"idempotent","TimeoutMs":3000,"Service":"web"},
+	 {"Name":"kept","Host":"a.example","Prefix":"/kept/","Kind":"idempotent","TimeoutMs":3000,"Service":"web"}],
+	 "Services":[{"Name":"web"}],"Tenants":[{"Name":"acme","ApiKeys":["key-$1"]}]}
+	EOC
+}
+
+# get_status ENTRY PATH KEY
+get_status () {
+	curl -s -m 5 -o /dev/null -w "%{http_code}" -H "Host: a.example" \
+		-H "X-Limpetflow-Request-Id: r" -H "Authorization: Bearer $3" \
+		"http://$TEST_NET.$1:8000$2"
+}
+
+# is_in_force VERSION BEFORE ENTRY...: at these, VERSION is and BEFORE is not.
+is_in_force () {
+	force_version=$1
+	force_before=$2
+	shift 2
+	for force_entry; do
+		test "$(get_status $force_entry /added-$force_version/x \
+			key-$force_version)" = 200 &&
+		test "$(get_status $force_entry /kept/x \
+			key-$force_before)" = 401 || return 1
+	done
+}
+
+entry_settings () {
+	cat <<-EOC
+	{"instance":"e$1","data_center":"d1","address":"$TEST_NET.$1",
+	 "ports":{"first":7700},"listen":{"callers":"$TEST_NET.$1:8000",
+	 "ready":"$TEST_NET.$1:8001"},"platform":"store",
+	 "platform_url":"http://$STORE","key":"0123456789abcdef",
+	 "seeds":["$TEST_NET.1:1","$TEST_NET.2:1","$TEST_NET.3:1"],
+	 "forward":{"stop_grace_s":8,"retry_ratio":0.2,"retry_window_s":10,
+	  "retry_slack":100}}
+	EOC
+}
+
+# of_status ENTRY FIELD: a number of the configuration's status.
+of_status () {
+	curl -s -m 2 "http://$TEST_NET.$1:7702/status" | jq ".config.$2"
+}
+
+# have_members COUNT ENTRY...: these count so many members.
+have_members () {
+	members_count=$1
+	shift
+	for members_entry; do
+		test "$(of_status $members_entry members)" = $members_count ||
+			return 1
+	done
+}
+
+# rank_entries: writes all entries to ranked, in the order in which they read.
+rank_entries () {
+	for entry in $ENTRIES; do
+		echo "$(of_status $entry watch_rank) $entry"
+	done | sort -n | awk "{ print \$2 }" >ranked &&
+	head -2 ranked >readers && tail -4 ranked >others
+}
+
+# signal SIGNAL ENTRY...
+signal () {
+	signal_name=$1
+	shift
+	for signal_entry; do
+		kill -$signal_name $(cat e$signal_entry.pid) || return 1
+	done
+}
+
+# is_calm: all are members of each other, with one order of ranks, and two read.
+is_calm () {
+	have_members 6 $ENTRIES && rank_entries && test $(wc -l <ranked) = 6
+}
+
+# check_frozen VERSION FROZEN...: with these frozen, VERSION comes into force on
+# the others before the frozen ones lose their places.
+check_frozen () {
+	frozen_version=$1
+	shift
+	running=
+	for entry in $ENTRIES; do
+		case " $* " in
+		*" $entry "*) ;;
+		*) running="$running $entry" ;;
+		esac
+	done
+	signal STOP $* &&
+	config $frozen_version &&
+	wait_until 10 is_in_force $frozen_version $((frozen_version - 1)) $running &&
+	have_members 6 $running
+	frozen_result=$?
+	signal CONT $* &&
+	wait_until 10 is_in_force $frozen_version $((frozen_version - 1)) $ENTRIES &&
+	wait_until 20 is_calm && sleep 2 && return $frozen_result
+}
+
+start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
+start up python3 "$TEST_DIR/standin/metadata_store.py" upstream \
+	$TEST_NET.20:80 i-1
+wait_until 10 curl -sf http://$STORE/test/calls
+printf '{"Service":"web","Addr":"%s","Zone":"d1","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1}' \
+	"$TEST_NET.20:80" | put servers/i-1
+config 1
+for entry in $ENTRIES; do
+	entry_settings $entry >e$entry.json
+	start e$entry limpet-entry --settings e$entry.json
+done
+for entry in $ENTRIES; do
+	wait_until 10 curl -sf http://$TEST_NET.$entry:8001/readyz
+done
+wait_until 10 is_in_force 1 0 $ENTRIES
+wait_until 10 is_calm
+sleep 2
+
+test_expect_success 'both readers are frozen' '
+	check_frozen 2 $(cat readers)
+'
+
+test_expect_success 'one of two readers is frozen' '
+	check_frozen 3 $(head -1 readers)
+'
+
+test_expect_success 'all entries but one are frozen' '
+	check_frozen 4 $(head -5 ranked)
+'
+
+# Guards against substitutes that nobody watches in turn.
+test_expect_success 'the substitutes are frozen as well, after they took over' '
+	readers=$(cat readers) && first=$(head -3 others) &&
+	signal STOP $readers && sleep 1.2 &&
+	check_frozen 5 $readers $first
+'
+
+test_expect_success 'the readers are killed, and a key is withdrawn' '
+	readers=$(cat readers) && signal KILL $readers && config 6 &&
+	wait_until 5 is_in_force 6 5 $(cat others) &&
+	for entry in $readers; do
+		start e$entry limpet-entry --settings e$entry.json || return 1
+	done &&
+	wait_until 10 is_in_force 6 5 $ENTRIES
+'
+
+# Guards against processes that go on reading once the readers run again.
+test_expect_success 'two processes read in the end' '
+	wait_until 20 is_calm && sleep 3 &&
+	count_calls () {
+		curl -s -m 2 "http://$TEST_NET.$1:7702/metrics" |
+			awk "/platform_calls/ { n += \$2 } END { print n + 0 }"
+	}
+	for entry in $(cat others); do
+		echo "$entry $(count_calls $entry)"
+	done >before &&
+	sleep 4 &&
+	for entry in $(cat others); do
+		echo "$entry $(count_calls $entry)"
+	done >after &&
+	test_cmp before after
+'
+
+test_done
