fetch: an invalid status is no answer

Callers got 600 and 999 of an upstream in trouble as their answer, and 101, after which they wait for a final one until their deadline. 000, 0, 099, 20, 2000 and words as a status gave 502 already, as libcurl refuses them.

Cause: the status of every head that libcurl accepts was taken. The client now checks it at the end of a head, for all readers: outside of 100 to 599, and 101, which no request asks for, the transfer ends as corrupt without a status. What may repeat goes elsewhere, the rest gets 502.

--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -10,7 +10,10 @@
 #include "net/cut.h"
 #include "net/silence.h"
 
+#define HTTP_CONTINUE 100
+#define HTTP_SWITCHING_PROTOCOLS 101
 #define HTTP_OK 200
+#define HTTP_STATUS_MAX 599
 #define HTTP_NO_CONTENT 204
 #define HTTP_NOT_MODIFIED 304
 
@@ -22,6 +25,16 @@
 	f->is_chunked = 0;
 }
 
+/*
+ * Returns 1 for a status that no answer has: outside of 100 to 599 it is invalid
+ * (RFC 9110, 15), and no request here asks to switch protocols.
+ */
+static int is_invalid_status(int status)
+{
+	return status < HTTP_CONTINUE || status > HTTP_STATUS_MAX ||
+	       status == HTTP_SWITCHING_PROTOCOLS;
+}
+
 static int has_no_body(int status)
 {
 	return status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED;
@@ -80,8 +93,12 @@
 		if (f->ops->status_line)
 			f->ops->status_line(f);
 	}
-	if (length && (*data == '\r' || *data == '\n'))
+	if (length && (*data == '\r' || *data == '\n')) {
+		f->has_invalid_status = is_invalid_status(f->status);
+		if (f->has_invalid_status)
+			return 0;
 		set_framing(f);
+	}
 	memcpy(line, data, length);
 	line[length] = '\0';
 	value = strchr(line, ':');
@@ -133,7 +150,7 @@
 		curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
 		f->status = (int)status;
 	}
-	if (is_url_partitioned(f->url))
+	if (is_url_partitioned(f->url) || f->has_invalid_status)
 		return 0;
 	if (f->ops->data)
 		ret = f->ops->data(f, data, size * n);
@@ -267,9 +284,16 @@
 		kind = ERROR_CORRUPT;
 		break;
 	default:
-		kind = f->head_size > FETCH_HEAD_MAX ? ERROR_CORRUPT
-		       : f->is_aborted_by_data	     ? ERROR_REFUSED
-						     : ERROR_INTERNAL;
+		kind = f->head_size > FETCH_HEAD_MAX || f->has_invalid_status
+			       ? ERROR_CORRUPT
+		       : f->is_aborted_by_data ? ERROR_REFUSED
+					       : ERROR_INTERNAL;
+	}
+	if (f->has_invalid_status) {
+		error_set(&f->error, kind, "fetch", f->url,
+			  "status %d is none of a final answer", f->status);
+		f->status = 0;
+		return;
 	}
 	error_set(&f->error, kind, "fetch", f->url, "%s",
 		  curl_easy_strerror(code));
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -446,6 +446,7 @@
 	f->submitted_at = clock_now();
 	f->link = NULL;
 	f->is_aborted_by_data = 0;
+	f->has_invalid_status = 0;
 	f->is_too_late = 0;
 	f->reused = 0;
 	f->text = NULL;
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -72,6 +72,7 @@
 	long long content_length; /* of the response, -1: none */
 	size_t head_size;	  /* bytes of all its heads and trailers */
 	int is_chunked;		  /* the response has chunked coding */
+	int has_invalid_status;	  /* it counts as no response */
 	apr_time_t submitted_at;
 	int never_sent;	 /* no byte of the request left this process */
 	int is_refused;	 /* nobody listens at the address */
--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -31,6 +31,8 @@
                   are sent; "interim" for FRAMING puts two heads of status 103
                   before it, "trailer" two lines after its last chunk. Without
                   BYTES it is sent whole
+    status-CODE-FRAMING  a whole answer with any text for a status; "interim" for
+                  FRAMING puts it before an answer of 200
     forever-WHAT  bytes without end: "noise" (no answer), "line" (a header
                   line), "head" (header lines), "interim" (heads of status
                   100), "status" (a status line), "body", "event" (one event),
@@ -223,6 +225,18 @@
         text = cut(framing, request_id)
         connection.sendall(text[:int(size)] if size else text)
         return False
+    if form.startswith("status-"):
+        code, framing = form.split("-")[1:3]
+        interim = framing == "interim"
+        lines, body = frame("length" if interim else framing, "", PLAIN,
+                            b"application/json")
+        line = b"%s Text" % code.encode()
+        text = head(request_id, lines, line) + body
+        if interim:
+            text = (b"HTTP/1.1 " + line + b"\r\nLink: </a>\r\n\r\n" +
+                    head(request_id, lines) + body)
+        connection.sendall(text)
+        return False
     if form.startswith("forever-"):
         send_forever(connection, form[len("forever-"):], request_id)
         return False
