httpd: bound what slow readers leave unsent

Cause: each answer might have 256 KB unread, in a buffer that doubles, is never compacted and is kept until the end, and nobody knew the sum.

Buffers of answers are now counted with the bodies of requests, and how much of an answer may lie unsent follows from what is left: 256 KB in calm, 8 KB at least. Buffers are compacted before they grow, grow by 64 KB at most and are given back when they are empty.

--- a/calls/gate-stream.c
+++ b/calls/gate-stream.c
@@ -15,9 +15,6 @@
  * token that was not received.
  */
 
-/* Answer bytes that may wait for the entry before reading is paused. */
-#define PENDING_MAX_BYTES (256 * 1024)
-
 /*
  * Time without a byte after which a connection is silent.  It is raised to
  * SILENCE_LIMIT_TOKENS times the engine's time for a token.
@@ -296,7 +293,7 @@
 	if (start_answer(run))
 		return -1;
 	__atomic_store_n(&run->is_paused, 1, __ATOMIC_SEQ_CST);
-	if (http_call_stream_pending(run->call) > PENDING_MAX_BYTES)
+	if (http_call_stream_is_full(run->call))
 		return FETCH_PAUSE;
 	__atomic_store_n(&run->is_paused, 0, __ATOMIC_SEQ_CST);
 	if (run->is_model)
--- a/calls/relay-answer.c
+++ b/calls/relay-answer.c
@@ -5,8 +5,6 @@
 #include "base/clock.h"
 #include "calls/entry-internal.h"
 
-#define PENDING_MAX_BYTES (256 * 1024) /* written, not yet read by the caller */
-
 /* Resets the state of the answer for a new attempt; keeps received tokens. */
 void relay_reset_answer(struct relay *r)
 {
@@ -125,8 +123,7 @@
 	if (r->reported_outcome != OUTCOME_ANSWER || r->kind != UPSTREAM_MODEL)
 		return append_to_buffer(r, data, size);
 	__atomic_store_n(&r->is_paused, 1, __ATOMIC_SEQ_CST);
-	if (r->has_started_stream &&
-	    http_call_stream_pending(r->call) > PENDING_MAX_BYTES)
+	if (r->has_started_stream && http_call_stream_is_full(r->call))
 		return FETCH_PAUSE;
 	__atomic_store_n(&r->is_paused, 0, __ATOMIC_SEQ_CST);
 	r->sse.on_event = forward_event;
--- a/forward/answer.c
+++ b/forward/answer.c
@@ -15,8 +15,6 @@
 
 /* Maximum size of an answer that is held back. */
 #define HELD_BODY_MAX_BYTES (256 * 1024)
-/* Size of the output buffer of a slow caller at which reading is paused. */
-#define PENDING_MAX_BYTES (256 * 1024)
 /* Minimum interval between updates of last_contact. */
 #define CONTACT_PERIOD_US (20 * 1000)
 /* Time without new requests after an upstream answered that it is full. */
@@ -234,11 +232,11 @@
  */
 static int should_pause(struct forward *f)
 {
-	if (http_call_stream_pending(f->call) <= PENDING_MAX_BYTES)
+	if (!http_call_stream_is_full(f->call))
 		return 0;
 	__atomic_store_n(&f->is_paused, 1, __ATOMIC_RELEASE);
 	http_call_on_drain(f->call, resume_reading, f);
-	if (http_call_stream_pending(f->call) > PENDING_MAX_BYTES)
+	if (http_call_stream_is_full(f->call))
 		return 1;
 	__atomic_store_n(&f->is_paused, 0, __ATOMIC_RELEASE);
 	return 0;
--- a/net/httpd-answer.c
+++ b/net/httpd-answer.c
@@ -6,7 +6,11 @@
 #include "base/clock.h"
 #include "net/cut.h"
 
-#define STREAM_BLOCK_BYTES (32 * 1024)
+/* The library's block of an answer with a length. */
+#define STREAM_BLOCK_BYTES (16 * 1024)
+/* The first size of the buffer of a stream, and the most by which it grows. */
+#define OUTPUT_FIRST_BYTES 1024
+#define OUTPUT_STEP_BYTES (64 * 1024)
 #define HEADERS_FIRST 16
 /* Maximum size of an answer that is held until its length is known. */
 #define HELD_MAX_BYTES (256 * 1024)
@@ -74,6 +78,18 @@
 	json_decref(body);
 }
 
+/* Gives the buffer of a stream back once all of it is sent.  Mutex held. */
+static void release_output(struct http_call *c)
+{
+	c->out_start = c->out_size = 0;
+	if (c->out_capacity <= OUTPUT_FIRST_BYTES)
+		return;
+	guard_discharge(c->out_capacity);
+	free(c->out);
+	c->out = NULL;
+	c->out_capacity = 0;
+}
+
 static ssize_t read_stream(void *cls, uint64_t pos, char *buf, size_t max)
 {
 	struct http_call *c = cls;
@@ -91,7 +107,7 @@
 		guard_enter(&c->server->guard, c->guarded, INTAKE_ANSWER, n,
 			    clock_now());
 		if (n == left) {
-			c->out_start = c->out_size = 0;
+			release_output(c);
 			if (c->on_drained && !c->is_ended)
 				c->on_drained(c->drained_arg);
 		}
@@ -138,25 +154,43 @@
 	set_response(c, status, type, r);
 }
 
+/* Moves the unsent bytes to the start of the buffer.  Mutex held. */
+static void compact_output(struct http_call *c)
+{
+	if (!c->out_start)
+		return;
+	c->out_size -= c->out_start;
+	memmove(c->out, c->out + c->out_start, c->out_size);
+	c->out_start = 0;
+}
+
 /* Makes room for more bytes.  Returns -1 if there is none.  Mutex held. */
 static int grow_output(struct http_call *c, size_t more)
 {
-	size_t to = c->out_capacity ? c->out_capacity * 2 : 1024;
-	size_t want = c->out_size + more;
+	size_t step = c->out_capacity, want, to;
 	char *p;
 
+	if (c->out_size + more <= c->out_capacity)
+		return 0;
+	compact_output(c);
+	want = c->out_size + more;
 	if (want <= c->out_capacity)
 		return 0;
-	while (to < want)
-		to *= 2;
-	if (c->is_held && (want > HELD_MAX_BYTES ||
-			   guard_charge(&c->server->guard, c->guarded, to,
-					to - c->out_capacity, clock_now())))
+	step = step < OUTPUT_FIRST_BYTES  ? OUTPUT_FIRST_BYTES
+	       : step > OUTPUT_STEP_BYTES ? OUTPUT_STEP_BYTES
+					  : step;
+	to = c->out_capacity + step;
+	if (to < want)
+		to = want;
+	if (!c->is_held)
+		guard_count(to - c->out_capacity);
+	else if (want > HELD_MAX_BYTES ||
+		 guard_charge(&c->server->guard, c->guarded, to,
+			      to - c->out_capacity, clock_now()))
 		return -1;
 	p = realloc(c->out, to);
 	if (!p) {
-		if (c->is_held)
-			guard_discharge(to - c->out_capacity);
+		guard_discharge(to - c->out_capacity);
 		return -1;
 	}
 	c->out = p;
@@ -187,17 +221,17 @@
 }
 
 /*
- * Returns the number of bytes written to the stream but not yet sent.  What is
- * held doesn't wait for the caller.
+ * Returns 1 when so much lies unsent that the writer has to wait until the stream
+ * is drained.  What is held doesn't wait for the caller.
  */
-size_t http_call_stream_pending(struct http_call *c)
+int http_call_stream_is_full(struct http_call *c)
 {
 	size_t n;
 
 	pthread_mutex_lock(&c->mutex);
 	n = c->is_held ? 0 : c->out_size - c->out_start;
 	pthread_mutex_unlock(&c->mutex);
-	return n;
+	return n > guard_stream_limit();
 }
 
 /* Drops the headers set so far: they belong to an answer that is not sent. */
--- a/net/httpd-guard.c
+++ b/net/httpd-guard.c
@@ -18,8 +18,8 @@
 #define EVICT_GAP_US (5 * 1000)
 
 static struct intake_bounds bounds; /* set before the first server starts */
-static size_t body_bytes;	    /* atomic: of all bodies */
-static apr_time_t evicted_at;	    /* atomic */
+static size_t body_bytes;     /* atomic: of all bodies and unsent answers */
+static apr_time_t evicted_at; /* atomic */
 
 static long find_descriptor_limit(void)
 {
@@ -211,7 +211,20 @@
 	return -1;
 }
 
-/* Gives memory of a body back. */
+/* Counts memory of an answer, which its sender limits by itself. */
+void guard_count(size_t bytes)
+{
+	__atomic_add_fetch(&body_bytes, bytes, __ATOMIC_RELAXED);
+}
+
+/* Returns how much of an answer may lie unsent now. */
+size_t guard_stream_limit(void)
+{
+	return intake_stream_limit(
+		&bounds, __atomic_load_n(&body_bytes, __ATOMIC_RELAXED));
+}
+
+/* Gives memory of a body or an answer back. */
 void guard_discharge(size_t bytes)
 {
 	__atomic_sub_fetch(&body_bytes, bytes, __ATOMIC_RELAXED);
--- a/net/httpd-guard.h
+++ b/net/httpd-guard.h
@@ -41,6 +41,8 @@
 int guard_has_room(size_t size, size_t growth);
 int guard_charge(struct http_guard *g, struct guarded_connection *c,
 		 size_t size, size_t growth, apr_time_t now);
+void guard_count(size_t bytes);
+size_t guard_stream_limit(void);
 void guard_discharge(size_t bytes);
 void guard_sweep(struct http_guard *g, apr_time_t now);
 
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -38,8 +38,7 @@
 	free(c->target);
 	guard_discharge(c->body_capacity);
 	free(c->body);
-	if (c->is_held)
-		guard_discharge(c->out_capacity);
+	guard_discharge(c->out_capacity);
 	free(c->out);
 	free(c);
 }
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -60,7 +60,7 @@
 void http_call_stream_begin(struct http_call *c, int status, const char *type,
 			    enum framing framing, long long size);
 int http_call_stream_write(struct http_call *c, const void *data, size_t size);
-size_t http_call_stream_pending(struct http_call *c);
+int http_call_stream_is_full(struct http_call *c);
 void http_call_stream_end(struct http_call *c, int is_complete);
 void http_call_on_drain(struct http_call *c, void (*on_drained)(void *arg),
 			void *arg);
--- a/net/intake.c
+++ b/net/intake.c
@@ -9,6 +9,9 @@
 /* Share of the memory for bodies that only small ones may use. */
 #define RESERVED_SHARE 0.25
 
+/* Part of the memory left for answers that one of them may take. */
+#define STREAM_PARTS 64
+
 /* Memory of a connection: the library's pool, its call and buffers. */
 #define CONNECTION_BYTES (40 * 1024)
 #define CONNECTIONS_MAX 16384
@@ -68,6 +71,22 @@
 	return used + growth <= limit;
 }
 
+/*
+ * Returns how much of an answer may lie unsent while all bodies and answers use
+ * `used`.  Answers are to leave half of the memory for bodies: each gets a small
+ * part of what is left of the first half, so that their sum nears it without a
+ * count of those who read slowly.
+ */
+size_t intake_stream_limit(const struct intake_bounds *b, size_t used)
+{
+	size_t half = b->body_bytes / 2;
+	size_t part = used < half ? (half - used) / STREAM_PARTS : 0;
+
+	return part > INTAKE_STREAM_MAX_BYTES	? INTAKE_STREAM_MAX_BYTES
+	       : part < INTAKE_STREAM_MIN_BYTES ? INTAKE_STREAM_MIN_BYTES
+						: part;
+}
+
 /* Returns the bytes a second since the state began. */
 double intake_rate(const struct intake_progress *p, apr_time_t now)
 {
--- a/net/intake.h
+++ b/net/intake.h
@@ -16,6 +16,10 @@
 	int connections;
 };
 
+/* Unsent bytes of an answer from which on its sender has to wait. */
+#define INTAKE_STREAM_MAX_BYTES (256 * 1024)
+#define INTAKE_STREAM_MIN_BYTES (8 * 1024)
+
 /* A body up to this size counts as small. */
 #define INTAKE_SMALL_BYTES (16 * 1024)
 
@@ -39,6 +43,7 @@
 		       long descriptors);
 int intake_has_room(const struct intake_bounds *b, size_t used, size_t size,
 		    size_t growth);
+size_t intake_stream_limit(const struct intake_bounds *b, size_t used);
 int intake_is_stalled(const struct intake_progress *p, apr_time_t now);
 double intake_rate(const struct intake_progress *p, apr_time_t now);
 int intake_may_evict(const struct intake_progress *p, apr_time_t now);
--- a/t/helper/lib-unwired.c
+++ b/t/helper/lib-unwired.c
@@ -87,7 +87,7 @@
 	return 0;
 }
 
-size_t __wrap_http_call_stream_pending(struct http_call *c)
+int __wrap_http_call_stream_is_full(struct http_call *c)
 {
 	return 0;
 }
--- a/t/helper/test-intake.c
+++ b/t/helper/test-intake.c
@@ -36,6 +36,22 @@
 }
 END_TEST
 
+/* Many slow readers of answers must not add up, nor keep bodies out. */
+START_TEST(answers_leave_half_of_the_memory_to_bodies)
+{
+	struct intake_bounds b;
+	size_t used = 0;
+	int i;
+
+	intake_set_bounds(&b, 160 * MB, 4100);
+	ck_assert_uint_eq(intake_stream_limit(&b, 0), 256 * 1024);
+	for (i = 0; i < 1000; i++)
+		used += intake_stream_limit(&b, used);
+	ck_assert_uint_le(used, b.body_bytes / 2 + 1000 * 8 * 1024);
+	ck_assert_uint_eq(intake_stream_limit(&b, b.body_bytes), 8 * 1024);
+}
+END_TEST
+
 /* Many large bodies must not keep the small ones of ordinary callers out. */
 START_TEST(small_bodies_have_room_of_their_own)
 {
@@ -104,6 +120,7 @@
 	int failed;
 
 	tcase_add_test(c, bounds_follow_from_the_machine);
+	tcase_add_test(c, answers_leave_half_of_the_memory_to_bodies);
 	tcase_add_test(c, small_bodies_have_room_of_their_own);
 	tcase_add_test(c, slow_links_are_served);
 	tcase_add_test(c, callers_that_stop_are_closed);
--- a/weights/upload.c
+++ b/weights/upload.c
@@ -16,7 +16,6 @@
 #define UPLOAD_QUEUE_MAX 4
 #define UPLOAD_CARRIES_MAX 16 /* queue limit for other data centres */
 #define UPLOAD_WRITE_MAX_BYTES (64 * 1024) /* of one write */
-#define UPLOAD_PENDING_MAX_BYTES (256 * 1024)
 #define RETRY_MIN_MS 40
 #define RETRY_SPREAD_MS 80
 #define READ_TIMEOUT_MS 5000
@@ -222,7 +221,7 @@
 
 	if (level < 1)
 		return 0;
-	if (http_call_stream_pending(u->call) > UPLOAD_PENDING_MAX_BYTES)
+	if (http_call_stream_is_full(u->call))
 		return 0;
 	if (n > UPLOAD_WRITE_MAX_BYTES)
 		n = UPLOAD_WRITE_MAX_BYTES;
