forward: no repeats by the HTTP library

Cause: libcurl sends a request again by itself when a kept connection closes before the answer, up to five times. These repeats are in no budget and in no count of attempts.

The library asks before it sends; a second time for one transfer is refused, and the attempt ends as one that may have run. What follows is decided as for any other attempt.

--- a/forward/handover.c
+++ b/forward/handover.c
@@ -276,6 +276,7 @@
 	x->send_by = now + SEND_TIMEOUT_US;
 	if (x->send_by > f->expires_at)
 		x->send_by = f->expires_at;
+	x->sends_once = 1;
 	/*
 	 * A suspect is sent again only after its items were checked again, and
 	 * each request to a limited upstream is counted.
--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -186,7 +186,9 @@
 	curl_easy_getinfo(f->easy, CURLINFO_NUM_CONNECTS, &connects);
 	__atomic_store_n(&f->reused, !connects, __ATOMIC_RELAXED);
 	f->is_too_late = f->send_by && clock_now() > f->send_by;
-	return f->is_too_late ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+	if (f->is_too_late || (f->sends++ && f->sends_once))
+		return CURL_PREREQFUNC_ABORT;
+	return CURL_PREREQFUNC_OK;
 }
 
 /*
@@ -284,7 +286,8 @@
 		kind = ERROR_CORRUPT;
 		break;
 	default:
-		kind = f->head_size > FETCH_HEAD_MAX || f->has_invalid_status
+		kind = f->head_size > FETCH_HEAD_MAX || f->has_invalid_status ||
+				       f->sends > 1
 			       ? ERROR_CORRUPT
 		       : f->is_aborted_by_data ? ERROR_REFUSED
 					       : ERROR_INTERNAL;
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -144,7 +144,7 @@
 		(code == CURLE_ABORTED_BY_CALLBACK &&
 		 clock_now() - f->submitted_at > SILENT_CANCEL_MIN_US);
 
-	if (is_unanswered && sent && !f->status &&
+	if (is_unanswered && sent && !f->status && f->sends < 2 &&
 	    __atomic_load_n(&f->reused, __ATOMIC_RELAXED))
 		silence_record(&r->silence, f->url, f->submitted_at);
 }
@@ -447,6 +447,7 @@
 	f->link = NULL;
 	f->is_aborted_by_data = 0;
 	f->has_invalid_status = 0;
+	f->sends = 0;
 	f->is_too_late = 0;
 	f->reused = 0;
 	f->text = NULL;
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -61,6 +61,11 @@
 	 * on another connection as well.
 	 */
 	apr_time_t send_by;
+	/*
+	 * The library may not send it again on another connection when a kept
+	 * one closes before the answer: its caller counts what it sends.
+	 */
+	int sends_once;
 	/* Its connection is not kept: the server takes few connections. */
 	int closes_connection;
 	int once; /* never sent twice: new connection, no library retry */
@@ -75,6 +80,7 @@
 	int has_invalid_status;	  /* it counts as no response */
 	apr_time_t submitted_at;
 	int never_sent;	 /* no byte of the request left this process */
+	int sends;	 /* connections on which it was, or was to be, sent */
 	int is_refused;	 /* nobody listens at the address */
 	int is_too_late; /* given up when it was to be sent after send_by */
 	int reused;	 /* atomic: went over a connection used before */
--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -14,6 +14,7 @@
                  "reset": with a reset of the connection; "hang": the first
                  such answer stays unfinished, the next ones are whole;
                  "stall": each such answer stays unfinished;
+                 "late": the answer is whole and comes after 0.3 s;
                  "deadline": as "open", after comments until the deadline of
                  the request
                  "many": 6,000 events of 4 KB
@@ -26,6 +27,7 @@
                   at once, or "late", where the next answer is due
     head-open     the connection closes inside the head
     head-reset    the same with a reset
+    head-none     it closes without a byte
     head-whole    a head without a body that ends with its connection
     cut-FRAMING-BYTES  a whole answer of the framing of which only so many bytes
                   are sent; "interim" for FRAMING puts two heads of status 103
@@ -58,6 +60,7 @@
 FOREVER_MAX_BYTES = 16 * 1024 * 1024 * 1024
 FOREVER_MAX_S = 30
 HANG_S = 10
+LATE_S = 0.3
 PLAIN = b'{"whole":"%s"}' % (b"x" * 600)
 LARGE = bytes(range(256)) * (24 * 1024 * 4)
 MANY_EVENTS = 6000
@@ -242,7 +245,8 @@
         return False
     if form.startswith("head-"):
         text = head(request_id, [b"Content-Type: text/plain"])
-        connection.sendall(text if form == "head-whole" else text[:-12])
+        if form != "head-none":
+            connection.sendall(text if form == "head-whole" else text[:-12])
         if form == "head-reset":
             reset(connection)
         return False
@@ -255,6 +259,9 @@
     if end == "hang":
         is_first = is_first_hang()
         kind, end = (kind, "open") if is_first else ("plain", "")
+    if end == "late":
+        time.sleep(LATE_S)
+        end = ""
     if end == "stall":
         is_first_hang()
     if kind in ("plain", "half", "large"):
