--- a/t/t1045-frozen-readers.sh
+++ b/t/t1045-frozen-readers.sh
@@ -106,11 +106,11 @@
 		*) running="$running $entry" ;;
 		esac
 	done
+	frozen_result=0
 	signal STOP $* &&
 	config $frozen_version &&
 	wait_until 10 is_in_force $frozen_version $((frozen_version - 1)) $running &&
-	have_members 6 $running
-	frozen_result=$?
+	have_members 6 $running || frozen_result=1
 	signal CONT $* &&
 	wait_until 10 is_in_force $frozen_version $((frozen_version - 1)) $ENTRIES &&
 	wait_until 20 is_calm && sleep 2 && return $frozen_result
