--- a/t/t1042-killed-while-answering.sh
+++ b/t/t1042-killed-while-answering.sh
@@ -6,32 +6,12 @@
 is the end of an answer without a length or chunks.'
 
 . "$(dirname "$0")/test-lib.sh"
+. "$TEST_DIR/store-lib.sh"
 
-STORE=$TEST_NET.9:7001
-ENTRY=$TEST_NET.1:8000
-READY=$TEST_NET.1:8001
 UPSTREAM=$TEST_NET.2:80
 FORMS="plain/half-close-stall plain/half-chunked-stall plain/half-length-stall
 lone/part-close-stall lone/part-chunked-stall lone/part-length-stall"
 
-put () {
-	curl -sf -X PUT --data-binary @- "http://$STORE/test/$1" >/dev/null
-}
-
-# route NAME KIND: a route of the prefix /NAME/.
-route () {
-	printf '{"Name":"%s","Host":"a.example","Prefix":"/%s/","Kind":"%s","TimeoutMs":20000,"SloMs":1000,"Service":"web","Attempts":1}' \
-		"$1" "$1" "$2"
-}
-
-config () {
-	printf '{"Version":1,"Routes":[%s,%s],"Services":[{"Name":"web","MaxConns":90}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}' \
-		"$(route lone streaming)" "$(route plain non_idempotent)" |
-		put op/config
-	printf '{"Service":"web","Addr":"%s","Zone":"d1","Version":"v1","Slots":90,"State":"ready","ColdLeftMs":0,"Seq":1}' \
-		$UPSTREAM | put servers/i-1
-}
-
 # read_answer NAME PATH DEADLINE_MS [WORD...]
 read_answer () {
 	read_name=$1
@@ -86,22 +66,14 @@
 	read_answer probe lone/events-length 2500 | grep "whole events 12345"
 }
 
-cat >entry.json <<EOF
-{"instance":"e1","data_center":"d1","address":"$TEST_NET.1",
- "ports":{"first":7700},"listen":{"callers":"$ENTRY","ready":"$READY"},
- "platform":"store","platform_url":"http://$STORE",
- "key":"0123456789abcdef","seeds":["$TEST_NET.1:1"],
- "forward":{"stop_grace_s":3,"retry_ratio":0.2,"retry_window_s":10,
-  "retry_slack":1000}}
-EOF
-start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
+start_store
 start upstream python3 "$TEST_DIR/standin/raw_server.py" $UPSTREAM
 
 test_expect_success 'callers of each version get whole answers with a mark' '
-	wait_until 10 curl -sf http://$STORE/test/calls &&
-	config &&
-	start entry limpet-entry --settings entry.json &&
-	wait_until 10 curl -sf http://$READY/readyz &&
+	put_config 1 16384 $(web_route lone streaming 1 20000) \
+		$(web_route plain non_idempotent 1 20000) &&
+	put_server i-1 2 &&
+	start_entry 1 && wait_ready 1 &&
 	wait_until 10 is_served &&
 	for form in plain/plain-close plain/plain-chunked lone/events-close; do
 		read_as_each $form 5000 || return 1
@@ -137,14 +109,13 @@
 '
 
 test_expect_success 'answers of an entry that is killed are cut' '
-	begin 15000 && kill -KILL $(cat entry.pid) && check_cut
+	begin 15000 && kill -KILL $(cat e1.pid) && check_cut
 '
 
 test_expect_success 'answers of an entry that ends at its grace are cut' '
-	start entry limpet-entry --settings entry.json &&
-	wait_until 10 curl -sf http://$READY/readyz &&
+	start_entry 1 && wait_ready 1 &&
 	wait_until 10 is_served &&
-	begin 15000 && kill -TERM $(cat entry.pid) && check_cut
+	begin 15000 && kill -TERM $(cat e1.pid) && check_cut
 '
 
 test_done
--- a/t/t1043-many-fields.sh
+++ b/t/t1043-many-fields.sh
@@ -6,20 +6,13 @@
 is none. What does not fit is refused as a whole.'
 
 . "$(dirname "$0")/test-lib.sh"
+. "$TEST_DIR/store-lib.sh"
 
-STORE=$TEST_NET.9:7001
-ENTRY=$TEST_NET.1:8000
-READY=$TEST_NET.1:8001
 UPSTREAM=$TEST_NET.2:80
 
-put () {
-	curl -sf -X PUT --data-binary @- "http://$STORE/test/$1" >/dev/null
-}
-
 # config VERSION HEADER_BYTES
 config () {
-	printf '{"Version":%s,"Routes":[{"Name":"web","Host":"a.example","Prefix":"/web/","Kind":"idempotent","TimeoutMs":3000,"SloMs":1000,"Service":"web","Attempts":2}],"Services":[{"Name":"web","MaxConns":90}],"Limits":{"MaxHeaderBytes":%s,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}' \
-		$1 $2 | put op/config
+	put_config $1 $2 $(web_route web idempotent 2 3000)
 }
 
 fields () {
@@ -28,30 +21,18 @@
 
 # has_lines COUNT TEXT
 has_lines () {
-	test $(grep -c "$2" entry.out) = $1
+	test $(grep -c "$2" e1.out) = $1
 }
 
 is_served () {
 	fields web=1:short | grep ": 200"
 }
 
-cat >entry.json <<EOF
-{"instance":"e1","data_center":"d1","address":"$TEST_NET.1",
- "ports":{"first":7700},"listen":{"callers":"$ENTRY","ready":"$READY"},
- "platform":"store","platform_url":"http://$STORE",
- "key":"0123456789abcdef","seeds":["$TEST_NET.1:1"],
- "forward":{"stop_grace_s":3,"retry_ratio":0.2,"retry_window_s":10,
-  "retry_slack":1000}}
-EOF
-start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
+start_store
 
 test_expect_success 'requests with many or long fields arrive whole' '
-	wait_until 10 curl -sf http://$STORE/test/calls &&
-	config 1 16384 &&
-	printf "{\"Service\":\"web\",\"Addr\":\"%s\",\"Zone\":\"d1\",\"Version\":\"v1\",\"Slots\":90,\"State\":\"ready\",\"ColdLeftMs\":0,\"Seq\":1}" \
-		$UPSTREAM | put servers/i-1 &&
-	start entry limpet-entry --settings entry.json &&
-	wait_until 10 curl -sf http://$READY/readyz &&
+	config 1 16384 && put_server i-1 2 &&
+	start_entry 1 && wait_ready 1 &&
 	wait_until 10 is_served &&
 	fields web=33:short web=60:short web=400:short \
 		web=15000:long web=40:event web=255:event >actual &&
--- a/t/t1044-removed-while-unread.sh
+++ b/t/t1044-removed-while-unread.sh
@@ -6,36 +6,10 @@
 left there shows that an item is gone.'
 
 . "$(dirname "$0")/test-lib.sh"
+. "$TEST_DIR/store-lib.sh"
 
-STORE=$TEST_NET.9:7001
 ENTRIES="1 2 3 4"
 
-put () {
-	curl -sf -X PUT --data-binary @- "http://$STORE/test/$1" >/dev/null
-}
-
-remove () {
-	curl -sf -X DELETE "http://$STORE/test/$1" >/dev/null
-}
-
-# server ID HOST
-server () {
-	printf '{"Service":"web","Addr":"%s","Zone":"d1","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1,"born":1000}' \
-		"$TEST_NET.$2:80" | put servers/$1
-}
-
-entry_settings () {
-	cat <<-EOC
-	{"instance":"e$1","data_center":"d1","address":"$TEST_NET.$1",
-	 "ports":{"first":7700},"listen":{"callers":"$TEST_NET.$1:8000",
-	 "ready":"$TEST_NET.$1:8001"},"platform":"store",
-	 "platform_url":"http://$STORE","key":"0123456789abcdef",
-	 "seeds":["$TEST_NET.1:1","$TEST_NET.2:1","$TEST_NET.3:1"],
-	 "forward":{"stop_grace_s":8,"evacuate_ms":5000,"retry_ratio":0.2,
-	  "retry_window_s":10,"retry_slack":1000}}
-	EOC
-}
-
 # used ENTRY: prints the upstreams that answer 12 requests, or the statuses.
 used () {
 	for i in 1 2 3 4 5 6 7 8 9 10 11 12; do
@@ -60,25 +34,19 @@
 	done
 }
 
-# reads ENTRY: prints how often it has called the store.
-reads () {
-	curl -s -m 2 "http://$TEST_NET.$1:7702/metrics" |
-		awk '/platform_calls/ { n += $2 } END { print n + 0 }'
-}
-
-start_entry () {
-	start e$1 limpet-entry --settings e$1.json
+start_reader () {
+	start_entry $1 "" ',"evacuate_ms":5000'
 }
 
 # find_readers: writes the two entries that read most in 2 s to readers, the
 # others to others.
 find_readers () {
 	for entry in $ENTRIES; do
-		echo "$entry $(reads $entry)"
+		echo "$entry $(count_calls $entry)"
 	done >before &&
 	sleep 2 &&
 	while read -r entry count; do
-		echo "$(($(reads $entry) - count)) $entry"
+		echo "$(($(count_calls $entry) - count)) $entry"
 	done <before | sort -n | awk '{ print $2 }' >order &&
 	head -2 order >others && tail -2 order >readers
 }
@@ -100,28 +68,23 @@
 unread () {
 	find_readers && forget && signal_readers KILL && "$@" && sleep 0.7 &&
 	for reader in $(cat readers); do
-		start_entry $reader || return 1
+		start_reader $reader || return 1
 	done
 }
 
-start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
+start_store
 for i in 1 2 3; do
 	start up$i python3 "$TEST_DIR/standin/metadata_store.py" upstream \
 		$TEST_NET.2$i:80 i-$i
 done
-wait_until 10 curl -sf http://$STORE/test/calls
-printf '{"Version":1,"Routes":[{"Name":"web","Host":"a.example","Prefix":"/web/","Kind":"idempotent","TimeoutMs":3000,"SloMs":1000,"Service":"web","Attempts":1}],"Services":[{"Name":"web","MaxConns":90}]}' |
-	put op/config
-server i-1 21
-server i-2 22
-for entry in $ENTRIES; do
-	entry_settings $entry >e$entry.json
-	start_entry $entry
-done
+put_config 1 16384 $(web_route web idempotent 1 3000)
+put_server i-1 21
+put_server i-2 22
 for entry in $ENTRIES; do
-	wait_until 10 curl -sf http://$TEST_NET.$entry:8001/readyz
+	start_reader $entry
 done
-server i-3 23
+wait_ready $ENTRIES
+put_server i-3 23
 
 test_expect_success 'all entries use all servers' '
 	wait_until 5 all_use "i-1 i-2 i-3" $ENTRIES && sleep 1
@@ -136,7 +99,7 @@
 '
 
 change_and_forget () {
-	server i-1 21 && remove servers/i-2 && forget
+	put_server i-1 21 && remove servers/i-2 && forget
 }
 
 test_expect_success 'one is added and one removed while the readers stand still, and the store forgets' '
@@ -156,7 +119,7 @@
 '
 
 test_expect_success 'an evacuation is withdrawn while the readers are dead' '
-	server i-2 22 && wait_until 5 all_use i-2 $ENTRIES &&
+	put_server i-2 22 && wait_until 5 all_use i-2 $ENTRIES &&
 	printf "{}" | put op/evacuate/d1 &&
 	wait_until 5 all_use 503 $ENTRIES &&
 	unread remove op/evacuate/d1 &&
@@ -173,8 +136,8 @@
 	find_readers && other=$(head -1 others) && sleep 1 &&
 	version_of $other >before-start && echo 1 | put unrelated/x &&
 	reader=$(head -1 readers) &&
-	kill -KILL $(cat e$reader.pid) && sleep 0.2 && start_entry $reader &&
-	wait_until 10 curl -sf http://$TEST_NET.$reader:8001/readyz && sleep 2 &&
+	kill -KILL $(cat e$reader.pid) && sleep 0.2 && start_reader $reader &&
+	wait_ready $reader && sleep 2 &&
 	version_of $other >after-start && cat after-start &&
 	test_cmp before-start after-start
 '
--- a/t/t1045-frozen-readers.sh
+++ b/t/t1045-frozen-readers.sh
@@ -7,14 +7,10 @@
 which is told by its place among the members.'
 
 . "$(dirname "$0")/test-lib.sh"
+. "$TEST_DIR/store-lib.sh"
 
-STORE=$TEST_NET.9:7001
 ENTRIES="1 2 3 4 5 6"
 
-put () {
-	curl -sf -X PUT --data-binary @- "http://$STORE/test/$1" >/dev/null
-}
-
 # config VERSION: has the route /added-VERSION/ and the key key-VERSION.
 config () {
 	cat <<-EOC | put op/config
@@ -45,18 +41,6 @@
 	done
 }
 
-entry_settings () {
-	cat <<-EOC
-	{"instance":"e$1","data_center":"d1","address":"$TEST_NET.$1",
-	 "ports":{"first":7700},"listen":{"callers":"$TEST_NET.$1:8000",
-	 "ready":"$TEST_NET.$1:8001"},"platform":"store",
-	 "platform_url":"http://$STORE","key":"0123456789abcdef",
-	 "seeds":["$TEST_NET.1:1","$TEST_NET.2:1","$TEST_NET.3:1"],
-	 "forward":{"stop_grace_s":8,"retry_ratio":0.2,"retry_window_s":10,
-	  "retry_slack":100}}
-	EOC
-}
-
 # of_status ENTRY FIELD: a number of the configuration's status.
 of_status () {
 	curl -s -m 2 "http://$TEST_NET.$1:7702/status" | jq ".config.$2"
@@ -116,20 +100,15 @@
 	wait_until 20 is_calm && sleep 2 && return $frozen_result
 }
 
-start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
+start_store
 start up python3 "$TEST_DIR/standin/metadata_store.py" upstream \
 	$TEST_NET.20:80 i-1
-wait_until 10 curl -sf http://$STORE/test/calls
-printf '{"Service":"web","Addr":"%s","Zone":"d1","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1}' \
-	"$TEST_NET.20:80" | put servers/i-1
+put_server i-1 20
 config 1
 for entry in $ENTRIES; do
-	entry_settings $entry >e$entry.json
-	start e$entry limpet-entry --settings e$entry.json
-done
-for entry in $ENTRIES; do
-	wait_until 10 curl -sf http://$TEST_NET.$entry:8001/readyz
+	start_entry $entry
 done
+wait_ready $ENTRIES
 wait_until 10 is_in_force 1 0 $ENTRIES
 wait_until 10 is_calm
 sleep 2
@@ -157,7 +136,7 @@
 	readers=$(cat readers) && signal KILL $readers && config 6 &&
 	wait_until 5 is_in_force 6 5 $(cat others) &&
 	for entry in $readers; do
-		start e$entry limpet-entry --settings e$entry.json || return 1
+		start_entry $entry || return 1
 	done &&
 	wait_until 10 is_in_force 6 5 $ENTRIES
 '
@@ -165,10 +144,6 @@
 # Guards against processes that go on reading once the readers run again.
 test_expect_success 'two processes read in the end' '
 	wait_until 20 is_calm && sleep 3 &&
-	count_calls () {
-		curl -s -m 2 "http://$TEST_NET.$1:7702/metrics" |
-			awk "/platform_calls/ { n += \$2 } END { print n + 0 }"
-	}
 	for entry in $(cat others); do
 		echo "$entry $(count_calls $entry)"
 	done >before &&
--- a/t/t1046-invalid-status.sh
+++ b/t/t1046-invalid-status.sh
@@ -6,33 +6,11 @@
 after 101.'
 
 . "$(dirname "$0")/test-lib.sh"
+. "$TEST_DIR/store-lib.sh"
 
-STORE=$TEST_NET.9:7001
-ENTRY=$TEST_NET.1:8000
-READY=$TEST_NET.1:8001
 UPSTREAM=$TEST_NET.2:80
 INVALID="000 0 099 20 2000 600 999 101 word"
 
-put () {
-	curl -sf -X PUT --data-binary @- "http://$STORE/test/$1" >/dev/null
-}
-
-# route NAME KIND ATTEMPTS [MEMBERS]
-route () {
-	printf '{"Name":"%s","Host":"a.example","Prefix":"/%s/","Kind":"%s","TimeoutMs":3000,"SloMs":1000,"Service":"web","Attempts":%s%s}' \
-		"$1" "$1" "$2" "$3" "$4"
-}
-
-config () {
-	printf '{"Version":1,"Routes":[%s,%s],"Services":[{"Name":"web","MaxConns":90}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}' \
-		"$(route plain non_idempotent 1)" \
-		"$(route two streaming 2 ',"Resumable":true')" | put op/config
-	for id in 1 2; do
-		printf '{"Service":"web","Addr":"%s","Zone":"d1","Version":"v1","Slots":90,"State":"ready","ColdLeftMs":0,"Seq":1}' \
-			$TEST_NET.$((id + 1)):80 | put servers/i-$id || return 1
-	done
-}
-
 request_count=0
 
 # ends PATH...: prints how the caller sees the answers.
@@ -49,15 +27,7 @@
 	ends two/events-length | grep "whole events 12345"
 }
 
-cat >entry.json <<EOF
-{"instance":"e1","data_center":"d1","address":"$TEST_NET.1",
- "ports":{"first":7700},"listen":{"callers":"$ENTRY","ready":"$READY"},
- "platform":"store","platform_url":"http://$STORE",
- "key":"0123456789abcdef","seeds":["$TEST_NET.1:1"],
- "forward":{"stop_grace_s":3,"retry_ratio":0.2,"retry_window_s":10,
-  "retry_slack":1000}}
-EOF
-start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
+start_store
 start upstreams python3 "$TEST_DIR/standin/raw_server.py" $UPSTREAM $TEST_NET.3:80
 
 # All readers of answers use this client: entries, agents, of the store and of the
@@ -99,10 +69,10 @@
 '
 
 test_expect_success 'a caller gets 502 for an invalid status' '
-	wait_until 10 curl -sf http://$STORE/test/calls &&
-	config &&
-	start entry limpet-entry --settings entry.json &&
-	wait_until 10 curl -sf http://$READY/readyz &&
+	put_config 1 16384 $(web_route plain non_idempotent 1 3000) \
+		$(web_route two streaming 2 3000 ,\"Resumable\":true) &&
+	put_server i-1 2 && put_server i-2 3 &&
+	start_entry 1 && wait_ready 1 &&
 	wait_until 10 is_served &&
 	for code in $INVALID; do
 		ends plain/status-$code-length plain/status-$code-close || return 1
--- a/t/t1048-library-repeats.sh
+++ b/t/t1048-library-repeats.sh
@@ -6,25 +6,10 @@
 before the answer, although the upstream may have run it.'
 
 . "$(dirname "$0")/test-lib.sh"
+. "$TEST_DIR/store-lib.sh"
 
-STORE=$TEST_NET.9:7001
-ENTRY=$TEST_NET.1:8000
-READY=$TEST_NET.1:8001
 KEPT=8
 
-put () {
-	curl -sf -X PUT --data-binary @- "http://$STORE/test/$1" >/dev/null
-}
-
-config () {
-	printf '{"Version":1,"Routes":[{"Name":"web","Host":"a.example","Prefix":"/web/","Kind":"idempotent","TimeoutMs":3000,"SloMs":1000,"Service":"web","Attempts":2}],"Services":[{"Name":"web","MaxConns":90}]}' |
-		put op/config
-	for id in 2 3; do
-		printf '{"Service":"web","Addr":"%s","Zone":"d1","Version":"v1","Slots":90,"State":"ready","ColdLeftMs":0,"Seq":1}' \
-			$TEST_NET.$id:80 | put servers/i-$id || return 1
-	done
-}
-
 # ask ID FORM: prints the status.
 ask () {
 	curl -s -m 5 -o /dev/null -w "%{http_code}\n" -H "Host: a.example" \
@@ -51,21 +36,13 @@
 	curl -s http://$TEST_NET.2:80/test/runs | jq ".\"$1\" // 0"
 }
 
-cat >entry.json <<EOF
-{"instance":"e1","data_center":"d1","address":"$TEST_NET.1",
- "ports":{"first":7700},"listen":{"callers":"$ENTRY","ready":"$READY"},
- "platform":"store","platform_url":"http://$STORE",
- "key":"0123456789abcdef","seeds":["$TEST_NET.1:1"],
- "forward":{"stop_grace_s":3,"retry_ratio":0.2,"retry_window_s":10,
-  "retry_slack":1000}}
-EOF
-start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
+start_store
 start upstreams python3 "$TEST_DIR/standin/raw_server.py" $TEST_NET.2:80 $TEST_NET.3:80
 
 test_expect_success 'an entry serves' '
-	wait_until 10 curl -sf http://$STORE/test/calls && config &&
-	start entry limpet-entry --settings entry.json &&
-	wait_until 10 curl -sf http://$READY/readyz &&
+	put_config 1 16384 $(web_route web idempotent 2 3000) &&
+	put_server i-2 2 && put_server i-3 3 &&
+	start_entry 1 && wait_ready 1 &&
 	wait_until 10 is_served
 '
 
