--- a/net/httpd-head.c
+++ b/net/httpd-head.c
@@ -8,7 +8,7 @@
 /* What libmicrohttpd keeps of a field, cookie or query argument beside its text. */
 #define FIELD_RECORD_BYTES 64
 
-/* Of that memory, for the library's own fields and a block of the body. */
+/* Of the memory of a connection: the library's own fields, a block of the body. */
 #define ANSWER_RESERVE_BYTES 512
 
 /* A request that leaves less for the head of its answer is refused. */
