heartbeat: open the sockets once the node has its ports

The sockets are opened by the first step, after the ports of the node; a port that is taken is logged. t0002, t0210, t0212 and t1045 pass.

--- a/config/config.c
+++ b/config/config.c
@@ -400,8 +400,6 @@
 		return error_set(err, ERROR_INTERNAL, "config-start", NULL,
 				 "cannot start worker threads or register the "
 				 "message kinds");
-	if (heartbeat_start(c, err))
-		return -1;
 	node_add_controller(n, "config", CONTROLLER_PERIOD_US, config_step, c);
 	node_add_status(n, "config", config_status, c);
 	node_add_operator_route(n, "GET", "/config/changes", 0,
--- a/config/heartbeat.c
+++ b/config/heartbeat.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "base/metric.h"
 #include "config/config_proto.h"
 #include "net/datagram.h"
@@ -41,10 +42,13 @@
 	pthread_mutex_unlock(&c->mutex);
 }
 
-/* Opens the sockets: an entry receives heartbeats, all processes send them. */
-int heartbeat_start(struct config *c, struct error *err)
+/*
+ * Opens the sockets: an entry receives heartbeats, all processes send them.
+ * Without them, others read and this process does, as if there were none.
+ */
+static void open_sockets(struct heartbeat *b, struct config *c)
 {
-	struct heartbeat *b = &heartbeat;
+	struct error err = ERROR_INIT;
 	struct node *n = c->node;
 
 	b->config = c;
@@ -52,13 +56,12 @@
 	b->datagrams.arg = b;
 	b->fd = datagram_open(n, 0);
 	if (b->fd < 0)
-		return error_set(err, ERROR_INTERNAL, "heartbeat-start",
-				 n->settings.address,
-				 "cannot open the socket for heartbeats: %m");
-	if (n->role != ROLE_ENTRY)
-		return 0;
-	return datagram_receive_start(&b->datagrams, n, n->settings.rpc_port,
-				      err);
+		log_error("heartbeat", n->settings.address,
+			  "cannot open the socket for heartbeats: %m");
+	if (n->role == ROLE_ENTRY &&
+	    datagram_receive_start(&b->datagrams, n, n->settings.rpc_port,
+				   &err))
+		log_error("heartbeat", n->settings.address, "%s", err.text);
 }
 
 /* Lists the other entries of the data centre.  The caller holds the mutex. */
@@ -85,7 +88,9 @@
 	int i, count = 0;
 	size_t size;
 
-	if (now < b->next_at)
+	if (!b->config)
+		open_sockets(b, c);
+	if (now < b->next_at || b->fd < 0)
 		return;
 	pthread_mutex_lock(&c->mutex);
 	if (spread_is_reading(&c->spread, now))
--- a/config/heartbeat.h
+++ b/config/heartbeat.h
@@ -1,7 +1,6 @@
 #ifndef CONFIG_HEARTBEAT_H
 #define CONFIG_HEARTBEAT_H
 
-#include "base/error.h"
 #include "config/component.h"
 
 /*
@@ -9,9 +8,10 @@
  * data centre (fallback.c decides what follows from their silence).
  */
 
-int heartbeat_start(struct config *c, struct error *err);
-
-/* Sends a heartbeat if one is due.  Called with each step of the component. */
+/*
+ * Sends a heartbeat if one is due.  Called with each step of the component; the
+ * first one, once the node has its ports, opens the sockets.
+ */
 void heartbeat_step(struct config *c, apr_time_t now);
 
 #endif
