--- a/t/t1047-slow-crowd.sh
+++ b/t/t1047-slow-crowd.sh
@@ -20,6 +20,12 @@
 		http://$ENTRY/web/plain-length | grep "200 612"
 }
 
+# Sanitizers keep freed memory, so that only the release flavor is measured.
+is_within_memory () {
+	test "$FLAVOR" != release ||
+		test $(($(peak_kb) * 1024)) -le $((MEMORY_MB * 1000000))
+}
+
 # peak_kb: prints the largest resident memory of the entry so far.
 peak_kb () {
 	awk "/^VmHWM/ { print \$2 }" /proc/$(cat e1.pid)/status
@@ -40,14 +46,14 @@
 	crowd /web/large-length $CROWD 6 >actual && cat actual &&
 	echo "peak $(peak_kb) kB" &&
 	test "$(cut -d" " -f1 actual)" -ge $BEGUN_MIN &&
-	test $(($(peak_kb) * 1024)) -le $((MEMORY_MB * 1000000))
+	is_within_memory
 '
 
 test_expect_success 'others are served meanwhile, and after it' '
 	crowd /web/large-chunked $CROWD 6 >actual & reader=$! &&
 	sleep 3 && is_served && wait $reader && cat actual &&
 	wait_until 10 is_served && echo "peak $(peak_kb) kB" &&
-	test $(($(peak_kb) * 1024)) -le $((MEMORY_MB * 1000000))
+	is_within_memory
 '
 
 test_done
