--- a/t/t0400-weights-unit.sh
+++ b/t/t0400-weights-unit.sh
@@ -6,6 +6,8 @@
 
 test_expect_success 'unit tests of the weights component' 'test-weights'
 
+test_expect_success 'unit tests of pace, hints and the cache of chunks' 'test-weights-parts'
+
 test_expect_success 'an order to load is sent soon after it is decided, or not' '
 	test-engine-order
 '
--- a/weights/transfer.c
+++ b/weights/transfer.c
@@ -1,6 +1,5 @@
-#include "weights/internal.h"
+#include "weights/transfer.h"
 
-#include <openssl/evp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,57 +21,16 @@
 #define ORIGIN_TIMEOUT_MS 4000 /* for a complete chunk */
 /* For a range of the origin's file, whose link the whole fleet shares. */
 #define ORIGIN_RANGE_TIMEOUT_MS 60000
-#define STAGE_TEXT_MAX (64 * 1024) /* of the engine's answer to a chunk */
-#define ORIGIN_ATTEMPTS_MAX 3	   /* requests per chunk */
-#define STAGE_TIMEOUT_MS 5000
-#define STAGE_FULL_ATTEMPTS_MAX 20 /* engine has no room */
-#define STAGE_FULL_WAIT_US (500 * 1000)
-#define STAGE_DOWN_ATTEMPTS_MAX 80 /* engine is unreachable */
-#define STAGE_DOWN_WAIT_US (100 * 1000)
-#define STAGE_BLOCKED_WAIT_US (10 * 1000) /* until the next step */
-#define STAGE_UNPARK_MAX 4 /* writes in flight when a parked one starts */
+#define ORIGIN_ATTEMPTS_MAX 3 /* requests per chunk */
 #define BUSY_WAIT_US (100 * 1000)
 #define MISSING_WAIT_US (500 * 1000)
 #define IN_FLIGHT_MEMORY_DIVISOR 8 /* buffers: memory limit divided by this */
 
 #define HTTP_OK 200
-#define HTTP_CREATED 201
-#define HTTP_NO_CONTENT 204
 #define HTTP_PARTIAL 206
 #define HTTP_NOT_FOUND 404
 #define HTTP_TOO_MANY 429
 #define HTTP_UNAVAILABLE 503
-#define HTTP_FULL 507
-
-struct transfer {
-	struct fetch fetch;
-	struct weights *w;
-	struct handle model;
-	uint64_t swarm_id;
-	struct swarm_action action;
-	struct digest digest;
-	struct blob *blob;
-	size_t received_bytes;
-	apr_time_t first_byte_at; /* arrival of the first bytes, or 0 */
-	uint64_t origin_offset; /* position of the chunk in the origin's file */
-	char stage_path[ENGINE_PATH_SIZE];
-	int origin_attempts;
-	int stage_attempts;	     /* attempts that ended in parking */
-	int is_parked;		     /* not counted as in flight */
-	apr_time_t stage_not_before; /* next attempt of a parked chunk */
-	struct transfer *next;
-	/* in the list of receiving transfers */
-	struct transfer *next_receiving, **link;
-	apr_interval_time_t
-		requested_wait; /* delay that the sender asked for */
-	EVP_MD_CTX *sha;
-	char peer[SETTINGS_NAME_SIZE];
-	char url[WEIGHTS_URL_SIZE];
-	char range_header[64];
-	char held_header[32];
-	char sender_header[sizeof(HINT_SENDER_HEADER) + SETTINGS_NAME_SIZE + 4];
-	char hint_header[sizeof(HINT_HEADER) + HINT_SIZE + 4];
-};
 
 static const char *const kind_names[TRANSFER_KIND_COUNT] = { "peer", "cross",
 							     "origin" };
@@ -100,7 +58,7 @@
  * Returns 1 when another version is wanted now. A chunk for an engine that
  * stages by digest may be one of that version as well.
  */
-static int is_superseded(const struct transfer *t, const struct model_row *m)
+int transfer_is_superseded(const struct transfer *t, const struct model_row *m)
 {
 	return !t->w->ops->has_digest_staging &&
 	       (!m || m->swarm_id != t->swarm_id);
@@ -115,11 +73,12 @@
 	struct transfer *t;
 
 	for (t = w->receiving; t; t = t->next_receiving)
-		if (is_superseded(t, table_get(&w->models, t->model)))
+		if (transfer_is_superseded(t, table_get(&w->models, t->model)))
 			fetch_cancel(&t->fetch);
 }
 
-static void transfer_free(struct transfer *t)
+/* Frees a transfer and its reference to the chunk. */
+void transfer_free(struct transfer *t)
 {
 	EVP_MD_CTX_free(t->sha);
 	blob_release(t->blob);
@@ -139,7 +98,8 @@
 		pace_charge(&w->cross, -unused, now);
 }
 
-static void transfer_end(struct transfer *t, enum transfer_result result)
+/* Ends a transfer: records its result, starts others and frees it. */
+void transfer_end(struct transfer *t, enum transfer_result result)
 {
 	struct weights *w = t->w;
 	apr_time_t now = clock_now();
@@ -169,177 +129,6 @@
 	transfer_free(t);
 }
 
-/*
- * Parks a verified chunk. Returns -1 at shutdown. The caller holds the lock of
- * the models.
- */
-static int park(struct transfer *t, apr_interval_time_t wait, apr_time_t now)
-{
-	struct weights *w = t->w;
-	struct model_row *m = table_get(&w->models, t->model);
-
-	if (w->is_stopping)
-		return -1;
-	if (!t->is_parked && m && m->swarm && m->swarm_id == t->swarm_id) {
-		/* Other chunks may be transferred meanwhile. */
-		swarm_record_result(m->swarm, &t->action, RESULT_PARKED, 0,
-				    now);
-		t->is_parked = 1;
-	}
-	t->stage_not_before = now + wait;
-	t->next = w->parked;
-	w->parked = t;
-	return 0;
-}
-
-/*
- * Parks a verified chunk until the engine has room for it or is reachable. The
- * chunk must not be lost, since its fetch may have used an origin permit.
- * Returns -1 at shutdown or after attempts_max attempts.
- */
-static int transfer_park(struct transfer *t, apr_interval_time_t wait,
-			 int attempts_max)
-{
-	int ret;
-
-	if (t->stage_attempts++ >= attempts_max)
-		return -1;
-	table_lock(&t->w->models);
-	ret = park(t, wait, clock_now());
-	table_unlock(&t->w->models);
-	return ret;
-}
-
-static int transfer_park_for_engine(struct transfer *t, const struct fetch *f)
-{
-	if (f->status == HTTP_FULL) {
-		__atomic_store_n(&t->w->is_staging_full, 1, __ATOMIC_RELAXED);
-		return transfer_park(t, STAGE_FULL_WAIT_US,
-				     STAGE_FULL_ATTEMPTS_MAX);
-	}
-	if (f->error.code == ERROR_UNREACHABLE)
-		return transfer_park(t, STAGE_DOWN_WAIT_US,
-				     STAGE_DOWN_ATTEMPTS_MAX);
-	return -1;
-}
-
-static void record_write_end(struct transfer *t)
-{
-	struct model_row *m;
-
-	table_lock(&t->w->models);
-	m = table_get(&t->w->models, t->model);
-	if (m && m->swarm_id == t->swarm_id)
-		m->writes--;
-	else if (m)
-		m->superseded_writes--;
-	table_unlock(&t->w->models);
-}
-
-static void stage_done(struct fetch *f)
-{
-	struct transfer *t = f->arg;
-	int ok = !f->error.code &&
-		 (f->status == HTTP_CREATED || f->status == HTTP_OK ||
-		  f->status == HTTP_NO_CONTENT);
-
-	free(f->text);
-	record_write_end(t);
-	if (ok) {
-		blob_cache_add(&t->w->cache, t->blob);
-	} else {
-		metric_count("weights_staging_refused", NULL, 1);
-		if (!transfer_park_for_engine(t, f))
-			return;
-	}
-	transfer_end(t, ok ? RESULT_DONE : RESULT_ENGINE_REFUSED);
-}
-
-static const struct fetch_ops stage_ops = { NULL, NULL, stage_done };
-
-/*
- * Returns 1 while a chunk must not be written to staging by position: one of
- * an earlier version may still arrive there after it, or the engine may still
- * load the staged chunks as that version. Many that waited for this are
- * written a few at a time.
- */
-static int is_staging_blocked(const struct transfer *t,
-			      const struct model_row *m)
-{
-	if (t->w->ops->has_digest_staging)
-		return 0;
-	return m->superseded_writes ||
-	       (m->open_order && m->open_order != m->swarm_id) ||
-	       (t->is_parked && m->writes >= STAGE_UNPARK_MAX);
-}
-
-/*
- * Puts a verified chunk into the engine's staging memory, or parks it. Returns
- * -1 when the chunk is to be dropped. The caller holds the lock of the models.
- */
-static int transfer_stage(struct transfer *t)
-{
-	struct model_row *m = table_get(&t->w->models, t->model);
-	struct fetch *f = &t->fetch;
-
-	if (is_superseded(t, m))
-		return -1;
-	if (m && is_staging_blocked(t, m))
-		return park(t, STAGE_BLOCKED_WAIT_US, clock_now());
-	if (m && m->swarm_id == t->swarm_id)
-		m->writes++;
-	else if (m)
-		m->superseded_writes++;
-	snprintf(t->url, sizeof(t->url), "%s%s",
-		 t->w->node->settings.upstream_url, t->stage_path);
-	memset(f, 0, sizeof(*f));
-	f->ops = &stage_ops;
-	f->arg = t;
-	f->method = "PUT";
-	f->url = t->url;
-	f->body = t->blob->data;
-	f->body_size = t->blob->size;
-	f->timeout_ms = STAGE_TIMEOUT_MS;
-	f->text_max = STAGE_TEXT_MAX;
-	f->headers[0] = "Content-Type: application/octet-stream";
-	fetch_submit(t->w->node->fetcher, f);
-	return 0;
-}
-
-/* Retries the parked chunks that are due. The caller holds the lock. */
-void transfers_unpark(struct weights *w, apr_time_t now)
-{
-	struct transfer **link = &w->parked;
-	struct transfer *t;
-
-	while ((t = *link)) {
-		if (t->stage_not_before > now) {
-			link = &t->next;
-			continue;
-		}
-		*link = t->next;
-		if (transfer_stage(t)) {
-			w->buffer_bytes -= t->blob->size;
-			transfer_free(t);
-		}
-	}
-}
-
-/* Frees the parked chunks at the end of the process. */
-void transfers_stop(void *arg)
-{
-	struct weights *w = arg;
-	struct transfer *t;
-
-	table_lock(&w->models);
-	w->is_stopping = 1;
-	while ((t = w->parked)) {
-		w->parked = t->next;
-		transfer_free(t);
-	}
-	table_unlock(&w->models);
-}
-
 static void receive_header(struct fetch *f, const char *name, const char *value)
 {
 	struct transfer *t = f->arg;
@@ -461,7 +250,7 @@
 
 	table_lock(&w->models);
 	unlist_receiving(t);
-	ret = is_superseded(t, table_get(&w->models, t->model));
+	ret = transfer_is_superseded(t, table_get(&w->models, t->model));
 	table_unlock(&w->models);
 	return ret;
 }
