standin: break answers to watches that are held

Cause: a watch that the stand-in held before its answers were to be broken got a whole one, with the change that nobody was to see. The mode is looked at again when the watch ends. Ruled out: a fault of the entry, which applied what it was sent. t1018, t1019, t1038 and t1044 pass.

--- a/t/standin/metadata_store.py
+++ b/t/standin/metadata_store.py
@@ -199,6 +199,8 @@
             found = store.watch(args["Prefix"], int(args["After"]),
                                 int(args["WaitMs"]))
             time.sleep(store.slow_s)
+            if store.broken_kind:
+                return self.answer_broken(store)
             return self.answer(410 if found is None else 200, found or {})
         return self.answer(404, {})
 
