spread: a dispute is settled by the read that was started for it

Cause: whether a read settles a dispute was derived from the time until the next one is taken up, so that a read in progress could end a dispute noted after it began; it would have been noted again by an exchange. The read is marked instead. test-dispute had a fixture of its own, the same as that of test-fallback; its tests are there now, and pass.

--- a/config/spread-decide.c
+++ b/config/spread-decide.c
@@ -180,6 +180,7 @@
 	a->hold_ms = compute_hold_ms(s, value, now);
 	a->can_hold = a->hold_ms > 0;
 	a->is_disputed = is_dispute_due(s, v, now);
+	v->is_settling = a->is_disputed;
 	if (a->is_disputed)
 		v->dispute_after = now + DISPUTE_PERIOD_US;
 	v->is_watching = 1;
@@ -247,7 +248,7 @@
 		return;
 	}
 	/* A read that began before the dispute does not settle it. */
-	if (v->dispute_after > started)
+	if (v->is_settling)
 		v->disputed_at = 0;
 	was_probe = v->watch_failures || v->is_probe_due;
 	v->watch_failures = 0;
--- a/config/spread.h
+++ b/config/spread.h
@@ -142,6 +142,7 @@
 	/* A peer has another text under the current version, 0: none has. */
 	apr_time_t disputed_at;
 	apr_time_t dispute_after; /* no dispute is taken up before */
+	int is_settling;	  /* the read in progress is for a dispute */
 	apr_time_t watch_after;
 	int watch_failures;
 	int watches_finished; /* since process start, including failures */
--- a/t/helper/test-fallback.c
+++ b/t/helper/test-fallback.c
@@ -6,11 +6,12 @@
 
 #include "config/spread-internal.h"
 
-/* A watcher that gets no answers, and those that it asks to read instead. */
+/* Who reads the platform when its watchers can't, or when peers differ. */
 
 #define MS ((apr_time_t)1000)
 #define STEP (50 * MS)
 #define MEMBERS 10
+#define VERSION 7
 
 struct fixture {
 	struct spread s;
@@ -282,6 +283,80 @@
 }
 END_TEST
 
+/* Tells a process of a peer that has another list, or document, under its version. */
+static void init_dispute(struct fixture *g, int rank, int value, int theirs)
+{
+	struct spread_version v[SPREAD_VALUE_COUNT];
+
+	init_fixture(g, rank);
+	memset(v, 0, sizeof(v));
+	v[value].version = VERSION;
+	v[value].platform_age_ms = UINT32_MAX;
+	spread_record_applied(&g->s, value, VERSION, &v[value].digest, g->now);
+	v[value].digest.bytes[0] = (unsigned char)theirs;
+	spread_merge_versions(&g->s, "127.0.0.99", v, SPREAD_VALUE_COUNT,
+			      g->now);
+}
+
+/* Returns 1 if the process starts a read that is to settle a dispute. */
+static int settles(struct fixture *g, int value, apr_time_t now)
+{
+	int i;
+
+	spread_decide(&g->s, now, &g->r, &g->out);
+	for (i = 0; i < g->out.count; i++)
+		if (g->out.list[i].kind == SPREAD_WATCH &&
+		    g->out.list[i].value == value)
+			return g->out.list[i].is_disputed &&
+			       !g->out.list[i].hold_ms;
+	return 0;
+}
+
+/* Guards against a list that stays in use as it has the newest version. */
+START_TEST(watcher_reads_at_once_when_a_peer_has_another_list)
+{
+	struct fixture g;
+
+	init_dispute(&g, _i, SPREAD_INSTANCES, 1);
+	ck_assert(settles(&g, SPREAD_INSTANCES, 1000 * MS));
+	spread_finish_watch(&g.s, SPREAD_INSTANCES, 1, 0, 1000 * MS, 1010 * MS,
+			    &g.r);
+	ck_assert(!g.s.values[SPREAD_INSTANCES].disputed_at);
+	spread_destroy(&g.s);
+}
+END_TEST
+
+START_TEST(others_read_one_after_the_other_if_no_newer_list_comes)
+{
+	struct digest digest = { { 2 } };
+	struct fixture g;
+
+	init_dispute(&g, OVERLAY_WATCHERS + 2, SPREAD_INSTANCES, 1);
+	ck_assert(!settles(&g, SPREAD_INSTANCES, 2650 * MS));
+	ck_assert(settles(&g, SPREAD_INSTANCES, 2700 * MS));
+	spread_destroy(&g.s);
+	init_dispute(&g, OVERLAY_WATCHERS + 2, SPREAD_INSTANCES, 1);
+	spread_record_applied(&g.s, SPREAD_INSTANCES, VERSION + 1, &digest,
+			      2000 * MS);
+	ck_assert(!settles(&g, SPREAD_INSTANCES, 2700 * MS));
+	spread_destroy(&g.s);
+}
+END_TEST
+
+/* Guards against reads without end where a read can't change the version. */
+START_TEST(equal_lists_and_documents_are_not_disputed)
+{
+	struct fixture g;
+
+	init_dispute(&g, 0, SPREAD_INSTANCES, 0);
+	ck_assert(!settles(&g, SPREAD_INSTANCES, 1000 * MS));
+	spread_destroy(&g.s);
+	init_dispute(&g, 0, SPREAD_DOCUMENT, 1);
+	ck_assert(!settles(&g, SPREAD_DOCUMENT, 1000 * MS));
+	spread_destroy(&g.s);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("fallback");
@@ -300,6 +375,12 @@
 	tcase_add_test(t, silence_that_proves_nothing_is_ignored);
 	tcase_add_test(t, substitute_reads_until_a_watcher_is_heard);
 	tcase_add_test(t, reader_that_applies_too_long_sends_no_heartbeats);
+	tcase_add_loop_test(t,
+			    watcher_reads_at_once_when_a_peer_has_another_list,
+			    0, OVERLAY_WATCHERS);
+	tcase_add_test(t,
+		       others_read_one_after_the_other_if_no_newer_list_comes);
+	tcase_add_test(t, equal_lists_and_documents_are_not_disputed);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_VERBOSE);
--- a/t/t0200-config.sh
+++ b/t/t0200-config.sh
@@ -14,8 +14,6 @@
 	test-platform-document
 '
 
-test_expect_success 'unit tests of reads in place of watchers' 'test-fallback'
-
-test_expect_success 'unit tests of lists that differ under one version' 'test-dispute'
+test_expect_success 'unit tests of who reads the platform' 'test-fallback'
 
 test_done
