t1047: the bound on readers follows from the memory

Cause: the case asked for 120 answers, taken from what one upstream's slots let in. Others may be refused for a moment, as all may: they are served within 5 s. The script is named by what it does. t1045 had a check that could not fail, of the number of lines of a fixed list.

--- a/t/helper/many-slow-readers.py
+++ b/t/helper/many-slow-readers.py
@@ -1,6 +1,6 @@
-"""A crowd that reads its answers slowly.
+"""Many callers that read their answers slowly.
 
-    slow-crowd.py ADDRESS:PORT PATH COUNT SECONDS
+    many-slow-readers.py ADDRESS:PORT PATH COUNT SECONDS
 
 Opens COUNT connections, sends a request for PATH on each and reads 1 KB of each
 answer every 0.2 s. Prints how many answers began and how many connections were
@@ -18,32 +18,32 @@
 def main():
     host, port = sys.argv[1].split(":")
     path, count, seconds = sys.argv[2], int(sys.argv[3]), float(sys.argv[4])
-    crowd, begun = {}, set()
+    readers, begun = {}, set()
     for i in range(count):
         s = socket.socket()
         s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         s.connect((host, int(port)))
         s.sendall(("GET %s HTTP/1.1\r\nHost: a.example\r\n"
-                   "X-Limpetflow-Request-Id: crowd-%d\r\n"
+                   "X-Limpetflow-Request-Id: slow-%d\r\n"
                    "X-Limpetflow-Deadline-Ms: 30000\r\n\r\n" %
                    (path, i)).encode())
-        crowd[s.fileno()] = s
+        readers[s.fileno()] = s
     end = time.monotonic() + seconds
     while time.monotonic() < end:
         poll = select.poll()
-        for fd in crowd:
+        for fd in readers:
             poll.register(fd, select.POLLIN)
         for fd, _ in poll.poll(GAP_S * 1000):
             try:
-                part = crowd[fd].recv(PART_BYTES)
+                part = readers[fd].recv(PART_BYTES)
             except OSError:
                 part = b""
             if part.startswith(b"HTTP/1.1 200"):
                 begun.add(fd)
             if not part:
-                crowd.pop(fd).close()
+                readers.pop(fd).close()
         time.sleep(GAP_S)
-    print("%d begun, %d open" % (len(begun), len(crowd)))
+    print("%d begun, %d open" % (len(begun), len(readers)))
 
 
 main()
--- a/t/t1045-frozen-readers.sh
+++ b/t/t1045-frozen-readers.sh
@@ -75,7 +75,7 @@
 
 # is_calm: all are members of each other, with one order of ranks, and two read.
 is_calm () {
-	have_members 6 $ENTRIES && rank_entries && test $(wc -l <ranked) = 6
+	have_members 6 $ENTRIES && rank_entries
 }
 
 # check_frozen VERSION FROZEN...: with these frozen, VERSION comes into force on
--- a/t/t1047-many-slow-readers.sh
+++ b/t/t1047-many-slow-readers.sh
@@ -1,17 +1,17 @@
 #!/bin/sh
 
-test_description='answers that a crowd reads slowly stay within the memory of the machine'
+test_description='answers that many read slowly stay within the memory of the machine'
 
 . "$(dirname "$0")/test-lib.sh"
 . "$TEST_DIR/store-lib.sh"
 
-MEMORY_MB=100
-CROWD=400
-# So many answers took 0.9 MB each when nothing but single buffers was bounded.
-BEGUN_MIN=120
+MEMORY_MB=80
+READERS=400
+# So many answers fill the memory when each may leave 256 KB unsent.
+BEGUN_MIN=$((MEMORY_MB * 1000000 / (256 * 1024) + 1))
 
-crowd () {
-	timeout 60 python3 "$TEST_DIR/helper/slow-crowd.py" $ENTRY "$@"
+read_slowly () {
+	timeout 60 python3 "$TEST_DIR/helper/many-slow-readers.py" $ENTRY "$@"
 }
 
 is_served () {
@@ -32,26 +32,29 @@
 }
 
 start_store
-start upstream python3 "$TEST_DIR/standin/raw_server.py" $TEST_NET.2:80
+start upstreams python3 "$TEST_DIR/standin/raw_server.py" $TEST_NET.2:80 \
+	$TEST_NET.3:80 $TEST_NET.4:80 $TEST_NET.5:80 $TEST_NET.6:80 $TEST_NET.7:80
 
 test_expect_success 'an entry serves' '
 	put_config 1 16384 $(web_route web idempotent 1 30000) &&
-	put_server i-1 2 &&
+	for host in 2 3 4 5 6 7; do
+		put_server i-$host $host || return 1
+	done &&
 	start_entry 1 ",\"machine_memory_mb\":$MEMORY_MB" && wait_ready 1 &&
 	wait_until 10 is_served
 '
 
 # Guards against buffers of single answers of which nobody knows the sum.
-test_expect_success 'a crowd reads large answers slowly' '
-	crowd /web/large-length $CROWD 6 >actual && cat actual &&
+test_expect_success 'many read large answers slowly' '
+	read_slowly /web/large-length $READERS 6 >actual && cat actual &&
 	echo "peak $(peak_kb) kB" &&
 	test "$(cut -d" " -f1 actual)" -ge $BEGUN_MIN &&
 	is_within_memory
 '
 
 test_expect_success 'others are served meanwhile, and after it' '
-	crowd /web/large-chunked $CROWD 6 >actual & reader=$! &&
-	sleep 3 && is_served && wait $reader && cat actual &&
+	read_slowly /web/large-chunked $READERS 6 >actual & reader=$! &&
+	sleep 3 && wait_until 5 is_served && wait $reader && cat actual &&
 	wait_until 10 is_served && echo "peak $(peak_kb) kB" &&
 	is_within_memory
 '
