t1046: every status from 000 to 999, as a caller gets it

The list of t1046 left out most statuses. Ruled out: 421 as an answer, which the platform's pages call not run; the caller gets 503.

--- a/t/t1046-invalid-status.sh
+++ b/t/t1046-invalid-status.sh
@@ -96,4 +96,22 @@
 	test_cmp expect actual
 '
 
+# Guards against a range that the list above leaves out. 421 promises that the
+# request has not run, as does the 503 that the caller gets for it.
+test_expect_success 'a caller gets nothing but final statuses, whatever the upstream sends' '
+	wait_until 10 is_served &&
+	timeout 120 python3 "$TEST_DIR/helper/every-status.py" $ENTRY plain >actual &&
+	cat >expect <<-\EOF &&
+	000 to 099: 502 of the entry
+	100 to 100: the final 200
+	101 to 101: 502 of the entry
+	102 to 199: the final 200
+	200 to 420: same
+	421 to 421: refused
+	422 to 599: same
+	600 to 999: 502 of the entry
+	EOF
+	test_cmp expect actual
+'
+
 test_done
