--- a/t/store-lib.sh
+++ b/t/store-lib.sh
@@ -41,20 +41,50 @@
 		put op/config
 }
 
+# put_keyed_config VERSION: has the route /added-VERSION/ and the key key-VERSION.
+put_keyed_config () {
+	cat <<-EOC | put op/config
+	{"Version":$1,"Routes":[
+	 {"Name":"added","Host":"a.example","Prefix":"/added-$1/","Kind":"idempotent","TimeoutMs":3000,"Service":"web"},
+	 {"Name":"kept","Host":"a.example","Prefix":"/kept/","Kind":"idempotent","TimeoutMs":3000,"Service":"web"}],
+	 "Services":[{"Name":"web"}],"Tenants":[{"Name":"acme","ApiKeys":["key-$1"]}]}
+	EOC
+}
+
+# get_status ENTRY PATH KEY
+get_status () {
+	curl -s -m 5 -o /dev/null -w "%{http_code}" -H "Host: a.example" \
+		-H "X-Limpetflow-Request-Id: r" -H "Authorization: Bearer $3" \
+		"http://$TEST_NET.$1:8000$2"
+}
+
+# is_in_force VERSION BEFORE ENTRY...: at these, VERSION is and BEFORE is not.
+is_in_force () {
+	force_version=$1
+	force_before=$2
+	shift 2
+	for force_entry; do
+		test "$(get_status $force_entry /added-$force_version/x \
+			key-$force_version)" = 200 &&
+		test "$(get_status $force_entry /kept/x \
+			key-$force_before)" = 401 || return 1
+	done
+}
+
 # start_store: starts the store and waits for it.
 start_store () {
 	start store python3 "$TEST_DIR/standin/metadata_store.py" store $STORE
 	wait_until 10 curl -sf http://$STORE/test/calls
 }
 
-# start_entry N [MEMBERS [FORWARD-MEMBERS]]: starts entry N; the members of its
-# settings begin with a comma.
+# start_entry N [MEMBERS [FORWARD-MEMBERS [STORE]]]: starts entry N; the members of
+# its settings begin with a comma.
 start_entry () {
 	cat >e$1.json <<-EOC
 	{"instance":"e$1","data_center":"d1","address":"$TEST_NET.$1",
 	 "ports":{"first":7700},"listen":{"callers":"$TEST_NET.$1:8000",
 	 "ready":"$TEST_NET.$1:8001"},"platform":"store",
-	 "platform_url":"http://$STORE","key":"0123456789abcdef",
+	 "platform_url":"http://${4:-$STORE}","key":"0123456789abcdef",
 	 "seeds":["$TEST_NET.1:1","$TEST_NET.2:1","$TEST_NET.3:1"]$2,
 	 "forward":{"stop_grace_s":3,"retry_ratio":0.2,"retry_window_s":10,
 	  "retry_slack":1000$3}}
--- a/t/t1045-frozen-readers.sh
+++ b/t/t1045-frozen-readers.sh
@@ -11,36 +11,6 @@
 
 ENTRIES="1 2 3 4 5 6"
 
-# config VERSION: has the route /added-VERSION/ and the key key-VERSION.
-config () {
-	cat <<-EOC | put op/config
-	{"Version":$1,"Routes":[
-	 {"Name":"added","Host":"a.example","Prefix":"/added-$1/","Kind":"idempotent","TimeoutMs":3000,"Service":"web"},
-	 {"Name":"kept","Host":"a.example","Prefix":"/kept/","Kind":"idempotent","TimeoutMs":3000,"Service":"web"}],
-	 "Services":[{"Name":"web"}],"Tenants":[{"Name":"acme","ApiKeys":["key-$1"]}]}
-	EOC
-}
-
-# get_status ENTRY PATH KEY
-get_status () {
-	curl -s -m 5 -o /dev/null -w "%{http_code}" -H "Host: a.example" \
-		-H "X-Limpetflow-Request-Id: r" -H "Authorization: Bearer $3" \
-		"http://$TEST_NET.$1:8000$2"
-}
-
-# is_in_force VERSION BEFORE ENTRY...: at these, VERSION is and BEFORE is not.
-is_in_force () {
-	force_version=$1
-	force_before=$2
-	shift 2
-	for force_entry; do
-		test "$(get_status $force_entry /added-$force_version/x \
-			key-$force_version)" = 200 &&
-		test "$(get_status $force_entry /kept/x \
-			key-$force_before)" = 401 || return 1
-	done
-}
-
 # of_status ENTRY FIELD: a number of the configuration's status.
 of_status () {
 	curl -s -m 2 "http://$TEST_NET.$1:7702/status" | jq ".config.$2"
@@ -92,7 +62,7 @@
 	done
 	frozen_result=0
 	signal STOP $* &&
-	config $frozen_version &&
+	put_keyed_config $frozen_version &&
 	wait_until 10 is_in_force $frozen_version $((frozen_version - 1)) $running &&
 	have_members 6 $running || frozen_result=1
 	signal CONT $* &&
@@ -104,7 +74,7 @@
 start up python3 "$TEST_DIR/standin/metadata_store.py" upstream \
 	$TEST_NET.20:80 i-1
 put_server i-1 20
-config 1
+put_keyed_config 1
 for entry in $ENTRIES; do
 	start_entry $entry
 done
@@ -113,14 +83,17 @@
 wait_until 10 is_calm
 sleep 2
 
+# Guards against readers that nobody misses before membership does (review/9).
 test_expect_success 'both readers are frozen' '
 	check_frozen 2 $(cat readers)
 '
 
+# Guards against a reader that waits for its fellow.
 test_expect_success 'one of two readers is frozen' '
 	check_frozen 3 $(head -1 readers)
 '
 
+# Guards against substitutes of which all are frozen.
 test_expect_success 'all entries but one are frozen' '
 	check_frozen 4 $(head -5 ranked)
 '
@@ -132,8 +105,9 @@
 	check_frozen 5 $readers $first
 '
 
+# Guards against a key that is in force while nobody reads.
 test_expect_success 'the readers are killed, and a key is withdrawn' '
-	readers=$(cat readers) && signal KILL $readers && config 6 &&
+	readers=$(cat readers) && signal KILL $readers && put_keyed_config 6 &&
 	wait_until 5 is_in_force 6 5 $(cat others) &&
 	for entry in $readers; do
 		start_entry $entry || return 1
