t: say above each new case which failure it guards against

Cause: some cases of t1042 to t1048 had only their names. httpd-head.c says what the least room for an answer is for, ages.c includes in order. No code changes; ruled out: longer names of the cases, which the report prints on one line each.

--- a/config/ages.c
+++ b/config/ages.c
@@ -1,5 +1,5 @@
-#include "base/metric.h"
 #include "base/clock.h"
+#include "base/metric.h"
 #include "config/component.h"
 #include "config/config_proto.h"
 #include "config/declared.h"
--- a/net/httpd-head.c
+++ b/net/httpd-head.c
@@ -11,7 +11,10 @@
 /* Of the memory of a connection: the library's own fields, a block of the body. */
 #define ANSWER_RESERVE_BYTES 512
 
-/* A request that leaves less for the head of its answer is refused. */
+/*
+ * A request that leaves less for the head of its answer is refused: its id, which
+ * an upstream repeats, its stamp, a type and a few more fields.
+ */
 #define ANSWER_ROOM_MIN_BYTES 768
 
 /*
--- a/t/t1042-killed-while-answering.sh
+++ b/t/t1042-killed-while-answering.sh
@@ -69,6 +69,7 @@
 start_store
 start upstream python3 "$TEST_DIR/standin/raw_server.py" $UPSTREAM
 
+# Guards against a close as the only mark of an end.
 test_expect_success 'callers of each version get whole answers with a mark' '
 	put_config 1 16384 $(web_route lone streaming 1 20000) \
 		$(web_route plain non_idempotent 1 20000) &&
@@ -104,14 +105,17 @@
 	test_cmp expect actual
 '
 
+# Guards against a cut that looks like the end where resets are lost.
 test_expect_success 'answers that reach the deadline of their callers are cut' '
 	begin 4000 && check_cut
 '
 
+# Guards against the kernel's close as the end of the answer (review/6).
 test_expect_success 'answers of an entry that is killed are cut' '
 	begin 15000 && kill -KILL $(cat e1.pid) && check_cut
 '
 
+# Guards against the same at the planned end of an entry.
 test_expect_success 'answers of an entry that ends at its grace are cut' '
 	start_entry 1 && wait_ready 1 &&
 	wait_until 10 is_served &&
--- a/t/t1043-many-fields.sh
+++ b/t/t1043-many-fields.sh
@@ -30,6 +30,7 @@
 
 start_store
 
+# Guards against fields that a list of fixed size drops (review/7).
 test_expect_success 'requests with many or long fields arrive whole' '
 	config 1 16384 && put_server i-1 2 &&
 	start_entry 1 && wait_ready 1 &&
@@ -47,6 +48,7 @@
 	test_cmp expect actual
 '
 
+# Guards against a success without its stamp.
 test_expect_success 'answers with many or long fields arrive whole' '
 	fields web=41:answer web=70:answer web=500:answer web=20000:answer-long \
 		>actual &&
@@ -93,6 +95,7 @@
 	fields web=1:short web=$1:long | grep "long: $2"
 }
 
+# Guards against a declared limit that nobody checks.
 test_expect_success 'the declared size of a head holds on open connections' '
 	config 2 2000 && wait_until 8 served_as 3000 431 &&
 	served_as 1200 200 &&
--- a/t/t1044-removed-while-unread.sh
+++ b/t/t1044-removed-while-unread.sh
@@ -102,6 +102,7 @@
 	put_server i-1 21 && remove servers/i-2 && forget
 }
 
+# Guards against the revision of an item that was added as that of the removal.
 test_expect_success 'one is added and one removed while the readers stand still, and the store forgets' '
 	find_readers && signal_readers STOP && change_and_forget &&
 	sleep 0.5 && signal_readers CONT &&
@@ -112,12 +113,14 @@
 	remove servers/i-1 && remove servers/i-3
 }
 
+# Guards against an empty list that is not passed on.
 test_expect_success 'the last servers are removed while the readers are dead' '
 	unread remove_all &&
 	wait_until 5 all_use 503 $(cat others) &&
 	wait_until 5 all_use 503 $ENTRIES
 '
 
+# Guards against the same for the other list of the store.
 test_expect_success 'an evacuation is withdrawn while the readers are dead' '
 	put_server i-2 22 && wait_until 5 all_use i-2 $ENTRIES &&
 	printf "{}" | put op/evacuate/d1 &&
--- a/t/t1046-invalid-status.sh
+++ b/t/t1046-invalid-status.sh
@@ -47,6 +47,7 @@
 	}
 '
 
+# Guards against a check that refuses what is an answer.
 test_expect_success 'all others are passed on, and interim ones are not final' '
 	for form in 200-length 299-close 404-chunked 599-length; do
 		fetch-answer http://$UPSTREAM/status-$form 1500 2>/dev/null ||
@@ -68,6 +69,7 @@
 	test_cmp expect actual
 '
 
+# Guards against 600, 999 and 101 as answers.
 test_expect_success 'a caller gets 502 for an invalid status' '
 	put_config 1 16384 $(web_route plain non_idempotent 1 3000) \
 		$(web_route two streaming 2 3000 ,\"Resumable\":true) &&
@@ -85,6 +87,7 @@
 	}
 '
 
+# Guards against a stream that ends where it could go on.
 test_expect_success 'a stream goes on elsewhere after an invalid status' '
 	for code in 000 600 999 101; do
 		wait_until 10 is_served &&
--- a/t/t1047-many-slow-readers.sh
+++ b/t/t1047-many-slow-readers.sh
@@ -52,6 +52,7 @@
 	is_within_memory
 '
 
+# Guards against readers that take the places of others.
 test_expect_success 'others are served meanwhile, and after it' '
 	read_slowly /web/large-chunked $READERS 6 >actual & reader=$! &&
 	sleep 3 && wait_until 5 is_served && wait $reader && cat actual &&
--- a/t/t1048-library-repeats.sh
+++ b/t/t1048-library-repeats.sh
@@ -46,6 +46,7 @@
 	wait_until 10 is_served
 '
 
+# Guards against repeats that no budget and no count of attempts knows.
 test_expect_success 'upstreams that close kept connections get two attempts' '
 	for round in 1 2 3; do
 		keep_connections $round &&
