forward: give an answer that has begun eight attempts

Cause: a stream moves away from an upstream that has an order. The next three upstreams refuse it, as they have filled up or got their own orders; each refusal counts as one of four attempts, and "tries-used" ends the answer at once, where it waits up to 2 s for other reasons.

A request whose answer has begun now has eight attempts. Each takes a retry from the budget and the route bounds the runs, as before; a move uses none beyond the fourth, so that four are left for refusals.

--- a/forward/decide.c
+++ b/forward/decide.c
@@ -4,6 +4,13 @@
 
 #define STATUS_SERVER_ERROR 500
 
+/* Returns the maximum attempts of a request. */
+int attempt_find_maximum(int is_answer_started)
+{
+	return is_answer_started ? FORWARD_BEGUN_ATTEMPTS_MAX
+				 : FORWARD_ATTEMPTS_MAX;
+}
+
 /* Returns 1 unless it is proven that the upstream did not run the request. */
 int attempt_may_have_run(const struct attempt_result *e)
 {
@@ -35,7 +42,7 @@
 	if (!e->is_answer_started && attempt_may_have_run(e) &&
 	    !s->is_repeatable)
 		return "not-repeatable";
-	if (s->attempts >= FORWARD_ATTEMPTS_MAX)
+	if (s->attempts >= attempt_find_maximum(e->is_answer_started))
 		return "tries-used";
 	if (e->is_unsent)
 		return NULL;
--- a/forward/decide.h
+++ b/forward/decide.h
@@ -53,10 +53,17 @@
 /* Maximum attempts of one request, including those that sent no byte. */
 #define FORWARD_ATTEMPTS_MAX 4
 
+/*
+ * The same once its answer has begun.  Such a request can't be refused any more,
+ * and in a release several upstreams may refuse it that have no room for it.
+ */
+#define FORWARD_BEGUN_ATTEMPTS_MAX 8
+
 enum attempt_action attempt_decide_next(const struct attempt_result *e,
 					const struct attempt_context *s);
 const char *attempt_find_obstacle(const struct attempt_result *e,
 				  const struct attempt_context *s);
+int attempt_find_maximum(int is_answer_started);
 int attempt_may_have_run(const struct attempt_result *e);
 int attempt_count_runs(int before, const struct attempt_result *e);
 
--- a/forward/handover.c
+++ b/forward/handover.c
@@ -317,7 +317,7 @@
 
 	if (f->expires_at - now < TIME_LEFT_MIN_US)
 		return "deadline";
-	if (f->attempts == FORWARD_ATTEMPTS_MAX)
+	if (f->attempts >= attempt_find_maximum(f->is_answer_started))
 		return "tries-used";
 	if (!take_retry(f, now))
 		return "retry-budget";
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -124,9 +124,10 @@
 	struct crash_finding finding; /* unless the verdict is CRASH_CLEAR */
 
 	/* Attempts. */
-	char attempted_upstreams[FORWARD_ATTEMPTS_MAX][SETTINGS_NAME_SIZE];
+	char attempted_upstreams[FORWARD_BEGUN_ATTEMPTS_MAX]
+				[SETTINGS_NAME_SIZE];
 	/* Upstreams that refused, or were left by this entry, may be used again. */
-	int may_return[FORWARD_ATTEMPTS_MAX];
+	int may_return[FORWARD_BEGUN_ATTEMPTS_MAX];
 	int attempts;
 	/* Attempts that may have run; changed with the forwarder's mutex. */
 	int runs;
--- a/forward/reservation.c
+++ b/forward/reservation.c
@@ -11,6 +11,7 @@
 			      const struct reservation_terms *terms,
 			      apr_time_t now)
 {
+	/* The further ones of an answer that has begun are for refusals. */
 	if (terms->attempts >= FORWARD_ATTEMPTS_MAX)
 		return "tries-used";
 	if (terms->runs >= terms->runs_max)
--- a/t/t1029-cancel-decisions.sh
+++ b/t/t1029-cancel-decisions.sh
@@ -33,6 +33,7 @@
 run_script time-left 'silence: no place where the answer would not end'
 run_script stalled 'a pause of this process is no silence of its upstreams'
 run_script returns 'an upstream that refused a waiting answer may take it later'
+run_script refusals 'refusals do not end an answer that has begun while tries are left'
 run_script silent-both 'two upstreams that are silent at once take over nothing from each other'
 
 test_done
