--- a/forward/decide.h
+++ b/forward/decide.h
@@ -54,8 +54,8 @@
 #define FORWARD_ATTEMPTS_MAX 4
 
 /*
- * The same once its answer has begun.  Such a request can't be refused any more,
- * and in a release several upstreams may refuse it that have no room for it.
+ * The same once its answer has begun.  It can't be refused any more, and during
+ * a release several upstreams in a row may have no room for it.
  */
 #define FORWARD_BEGUN_ATTEMPTS_MAX 8
 
