--- a/t/helper/many-fields.py
+++ b/t/helper/many-fields.py
@@ -59,9 +59,7 @@
             b"Content-Length: 2\r\n\r\nok")
 
 
-def listen(address):
-    host, port = address.split(":")
-    listener = socket.create_server((host, int(port)))
+def accept(listener):
     while True:
         connection, _ = listener.accept()
         threading.Thread(target=serve, args=(connection,), daemon=True).start()
@@ -104,7 +102,9 @@
 
 
 def main():
-    threading.Thread(target=listen, args=(sys.argv[2],), daemon=True).start()
+    host, port = sys.argv[2].split(":")
+    listener = socket.create_server((host, int(port)))
+    threading.Thread(target=accept, args=(listener,), daemon=True).start()
     host, port = sys.argv[1].split(":")
     connection = None
     for word in sys.argv[3:]:
