httpd: count and log what is written of the head of an answer

Each answer's framing as written, and "closing" while the process closes its connections, are counted as http_written and stand in the line of a finished request.

--- a/Makefile
+++ b/Makefile
@@ -82,6 +82,7 @@
 # These run on a clock and a network of the test's own.
 CANCEL_WRAPPED = clock_now fetch_submit fetch_cancel http_call_body \
 	http_call_set http_call_answer_room http_call_reply refusal_send \
+	http_call_written_name \
 	http_call_stream_begin http_call_stream_write http_call_stream_is_full \
 	http_call_stream_end http_call_on_drain crash_check_items \
 	crash_count_blames crash_is_refused crash_record_sound
--- a/forward/answer-log.c
+++ b/forward/answer-log.c
@@ -173,7 +173,7 @@
 		return;
 	fields = json_pack(
 		"{s:s,s:i,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,"
-		"s:i,s:I,s:I,s:I,s:I,s:s,s:I,s:s,s:s}",
+		"s:i,s:I,s:I,s:I,s:I,s:s,s:s,s:I,s:s,s:s}",
 		"outcome", outcome, "status", status, "route", f->route->name,
 		"account", f->account ? f->account : "", "admitted",
 		admit_class_name(f->admitted), "tries", f->attempts, "runs",
@@ -183,7 +183,8 @@
 		f->elapsed_ms, "revision", (json_int_t)f->document->revision,
 		"release", (json_int_t)f->release, "release_left_ms",
 		forward_release_left_ms(f), "deadline_ms",
-		forward_deadline_ms(f), "framing", framing, "open_event_bytes",
+		forward_deadline_ms(f), "framing", framing, "written",
+		http_call_written_name(f->call), "open_event_bytes",
 		(json_int_t)f->events.size, "error", f->fetch.error.text,
 		"crash", forward_verdict_name(f));
 	add_end_fields(f, fields, now);
--- a/net/httpd-answer.c
+++ b/net/httpd-answer.c
@@ -61,6 +61,7 @@
 
 	pthread_mutex_lock(&c->mutex);
 	c->is_ended = 1;
+	c->framing = FRAMING_LENGTH;
 	c->reply_size = size;
 	pthread_mutex_unlock(&c->mutex);
 	set_response(c, status, type, r);
@@ -149,6 +150,8 @@
 	r = MHD_create_response_from_callback(
 		framing == FRAMING_LENGTH ? (uint64_t)size : MHD_SIZE_UNKNOWN,
 		STREAM_BLOCK_BYTES, read_stream, c, NULL);
+	c->framing =
+		framing == FRAMING_LENGTH ? FRAMING_LENGTH : FRAMING_CHUNKED;
 	if (framing != FRAMING_LENGTH)
 		MHD_add_response_header(r, "Transfer-Encoding", "chunked");
 	set_response(c, status, type, r);
@@ -257,6 +260,7 @@
 		clear_headers(c);
 	r = MHD_create_response_from_buffer(is_complete ? c->out_size : 0,
 					    c->out, MHD_RESPMEM_MUST_COPY);
+	c->framing = FRAMING_LENGTH;
 	c->reply_size = is_complete ? c->out_size : 0;
 	set_response(c, status, NULL, r);
 }
--- a/net/httpd-internal.h
+++ b/net/httpd-internal.h
@@ -24,6 +24,15 @@
 	CALL_ANSWERED /* a response is ready to be queued */
 };
 
+/* What was written of an answer, see http_call_written_name(). */
+enum written_head {
+	WRITTEN_NONE = 0,
+	WRITTEN_LENGTH,
+	WRITTEN_CHUNKED,
+	WRITTEN_LENGTH_CLOSING,
+	WRITTEN_CHUNKED_CLOSING
+};
+
 struct httpd {
 	struct MHD_Daemon *daemon;
 	const struct http_route *routes;
@@ -66,6 +75,9 @@
 	uint64_t hangup;     /* id of the watch, 0 before the first wait */
 	int is_disconnected; /* caller closed or sending failed */
 	int status;
+	enum framing framing; /* of the answer, FRAMING_NONE before it is set */
+	/* atomic: enum written_head, of the head that was given to the library */
+	int written;
 	size_t reply_size;
 	struct MHD_Response *response;
 	struct reply_header *headers;
@@ -91,6 +103,9 @@
 void http_call_record_refused_head(const struct http_call *c);
 int http_call_lacks_room(const struct http_call *c);
 
+/* httpd-fields.c */
+void http_call_record_written(struct http_call *c, int is_closing);
+
 /* httpd-body.c */
 int http_call_append_body(struct http_call *c, const char *data, size_t n);
 int http_call_find_refusal(const struct http_call *c);
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -187,6 +187,7 @@
  */
 static enum MHD_Result queue_response(struct http_call *c)
 {
+	int is_closing = __atomic_load_n(&c->server->closing, __ATOMIC_RELAXED);
 	struct MHD_Response *r;
 	enum MHD_Result ret;
 	int i;
@@ -205,8 +206,9 @@
 	for (i = 0; i < c->header_count; i++)
 		MHD_add_response_header(r, c->headers[i].name,
 					c->headers[i].value);
-	if (__atomic_load_n(&c->server->closing, __ATOMIC_RELAXED))
+	if (is_closing)
 		MHD_add_response_header(r, "Connection", "close");
+	http_call_record_written(c, is_closing);
 	guard_enter(&c->server->guard, c->guarded, INTAKE_ANSWER, c->reply_size,
 		    clock_now());
 	ret = MHD_queue_response(c->connection, (unsigned)c->status, r);
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -51,6 +51,7 @@
 const void *http_call_body(struct http_call *c, size_t *size);
 size_t http_call_fields_size(const struct http_call *c);
 size_t http_call_answer_room(const struct http_call *c);
+const char *http_call_written_name(const struct http_call *c);
 
 void http_call_set(struct http_call *c, const char *name, const char *value);
 void http_call_reply(struct http_call *c, int status, const char *type,
--- a/t/helper/lib-unwired.c
+++ b/t/helper/lib-unwired.c
@@ -56,6 +56,11 @@
 	return SIZE_MAX;
 }
 
+const char *__wrap_http_call_written_name(const struct http_call *c)
+{
+	return "";
+}
+
 void __wrap_http_call_set(struct http_call *c, const char *name,
 			  const char *value)
 {
