--- /dev/null
+++ b/t/helper/strict-caller.py
@@ -0,0 +1,84 @@
+"""Asks an entry for paths until it is gone, and reads its answers strictly.
+
+    strict-caller.py ADDRESS:PORT SECONDS PATH[,NAME:VALUE...]...
+
+Each path is asked on a kept connection of its own, and on a new one after each
+close, until nobody listens or the time is over. NAME:VALUE is a further field of
+the request; "method=HEAD" and "version=1.0" are such words too. Prints a line of
+JSON for each answer: path, status, framing, closing, end, faults, and the bytes
+of the body.
+"""
+import json
+import sys
+import threading
+import time
+
+from strict_reader import StrictReader, connect, make_request
+
+PAUSE_S = 0.01
+lock = threading.Lock()
+count = 0
+
+
+def next_id():
+    global count
+    with lock:
+        count += 1
+        return "c-%d" % count
+
+
+def ask(reader, path, words):
+    method, version = "GET", "1.1"
+    fields = [("Host", "a.example"), ("X-Limpetflow-Request-Id", next_id()),
+              ("X-Limpetflow-Deadline-Ms", "2500")]
+    for word in words:
+        if word.startswith("method="):
+            method = word[len("method="):]
+        elif word.startswith("version="):
+            version = word[len("version="):]
+        else:
+            fields.append(tuple(word.split(":", 1)))
+    rest = reader.read_rest()
+    reader.connection.settimeout(8)
+    reader.connection.sendall(make_request(method, path, fields,
+                                           version=version))
+    answer = reader.read(method, version)
+    if rest:
+        answer.faults.append("bytes after the last answer: %r" % rest[:80])
+    with lock:
+        print(json.dumps({"path": path, "words": words,
+                          "status": answer.status, "framing": answer.framing,
+                          "closing": answer.will_close(), "end": answer.end,
+                          "faults": answer.faults,
+                          "bytes": len(answer.body)}), flush=True)
+    return answer.end == "whole" and not answer.will_close()
+
+
+def run(address, until, path, words):
+    while time.monotonic() < until:
+        try:
+            with connect(address) as connection:
+                reader = StrictReader(connection)
+                while time.monotonic() < until and ask(reader, path, words):
+                    time.sleep(PAUSE_S)
+        except ConnectionRefusedError:
+            return
+        except OSError:
+            pass
+        time.sleep(PAUSE_S)
+
+
+def main():
+    until = time.monotonic() + float(sys.argv[2])
+    threads = []
+    for text in sys.argv[3:]:
+        path, *words = text.split(",")
+        threads.append(threading.Thread(
+            target=run, args=(sys.argv[1], until, path, words)))
+        threads[-1].start()
+    for thread in threads:
+        thread.join()
+
+
+if __name__ == "__main__":
+    main()
