httpd: name Connection before all other fields

The answer of a process that stops gets "Connection: close" after that. libmicrohttpd 0.9.75 overwrites its notes on what was added as it takes that field, and adds the coding once more. A program of 30 lines shows it, and that the other order writes each field once; so does a Date.

One function now adds all fields of an answer, Connection first; the content type and the coding were added as the response was made. With an own Date and a close in that order the library writes one Date as well.

Ruled out: the upstream's field passed on (also on answers that came with a close or a length), heads joined (no other field twice, bodies whole), and a reader's fault (raw bytes).

--- a/net/httpd-answer.c
+++ b/net/httpd-answer.c
@@ -39,7 +39,7 @@
 			 struct MHD_Response *r)
 {
 	if (type)
-		MHD_add_response_header(r, "Content-Type", type);
+		http_call_set(c, "Content-Type", type);
 	pthread_mutex_lock(&c->mutex);
 	if (c->is_disconnected) {
 		MHD_destroy_response(r);
@@ -152,8 +152,6 @@
 		STREAM_BLOCK_BYTES, read_stream, c, NULL);
 	c->framing =
 		framing == FRAMING_LENGTH ? FRAMING_LENGTH : FRAMING_CHUNKED;
-	if (framing != FRAMING_LENGTH)
-		MHD_add_response_header(r, "Transfer-Encoding", "chunked");
 	set_response(c, status, type, r);
 }
 
--- a/net/httpd-fields.c
+++ b/net/httpd-fields.c
@@ -10,6 +10,26 @@
 	[WRITTEN_CHUNKED_CLOSING] = "chunked/closing",
 };
 
+/*
+ * Adds all fields of an answer's head to the library's response. Connection comes
+ * first: libmicrohttpd 0.9.75 forgets, as it takes that field, which of those that
+ * it writes by itself were added before, and writes them once more.
+ */
+void http_call_add_fields(struct http_call *c, struct MHD_Response *r,
+			  int is_closing)
+{
+	int i;
+
+	if (is_closing)
+		MHD_add_response_header(r, "Connection", "close");
+	/* Without it, the library marks the end of a closing answer by the close. */
+	if (c->framing == FRAMING_CHUNKED)
+		MHD_add_response_header(r, "Transfer-Encoding", "chunked");
+	for (i = 0; i < c->header_count; i++)
+		MHD_add_response_header(r, c->headers[i].name,
+					c->headers[i].value);
+}
+
 /*
  * Records the head of an answer that is given to the library: its framing, and
  * whether the connection closes because the process stops.
--- a/net/httpd-internal.h
+++ b/net/httpd-internal.h
@@ -104,6 +104,8 @@
 int http_call_lacks_room(const struct http_call *c);
 
 /* httpd-fields.c */
+void http_call_add_fields(struct http_call *c, struct MHD_Response *r,
+			  int is_closing);
 void http_call_record_written(struct http_call *c, int is_closing);
 
 /* httpd-body.c */
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -190,7 +190,6 @@
 	int is_closing = __atomic_load_n(&c->server->closing, __ATOMIC_RELAXED);
 	struct MHD_Response *r;
 	enum MHD_Result ret;
-	int i;
 
 	pthread_mutex_lock(&c->mutex);
 	if (c->state != CALL_ANSWERED) {
@@ -203,11 +202,7 @@
 	r = c->response;
 	c->response = NULL;
 	pthread_mutex_unlock(&c->mutex);
-	for (i = 0; i < c->header_count; i++)
-		MHD_add_response_header(r, c->headers[i].name,
-					c->headers[i].value);
-	if (is_closing)
-		MHD_add_response_header(r, "Connection", "close");
+	http_call_add_fields(c, r, is_closing);
 	http_call_record_written(c, is_closing);
 	guard_enter(&c->server->guard, c->guarded, INTAKE_ANSWER, c->reply_size,
 		    clock_now());
