--- a/net/httpd-fields.c
+++ b/net/httpd-fields.c
@@ -3,7 +3,6 @@
 #include "base/metric.h"
 
 static const char *const written_names[] = {
-	[WRITTEN_NONE] = "none",
 	[WRITTEN_LENGTH] = "length",
 	[WRITTEN_CHUNKED] = "chunked",
 	[WRITTEN_LENGTH_CLOSING] = "length/closing",
@@ -30,25 +29,37 @@
 					c->headers[i].value);
 }
 
+static enum written_head describe_head(const struct http_call *c,
+				       int is_closing)
+{
+	int is_chunked = c->framing == FRAMING_CHUNKED;
+
+	return is_closing ? WRITTEN_LENGTH_CLOSING + is_chunked
+			  : WRITTEN_LENGTH + is_chunked;
+}
+
 /*
  * Records the head of an answer that is given to the library: its framing, and
  * whether the connection closes because the process stops.
  */
 void http_call_record_written(struct http_call *c, int is_closing)
 {
-	int is_chunked = c->framing == FRAMING_CHUNKED;
-	enum written_head w = is_closing ? WRITTEN_LENGTH_CLOSING + is_chunked
-					 : WRITTEN_LENGTH + is_chunked;
+	enum written_head w = describe_head(c, is_closing);
 
 	__atomic_store_n(&c->written, w, __ATOMIC_RELAXED);
 	metric_count("http_written", written_names[w], 1);
 }
 
 /*
- * Returns what was written of the head of the answer: "none", or its framing and
- * whether the connection closes because the process stops.
+ * Returns what was written of the head of the answer, or what would be now: its
+ * framing, and whether the connection closes because the process stops.
  */
 const char *http_call_written_name(const struct http_call *c)
 {
-	return written_names[__atomic_load_n(&c->written, __ATOMIC_RELAXED)];
+	enum written_head w = (enum written_head)__atomic_load_n(
+		&c->written, __ATOMIC_RELAXED);
+	int is_closing = __atomic_load_n(&c->server->closing, __ATOMIC_RELAXED);
+
+	return written_names[w == WRITTEN_NONE ? describe_head(c, is_closing)
+					       : w];
 }
--- a/net/httpd-internal.h
+++ b/net/httpd-internal.h
@@ -26,7 +26,7 @@
 
 /* What was written of an answer, see http_call_written_name(). */
 enum written_head {
-	WRITTEN_NONE = 0,
+	WRITTEN_NONE = 0, /* not yet */
 	WRITTEN_LENGTH,
 	WRITTEN_CHUNKED,
 	WRITTEN_LENGTH_CLOSING,
