fetch: refuse answers whose heads HTTP does not allow

Callers got answers as complete that were a part of a body, no byte of it, or the sizes of the chunks as well, with the upstream's stamp, and promises of heads that no two readers understand alike.

Cause: the head of an answer was taken as libcurl read it, which is lenient: the last of two lengths, "0x0b" as 0, a name with a blank before the colon as no framing at all.

Each line of a head now goes through net/message-head, the status line is read strictly, and the first line of a head is one whatever it looks like, so that "http/1.1" or a trailer "HTTP/1.1 200" can't start or replace a head unseen. Without a valid head no byte of a body is passed on. Such an answer is a failed call without a status, as is one whose head libcurl refused; the fault is in the error text and counted as fetch_refused_head. Blanks after a value don't belong to it.

--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -1,12 +1,11 @@
 #include "net/fetch-internal.h"
 
-#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "base/clock.h"
+#include "base/metric.h"
 #include "net/cut.h"
 #include "net/silence.h"
 
@@ -14,15 +13,14 @@
 #define HTTP_SWITCHING_PROTOCOLS 101
 #define HTTP_OK 200
 #define HTTP_STATUS_MAX 599
-#define HTTP_NO_CONTENT 204
-#define HTTP_NOT_MODIFIED 304
 
 /* Clears what an earlier head of the response set. */
 void fetch_reset_head(struct fetch *f)
 {
 	f->framing = FRAMING_NONE;
 	f->content_length = -1;
-	f->is_chunked = 0;
+	f->is_in_head = 0;
+	f->head_fault = NULL;
 }
 
 /*
@@ -35,44 +33,62 @@
 	       status == HTTP_SWITCHING_PROTOCOLS;
 }
 
-static int has_no_body(int status)
-{
-	return status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED;
-}
-
 /*
- * Sets the framing at the end of a head. Chunked coding overrides a length
- * (RFC 9112, 6.3).
+ * Returns the minor version of a status line of HTTP/1.x, -1 for any other line
+ * (RFC 9112, 4). The blank before an empty reason may be left out.
  */
-static void set_framing(struct fetch *f)
+static int parse_status_line(const char *line, size_t size)
 {
-	if (f->status < HTTP_OK || f->framing != FRAMING_NONE)
-		return;
-	if (has_no_body(f->status))
-		f->framing = FRAMING_LENGTH;
-	else if (f->is_chunked)
-		f->framing = FRAMING_CHUNKED;
-	else if (f->content_length >= 0)
-		f->framing = FRAMING_LENGTH;
-	else
-		f->framing = FRAMING_CLOSE;
+	static const char form[] = "HTTP/1.d ddd";
+	size_t i;
+
+	if (size && line[size - 1] == '\n')
+		size--;
+	if (size && line[size - 1] == '\r')
+		size--;
+	if (size < sizeof(form) - 1 || !is_field_value(line, size))
+		return -1;
+	for (i = 0; i < sizeof(form) - 1; i++)
+		if (form[i] == 'd' ? line[i] < '0' || line[i] > '9'
+				   : line[i] != form[i])
+			return -1;
+	if (size > i && line[i] != ' ')
+		return -1;
+	return line[sizeof("HTTP/1.") - 1] - '0';
 }
 
-static void parse_framing_header(struct fetch *f, const char *name,
-				 const char *value)
+static void start_head(struct fetch *f, const char *line, size_t size)
 {
-	char *end;
-	long long n;
+	int version = parse_status_line(line, size);
+	long status = 0;
 
-	if (!strcasecmp(name, "Transfer-Encoding")) {
-		if (strcasestr(value, "chunked"))
-			f->is_chunked = 1;
-	} else if (!strcasecmp(name, "Content-Length")) {
-		errno = 0;
-		n = strtoll(value, &end, 10);
-		if (end != value && !errno && n >= 0)
-			f->content_length = n;
+	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
+	f->status = (int)status;
+	fetch_reset_head(f);
+	f->is_in_head = 1;
+	message_head_start(&f->head, MESSAGE_ANSWER, version);
+	if (version < 0)
+		f->head.fault = "status-line";
+	if (f->ops->status_line)
+		f->ops->status_line(f);
+}
+
+/*
+ * Ends a head. Returns -1 if it is that of no answer: nothing that its sender
+ * wrote is passed on then.
+ */
+static int end_head(struct fetch *f)
+{
+	f->is_in_head = 0;
+	f->has_invalid_status = is_invalid_status(f->status);
+	f->head_fault = message_head_end(&f->head);
+	if (f->has_invalid_status || f->head_fault)
+		return -1;
+	if (f->status >= HTTP_OK) {
+		f->framing = message_head_framing(&f->head, f->status);
+		f->content_length = f->head.length;
 	}
+	return 0;
 }
 
 static size_t receive_header(char *data, size_t size, size_t n, void *userp)
@@ -81,23 +97,19 @@
 	size_t length = size * n;
 	char line[FETCH_HEAD_MAX + 1];
 	char *value, *end;
-	long status = 0;
 
 	f->head_size += length;
 	if (f->head_size > FETCH_HEAD_MAX)
 		return 0;
-	if (length > 5 && !memcmp(data, "HTTP/", 5)) {
-		curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
-		f->status = (int)status;
-		fetch_reset_head(f);
-		if (f->ops->status_line)
-			f->ops->status_line(f);
+	if (!f->is_in_head && f->framing == FRAMING_NONE) {
+		start_head(f, data, length);
+		return length;
 	}
-	if (length && (*data == '\r' || *data == '\n')) {
-		f->has_invalid_status = is_invalid_status(f->status);
-		if (f->has_invalid_status)
-			return 0;
-		set_framing(f);
+	if (f->is_in_head) {
+		message_head_add_line(&f->head, data, length);
+		/* libcurl ends the head at such a line, whatever follows. */
+		if (length && (*data == '\r' || *data == '\n'))
+			return end_head(f) ? 0 : length;
 	}
 	memcpy(line, data, length);
 	line[length] = '\0';
@@ -107,9 +119,9 @@
 	*value++ = '\0';
 	value += strspn(value, " \t");
 	end = value + strcspn(value, "\r\n");
+	while (end > value && (end[-1] == ' ' || end[-1] == '\t'))
+		end--;
 	*end = '\0';
-	if (f->framing == FRAMING_NONE)
-		parse_framing_header(f, line, value);
 	if (f->ops->header)
 		f->ops->header(f, line, value);
 	return length;
@@ -150,7 +162,7 @@
 		curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
 		f->status = (int)status;
 	}
-	if (is_url_partitioned(f->url) || f->has_invalid_status)
+	if (is_url_partitioned(f->url) || f->framing == FRAMING_NONE)
 		return 0;
 	if (f->ops->data)
 		ret = f->ops->data(f, data, size * n);
@@ -263,6 +275,15 @@
 	return e;
 }
 
+/* Returns 1 if libcurl itself refused the head, whatever its version. */
+static int is_head_refused(const struct fetch *f, CURLcode code)
+{
+	return f->status && f->framing == FRAMING_NONE &&
+	       (code == CURLE_WEIRD_SERVER_REPLY ||
+		code == CURLE_BAD_FUNCTION_ARGUMENT || /* of a folded line */
+		code == CURLE_BAD_CONTENT_ENCODING);
+}
+
 /* Sets the transfer's error from libcurl's code. */
 void fetch_error_from_curl(struct fetch *f, CURLcode code)
 {
@@ -287,7 +308,7 @@
 		break;
 	default:
 		kind = f->head_size > FETCH_HEAD_MAX || f->has_invalid_status ||
-				       f->sends > 1
+				       f->head_fault || f->sends > 1
 			       ? ERROR_CORRUPT
 		       : f->is_aborted_by_data ? ERROR_REFUSED
 					       : ERROR_INTERNAL;
@@ -298,6 +319,16 @@
 		f->status = 0;
 		return;
 	}
+	if (!f->head_fault && is_head_refused(f, code))
+		f->head_fault = "library";
+	if (f->head_fault) {
+		metric_count("fetch_refused_head", f->head_fault, 1);
+		error_set(&f->error, ERROR_CORRUPT, "fetch", f->url,
+			  "the head of the answer is invalid: %s",
+			  f->head_fault);
+		f->status = 0;
+		return;
+	}
 	error_set(&f->error, kind, "fetch", f->url, "%s",
 		  curl_easy_strerror(code));
 }
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -6,6 +6,7 @@
 
 #include "base/error.h"
 #include "net/framing.h"
+#include "net/message-head.h"
 
 /*
  * HTTP client on libcurl's multi interface: one event thread runs all
@@ -76,8 +77,10 @@
 	enum framing framing;	  /* of the response */
 	long long content_length; /* of the response, -1: none */
 	size_t head_size;	  /* bytes of all its heads and trailers */
-	int is_chunked;		  /* the response has chunked coding */
-	int has_invalid_status;	  /* it counts as no response */
+	struct message_head head; /* of the response, while it is read */
+	int is_in_head;
+	const char *head_fault; /* what is invalid in it: no response */
+	int has_invalid_status; /* it counts as no response */
 	apr_time_t submitted_at;
 	int never_sent;	 /* no byte of the request left this process */
 	int sends;	 /* connections on which it was, or was to be, sent */
--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -35,6 +35,8 @@
                   BYTES it is sent whole
     status-CODE-FRAMING  a whole answer with any text for a status; "interim" for
                   FRAMING puts it before an answer of 200
+    invalid-NAME, odd-NAME  an answer with a head that HTTP doesn't allow, or one
+                  that it allows and few write; see raw_heads.py
     forever-WHAT  bytes without end: "noise" (no answer), "line" (a header
                   line), "head" (header lines), "interim" (heads of status
                   100), "status" (a status line), "body", "event" (one event),
@@ -55,6 +57,8 @@
 import threading
 import time
 
+import raw_heads
+
 PIECE = 16 * 1024
 COMMENT = b":\n\n"
 COMMENT_PERIOD_S = 0.1
@@ -245,6 +249,9 @@
                     head(request_id, lines) + body)
         connection.sendall(text)
         return False
+    if form.startswith(("invalid-", "odd-")):
+        connection.sendall(raw_heads.make_answer(form, request_id))
+        return False
     if form.startswith("forever-"):
         send_forever(connection, form[len("forever-"):], request_id)
         return False
