httpd: pass on fields without a value

Callers did not get an upstream's field whose value is empty, which HTTP allows (RFC 9110, 5.5). MHD_add_response_header() returns MHD_NO for an empty value, and nothing looked at that.

A value of one blank is taken, and readers ignore blanks around a value.

--- a/net/httpd-fields.c
+++ b/net/httpd-fields.c
@@ -9,6 +9,16 @@
 	[WRITTEN_CHUNKED_CLOSING] = "chunked/closing",
 };
 
+/* Adds a field. Returns -1 if the library does not take it. */
+static int add_field(struct MHD_Response *r, const char *name,
+		     const char *value)
+{
+	/* The library takes no empty value; readers ignore blanks around one. */
+	return MHD_add_response_header(r, name, *value ? value : " ") == MHD_YES
+		       ? 0
+		       : -1;
+}
+
 /*
  * Adds all fields of an answer's head to the library's response. Connection comes
  * first: libmicrohttpd 0.9.75 forgets, as it takes that field, which of those that
@@ -20,13 +30,12 @@
 	int i;
 
 	if (is_closing)
-		MHD_add_response_header(r, "Connection", "close");
+		add_field(r, "Connection", "close");
 	/* Without it, the library marks the end of a closing answer by the close. */
 	if (c->framing == FRAMING_CHUNKED)
-		MHD_add_response_header(r, "Transfer-Encoding", "chunked");
+		add_field(r, "Transfer-Encoding", "chunked");
 	for (i = 0; i < c->header_count; i++)
-		MHD_add_response_header(r, c->headers[i].name,
-					c->headers[i].value);
+		add_field(r, c->headers[i].name, c->headers[i].value);
 }
 
 static enum written_head describe_head(const struct http_call *c,
--- /dev/null
+++ b/t/t1055-passed-on-fields.sh
@@ -0,0 +1,42 @@
+#!/bin/sh
+
+test_description='the fields of an answer reach the caller as the upstream wrote them'
+
+. "$(dirname "$0")/test-lib.sh"
+. "$TEST_DIR/store-lib.sh"
+
+UPSTREAM=$TEST_NET.2:80
+
+# passed_on [PID] <CASES
+passed_on () {
+	timeout 60 python3 "$TEST_DIR/helper/passed-on.py" $ENTRY $UPSTREAM "$@"
+}
+
+is_served () {
+	echo "probe" | passed_on | grep ": 200"
+}
+
+start_store
+put_config 1 16384 $(web_route plain idempotent 1 3000)
+put_server i-1 2
+start_entry 1
+wait_ready 1
+wait_until 10 is_served
+
+# Guards against fields that the library refuses and nobody misses (issue 59).
+test_expect_success 'fields without a value are passed on' '
+	passed_on >actual <<-\EOF &&
+	empty field=X-Empty: field=X-After:a
+	blank "field=X-Empty: " "field=X-After:\\t a \\t"
+	chunked framing=chunked field=X-Empty: field=X-Void:
+	EOF
+	sed "s/ Date=\[now\]//" actual >fields &&
+	cat >expect <<-\EOF &&
+	empty: 200 length whole 2, open, X-Limpetflow-Response-Stamp=[stamp] X-Empty=[] X-After=[a] Content-Length=[2]
+	blank: 200 length whole 2, open, X-Limpetflow-Response-Stamp=[stamp] X-Empty=[] X-After=[a] Content-Length=[2]
+	chunked: 200 chunked whole 2, open, X-Limpetflow-Response-Stamp=[stamp] X-Empty=[] X-Void=[]
+	EOF
+	test_cmp expect fields
+'
+
+test_done
