forward: pass on the Date of an upstream

Callers got the entry's time in place of the Date of the upstream. A proxy must not replace it (RFC 9110, 6.6.1): a cache reckons the age of an answer with it. The entry left the field out, as libmicrohttpd wrote two of them in some answers.

Since Connection is added first, the library writes its own Date only where there is none, so that the field can go on. Of two Date fields the first one does, and one without a value is left out, so that the entry writes its own.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -87,6 +87,17 @@
 	f->w->active_count--;
 }
 
+/*
+ * Returns 1 for a Date to leave out: each answer has one, and the library adds its
+ * own to an answer without it.
+ */
+static int is_useless_date(const struct forward *f, const char *name,
+			   const char *value)
+{
+	return !strcasecmp(name, "Date") &&
+	       (!*value || header_list_has(&f->answer_headers, name));
+}
+
 static void receive_header(struct fetch *f, const char *name, const char *value)
 {
 	struct forward *x = f->arg;
@@ -99,7 +110,7 @@
 						  strlen(EVENT_STREAM_TYPE));
 	/* What follows the head is a trailer, which may be left out. */
 	if (f->framing == FRAMING_NONE && !header_is_hop_by_hop(name) &&
-	    strcasecmp(name, "Date"))
+	    !is_useless_date(x, name, value))
 		header_add(&x->answer_headers, name, value);
 }
 
--- a/forward/headers.c
+++ b/forward/headers.c
@@ -53,6 +53,17 @@
 	l->count++;
 }
 
+/* Returns 1 if there is a header of that name. */
+int header_list_has(const struct header_list *l, const char *name)
+{
+	int i;
+
+	for (i = 0; i < l->count; i++)
+		if (!strcasecmp(l->items[i].name, name))
+			return 1;
+	return 0;
+}
+
 /*
  * Returns the headers as "Name: value" lines, with NULL at the end. They are
  * valid until the list is cleared, and made once.
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -197,6 +197,7 @@
 };
 
 void header_add(struct header_list *l, const char *name, const char *value);
+int header_list_has(const struct header_list *l, const char *name);
 const char *const *header_list_lines(struct header_list *l);
 void header_list_clear(struct header_list *l);
 int header_is_hop_by_hop(const char *name);
--- a/t/t1055-passed-on-fields.sh
+++ b/t/t1055-passed-on-fields.sh
@@ -39,4 +39,29 @@
 	test_cmp expect fields
 '
 
+# Guards against the time of this process in place of that of the answer, which a
+# cache reckons with.
+test_expect_success 'the Date of an upstream is passed on, and once' '
+	date="Mon, 01 Jan 2024 00:00:00 GMT" &&
+	passed_on >actual <<-EOF &&
+	one "field=date: $date"
+	two "field=Date: $date" "field=Date: Tue, 02 Jan 2024 00:00:00 GMT"
+	chunks framing=chunked "field=Date: $date"
+	closed framing=close "field=Date: $date"
+	void field=Date:
+	none
+	EOF
+	sed "s/ X-Limpetflow-Response-Stamp=.stamp.//;
+		s/ Content-Length=.2.//" actual >fields &&
+	cat >expect <<-EOF &&
+	one: 200 length whole 2, open, date=[$date]
+	two: 200 length whole 2, open, Date=[$date]
+	chunks: 200 chunked whole 2, open, Date=[$date]
+	closed: 200 chunked whole 2, open, Date=[$date]
+	void: 200 length whole 2, open, Date=[now]
+	none: 200 length whole 2, open, Date=[now]
+	EOF
+	test_cmp expect fields
+'
+
 test_done
