--- a/forward/answer.c
+++ b/forward/answer.c
@@ -37,6 +37,7 @@
 void forward_answer_clear(struct forward *f)
 {
 	header_list_clear(&f->answer_headers);
+	header_list_clear(&f->answer_options);
 	memset(&f->answer, 0, sizeof(f->answer));
 	f->is_leaving_applied = 0;
 	f->applied_pause_s = 0;
@@ -109,6 +110,8 @@
 				     !strncasecmp(value, EVENT_STREAM_TYPE,
 						  strlen(EVENT_STREAM_TYPE));
 	/* What follows the head is a trailer, which may be left out. */
+	if (f->framing == FRAMING_NONE && !strcasecmp(name, "Connection"))
+		header_add(&x->answer_options, name, value);
 	if (f->framing == FRAMING_NONE && !header_is_hop_by_hop(name) &&
 	    !is_useless_date(x, name, value))
 		header_add(&x->answer_headers, name, value);
@@ -144,11 +147,12 @@
 
 static void copy_answer_headers(struct forward *f)
 {
+	const struct header *h = f->answer_headers.items;
 	int i;
 
 	for (i = 0; i < f->answer_headers.count; i++)
-		http_call_set(f->call, f->answer_headers.items[i].name,
-			      f->answer_headers.items[i].value);
+		if (!header_is_option(&f->answer_options, h[i].name))
+			http_call_set(f->call, h[i].name, h[i].value);
 }
 
 static void start_reply(struct forward *f, int status)
--- a/forward/headers.c
+++ b/forward/headers.c
@@ -28,6 +28,33 @@
 	return 0;
 }
 
+/* Returns 1 for a header that a value of Connection names: it is hop-by-hop. */
+int header_is_named(const char *connection, const char *name)
+{
+	size_t n = strlen(name);
+	const char *at = connection;
+
+	while (at && (at = strcasestr(at, name))) {
+		int begins = at == connection || strchr(", \t", at[-1]);
+
+		if (begins && (!at[n] || strchr(", \t", at[n])))
+			return 1;
+		at += n;
+	}
+	return 0;
+}
+
+/* Returns 1 for a header that one of these Connection headers names. */
+int header_is_option(const struct header_list *connection, const char *name)
+{
+	int i;
+
+	for (i = 0; i < connection->count; i++)
+		if (header_is_named(connection->items[i].value, name))
+			return 1;
+	return 0;
+}
+
 static void *grow(void *items, size_t size)
 {
 	items = realloc(items, size);
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -25,6 +25,7 @@
 {
 	header_list_clear(&f->headers);
 	header_list_clear(&f->answer_headers);
+	header_list_clear(&f->answer_options);
 	events_destroy(&f->events);
 	document_unref(f->document);
 	free(f->held_body);
@@ -94,22 +95,6 @@
 	forward_free(f);
 }
 
-/* Returns 1 for a header named in Connection, which is hop-by-hop, too. */
-static int is_named_in_connection(const char *connection, const char *name)
-{
-	size_t n = strlen(name);
-	const char *at = connection;
-
-	while (at && (at = strcasestr(at, name))) {
-		int begins = at == connection || strchr(", \t", at[-1]);
-
-		if (begins && (!at[n] || strchr(", \t", at[n])))
-			return 1;
-		at += n;
-	}
-	return 0;
-}
-
 struct header_copy {
 	struct forward *f;
 	const char *connection;
@@ -120,7 +105,7 @@
 	struct header_copy *x = arg;
 
 	if (header_is_hop_by_hop(name) ||
-	    is_named_in_connection(x->connection, name) ||
+	    header_is_named(x->connection, name) ||
 	    !x->f->w->wire->is_forwarded(name))
 		return;
 	header_add(&x->f->headers, name, value);
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -173,6 +173,7 @@
 
 	/* The answer. */
 	struct header_list answer_headers;
+	struct header_list answer_options; /* its Connection headers */
 	struct answer_head answer;
 	/* What of the answer's notices was applied to its upstream. */
 	int is_leaving_applied;
@@ -201,6 +202,8 @@
 const char *const *header_list_lines(struct header_list *l);
 void header_list_clear(struct header_list *l);
 int header_is_hop_by_hop(const char *name);
+int header_is_named(const char *connection, const char *name);
+int header_is_option(const struct header_list *connection, const char *name);
 
 /* intake.c */
 void forward_serve(struct http_call *c, void *arg);
--- a/t/t1055-passed-on-fields.sh
+++ b/t/t1055-passed-on-fields.sh
@@ -64,4 +64,21 @@
 	test_cmp expect fields
 '
 
+# Guards against a field of one connection that reaches the next one.
+test_expect_success 'fields that Connection names are not passed on' '
+	passed_on >actual <<-\EOF &&
+	before field=X-Hop:1 "field=Connection: keep-alive, x-hop" field=X-Hop-2:2
+	after "field=Connection: X-Hop" "field=Connection: x-other" field=X-Hop:1 field=X-Other:2 field=X-Hop-2:3
+	chunks framing=chunked "field=Connection: x-hop" field=X-Hop:1
+	EOF
+	sed "s/ X-Limpetflow-Response-Stamp=.stamp.//; s/ Date=.now.//;
+		s/ Content-Length=.2.//" actual >fields &&
+	cat >expect <<-EOF &&
+	before: 200 length whole 2, open, X-Hop-2=[2]
+	after: 200 length whole 2, open, X-Hop-2=[3]
+	chunks: 200 chunked whole 2, open,
+	EOF
+	test_cmp expect fields
+'
+
 test_done
