httpd: write answers without a body as such

What follows the head of an answer to HEAD, or of a 304, is no part of it. Callers got two wrong forms. Where the upstream's answer came in chunks, libmicrohttpd 0.9.75 named chunks and wrote the last chunk, "0\r\n\r\n", after the head: on a kept connection these bytes are read as the start of the next answer. All others had "Content-Length: 0" in place of the upstream's length or of none, which a cache takes for the length of the body that a GET would get (RFC 9110, 8.6).

Such an answer is now given to the library with the length that it describes. Of an unknown one, the library is kept from chunks, so that it names neither and closes the connection.

The name of the framing "unmarked" in the log and in http_written tells these heads.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -88,17 +88,6 @@
 	f->w->active_count--;
 }
 
-/*
- * Returns 1 for a Date to leave out: each answer has one, and the library adds its
- * own to an answer without it.
- */
-static int is_useless_date(const struct forward *f, const char *name,
-			   const char *value)
-{
-	return !strcasecmp(name, "Date") &&
-	       (!*value || header_list_has(&f->answer_headers, name));
-}
-
 static void receive_header(struct fetch *f, const char *name, const char *value)
 {
 	struct forward *x = f->arg;
@@ -113,7 +102,7 @@
 	if (f->framing == FRAMING_NONE && !strcasecmp(name, "Connection"))
 		header_add(&x->answer_options, name, value);
 	if (f->framing == FRAMING_NONE && !header_is_hop_by_hop(name) &&
-	    !is_useless_date(x, name, value))
+	    !forward_is_useless_date(x, name, value))
 		header_add(&x->answer_headers, name, value);
 }
 
@@ -145,22 +134,12 @@
 	       strcmp(f->answer.id, f->head.id) != 0;
 }
 
-static void copy_answer_headers(struct forward *f)
-{
-	const struct header *h = f->answer_headers.items;
-	int i;
-
-	for (i = 0; i < f->answer_headers.count; i++)
-		if (!header_is_option(&f->answer_options, h[i].name))
-			http_call_set(f->call, h[i].name, h[i].value);
-}
-
 static void start_reply(struct forward *f, int status)
 {
 	__atomic_store_n(&f->is_answer_started, 1, __ATOMIC_RELAXED);
 	f->answer_started_at = clock_now();
 	f->answer_status = status;
-	copy_answer_headers(f);
+	forward_copy_answer_headers(f);
 	f->is_event_reply = f->is_event_answer;
 	f->is_end_promised = f->fetch.framing != FRAMING_CLOSE;
 	/* The length of a stream is of one upstream's part of it only. */
@@ -453,9 +432,7 @@
 {
 	forward_log_end(f, "answer", f->fetch.status, now);
 	if (!f->is_answer_started) {
-		copy_answer_headers(f);
-		http_call_reply(f->call, f->fetch.status, NULL,
-				f->held_body ? f->held_body : "", f->held_size);
+		forward_reply_whole(f);
 	} else {
 		if (f->events.size)
 			http_call_stream_write(f->call, f->events.buffer,
--- a/forward/internal.h
+++ b/forward/internal.h
@@ -221,6 +221,12 @@
 void forward_finish_truncated(struct forward *f, const char *outcome,
 			      apr_time_t now);
 
+/* answer-head.c */
+int forward_is_useless_date(const struct forward *f, const char *name,
+			    const char *value);
+void forward_copy_answer_headers(struct forward *f);
+void forward_reply_whole(struct forward *f);
+
 /* answer-notice.c */
 void forward_apply_notice(struct forward *f, int is_head_complete,
 			  apr_time_t now);
--- a/net/httpd-answer.c
+++ b/net/httpd-answer.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "net/cut.h"
+#include "net/message-head.h"
 
 /* The library's block of an answer with a length. */
 #define STREAM_BLOCK_BYTES (16 * 1024)
@@ -12,6 +13,12 @@
 #define OUTPUT_FIRST_BYTES 1024
 #define OUTPUT_STEP_BYTES (64 * 1024)
 #define HEADERS_FIRST 16
+/* Keeps the library from chunks; the name is of that version. */
+#if MHD_VERSION >= 0x00097308
+#define NO_CHUNKS MHD_RF_HTTP_1_0_COMPATIBLE_STRICT
+#else
+#define NO_CHUNKS MHD_RF_HTTP_VERSION_1_0_ONLY
+#endif
 /* Maximum size of an answer that is held until its length is known. */
 #define HELD_MAX_BYTES (256 * 1024)
 
@@ -68,6 +75,54 @@
 	http_call_unref(c);
 }
 
+static ssize_t read_nothing(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	return MHD_CONTENT_READER_END_OF_STREAM;
+}
+
+/* Returns 1 for an answer that ends with its head, whatever that says. */
+static int is_bodiless(const struct http_call *c, int status)
+{
+	return !strcmp(c->method, MHD_HTTP_METHOD_HEAD) ||
+	       is_status_without_body(status);
+}
+
+/*
+ * Answers with a head alone. length is that of the body which it describes, -1: it
+ * is not known. libmicrohttpd 0.9.75 writes a last chunk after a head that names
+ * chunks, although no body follows, and names chunks itself if there is no length;
+ * without both it closes the connection.
+ */
+static void answer_bodiless(struct http_call *c, int status, const char *type,
+			    long long length)
+{
+	struct MHD_Response *r;
+
+	/* Of this status, the library writes no length (RFC 9110, 8.6). */
+	if (status == MHD_HTTP_NO_CONTENT)
+		length = 0;
+	r = MHD_create_response_from_callback(
+		length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)length,
+		STREAM_BLOCK_BYTES, read_nothing, NULL, NULL);
+	if (length < 0)
+		MHD_set_response_options(r, NO_CHUNKS, MHD_RO_END);
+	c->framing = length < 0 ? FRAMING_CLOSE : FRAMING_LENGTH;
+	set_response(c, status, type, r);
+}
+
+/*
+ * Answers without a body: a request of the method HEAD, or with a status that has
+ * none. length is that of the body which the head describes, -1: it is not known.
+ */
+void http_call_reply_head(struct http_call *c, int status, long long length)
+{
+	pthread_mutex_lock(&c->mutex);
+	c->is_ended = 1;
+	pthread_mutex_unlock(&c->mutex);
+	answer_bodiless(c, status, NULL, length);
+	http_call_unref(c);
+}
+
 /* Answers with JSON; steals the reference to body. */
 void http_call_reply_json(struct http_call *c, int status, json_t *body)
 {
@@ -131,13 +186,18 @@
  * out in chunks: a process that is killed closes its connections in the ordinary
  * way, so that only a mark in the answer itself tells its end from a break.  A
  * caller of HTTP/1.0, which knows no chunks, gets a length once the answer is
- * complete.
+ * complete. Of an answer without a body only the head goes out.
  */
 void http_call_stream_begin(struct http_call *c, int status, const char *type,
 			    enum framing framing, long long size)
 {
 	struct MHD_Response *r;
 
+	if (is_bodiless(c, status)) {
+		answer_bodiless(c, status, type,
+				framing == FRAMING_LENGTH ? size : -1);
+		return;
+	}
 	if (c->is_http_1_0 && framing != FRAMING_LENGTH) {
 		if (type)
 			http_call_set(c, "Content-Type", type);
--- a/net/httpd-fields.c
+++ b/net/httpd-fields.c
@@ -5,8 +5,10 @@
 static const char *const written_names[] = {
 	[WRITTEN_LENGTH] = "length",
 	[WRITTEN_CHUNKED] = "chunked",
+	[WRITTEN_UNMARKED] = "unmarked",
 	[WRITTEN_LENGTH_CLOSING] = "length/closing",
 	[WRITTEN_CHUNKED_CLOSING] = "chunked/closing",
+	[WRITTEN_UNMARKED_CLOSING] = "unmarked/closing",
 };
 
 /* Adds a field. Returns -1 if the library does not take it. */
@@ -41,10 +43,11 @@
 static enum written_head describe_head(const struct http_call *c,
 				       int is_closing)
 {
-	int is_chunked = c->framing == FRAMING_CHUNKED;
+	enum written_head w = c->framing == FRAMING_CHUNKED ? WRITTEN_CHUNKED
+			      : c->framing == FRAMING_CLOSE ? WRITTEN_UNMARKED
+							    : WRITTEN_LENGTH;
 
-	return is_closing ? WRITTEN_LENGTH_CLOSING + is_chunked
-			  : WRITTEN_LENGTH + is_chunked;
+	return is_closing ? w + WRITTEN_LENGTH_CLOSING - WRITTEN_LENGTH : w;
 }
 
 /*
--- a/net/httpd-internal.h
+++ b/net/httpd-internal.h
@@ -29,8 +29,10 @@
 	WRITTEN_NONE = 0, /* not yet */
 	WRITTEN_LENGTH,
 	WRITTEN_CHUNKED,
+	WRITTEN_UNMARKED, /* neither, of a head without a body */
 	WRITTEN_LENGTH_CLOSING,
-	WRITTEN_CHUNKED_CLOSING
+	WRITTEN_CHUNKED_CLOSING,
+	WRITTEN_UNMARKED_CLOSING
 };
 
 struct httpd {
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -56,6 +56,7 @@
 void http_call_set(struct http_call *c, const char *name, const char *value);
 void http_call_reply(struct http_call *c, int status, const char *type,
 		     const void *body, size_t size);
+void http_call_reply_head(struct http_call *c, int status, long long length);
 void http_call_reply_json(struct http_call *c, int status, json_t *body);
 
 void http_call_stream_begin(struct http_call *c, int status, const char *type,
--- a/t/helper/passed-on.py
+++ b/t/helper/passed-on.py
@@ -7,8 +7,10 @@
     status=CODE       of the upstream's answer, 200 without it
     field=NAME:VALUE  a further field of that answer, with \\x escapes
     body=TEXT         its body, "ok" without it
+    interim=CODE      of a head that comes before the answer
     framing=HOW       length (without it), chunked, close, events (chunked, of a
-                      stream), or none (no body, no field of framing)
+                      stream), none (no body, no field of framing), or spurious
+                      (chunks, also where none may be)
     method=, version=, path=, ask=NAME:VALUE  of the request
 With PID, all requests are sent first; once all of them have reached the upstream
 that process gets SIGTERM, and they are answered 0.3 s later.
@@ -43,7 +45,7 @@
         self.status, self.framing, self.body = "200", "length", "ok"
         self.method, self.version = "GET", "1.1"
         self.path = "/plain/" + self.name
-        self.fields, self.asked = [], []
+        self.fields, self.asked, self.interim = [], [], None
         for word in words:
             key, _, value = word.partition("=")
             if key == "field":
@@ -64,11 +66,15 @@
         if self.framing == "events":
             lines.append(b"Content-Type: text/event-stream")
             body = b"id: 1\ndata: " + body + b"\n\n"
-        if self.framing in ("chunked", "events"):
+        if self.framing in ("chunked", "events", "spurious"):
             lines.append(b"Transfer-Encoding: chunked")
             body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
-        if self.method == "HEAD" or self.framing == "none":
+        if self.framing == "none" or (self.method == "HEAD" and
+                                      self.framing != "spurious"):
             body = b""
+        if self.interim:
+            lines.insert(0, b"HTTP/1.1 %s Text\r\nLink: </a>\r\n" %
+                         self.interim.encode())
         return b"\r\n".join(lines + [b"", body])
 
 
@@ -99,8 +105,7 @@
         if len(sys.argv) > 3 and case.name in cases:
             wait_for_all(case.name)
         connection.sendall(case.answer(request_id))
-        if case.framing in ("close", "none"):
-            # HEAD and 304 need no mark, all others end here.
+        if case.framing in ("close", "none", "spurious"):
             connection.close()
             file.close()
             return
