httpd: refuse an answer whose head can't be written

Callers got answers that lacked a field, with status 200 and the stamp of the upstream. MHD_add_response_header() returns MHD_NO for a name with a blank, a value with a line end, and a field of framing that the library writes itself; nothing looked at that.

A warning names the field but not its value, http_unwritable counts the answers, and who writes the rest of a stream sees the caller as gone.

--- a/net/httpd-fields.c
+++ b/net/httpd-fields.c
@@ -1,5 +1,6 @@
 #include "net/httpd-internal.h"
 
+#include "base/log.h"
 #include "base/metric.h"
 
 static const char *const written_names[] = {
@@ -16,28 +17,36 @@
 		     const char *value)
 {
 	/* The library takes no empty value; readers ignore blanks around one. */
-	return MHD_add_response_header(r, name, *value ? value : " ") == MHD_YES
-		       ? 0
-		       : -1;
+	if (MHD_add_response_header(r, name, *value ? value : " ") == MHD_YES)
+		return 0;
+	metric_count("http_unwritable", NULL, 1);
+	/* The value may be a secret of the caller's. */
+	log_warning("http-head", NULL,
+		    "the library refused the field \"%s\" of an answer", name);
+	return -1;
 }
 
 /*
  * Adds all fields of an answer's head to the library's response. Connection comes
  * first: libmicrohttpd 0.9.75 forgets, as it takes that field, which of those that
- * it writes by itself were added before, and writes them once more.
+ * it writes by itself were added before, and writes them once more. Returns -1 if
+ * one of them can't be written: an answer without it is another answer.
  */
-void http_call_add_fields(struct http_call *c, struct MHD_Response *r,
-			  int is_closing)
+int http_call_add_fields(const struct http_call *c, struct MHD_Response *r,
+			 int is_closing)
 {
 	int i;
 
-	if (is_closing)
-		add_field(r, "Connection", "close");
+	if (is_closing && add_field(r, "Connection", "close"))
+		return -1;
 	/* Without it, the library marks the end of a closing answer by the close. */
-	if (c->framing == FRAMING_CHUNKED)
-		add_field(r, "Transfer-Encoding", "chunked");
+	if (c->framing == FRAMING_CHUNKED &&
+	    add_field(r, "Transfer-Encoding", "chunked"))
+		return -1;
 	for (i = 0; i < c->header_count; i++)
-		add_field(r, c->headers[i].name, c->headers[i].value);
+		if (add_field(r, c->headers[i].name, c->headers[i].value))
+			return -1;
+	return 0;
 }
 
 static enum written_head describe_head(const struct http_call *c,
--- a/net/httpd-internal.h
+++ b/net/httpd-internal.h
@@ -106,10 +106,13 @@
 int http_call_lacks_room(const struct http_call *c);
 
 /* httpd-fields.c */
-void http_call_add_fields(struct http_call *c, struct MHD_Response *r,
-			  int is_closing);
+int http_call_add_fields(const struct http_call *c, struct MHD_Response *r,
+			 int is_closing);
 void http_call_record_written(struct http_call *c, int is_closing);
 
+/* httpd-error.c */
+enum MHD_Result http_call_queue_error(struct http_call *c, int status);
+
 /* httpd-body.c */
 int http_call_append_body(struct http_call *c, const char *data, size_t n);
 int http_call_find_refusal(const struct http_call *c);
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -14,9 +14,6 @@
 #include "base/metric.h"
 #include "net/cut.h"
 
-/* Retry delay of a request that is refused for want of memory. */
-#define NO_ROOM_RETRY_S "1"
-
 /* Answers that may lie unread as the next request comes. */
 #define UNREAD_MAX_BYTES (64 * 1024)
 
@@ -125,45 +122,6 @@
 					   "Content-Length");
 }
 
-static const char *error_reason(int status)
-{
-	switch (status) {
-	case MHD_HTTP_NOT_FOUND:
-		return "no-such-path";
-	case MHD_HTTP_CONTENT_TOO_LARGE:
-		return "body-too-large";
-	case MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE:
-		return "head-too-large";
-	}
-	return "memory";
-}
-
-static enum MHD_Result queue_error_answer(struct MHD_Connection *con,
-					  int status)
-{
-	int is_temporary = status == MHD_HTTP_SERVICE_UNAVAILABLE;
-	struct MHD_Response *r;
-	enum MHD_Result ret;
-	char text[192];
-	int n;
-
-	n = snprintf(text, sizeof(text),
-		     "{\"type\":\"about:blank\",\"status\":%d,"
-		     "\"outcome\":\"not-run\",\"reason\":\"%s\","
-		     "\"step\":\"request\",\"scope\":\"attempt\","
-		     "\"again\":\"%s\"}",
-		     status, error_reason(status),
-		     is_temporary ? "same" : "no");
-	r = MHD_create_response_from_buffer((size_t)n, text,
-					    MHD_RESPMEM_MUST_COPY);
-	MHD_add_response_header(r, "Content-Type", "application/problem+json");
-	if (is_temporary)
-		MHD_add_response_header(r, "Retry-After", NO_ROOM_RETRY_S);
-	ret = MHD_queue_response(con, (unsigned)status, r);
-	MHD_destroy_response(r);
-	return ret;
-}
-
 /* Suspends the connection and watches it for a hang-up.  Mutex held. */
 void http_call_suspend_locked(struct http_call *c)
 {
@@ -179,6 +137,35 @@
 	MHD_suspend_connection(c->connection);
 }
 
+/*
+ * Records that the caller has disconnected and notifies the handler.  The
+ * mutex is held, so that a handler that ends the call waits for this.
+ */
+static void mark_disconnected_locked(struct http_call *c)
+{
+	if (c->is_ended || c->is_disconnected)
+		return;
+	c->is_disconnected = 1;
+	if (c->on_drained)
+		c->on_drained(c->drained_arg);
+	if (c->on_disconnect)
+		c->on_disconnect(c->disconnect_arg);
+}
+
+/*
+ * Answers with a failure in place of a response whose head can't be written. Who
+ * writes the rest of that answer sees the caller as gone.
+ */
+static enum MHD_Result refuse_response(struct http_call *c,
+				       struct MHD_Response *r)
+{
+	MHD_destroy_response(r);
+	pthread_mutex_lock(&c->mutex);
+	mark_disconnected_locked(c);
+	pthread_mutex_unlock(&c->mutex);
+	return http_call_queue_error(c, MHD_HTTP_BAD_GATEWAY);
+}
+
 /*
  * Queues the response, or suspends the connection until there is one.
  * libmicrohttpd locks a response while it reads a stream, so its functions
@@ -202,7 +189,8 @@
 	r = c->response;
 	c->response = NULL;
 	pthread_mutex_unlock(&c->mutex);
-	http_call_add_fields(c, r, is_closing);
+	if (http_call_add_fields(c, r, is_closing))
+		return refuse_response(c, r);
 	http_call_record_written(c, is_closing);
 	guard_enter(&c->server->guard, c->guarded, INTAKE_ANSWER, c->reply_size,
 		    clock_now());
@@ -272,7 +260,7 @@
 		}
 		status = http_call_find_refusal(c);
 		if (status)
-			return queue_error_answer(con, status);
+			return http_call_queue_error(c, status);
 		return is_address_partitioned(c->peer) || is_ambiguous(con)
 			       ? MHD_NO
 			       : MHD_YES;
@@ -288,9 +276,9 @@
 	if (call_is_handled(c))
 		return queue_response(c);
 	if (!c->route)
-		return queue_error_answer(con, MHD_HTTP_NOT_FOUND);
+		return http_call_queue_error(c, MHD_HTTP_NOT_FOUND);
 	if (c->is_too_large)
-		return queue_error_answer(con, MHD_HTTP_CONTENT_TOO_LARGE);
+		return http_call_queue_error(c, MHD_HTTP_CONTENT_TOO_LARGE);
 	if (is_hung_up(con)) {
 		metric_count("http_abandoned", NULL, 1);
 		return MHD_NO;
@@ -311,21 +299,6 @@
 	MHD_resume_connection(c->connection);
 }
 
-/*
- * Records that the caller has disconnected and notifies the handler.  The
- * mutex is held, so that a handler that ends the call waits for this.
- */
-static void mark_disconnected_locked(struct http_call *c)
-{
-	if (c->is_ended || c->is_disconnected)
-		return;
-	c->is_disconnected = 1;
-	if (c->on_drained)
-		c->on_drained(c->drained_arg);
-	if (c->on_disconnect)
-		c->on_disconnect(c->disconnect_arg);
-}
-
 static void ref_call_on_hangup(void *arg)
 {
 	call_ref(arg);
--- a/t/helper/passed-on.py
+++ b/t/helper/passed-on.py
@@ -2,7 +2,7 @@
 
     passed-on.py ENTRY UPSTREAM [PID] <CASES
 
-Serves as the upstream and calls the entry. Each line of CASES has the words of a
+Serves as the upstream and calls the entry; with "-" for UPSTREAM, it only calls. Each line of CASES has the words of a
 shell: a name, and then any of
     status=CODE       of the upstream's answer, 200 without it
     field=NAME:VALUE  a further field of that answer, with \\x escapes
@@ -18,9 +18,11 @@
 Prints for each case the status, framing, end and size of the body, whether the
 answer says that its connection closes, whether it does ("open": one more request
 was answered on it), the fields that are not of each answer, and what is wrong.
-The time now is printed as "now" where it stands for a Date.
+The time now is printed as "now" where it stands for a Date. The reason in a
+document of a problem stands before the fields.
 """
 import email.utils
+import json
 import os
 import shlex
 import signal
@@ -135,20 +137,29 @@
     return "%s=[%s]" % (name.decode("latin1"), text)
 
 
-def find_state(reader, case):
+def find_reason(answer):
+    if answer.value("Content-Type") != "application/problem+json":
+        return ""
+    return json.loads(answer.body)["reason"] + " " if answer.body else ""
+
+
+def find_state(reader, case, status):
     """Returns whether the connection serves another request."""
+    more = Case("more")
+    if sys.argv[2] == "-":
+        more = case
     try:
-        send(reader.connection, Case("more"), "/plain/more",
-             case.name + "-more")
+        send(reader.connection, more, more.path, case.name + "-more")
         reader.connection.settimeout(5)
-        more = reader.read()
+        again = reader.read(more.method, more.version)
     except OSError:
         return "closed"
-    if more.end == "none" or more.end == "reset":
+    if again.end == "none" or again.end == "reset":
         return "closed"
-    is_next = (more.status == 200 and more.body == b"ok" and not more.faults)
+    is_next = again.end == "whole" and not again.faults and (
+        again.status == status if more is case else again.body == b"ok")
     return "open" if is_next else "%d %s %r %s" % (
-        more.status, more.end, more.body[:60], more.faults)
+        again.status, again.end, again.body[:60], again.faults)
 
 
 def ask(case, results):
@@ -160,13 +171,13 @@
         rest = reader.read_rest()
         if rest:
             a.faults.append("bytes after the answer: %r" % rest[:60])
-        state = find_state(reader, case)
+        state = find_state(reader, case, a.status)
     fields = [show(n, v) for n, v in a.fields
               if n.decode("latin1").lower() not in USUAL]
-    results[case.name] = "%s: %d %s %s %d%s, %s, %s%s" % (
+    results[case.name] = "%s: %d %s %s %d%s, %s, %s%s%s" % (
         case.name, a.status, a.framing, a.end, len(a.body),
-        " closing" if a.will_close() else "", state, " ".join(fields),
-        "".join("\n  " + f for f in a.faults))
+        " closing" if a.will_close() else "", state, find_reason(a),
+        " ".join(fields), "".join("\n  " + f for f in a.faults))
 
 
 def main():
@@ -174,9 +185,10 @@
         if line.strip():
             case = Case(line)
             cases[case.name] = case
-    host, port = sys.argv[2].split(":")
-    listener = socket.create_server((host, int(port)))
-    threading.Thread(target=accept, args=(listener,), daemon=True).start()
+    if sys.argv[2] != "-":
+        host, port = sys.argv[2].split(":")
+        listener = socket.create_server((host, int(port)))
+        threading.Thread(target=accept, args=(listener,), daemon=True).start()
     results, threads = {}, []
     for case in cases.values():
         threads.append(threading.Thread(target=ask, args=(case, results)))
--- a/t/t1055-passed-on-fields.sh
+++ b/t/t1055-passed-on-fields.sh
@@ -81,4 +81,12 @@
 	test_cmp expect fields
 '
 
+# Guards against an answer with its stamp that lacks one of its fields.
+test_expect_success 'an answer with a field that has no valid name is a failure' '
+	echo "name \"field=X Bad:1\"" | passed_on >actual &&
+	cat actual &&
+	grep "^name: 502 length whole .*, open, " actual &&
+	! grep Stamp actual
+'
+
 test_done
