httpd: say in a server's own errors that it closes

Callers whose request was refused by the server itself (unknown path, body or head too large, no memory, unwritable head) kept their connections to a process that stops, and sent their next request to it. http_call_queue_error() did not look whether connections are to close, as all other answers do.

It names Connection now, by the same function that looks at the library's word.

--- a/net/httpd-error.c
+++ b/net/httpd-error.c
@@ -46,9 +46,11 @@
 				  : "no");
 	r = MHD_create_response_from_buffer((size_t)n, text,
 					    MHD_RESPMEM_MUST_COPY);
-	MHD_add_response_header(r, "Content-Type", "application/problem+json");
+	if (__atomic_load_n(&c->server->closing, __ATOMIC_RELAXED))
+		http_add_field(r, "Connection", "close");
+	http_add_field(r, "Content-Type", "application/problem+json");
 	if (is_temporary)
-		MHD_add_response_header(r, "Retry-After", NO_ROOM_RETRY_S);
+		http_add_field(r, "Retry-After", NO_ROOM_RETRY_S);
 	ret = MHD_queue_response(c->connection, (unsigned)status, r);
 	MHD_destroy_response(r);
 	return ret;
--- a/net/httpd-fields.c
+++ b/net/httpd-fields.c
@@ -13,8 +13,7 @@
 };
 
 /* Adds a field. Returns -1 if the library does not take it. */
-static int add_field(struct MHD_Response *r, const char *name,
-		     const char *value)
+int http_add_field(struct MHD_Response *r, const char *name, const char *value)
 {
 	/* The library takes no empty value; readers ignore blanks around one. */
 	if (MHD_add_response_header(r, name, *value ? value : " ") == MHD_YES)
@@ -37,14 +36,14 @@
 {
 	int i;
 
-	if (is_closing && add_field(r, "Connection", "close"))
+	if (is_closing && http_add_field(r, "Connection", "close"))
 		return -1;
 	/* Without it, the library marks the end of a closing answer by the close. */
 	if (c->framing == FRAMING_CHUNKED &&
-	    add_field(r, "Transfer-Encoding", "chunked"))
+	    http_add_field(r, "Transfer-Encoding", "chunked"))
 		return -1;
 	for (i = 0; i < c->header_count; i++)
-		if (add_field(r, c->headers[i].name, c->headers[i].value))
+		if (http_add_field(r, c->headers[i].name, c->headers[i].value))
 			return -1;
 	return 0;
 }
--- a/net/httpd-internal.h
+++ b/net/httpd-internal.h
@@ -106,6 +106,7 @@
 int http_call_lacks_room(const struct http_call *c);
 
 /* httpd-fields.c */
+int http_add_field(struct MHD_Response *r, const char *name, const char *value);
 int http_call_add_fields(const struct http_call *c, struct MHD_Response *r,
 			 int is_closing);
 void http_call_record_written(struct http_call *c, int is_closing);
--- a/t/helper/head-server.c
+++ b/t/helper/head-server.c
@@ -1,5 +1,6 @@
 #include <apr_general.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,8 +14,9 @@
  * A server whose answers have the field that the query names:
  *     head-server ADDRESS PORT
  * /reply?name=NAME&value=VALUE answers at once, and /stream with chunks that come
- * 50 ms later; /metrics has the metrics. Prints whether each stream's writer saw
- * the caller as gone.
+ * 50 ms later; /twice names its type twice; /metrics has the metrics. Prints whether
+ * each stream's writer saw the caller as gone. After SIGUSR1, connections close after
+ * their answers.
  */
 
 #define STREAM_PAUSE_US (50 * 1000)
@@ -34,6 +36,14 @@
 	http_call_reply(c, 200, "text/plain", "ok", 2);
 }
 
+static void serve_twice(struct http_call *c, void *arg)
+{
+	http_call_set(c, "content-type", "text/html");
+	http_call_set(c, "Date", "Mon, 01 Jan 2024 00:00:00 GMT");
+	http_call_set(c, "Date", "Tue, 02 Jan 2024 00:00:00 GMT");
+	http_call_reply(c, 200, "text/plain", "ok", 2);
+}
+
 static void serve_metrics(struct http_call *c, void *arg)
 {
 	char *text = metric_prometheus();
@@ -68,6 +78,9 @@
 static const struct http_route routes[] = {
 	{ "GET", "/reply", 0, serve_reply, NULL },
 	{ "GET", "/stream", 0, serve_stream, NULL },
+	{ "GET", "/twice", 0, serve_twice, NULL },
+	{ "POST", "/post", 10, serve_reply, NULL },
+	{ NULL, "/any", 0, serve_reply, NULL },
 	{ "GET", "/metrics", 0, serve_metrics, NULL },
 	{ NULL }
 };
@@ -75,15 +88,23 @@
 int main(int argc, char **argv)
 {
 	struct error err = ERROR_INIT;
+	struct httpd *server;
+	sigset_t signals;
+	int caught;
 
 	if (argc < 3)
 		return 2;
 	apr_initialize();
 	log_init("head-server", "head-server", LOG_SEV_WARNING);
-	if (!httpd_start(argv[1], atoi(argv[2]), routes, 1, &err)) {
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGUSR1);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	server = httpd_start(argv[1], atoi(argv[2]), routes, 1, &err);
+	if (!server) {
 		fprintf(stderr, "%s\n", err.text);
 		return 2;
 	}
-	pause();
+	while (!sigwait(&signals, &caught))
+		httpd_close_after_answers(server);
 	return 0;
 }
--- a/t/helper/passed-on.py
+++ b/t/helper/passed-on.py
@@ -12,6 +12,7 @@
                       stream), none (no body, no field of framing), or spurious
                       (chunks, also where none may be)
     method=, version=, path=, ask=NAME:VALUE  of the request
+    raw=BYTES         sent in place of a request, with \\x escapes
 With PID, all requests are sent first; once all of them have reached the upstream
 that process gets SIGTERM, and they are answered 0.3 s later.
 
@@ -41,6 +42,10 @@
 all_arrived = threading.Event()
 
 
+def unescape(text):
+    return text.encode().decode("unicode_escape").encode("latin1")
+
+
 class Case:
     def __init__(self, line):
         self.name, *words = shlex.split(line)
@@ -48,11 +53,13 @@
         self.method, self.version = "GET", "1.1"
         self.path = "/plain/" + self.name
         self.fields, self.asked, self.interim = [], [], None
+        self.raw = None
         for word in words:
             key, _, value = word.partition("=")
             if key == "field":
-                self.fields.append(value.encode().decode("unicode_escape")
-                                   .encode("latin1"))
+                self.fields.append(unescape(value))
+            elif key == "raw":
+                self.raw = unescape(value)
             elif key == "ask":
                 self.asked.append(tuple(value.split(":", 1)))
             else:
@@ -124,8 +131,9 @@
 def send(connection, case, path, request_id):
     fields = [("Host", "a.example"), ("X-Limpetflow-Request-Id", request_id),
               ("X-Limpetflow-Deadline-Ms", "3000")] + case.asked
-    connection.sendall(make_request(case.method, path, fields,
-                                    version=case.version))
+    connection.sendall(case.raw or make_request(case.method, path,
+                                                fields,
+                                                version=case.version))
 
 
 def show(name, value):
