httpd: write Content-Type and Date once

Callers of an upstream that names its type twice got both fields, of which readers take either; the same was possible for any answer whose handler sets a field that http_call_reply() sets as well. Both fields have one value (RFC 9110, 6.6.1, 8.3).

http_call_set() lets a later one replace an earlier one: the last type is also the one by which an entry decides that an answer is a stream. Without the change, t1058 reads "field twice: content-type", and t1055 finds two types.

--- a/net/httpd-answer.c
+++ b/net/httpd-answer.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "base/clock.h"
 #include "net/cut.h"
@@ -22,10 +23,36 @@
 /* Maximum size of an answer that is held until its length is known. */
 #define HELD_MAX_BYTES (256 * 1024)
 
-/* Adds a response header.  Call before the answer starts. */
+/* Returns the header of a name that an answer has once, NULL: none. Mutex held. */
+static struct reply_header *find_singleton(struct http_call *c,
+					   const char *name)
+{
+	int i;
+
+	if (strcasecmp(name, "Content-Type") && strcasecmp(name, "Date"))
+		return NULL;
+	for (i = 0; i < c->header_count; i++)
+		if (!strcasecmp(c->headers[i].name, name))
+			return &c->headers[i];
+	return NULL;
+}
+
+/*
+ * Adds a response header; a later Content-Type or Date replaces an earlier one.
+ * Call before the answer starts.
+ */
 void http_call_set(struct http_call *c, const char *name, const char *value)
 {
+	struct reply_header *h;
+
 	pthread_mutex_lock(&c->mutex);
+	h = find_singleton(c, name);
+	if (h) {
+		free(h->value);
+		h->value = strdup(value);
+		pthread_mutex_unlock(&c->mutex);
+		return;
+	}
 	if (c->header_count == c->header_capacity) {
 		int to = c->header_capacity ? c->header_capacity * 2
 					    : HEADERS_FIRST;
--- a/t/t1055-passed-on-fields.sh
+++ b/t/t1055-passed-on-fields.sh
@@ -81,6 +81,14 @@
 	test_cmp expect fields
 '
 
+# Guards against two types, of which readers take either. Streams go by the last one.
+test_expect_success 'of two types, the last one is passed on' '
+	echo "types field=Content-Type:text/html field=content-type:text/plain" |
+		passed_on >actual &&
+	grep "Content-Type=.text/plain. " actual &&
+	! grep "field twice" actual
+'
+
 # Guards against an answer with its stamp that lacks one of its fields.
 test_expect_success 'an answer with a field that has no valid name is a failure' '
 	echo "name \"field=X Bad:1\"" | passed_on >actual &&
--- a/t/t1058-own-heads.sh
+++ b/t/t1058-own-heads.sh
@@ -32,6 +32,7 @@
 unwritable-close "path=/reply?name=X%20Bad" ask=Connection:close
 large "raw=POST /post HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n"
 version "raw=GET / HTTP/2.0\r\nHost: a\r\n\r\n"
+twice path=/twice
 noise "raw=noise\r\n\r\n"
 chunks "raw=POST /post HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
 EOF
@@ -63,6 +64,7 @@
 	unwritable-close: 502 length whole 133 closing, closed, unwritable-head Content-Type=[application/problem+json]
 	large: 413 length whole 129 closing, closed, body-too-large Content-Type=[application/problem+json]
 	version: 505 length whole 133 closing, closed,
+	twice: 200 length whole 2, open, content-type=[text/plain] Date=[Tue, 02 Jan 2024 00:00:00 GMT]
 	noise: 0 none none 0, closed,
 	chunks: 400 length whole 126 closing, closed,
 	long: 414 length whole 143 closing, closed,
@@ -94,6 +96,7 @@
 	unwritable-close: 502 length whole 133 closing, closed, unwritable-head Content-Type=[application/problem+json]
 	large: 413 length whole 129 closing, closed, body-too-large Content-Type=[application/problem+json]
 	version: 505 length whole 133 closing, closed,
+	twice: 200 length whole 2 closing, closed, content-type=[text/plain] Date=[Tue, 02 Jan 2024 00:00:00 GMT]
 	noise: 0 none none 0, closed,
 	chunks: 400 length whole 126 closing, closed,
 	long: 414 length whole 143 closing, closed,
