t1058: known red: the library's pages with two heads

Callers that send a Content-Length that is no number, or more cookies than the memory of a connection holds, get an answer whose body begins with a second head: "HTTP/1.1 431 ..., Content-Length: 143", and then the same lines once more, so that its last bytes lie after its end.

libmicrohttpd 0.9.75 queues this answer while it looks through the fields, and then goes on as if there were none, so that it writes the head of it again. All three forms in t1058 show it: a length that is no number (400), one that is too large (413), 600 cookies (431). No callback of this program comes between the fields and that answer.

--- a/t/t1058-own-heads.sh
+++ b/t/t1058-own-heads.sh
@@ -104,4 +104,15 @@
 	test_cmp expect actual
 '
 
+# Guards against pages of the library whose body begins with a second head.
+test_expect_success 'the answer to a bad length or to many cookies has one head' '
+	ask >actual <<-EOF &&
+	length "raw=POST /post HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n"
+	huge "raw=POST /post HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999999999\r\n\r\n"
+	cookies "ask=Cookie:$(printf "a=b; %.0s" $(seq 600))" path=/reply
+	EOF
+	cut -c 1-200 actual &&
+	! grep -A1 "bytes after the answer" actual
+'
+
 test_done
