httpd: refuse requests with a head that HTTP doesn't allow

Of 60 forms of invalid heads that t1052 sends as raw bytes, an entry took 40 for requests: two codings, two lengths (with 0 and more, the body ran as a request of its own), folded lines, a bare CR or NUL inside of a line, a blank before the colon, no Host or two, blanks in the target, any bytes as a method. Codings that are not known held the connection until the caller gave up (5 forms); chunks beside a length closed it without an answer. Another proxy on the way reads such a head differently (request smuggling).

Cause: libmicrohttpd is lenient, and the fields that it returns were taken for what was sent.

An invalid request gets 400 (bad-head, not-run), its connection closes, and nothing behind it is read; http_refused_head counts the cause, and a log line names it.

Behind a good request on the same connection, that one is answered and the bad one refused.

--- a/net/httpd-body.c
+++ b/net/httpd-body.c
@@ -53,10 +53,15 @@
 
 /*
  * Returns the status with which a request is refused before its body is read, 0
- * for none: its head or length is above the limit, or there is no memory for it now.
+ * for none: its head is invalid, its head or length is above the limit, or there is
+ * no memory for it now.
  */
 int http_call_find_refusal(const struct http_call *c)
 {
+	if (c->head_fault) {
+		http_call_record_head_fault(c);
+		return MHD_HTTP_BAD_REQUEST;
+	}
 	if (http_call_lacks_room(c))
 		return MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
 	if (!c->route || !c->body_expected)
--- a/net/httpd-error.c
+++ b/net/httpd-error.c
@@ -8,6 +8,8 @@
 static const char *error_reason(int status)
 {
 	switch (status) {
+	case MHD_HTTP_BAD_REQUEST:
+		return "bad-head";
 	case MHD_HTTP_NOT_FOUND:
 		return "no-such-path";
 	case MHD_HTTP_CONTENT_TOO_LARGE:
@@ -46,7 +48,9 @@
 				  : "no");
 	r = MHD_create_response_from_buffer((size_t)n, text,
 					    MHD_RESPMEM_MUST_COPY);
-	if (__atomic_load_n(&c->server->closing, __ATOMIC_RELAXED))
+	/* Behind a bad head, it is not known where the next request begins. */
+	if (status == MHD_HTTP_BAD_REQUEST ||
+	    __atomic_load_n(&c->server->closing, __ATOMIC_RELAXED))
 		http_add_field(r, "Connection", "close");
 	http_add_field(r, "Content-Type", "application/problem+json");
 	if (is_temporary)
--- a/net/httpd-internal.h
+++ b/net/httpd-internal.h
@@ -65,6 +65,7 @@
 	size_t body_expected; /* by its Content-Length, 0: not named */
 	int is_too_large;
 	int is_http_1_0;
+	const char *head_fault; /* why its head is refused, NULL: it is valid */
 	size_t fields_size; /* of the request's head without its first line */
 	size_t answer_room; /* for the head of its answer */
 
@@ -104,6 +105,10 @@
 			    const char *method);
 void http_call_record_refused_head(const struct http_call *c);
 int http_call_lacks_room(const struct http_call *c);
+const char *http_call_find_head_fault(const struct http_call *c,
+				      const char *method, const char *path,
+				      const char *version);
+void http_call_record_head_fault(const struct http_call *c);
 
 /* httpd-fields.c */
 int http_add_field(struct MHD_Response *r, const char *name, const char *value);
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -100,6 +100,7 @@
 	c->body_expected = length ? strtoull(length, NULL, 10) : 0;
 	guard_enter(&h->guard, c->guarded, INTAKE_BODY, 0, clock_now());
 	c->is_http_1_0 = !strcmp(version, MHD_HTTP_VERSION_1_0);
+	c->head_fault = http_call_find_head_fault(c, method, path, version);
 	c->method = strdup(method);
 	c->path = strdup(path);
 	c->route = find_route(h, method, path);
@@ -110,18 +111,6 @@
 			  c->peer, sizeof(c->peer));
 }
 
-/*
- * Returns 1 for a request with both Transfer-Encoding and Content-Length,
- * which a proxy on the way may parse differently (request smuggling).
- */
-static int is_ambiguous(struct MHD_Connection *con)
-{
-	return MHD_lookup_connection_value(con, MHD_HEADER_KIND,
-					   "Transfer-Encoding") &&
-	       MHD_lookup_connection_value(con, MHD_HEADER_KIND,
-					   "Content-Length");
-}
-
 /* Suspends the connection and watches it for a hang-up.  Mutex held. */
 void http_call_suspend_locked(struct http_call *c)
 {
@@ -261,9 +250,7 @@
 		status = http_call_find_refusal(c);
 		if (status)
 			return http_call_queue_error(c, status);
-		return is_address_partitioned(c->peer) || is_ambiguous(con)
-			       ? MHD_NO
-			       : MHD_YES;
+		return is_address_partitioned(c->peer) ? MHD_NO : MHD_YES;
 	}
 	if (*upload_data_size) {
 		guard_record_bytes(&h->guard, c->guarded, *upload_data_size,
--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -47,6 +47,7 @@
     GET /test/ended   the number of answers without end that the peer closed
     GET /test/hung    the number of answers of a form with "hang" or "stall"
     GET /test/runs    how often each request was run rather than refused
+    GET /test/received  head and body of each of the first requests, as they came
     GET /test/sent    the largest number of bytes sent in one of them
 """
 import functools
@@ -70,9 +71,10 @@
 LARGE = bytes(range(256)) * (24 * 1024 * 4)
 MANY_EVENTS = 6000
 MANY_DATA = b"x" * 4096
+RECEIVED_MAX = 1000
 
 state = {"lock": threading.Lock(), "ended": 0, "sent": 0, "hung": 0,
-         "requests": set(), "runs": {}}
+         "requests": set(), "runs": {}, "received": {}}
 
 STATUS_LINES = {"200": b"200 OK", "421": b"421 Misdirected Request",
                 "429": b"429 Too Many Requests",
@@ -298,17 +300,25 @@
 
 def read_request(file):
     """Returns the path and the headers, or None at the end."""
-    line = file.readline().split()
+    head = file.readline()
+    line = head.split()
     headers = {}
     if len(line) < 2:
         return None
     while True:
-        text = file.readline().strip()
+        text = file.readline()
+        head += text
+        text = text.strip()
         if not text:
             break
         name, _, value = text.partition(b":")
         headers[name.lower()] = value.strip()
-    file.read(int(headers.get(b"content-length", 0)))
+    body = file.read(int(headers.get(b"content-length", 0)))
+    key = headers.get(b"x-limpetflow-request-id", b"").decode()
+    with state["lock"]:
+        if len(state["received"]) < RECEIVED_MAX:
+            state["received"][key] = {"head": head.decode("latin1"),
+                                      "body": body.decode("latin1")}
     return line[1].decode(), headers
 
 
