httpd: cut the blanks behind a field's value

A proper request with a blank behind its Host got 404 (no-such-route), as libmicrohttpd 0.9.75 keeps blanks there and the route was looked up with them. Blanks around a value are no part of it (RFC 9110, 5.5).

--- a/net/httpd-head.c
+++ b/net/httpd-head.c
@@ -73,6 +73,16 @@
 	return to < from + min || to > from + max;
 }
 
+/*
+ * Cuts the blanks behind a value, which are no part of it (RFC 9110, 5.5). The
+ * library keeps them; the value lies in the buffer into which it read the head.
+ */
+static void trim_value(const char *value, size_t size)
+{
+	while (size && is_blank(value[size - 1]))
+		((char *)(uintptr_t)value)[--size] = '\0';
+}
+
 static enum MHD_Result check_field(void *cls, enum MHD_ValueKind kind,
 				   const char *name, size_t name_size,
 				   const char *value, size_t value_size)
@@ -92,6 +102,7 @@
 	    !strcasecmp(name, MHD_HTTP_HEADER_TRANSFER_ENCODING))
 		k->has_unread_coding = 1;
 	message_head_add_field(&k->head, name, name_size, value, value_size);
+	trim_value(value, value_size);
 	return MHD_YES;
 }
 
--- a/t/helper/invalid-requests.py
+++ b/t/helper/invalid-requests.py
@@ -95,6 +95,10 @@
         "trailer-first-empty": trailer(b": 1\r\n" + INNER),
         "trailer-first-nul": trailer(b"\0: 1\r\n" + INNER),
     },
+    "values": {
+        "host-blank": get(b"", host=b"Host: a.example \t \r\n"),
+        "hop-blank": get(b"Connection: x-one \r\nX-One: 1\r\n"),
+    },
     "absolute": {
         "absolute": first(b"GET http://a.example" + PATH + b" HTTP/1.1"),
     },
--- a/t/t1052-invalid-requests.sh
+++ b/t/t1052-invalid-requests.sh
@@ -195,4 +195,13 @@
 	refused trailer-first-empty trailer-first-nul | test_forms trailer-first
 '
 
+# Guards against blanks that become a part of a value, so that no route has the
+# host.
+test_expect_success 'blanks behind a value are no part of it' '
+	test_forms values <<-\EOF
+	host-blank 200 200 open it next
+	hop-blank 200 200 open it next
+	EOF
+'
+
 test_done
