httpd: let newer versions of libmicrohttpd refuse folded lines

The check of a head's layout holds for libmicrohttpd before 0.9.77 only. Newer ones join a folded line to its value, and take a bare CR for a blank, unless MHD_OPTION_CLIENT_DISCIPLINE_LVL is 1: with that they refuse both.

Not run: only 0.9.75 is installed here.

--- a/net/httpd.c
+++ b/net/httpd.c
@@ -14,6 +14,16 @@
 #include "base/metric.h"
 #include "net/cut.h"
 
+/*
+ * From 0.9.77 on, libmicrohttpd refuses by itself what http_call_find_head_fault()
+ * can't see in its fields then: folded lines, and a bare CR as a blank or line end.
+ */
+#if MHD_VERSION >= 0x00097701
+#define STRICT_OPTIONS MHD_OPTION_CLIENT_DISCIPLINE_LVL, 1,
+#else
+#define STRICT_OPTIONS
+#endif
+
 /* Answers that may lie unread as the next request comes. */
 #define UNREAD_MAX_BYTES (64 * 1024)
 
@@ -407,7 +417,8 @@
 		MHD_OPTION_CONNECTION_LIMIT, guard_connections_max(),
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 		(size_t)HTTP_CONNECTION_BYTES,
-		threads > 1 ? MHD_OPTION_THREAD_POOL_SIZE : MHD_OPTION_END,
+		STRICT_OPTIONS threads > 1 ? MHD_OPTION_THREAD_POOL_SIZE
+					   : MHD_OPTION_END,
 		(unsigned)threads, MHD_OPTION_END);
 	if (!h->daemon) {
 		hangup_stop(h->hangups);
