--- a/t/helper/strict-caller.py
+++ b/t/helper/strict-caller.py
@@ -16,6 +16,7 @@
 from strict_reader import StrictReader, connect, make_request
 
 PAUSE_S = 0.01
+CLOSE_S = 4  # after an answer that is the last one of its connection
 lock = threading.Lock()
 count = 0
 
@@ -45,6 +46,8 @@
     answer = reader.read(method, version)
     if rest:
         answer.faults.append("bytes after the last answer: %r" % rest[:80])
+    if answer.end == "whole" and answer.will_close():
+        answer.faults += reader.find_end_faults(CLOSE_S)
     with lock:
         print(json.dumps({"path": path, "words": words,
                           "status": answer.status, "framing": answer.framing,
--- a/t/helper/strict_reader.py
+++ b/t/helper/strict_reader.py
@@ -6,11 +6,14 @@
 """
 import re
 import socket
+import time
 
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
 STATUS_LINE = re.compile(rb"HTTP/1\.1 ([1-5][0-9][0-9]) [\t\x20-\x7e\x80-\xff]*")
-CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,15}")
+VERSION = b"HTTP/1.1 "
+CHUNK_SIZE = re.compile(rb"0|[1-9A-Fa-f][0-9A-Fa-f]{0,14}")
+LENGTH = re.compile("0|[1-9][0-9]{0,14}")
 # Fields that an answer may have more than once (RFC 9110, 5.3).
 REPEATABLE = {b"set-cookie", b"www-authenticate", b"via", b"link", b"warning"}
 HEAD_MAX_BYTES = 256 * 1024
@@ -26,11 +29,12 @@
 
     def __init__(self):
         self.status = 0
+        self.version = "1.1"  # of the request
         self.line = b""
         self.fields = []
         self.interim = []
         self.framing = "none"
-        self.body = b""
+        self.body = bytearray()
         self.trailers = []
         self.end = "none"
         self.faults = []
@@ -52,12 +56,18 @@
             "text/event-stream")
 
     def will_close(self):
-        return "close" in (self.value("Connection") or "").lower()
+        """Returns whether the sender closes the connection after this answer."""
+        options = [o.strip().lower() for v in self.values("Connection")
+                   for o in v.split(",")]
+        if self.framing == "close" or "close" in options:
+            return True
+        return self.version == "1.0" and "keep-alive" not in options
 
 
 class StrictReader:
-    """Reads the answers on one connection. repeatable: names, in lower case, of
-    further fields that may stand more than once."""
+    """Reads the answers on one connection, of requests that are sent one after
+    the other. repeatable: names, in lower case, of further fields that may stand
+    more than once."""
 
     def __init__(self, connection, repeatable=()):
         self.connection = connection
@@ -106,8 +116,9 @@
         if not found:
             self.fault("status line: %r" % line)
             raise Broken("bad")
-        a.line, a.status = line, int(found[1])
+        a.line = line
         a.fields = self.read_fields()
+        a.status = int(found[1])
         seen = set()
         for name in (n.lower() for n, _ in a.fields):
             if name in seen and name not in self.repeatable:
@@ -123,9 +134,11 @@
             self.fault("chunks and a length")
         if codings and codings != ["chunked"]:
             self.fault("coding: %s" % codings)
-        if any(not re.fullmatch("[0-9]+", v) for v in lengths):
+        if any(not LENGTH.fullmatch(v) for v in lengths):
             self.fault("length: %s" % lengths)
             raise Broken("bad")
+        if len(set(lengths)) > 1:
+            raise Broken("bad")
         if a.status < 200 or a.status == 204:
             if codings or lengths:
                 self.fault("framing of a status without a body")
@@ -142,6 +155,8 @@
             a.framing = "length"
             return int(lengths[0])
         a.framing = "close"
+        if version != "1.0":
+            self.fault("neither chunks nor a length")
         return -1
 
     def read_bytes(self, size):
@@ -162,6 +177,8 @@
             size = int(line, 16)
             if not size:
                 self.answer.trailers = self.read_fields()
+                if self.answer.trailers:
+                    self.fault("trailers: %s" % self.answer.trailers)
                 return
             self.read_bytes(size)
             while len(self.data) < 2:
@@ -171,14 +188,19 @@
                 raise Broken("bad")
             self.data = self.data[2:]
 
-    def read_whole(self, method, version):
+    def read_whole(self, method, version, is_continued):
         a = self.answer
         while True:
             self.read_head()
             size = self.find_framing(method, version)
-            if a.status >= 200 or a.status == 101:
+            if a.status >= 200:
                 break
+            if a.status != 100 or a.interim or not is_continued:
+                self.fault("status %d that nobody asked for" % a.status)
+            if a.status == 101:
+                raise Broken("bad")
             a.interim.append((a.status, a.fields))
+            a.status, a.fields = 0, []
         if a.framing == "chunked":
             self.read_chunks()
         elif a.framing == "close":
@@ -187,13 +209,17 @@
         else:
             self.read_bytes(size)
 
-    def read(self, method="GET", version="1.1"):
-        """Returns the next answer; it has no answer's bytes after its end that
-        came with it, unless `data` holds them."""
+    def read(self, method="GET", version="1.1", is_continued=False):
+        """Returns the answer of the request that was sent last; is_continued: it
+        had "Expect: 100-continue". Bytes after the end that came with it are a
+        fault, and stay for read_rest() or read_end()."""
         self.answer = a = Answer()
+        a.version = version
         try:
-            self.read_whole(method, version)
+            self.read_whole(method, version, is_continued)
             a.end = "whole"
+            if self.data:
+                self.fault("bytes after the end: %r" % self.data[:80])
         except Broken as broken:
             a.end = str(broken)
         except TimeoutError:
@@ -202,10 +228,38 @@
             a.end = "reset"
         if a.end == "closed" and a.framing != "close":
             a.end = "cut" if a.raw_head or self.data else "none"
+        if not a.line and not VERSION.startswith(self.data[:len(VERSION)]):
+            a.end = "bad"
         if a.end == "bad" and not a.faults:
             self.fault("no head of HTTP")
         return a
 
+    def read_end(self, bound_s):
+        """Waits for the end of the connection after its last answer. Returns
+        "closed", "reset" or "open", and the bytes that came before."""
+        end, until = "open", time.monotonic() + bound_s
+        try:
+            while until > time.monotonic():
+                self.connection.settimeout(max(0.001,
+                                               until - time.monotonic()))
+                self.receive()
+        except Broken:
+            end = "closed"
+        except TimeoutError:
+            pass
+        except ConnectionError:
+            end = "reset"
+        rest, self.data = self.data, b""
+        return end, rest
+
+    def find_end_faults(self, bound_s):
+        """Returns what is wrong after an answer that is to be the last one."""
+        end, rest = self.read_end(bound_s)
+        faults = ["bytes after the last answer: %r" % rest[:80]] if rest else []
+        if end == "open":
+            faults.append("not closed after the last answer")
+        return faults
+
     def read_rest(self):
         """Returns the bytes that came after the last answer and are none of
         one that was asked for."""
