soak: callers read answers strictly, upstreams frame them in every way

Callers use strict_reader.py now. New promises: "heads are strict HTTP" (no fault in any answer), "nothing follows the last answer" (no bytes before the next request, at the end of a connection and after an answer that is the last one), "a last answer is followed by the close" within 2 s (with bounds), and "kept connections take requests" of entries that nothing disturbed. Upstreams frame their answers by length, chunks or close, with and without Date and an empty field, and write refusals twice, at once or where the next answer is due. Relays pass a reset on as one, as a close is the end of an answer without a length. What the judge allows is unchanged, as are the schedules.

--- a/t/soak/callers.py
+++ b/t/soak/callers.py
@@ -1,12 +1,14 @@
 """Callers of the soak: they ask entries, and note what came."""
-import http.client
 import json
 import random
 import time
 
 from engine import EVENTS
+from strict_reader import StrictReader, connect, make_request
 
 DEADLINES_MS = {"gen": 6000}
+SILENT_S = 8  # of a connection
+CLOSE_S = 2  # after the last answer of a connection, until it is closed
 
 
 class Callers:
@@ -14,18 +16,27 @@
 
     def caller(self, e, seed, kinds):
         r = random.Random(seed)
-        connection = None
+        reader = None
         while not self.stop:
-            if connection is None:
-                connection = http.client.HTTPConnection(e.ip, 8000, timeout=8)
             kind = r.choice(kinds)
-            if not self.ask(e, connection, kind, r):
-                connection.close()
-                connection = None
+            reader = self.ask(e, reader, kind, r)
+            if reader is None:
                 time.sleep(0.05)
             time.sleep(r.uniform(0, 0.08))
+        self.close(reader)
 
-    def ask(self, e, connection, kind, r):
+    def close(self, reader):
+        if reader:
+            self.rest_check(reader.read_rest())
+            reader.connection.close()
+
+    def rest_check(self, rest):
+        self.check("nothing follows the last answer", not rest,
+                   f"{rest[:200]}")
+
+    def ask(self, e, reader, kind, r):
+        """Asks on a connection, or on a new one.  Returns its reader, or None
+        when it has ended."""
         with self.lock:
             self.number += 1
             id = f"r{self.number}"
@@ -40,29 +51,61 @@
                   "sent": time.monotonic(), "status": 0, "error": "",
                   "began": False, "whole": False}
         self.records[id] = record
+        is_kept = reader is not None
         try:
-            connection.request("GET", path, headers={
-                "Host": "a.example", "X-Limpetflow-Request-Id": id,
-                "X-Limpetflow-Deadline-Ms": str(DEADLINES_MS.get(kind, 2000)),
-                "X-Limpetflow-Model": "m",
-                "Authorization": f"Bearer {key}"})
-            answer = connection.getresponse()
-            record["status"] = answer.status
-            record["leaving"] = answer.getheader("Server-Leaving")
-            record["limit"] = answer.getheader("Server-Limit")
-            record["stamp"] = answer.getheader("X-Limpetflow-Response-Stamp")
-            body = answer.read1(65536)
-            record["began"] = bool(body)
-            body += answer.read()
-            record["whole"] = True
-            self.answer_check(id, record, answer, body)
-            return not answer.will_close
-        except (OSError, http.client.HTTPException) as error:
+            if reader is None:
+                reader = StrictReader(connect(f"{e.ip}:8000", SILENT_S))
+            self.rest_check(reader.read_rest())
+            reader.connection.settimeout(SILENT_S)
+            reader.connection.sendall(make_request("GET", path, [
+                ("Host", "a.example"), ("X-Limpetflow-Request-Id", id),
+                ("X-Limpetflow-Deadline-Ms",
+                 str(DEADLINES_MS.get(kind, 2000))),
+                ("X-Limpetflow-Model", "m"),
+                ("Authorization", f"Bearer {key}")]))
+            answer = reader.read()
+            self.note(id, record, answer)
+            if is_kept:
+                calm = e.disturbed < record["sent"] and not e.stopping
+                self.check("kept connections take requests",
+                           answer.end != "none" or not calm, id)
+            if answer.end == "whole":
+                if not answer.will_close():
+                    return reader
+                self.end_check(e, id, record, reader)
+        except OSError as error:
             record["error"] = repr(error)
-            return False
         finally:
-            record["done"] = time.monotonic()
+            record.setdefault("done", time.monotonic())
             record["disturbed"] = max(record["disturbed"], e.disturbed)
+        if reader:
+            reader.connection.close()
+        return None
+
+    def note(self, id, record, answer):
+        record["done"] = time.monotonic()
+        record["status"] = answer.status
+        record["leaving"] = answer.value("Server-Leaving")
+        record["limit"] = answer.value("Server-Limit")
+        record["stamp"] = answer.value("X-Limpetflow-Response-Stamp")
+        record["began"] = bool(answer.body)
+        record["whole"] = answer.end == "whole"
+        if answer.end != "none":
+            self.check("heads are strict HTTP", not answer.faults,
+                       f"{id} {record['kind']} from {record['entry']}: "
+                       f"{answer.faults} {answer.raw_head}")
+        if record["whole"]:
+            self.answer_check(id, record, answer, answer.body)
+        else:
+            record["error"] = answer.end
+
+    def end_check(self, e, id, record, reader):
+        """The connection ends after an answer that says so."""
+        end, rest = reader.read_end(CLOSE_S)
+        self.rest_check(rest)
+        disturbed = self.o.no_bounds or e.disturbed > record["sent"]
+        self.check("a last answer is followed by the close",
+                   disturbed or end != "open", id)
 
     def answer_check(self, id, record, answer, body):
         if answer.status != 200:
--- a/t/soak/engine.py
+++ b/t/soak/engine.py
@@ -7,12 +7,16 @@
 """
 import hashlib
 import hmac
+import json
+import os
+import random
 import select
 import socket
 import struct
 import threading
 import time
 
+from faults import RST
 from metadata_store import UpstreamHandler
 
 SLOTS = 3
@@ -22,6 +26,7 @@
 REPORT_S = 0.05
 EVENTS = 5
 LOOK_S = 0.02  # between looks at a connection
+LAST_S = 0.05  # of its time, in which an entry takes a close for a cut
 
 # How a run ended
 COMPLETE = "complete"
@@ -44,25 +49,24 @@
     """Writes a stream as far as the connection and the deadline allow, with
     breaks in which its server is silent.  Returns how it ended."""
     first = int(handler.headers.get("Last-Event-Id") or 0) + 1
-    handler.send_response(200)
-    for name, value in common:
-        handler.send_header(name, value)
-    handler.send_header("Content-Type", "text/event-stream")
-    handler.send_header("Transfer-Encoding", "chunked")
-    handler.end_headers()
+    texts = [f"id: {i}\ndata: event {i}\n\n".encode()
+             for i in range(first, EVENTS + 1)]
+    handler.wfile.write(handler.head(
+        200, common + [("Content-Type", "text/event-stream")],
+        sum(len(text) for text in texts)))
     next_at = time.monotonic()
-    for i in range(first, EVENTS + 1):
+    for text in texts:
         while max(next_at, handler.server.silent_until) > time.monotonic():
             if is_closed(handler.connection):
                 return CLOSED
             if time.monotonic() > runs_until:
                 return AT_DEADLINE
             time.sleep(LOOK_S)
-        text = f"id: {i}\ndata: event {i}\n\n".encode()
-        handler.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
-        handler.wfile.flush()
+        handler.wfile.write(handler.piece(text))
         next_at += pause_s
-    handler.wfile.write(b"0\r\n\r\n")
+    if handler.framing == "close" and time.monotonic() > runs_until - LAST_S:
+        return AT_DEADLINE
+    handler.wfile.write(handler.end())
     return COMPLETE
 
 
@@ -76,7 +80,58 @@
     finally:
         handler.server.ends.append((time.monotonic(), request, how))
         if how != COMPLETE:
-            handler.close_connection = True
+            handler.break_off()
+
+
+class VariedHandler(UpstreamHandler):
+    """Varies the heads and the framing of answers, drawn from the request."""
+    framing = "length"
+    extra = b""  # a refusal, written once more where the next answer is due
+
+    def draw(self, what):
+        request = self.headers.get("X-Limpetflow-Request-Id", "")
+        return random.Random(f"{what} {request}")
+
+    def head(self, status, fields, size):
+        """Returns the bytes of the head of an answer, and sets its framing: the
+        same for each run of a request, as an entry does not take a close for
+        the end of a stream that began with a mark of its end."""
+        r, extra, self.extra = self.draw("head"), self.extra, b""
+        self.framing = r.choice(("chunked", "length", "close"))
+        lines = [f"HTTP/1.1 {status} {self.responses[status][0]}"]
+        lines += [f"{name}: {value}" for name, value in fields]
+        lines += r.choice(([], ["Date: " + self.date_time_string()]))
+        lines += r.choice(([], ["X-Empty:"], ["X-Empty: "]))
+        lines += {"chunked": ["Transfer-Encoding: chunked"],
+                  "length": [f"Content-Length: {size}"],
+                  "close": r.choice(([], ["Connection: close"]))}[self.framing]
+        self.close_connection |= self.framing == "close"
+        return extra + "\r\n".join(lines + ["", ""]).encode()
+
+    def piece(self, data):
+        return b"%x\r\n%s\r\n" % (len(data), data) \
+            if self.framing == "chunked" else data
+
+    def end(self):
+        return b"0\r\n\r\n" if self.framing == "chunked" else b""
+
+    def answer(self, status, body, headers=()):
+        data = json.dumps(body).encode()
+        whole = self.head(status, headers, len(data)) + self.piece(data) + \
+            self.end()
+        again = ""
+        if status == 503 and self.framing != "close":
+            again = self.draw("again").choice(("", "now", "late"))
+        self.wfile.write(whole * 2 if again == "now" else whole)
+        self.extra = whole if again == "late" else b""
+
+    def break_off(self):
+        """Ends the connection so that an answer without a length is cut."""
+        self.close_connection = True
+        if self.framing == "close":
+            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                       RST)
+            os.close(self.connection.detach())
 
 
 class Engine:
@@ -182,7 +237,7 @@
         bytes(-len(text) % 4)
 
 
-class EngineHandler(UpstreamHandler):
+class EngineHandler(VariedHandler):
     def handle_any(self):
         s = self.server
         request = self.headers.get("X-Limpetflow-Request-Id", "")
--- a/t/soak/faults.py
+++ b/t/soak/faults.py
@@ -79,7 +79,7 @@
         try:
             self.pump(client, server)
         except (OSError, ValueError):
-            pass
+            self.cut(client, server)  # a reset is no end of an answer
         with self.lock:
             self.open.pop((client, server), None)
         client.close()
--- a/t/soak/soak.py
+++ b/t/soak/soak.py
@@ -11,7 +11,6 @@
 is broken, with the ids that broke it.  Logs stay in the current folder.
 """
 import argparse
-import http.client
 import json
 import os
 import random
@@ -23,14 +22,14 @@
 from http.server import ThreadingHTTPServer
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path[:0] = [HERE, os.path.join(HERE, "..", "standin")]
+sys.path[:0] = [HERE, os.path.join(HERE, "..", "standin"),
+                os.path.join(HERE, "..", "helper")]
 from callers import DEADLINES_MS, Callers  # noqa: E402
 from engine import (EVENT_S, SLOTS, SLOW_EVENT_S, Engine,  # noqa: E402
-                    EngineHandler, run, write_events)
+                    EngineHandler, VariedHandler, run, write_events)
 from faults import Relay, schedule  # noqa: E402
 from judge import BACK_S, RELEASE_S, Judge  # noqa: E402
-from metadata_store import (Store, StoreHandler,  # noqa: E402
-                            UpstreamHandler)
+from metadata_store import Store, StoreHandler  # noqa: E402
 
 CALM_S = 3.0  # after a disturbance, before bounds on time hold again
 GRACE_S = 8.0  # TERM until the end
@@ -53,7 +52,7 @@
     return [f"{letter}{i + 1}" for i in range(count)]
 
 
-class Upstream(UpstreamHandler):
+class Upstream(VariedHandler):
     """Notes when a request came and whose it is; streams take some time."""
 
     def handle_any(self):
@@ -388,11 +387,9 @@
     def recovered(self, e):
         record = {}
         for kind in ("read", "once", "tell", "gen"):
-            connection = http.client.HTTPConnection(e.ip, 8000, timeout=8)
             before = self.number
-            self.ask(e, connection, kind, random.Random(1))
+            self.close(self.ask(e, None, kind, random.Random(1)))
             record = self.records[f"r{before + 1}"]
-            connection.close()
             if record["status"] != 200:
                 return False
         return True
