httpd: leave the framing of an answer to the library alone

The review of the fix found that libmicrohttpd 0.9.75 chunks each answer of HTTP/1.1 without a length by itself, also a closing one, and names the coding once. So one of two writers of that field goes.

With only the library's: t1049, t1042, t1056, t1057, t1058 and t0515 pass, t1042 and t1049 asking for the last chunk of closing answers, so that a version that ends them by the close fails there. Connection stays first for the sake of Date (t1055 .2, t1049).

--- a/net/httpd-fields.c
+++ b/net/httpd-fields.c
@@ -26,10 +26,11 @@
 }
 
 /*
- * Adds all fields of an answer's head to the library's response. Connection comes
- * first: libmicrohttpd 0.9.75 forgets, as it takes that field, which of those that
- * it writes by itself were added before, and writes them once more. Returns -1 if
- * one of them can't be written: an answer without it is another answer.
+ * Adds all fields of an answer's head to the library's response, but for those of
+ * its framing, which the library alone writes. Connection comes first:
+ * libmicrohttpd 0.9.75 forgets, as it takes that field, that a Date was added, and
+ * writes one more. Returns -1 if a field can't be written: an answer without it is
+ * another answer.
  */
 int http_call_add_fields(const struct http_call *c, struct MHD_Response *r,
 			 int is_closing)
@@ -38,10 +39,6 @@
 
 	if (is_closing && http_add_field(r, "Connection", "close"))
 		return -1;
-	/* Without it, the library marks the end of a closing answer by the close. */
-	if (c->framing == FRAMING_CHUNKED &&
-	    http_add_field(r, "Transfer-Encoding", "chunked"))
-		return -1;
 	for (i = 0; i < c->header_count; i++)
 		if (http_add_field(r, c->headers[i].name, c->headers[i].value))
 			return -1;
