forward: look at every Connection field of a request

A field that the caller names in a second Connection field concerns its own connection only, but went on to the upstream: forward_new() looked at the first such field alone. All of them are one list (RFC 9110, 5.3), and are joined now.

--- a/forward/intake.c
+++ b/forward/intake.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -97,9 +98,24 @@
 
 struct header_copy {
 	struct forward *f;
-	const char *connection;
+	char *connection; /* the values of all such fields, NULL: none */
 };
 
+/* Adds a Connection to those before it, as one list (RFC 9110, 5.3). */
+static void add_connection(void *arg, const char *name, const char *value)
+{
+	struct header_copy *x = arg;
+	char *list = NULL;
+
+	if (strcasecmp(name, "Connection"))
+		return;
+	if (asprintf(&list, "%s%s%s", x->connection ? x->connection : "",
+		     x->connection ? "," : "", value) < 0)
+		abort();
+	free(x->connection);
+	x->connection = list;
+}
+
 static void copy_header(void *arg, const char *name, const char *value)
 {
 	struct header_copy *x = arg;
@@ -114,7 +130,7 @@
 static struct forward *forward_new(struct forwarder *w, struct http_call *c)
 {
 	struct forward *f = calloc(1, sizeof(*f));
-	struct header_copy x = { f, http_call_header(c, "Connection") };
+	struct header_copy x = { f, NULL };
 
 	if (!f)
 		abort();
@@ -126,7 +142,9 @@
 	f->document = board_document(&w->node->board);
 	events_init(&f->events);
 	w->wire->parse_request(c, &f->head);
+	http_call_headers(c, add_connection, &x);
 	http_call_headers(c, copy_header, &x);
+	free(x.connection);
 	return f;
 }
 
--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -43,7 +43,7 @@
                   "comment" (comments of a stream), "chunk" (the size of a
                   chunk), "trailer" (lines after the last chunk), "slow" (a
                   byte of a header line every 0.2 s)
-A name without '-' gets "plain-length". For tests:
+A name without '-' gets "plain-length". HEAD gets the head alone. For tests:
     GET /test/ended   the number of answers without end that the peer closed
     GET /test/hung    the number of answers of a form with "hang" or "stall"
     GET /test/runs    how often each request was run rather than refused
@@ -299,7 +299,7 @@
 
 
 def read_request(file):
-    """Returns the path and the headers, or None at the end."""
+    """Returns the method, the path and the headers, or None at the end."""
     head = file.readline()
     line = head.split()
     headers = {}
@@ -319,7 +319,7 @@
         if len(state["received"]) < RECEIVED_MAX:
             state["received"][key] = {"head": head.decode("latin1"),
                                       "body": body.decode("latin1")}
-    return line[1].decode(), headers
+    return line[0], line[1].decode(), headers
 
 
 def serve(connection):
@@ -330,7 +330,7 @@
             request = read_request(file)
             if not request:
                 break
-            path, headers = request
+            method, path, headers = request
             name = path.rsplit("/", 1)[-1]
             if path.startswith("/test/"):
                 body = json.dumps(state[name]).encode()
@@ -353,6 +353,11 @@
             with state["lock"]:
                 key = request_id.decode()
                 state["runs"][key] = state["runs"].get(key, 0) + 1
+            if method == b"HEAD":
+                framing = (forms[0].split("-") + ["length"])[1]
+                lines, _ = frame(framing, "", PLAIN, b"application/json")
+                connection.sendall(head(request_id, lines))
+                continue
             if not answer(connection, forms[-1 if has_come(request_id) else 0],
                           request_id, last + 1,
                           time.monotonic() + left_ms / 1000):
