fetch: give bodies no type of libcurl's own

Requests with a body and no Content-Type reached the upstream with "application/x-www-form-urlencoded", which libcurl adds to all that it sends as CURLOPT_POSTFIELDS; so did PUT, DELETE, OPTIONS and other methods without a body. A request that is passed on verbatim now suppresses it, as it does for Accept and User-Agent; a type of the caller's goes on as it is.

--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -226,6 +226,7 @@
 	if (f->verbatim) {
 		list = curl_slist_append(list, "Accept:");
 		list = curl_slist_append(list, "User-Agent:");
+		list = curl_slist_append(list, "Content-Type:");
 		curl_easy_setopt(e, CURLOPT_PATH_AS_IS, 1L);
 	}
 	if (f->target)
--- a/t/t1053-forwarded-requests.sh
+++ b/t/t1053-forwarded-requests.sh
@@ -85,4 +85,36 @@
 	EOF
 '
 
+# Guards against the type that libcurl gives each body.
+test_expect_success 'bodies get no other type than that of the caller' '
+	test_requests post post-type post-empty post-chunks put <<-\EOF
+	post 200 612
+	  POST /plain/plain-length HTTP/1.1
+	  Content-Length: 3
+	  Host: a.example
+	  body: abc.
+	post-type 200 612
+	  POST /plain/plain-length HTTP/1.1
+	  Content-Length: 3
+	  Host: a.example
+	  content-type: text/x
+	  body: abc.
+	post-empty 200 612
+	  POST /plain/plain-length HTTP/1.1
+	  Content-Length: 0
+	  Host: a.example
+	  body: .
+	post-chunks 200 612
+	  POST /plain/plain-length HTTP/1.1
+	  Content-Length: 3
+	  Host: a.example
+	  body: abc.
+	put 200 612
+	  PUT /plain/plain-length HTTP/1.1
+	  Content-Length: 3
+	  Host: a.example
+	  body: abc.
+	EOF
+'
+
 test_done
