fetch: send a GET with a body as GET

A GET with a body ran as a POST at the upstream: set_method() left the choice to libcurl for both GET and POST, and libcurl takes a body for a POST. The name of the method is now set whenever libcurl would choose another one.

--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -177,15 +177,19 @@
 	return size * n;
 }
 
+/* Sets the method and the body. For libcurl, a request with a body is a POST. */
 static void set_method(CURL *e, const struct fetch *f)
 {
-	if (f->body || (f->method && !strcmp(f->method, "POST"))) {
+	const char *method = f->method ? f->method : f->body ? "POST" : "GET";
+	int has_body = f->body || !strcmp(method, "POST");
+
+	if (has_body) {
 		curl_easy_setopt(e, CURLOPT_POSTFIELDS, f->body ? f->body : "");
 		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
 				 (curl_off_t)f->body_size);
 	}
-	if (f->method && strcmp(f->method, "GET") && strcmp(f->method, "POST"))
-		curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, f->method);
+	if (strcmp(method, has_body ? "POST" : "GET"))
+		curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, method);
 }
 
 /* Called by libcurl after connecting, before it sends the request. */
--- a/t/t1053-forwarded-requests.sh
+++ b/t/t1053-forwarded-requests.sh
@@ -117,4 +117,30 @@
 	EOF
 '
 
+# Guards against a GET that is run as a POST since it has a body.
+test_expect_success 'methods arrive unchanged' '
+	test_requests get-body delete options odd-method <<-\EOF
+	get-body 200 612
+	  GET /plain/plain-length HTTP/1.1
+	  Content-Length: 3
+	  Host: a.example
+	  body: abc.
+	delete 200 612
+	  DELETE /plain/plain-length HTTP/1.1
+	  Content-Length: 0
+	  Host: a.example
+	  body: .
+	options 200 612
+	  OPTIONS /plain/plain-length HTTP/1.1
+	  Content-Length: 0
+	  Host: a.example
+	  body: .
+	odd-method 200 612
+	  X-ODD /plain/plain-length HTTP/1.1
+	  Content-Length: 0
+	  Host: a.example
+	  body: .
+	EOF
+'
+
 test_done
