fetch: don't wait for the body of an answer to HEAD

A caller of HEAD got no answer: 4 of 4 in t1053, whatever the framing that the upstream named, stayed without a byte for the 5 s that the test waits. HEAD was only a name in the request line (CURLOPT_CUSTOMREQUEST), so that libcurl waited for the body that the head announces. With CURLOPT_NOBODY it knows that there is none.

--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -177,12 +177,20 @@
 	return size * n;
 }
 
-/* Sets the method and the body. For libcurl, a request with a body is a POST. */
+/*
+ * Sets the method and the body. libcurl has functions of its own for GET, HEAD and
+ * POST: any other name for a method changes the request line only, so that it
+ * would wait for the body of the answer to a HEAD.
+ */
 static void set_method(CURL *e, const struct fetch *f)
 {
 	const char *method = f->method ? f->method : f->body ? "POST" : "GET";
 	int has_body = f->body || !strcmp(method, "POST");
 
+	if (!strcmp(method, "HEAD")) {
+		curl_easy_setopt(e, CURLOPT_NOBODY, 1L);
+		return;
+	}
 	if (has_body) {
 		curl_easy_setopt(e, CURLOPT_POSTFIELDS, f->body ? f->body : "");
 		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
--- a/t/t1053-forwarded-requests.sh
+++ b/t/t1053-forwarded-requests.sh
@@ -143,4 +143,27 @@
 	EOF
 '
 
+# Guards against a wait for the body of an answer to HEAD, which has none whatever
+# its head says.
+test_expect_success 'HEAD is answered without a body' '
+	test_requests head-length head-chunked head-close head-again <<-\EOF
+	head-length 200 0
+	  HEAD /plain/plain-length HTTP/1.1
+	  Host: a.example
+	  body: .
+	head-chunked 200 0
+	  HEAD /plain/plain-chunked HTTP/1.1
+	  Host: a.example
+	  body: .
+	head-close 200 0
+	  HEAD /plain/plain-close HTTP/1.1
+	  Host: a.example
+	  body: .
+	head-again 200 0
+	  HEAD /plain/plain-length HTTP/1.1
+	  Host: a.example
+	  body: .
+	EOF
+'
+
 test_done
