fetch: decode the chunks of answers exactly

Callers got an empty answer as a complete one where an upstream wrote the size of a chunk as "0x4" or "0 4" and its bytes could be read as trailers, and bodies after sizes such as "b x", which other readers refuse.

libcurl now hands over the bytes as they came and still finds the end itself; net/chunks decodes them. An answer is complete only if both found its end, so that none of libcurl's leniencies completes one. A piece that data() refuses for a pause comes again, and is decoded again from the state before it. Extensions and trailers count towards FETCH_HEAD_MAX, so that an extension without end is refused as it comes and not only at the time-out (t1017: "corrupt" instead of "timeout"). Trailers go to header() as before, up to 1 KB each; a trailer that looks like a status line no longer starts a head. A blank after a size is read as meant, a line that ends in LF alone is refused.

--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -21,6 +21,9 @@
 	f->content_length = -1;
 	f->is_in_head = 0;
 	f->head_fault = NULL;
+	memset(&f->chunks, 0, sizeof(f->chunks));
+	f->trailer_size = 0;
+	f->has_invalid_chunks = 0;
 }
 
 /*
@@ -91,12 +94,32 @@
 	return 0;
 }
 
+/* Passes on a line of a head or a trailer. */
+static void pass_on_field(struct fetch *f, const char *data, size_t size)
+{
+	char line[FETCH_HEAD_MAX + 1];
+	char *value, *end;
+
+	memcpy(line, data, size);
+	line[size] = '\0';
+	value = strchr(line, ':');
+	if (!value)
+		return;
+	*value++ = '\0';
+	value += strspn(value, " \t");
+	end = value + strcspn(value, "\r\n");
+	while (end > value && (end[-1] == ' ' || end[-1] == '\t'))
+		end--;
+	*end = '\0';
+	if (f->ops->header)
+		f->ops->header(f, line, value);
+}
+
+/* Receives a line of a head. */
 static size_t receive_header(char *data, size_t size, size_t n, void *userp)
 {
 	struct fetch *f = userp;
 	size_t length = size * n;
-	char line[FETCH_HEAD_MAX + 1];
-	char *value, *end;
 
 	f->head_size += length;
 	if (f->head_size > FETCH_HEAD_MAX)
@@ -110,20 +133,8 @@
 		/* libcurl ends the head at such a line, whatever follows. */
 		if (length && (*data == '\r' || *data == '\n'))
 			return end_head(f) ? 0 : length;
+		pass_on_field(f, data, length);
 	}
-	memcpy(line, data, length);
-	line[length] = '\0';
-	value = strchr(line, ':');
-	if (!value)
-		return length;
-	*value++ = '\0';
-	value += strspn(value, " \t");
-	end = value + strcspn(value, "\r\n");
-	while (end > value && (end[-1] == ' ' || end[-1] == '\t'))
-		end--;
-	*end = '\0';
-	if (f->ops->header)
-		f->ops->header(f, line, value);
 	return length;
 }
 
@@ -152,26 +163,76 @@
 	return 0;
 }
 
+static int pass_on_body(struct fetch *f, const char *data, size_t size)
+{
+	return f->ops->data ? f->ops->data(f, data, size)
+			    : append_text(f, data, size);
+}
+
+/* Reads what follows the last chunk. Returns -1 for a fault. */
+static int receive_trailers(struct fetch *f, const char *data, size_t size)
+{
+	size_t i;
+
+	for (i = 0; i < size && f->chunks.state != CHUNKS_END; i++) {
+		int ret = chunks_read_trailer(&f->chunks, data[i]);
+
+		if (ret < 0)
+			return -1;
+		if (f->trailer_size < sizeof(f->trailer))
+			f->trailer[f->trailer_size++] = data[i];
+		if (ret && f->trailer_size < sizeof(f->trailer))
+			pass_on_field(f, f->trailer, f->trailer_size);
+		if (ret)
+			f->trailer_size = 0;
+	}
+	return 0;
+}
+
+/*
+ * Decodes a piece of a body in chunks and passes it on, returning as
+ * fetch_ops.data does. The piece comes again after a pause. Bytes after the end
+ * are no part of the answer.
+ */
+static int receive_chunks(struct fetch *f, const char *data, size_t size)
+{
+	char body[CURL_MAX_WRITE_SIZE];
+	struct chunks before = f->chunks;
+	size_t n, used;
+	int ret = 0;
+
+	if (size > sizeof(body) ||
+	    chunks_decode(&f->chunks, data, size, body, &n, &used))
+		goto invalid;
+	if (n)
+		ret = pass_on_body(f, body, n);
+	if (ret == FETCH_PAUSE)
+		f->chunks = before;
+	if (ret)
+		return ret;
+	if (f->chunks.state >= CHUNKS_LINE &&
+	    receive_trailers(f, data + used, size - used))
+		goto invalid;
+	if (f->head_size + f->chunks.overhead <= FETCH_HEAD_MAX)
+		return 0;
+invalid:
+	f->has_invalid_chunks = 1;
+	return -1;
+}
+
 static size_t receive_data(char *data, size_t size, size_t n, void *userp)
 {
 	struct fetch *f = userp;
-	long status = 0;
 	int ret;
 
-	if (!f->status) {
-		curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
-		f->status = (int)status;
-	}
 	if (is_url_partitioned(f->url) || f->framing == FRAMING_NONE)
 		return 0;
-	if (f->ops->data)
-		ret = f->ops->data(f, data, size * n);
-	else
-		ret = append_text(f, data, size * n);
+	ret = f->framing == FRAMING_CHUNKED ? receive_chunks(f, data, size * n)
+					    : pass_on_body(f, data, size * n);
 	if (ret == FETCH_PAUSE)
 		return CURL_WRITEFUNC_PAUSE;
 	if (ret) {
-		f->is_aborted_by_data = 1;
+		f->is_aborted_by_data = !f->has_invalid_chunks;
 		return 0;
 	}
 	return size * n;
@@ -252,6 +313,8 @@
 	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
+	/* Its reader takes sizes such as "0x5" for the last chunk. */
+	curl_easy_setopt(e, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, receive_data);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, f);
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, receive_header);
@@ -321,7 +384,7 @@
 		break;
 	default:
 		kind = f->head_size > FETCH_HEAD_MAX || f->has_invalid_status ||
-				       f->head_fault || f->sends > 1
+				       f->has_invalid_chunks || f->sends > 1
 			       ? ERROR_CORRUPT
 		       : f->is_aborted_by_data ? ERROR_REFUSED
 					       : ERROR_INTERNAL;
@@ -343,5 +406,12 @@
 		return;
 	}
 	error_set(&f->error, kind, "fetch", f->url, "%s",
-		  curl_easy_strerror(code));
+		  f->has_invalid_chunks ? "the chunks of the answer are invalid"
+					: curl_easy_strerror(code));
+}
+
+/* Returns 1 if libcurl took an answer for complete whose end is missing. */
+int fetch_is_cut(const struct fetch *f)
+{
+	return f->framing == FRAMING_CHUNKED && f->chunks.state != CHUNKS_END;
 }
--- a/net/fetch-internal.h
+++ b/net/fetch-internal.h
@@ -10,5 +10,6 @@
 void fetch_reset_head(struct fetch *f);
 CURL *fetch_easy_new(struct fetch *f, const char *local_address, long max_age);
 void fetch_error_from_curl(struct fetch *f, CURLcode code);
+int fetch_is_cut(const struct fetch *f);
 
 #endif
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -179,6 +179,9 @@
 	if (code == CURLE_OK && f->framing == FRAMING_NONE)
 		error_set(&f->error, ERROR_CORRUPT, "fetch", f->url,
 			  "the answer ended inside its head");
+	else if (code == CURLE_OK && fetch_is_cut(f))
+		error_set(&f->error, ERROR_CORRUPT, "fetch", f->url,
+			  "the answer ended before its last chunk");
 	remove_pending_requests(r, f);
 	/* done may take ownership of f->text by clearing it, or free f. */
 	f->ops->done(f);
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 
 #include "base/error.h"
+#include "net/chunks.h"
 #include "net/framing.h"
 #include "net/message-head.h"
 
@@ -40,6 +41,8 @@
 
 #define FETCH_PAUSE 1
 #define FETCH_HEADERS_MAX 16
+/* Longer trailers are left out, as any may be (RFC 9110, 6.5.1). */
+#define FETCH_TRAILER_MAX 1024
 
 struct fetch {
 	/* filled in by the caller */
@@ -79,6 +82,10 @@
 	size_t head_size;	  /* bytes of all its heads and trailers */
 	struct message_head head; /* of the response, while it is read */
 	int is_in_head;
+	struct chunks chunks;
+	char trailer[FETCH_TRAILER_MAX]; /* the line that is read */
+	size_t trailer_size;
+	int has_invalid_chunks;
 	const char *head_fault; /* what is invalid in it: no response */
 	int has_invalid_status; /* it counts as no response */
 	apr_time_t submitted_at;
--- a/t/standin/raw_heads.py
+++ b/t/standin/raw_heads.py
@@ -2,7 +2,8 @@
 
     raw_heads.py KIND
 
-prints the names of all forms of that kind, "invalid" or "odd".
+prints the names of all forms of that kind: "invalid" or "odd" heads, "chunked" for
+invalid chunks, "oddchunked" for odd ones.
 
 The body of each is BODY. Readers that take a head in another way than the table
 says get a part of it, the sizes of the chunks as well, or nothing.
@@ -110,10 +111,51 @@
 }
 
 
+def chunks(text):
+    """Returns an answer with text for its chunks; "B" is BODY."""
+    return STATUS, CODING, text.replace(b"B", BODY)
+
+
+# These are invalid after a head that is not, so that the answer is cut.
+CHUNKED = {
+    "prefix": chunks(b"0xb\r\nB\r\n0\r\n\r\n"),
+    "blank": chunks(b"0 b\r\nB\r\n0\r\n\r\n"),
+    "prefix-trailer": chunks(b"0x4\r\nX: 1\r\n\r\n"),
+    "blank-trailer": chunks(b"0 4\r\nX: 1\r\n\r\n"),
+    "minus": chunks(b"-b\r\nB\r\n0\r\n\r\n"),
+    "plus": chunks(b"+b\r\nB\r\n0\r\n\r\n"),
+    "first-blank": chunks(b" b\r\nB\r\n0\r\n\r\n"),
+    "letter": chunks(b"bx\r\nB\r\n0\r\n\r\n"),
+    "words": chunks(b"b x\r\nB\r\n0\r\n\r\n"),
+    "empty": chunks(b"\r\nB\r\n0\r\n\r\n"),
+    "large": chunks(b"1000000000000000b\r\nB\r\n0\r\n\r\n"),
+    "cr": chunks(b"b\rx\nB\r\n0\r\n\r\n"),
+    "extension-lf": chunks(b"b;x\nB\r\n0\r\n\r\n"),
+    "short": chunks(b"a\r\nB\r\n0\r\n\r\n"),
+    "joined": chunks(b"b\r\nB0\r\n\r\n"),
+    "last-prefix": chunks(b"b\r\nB\r\n0x0\r\n\r\n"),
+    "trailer-cr": chunks(b"b\r\nB\r\n0\r\nX: 1\rY: 2\r\n\r\n"),
+}
+
+ODD_CHUNKED = {
+    "case": (STATUS, CODING, CHUNKS.replace(b"b", b"B", 1)),
+    "zeros": chunks(b"000b\r\nB\r\n000\r\n\r\n"),
+    "after-blank": chunks(b"b \r\nB\r\n0 \r\n\r\n"),
+    "extension": chunks(b'b;a="x y"\r\nB\r\n0;b\r\n\r\n'),
+    "extension-blank": chunks(b"b ;a\r\nB\r\n0\r\n\r\n"),
+    "pieces": chunks(b"1\r\n{\r\n5\r\n\"whol\r\n5\r\ne\":1}\r\n0\r\n\r\n"),
+    "trailers": chunks(b"b\r\nB\r\n0\r\nX-One: 1\r\nX-Two:\r\n\r\n"),
+    "status-trailer": chunks(b"b\r\nB\r\n0\r\nHTTP/1.1 500 X\r\n\r\n"),
+    "rest": chunks(b"b\r\nB\r\n0\r\n\r\nmore"),
+}
+TABLES = {"invalid": INVALID, "odd": ODD, "chunked": CHUNKED,
+          "oddchunked": ODD_CHUNKED}
+
+
 def make_answer(form, request_id):
     """Returns the bytes of an answer of the form "KIND-NAME"."""
     kind, _, name = form.partition("-")
-    line, lines, body = (INVALID if kind == "invalid" else ODD)[name]
+    line, lines, body = TABLES[kind][name]
     if name == "folded-first":
         line, lines = line + lines.replace(LENGTH, b""), LENGTH
     head = (line + b"X-Limpetflow-Request-Id: " + request_id +
@@ -124,4 +166,4 @@
 
 
 if __name__ == "__main__":
-    print("\n".join(INVALID if sys.argv[1] == "invalid" else ODD))
+    print("\n".join(TABLES[sys.argv[1]]))
--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -35,8 +35,8 @@
                   BYTES it is sent whole
     status-CODE-FRAMING  a whole answer with any text for a status; "interim" for
                   FRAMING puts it before an answer of 200
-    invalid-NAME, odd-NAME  an answer with a head that HTTP doesn't allow, or one
-                  that it allows and few write; see raw_heads.py
+    KIND-NAME     an answer with a head or chunks that HTTP doesn't allow, or that
+                  it allows and few write; see raw_heads.py
     forever-WHAT  bytes without end: "noise" (no answer), "line" (a header
                   line), "head" (header lines), "interim" (heads of status
                   100), "status" (a status line), "body", "event" (one event),
@@ -251,7 +251,7 @@
                     head(request_id, lines) + body)
         connection.sendall(text)
         return False
-    if form.startswith(("invalid-", "odd-")):
+    if form.startswith(("invalid-", "odd-", "chunked-", "oddchunked-")):
         connection.sendall(raw_heads.make_answer(form, request_id))
         return False
     if form.startswith("forever-"):
--- a/t/t1017-fetch-ends.sh
+++ b/t/t1017-fetch-ends.sh
@@ -85,7 +85,7 @@
 	forever-body: 200 close refused some bytes
 	forever-event: 200 close refused some bytes
 	forever-comment: 200 close refused some bytes
-	forever-chunk: 200 chunked timeout some bytes
+	forever-chunk: 200 chunked corrupt some bytes
 	EOF
 	test_cmp expect actual &&
 	wait_until 5 closed 10
