--- a/net/fetch-easy.c
+++ b/net/fetch-easy.c
@@ -88,7 +88,10 @@
 	if (f->has_invalid_status || f->head_fault)
 		return -1;
 	if (f->status >= HTTP_OK) {
-		f->framing = message_head_framing(&f->head, f->status);
+		f->framing =
+			f->method && !strcmp(f->method, "HEAD")
+				? FRAMING_LENGTH
+				: message_head_framing(&f->head, f->status);
 		f->content_length = f->head.length;
 	}
 	return 0;
