httpd: look at the layout of heads only in a library that has it

The check was chosen by the version of the headers; a program that runs with a newer library of the same name would have refused proper requests.

--- a/net/httpd-head.c
+++ b/net/httpd-head.c
@@ -50,11 +50,13 @@
  * for that; it cuts a value at a NUL, and takes a line without a name for the
  * end of the head.
  */
-#if MHD_VERSION < 0x00097701
-#define HAS_HEAD_LAYOUT 1
-#else
-#define HAS_HEAD_LAYOUT 0
-#endif
+#define LAYOUT_END_VERSION "0.9.77"
+
+/* Returns 1 if the library that runs, whatever its headers were, has this layout. */
+static int has_head_layout(void)
+{
+	return strverscmp(MHD_get_version(), LAYOUT_END_VERSION) < 0;
+}
 
 struct head_check {
 	struct message_head head;
@@ -120,7 +122,7 @@
 		return "method";
 	if (!*c->target || strpbrk(c->target, " \t\r\n"))
 		return "target";
-	if (HAS_HEAD_LAYOUT &&
+	if (has_head_layout() &&
 	    ((uintptr_t)path != (uintptr_t)method + method_size + 1 ||
 	     (uintptr_t)version != (uintptr_t)path + strlen(c->target) + 1))
 		return "first-line";
@@ -149,7 +151,7 @@
 		fault = message_head_end(&k.head);
 	if (!fault && k.has_unread_coding)
 		fault = "coding-blank";
-	if (fault || !HAS_HEAD_LAYOUT || !info)
+	if (fault || !has_head_layout() || !info)
 		return fault;
 	/* The end of the last line and the empty one. */
 	k.has_gap |=
