fuzz: heads and chunks of HTTP messages

Heads that are accepted are checked against their text: one framing, no bare CR or NUL, one Host in a request.

--- a/t/fuzz.sh
+++ b/t/fuzz.sh
@@ -7,10 +7,12 @@
 runs=${1:-20000}
 packages="apr-1 apr-util-1 libmicrohttpd libcurl libtirpc popt jansson
 libxxhash zlib libcrypto"
-# In the order of FUZZ_TARGET in fuzz-input.c, fuzz-calls.c, fuzz-platform.c.
+# In the order of FUZZ_TARGET in fuzz-input.c, fuzz-calls.c, fuzz-platform.c,
+# fuzz-http.c.
 input_names="document list settings account manifest xdr delta"
 call_names="ticket stream refusal"
 platform_names="operator servers report origin events"
+http_names="head chunks"
 flags="-std=gnu11 -g -O1 -fsanitize=fuzzer-no-link,address,undefined -I.
 -Wno-deprecated-declarations $(pkg-config --cflags $packages)"
 rm -rf build/fuzz/corpus # runs must not depend on earlier ones
@@ -55,6 +57,10 @@
 		echo '{"Model":"m","Version":2,"ChunkBytes":32768,"Digests":["'$(printf %064d 1)'"]}' ;;
 	events)
 		printf 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n' ;;
+	head)
+		printf 'Host: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\nX-One:\r\n\r\n' ;;
+	chunks)
+		printf '5;a=b\r\nabcde\r\n1\r\nf\r\n0\r\nX-One: 1\r\n\r\n' ;;
 	manifest)
 		echo '{"model":"m","version":"1","source":"m.bin","size":10,"chunk_size":4096,"chunks":["'$(printf %064d 1)'"]}' ;;
 	esac
@@ -62,7 +68,7 @@
 
 # Names that end in ":" select the source file of the targets that follow.
 for name in input: $input_names calls: $call_names \
-	platform: $platform_names; do
+	platform: $platform_names http: $http_names; do
 	case "$name" in
 	*:)
 		target=0
