t0510: send Host in requests that break off

A request without Host is refused at its head now, so that the case no longer tested a body that breaks off. The other raw clients of t/ send it already.

--- a/t/t0510-plain-calls.sh
+++ b/t/t0510-plain-calls.sh
@@ -119,9 +119,10 @@
 	test "$(jq -r .outcome out)" = not-run &&
 	call $ENTRY1 /v1/models/quotes/generate -d "{\"prompt\":" >out &&
 	test "$(status_of)" = 400 &&
-	raw_send $ENTRY1 "POST /v1/tickets HTTP/1.1\r\nContent-Length: 99\r\n\r\n{" &&
+	raw_send $ENTRY1 \
+		"POST /v1/tickets HTTP/1.1\r\nHost: a\r\nContent-Length: 99\r\n\r\n{" &&
 	raw_send $ENTRY1 "\0\1garbage\r\n\r\n" &&
-	raw_send $P1 "POST /call/plain/x/y HTTP/1.1\r\nContent-Le" &&
+	raw_send $P1 "POST /call/plain/x/y HTTP/1.1\r\nHost: a\r\nContent-Le" &&
 	curl -s -D headers.txt -d "{}" http://$P1:7100/call/plain/billing/charge \
 		>out &&
 	test "$(status_of)" = 400 &&
