t: all readers of answers in Python are strict ones

They read with strict_reader.py now, and end with an error for any fault; where a line is printed for each answer, the faults stand in it. read-answer.py and many-fields.py wait for the close after the last answer of a connection.

--- a/t/helper/crash-traffic.py
+++ b/t/helper/crash-traffic.py
@@ -9,7 +9,7 @@
 TEXT in its body; "other": requests with TEXT in their bodies, but each another
 one, and less often. All share account, route, first part and one of a few
 second parts with the sound ones.
-Prints a JSON line for each request.
+Prints a JSON line for each request, and exits 1 when an answer has a fault.
 
 judge reads the output of send, and that of crash_engine.py, and prints figures
 around the crash with the number CRASHES as one JSON object:
@@ -30,6 +30,8 @@
 import sys
 import time
 
+from strict_reader import parse
+
 SOUND_PER_S = 40
 CRASHING_PER_S = {"part": 4, "request": 4, "other": 1}
 STABLE_S = 3
@@ -57,21 +59,19 @@
             (text if kind == "other" else "") + new_id())
 
 
-def parse_answer(data):
+def parse_answer(data, is_closed):
     """Returns the fields to print about the bytes of an answer."""
-    head, _, body = data.decode("latin1").partition("\r\n\r\n")
-    lines = head.split("\r\n")
-    names = dict(line.lower().split(": ", 1) for line in lines[1:])
-    status = int(lines[0].split()[1]) if " " in lines[0] else 0
+    answer = parse(data, is_closed)
     reason = None
-    if status not in (0, 200):
+    if answer.status not in (0, 200):
         try:
-            reason = json.loads(body).get("reason")
+            reason = json.loads(answer.body).get("reason")
         except ValueError:
             pass
-    return {"status": status, "reason": reason,
-            "retry_after": names.get("retry-after"),
-            "whole": body.endswith("0\r\n\r\n")}
+    return {"status": answer.status, "reason": reason,
+            "retry_after": answer.value("Retry-After"),
+            "whole": answer.end == "whole" and answer.framing == "chunked",
+            "faults": answer.faults}
 
 
 async def send(kind, part, text, entry):
@@ -79,7 +79,7 @@
     prefix, body = make_request(kind, part, text)
     out = {"sent": time.monotonic(), "kind": kind, "request": request,
            "entry": entry, "status": 0}
-    data = b""
+    data, is_closed = b"", False
     try:
         async with asyncio.timeout(TIMEOUT_S):
             host, port = entry.split(":")
@@ -95,18 +95,20 @@
                 f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
             while True:
                 piece = await reader.read(65536)
-                if not piece:
+                is_closed = not piece
+                if is_closed:
                     break
                 data += piece
             writer.close()
     except (OSError, TimeoutError):
         pass
-    out.update(parse_answer(data))
+    out.update(parse_answer(data, is_closed))
     print(json.dumps(out), flush=True)
+    return len(out["faults"])
 
 
 async def send_all(kind, sound_s, mixed_s, part, text, entries):
-    tasks = set()
+    tasks = []
     start = time.monotonic()
     for i in range(int((sound_s + mixed_s) * SOUND_PER_S)):
         await asyncio.sleep(
@@ -118,9 +120,8 @@
         for k in kinds:
             task = asyncio.create_task(
                 send(k, part, text, random.choice(entries)))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-    await asyncio.gather(*tasks)
+            tasks.append(task)
+    return sum(await asyncio.gather(*tasks))
 
 
 def read_lines(name):
@@ -167,8 +168,9 @@
                                int(sys.argv[4]))))
         return
     kind, sound_s, mixed_s, part, text = sys.argv[2:7]
-    asyncio.run(send_all(kind, float(sound_s), float(mixed_s), part, text,
-                         sys.argv[7:]))
+    faults = asyncio.run(send_all(kind, float(sound_s), float(mixed_s), part,
+                                  text, sys.argv[7:]))
+    sys.exit(1 if faults else 0)
 
 
 if __name__ == "__main__":
--- a/t/helper/every-status.py
+++ b/t/helper/every-status.py
@@ -6,30 +6,30 @@
 is the upstream's status with its stamp, "of the entry" one of the entry's own, "the
 final 200" what came after an interim head. A request that the entry refuses without
 sending it, as the upstream is ejected, is sent again; "refused" is one that always
-is.
+is. An answer with a fault ends the program.
 """
-import http.client
 import sys
 import time
 
+from strict_reader import StrictReader, connect, make_request
+
 TRIES = 100
 PAUSE_S = 0.05
 
 
 def ask(entry, prefix, code, attempt):
-    connection = http.client.HTTPConnection(entry, timeout=5)
     form = "interim" if 100 <= code < 200 else "length"
-    connection.request("GET", "/%s/status-%03d-%s" % (prefix, code, form),
-                       headers={"Host": "a.example",
-                                "X-Limpetflow-Request-Id": "s-%d-%d" %
-                                (code, attempt),
-                                "X-Limpetflow-Deadline-Ms": "3000"})
-    try:
-        answer = connection.getresponse()
-        answer.read()
-        return answer.status, answer.getheader("X-Limpetflow-Response-Stamp")
-    finally:
-        connection.close()
+    with connect(entry, 5) as connection:
+        connection.sendall(make_request(
+            "GET", "/%s/status-%03d-%s" % (prefix, code, form),
+            [("Host", "a.example"),
+             ("X-Limpetflow-Request-Id", "s-%d-%d" % (code, attempt)),
+             ("X-Limpetflow-Deadline-Ms", "3000")]))
+        answer = StrictReader(connection).read()
+    if answer.faults or answer.end != "whole":
+        sys.exit("%03d: %d %s %s" % (code, answer.status, answer.end,
+                                     answer.faults))
+    return answer.status, answer.value("X-Limpetflow-Response-Stamp")
 
 
 def classify(entry, prefix, code):
--- a/t/helper/many-fields.py
+++ b/t/helper/many-fields.py
@@ -7,19 +7,22 @@
 with COUNT short fields before its stamp), "answer-long" (one value of COUNT
 bytes before it) or "event" (a Last-Event-Id of COUNT bytes). Prints for each the
 status, which fields of the request arrived in order ("all", "none": it was not
-run, or the number), and whether all fields of the answer did. All requests use
-one connection while it stays open.
+run, or the number), whether all fields of the answer did, and the faults of the
+answer. All requests use one connection while it stays open.
 """
 import socket
 import sys
 import threading
 
+from strict_reader import StrictReader, connect
+
 OWN = (b"x-limpetflow-deadline-ms", b"x-limpetflow-expect-instance",
        b"x-limpetflow-request-priority", b"host", b"content-length")
 LAST = [(b"Cookie", b"a=1; b=2"), (b"X-Twice", b"1"), (b"X-Twice", b"2"),
         (b"X-Empty", b""), (b"X-Limpetflow-Model", b"daka510000"),
         (b"X-Limpetflow-Token-Count", b"1460,80"),
         (b"X-Limpetflow-Prompt-Prefix", b"5c1e07a2:800,91bd3f06:410")]
+CLOSE_S = 4  # after an answer that is the last one of its connection
 seen = {}
 
 
@@ -65,7 +68,7 @@
         threading.Thread(target=serve, args=(connection,), daemon=True).start()
 
 
-def ask(connection, path, kind, count):
+def ask(reader, path, kind, count):
     fields = list(LAST)
     if kind == "event":
         fields.append((b"Last-Event-Id", b"1" * count))
@@ -75,16 +78,12 @@
     head += b"X-Limpetflow-Request-Id: %s\r\n" % path.replace("/", "-").encode()
     head += b"X-Dropped: 1\r\nConnection: x-dropped, keep-alive\r\n"
     head += b"".join(b"%s: %s\r\n" % f for f in fields) + b"\r\n"
-    connection.sendall(head)
-    file = connection.makefile("rb")
-    first, answer = read_head(file)
-    length = [int(v) for n, v in answer if n == b"content-length"]
-    file.read(length[0] if length else 0)
-    return first, fields, answer
+    reader.connection.sendall(head)
+    return fields, reader.read()
 
 
-def report(path, kind, count, first, fields, answer):
-    status = first.split()[1].decode() if first else "closed"
+def report(path, kind, count, fields, answer):
+    status = answer.status or "closed"
     want = [(n.lower(), v) for n, v in fields]
     got = [f for f in seen.get(path, [])
            if f[0] not in OWN and f[0] != b"x-limpetflow-request-id"]
@@ -94,33 +93,34 @@
     if "answer" in kind:
         want = [(n.lower(), v) for n, v in extra_fields(kind, count)]
         want.append((b"x-limpetflow-response-stamp", b"stamp"))
-        found = sum(f in answer for f in want)
+        back_fields = [(n.lower(), v) for n, v in answer.fields]
+        found = sum(f in back_fields for f in want)
         back = ", answer %s" % ("all" if found == len(want) else "none"
                                 if not found else "%d of %d" %
                                 (found, len(want)))
-    print("%s: %s, request %s%s" % (path, status, ran, back), flush=True)
+    print("%s: %s, request %s%s" % (path, status, ran, back), *answer.faults,
+          flush=True)
 
 
 def main():
     host, port = sys.argv[2].split(":")
     listener = socket.create_server((host, int(port)))
     threading.Thread(target=accept, args=(listener,), daemon=True).start()
-    host, port = sys.argv[1].split(":")
-    connection = None
+    reader, is_faulty = None, False
     for word in sys.argv[3:]:
         prefix, _, what = word.partition("=")
         count, kind = what.split(":")
         path = "/%s/%s" % (prefix, what)
-        connection = connection or socket.create_connection(
-            (host, int(port)), 5)
-        connection.settimeout(5)
-        result = ask(connection, path, kind, int(count))
-        report(path, kind, int(count), *result)
-        closes = (b"connection", b"close") in [
-            (n, v.lower()) for n, v in result[2]]
-        if not result[0] or closes:
-            connection.close()
-            connection = None
-
-
-main()
+        reader = reader or StrictReader(connect(sys.argv[1], 5))
+        fields, answer = ask(reader, path, kind, int(count))
+        if answer.end == "whole" and answer.will_close():
+            answer.faults += reader.find_end_faults(CLOSE_S)
+        report(path, kind, int(count), fields, answer)
+        is_faulty |= bool(answer.faults)
+        if answer.end != "whole" or answer.will_close():
+            reader.connection.close()
+            reader = None
+    return 1 if is_faulty else 0
+
+
+sys.exit(main())
--- a/t/helper/many-slow-readers.py
+++ b/t/helper/many-slow-readers.py
@@ -4,24 +4,28 @@
 
 Opens COUNT connections, sends a request for PATH on each and reads 1 KB of each
 answer every 0.2 s, until SECONDS after BEGUN answers have begun. Prints how many
-began and how many connections were still open.
+began and how many connections were still open. Exits 1 when the first part of
+one has a fault.
 """
 import select
 import socket
 import sys
 import time
 
+from strict_reader import parse
+
 GAP_S = 0.2
 PART_BYTES = 1024
 # The answers begin within seconds, and later on a busy machine.
 BEGIN_MAX_S = 20
+FIRST_BYTES = 8 * PART_BYTES  # a head and some of the body
 
 
 def main():
     host, port = sys.argv[1].split(":")
     path, count, enough = sys.argv[2], int(sys.argv[3]), int(sys.argv[4])
     seconds = float(sys.argv[5])
-    readers, begun = {}, set()
+    readers, begun, first = {}, set(), {}
     for i in range(count):
         s = socket.socket()
         s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -45,12 +49,18 @@
                 part = readers[fd].recv(PART_BYTES)
             except OSError:
                 part = b""
+            if len(first.get(fd, b"")) < FIRST_BYTES:
+                first[fd] = first.get(fd, b"") + part
             if part.startswith(b"HTTP/1.1 200"):
                 begun.add(fd)
             if not part:
                 readers.pop(fd).close()
         time.sleep(GAP_S)
     print("%d begun, %d open" % (len(begun), len(readers)))
+    faults = [fault for data in first.values()
+              for fault in parse(data, False).faults]
+    if faults:
+        sys.exit("%d faults: %s" % (len(faults), faults[:5]))
 
 
 main()
--- a/t/helper/outside-limits.py
+++ b/t/helper/outside-limits.py
@@ -7,15 +7,17 @@
 from a process of their own. Prints one line: the largest resident
 memory of the process in MB, the share of the ordinary calls that were answered
 with 200 within 1 s, the longest wait for a ready answer in ms, and how many of
-the clients' connections were still open at the end.
+the clients' connections were still open at the end. Exits 1 when an answer to
+an ordinary call or a ready answer has a fault.
 """
-import http.client
 import os
 import socket
 import sys
 import threading
 import time
 
+from strict_reader import StrictReader, connect, make_request
+
 KIND, TARGET, READY, ORDINARY, PID, COUNT, SECONDS = sys.argv[1:]
 
 
@@ -120,38 +122,36 @@
     counts.append(is_open)
 
 
-def call(address, path):
-    connection = http.client.HTTPConnection(address, timeout=3)
+def call(address, path, faults):
     try:
-        connection.request("GET", path, headers={
-            "Host": "a.example", "Authorization": "Bearer k1",
-            "X-Limpetflow-Request-Id": "r"})
-        return connection.getresponse().status
+        with connect(address, 3) as connection:
+            connection.sendall(make_request("GET", path, [
+                ("Host", "a.example"), ("Authorization", "Bearer k1"),
+                ("X-Limpetflow-Request-Id", "r")]))
+            answer = StrictReader(connection).read()
     except OSError:
         return 0
-    except http.client.HTTPException:
-        return 0
-    finally:
-        connection.close()
+    faults += answer.faults
+    return answer.status
 
 
-def run_ordinary(stop, results):
+def run_ordinary(stop, results, faults):
     while not stop.is_set():
         began = time.monotonic()
-        status = call(*split(ORDINARY))
+        status = call(*split(ORDINARY), faults)
         took = time.monotonic() - began
         results.append(status == 200 and took <= IN_TIME_S)
         time.sleep(max(0, ORDINARY_CLIENTS / ORDINARY_PER_S - took))
 
 
-def watch(stop, memory, waits):
+def watch(stop, memory, waits, faults):
     while not stop.is_set():
         with open("/proc/%s/status" % PID, encoding="ascii") as f:
             for line in f:
                 if line.startswith("VmRSS:"):
                     memory.append(int(line.split()[1]) / 1024)
         began = time.monotonic()
-        ok = call(*split(READY)) == 200
+        ok = call(*split(READY), faults) == 200
         waits.append((time.monotonic() - began) * 1000 if ok else 1e6)
         time.sleep(0.2)
 
@@ -168,18 +168,20 @@
 
 
 def main():
-    counts, results, memory, waits = [], [], [], []
+    counts, results, memory, waits, faults = [], [], [], [], []
     reader, writer = os.pipe()
     child = os.fork()
     if not child:
         run_threads([(run_client, (counts,))] * int(COUNT))
         os.write(writer, b"%d" % sum(counts))
         os._exit(0)
-    run_threads([(run_ordinary, (results,))] * ORDINARY_CLIENTS +
-                [(watch, (memory, waits))])
+    run_threads([(run_ordinary, (results, faults))] * ORDINARY_CLIENTS +
+                [(watch, (memory, waits, faults))])
     os.waitpid(child, 0)
     print("%.0f %.3f %.0f %s" % (max(memory), sum(results) / len(results),
                                  max(waits), os.read(reader, 16).decode()))
+    if faults:
+        sys.exit("%d faults: %s" % (len(faults), faults[:5]))
 
 
 main()
--- a/t/helper/read-answer.py
+++ b/t/helper/read-answer.py
@@ -4,8 +4,8 @@
 
 With a body the request is a POST.
 
-Prints one line: status, framing, end, and the ids of the whole events or the
-size of the body. The end is
+Prints one line: status, framing, end, the ids of the whole events or the size of
+the body, and what is wrong with the answer, for which it exits 1. The end is
     whole    by its length or its last chunk
     closed   the connection closed where nothing marks the end
     inside   the same, within an event
@@ -13,110 +13,53 @@
     silent   nothing came for 8 s
 """
 import re
-import socket
 import sys
 
-TIMEOUT_S = 8
-
-
-def decode_chunks(data):
-    """Returns the body and whether the last chunk was received."""
-    body = b""
-    while True:
-        line, end, rest = data.partition(b"\r\n")
-        if not end:
-            return body, False
-        size = int(line.split(b";")[0], 16)
-        if size == 0:
-            return body, rest.startswith(b"\r\n")
-        body += rest[:size]
-        if len(rest) < size + 2:
-            return body, False
-        data = rest[size + 2:]
+from strict_reader import StrictReader, connect, make_request
 
+TIMEOUT_S = 8
+CLOSE_S = 4  # after an answer that is the last one of its connection
 
-class Answer:
-    def __init__(self):
-        self.data = b""
-        self.is_reset = False
-        self.is_silent = False
-        self.is_closed = False
 
-    def parse(self):
-        """Sets status, framing, body and is_whole from the bytes so far."""
-        head, end, rest = self.data.partition(b"\r\n\r\n")
-        self.status, self.framing, self.body = "-", "none", b""
-        self.is_whole = False
-        self.is_stream = b"text/event-stream" in head
-        if not end:
-            return
-        self.status = head.split()[1].decode()
-        length = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
-        if re.search(rb"(?i)\r\ntransfer-encoding: *chunked", head):
-            self.framing = "chunked"
-            self.body, self.is_whole = decode_chunks(rest)
-        elif length:
-            self.framing = "length"
-            self.body = rest[:int(length[1])]
-            self.is_whole = len(rest) >= int(length[1])
-        else:
-            self.framing = "close"
-            self.body = rest
+def find_end(answer):
+    if answer.end in ("whole", "silent"):
+        return answer.end
+    if answer.end != "closed":
+        return "cut"
+    if answer.is_event_stream() and answer.body and \
+            not answer.body.endswith(b"\n\n"):
+        return "inside"
+    return "closed"
 
-    def end(self):
-        if self.is_whole:
-            return "whole"
-        if self.is_silent:
-            return "silent"
-        if self.is_reset or self.framing != "close":
-            return "cut"
-        if self.is_stream and self.body and not self.body.endswith(b"\n\n"):
-            return "inside"
-        return "closed"
 
-    def content(self):
-        if not self.is_stream:
-            return "%d bytes" % len(self.body)
-        ids = re.findall(rb"id: (\d+)\ndata: [^\n]*\n\n", self.body)
-        return "events " + b"".join(ids).decode()
+def content(answer):
+    if not answer.is_event_stream():
+        return "%d bytes" % len(answer.body)
+    ids = re.findall(rb"id: (\d+)\ndata: [^\n]*\n\n", answer.body)
+    return "events " + b"".join(ids).decode()
 
 
 def main():
-    host, port = sys.argv[1].split(":")
-    body, version = None, "1.1"
-    lines = ["Host: a.example"]
+    body, version, fields = None, "1.1", [("Host", "a.example")]
     for word in sys.argv[3:]:
         if word.startswith("body="):
-            body = word[len("body="):]
-            lines.append("Content-Length: %d" % len(body))
+            body = word[len("body="):].encode()
         elif word.startswith("version="):
             version = word[len("version="):]
         else:
-            lines.append(word.replace(":", ": ", 1))
+            fields.append(tuple(word.split(":", 1)))
     method = "GET" if body is None else "POST"
-    lines.insert(0, "%s %s HTTP/%s" % (method, sys.argv[2], version))
-    answer = Answer()
-    with socket.create_connection((host, int(port)), TIMEOUT_S) as s:
-        s.settimeout(TIMEOUT_S)
-        s.sendall(("\r\n".join(lines) + "\r\n\r\n" +
-                   (body or "")).encode())
-        answer.parse()
-        while not answer.is_whole:
-            try:
-                data = s.recv(65536)
-            except ConnectionError:
-                answer.is_reset = True
-                break
-            except TimeoutError:
-                answer.is_silent = True
-                break
-            if not data:
-                answer.is_closed = True
-                break
-            answer.data += data
-            answer.parse()
-    print(answer.status, answer.framing, answer.end(), answer.content())
+    with connect(sys.argv[1], TIMEOUT_S) as connection:
+        connection.sendall(make_request(method, sys.argv[2], fields, body,
+                                        version))
+        reader = StrictReader(connection)
+        answer = reader.read(method, version)
+        if answer.end == "whole" and answer.will_close():
+            answer.faults += reader.find_end_faults(CLOSE_S)
+    print(answer.status or "-", answer.framing, find_end(answer),
+          content(answer), *answer.faults)
+    return 1 if answer.faults else 0
 
 
 if __name__ == "__main__":
-    main()
+    sys.exit(main())
--- a/t/helper/slow-reader.py
+++ b/t/helper/slow-reader.py
@@ -3,44 +3,43 @@
     slow-reader.py ADDRESS:PORT PATH PAUSE-SECONDS [NAME:VALUE...]
 
 Prints status, end ("whole" or "cut"), the size of the body, its SHA-256, and
-for a stream the first and the last id and whether all between came in order.
+for a stream the first and the last id and whether all between came in order, and
+what is wrong with the answer, for which it exits 1.
 A pause of "leave" closes the connection after the first bytes and one second.
 """
 import hashlib
-import http.client
 import re
 import socket
 import sys
 import time
 
+from strict_reader import StrictReader, make_request
+
 BUFFER_BYTES = 16 * 1024
 TIMEOUT_S = 12
 LEAVE_AFTER_S = 1
 
 
-def connect(address):
-    host, port = address.split(":")
-    s = socket.socket()
-    s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-    s.settimeout(TIMEOUT_S)
-    s.connect((host, int(port)))
-    connection = http.client.HTTPConnection(host, int(port))
-    connection.sock = s
-    return connection
+class SlowReader(StrictReader):
+    """Pauses when the first bytes of a body have come."""
 
+    def __init__(self, address, pause):
+        host, port = address.split(":")
+        s = socket.socket()
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        s.settimeout(TIMEOUT_S)
+        s.connect((host, int(port)))
+        super().__init__(s)
+        self.pause = pause
 
-def read_rest(answer, body):
-    """Appends the rest of the body. Returns how it ended."""
-    try:
-        while True:
-            data = answer.read(BUFFER_BYTES)
-            if not data:
-                break
-            body += data
-    except (http.client.IncompleteRead, OSError):
-        return "cut"
-    length = answer.getheader("Content-Length")
-    return "cut" if length and len(body) < int(length) else "whole"
+    def receive(self):
+        if self.pause and self.answer.body:
+            pause, self.pause = self.pause, None
+            if pause == "leave":
+                time.sleep(LEAVE_AFTER_S)
+                sys.exit()
+            time.sleep(float(pause))
+        super().receive()
 
 
 def events(body):
@@ -53,21 +52,17 @@
 
 
 def main():
-    connection = connect(sys.argv[1])
-    headers = dict(word.split(":", 1) for word in sys.argv[4:])
-    headers["Host"] = "a.example"
-    connection.request("GET", sys.argv[2], headers=headers)
-    answer = connection.getresponse()
-    body = bytearray(answer.read(BUFFER_BYTES))
-    if sys.argv[3] == "leave":
-        time.sleep(LEAVE_AFTER_S)
-        return
-    time.sleep(float(sys.argv[3]))
-    end = read_rest(answer, body)
-    print("%d %s %d bytes %s%s" % (answer.status, end, len(body),
-                                   hashlib.sha256(body).hexdigest()[:16],
-                                   events(bytes(body))))
+    reader = SlowReader(sys.argv[1], sys.argv[3])
+    fields = [tuple(word.split(":", 1)) for word in sys.argv[4:]]
+    reader.connection.sendall(make_request(
+        "GET", sys.argv[2], [("Host", "a.example")] + fields))
+    answer = reader.read()
+    end = "whole" if answer.end == "whole" else "cut"
+    print("%d %s %d bytes %s%s" % (answer.status, end, len(answer.body),
+                                   hashlib.sha256(answer.body).hexdigest()[:16],
+                                   events(answer.body)), *answer.faults)
+    return 1 if answer.faults else 0
 
 
 if __name__ == "__main__":
-    main()
+    sys.exit(main())
--- a/t/helper/strict_reader.py
+++ b/t/helper/strict_reader.py
@@ -276,6 +276,25 @@
         return rest
 
 
+class GivenBytes:
+    """In place of a connection, for bytes that came on one. After them it is
+    closed, or silent."""
+
+    def __init__(self, data, is_closed):
+        self.data, self.is_closed = data, is_closed
+
+    def recv(self, _):
+        data, self.data = self.data, b""
+        if not data and not self.is_closed:
+            raise TimeoutError
+        return data
+
+
+def parse(data, is_closed):
+    """Returns the answer, or its part, of one request on a connection."""
+    return StrictReader(GivenBytes(data, is_closed)).read()
+
+
 def make_request(method, path, fields, body=None, version="1.1"):
     """Returns the bytes of a request; fields are pairs."""
     lines = ["%s %s HTTP/%s" % (method, path, version)]
