t1055: the fields of answers after SIGTERM

A process that stops adds Connection to each answer, and with libmicrohttpd 0.9.75 the order of the fields decides whether Date and Transfer-Encoding come twice then. The test reads 11 forms of answers that begin after SIGTERM strictly.

--- a/t/helper/passed-on.py
+++ b/t/helper/passed-on.py
@@ -1,6 +1,6 @@
 """Answers of an upstream as a caller gets them, read strictly.
 
-    passed-on.py ENTRY UPSTREAM [PID] <CASES
+    passed-on.py ENTRY UPSTREAM [PID [SECONDS]] <CASES
 
 Serves as the upstream and calls the entry; with "-" for UPSTREAM, it only calls. Each line of CASES has the words of a
 shell: a name, and then any of
@@ -14,7 +14,7 @@
     method=, version=, path=, ask=NAME:VALUE  of the request
     raw=BYTES         sent in place of a request, with \\x escapes
 With PID, all requests are sent first; once all of them have reached the upstream
-that process gets SIGTERM, and they are answered 0.3 s later.
+that process gets SIGTERM, and they are answered 0.3 s or SECONDS later.
 
 Prints for each case the status, framing, end and size of the body, whether the
 answer says that its connection closes, whether it does ("open": one more request
@@ -98,7 +98,7 @@
         arrived.add(name)
         if len(arrived) == len(cases):
             os.kill(int(sys.argv[3]), signal.SIGTERM)
-            time.sleep(0.3)
+            time.sleep(float(sys.argv[4]) if len(sys.argv) > 4 else 0.3)
             all_arrived.set()
     all_arrived.wait(8)
 
--- a/t/t1055-passed-on-fields.sh
+++ b/t/t1055-passed-on-fields.sh
@@ -97,4 +97,40 @@
 	! grep Stamp actual
 '
 
+# Guards against a Date, or a framing field, that the library adds once more
+# (issue 59). The last case, as the entry is gone then.
+test_expect_success 'all of this holds after SIGTERM' '
+	date="Mon, 01 Jan 2024 00:00:00 GMT" &&
+	passed_on $(cat e1.pid) >actual <<-EOF &&
+	length "field=Date: $date" field=X-Empty:
+	chunks framing=chunked "field=Date: $date" field=X-Empty:
+	closed framing=close "field=Date: $date"
+	events framing=events "field=Date: $date"
+	undated framing=chunked
+	closing framing=chunked "field=Date: $date" ask=Connection:close
+	held version=1.0 framing=chunked "field=Date: $date"
+	kept version=1.0 framing=chunked "field=Date: $date" ask=Connection:keep-alive
+	option framing=chunked "field=Connection: x-hop" field=X-Hop:1
+	name "field=X Bad:1"
+	error status=500 "field=Date: $date"
+	EOF
+	sed "s/ X-Limpetflow-Response-Stamp=.stamp.//; s/ Content-Length=[^ ]*//;
+		s/ Content-Type=.text.event-stream.//" actual >fields &&
+	grep -v "^name: " fields >served &&
+	cat >expect <<-EOF &&
+	length: 200 length whole 2 closing, closed, Date=[$date] X-Empty=[]
+	chunks: 200 chunked whole 2 closing, closed, Date=[$date] X-Empty=[]
+	closed: 200 chunked whole 2 closing, closed, Date=[$date]
+	events: 200 chunked whole 16 closing, closed, Date=[$date]
+	undated: 200 chunked whole 2 closing, closed, Date=[now]
+	closing: 200 chunked whole 2 closing, closed, Date=[$date]
+	held: 200 length whole 2 closing, closed, Date=[$date]
+	kept: 200 length whole 2 closing, closed, Date=[$date]
+	option: 200 chunked whole 2 closing, closed, Date=[now]
+	error: 500 length whole 2 closing, closed, Date=[$date]
+	EOF
+	test_cmp expect served &&
+	grep "^name: 502 length whole .* closing, closed, " fields
+'
+
 test_done
