--- a/net/httpd-internal.h
+++ b/net/httpd-internal.h
@@ -65,7 +65,7 @@
 	size_t body_expected; /* by its Content-Length, 0: not named */
 	int is_too_large;
 	int is_http_1_0;
-	int is_last; /* its connection closes behind its answer */
+	int is_last;		/* its connection closes behind its answer */
 	const char *head_fault; /* why its head is refused, NULL: it is valid */
 	size_t fields_size; /* of the request's head without its first line */
 	size_t answer_room; /* for the head of its answer */
