t1052: what a refusal says, and that invalid lengths run nothing

Case 16 reads the refusals of the callers' port and of the ready port: 400, one "Connection: close", a problem document with bad-head and not-run. Case 17 stays strict on what case 11, which is red, would hide.

--- a/t/t1052-invalid-requests.sh
+++ b/t/t1052-invalid-requests.sh
@@ -204,4 +204,24 @@
 	EOF
 '
 
+# Guards against a refusal that a caller can't read, or a server of this program
+# that takes any head.
+test_expect_success 'each server explains its refusal' '
+	for address in $ENTRY $READY; do
+		curl -s -D head -H Host: http://$address/readyz >body &&
+		head -n 1 head | grep "^HTTP/1.1 400 " &&
+		test $(grep -ci "^connection: close" head) = 1 &&
+		test $(grep -ci "^content-type: application/problem+json" head) = 1 &&
+		jq -e ".status == 400 and .outcome == \"not-run\" and
+			.reason == \"bad-head\" and .again == \"no\"" body ||
+			return 1
+	done
+'
+
+# Guards what case 11 can't while it is red: that nothing of these requests runs.
+test_expect_success 'requests with an invalid length do not run' '
+	test $(grep -c "^length-[a-z0-9]* 4[01][03] [a-z]* none" \
+		actual-length-page) = 6
+'
+
 test_done
