httpd: look at the layout of heads up to the version that was run

Where heads lie was measured with 0.9.75. Another layout would refuse every request, so that a version in between is left with its own leniency instead.

--- a/net/httpd-head.c
+++ b/net/httpd-head.c
@@ -43,14 +43,14 @@
 }
 
 /*
- * What libmicrohttpd before 0.9.77 hides of a head shows in where its parts lie.
+ * What libmicrohttpd 0.9.75 hides of a head shows in where its parts lie.
  * It splits the head in the buffer that was read, with a NUL in place of each
  * byte of a line's end, so that a line begins one or two bytes after the one
  * before it. It appends a folded line to the name of its field, which it moves
  * for that; it cuts a value at a NUL, and takes a line without a name for the
  * end of the head.
  */
-#define LAYOUT_END_VERSION "0.9.77"
+#define LAYOUT_END_VERSION "0.9.76"
 
 /* Returns 1 if the library that runs, whatever its headers were, has this layout. */
 static int has_head_layout(void)
