t1054: late second answers on kept connections, read strictly

raw_server.py gets the forms again-WHEN-FRAMING; strict-caller.py prints ids and the beginning of the body.

--- a/t/helper/strict-caller.py
+++ b/t/helper/strict-caller.py
@@ -5,10 +5,12 @@
 Each path is asked on a kept connection of its own, and on a new one after each
 close, until nobody listens or the time is over. NAME:VALUE is a further field of
 the request; "method=HEAD" and "version=1.0" are such words too. Prints a line of
-JSON for each answer: path, status, framing, closing, end, faults, and the bytes
-of the body.
+JSON for each answer: path, status, framing, closing, end, faults, the bytes of
+the body, the id of the request and that in the answer's head, and the first 80
+bytes of the body.
 """
 import json
+import os
 import sys
 import threading
 import time
@@ -25,13 +27,14 @@
     global count
     with lock:
         count += 1
-        return "c-%d" % count
+        return "c%d-%d" % (os.getpid(), count)
 
 
 def ask(reader, path, words):
     method, version = "GET", "1.1"
     fields = [("Host", "a.example"), ("X-Limpetflow-Request-Id", next_id()),
               ("X-Limpetflow-Deadline-Ms", "2500")]
+    id = fields[1][1]
     for word in words:
         if word.startswith("method="):
             method = word[len("method="):]
@@ -53,7 +56,10 @@
                           "status": answer.status, "framing": answer.framing,
                           "closing": answer.will_close(), "end": answer.end,
                           "faults": answer.faults,
-                          "bytes": len(answer.body)}), flush=True)
+                          "bytes": len(answer.body), "id": id,
+                          "answer_id": answer.value("X-Limpetflow-Request-Id"),
+                          "body": answer.body[:80].decode("latin1")}),
+              flush=True)
     return answer.end == "whole" and not answer.will_close()
 
 
--- a/t/standin/raw_server.py
+++ b/t/standin/raw_server.py
@@ -25,6 +25,10 @@
                   type) or "none" for BODY; 503 says that it was not run
     refused-WHEN  a refusal (503, not run), which is written once more: "now",
                   at once, or "late", where the next answer is due
+    again-WHEN-FRAMING  a whole answer with the request's id in its body, which is
+                  written once more: "now", at once; "soon", up to 20 ms later;
+                  "pieces", the same in two pieces; "late", where the next answer
+                  is due; "never"
     head-open     the connection closes inside the head
     head-reset    the same with a reset
     head-none     it closes without a byte
@@ -52,6 +56,7 @@
 """
 import functools
 import json
+import random
 import socket
 import struct
 import sys
@@ -67,6 +72,7 @@
 FOREVER_MAX_S = 30
 HANG_S = 10
 LATE_S = 0.3
+AGAIN_MAX_S = 0.02
 PLAIN = b'{"whole":"%s"}' % (b"x" * 600)
 LARGE = bytes(range(256)) * (24 * 1024 * 4)
 MANY_EVENTS = 6000
@@ -232,6 +238,21 @@
     return text
 
 
+def send_again(connection, when, text):
+    """Sends an answer twice. Returns what is left for where the next one is
+    due."""
+    if when == "now":
+        connection.sendall(text + text)
+        return b""
+    connection.sendall(text)
+    if when in ("soon", "pieces"):
+        split = len(text) // 3 if when == "pieces" else len(text)
+        for piece in (text[:split], text[split:]):
+            time.sleep(random.uniform(0, AGAIN_MAX_S))
+            connection.sendall(piece)
+    return text if when == "late" else b""
+
+
 def answer(connection, form, request_id, first, until):
     """Sends one answer. Returns False when the connection has to close."""
     if form.startswith("cut-"):
@@ -358,6 +379,13 @@
                 lines, _ = frame(framing, "", PLAIN, b"application/json")
                 connection.sendall(head(request_id, lines))
                 continue
+            if name.startswith("again-"):
+                when, framing = name.split("-")[1:]
+                lines, body = frame(framing, "", b'{"request":"%s"}' %
+                                    request_id, b"application/json")
+                extra = send_again(connection, when,
+                                   head(request_id, lines) + body)
+                continue
             if not answer(connection, forms[-1 if has_come(request_id) else 0],
                           request_id, last + 1,
                           time.monotonic() + left_ms / 1000):
