--- a/t/t0515-plain-ends.sh
+++ b/t/t0515-plain-ends.sh
@@ -7,7 +7,8 @@
 . "$TEST_DIR/calls-lib.sh"
 
 P1=$CALLS_NET.31
-FORMS="half-close-stall half-length-hang plain-length plain-chunked plain-close half-length-open half-chunked-open half-close-reset head-open"
+INVALID="invalid-length-less invalid-length-hex invalid-name-blank-coding invalid-folded-coding invalid-coding-twice invalid-cr-value chunked-blank-trailer chunked-words"
+FORMS="half-close-stall half-length-hang plain-length plain-chunked plain-close half-length-open half-chunked-open half-close-reset head-open $INVALID"
 
 # operations REPEATABLE PREFIX: one operation for each form.
 operations () {
@@ -122,6 +123,25 @@
 	test_cmp expect actual
 '
 
+# Guards against parts of a body, or bytes that are none of it, as an answer. The
+# call has run.
+test_expect_success 'a plain answer that HTTP does not allow leaves the outcome unknown' '
+	for form in $INVALID; do
+		for service in once again; do
+			wait_until 10 is_served &&
+			call $ENTRY1 /v1/services/$service/$form -d "{}" >out &&
+			echo "$service $form: $(header_of X-Outcome) $(status_of)" ||
+			return 1
+		done
+	done >statuses &&
+	sed "s/ 50[23]$//" statuses >actual &&
+	for form in $INVALID; do
+		echo "once $form: unknown"
+		echo "again $form: unknown"
+	done >expect &&
+	test_cmp expect actual
+'
+
 # A killed agent closes its connections as if the answer had ended. Its entry must
 # not take half of an answer for the whole.
 test_expect_success 'the answer of an agent that is killed is not complete' '
