--- a/t/helper/passed-on.py
+++ b/t/helper/passed-on.py
@@ -2,7 +2,8 @@
 
     passed-on.py ENTRY UPSTREAM [PID [SECONDS]] <CASES
 
-Serves as the upstream and calls the entry; with "-" for UPSTREAM, it only calls. Each line of CASES has the words of a
+Serves as the upstream and calls the entry; with "-" for UPSTREAM, it only calls,
+and the body is that of a POST. Each line of CASES has the words of a
 shell: a name, and then any of
     status=CODE       of the upstream's answer, 200 without it
     field=NAME:VALUE  a further field of that answer, with \\x escapes
@@ -137,9 +138,11 @@
 def send(connection, case, path, request_id):
     fields = [("Host", "a.example"), ("X-Limpetflow-Request-Id", request_id),
               ("X-Limpetflow-Deadline-Ms", "3000")] + case.asked
-    connection.sendall(case.raw or make_request(case.method, path,
-                                                fields,
-                                                version=case.version))
+    body = None
+    if sys.argv[2] == "-" and case.method == "POST":
+        body = case.body.encode()
+    connection.sendall(case.raw or make_request(case.method, path, fields,
+                                                body, case.version))
 
 
 def show(name, value):
