--- a/t/t1059-process-heads.sh
+++ b/t/t1059-process-heads.sh
@@ -69,7 +69,16 @@
 		ask $ENTRY1:7100 <calls &&
 		ask $ENTRY1:7102 <pages &&
 		ask $A1:7102 <pages &&
-		echo "nowhere path=/nowhere" | ask $A1:7100
+		digest=$(ls store/manifests) &&
+		chunk=$(jq -r ".chunks[0]" store/manifests/$digest) &&
+		ask $A1:7100 <<-EOF
+		nowhere path=/nowhere
+		chunk path=/chunks/$chunk
+		chunk-1.0 version=1.0 path=/chunks/$chunk
+		chunk-close path=/chunks/$chunk ask=Connection:close
+		no-chunk path=/chunks/$digest
+		manifest path=/manifests/$digest
+		EOF
 	} >actual &&
 	cat >expect <<-\EOF &&
 	stream: 200 chunked whole, open, X-Request-Id X-Outcome=[answer] X-Model-Version Content-Type=[text/event-stream]
@@ -97,12 +106,17 @@
 	nowhere: 404 length whole, open, no-such-path Content-Type=[application/problem+json]
 	nowhere-head: 404 length whole, open, Content-Type=[application/problem+json]
 	nowhere: 404 length whole, open, no-such-path Content-Type=[application/problem+json]
+	chunk: 200 length whole, open, Content-Type=[application/octet-stream]
+	chunk-1.0: 200 length whole closing, closed, Content-Type=[application/octet-stream]
+	chunk-close: 200 length whole closing, closed, Content-Type=[application/octet-stream]
+	no-chunk: 404 length whole, open, Content-Type=[text/plain]
+	manifest: 200 length whole, open, Content-Type=[application/json]
 	EOF
 	test_cmp expect actual
 '
 
-# A stream that began before is written meanwhile, and the next request on its
-# connection refused.
+# A stream that began before is written meanwhile. The next request on its connection
+# is refused, or finds it closed as the process has ended.
 test_expect_success 'an entry that stops answers' '
 	echo "long \"$KEY\" $GEN $SQ$LONG$SQ" | ask $ENTRY1:7100 >long &
 	long=$! &&
@@ -112,7 +126,7 @@
 	ask $ENTRY1:7100 <calls >actual &&
 	ask $ENTRY1:7102 <pages >>actual &&
 	wait $long &&
-	sed "s/, 503 whole b.* \[\], /, refused, /" long >>actual &&
+	sed "s/, 503 whole b.* \[\], /, over, /; s/, closed, /, over, /" long >>actual &&
 	cat >expect <<-\EOF &&
 	stream: 503 length whole closing, closed, draining Retry-After=[1] Content-Type=[application/problem+json]
 	stream-1.0: 503 length whole closing, closed, draining Retry-After=[1] Content-Type=[application/problem+json]
@@ -131,7 +145,7 @@
 	ready: 503 length whole, open, Content-Type=[application/json]
 	nowhere: 404 length whole, open, no-such-path Content-Type=[application/problem+json]
 	nowhere-head: 404 length whole, open, Content-Type=[application/problem+json]
-	long: 200 chunked whole, refused, X-Request-Id X-Outcome=[answer] X-Model-Version Content-Type=[text/event-stream]
+	long: 200 chunked whole, over, X-Request-Id X-Outcome=[answer] X-Model-Version Content-Type=[text/event-stream]
 	EOF
 	test_cmp expect actual
 '
