--- a/t/helper/strict-caller.py
+++ b/t/helper/strict-caller.py
@@ -4,7 +4,7 @@
 
 Each path is asked on a kept connection of its own, and on a new one after each
 close, until nobody listens or the time is over. NAME:VALUE is a further field of
-the request; "method=HEAD" and "version=1.0" are such words too. Prints a line of
+the request; "method=HEAD", "version=1.0" and "body=FILE" are such words too. Prints a line of
 JSON for each answer: path, status, framing, closing, end, faults, the bytes of
 the body, the id of the request and that in the answer's head, and the first 80
 bytes of the body.
@@ -31,7 +31,7 @@
 
 
 def ask(reader, path, words):
-    method, version = "GET", "1.1"
+    method, version, body = "GET", "1.1", None
     fields = [("Host", "a.example"), ("X-Limpetflow-Request-Id", next_id()),
               ("X-Limpetflow-Deadline-Ms", "2500")]
     id = fields[1][1]
@@ -40,12 +40,15 @@
             method = word[len("method="):]
         elif word.startswith("version="):
             version = word[len("version="):]
+        elif word.startswith("body="):
+            with open(word[len("body="):], "rb") as file:
+                body = file.read()
         else:
             fields.append(tuple(word.split(":", 1)))
     rest = reader.read_rest()
     reader.connection.settimeout(8)
-    reader.connection.sendall(make_request(method, path, fields,
-                                           version=version))
+    reader.connection.sendall(make_request(method, path, fields, body,
+                                           version))
     answer = reader.read(method, version)
     if rest:
         answer.faults.append("bytes after the last answer: %r" % rest[:80])
--- a/t/t0902-graceful-stop.sh
+++ b/t/t0902-graceful-stop.sh
@@ -59,6 +59,23 @@
 	touch restarted
 }
 
+# read_strictly: reads answers of the first two entries byte by byte, on kept
+# connections, until they are stopped for the first time.
+read_strictly () {
+	echo "{\"prompt\":\"a\",\"max_tokens\":40,\"stream\":true}" >stream.in
+	echo "{\"prompt\":\"a\",\"max_tokens\":20}" >model.in
+	echo "{}" >plain.in
+	words="method=POST,Authorization:Bearer $KEY_ADUBO,Content-Type:application/json"
+	for address in $ENTRY1 $ENTRY2; do
+		python3 "$TEST_DIR/helper/strict-caller.py" $address:7100 60 \
+			"/v1/models/quotes/generate,$words,body=stream.in" \
+			"/v1/models/quotes/generate,$words,body=model.in" \
+			"/v1/services/billing/look,$words,body=plain.in" \
+			>strict-$address &
+	done
+	wait
+}
+
 # load_rounds: runs the load in rounds of 3 s until the rolling restart is
 # complete, at most 20 times.
 load_rounds () {
@@ -78,6 +95,8 @@
 }
 
 test_expect_success 'each process is restarted under load' '
+	read_strictly &
+	sleep 1
 	rolling_restart >restart.log 2>&1 &
 	load_rounds
 	wait
@@ -101,6 +120,17 @@
 	test "$(wc -l <history.jsonl)" -gt 300
 '
 
+# Guards against heads that are wrong in a process that stops only (issue 59).
+test_expect_success 'answers of entries that stop are strict HTTP' '
+	for address in $ENTRY1 $ENTRY2; do
+		jq -c "[.path, .status, .framing, .closing, .end, .faults]" \
+			strict-$address | sort | uniq -c &&
+		jq -es "all(.[]; .faults == [])" strict-$address &&
+		jq -es "any(.[]; .closing) and any(.[]; .status == 200 and
+			.framing == \"chunked\")" strict-$address || exit 1
+	done
+'
+
 test_expect_success 'some attempts were refused or could not connect' '
 	jq -s -e "any(.[]; any(.earlier[]?; .outcome == \"not-run\" or
 		.status == 0))" history.jsonl
--- a/t/t1040-late-in-the-grace.sh
+++ b/t/t1040-late-in-the-grace.sh
@@ -65,7 +65,12 @@
 wait_until 10 curl -sf http://$READY/readyz
 sleep 1
 
-# Requests of each kind before and after the signal, then until the end.
+# Requests of each kind before and after the signal, then until the end. Beside
+# them, answers are read byte by byte on kept connections.
+python3 "$TEST_DIR/helper/strict-caller.py" $ENTRY 20 /read/s /once/s /tell/s \
+	>strict &
+strict=$!
+sleep 0.5
 kill -TERM $(cat entry.pid)
 wait_until 5 grep -q "draining: no new work" entry.out
 for kind in read once tell; do
@@ -81,7 +86,7 @@
 	late=$((late + 1))
 	sleep 0.1
 done >late
-wait $(cat early-*.ask)
+wait $(cat early-*.ask) $strict
 
 # Guards against requests that are cut off without an answer at the end.
 test_expect_success 'what was taken on gets an answer before the process ends' '
@@ -103,6 +108,13 @@
 	done
 '
 
+# Guards against heads that are wrong in a process that stops only (issue 59).
+test_expect_success 'answers are strict HTTP until the process is gone' '
+	jq -c "[.path, .status, .closing, .end, .faults]" strict | sort | uniq -c &&
+	jq -es "map(select(.closing)) | length >= 20" strict &&
+	jq -es "all(.[]; .faults == [])" strict
+'
+
 test_expect_success 'the process ended within the grace' '
 	grep "\"step\":\"stop\"" entry.out &&
 	! grep "with work in flight" entry.out
