t1056: the length in the answer to HEAD

Since the fetcher knows HEAD, the upstream's answer to it is not waited for and its length can be passed on: 4 bytes in four of the 34 forms.

--- a/t/t1056-bodiless-answers.sh
+++ b/t/t1056-bodiless-answers.sh
@@ -25,6 +25,8 @@
 # All ways in which an upstream may write them.
 cat >cases <<-\EOF
 head method=HEAD framing=none
+head-length method=HEAD body=text
+head-length-1.0 method=HEAD version=1.0 body=text
 head-chunks method=HEAD framing=spurious
 head-closing method=HEAD framing=none ask=Connection:close
 head-1.0 method=HEAD version=1.0 framing=none
@@ -53,6 +55,8 @@
 	passed_on <cases | strip >actual &&
 	cat >expect <<-\EOF &&
 	head: 200 length whole 0 closing, closed,
+	head-length: 200 length whole 0, open, Content-Length=[4]
+	head-length-1.0: 200 length whole 0 closing, closed, Content-Length=[4]
 	head-chunks: 200 length whole 0 closing, closed,
 	head-closing: 200 length whole 0 closing, closed,
 	head-1.0: 200 length whole 0 closing, closed,
@@ -75,6 +79,8 @@
 	passed_on $(cat e1.pid) <cases | strip >actual &&
 	cat >expect <<-\EOF &&
 	head: 200 length whole 0 closing, closed,
+	head-length: 200 length whole 0 closing, closed, Content-Length=[4]
+	head-length-1.0: 200 length whole 0 closing, closed, Content-Length=[4]
 	head-chunks: 200 length whole 0 closing, closed,
 	head-closing: 200 length whole 0 closing, closed,
 	head-1.0: 200 length whole 0 closing, closed,
