t0005: wait for the report of a load instead of a time

The request took 1 s and its report lags 0.3 s, so that a second look later than 1.3 s finds none. The case now waits for the report of a request that takes 5 s; that no report comes before its lag is asked as before.

--- a/t/t0005-standin.sh
+++ b/t/t0005-standin.sh
@@ -237,11 +237,16 @@
 	test "$(echo $(cat completed))" = "9 0 5 9"
 '
 
+# reports_running: the engine says that a request runs.
+reports_running () {
+	fetch $engine/load && jq -e ".running == 1" body
+}
+
 test_expect_success 'engine: load reports lag' '
 	sleep 0.4 &&
-	{ generate $engine r4 "{\"max_tokens\":100}" >/dev/null & } &&
+	{ generate $engine r4 "{\"max_tokens\":500}" >/dev/null & } &&
 	sleep 0.15 && fetch $engine/load && jq -e ".running == 0" body &&
-	sleep 0.5 && fetch $engine/load && jq -e ".running == 1" body &&
+	wait_until 4 reports_running &&
 	wait
 '
 
