--- a/t/t1049-written-heads.sh
+++ b/t/t1049-written-heads.sh
@@ -63,4 +63,12 @@
 	test $(count_answers ".status != 0 and .end != \"whole\"") = 0
 '
 
+# Guards against fields that are added past the function that looks at the word of
+# the library.
+test_expect_success 'one file gives fields to the library' '
+	(cd "$TOP" && grep -l MHD_add_response_header */*.c) >actual &&
+	echo net/httpd-fields.c >expect &&
+	test_cmp expect actual
+'
+
 test_done
